--- /dev/null
+++ b/packages/authority/src/Lease.cpp
@@ -0,0 +1,228 @@
+#include "ridgeferry/authority/Lease.h"
+
+#include <nlohmann/json.hpp>
+#include <ridgeferry/base/Overloaded.h>
+
+namespace ridgeferry::authority {
+
+std::string
+LeaseKey(std::string_view aHall)
+{
+  return "lease/" + std::string(aHall);
+}
+
+std::string
+FenceKey(std::string_view aHall)
+{
+  return "fence/" + std::string(aHall);
+}
+
+std::string
+EncodeLease(const LeaseRow& aRow)
+{
+  return nlohmann::json{
+    { "holder", aRow.m_holder },
+    { "fencing", aRow.m_fencing },
+    { "beat", aRow.m_beat },
+    { "released", aRow.m_released }
+  }.dump();
+}
+
+tl::expected<LeaseRow, std::string>
+DecodeLease(std::string_view aValue)
+{
+  if (aValue.empty()) {
+    return LeaseRow{};
+  }
+  try {
+    const nlohmann::json value = nlohmann::json::parse(aValue);
+    return LeaseRow{ value.at("holder").get<std::string>(),
+                     value.at("fencing").get<FencingNumber>(),
+                     value.at("beat").get<std::uint64_t>(),
+                     value.at("released").get<bool>() };
+  } catch (const nlohmann::json::exception& error) {
+    return tl::unexpected(std::string("bad lease row: ") + error.what());
+  }
+}
+
+Lease::Lease(std::string aHall, std::string aProcess, LeaseTimes aTimes)
+  : m_hall(std::move(aHall))
+  , m_process(std::move(aProcess))
+  , m_times(aTimes)
+{
+}
+
+bool
+Lease::HasAuthority(Instant aNow) const
+{
+  return m_holds && aNow < m_validUntil;
+}
+
+std::vector<LeaseAction>
+Lease::Handle(const LeaseEvent& aEvent, Instant aNow)
+{
+  Actions actions;
+  if (m_holds && aNow >= m_validUntil) {
+    Drop(actions); // The term ended, perhaps while this process was paused.
+  }
+  std::visit(
+    Overloaded{
+      [&](const LeaseTick& aTick) { OnTick(aTick, aNow, actions); },
+      [&](const LeaseRead& aRead) { OnRead(aRead, aNow, actions); },
+      [&](const LeaseWritten& aWritten) { OnWritten(aWritten, aNow, actions); },
+      [&](const LeaseResign&) { OnResign(aNow, actions); } },
+    aEvent);
+  return actions;
+}
+
+void
+Lease::OnTick(const LeaseTick& aTick, Instant aNow, Actions& aActions)
+{
+  if (m_open) {
+    // An adapter always answers, so only a lost process would wait for ever.
+    return;
+  }
+  if (m_holds && aNow >= m_nextRenew.value_or(aNow)) {
+    LeaseRow row = m_seen;
+    ++row.m_beat;
+    Write(std::move(row), false, aNow, aActions);
+    return;
+  }
+  if (m_holds || m_resigned) {
+    return;
+  }
+  if (aTick.m_contends && MayTake(aNow)) {
+    Write({ m_process, m_seen.m_fencing + 1, 0, false }, true, aNow, aActions);
+    return;
+  }
+  if (aNow >= m_nextRead.value_or(aNow)) {
+    m_nextRead = aNow + m_times.m_pollEvery;
+    aActions.emplace_back(ReadLease{});
+  }
+}
+
+bool
+Lease::MayTake(Instant aNow) const
+{
+  if (!m_unchangedSince) {
+    return false;
+  }
+  const bool free = m_seen.m_holder.empty() || m_seen.m_released;
+  return free || aNow - *m_unchangedSince >= m_times.m_term + m_times.m_margin;
+}
+
+void
+Lease::OnRead(const LeaseRead& aRead, Instant aNow, Actions& aActions)
+{
+  if (aRead.m_lease.m_status != table::ReadStatus::Ok ||
+      aRead.m_fence.m_status != table::ReadStatus::Ok) {
+    return;
+  }
+  const auto row = DecodeLease(aRead.m_lease.m_row.m_value);
+  if (!row) {
+    return;
+  }
+  m_seenFenceVersion = aRead.m_fence.m_row.m_version;
+  NoteRow(aRead.m_lease.m_row, *row, aNow);
+  if (m_open && m_open->m_row == *row) {
+    const OpenWrite confirmed = *m_open;
+    m_open.reset();
+    Confirm(confirmed, aActions);
+    return;
+  }
+  m_open.reset();
+  if (m_holds && row->m_holder != m_process) {
+    Drop(aActions);
+  }
+}
+
+void
+Lease::NoteRow(const table::Row& aLease, const LeaseRow& aRow, Instant aNow)
+{
+  if (!m_unchangedSince || aLease.m_version != m_seenVersion) {
+    m_unchangedSince = aNow;
+  }
+  m_seenVersion = aLease.m_version;
+  m_seen = aRow;
+}
+
+void
+Lease::OnWritten(const LeaseWritten& aWritten, Instant aNow, Actions& aActions)
+{
+  if (!m_open || m_open->m_attempt != aWritten.m_attempt) {
+    return; // An answer to an earlier write: already settled by a read.
+  }
+  switch (aWritten.m_result) {
+    case table::CommitResult::Committed:
+    case table::CommitResult::Conflict:
+    case table::CommitResult::Unknown:
+      // The row tells who holds the lease and brings its new version, also
+      // after a lost answer. `m_open` stays until that read.
+      m_nextRead = aNow + m_times.m_pollEvery;
+      aActions.emplace_back(ReadLease{});
+      return;
+    case table::CommitResult::NotWritten:
+      m_open.reset();
+      return;
+  }
+}
+
+void
+Lease::Confirm(const OpenWrite& aWrite, Actions& aActions)
+{
+  if (aWrite.m_row.m_released) {
+    Drop(aActions);
+    return;
+  }
+  const bool taken = !m_holds || m_fencing != aWrite.m_row.m_fencing;
+  m_holds = true;
+  m_fencing = aWrite.m_row.m_fencing;
+  m_fenceVersion = m_seenFenceVersion;
+  m_validUntil = aWrite.m_sentAt + m_times.m_term - m_times.m_margin;
+  m_nextRenew = aWrite.m_sentAt + m_times.m_renewEvery;
+  if (taken) {
+    aActions.emplace_back(AuthorityGained{ m_fencing, m_fenceVersion });
+  }
+}
+
+void
+Lease::Drop(Actions& aActions)
+{
+  if (!m_holds) {
+    return;
+  }
+  m_holds = false;
+  m_nextRenew.reset();
+  aActions.emplace_back(AuthorityLost{});
+}
+
+void
+Lease::OnResign(Instant aNow, Actions& aActions)
+{
+  m_resigned = true;
+  if (!m_holds) {
+    return;
+  }
+  LeaseRow row = m_seen;
+  row.m_released = true;
+  ++row.m_beat;
+  // Authority ends before the row is given back, not when the answer comes.
+  Drop(aActions);
+  Write(std::move(row), false, aNow, aActions);
+}
+
+void
+Lease::Write(LeaseRow aRow, bool aTakes, Instant aNow, Actions& aActions)
+{
+  table::Transaction write;
+  write.m_conditions.push_back({ LeaseKey(m_hall), m_seenVersion });
+  write.m_puts.push_back({ LeaseKey(m_hall), EncodeLease(aRow) });
+  if (aTakes) {
+    write.m_conditions.push_back({ FenceKey(m_hall), m_seenFenceVersion });
+    write.m_puts.push_back({ FenceKey(m_hall), EncodeLease(aRow) });
+  }
+  m_open = OpenWrite{ ++m_lastAttempt, aNow, std::move(aRow) };
+  aActions.emplace_back(WriteLease{ m_lastAttempt, std::move(write) });
+}
+
+} // namespace ridgeferry::authority
--- /dev/null
+++ b/packages/authority/src/OrderDesk.cpp
@@ -0,0 +1,330 @@
+#include "ridgeferry/authority/OrderDesk.h"
+
+#include <ridgeferry/base/Overloaded.h>
+
+namespace ridgeferry::authority {
+
+namespace {
+
+/**
+ * Whether a report was made before the engine took the order that its row
+ * holds: a decision on it would repeat what is already done.
+ */
+bool
+IsStale(const EngineState& aState, const Order& aOrder)
+{
+  return aOrder.m_taken && aState.m_bootId == aOrder.m_boot &&
+         aState.m_lastOrder != aOrder.m_id;
+}
+
+} // namespace
+
+OrderDesk::OrderDesk(std::string aHall, std::string aProcess)
+  : m_hall(std::move(aHall))
+  , m_process(std::move(aProcess))
+{
+}
+
+std::vector<DeskAction>
+OrderDesk::Handle(const DeskEvent& aEvent, Instant aNow)
+{
+  Actions actions;
+  std::visit(
+    Overloaded{
+      [&](const AuthorityChanged& aChanged) { OnAuthority(aChanged); },
+      [&](const TargetSet& aSet) {
+        Engine& engine = m_engines[aSet.m_engine];
+        engine.m_target = aSet.m_target;
+        engine.m_checksFencing = aSet.m_checksFencing;
+      },
+      [&](const StateReported& aReport) { OnState(aReport, aNow, actions); },
+      [&](const OrderRowRead& aRead) { OnRow(aRead, aNow, actions); },
+      [&](const OrderWritten& aWritten) { OnWritten(aWritten, aNow, actions); },
+      [&](const OrderAnswered& aAnswered) {
+        OnAnswered(aAnswered, aNow, actions);
+      },
+      [&](const SenderEnded& aEnded) { OnSenderEnded(aEnded, aNow); },
+      [](const DeskTick&) {} },
+    aEvent);
+  for (auto& [name, engine] : m_engines) {
+    Advance(name, engine, aNow, actions);
+  }
+  return actions;
+}
+
+std::optional<Order>
+OrderDesk::OpenOrder(std::string_view aEngine) const
+{
+  const auto it = m_engines.find(aEngine);
+  if (it == m_engines.end() || it->second.m_order.m_id.empty() ||
+      it->second.m_order.m_settled) {
+    return std::nullopt;
+  }
+  return it->second.m_order;
+}
+
+void
+OrderDesk::OnAuthority(const AuthorityChanged& aChanged)
+{
+  const bool newTerm = aChanged.m_has && aChanged.m_fencing != m_fencing;
+  m_hasAuthority = aChanged.m_has;
+  m_fencing = aChanged.m_fencing;
+  m_fenceVersion = aChanged.m_fenceVersion;
+  if (!newTerm) {
+    return;
+  }
+  // Another planner may have written rows meanwhile. An order of our own that
+  // is under way keeps its step: its answer still settles it.
+  for (auto& [name, engine] : m_engines) {
+    if (engine.m_step == Step::Idle || engine.m_step == Step::Waiting) {
+      engine.m_step = Step::Unread;
+    }
+  }
+}
+
+void
+OrderDesk::OnState(const StateReported& aReport,
+                   Instant aNow,
+                   Actions& aActions)
+{
+  Engine& engine = m_engines[aReport.m_engine];
+  engine.m_state = aReport.m_state;
+  SettleIfEvident(engine, aNow, aActions);
+}
+
+void
+OrderDesk::SettleIfEvident(Engine& aEngine, Instant aNow, Actions& aActions)
+{
+  if (aEngine.m_step != Step::Waiting || !aEngine.m_state) {
+    return;
+  }
+  if (aEngine.m_state->m_lastOrder == aEngine.m_order.m_id) {
+    Settle(aEngine, { true, "carried out" }, aActions);
+    return;
+  }
+  if (aEngine.m_silentSince && aNow - *aEngine.m_silentSince >= kSilence) {
+    Settle(aEngine, { false, "never arrived" }, aActions);
+  }
+}
+
+void
+OrderDesk::OnRow(const OrderRowRead& aRead, Instant aNow, Actions& aActions)
+{
+  const auto it = m_engines.find(aRead.m_engine);
+  if (it == m_engines.end() || it->second.m_step != Step::Reading) {
+    return;
+  }
+  Engine& engine = it->second;
+  engine.m_step = Step::Unread;
+  if (aRead.m_result.m_status != table::ReadStatus::Ok) {
+    engine.m_retryAt = aNow + kRetryTable;
+    return;
+  }
+  engine.m_version = aRead.m_result.m_row.m_version;
+  if (engine.m_version == 0) {
+    engine.m_order = {};
+    engine.m_step = Step::Idle;
+    return;
+  }
+  const auto order = DecodeOrder(aRead.m_result.m_row.m_value);
+  if (!order) {
+    engine.m_retryAt = aNow + kRetryTable;
+    return;
+  }
+  if (order->m_id != engine.m_order.m_id) {
+    engine.m_verdict.reset();
+    engine.m_silentSince.reset();
+  }
+  engine.m_order = *order;
+  if (order->m_settled) {
+    engine.m_step = Step::Idle;
+    return;
+  }
+  if (engine.m_verdict) {
+    // The settlement did not reach the table: write it again.
+    Settle(engine, *engine.m_verdict, aActions);
+    return;
+  }
+  if (order->m_sender == m_process && engine.m_lastSent != order->m_id) {
+    // Recorded by this process, the answer was lost, and it was never sent.
+    Send(engine, aActions);
+    return;
+  }
+  engine.m_step = Step::Waiting;
+  const auto ended = m_endedSenders.find(order->m_sender);
+  if (ended != m_endedSenders.end() && !engine.m_silentSince) {
+    engine.m_silentSince = ended->second;
+  }
+  SettleIfEvident(engine, aNow, aActions);
+}
+
+void
+OrderDesk::Send(Engine& aEngine, Actions& aActions)
+{
+  if (!m_hasAuthority || aEngine.m_order.m_fencing != m_fencing) {
+    Settle(aEngine, { false, "never sent" }, aActions);
+    return;
+  }
+  aEngine.m_step = Step::Sending;
+  aEngine.m_lastSent = aEngine.m_order.m_id;
+  aActions.emplace_back(SendOrder{ aEngine.m_order });
+}
+
+void
+OrderDesk::OnWritten(const OrderWritten& aWritten,
+                     Instant aNow,
+                     Actions& aActions)
+{
+  const auto it = m_engines.find(aWritten.m_engine);
+  if (it == m_engines.end() || it->second.m_order.m_id != aWritten.m_orderId) {
+    return;
+  }
+  Engine& engine = it->second;
+  const Step expected = aWritten.m_settling ? Step::Settling : Step::Recording;
+  if (engine.m_step != expected) {
+    return;
+  }
+  if (aWritten.m_result == table::CommitResult::Committed &&
+      !aWritten.m_settling) {
+    ++engine.m_version;
+    Send(engine, aActions);
+    return;
+  }
+  // Settled, beaten, refused or unknown: the row tells.
+  engine.m_step = Step::Unread;
+  engine.m_retryAt = aWritten.m_result == table::CommitResult::NotWritten
+                       ? aNow + kRetryTable
+                       : aNow;
+}
+
+void
+OrderDesk::OnAnswered(const OrderAnswered& aAnswered,
+                      Instant aNow,
+                      Actions& aActions)
+{
+  const auto it = m_engines.find(aAnswered.m_engine);
+  if (it == m_engines.end() || it->second.m_order.m_id != aAnswered.m_orderId ||
+      it->second.m_step != Step::Sending) {
+    return;
+  }
+  Engine& engine = it->second;
+  switch (aAnswered.m_result) {
+    case SendResult::Taken:
+      Settle(engine, { true, "taken" }, aActions);
+      return;
+    case SendResult::Refused:
+      Settle(engine, { false, "refused" }, aActions);
+      return;
+    case SendResult::NotSent:
+      Settle(engine, { false, "never sent" }, aActions);
+      return;
+    case SendResult::Lost:
+      engine.m_step = Step::Waiting;
+      engine.m_silentSince = aNow;
+      SettleIfEvident(engine, aNow, aActions);
+      return;
+  }
+}
+
+void
+OrderDesk::OnSenderEnded(const SenderEnded& aEnded, Instant aNow)
+{
+  m_endedSenders.try_emplace(aEnded.m_sender, aNow);
+  for (auto& [name, engine] : m_engines) {
+    const bool waits = engine.m_step == Step::Waiting &&
+                       engine.m_order.m_sender == aEnded.m_sender;
+    if (waits && !engine.m_silentSince) {
+      engine.m_silentSince = aNow;
+    }
+  }
+}
+
+void
+OrderDesk::Settle(Engine& aEngine, Verdict aVerdict, Actions& aActions)
+{
+  aEngine.m_step = Step::Settling;
+  Order settled = aEngine.m_order;
+  settled.m_settled = true;
+  settled.m_taken = aVerdict.m_taken;
+  settled.m_how = aVerdict.m_how;
+  aEngine.m_verdict = std::move(aVerdict);
+  table::Transaction write;
+  const std::string key = OrderKey(m_hall, settled.m_engine);
+  // No fence: whoever knows that an order is over may say so, also a process
+  // that has lost the lease.
+  write.m_conditions.push_back({ key, aEngine.m_version });
+  write.m_puts.push_back({ key, EncodeOrder(settled) });
+  aActions.emplace_back(SettleOrder{ std::move(settled), std::move(write) });
+}
+
+void
+OrderDesk::Advance(const std::string& aName,
+                   Engine& aEngine,
+                   Instant aNow,
+                   Actions& aActions)
+{
+  // A row that holds an order of ours is read on without authority too, so
+  // that the settlement of it is not forgotten.
+  const bool ownsOpen = !aEngine.m_order.m_id.empty() &&
+                        !aEngine.m_order.m_settled &&
+                        aEngine.m_order.m_sender == m_process;
+  if (aEngine.m_step == Step::Unread && (m_hasAuthority || ownsOpen)) {
+    Read(aName, aEngine, aNow, aActions);
+    return;
+  }
+  if (!m_hasAuthority || !aEngine.m_target || !aEngine.m_state) {
+    return;
+  }
+  const bool mayOverride = aEngine.m_step == Step::Waiting &&
+                           aEngine.m_checksFencing &&
+                           aEngine.m_order.m_fencing < m_fencing;
+  if (aEngine.m_step != Step::Idle && !mayOverride) {
+    return;
+  }
+  if (aNow < aEngine.m_retryAt || IsStale(*aEngine.m_state, aEngine.m_order)) {
+    return;
+  }
+  if (const auto next = NextOrder(*aEngine.m_state, *aEngine.m_target)) {
+    Record(aName, aEngine, *next, aActions);
+  }
+}
+
+void
+OrderDesk::Read(const std::string& aName,
+                Engine& aEngine,
+                Instant aNow,
+                Actions& aActions)
+{
+  if (aNow < aEngine.m_retryAt) {
+    return;
+  }
+  aEngine.m_step = Step::Reading;
+  aActions.emplace_back(ReadOrderRow{ aName });
+}
+
+void
+OrderDesk::Record(const std::string& aName,
+                  Engine& aEngine,
+                  OrderKind aKind,
+                  Actions& aActions)
+{
+  Order order;
+  order.m_id = m_process + "-" + std::to_string(++m_lastOrder);
+  order.m_engine = aName;
+  order.m_fencing = m_fencing;
+  order.m_sender = m_process;
+  order.m_boot = aEngine.m_state->m_bootId;
+  order.m_kind = std::move(aKind);
+  table::Transaction write;
+  const std::string key = OrderKey(m_hall, aName);
+  write.m_conditions.push_back({ FenceKey(m_hall), m_fenceVersion });
+  write.m_conditions.push_back({ key, aEngine.m_version });
+  write.m_puts.push_back({ key, EncodeOrder(order) });
+  aEngine.m_order = order;
+  aEngine.m_verdict.reset();
+  aEngine.m_silentSince.reset();
+  aEngine.m_step = Step::Recording;
+  aActions.emplace_back(RecordOrder{ std::move(order), std::move(write) });
+}
+
+} // namespace ridgeferry::authority
--- /dev/null
+++ b/packages/cli/include/ridgeferry/cli/Command.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <tl/expected.hpp>
+#include <variant>
+#include <vector>
+
+namespace ridgeferry::cli {
+
+enum class Output
+{
+  Text,
+  Json,
+};
+
+/** Options that every command takes. */
+struct Common
+{
+  std::string m_server; ///< IP:PORT of an instance's administration API.
+  std::string m_token;
+  Output m_output = Output::Text;
+};
+
+struct ApplyCommand
+{
+  std::string m_file;
+  std::string m_reason;
+};
+struct DiffCommand
+{
+  std::string m_file;
+};
+struct GetCommand
+{
+  std::string m_kind; ///< Empty: all.
+  std::string m_name; ///< Empty: all of the kind.
+};
+struct DeleteCommand
+{
+  std::vector<std::string> m_keys; ///< `KIND/NAME`.
+  std::string m_reason;
+};
+struct StatusCommand
+{};
+struct EventsCommand
+{};
+struct AuditCommand
+{};
+struct ChangeCommand
+{
+  std::string m_id;
+};
+/** What would become of a request: its class, event, upstreams. */
+struct ExplainCommand
+{
+  std::string m_path;
+  std::string m_team;
+  std::string m_labels;
+  std::string m_key;
+  std::string m_body;
+};
+struct HelpCommand
+{};
+struct VersionCommand
+{};
+
+using Command = std::variant<ApplyCommand,
+                             DiffCommand,
+                             GetCommand,
+                             DeleteCommand,
+                             StatusCommand,
+                             EventsCommand,
+                             AuditCommand,
+                             ChangeCommand,
+                             ExplainCommand,
+                             HelpCommand,
+                             VersionCommand>;
+
+struct Invocation
+{
+  Common m_common;
+  Command m_command;
+};
+
+/** Wrong arguments: what is wrong and how to mend it. */
+struct UsageError
+{
+  std::string m_message;
+};
+
+/**
+ * Reads a command line. `RIDGEFERRY_SERVER` and `RIDGEFERRY_TOKEN` stand in
+ * for options that are not given. Not thread-safe (getopt).
+ */
+tl::expected<Invocation, UsageError>
+ParseInvocation(std::vector<std::string> aArguments);
+
+/** The help page. */
+const char*
+UsageText();
+
+} // namespace ridgeferry::cli
--- /dev/null
+++ b/packages/cli/src/Run.cpp
@@ -0,0 +1,225 @@
+#include "ridgeferry/cli/Run.h"
+
+#include "Client.h"
+#include "ObjectFile.h"
+#include "Print.h"
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <ridgeferry/base/Overloaded.h>
+
+namespace ridgeferry::cli {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnknownEnd = 202;
+
+using Printer = void (*)(const nlohmann::json&);
+
+/** Prints an answer, or says what is wrong; all commands end here. */
+ExitCode
+Finish(const Common& aCommon,
+       const net::HttpResponse& aResponse,
+       Printer aPrint)
+{
+  if (aResponse.m_end != net::HttpEnd::Complete) {
+    std::fprintf(
+      stderr, "ridgeferry: no answer from %s\n", aCommon.m_server.c_str());
+    return ExitCode::Unreachable;
+  }
+  const nlohmann::json body =
+    nlohmann::json::parse(aResponse.m_body, nullptr, false);
+  const int status = aResponse.m_head.m_status;
+  const bool good = status == kOk || status == kUnknownEnd;
+  if (!good || body.is_discarded()) {
+    std::fprintf(stderr, "%s\n", aResponse.m_body.c_str());
+    return ExitCode::Failed;
+  }
+  if (aCommon.m_output == Output::Json) {
+    std::printf("%s\n", body.dump(2).c_str());
+  } else {
+    aPrint(body);
+  }
+  return status == kUnknownEnd ? ExitCode::Unknown : ExitCode::Ok;
+}
+
+void
+PrintChangeResult(const nlohmann::json& aBody)
+{
+  std::printf("%s: change %s, revision %s\n",
+              aBody.value("result", "").c_str(),
+              aBody.value("change", "").c_str(),
+              aBody.at("revision").dump().c_str());
+}
+
+ExitCode
+SubmitChange(const Common& aCommon, const nlohmann::json& aChange)
+{
+  const net::HttpResponse response =
+    Client(aCommon).Post("/admin/changes", aChange.dump());
+  if (response.m_end == net::HttpEnd::Broken) {
+    std::fputs("ridgeferry: the answer was lost; look with: ridgeferry audit\n",
+               stderr);
+    return ExitCode::Unknown;
+  }
+  return Finish(aCommon, response, &PrintChangeResult);
+}
+
+ExitCode
+BadFile(const FileError& aError)
+{
+  std::fputs(aError.m_message.c_str(), stderr);
+  return ExitCode::Usage;
+}
+
+ExitCode
+Execute(const Common& aCommon, const ApplyCommand& aCommand)
+{
+  const auto objects = ReadObjectFile(aCommand.m_file);
+  if (!objects) {
+    return BadFile(objects.error());
+  }
+  return SubmitChange(aCommon,
+                      { { "reason", aCommand.m_reason }, { "put", *objects } });
+}
+
+ExitCode
+Execute(const Common& aCommon, const DeleteCommand& aCommand)
+{
+  return SubmitChange(
+    aCommon,
+    { { "reason", aCommand.m_reason }, { "delete", aCommand.m_keys } });
+}
+
+std::string
+KeyOfJson(const nlohmann::json& aObject)
+{
+  return aObject.value("kind", "") + "/" + aObject.value("name", "");
+}
+
+ExitCode
+Execute(const Common& aCommon, const DiffCommand& aCommand)
+{
+  const auto objects = ReadObjectFile(aCommand.m_file);
+  if (!objects) {
+    return BadFile(objects.error());
+  }
+  const net::HttpResponse response = Client(aCommon).Get("/admin/objects");
+  const nlohmann::json body =
+    nlohmann::json::parse(response.m_body, nullptr, false);
+  if (response.m_end != net::HttpEnd::Complete || !body.contains("objects")) {
+    return Finish(aCommon, response, &PrintObjects);
+  }
+  std::map<std::string, nlohmann::json> declared;
+  for (const auto& item : body.at("objects")) {
+    declared[KeyOfJson(item)] = item;
+  }
+  nlohmann::json differences = nlohmann::json::array();
+  for (const auto& item : *objects) {
+    const std::string key = KeyOfJson(item);
+    const auto it = declared.find(key);
+    if (it == declared.end()) {
+      differences.push_back({ { "key", key }, { "change", "add" } });
+    } else if (it->second != item) {
+      differences.push_back(
+        { { "key", key },
+          { "change", "replace" },
+          { "patch", nlohmann::json::diff(it->second, item) } });
+    }
+  }
+  if (aCommon.m_output == Output::Json) {
+    std::printf("%s\n", differences.dump(2).c_str());
+  } else {
+    for (const auto& item : differences) {
+      std::printf("%s %s %s\n",
+                  item.value("change", "").c_str(),
+                  item.value("key", "").c_str(),
+                  item.value("patch", nlohmann::json::array()).dump().c_str());
+    }
+  }
+  return differences.empty() ? ExitCode::Ok : ExitCode::Differs;
+}
+
+ExitCode
+Execute(const Common& aCommon, const GetCommand& aCommand)
+{
+  return Finish(aCommon,
+                Client(aCommon).Get("/admin/objects?kind=" + aCommand.m_kind +
+                                    "&name=" + aCommand.m_name),
+                &PrintObjects);
+}
+
+ExitCode
+Execute(const Common& aCommon, const StatusCommand&)
+{
+  return Finish(aCommon, Client(aCommon).Get("/admin/status"), &PrintStatus);
+}
+
+ExitCode
+Execute(const Common& aCommon, const EventsCommand&)
+{
+  return Finish(
+    aCommon, Client(aCommon).Get("/admin/objects?kind=event"), &PrintEvents);
+}
+
+ExitCode
+Execute(const Common& aCommon, const AuditCommand&)
+{
+  return Finish(aCommon, Client(aCommon).Get("/admin/audit"), &PrintAudit);
+}
+
+ExitCode
+Execute(const Common& aCommon, const ChangeCommand& aCommand)
+{
+  return Finish(aCommon,
+                Client(aCommon).Get("/admin/change?id=" + aCommand.m_id),
+                [](const nlohmann::json& aBody) {
+                  std::printf("%s\n", aBody.dump(2).c_str());
+                });
+}
+
+ExitCode
+Execute(const Common& aCommon, const ExplainCommand& aCommand)
+{
+  net::HttpHeaders headers;
+  headers.Add("X-Ridgeferry-Team", aCommand.m_team);
+  if (!aCommand.m_labels.empty()) {
+    headers.Add("X-Ridgeferry-Labels", aCommand.m_labels);
+  }
+  if (!aCommand.m_key.empty()) {
+    headers.Add("Idempotency-Key", aCommand.m_key);
+  }
+  return Finish(aCommon,
+                Client(aCommon).Post(
+                  "/admin/explain" + aCommand.m_path, aCommand.m_body, headers),
+                &PrintExplanation);
+}
+
+ExitCode
+Execute(const Common&, const HelpCommand&)
+{
+  std::fputs(UsageText(), stdout);
+  return ExitCode::Ok;
+}
+
+ExitCode
+Execute(const Common&, const VersionCommand&)
+{
+  std::puts("ridgeferry " RIDGEFERRY_VERSION);
+  return ExitCode::Ok;
+}
+
+} // namespace
+
+ExitCode
+Run(const Invocation& aInvocation)
+{
+  return std::visit(
+    [&](const auto& aCommand) {
+      return Execute(aInvocation.m_common, aCommand);
+    },
+    aInvocation.m_command);
+}
+
+} // namespace ridgeferry::cli
--- /dev/null
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <ridgeferry/base/Time.h>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace ridgeferry::membership {
+
+/** What an instance says of itself to its peers, every heartbeat. */
+struct Heartbeat
+{
+  std::string m_instance;
+  /** Start time of the process: a later life of the same instance has a
+   * higher one. */
+  std::uint64_t m_incarnation = 0;
+  std::string m_hall;
+  std::string m_peerAddress; ///< IP:PORT, also where the heartbeat comes from.
+  bool m_ready = false;
+  bool m_leaving = false;
+  std::uint64_t m_revision = 0; ///< Configuration in force.
+  /** Upstreams known to be leaving; spread so that a process cut off from the
+   * platform's list learns of them. */
+  std::vector<std::string> m_leavingUpstreams;
+  bool operator==(const Heartbeat&) const = default;
+};
+
+/** The platform's lagging list: it only seeds, and says who has ended. */
+struct ListedInstance
+{
+  std::string m_instance;
+  std::string m_peerAddress;
+};
+
+struct HeartbeatArrived
+{
+  Heartbeat m_heartbeat;
+};
+struct InstancesListed
+{
+  std::vector<ListedInstance> m_instances; ///< Of this hall, without itself.
+};
+struct RosterTick
+{};
+using RosterEvent = std::variant<HeartbeatArrived, InstancesListed, RosterTick>;
+
+struct SendHeartbeat
+{
+  std::string m_peerAddress;
+};
+/** An earlier life of this instance has ended for sure: a later one bound its
+ * address. */
+struct IncarnationEnded
+{
+  std::string m_instance;
+  std::uint64_t m_incarnation = 0;
+};
+/** An upstream is leaving, as a peer says. */
+struct UpstreamLeaving
+{
+  std::string m_upstream;
+};
+using RosterAction = std::variant<SendHeartbeat,
+
+                                  IncarnationEnded,
+                                  UpstreamLeaving>;
+
+struct RosterTimes
+{
+  Duration m_heartbeatEvery{ 1000 };
+  /** Silence after which a peer counts as dead for sharing limits and rank. */
+  Duration m_deadAfter{ 4000 };
+  /** Silence after which an unlisted peer is forgotten. */
+  Duration m_forgetAfter{ 60'000 };
+};
+
+struct PeerView
+{
+  Heartbeat m_last;
+  Instant m_heardAt;
+  bool m_alive = false;
+};
+
+/**
+ * Who the peers of a hall are, from the platform's list and from heartbeats.
+ * Soft state only: nothing that must hold depends on it. A pure state machine;
+ * not thread-safe.
+ */
+class Roster
+{
+public:
+  Roster(std::string aInstance, RosterTimes aTimes = {});
+
+  std::vector<RosterAction> Handle(const RosterEvent& aEvent, Instant aNow);
+
+  /** Peers heard of, by instance. */
+  const std::map<std::string, PeerView, std::less<>>& Peers() const
+  {
+    return m_peers;
+  }
+  /** Live instances of the hall, with this one; never less than 1. */
+  std::size_t LiveCount() const;
+  /**
+   * Place of this instance among the live ones in a rendezvous order for
+   * `aTopic`; 0 is first. Live peers that agree on who lives agree on it.
+   */
+  std::size_t Rank(std::string_view aTopic) const;
+  /** Addresses of live peers that are not leaving. */
+  std::vector<std::string> LiveAddresses() const;
+
+private:
+  using Actions = std::vector<RosterAction>;
+
+  void OnHeartbeat(const Heartbeat& aHeartbeat,
+                   Instant aNow,
+                   Actions& aActions);
+  void OnTick(Instant aNow, Actions& aActions);
+
+  std::string m_instance;
+  RosterTimes m_times;
+  std::map<std::string, PeerView, std::less<>> m_peers;
+  std::map<std::string, std::string, std::less<>> m_listed;
+  std::optional<Instant> m_nextHeartbeat;
+};
+
+} // namespace ridgeferry::membership
--- /dev/null
+++ b/packages/net/include/ridgeferry/net/HttpClient.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <ridgeferry/net/EventLoop.h>
+#include <ridgeferry/net/Http.h>
+#include <sigc++/sigc++.h>
+#include <string_view>
+
+namespace ridgeferry::net {
+
+/** What a request calls back. Only `m_done` is needed; it comes once. */
+struct HttpCallbacks
+{
+  sigc::slot<void(const HttpHead&)> m_head;
+  /** If set, the body comes in pieces and is not gathered. */
+  sigc::slot<void(std::string_view)> m_chunk;
+  sigc::slot<void(HttpResponse)> m_done;
+};
+
+using HttpCallId = std::uint64_t;
+
+/**
+ * Sends HTTP/1.1 requests; keeps idle connections, one request at a time on
+ * each. Callbacks come from the loop, never from inside `Send`.
+ * Not thread-safe.
+ */
+class HttpClient
+{
+public:
+  explicit HttpClient(EventLoop& aLoop);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  HttpCallId Send(const HttpRequest& aRequest, HttpCallbacks aCallbacks);
+  /** Ends a request and its connection; nothing is called back for it. */
+  void Cancel(HttpCallId aCall);
+
+  struct Impl;
+
+private:
+  std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace ridgeferry::net
--- /dev/null
+++ b/packages/observe/include/ridgeferry/observe/Log.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <variant>
+#include <vector>
+
+namespace ridgeferry::observe {
+
+enum class LogLevel
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+enum class LogFormat
+{
+  Json, ///< One JSON object a line.
+  Text, ///< `TIME LEVEL event key=value ...`.
+};
+
+/** One named value of a log line. */
+struct LogField
+{
+  std::string m_name;
+  std::variant<std::string, std::int64_t, double, bool> m_value;
+};
+
+struct LogOptions
+{
+  LogFormat m_format = LogFormat::Json;
+  LogLevel m_level = LogLevel::Info;
+  std::string m_file; ///< Empty: standard error.
+};
+
+/** The file of the log could not be opened. */
+struct LogError
+{
+  std::string m_cause;
+};
+
+/** Structured log lines. Not thread-safe. */
+class Log
+{
+public:
+  /** `aFixed` goes into every line (instance, hall). */
+  static tl::expected<std::unique_ptr<Log>, LogError> Make(
+    const LogOptions& aOptions,
+    std::vector<LogField> aFixed);
+  ~Log();
+  Log(const Log&) = delete;
+  Log& operator=(const Log&) = delete;
+
+  /** `aEvent` is a stable name in kebab-case. */
+  void Write(LogLevel aLevel,
+             std::string_view aEvent,
+             const std::vector<LogField>& aFields = {});
+  void Flush();
+
+  struct Impl;
+  explicit Log(std::unique_ptr<Impl> aImpl);
+
+private:
+  std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace ridgeferry::observe
--- /dev/null
+++ b/packages/platform/src/Uri.cpp
@@ -0,0 +1,18 @@
+#include "Uri.h"
+
+#include <cstdlib>
+#include <event2/http.h>
+
+namespace ridgeferry::platform {
+
+std::string
+EncodeUriPart(std::string_view aText)
+{
+  char* encoded =
+    evhttp_uriencode(aText.data(), static_cast<ev_ssize_t>(aText.size()), 0);
+  std::string out = encoded == nullptr ? "" : encoded;
+  free(encoded); // NOLINT: allocated by the library with malloc.
+  return out;
+}
+
+} // namespace ridgeferry::platform
--- /dev/null
+++ b/packages/platform/src/Uri.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace ridgeferry::platform {
+
+/** Percent-encodes all but the unreserved characters. */
+std::string
+EncodeUriPart(std::string_view aText);
+
+} // namespace ridgeferry::platform
--- /dev/null
+++ b/packages/protocol/include/ridgeferry/protocol/Messages.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <ridgeferry/config/Change.h>
+#include <ridgeferry/membership/Roster.h>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace ridgeferry::protocol {
+
+/** The bytes are no message of this kind; `m_cause` says why. */
+struct DecodeError
+{
+  std::string m_cause;
+};
+
+struct ChangesRequest
+{
+  config::Revision m_after = 0;
+  bool operator==(const ChangesRequest&) const = default;
+};
+
+struct ChangesReply
+{
+  config::Revision m_revision = 0; ///< In force at the peer.
+  std::vector<config::Change> m_changes;
+  /** Set instead of changes, where the peer holds no such old ones. */
+  std::optional<std::map<std::string, std::string, std::less<>>> m_snapshot;
+  bool operator==(const ChangesReply&) const = default;
+};
+
+/** All thread-safe. Encoding: Thrift's compact protocol. */
+std::string
+Encode(const membership::Heartbeat& aMessage);
+std::string
+Encode(const ChangesRequest& aMessage);
+std::string
+Encode(const ChangesReply& aMessage);
+
+tl::expected<membership::Heartbeat, DecodeError>
+DecodeHeartbeat(std::string_view aBytes);
+tl::expected<ChangesRequest, DecodeError>
+DecodeChangesRequest(std::string_view aBytes);
+tl::expected<ChangesReply, DecodeError>
+DecodeChangesReply(std::string_view aBytes);
+
+} // namespace ridgeferry::protocol
--- /dev/null
+++ b/packages/protocol/ridgeferry.thrift
@@ -0,0 +1,38 @@
+/**
+ * The protocol between ridgeferryd processes of one hall. Fields are only ever
+ * added, as optional ones with new numbers: processes of two versions run side
+ * by side during an upgrade.
+ */
+namespace cpp ridgeferry.protocol.wire
+
+/** One datagram, from each instance to each peer, every heartbeat. */
+struct Heartbeat {
+  1: required string instance;
+  2: required i64 incarnation;
+  3: required string hall;
+  4: required string peerAddress;
+  5: required bool ready;
+  6: required bool leaving;
+  7: required i64 revision;
+  8: optional list<string> leavingUpstreams;
+}
+
+/** Asks a peer for the changes after a revision. */
+struct ChangesRequest {
+  1: required i64 after;
+}
+
+struct ConfigObject {
+  1: required string key;
+  2: required string json;
+}
+
+/**
+ * The changes asked for or, where the peer no longer holds them all, its whole
+ * configuration.
+ */
+struct ChangesReply {
+  1: required i64 revision;
+  2: required list<string> changes;
+  3: optional list<ConfigObject> snapshot;
+}
--- /dev/null
+++ b/packages/protocol/src/Messages.cpp
@@ -0,0 +1,154 @@
+#include "ridgeferry/protocol/Messages.h"
+
+#include "ridgeferry_types.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace ridgeferry::protocol {
+
+namespace {
+
+using apache::thrift::TConfiguration;
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+/** Longest message that is read, in bytes: bounds what a peer can claim. */
+constexpr int kMaxMessage = 64 * 1024 * 1024;
+
+template<typename Message>
+std::string
+Write(const Message& aMessage)
+{
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocol protocol(buffer);
+  aMessage.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+template<typename Message>
+tl::expected<Message, DecodeError>
+Read(std::string_view aBytes)
+{
+  // Thrift reads from a pointer without const, but only observes it here.
+  auto* bytes =
+    reinterpret_cast<std::uint8_t*>(const_cast<char*>(aBytes.data()));
+  auto config = std::make_shared<TConfiguration>(kMaxMessage);
+  auto buffer =
+    std::make_shared<TMemoryBuffer>(bytes,
+                                    static_cast<std::uint32_t>(aBytes.size()),
+                                    TMemoryBuffer::OBSERVE,
+                                    config);
+  TCompactProtocol protocol(buffer);
+  Message message;
+  try {
+    message.read(&protocol);
+  } catch (const std::exception& error) {
+    return tl::unexpected(DecodeError{ error.what() });
+  }
+  return message;
+}
+
+} // namespace
+
+std::string
+Encode(const membership::Heartbeat& aMessage)
+{
+  wire::Heartbeat out;
+  out.instance = aMessage.m_instance;
+  out.incarnation = static_cast<std::int64_t>(aMessage.m_incarnation);
+  out.hall = aMessage.m_hall;
+  out.peerAddress = aMessage.m_peerAddress;
+  out.ready = aMessage.m_ready;
+  out.leaving = aMessage.m_leaving;
+  out.revision = static_cast<std::int64_t>(aMessage.m_revision);
+  if (!aMessage.m_leavingUpstreams.empty()) {
+    out.__set_leavingUpstreams(aMessage.m_leavingUpstreams);
+  }
+  return Write(out);
+}
+
+std::string
+Encode(const ChangesRequest& aMessage)
+{
+  wire::ChangesRequest out;
+  out.after = static_cast<std::int64_t>(aMessage.m_after);
+  return Write(out);
+}
+
+std::string
+Encode(const ChangesReply& aMessage)
+{
+  wire::ChangesReply out;
+  out.revision = static_cast<std::int64_t>(aMessage.m_revision);
+  for (const config::Change& change : aMessage.m_changes) {
+    out.changes.push_back(config::EncodeChange(change));
+  }
+  if (aMessage.m_snapshot) {
+    std::vector<wire::ConfigObject> objects;
+    for (const auto& [key, json] : *aMessage.m_snapshot) {
+      wire::ConfigObject object;
+      object.key = key;
+      object.json = json;
+      objects.push_back(std::move(object));
+    }
+    out.__set_snapshot(objects);
+  }
+  return Write(out);
+}
+
+tl::expected<membership::Heartbeat, DecodeError>
+DecodeHeartbeat(std::string_view aBytes)
+{
+  auto in = Read<wire::Heartbeat>(aBytes);
+  if (!in) {
+    return tl::unexpected(in.error());
+  }
+  membership::Heartbeat out;
+  out.m_instance = in->instance;
+  out.m_incarnation = static_cast<std::uint64_t>(in->incarnation);
+  out.m_hall = in->hall;
+  out.m_peerAddress = in->peerAddress;
+  out.m_ready = in->ready;
+  out.m_leaving = in->leaving;
+  out.m_revision = static_cast<std::uint64_t>(in->revision);
+  out.m_leavingUpstreams = in->leavingUpstreams;
+  return out;
+}
+
+tl::expected<ChangesRequest, DecodeError>
+DecodeChangesRequest(std::string_view aBytes)
+{
+  auto in = Read<wire::ChangesRequest>(aBytes);
+  if (!in) {
+    return tl::unexpected(in.error());
+  }
+  return ChangesRequest{ static_cast<config::Revision>(in->after) };
+}
+
+tl::expected<ChangesReply, DecodeError>
+DecodeChangesReply(std::string_view aBytes)
+{
+  auto in = Read<wire::ChangesReply>(aBytes);
+  if (!in) {
+    return tl::unexpected(in.error());
+  }
+  ChangesReply out;
+  out.m_revision = static_cast<config::Revision>(in->revision);
+  for (const std::string& row : in->changes) {
+    auto change = config::DecodeChange(row);
+    if (!change) {
+      return tl::unexpected(DecodeError{ change.error() });
+    }
+    out.m_changes.push_back(std::move(*change));
+  }
+  if (in->__isset.snapshot) {
+    out.m_snapshot.emplace();
+    for (const wire::ConfigObject& object : in->snapshot) {
+      out.m_snapshot->insert_or_assign(object.key, object.json);
+    }
+  }
+  return out;
+}
+
+} // namespace ridgeferry::protocol
--- /dev/null
+++ b/packages/routing/src/Chooser.cpp
@@ -0,0 +1,172 @@
+#include "ridgeferry/routing/Chooser.h"
+
+#include <algorithm>
+#include <limits>
+#include <ridgeferry/base/Hash.h>
+#include <ridgeferry/base/Overloaded.h>
+
+namespace ridgeferry::routing {
+
+namespace {
+
+/**
+ * One choice: what the policies share. An upstream has room when this
+ * instance is below its own share of the slots, or when the estimate says
+ * that others left theirs unused.
+ */
+class Choice
+{
+public:
+  Choice(const UpstreamSet& aUpstreams,
+         std::span<const UpstreamIndex> aPool,
+         const ChoiceRequest& aRequest,
+         Instant aNow)
+    : m_upstreams(aUpstreams)
+    , m_pool(aPool)
+    , m_request(aRequest)
+    , m_now(aNow)
+  {
+  }
+
+  bool HasRoom(UpstreamIndex aIndex) const
+  {
+    if (!m_upstreams.MayServe(aIndex, m_request.m_phase, m_now)) {
+      return false;
+    }
+    const std::int64_t slots = m_upstreams.Slots(aIndex) - m_request.m_reserve;
+    const std::int64_t share =
+      slots / std::max<std::int64_t>(1, m_request.m_liveInstances);
+    return m_upstreams.At(aIndex).m_ownInFlight < share ||
+           m_upstreams.EstimatedLoad(aIndex) < slots;
+  }
+
+  /** Load as a share of the slots, so that unequal engines compare. */
+  double Fill(UpstreamIndex aIndex) const
+  {
+    return static_cast<double>(m_upstreams.EstimatedLoad(aIndex)) /
+           static_cast<double>(
+             std::max<std::int64_t>(1, m_upstreams.Slots(aIndex)));
+  }
+
+  std::optional<UpstreamIndex> Random() const
+  {
+    return FirstWithRoomFrom(m_request.m_random);
+  }
+
+  template<typename Score>
+  std::optional<UpstreamIndex> Least(Score aScore) const
+  {
+    std::optional<UpstreamIndex> best;
+    double bestScore = std::numeric_limits<double>::infinity();
+    // Start at a random place: routers with equal figures spread their ties.
+    for (std::size_t i = 0; i < m_pool.size(); ++i) {
+      const UpstreamIndex index =
+        m_pool[(m_request.m_random + i) % m_pool.size()];
+      if (!HasRoom(index)) {
+        continue;
+      }
+      const double score = aScore(index);
+      if (score < bestScore) {
+        best = index;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  std::optional<UpstreamIndex> Two() const
+  {
+    const auto first = FirstWithRoomFrom(m_request.m_random);
+    const auto second =
+      FirstWithRoomFrom(RendezvousWeight(m_request.m_random, m_pool.size()));
+    if (!first || !second) {
+      return first ? first : second;
+    }
+    return Fill(*second) < Fill(*first) ? second : first;
+  }
+
+  std::optional<UpstreamIndex> Affinity(double aBound) const
+  {
+    if (m_request.m_prefixHash == 0) {
+      return Two();
+    }
+    const double limit = MeanFill() * aBound + kAlwaysAllowed;
+    std::optional<UpstreamIndex> best;
+    std::uint64_t bestWeight = 0;
+    for (UpstreamIndex index : m_pool) {
+      const std::uint64_t weight =
+        RendezvousWeight(m_request.m_prefixHash, m_upstreams.At(index).m_hash);
+      const bool heavier = !best || weight > bestWeight;
+      if (heavier && HasRoom(index) && Fill(index) <= limit) {
+        best = index;
+        bestWeight = weight;
+      }
+    }
+    return best ? best : Two();
+  }
+
+private:
+  /** Fill up to which the bound does not bite: an idle pool has mean 0. */
+  static constexpr double kAlwaysAllowed = 0.25;
+
+  std::optional<UpstreamIndex> FirstWithRoomFrom(std::uint64_t aStart) const
+  {
+    for (std::size_t i = 0; i < m_pool.size(); ++i) {
+      const UpstreamIndex index = m_pool[(aStart + i) % m_pool.size()];
+      if (HasRoom(index)) {
+        return index;
+      }
+    }
+    return std::nullopt;
+  }
+
+  double MeanFill() const
+  {
+    double sum = 0;
+    for (UpstreamIndex index : m_pool) {
+      sum += Fill(index);
+    }
+    return m_pool.empty() ? 0 : sum / static_cast<double>(m_pool.size());
+  }
+
+  const UpstreamSet& m_upstreams;
+  std::span<const UpstreamIndex> m_pool;
+  const ChoiceRequest& m_request;
+  Instant m_now;
+};
+
+} // namespace
+
+std::optional<UpstreamIndex>
+Choose(const ChoicePolicy& aPolicy,
+       const UpstreamSet& aUpstreams,
+       std::span<const UpstreamIndex> aPool,
+       const ChoiceRequest& aRequest,
+       Instant aNow)
+{
+  if (aPool.empty()) {
+    return std::nullopt;
+  }
+  const Choice choice(aUpstreams, aPool, aRequest, aNow);
+  return std::visit(
+    Overloaded{ [&](const RandomChoice&) { return choice.Random(); },
+                [&](const LeastReported&) {
+                  return choice.Least([&](UpstreamIndex aIndex) {
+                    const auto& report = aUpstreams.At(aIndex).m_report;
+                    return report ? static_cast<double>(report->m_running) : 0;
+                  });
+                },
+                [&](const LeastInFlight&) {
+                  return choice.Least([&](UpstreamIndex aIndex) {
+                    return static_cast<double>(
+                      aUpstreams.At(aIndex).m_ownInFlight);
+                  });
+                },
+                [&](const TwoChoices&) { return choice.Two(); },
+                [&](const BoundedAffinity& aAffinity) {
+                  return choice.Affinity(aAffinity.m_bound);
+                } },
+    aPolicy);
+}
+
+} // namespace ridgeferry::routing
--- /dev/null
+++ b/packages/routing/src/TeamLimiter.cpp
@@ -0,0 +1,59 @@
+#include "ridgeferry/routing/TeamLimiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ridgeferry::routing {
+
+namespace {
+
+constexpr Duration kInFlightRetry{ 1000 };
+
+} // namespace
+
+std::optional<Duration>
+TeamLimiter::Take(const declared::Team& aTeam,
+                  std::size_t aLiveInstances,
+                  Instant aNow)
+{
+  const auto instances =
+    static_cast<double>(std::max<std::size_t>(1, aLiveInstances));
+  Usage& usage = m_usage[aTeam.m_name];
+  const declared::TeamLimits& limits = aTeam.m_limits;
+  if (limits.m_inFlight > 0) {
+    // Rounded up: a small limit must not become none.
+    const auto share = static_cast<std::int64_t>(
+      std::ceil(static_cast<double>(limits.m_inFlight) / instances));
+    if (usage.m_inFlight >= share) {
+      return kInFlightRetry;
+    }
+  }
+  if (limits.m_requestsPerSecond > 0) {
+    const double rate = limits.m_requestsPerSecond / instances;
+    const double most = std::max(1.0, rate * kBurstSeconds);
+    const double elapsed =
+      usage.m_filledAt
+        ? std::chrono::duration<double>(aNow - *usage.m_filledAt).count()
+        : kBurstSeconds + 1 / rate;
+    usage.m_tokens = std::min(most, usage.m_tokens + rate * elapsed);
+    usage.m_filledAt = aNow;
+    if (usage.m_tokens < 1) {
+      const double wait = (1 - usage.m_tokens) / rate;
+      return std::chrono::ceil<Duration>(std::chrono::duration<double>(wait));
+    }
+    usage.m_tokens -= 1;
+  }
+  ++usage.m_inFlight;
+  return std::nullopt;
+}
+
+void
+TeamLimiter::Release(std::string_view aTeam)
+{
+  const auto it = m_usage.find(aTeam);
+  if (it != m_usage.end() && it->second.m_inFlight > 0) {
+    --it->second.m_inFlight;
+  }
+}
+
+} // namespace ridgeferry::routing
--- /dev/null
+++ b/packages/routing/src/UpstreamSet.cpp
@@ -0,0 +1,210 @@
+#include "ridgeferry/routing/UpstreamSet.h"
+
+#include <algorithm>
+#include <ridgeferry/base/Hash.h>
+
+namespace ridgeferry::routing {
+
+namespace {
+
+bool
+ServesPhase(declared::Role aRole, Phase aPhase)
+{
+  switch (aPhase) {
+    case Phase::Whole:
+      return aRole == declared::Role::Mixed;
+    case Phase::Prefill:
+      return aRole != declared::Role::Decode;
+    case Phase::Decode:
+      return aRole != declared::Role::Prefill;
+  }
+  return false;
+}
+
+bool
+SameLoad(const EngineReport& aLeft, const EngineReport& aRight)
+{
+  return aLeft.m_model == aRight.m_model &&
+         aLeft.m_version == aRight.m_version &&
+         aLeft.m_adapter == aRight.m_adapter;
+}
+
+} // namespace
+
+void
+UpstreamSet::SetListed(std::span<const ListedUpstream> aListed)
+{
+  std::vector<Upstream> next;
+  next.reserve(aListed.size());
+  std::map<std::string, UpstreamIndex, std::less<>> byId;
+  for (const ListedUpstream& listed : aListed) {
+    Upstream upstream;
+    if (const Upstream* known = FindMutable(listed.m_id)) {
+      upstream = *known;
+    }
+    upstream.m_listed = listed;
+    upstream.m_hash = Hash64(listed.m_id);
+    // A word of leaving is not taken back by a list that lags.
+    upstream.m_leaving = upstream.m_leaving || listed.m_leaving;
+    byId[listed.m_id] = static_cast<UpstreamIndex>(next.size());
+    next.push_back(std::move(upstream));
+  }
+  for (Upstream& known : m_items) {
+    const bool gone = !byId.contains(known.m_listed.m_id);
+    if (gone && known.m_ownInFlight > 0) {
+      known.m_leaving = true;
+      byId[known.m_listed.m_id] = static_cast<UpstreamIndex>(next.size());
+      next.push_back(std::move(known));
+    }
+  }
+  m_items = std::move(next);
+  m_byId = std::move(byId);
+  ForgetPools();
+}
+
+void
+UpstreamSet::SetReport(std::string_view aId,
+                       const EngineReport& aReport,
+                       Instant aNow)
+{
+  Upstream* upstream = FindMutable(aId);
+  if (upstream == nullptr) {
+    return;
+  }
+  const bool sameLoad =
+    upstream->m_report && SameLoad(*upstream->m_report, aReport);
+  upstream->m_report = aReport;
+  upstream->m_reportedAt = aNow;
+  upstream->m_sentSinceReport = 0;
+  if (!sameLoad) {
+    ForgetPools();
+  }
+}
+
+void
+UpstreamSet::MarkLeaving(std::string_view aId)
+{
+  if (Upstream* upstream = FindMutable(aId)) {
+    upstream->m_leaving = true;
+  }
+}
+
+void
+UpstreamSet::ForgetPools()
+{
+  m_pools.clear();
+}
+
+std::optional<UpstreamIndex>
+UpstreamSet::Find(std::string_view aId) const
+{
+  const auto it = m_byId.find(aId);
+  return it == m_byId.end() ? std::nullopt : std::optional(it->second);
+}
+
+Upstream*
+UpstreamSet::FindMutable(std::string_view aId)
+{
+  const auto index = Find(aId);
+  return index ? &m_items[*index] : nullptr;
+}
+
+bool
+UpstreamSet::Belongs(const Upstream& aUpstream, const PoolSpec& aSpec) const
+{
+  const ListedUpstream& listed = aUpstream.m_listed;
+  if (listed.m_kind != aSpec.m_kind ||
+      !aSpec.m_first.Matches(listed.m_labels) ||
+      !aSpec.m_second.Matches(listed.m_labels)) {
+    return false;
+  }
+  if (aSpec.m_kind == UpstreamKind::Service) {
+    return true;
+  }
+  return aUpstream.m_report && aUpstream.m_report->m_model == aSpec.m_model &&
+         aUpstream.m_report->m_version == aSpec.m_version &&
+         aUpstream.m_report->m_adapter == aSpec.m_adapter;
+}
+
+std::span<const UpstreamIndex>
+UpstreamSet::Pool(const PoolSpec& aSpec)
+{
+  const auto it = m_pools.find(aSpec.m_key);
+  if (it != m_pools.end()) {
+    return it->second;
+  }
+  std::vector<UpstreamIndex> members;
+  for (UpstreamIndex i = 0; i < m_items.size(); ++i) {
+    if (Belongs(m_items[i], aSpec)) {
+      members.push_back(i);
+    }
+  }
+  return m_pools.emplace(aSpec.m_key, std::move(members)).first->second;
+}
+
+bool
+UpstreamSet::MayServe(UpstreamIndex aIndex, Phase aPhase, Instant aNow) const
+{
+  const Upstream& upstream = m_items[aIndex];
+  if (upstream.m_leaving) {
+    return false;
+  }
+  if (upstream.m_closedUntil && aNow < *upstream.m_closedUntil) {
+    return false;
+  }
+  if (upstream.m_listed.m_kind == UpstreamKind::Service) {
+    return aPhase == Phase::Whole;
+  }
+  return upstream.m_report && !upstream.m_report->m_draining &&
+         !upstream.m_report->m_changing &&
+         ServesPhase(upstream.m_report->m_role, aPhase);
+}
+
+std::int64_t
+UpstreamSet::Slots(UpstreamIndex aIndex) const
+{
+  const Upstream& upstream = m_items[aIndex];
+  return upstream.m_report ? upstream.m_report->m_slots : kServiceSlots;
+}
+
+std::int64_t
+UpstreamSet::EstimatedLoad(UpstreamIndex aIndex) const
+{
+  const Upstream& upstream = m_items[aIndex];
+  const std::int64_t reported =
+    upstream.m_report ? upstream.m_report->m_running : 0;
+  return std::max(upstream.m_ownInFlight,
+                  reported + upstream.m_sentSinceReport);
+}
+
+void
+UpstreamSet::NoteSent(std::string_view aId)
+{
+  if (Upstream* upstream = FindMutable(aId)) {
+    ++upstream->m_ownInFlight;
+    ++upstream->m_sentSinceReport;
+  }
+}
+
+void
+UpstreamSet::NoteEnded(std::string_view aId, bool aFailed, Instant aNow)
+{
+  Upstream* upstream = FindMutable(aId);
+  if (upstream == nullptr) {
+    return;
+  }
+  upstream->m_ownInFlight =
+    std::max<std::int64_t>(0, upstream->m_ownInFlight - 1);
+  upstream->m_sentSinceReport =
+    std::max<std::int64_t>(0, upstream->m_sentSinceReport - 1);
+  if (!aFailed) {
+    upstream->m_failuresInRow = 0;
+    upstream->m_closedUntil.reset();
+    return;
+  }
+  if (++upstream->m_failuresInRow >= kFailuresToClose) {
+    upstream->m_closedUntil = aNow + kClosedFor;
+  }
+}
+
+} // namespace ridgeferry::routing
--- /dev/null
+++ b/packages/upstream/include/ridgeferry/upstream/ServiceClient.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <ridgeferry/net/HttpClient.h>
+#include <ridgeferry/upstream/EngineClient.h>
+#include <sigc++/sigc++.h>
+#include <string>
+
+namespace ridgeferry::upstream {
+
+struct ServiceRequest
+{
+  std::string m_address;
+  std::string m_method;
+  std::string m_target; ///< Path and query below the service's prefix.
+  net::HttpHeaders m_headers;
+  std::string m_body;
+  Duration m_timeout{};
+  bool m_fresh = false;
+};
+
+/** Either a whole answer or a failure. */
+struct ServiceCallbacks
+{
+  sigc::slot<void(Answer)> m_answered;
+  sigc::slot<void(Failure)> m_failed;
+};
+
+/** Passes calls through to plain services. Not thread-safe. */
+class ServiceClient
+{
+public:
+  explicit ServiceClient(net::HttpClient& aClient);
+  net::HttpCallId Call(const ServiceRequest& aRequest,
+                       const ServiceCallbacks& aCallbacks);
+  void Cancel(net::HttpCallId aCall);
+
+private:
+  net::HttpClient& m_client;
+};
+
+} // namespace ridgeferry::upstream
--- /dev/null
+++ b/tests/session/ProcessGroup.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <filesystem>
+#include <map>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace ridgeferry::session {
+
+/** Processes of one run. What is left of them is ended with the group. */
+class ProcessGroup
+{
+public:
+  ProcessGroup() = default;
+  ~ProcessGroup();
+  ProcessGroup(const ProcessGroup&) = delete;
+  ProcessGroup& operator=(const ProcessGroup&) = delete;
+
+  /** Starts a program; its output is appended to `aOutput`. */
+  bool Start(const std::string& aName,
+             const std::vector<std::string>& aCommand,
+             const std::filesystem::path& aOutput);
+  void Signal(const std::string& aName, int aSignal) const;
+  /** Whether it has ended; then its exit code, or 128 and the signal. */
+  bool HasEnded(const std::string& aName, int* aCode);
+
+private:
+  struct Process
+  {
+    pid_t m_pid = 0;
+    bool m_ended = false;
+    int m_code = 0;
+  };
+  std::map<std::string, Process> m_processes;
+};
+
+} // namespace ridgeferry::session
