--- a/packages/authority/tests/PlannerWorld.cpp
+++ b/packages/authority/tests/PlannerWorld.cpp
@@ -292,15 +292,11 @@
 }
 
 void
-PlannerWorld::Report(Chooser& aChoose)
+PlannerWorld::SendReport(const std::string& aPlanner)
 {
-  if (m_planners.empty()) {
-    return;
-  }
-  const std::string id = m_planners[aChoose.Below(m_planners.size())]->m_id;
   m_network.push_back({ m_now,
-                        [this, id, state = m_engine.m_state] {
-                          Feed(id, [this, state](Planner& aFound) {
+                        [this, aPlanner, state = m_engine.m_state] {
+                          Feed(aPlanner, [this, state](Planner& aFound) {
                             OnDesk(aFound, StateReported{ kEngine, state });
                           });
                         },
@@ -308,16 +304,42 @@
 }
 
 void
-PlannerWorld::EngineStep(Chooser& aChoose)
+PlannerWorld::Report(Chooser& aChoose)
+{
+  SendReport(m_planners[aChoose.Below(m_planners.size())]->m_id);
+}
+
+void
+PlannerWorld::EndChange()
 {
   EngineState& state = m_engine.m_state;
-  if (m_engine.m_changeEnd && m_now >= *m_engine.m_changeEnd) {
-    m_engine.m_changeEnd.reset();
-    state.m_changing = false;
-    if (const auto* role = std::get_if<RoleOrder>(&m_engine.m_change)) {
-      state.m_role = role->m_role;
-    }
+  if (!m_engine.m_changeEnd || m_now < *m_engine.m_changeEnd) {
+    return;
+  }
+  m_engine.m_changeEnd.reset();
+  state.m_changing = false;
+  if (const auto* role = std::get_if<RoleOrder>(&m_engine.m_change)) {
+    state.m_role = role->m_role;
   }
+}
+
+void
+PlannerWorld::RestartEngine()
+{
+  EngineState& state = m_engine.m_state;
+  state.m_bootId = "boot-" + std::to_string(++m_engine.m_boots);
+  state.m_lastOrder.clear();
+  state.m_draining = false;
+  state.m_changing = false;
+  state.m_running = 0;
+  m_engine.m_changeEnd.reset();
+}
+
+void
+PlannerWorld::EngineStep(Chooser& aChoose)
+{
+  EngineState& state = m_engine.m_state;
+  EndChange();
   if (state.m_running > 0 && aChoose.OneIn(2)) {
     --state.m_running;
   } else if (!state.m_draining && !state.m_changing) {
@@ -353,12 +375,7 @@
       planner.m_paused = !planner.m_paused;
       return;
     case 3:
-      m_engine.m_state.m_bootId = "boot-" + std::to_string(++m_engine.m_boots);
-      m_engine.m_state.m_lastOrder.clear();
-      m_engine.m_state.m_draining = false;
-      m_engine.m_state.m_changing = false;
-      m_engine.m_state.m_running = 0;
-      m_engine.m_changeEnd.reset();
+      RestartEngine();
       return;
     case 4:
       m_target.m_role = aChoose.OneIn(2) ? "prefill" : "decode";
@@ -374,6 +391,83 @@
   }
 }
 
+void
+PlannerWorld::DeliverAt(std::size_t aIndex)
+{
+  if (aIndex >= m_network.size()) {
+    return;
+  }
+  const auto deliver = m_network[aIndex].m_deliver;
+  m_network.erase(m_network.begin() + static_cast<std::ptrdiff_t>(aIndex));
+  deliver();
+}
+
+void
+PlannerWorld::Deviate(Deviation aDeviation)
+{
+  constexpr int kHeldRounds = 30;
+  Planner& first = *m_planners.front();
+  switch (aDeviation) {
+    case Deviation::None:
+      return;
+    case Deviation::KillFirst:
+      Kill(first);
+      return;
+    case Deviation::PauseFirst:
+      first.m_paused = !first.m_paused;
+      return;
+    case Deviation::DropOldest:
+      if (!m_network.empty()) {
+        const auto drop = m_network.front().m_drop;
+        m_network.erase(m_network.begin());
+        drop();
+      }
+      return;
+    case Deviation::HoldOldest:
+      if (!m_network.empty()) {
+        m_held.emplace_back(m_round + kHeldRounds, m_network.front());
+        m_network.erase(m_network.begin());
+      }
+      return;
+    case Deviation::RestartEngine:
+      RestartEngine();
+      return;
+    case Deviation::FlipTarget:
+      m_target.m_role = m_target.m_role == "prefill" ? "decode" : "prefill";
+      return;
+  }
+}
+
+void
+PlannerWorld::Round(Deviation aDeviation)
+{
+  constexpr int kReportEvery = 4;
+  constexpr Duration kRoundTime{ 100 };
+  ++m_round;
+  Deviate(aDeviation);
+  for (std::size_t i = 0; i < m_held.size();) {
+    if (m_held[i].first > m_round) {
+      ++i;
+      continue;
+    }
+    m_network.push_back(m_held[i].second);
+    m_held.erase(m_held.begin() + static_cast<std::ptrdiff_t>(i));
+  }
+  for (std::size_t i = 0; i < m_planners.size(); ++i) {
+    PlannerStep(*m_planners[i]);
+  }
+  DeliverAt(0);
+  DeliverAt(0);
+  EndChange();
+  if (m_round % kReportEvery == 0) {
+    for (const auto& planner : m_planners) {
+      SendReport(planner->m_id);
+    }
+  }
+  Advance(kRoundTime);
+  CheckHolders();
+}
+
 void
 PlannerWorld::Advance(Duration aBy)
 {
@@ -417,10 +511,7 @@
     case 4:
     case 5:
       if (!m_network.empty()) {
-        const std::size_t next = choose.Below(m_network.size());
-        const auto deliver = m_network[next].m_deliver;
-        m_network.erase(m_network.begin() + static_cast<std::ptrdiff_t>(next));
-        deliver();
+        DeliverAt(choose.Below(m_network.size()));
       }
       break;
     case 6:
--- a/packages/authority/tests/PlannerWorld.h
+++ b/packages/authority/tests/PlannerWorld.h
@@ -37,6 +37,24 @@
   explicit PlannerWorld(Options aOptions);
 
   void Step(std::uint32_t aNumber);
+
+  /** What may go wrong in one round of a scripted run. */
+  enum class Deviation
+  {
+    None,
+    KillFirst,  ///< Kill the planner that has lived longest.
+    PauseFirst, ///< Pause it, or wake it if it is paused.
+    DropOldest, ///< Lose the oldest message.
+    HoldOldest, ///< Keep it back for a while.
+    RestartEngine,
+    FlipTarget, ///< An operator wants the other role.
+  };
+
+  /**
+   * One round of a run without chance: each planner does one step, the two
+   * oldest messages arrive, a report leaves now and then, time goes on.
+   */
+  void Round(Deviation aDeviation);
   /** Ends all disturbances and runs until the engine is as wanted. */
   bool Settles();
   const std::vector<std::string>& Faults() const { return m_faults; }
@@ -87,6 +105,11 @@
   void Report(Chooser& aChoose);
   void EngineStep(Chooser& aChoose);
   void Disturb(Chooser& aChoose);
+  void Deviate(Deviation aDeviation);
+  void DeliverAt(std::size_t aIndex);
+  void RestartEngine();
+  void EndChange();
+  void SendReport(const std::string& aPlanner);
   void Kill(Planner& aPlanner);
   void Advance(Duration aBy);
   void CheckHolders();
@@ -97,6 +120,8 @@
   support::MemoryTable m_table;
   std::vector<std::unique_ptr<Planner>> m_planners;
   std::vector<Message> m_network;
+  std::vector<std::pair<int, Message>> m_held; ///< With the round to let go.
+  int m_round = 0;
   Engine m_engine;
   EngineTarget m_target;
   std::set<std::string> m_taken;
--- a/packages/authority/tests/PlannerWorldTest.cpp
+++ b/packages/authority/tests/PlannerWorldTest.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <span>
 
 namespace ridgeferry::authority {
 namespace {
@@ -49,6 +50,80 @@
   }));
 }
 
+/** A round and what goes wrong in it. */
+struct Mishap
+{
+  std::size_t m_round = 0;
+  PlannerWorld::Deviation m_deviation = PlannerWorld::Deviation::None;
+};
+
+/** Each of `aDeviations` in each round in which the first order of a run is
+ * recorded, sent, taken and settled. */
+std::vector<Mishap>
+MishapsOf(std::span<const PlannerWorld::Deviation> aDeviations)
+{
+  constexpr std::size_t kFirstRound = 14;
+  constexpr std::size_t kLastRound = 26;
+  std::vector<Mishap> out;
+  for (std::size_t round = kFirstRound; round < kLastRound; ++round) {
+    for (PlannerWorld::Deviation deviation : aDeviations) {
+      out.push_back({ round, deviation });
+    }
+  }
+  return out;
+}
+
+/** Plays a run with these two mishaps; returns the orders that were taken. */
+std::size_t
+PlayWith(const Mishap& aFirst, const Mishap& aSecond, bool aChecksFencing)
+{
+  constexpr std::size_t kRounds = 200;
+  PlannerWorld world({ aChecksFencing, false });
+  for (std::size_t round = 0; round < kRounds; ++round) {
+    if (round == aFirst.m_round) {
+      world.Round(aFirst.m_deviation);
+    } else if (round == aSecond.m_round) {
+      world.Round(aSecond.m_deviation);
+    } else {
+      world.Round(PlannerWorld::Deviation::None);
+    }
+  }
+  EXPECT_EQ(FirstFault(world), "")
+    << "rounds " << aFirst.m_round << ", " << aSecond.m_round << ", deviations "
+    << static_cast<int>(aFirst.m_deviation) << ", "
+    << static_cast<int>(aSecond.m_deviation);
+  return world.OrdersTaken();
+}
+
+// Every run in which any one thing goes wrong, and every one in which two
+// planners' troubles meet: a bounded search, not a sample.
+TEST_P(PlannerWorldTest, KeepsOrdersFromConflictingWhateverTwoThingsGoWrong)
+{
+  using Deviation = PlannerWorld::Deviation;
+  constexpr Deviation kAll[] = {
+    Deviation::None,       Deviation::KillFirst,  Deviation::PauseFirst,
+    Deviation::DropOldest, Deviation::HoldOldest, Deviation::RestartEngine,
+    Deviation::FlipTarget,
+  };
+  constexpr Deviation kPaired[] = { Deviation::KillFirst,
+                                    Deviation::PauseFirst,
+                                    Deviation::HoldOldest };
+  std::size_t runs = 0;
+  std::size_t taken = 0;
+  for (const Mishap& mishap : MishapsOf(kAll)) {
+    taken += PlayWith(mishap, {}, GetParam());
+    ++runs;
+  }
+  const std::vector<Mishap> paired = MishapsOf(kPaired);
+  for (std::size_t first = 0; first < paired.size(); ++first) {
+    for (std::size_t second = first + 1; second < paired.size(); ++second) {
+      taken += PlayWith(paired[first], paired[second], GetParam());
+      ++runs;
+    }
+  }
+  EXPECT_GT(taken, runs / 2) << "most runs must bring an order to the engine";
+}
+
 INSTANTIATE_TEST_SUITE_P(Engines,
                          PlannerWorldTest,
                          ::testing::Bool(),
--- a/packages/daemon/src/AdminApi.cpp
+++ b/packages/daemon/src/AdminApi.cpp
@@ -20,6 +20,8 @@
 constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
 constexpr std::size_t kAuditRows = 200;
+/** Changes searched for an id: some four hours at 6,000 a day. */
+constexpr std::size_t kSearchedRows = 1000;
 constexpr std::string_view kBearer = "Bearer ";
 
 std::string
@@ -290,10 +292,12 @@
 AdminApi::FindChange(const Exchange& aExchange) const
 {
   const std::string id = aExchange->QueryValue("id");
+  const config::Revision last = m_config.InForce();
+  const config::Revision from = last > kSearchedRows ? last - kSearchedRows : 0;
   m_node.m_table->Scan(
     std::string(config::kChangePrefix),
-    "",
-    std::numeric_limits<std::int32_t>::max(),
+    config::ChangeKey(from),
+    kSearchedRows + 1,
     [aExchange, id](const table::ScanResult& aResult) {
       if (aResult.m_status != table::ReadStatus::Ok) {
         ReplyJson(*aExchange,
@@ -311,7 +315,8 @@
       }
       ReplyJson(*aExchange,
                 kNotFound,
-                Dump(ErrorBody("not-found", "no change has this id")));
+                Dump(ErrorBody("not-found",
+                               "none of the latest 1000 changes has this id")));
     });
 }
 
--- a/tests/fakes/FakeEngine.cpp
+++ b/tests/fakes/FakeEngine.cpp
@@ -349,14 +349,6 @@
 int
 main(int aCount, char** aValues)
 {
-  using namespace ridgeferry;
-  const fakes::Arguments arguments(aCount, aValues);
-  const auto loop = net::EventLoop::Make();
-  fakes::FakeEngine engine(*loop, arguments);
-  return fakes::ServeUntilTerminated(
-    *loop,
-    arguments.Text("listen"),
-    [&engine](const std::shared_ptr<net::HttpExchange>& aExchange) {
-      engine.OnExchange(aExchange);
-    });
+  return ridgeferry::fakes::RunFake<ridgeferry::fakes::FakeEngine>(aCount,
+                                                                   aValues);
 }
--- a/tests/fakes/FakePlatform.cpp
+++ b/tests/fakes/FakePlatform.cpp
@@ -271,14 +271,6 @@
 int
 main(int aCount, char** aValues)
 {
-  using namespace ridgeferry;
-  const fakes::Arguments arguments(aCount, aValues);
-  const auto loop = net::EventLoop::Make();
-  fakes::FakePlatform platform(*loop, arguments);
-  return fakes::ServeUntilTerminated(
-    *loop,
-    arguments.Text("listen"),
-    [&platform](const std::shared_ptr<net::HttpExchange>& aExchange) {
-      platform.OnExchange(aExchange);
-    });
+  return ridgeferry::fakes::RunFake<ridgeferry::fakes::FakePlatform>(aCount,
+                                                                     aValues);
 }
--- a/tests/fakes/FakeProgram.h
+++ b/tests/fakes/FakeProgram.h
@@ -29,6 +29,22 @@
                      const std::string& aListen,
                      const net::HttpServer::Handler& aHandler);
 
+/** The whole of a stand-in's `main`: makes a `Fake` and serves it. */
+template<typename Fake>
+int
+RunFake(int aCount, char** aValues)
+{
+  const Arguments arguments(aCount, aValues);
+  const auto loop = net::EventLoop::Make();
+  Fake fake(*loop, arguments);
+  return ServeUntilTerminated(
+    *loop,
+    arguments.Text("listen"),
+    [&fake](const std::shared_ptr<net::HttpExchange>& aExchange) {
+      fake.OnExchange(aExchange);
+    });
+}
+
 /** The body as a JSON object; an empty object if it is none. */
 nlohmann::json
 BodyOf(const net::HttpExchange& aExchange);
--- a/tests/fakes/FakeService.cpp
+++ b/tests/fakes/FakeService.cpp
@@ -105,14 +105,6 @@
 int
 main(int aCount, char** aValues)
 {
-  using namespace ridgeferry;
-  const fakes::Arguments arguments(aCount, aValues);
-  const auto loop = net::EventLoop::Make();
-  fakes::FakeService service(*loop, arguments);
-  return fakes::ServeUntilTerminated(
-    *loop,
-    arguments.Text("listen"),
-    [&service](const std::shared_ptr<net::HttpExchange>& aExchange) {
-      service.OnExchange(aExchange);
-    });
+  return ridgeferry::fakes::RunFake<ridgeferry::fakes::FakeService>(aCount,
+                                                                    aValues);
 }
