--- a/packages/authority/tests/PlannerWorld.cpp
+++ b/packages/authority/tests/PlannerWorld.cpp
@@ -13,6 +13,8 @@
 /** Longest life of a message in the network: half of what the desk waits. */
 constexpr Duration kMessageLife = OrderDesk::kSilence / 2;
 constexpr Duration kChangeTime{ 3000 };
+/** A scripted pause: a takeover and a successor's orders fit into it. */
+constexpr int kPausedRounds = 110;
 
 } // namespace
 
@@ -225,6 +227,10 @@
   }
   // Checked; the bytes leave in a later step, with a pause between if the
   // schedule has one.
+  if (m_pauseBeforeSend) {
+    m_pauseBeforeSend = false;
+    PauseFor(planner, kPausedRounds);
+  }
   planner.m_todo.push_front([this, aPlanner, aOrder, answer] {
     m_network.push_back(
       { m_now,
@@ -371,9 +377,11 @@
       Kill(planner);
       return;
     case 1:
-    case 2:
       planner.m_paused = !planner.m_paused;
       return;
+    case 2:
+      m_pauseBeforeSend = true;
+      return;
     case 3:
       RestartEngine();
       return;
@@ -391,6 +399,23 @@
   }
 }
 
+void
+PlannerWorld::PauseFor(Planner& aPlanner, int aRounds)
+{
+  aPlanner.m_paused = true;
+  m_wakes.emplace_back(m_round + aRounds, aPlanner.m_id);
+}
+
+void
+PlannerWorld::WakeDue()
+{
+  for (const auto& [round, id] : m_wakes) {
+    if (Planner* planner = Find(id); planner != nullptr && round == m_round) {
+      planner->m_paused = false;
+    }
+  }
+}
+
 void
 PlannerWorld::DeliverAt(std::size_t aIndex)
 {
@@ -414,7 +439,10 @@
       Kill(first);
       return;
     case Deviation::PauseFirst:
-      first.m_paused = !first.m_paused;
+      PauseFor(first, kPausedRounds);
+      return;
+    case Deviation::PauseBeforeSend:
+      m_pauseBeforeSend = true;
       return;
     case Deviation::DropOldest:
       if (!m_network.empty()) {
@@ -444,6 +472,7 @@
   constexpr int kReportEvery = 4;
   constexpr Duration kRoundTime{ 100 };
   ++m_round;
+  WakeDue();
   Deviate(aDeviation);
   for (std::size_t i = 0; i < m_held.size();) {
     if (m_held[i].first > m_round) {
--- a/packages/authority/tests/PlannerWorld.h
+++ b/packages/authority/tests/PlannerWorld.h
@@ -42,10 +42,11 @@
   enum class Deviation
   {
     None,
-    KillFirst,  ///< Kill the planner that has lived longest.
-    PauseFirst, ///< Pause it, or wake it if it is paused.
-    DropOldest, ///< Lose the oldest message.
-    HoldOldest, ///< Keep it back for a while.
+    KillFirst,       ///< Kill the planner that has lived longest.
+    PauseFirst,      ///< Pause it until long after a takeover.
+    PauseBeforeSend, ///< Pause whoever sends next, after its check.
+    DropOldest,      ///< Lose the oldest message.
+    HoldOldest,      ///< Keep it back for a while.
     RestartEngine,
     FlipTarget, ///< An operator wants the other role.
   };
@@ -106,6 +107,8 @@
   void EngineStep(Chooser& aChoose);
   void Disturb(Chooser& aChoose);
   void Deviate(Deviation aDeviation);
+  void PauseFor(Planner& aPlanner, int aRounds);
+  void WakeDue();
   void DeliverAt(std::size_t aIndex);
   void RestartEngine();
   void EndChange();
@@ -122,6 +125,9 @@
   std::vector<Message> m_network;
   std::vector<std::pair<int, Message>> m_held; ///< With the round to let go.
   int m_round = 0;
+  bool m_pauseBeforeSend = false;
+  /** Planners that a scripted run paused, with the round to wake them. */
+  std::vector<std::pair<int, std::string>> m_wakes;
   Engine m_engine;
   EngineTarget m_target;
   std::set<std::string> m_taken;
--- a/packages/authority/tests/PlannerWorldTest.cpp
+++ b/packages/authority/tests/PlannerWorldTest.cpp
@@ -101,12 +101,12 @@
 {
   using Deviation = PlannerWorld::Deviation;
   constexpr Deviation kAll[] = {
-    Deviation::None,       Deviation::KillFirst,  Deviation::PauseFirst,
-    Deviation::DropOldest, Deviation::HoldOldest, Deviation::RestartEngine,
-    Deviation::FlipTarget,
+    Deviation::None,       Deviation::KillFirst,       Deviation::PauseFirst,
+    Deviation::DropOldest, Deviation::HoldOldest,      Deviation::RestartEngine,
+    Deviation::FlipTarget, Deviation::PauseBeforeSend,
   };
   constexpr Deviation kPaired[] = { Deviation::KillFirst,
-                                    Deviation::PauseFirst,
+                                    Deviation::PauseBeforeSend,
                                     Deviation::HoldOldest };
   std::size_t runs = 0;
   std::size_t taken = 0;
