--- a/packages/routing/tests/CallFlowTest.cpp
+++ b/packages/routing/tests/CallFlowTest.cpp
@@ -295,6 +295,42 @@
                     FlowCase{ "GenerationOnce", { true, false, false, 0 } }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+struct LateCase
+{
+  const char* m_name;
+  CallEvent m_event; ///< Of the first attempt, which was refused before.
+};
+
+class LateEventTest : public ::testing::TestWithParam<LateCase>
+{};
+
+// A doubled or late word of an earlier attempt must not end the current one:
+// its call would be sent once more while it runs.
+TEST_P(LateEventTest, HasNoEffectOnTheCurrentAttempt)
+{
+  CallFlow flow({ false, false, false, 0 });
+  flow.Handle(CallBegan{});
+  flow.Handle(ClaimWon{});
+  flow.Handle(UpstreamGranted{ "a", "address", Phase::Whole });
+  flow.Handle(AttemptRefused{ 1 });
+  flow.Handle(UpstreamGranted{ "b", "address", Phase::Whole });
+  EXPECT_TRUE(flow.Handle(GetParam().m_event).empty());
+  const auto actions =
+    flow.Handle(AnswerArrived{ 2, 200, "text/plain", "answer", {} });
+  EXPECT_TRUE(flow.IsDone());
+  EXPECT_FALSE(actions.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Events,
+  LateEventTest,
+  ::testing::Values(LateCase{ "NotSent", AttemptNotSent{ 1 } },
+                    LateCase{ "Refused", AttemptRefused{ 1 } },
+                    LateCase{ "Broke", AttemptBroke{ 1 } },
+                    LateCase{ "Answer",
+                              AnswerArrived{ 1, 200, "text/plain", "x", {} } }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 struct PlaceCase
 {
   const char* m_text;
--- a/tests/checker/HistoryChecker.cpp
+++ b/tests/checker/HistoryChecker.cpp
@@ -209,6 +209,11 @@
       leftAt.emplace(Text(line, "upstream"), us);
       continue;
     }
+    if (Is(line, "left")) {
+      // All instances are known to know: the grace is over.
+      leftAt[Text(line, "upstream")] = us - kLeavingGraceUs;
+      continue;
+    }
     if (!Is(line, "generation") && !Is(line, "ran")) {
       continue;
     }
--- a/tests/session/Session.cpp
+++ b/tests/session/Session.cpp
@@ -100,6 +100,7 @@
   , m_cluster(aLoop, std::move(aPlace), PlanOf(aFile))
   , m_caller(m_cluster)
   , m_progress(std::move(aProgress))
+  , m_history((m_cluster.Place().m_files / "session.jsonl").string())
 {
 }
 
@@ -219,6 +220,12 @@
       return status.is_object() && status.value("table", "") == "up";
     });
   }
+  if (what == "noteLeft") {
+    // Every instance knows: from here on not one call may go there.
+    m_history.Write(
+      { { "what", "left" }, { "upstream", aStep.at("upstream") } });
+    return true;
+  }
   if (what == "notePlanner") {
     return PlayNotePlanner(aStep);
   }
--- a/tests/session/Session.h
+++ b/tests/session/Session.h
@@ -2,6 +2,7 @@
 
 #include "Caller.h"
 #include "Cluster.h"
+#include "History.h"
 
 #include <filesystem>
 #include <functional>
@@ -56,8 +57,9 @@
   Caller m_caller;
   std::function<void(const std::string&)> m_progress;
   std::string m_transcript;
-  std::string m_planner; ///< Instance noted as its hall's planner.
-  std::string m_other;   ///< Another instance of that hall.
+  fakes::History m_history; ///< What the session itself saw.
+  std::string m_planner;    ///< Instance noted as its hall's planner.
+  std::string m_other;      ///< Another instance of that hall.
 };
 
 } // namespace ridgeferry::session
