--- a/packages/authority/tests/PlannerWorld.cpp
+++ b/packages/authority/tests/PlannerWorld.cpp
@@ -482,8 +482,8 @@
     m_network.push_back(m_held[i].second);
     m_held.erase(m_held.begin() + static_cast<std::ptrdiff_t>(i));
   }
-  for (std::size_t i = 0; i < m_planners.size(); ++i) {
-    PlannerStep(*m_planners[i]);
+  for (const auto& planner : m_planners) {
+    PlannerStep(*planner);
   }
   DeliverAt(0);
   DeliverAt(0);
