--- a/tests/fakes/EngineStreams.cpp
+++ b/tests/fakes/EngineStreams.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t kPrefixBytes = 1024;
+/** Each event of this number's multiples is never published. */
+constexpr std::uint64_t kGapEvery = 7;
 
 std::string
 TokenEvent(const EngineStream& aStream, std::uint64_t aOffset)
@@ -45,14 +47,36 @@
   const bool hit = it != m_cached.end();
   if (hit) {
     m_cached.erase(it);
+  } else {
+    NoteCache(prefix, true);
   }
   m_cached.push_front(prefix);
   if (m_cached.size() > m_limits.m_cachedPrefixes) {
+    NoteCache(m_cached.back(), false);
     m_cached.pop_back();
   }
   return hit;
 }
 
+void
+EngineStreams::NoteCache(std::uint64_t aPrefix, bool aAdded)
+{
+  m_cacheEvents.push_back({ m_cacheEvents.size() + 1, aPrefix, aAdded, m_now });
+}
+
+std::vector<CacheEvent>
+EngineStreams::PublishedEvents(std::uint64_t aSince, Instant aBefore) const
+{
+  std::vector<CacheEvent> out;
+  for (const CacheEvent& event : m_cacheEvents) {
+    if (event.m_number > aSince && event.m_at < aBefore &&
+        event.m_number % kGapEvery != 0) {
+      out.push_back(event);
+    }
+  }
+  return out;
+}
+
 EngineStream&
 EngineStreams::Add(EngineStream aStream, std::int64_t aPromptTokens)
 {
--- a/tests/fakes/EngineStreams.h
+++ b/tests/fakes/EngineStreams.h
@@ -30,6 +30,15 @@
   std::vector<std::shared_ptr<net::HttpExchange>> m_readers;
 };
 
+/** A prefix came into an engine's cache, or fell out of it. */
+struct CacheEvent
+{
+  std::uint64_t m_number = 0;
+  std::uint64_t m_prefix = 0; ///< Hash of the prompt's head.
+  bool m_added = false;
+  Instant m_at;
+};
+
 struct BatchLimits
 {
   std::size_t m_slots = 8;
@@ -63,16 +72,23 @@
   void Attach(EngineStream& aStream,
               const std::shared_ptr<net::HttpExchange>& aReader,
               std::uint64_t aFrom);
-  std::size_t CachedPrefixes() const { return m_cached.size(); }
+  /** Events after `aSince` that are older than `aBefore`: published late, and
+   * with gaps, as the engines do. */
+  std::vector<CacheEvent> PublishedEvents(std::uint64_t aSince,
+                                          Instant aBefore) const;
+  void SetNow(Instant aNow) { m_now = aNow; }
 
 private:
   bool TakeCached(const std::string& aPrompt);
   void Finish(EngineStream& aStream);
+  void NoteCache(std::uint64_t aPrefix, bool aAdded);
 
   BatchLimits m_limits;
   std::map<std::string, EngineStream> m_streams;
   std::vector<std::string> m_active; ///< In order of priority and arrival.
   std::list<std::uint64_t> m_cached; ///< Prefix hashes, latest first.
+  std::vector<CacheEvent> m_cacheEvents;
+  Instant m_now;
 };
 
 } // namespace ridgeferry::fakes
--- a/tests/fakes/FakeEngine.cpp
+++ b/tests/fakes/FakeEngine.cpp
@@ -34,6 +34,7 @@
     , m_model(aArguments.Text("model", "model"))
     , m_version(aArguments.Text("version", "1"))
     , m_adapter(aArguments.Text("adapter"))
+    , m_weights(aArguments.Text("weights"))
     , m_checksFencing(aArguments.Number("checks-fencing", 0) != 0)
     , m_changeTime(aArguments.Number("change-ms", 1000))
     , m_lag(aArguments.Number("lag-ms", 0))
@@ -65,8 +66,7 @@
     } else if (path == "/control/orders") {
       OnOrder(aExchange);
     } else if (path == "/cache/events") {
-      ReplyJson(
-        *aExchange, kOk, { { "prefixes", m_streams.CachedPrefixes() } });
+      ListCacheEvents(*aExchange);
     } else if (path == "/fake") {
       OnSwitch(aExchange);
     } else {
@@ -101,8 +101,23 @@
                                            : m_reports.front().second;
   }
 
+  void ListCacheEvents(net::HttpExchange& aExchange)
+  {
+    const std::string since = aExchange.QueryValue("since");
+    nlohmann::json events = nlohmann::json::array();
+    for (const CacheEvent& event :
+         m_streams.PublishedEvents(std::strtoull(since.c_str(), nullptr, 10),
+                                   m_loop.Now() - Duration(m_lag))) {
+      events.push_back({ { "number", event.m_number },
+                         { "prefix", event.m_prefix },
+                         { "added", event.m_added } });
+    }
+    ReplyJson(aExchange, kOk, { { "events", events } });
+  }
+
   void OnStep()
   {
+    m_streams.SetNow(m_loop.Now());
     if (!m_changing) {
       m_streams.Step();
     }
@@ -282,9 +297,39 @@
         { { "what", "cut" }, { "engine", m_id }, { "streams", cut } });
     }
     m_changing = true;
-    m_changeEnd = m_loop.After(Duration(m_changeTime), [this, aOrder, kind] {
+    if (kind == "load" && !m_weights.empty()) {
+      FetchWeights(aOrder);
+      return;
+    }
+    Change(aOrder);
+  }
+
+  /** Asks the weight store until its rate allows this load. */
+  void FetchWeights(const nlohmann::json& aOrder)
+  {
+    net::HttpRequest request;
+    request.m_address = m_weights;
+    request.m_target = "/weights?model=" + aOrder.value("model", "") +
+                       "&version=" + aOrder.value("version", "");
+    net::HttpCallbacks callbacks;
+    callbacks.m_done = [this, aOrder](const net::HttpResponse& aResponse) {
+      if (aResponse.m_end == net::HttpEnd::Complete &&
+          aResponse.m_head.m_status == kOk) {
+        Change(aOrder);
+        return;
+      }
+      constexpr Duration kAskAgain{ 200 };
+      m_changeEnd =
+        m_loop.After(kAskAgain, [this, aOrder] { FetchWeights(aOrder); });
+    };
+    m_client.Send(request, std::move(callbacks));
+  }
+
+  void Change(const nlohmann::json& aOrder)
+  {
+    m_changeEnd = m_loop.After(Duration(m_changeTime), [this, aOrder] {
       m_changing = false;
-      if (kind == "role") {
+      if (aOrder.value("kind", "") == "role") {
         m_role = aOrder.value("role", m_role);
       } else {
         m_model = aOrder.value("model", m_model);
@@ -322,6 +367,7 @@
   std::string m_model;
   std::string m_version;
   std::string m_adapter;
+  std::string m_weights; ///< Address of the weight store; empty: none.
   bool m_checksFencing;
   std::int64_t m_changeTime;
   std::int64_t m_lag;
--- a/tests/fakes/FakePlatform.cpp
+++ b/tests/fakes/FakePlatform.cpp
@@ -41,6 +41,7 @@
     , m_history(aArguments.Text("history"))
     , m_writesPerSecond(aArguments.Number("writes", 300))
     , m_readsPerSecond(aArguments.Number("reads", 2000))
+    , m_weightsEvery(aArguments.Number("weights-every-ms", 200))
   {
     m_second = aLoop.Every(Duration{ 1000 }, [this] {
       m_writes = 0;
@@ -85,6 +86,8 @@
       Scan(*aExchange);
     } else if (path == "/objects") {
       OnObject(*aExchange);
+    } else if (path == "/weights") {
+      GrantWeights(*aExchange);
     } else if (path == "/instances") {
       List(*aExchange);
     } else {
@@ -199,6 +202,21 @@
     aExchange.Reply(kOk, {}, it->second);
   }
 
+  /** The weight store: one load in each of its intervals. */
+  void GrantWeights(net::HttpExchange& aExchange)
+  {
+    const Instant now = m_loop.Now();
+    if (now < m_nextWeights) {
+      ReplyJson(aExchange, kTooMany, {});
+      return;
+    }
+    m_nextWeights = now + m_weightsEvery;
+    m_history.Write({ { "what", "weights" },
+                      { "model", aExchange.QueryValue("model") },
+                      { "version", aExchange.QueryValue("version") } });
+    ReplyJson(aExchange, kOk, { { "granted", true } });
+  }
+
   void List(net::HttpExchange& aExchange)
   {
     const std::string hall = aExchange.QueryValue("hall");
@@ -254,6 +272,8 @@
   History m_history;
   std::int64_t m_writesPerSecond;
   std::int64_t m_readsPerSecond;
+  Duration m_weightsEvery;
+  Instant m_nextWeights;
   std::int64_t m_writes = 0;
   std::int64_t m_reads = 0;
   Faults m_faults;
--- a/tests/session/Caller.cpp
+++ b/tests/session/Caller.cpp
@@ -104,6 +104,7 @@
   record.m_via = aVia;
   record.m_requestId =
     "s" + std::to_string(getpid()) + "-" + std::to_string(++m_lastId);
+  record.m_version = aStep.value("version", "");
   net::HttpRequest& request = record.m_request;
   request.m_method = aStep.value("method", "POST");
   request.m_address = m_cluster.CallerAddress(aVia);
@@ -199,6 +200,9 @@
       line["version"] = spec.value("version", "");
     }
   }
+  if (!aRecord.m_version.empty()) {
+    line["version"] = aRecord.m_version;
+  }
   line["model"] = body.value("model", "");
   line["prompt"] = body.contains("messages") ? body["messages"].dump()
                                              : body.value("prompt", "");
--- a/tests/session/Caller.h
+++ b/tests/session/Caller.h
@@ -21,6 +21,7 @@
   std::string m_bytes; ///< The body so far.
   bool m_done = false;
   std::uint64_t m_from = 0; ///< Tokens that it resumed after.
+  std::string m_version;    ///< Expected, if not the plan's.
 };
 
 /** What a generation's answer says, whatever its shape. */
--- a/tests/session/Cluster.cpp
+++ b/tests/session/Cluster.cpp
@@ -67,6 +67,9 @@
       "--history",
       (m_place.m_files / ("fake-" + aName + ".jsonl")).string()
     };
+    if (aProgram == "fake_engine") {
+      command.insert(command.end(), { "--weights", m_fakes.at("platform") });
+    }
     for (const auto& [key, value] : aArguments.items()) {
       command.push_back("--" + key);
       command.push_back(value.is_string() ? value.get<std::string>()
