--- a/tests/session/SessionMain.cpp
+++ b/tests/session/SessionMain.cpp
@@ -26,6 +26,12 @@
   }
   std::printf("platform stand-in %s\n",
               aCluster.FakeAddress("platform").c_str());
+  for (const char* kind : { "engines", "services" }) {
+    for (const auto& upstream : aCluster.Plan().at(kind)) {
+      const std::string id = upstream.at("id");
+      std::printf("%-16s %s\n", id.c_str(), aCluster.FakeAddress(id).c_str());
+    }
+  }
   const std::string first = aCluster.Instances().front();
   const auto example =
     aCluster.Plan().value("example", nlohmann::json::object());
