--- a/packages/observe/include/ridgeferry/observe/Metrics.h
+++ b/packages/observe/include/ridgeferry/observe/Metrics.h
@@ -26,8 +26,6 @@
   /** Adds one observation to a summary with quantiles 0.5, 0.95 and 0.99. */
   void Observe(std::string_view aName, double aValue);
 
-  /** A counter's value; 0 if it was never counted. */
-  std::uint64_t CounterValue(std::string_view aName) const;
   std::string Expose() const;
 
 private:
--- a/packages/observe/src/Metrics.cpp
+++ b/packages/observe/src/Metrics.cpp
@@ -88,13 +88,6 @@
   it->second->m_values(aValue);
 }
 
-std::uint64_t
-Metrics::CounterValue(std::string_view aName) const
-{
-  const auto it = m_counters.find(aName);
-  return it == m_counters.end() ? 0 : it->second;
-}
-
 std::string
 Metrics::Expose() const
 {
--- a/packages/roles/include/ridgeferry/roles/MixEstimator.h
+++ b/packages/roles/include/ridgeferry/roles/MixEstimator.h
@@ -19,8 +19,6 @@
   void NoteDemand(double aPrefillSeconds, double aDecodeSeconds, Instant aNow);
   /** Nothing before any demand was seen. */
   std::optional<double> PrefillShare(Instant aNow) const;
-  /** Engine-seconds asked for a second, smoothed. */
-  double DemandPerSecond(Instant aNow) const;
 
 private:
   double DecayTo(Instant aNow) const;
--- a/packages/roles/src/MixEstimator.cpp
+++ b/packages/roles/src/MixEstimator.cpp
@@ -35,11 +35,4 @@
   return m_prefill / total;
 }
 
-double
-MixEstimator::DemandPerSecond(Instant aNow) const
-{
-  const double memory = std::chrono::duration<double>(kMemory).count();
-  return (m_prefill + m_decode) * DecayTo(aNow) / memory;
-}
-
 } // namespace ridgeferry::roles
--- a/packages/routing/include/ridgeferry/routing/Dispatcher.h
+++ b/packages/routing/include/ridgeferry/routing/Dispatcher.h
@@ -90,7 +90,6 @@
   }
 
   std::size_t Queued() const;
-  std::size_t Queued(declared::TrafficClass aClass) const;
 
 private:
   struct PoolRate
--- a/packages/routing/include/ridgeferry/routing/Problem.h
+++ b/packages/routing/include/ridgeferry/routing/Problem.h
@@ -21,7 +21,6 @@
   NoUpstream, ///< No upstream that may serve it is there.
   DeadlineExceeded,
   UpstreamFailed, ///< The upstream broke off; not repeated.
-  StreamNotFound, ///< Nothing to resume under this event id.
   ClaimOpen,      ///< An earlier attempt with this key may be running.
   KeyReused,      ///< The key was used before with another call.
   ClaimStoreDown, ///< Calls that may not be repeated cannot be claimed now.
--- a/packages/routing/src/Dispatcher.cpp
+++ b/packages/routing/src/Dispatcher.cpp
@@ -213,10 +213,4 @@
   return total;
 }
 
-std::size_t
-Dispatcher::Queued(declared::TrafficClass aClass) const
-{
-  return m_queues[static_cast<std::size_t>(aClass)].size();
-}
-
 } // namespace ridgeferry::routing
--- a/packages/routing/src/Problem.cpp
+++ b/packages/routing/src/Problem.cpp
@@ -24,7 +24,6 @@
   CodeRow{ ProblemCode::NoUpstream, "no-upstream", 503 },
   CodeRow{ ProblemCode::DeadlineExceeded, "deadline-exceeded", 504 },
   CodeRow{ ProblemCode::UpstreamFailed, "upstream-failed", 502 },
-  CodeRow{ ProblemCode::StreamNotFound, "stream-not-found", 404 },
   CodeRow{ ProblemCode::ClaimOpen, "claim-open", 409 },
   CodeRow{ ProblemCode::KeyReused, "key-reused", 422 },
   CodeRow{ ProblemCode::ClaimStoreDown, "claim-store-down", 503 },
