--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -1,4 +1,5 @@
-# A package is packages/NAME with include/, src/, tests/ and bench/.
+# A package is packages/NAME (or another DIR) with include/, src/, tests/ and
+# bench/.
 # PURE packages hold decisions: they may depend on pure packages only, and no
 # I/O library is on their include or link path.
 
@@ -12,13 +13,17 @@
 endif()
 
 function(rf_package NAME)
-  cmake_parse_arguments(PKG "PURE" "" "DEPS;LIBS" ${ARGN})
-  set(DIR ${CMAKE_SOURCE_DIR}/packages/${NAME})
+  cmake_parse_arguments(PKG "PURE" "DIR" "DEPS;LIBS" ${ARGN})
+  if(NOT PKG_DIR)
+    set(PKG_DIR packages/${NAME})
+  endif()
+  set(DIR ${CMAKE_SOURCE_DIR}/${PKG_DIR})
   file(GLOB SOURCES CONFIGURE_DEPENDS ${DIR}/src/*.cpp)
   list(FILTER SOURCES EXCLUDE REGEX "/Main\\.cpp$")
   file(GLOB GENERATED CONFIGURE_DEPENDS ${DIR}/gen-cpp/*.cpp)
   add_library(rf_${NAME} STATIC ${SOURCES} ${GENERATED})
-  set_target_properties(rf_${NAME} PROPERTIES RF_PURE "${PKG_PURE}")
+  set_target_properties(rf_${NAME} PROPERTIES RF_PURE "${PKG_PURE}"
+    RF_DIR "${DIR}")
   target_include_directories(rf_${NAME} PUBLIC ${DIR}/include PRIVATE ${DIR}/src)
   if(GENERATED)
     target_include_directories(rf_${NAME} SYSTEM PRIVATE ${DIR}/gen-cpp)
@@ -58,10 +63,10 @@
 endfunction()
 
 function(rf_binary NAME PACKAGE)
-  add_executable(${NAME} ${CMAKE_SOURCE_DIR}/packages/${PACKAGE}/src/Main.cpp)
+  get_target_property(DIR rf_${PACKAGE} RF_DIR)
+  add_executable(${NAME} ${DIR}/src/Main.cpp)
   target_link_libraries(${NAME} PRIVATE rf_${PACKAGE} rf_options)
-  target_include_directories(${NAME} PRIVATE
-    ${CMAKE_SOURCE_DIR}/packages/${PACKAGE}/src)
+  target_include_directories(${NAME} PRIVATE ${DIR}/src)
   target_compile_definitions(${NAME} PRIVATE
     RIDGEFERRY_VERSION="${PROJECT_VERSION}")
   set_target_properties(${NAME} PROPERTIES
--- a/packages/daemon/src/Instance.cpp
+++ b/packages/daemon/src/Instance.cpp
@@ -28,13 +28,13 @@
   aNode.m_loop = net::EventLoop::Make();
   aNode.m_http = std::make_unique<net::HttpClient>(*aNode.m_loop);
   const PlatformSettings& platform = aNode.m_settings.m_platform;
-  aNode.m_table = std::make_unique<platform::GuardedTable>(
-    platform::MakeHttpTable(*aNode.m_http, platform.m_table),
+  aNode.m_table = std::make_unique<native::GuardedTable>(
+    native::MakeHttpTable(*aNode.m_http, platform.m_table),
     [&aNode] { return aNode.Now(); });
   aNode.m_objects =
-    platform::MakeHttpObjectStore(*aNode.m_http, platform.m_objects);
+    native::MakeHttpObjectStore(*aNode.m_http, platform.m_objects);
   aNode.m_list =
-    platform::MakeHttpInstanceList(*aNode.m_http, platform.m_instances);
+    native::MakeHttpInstanceList(*aNode.m_http, platform.m_instances);
   aNode.m_random.seed(std::random_device()());
 }
 
@@ -95,7 +95,7 @@
 Instance::Impl::Connect()
 {
   m_watch->SignalListed().connect(
-    [this](std::span<const platform::ListedMember> aMembers) {
+    [this](std::span<const native::ListedMember> aMembers) {
       m_peers->NoteListed(aMembers);
       m_planner->NoteListed(aMembers);
       m_callers->Pump();
--- a/packages/daemon/src/Node.h
+++ b/packages/daemon/src/Node.h
@@ -4,12 +4,12 @@
 #include <memory>
 #include <random>
 #include <ridgeferry/daemon/Settings.h>
+#include <ridgeferry/native/GuardedTable.h>
+#include <ridgeferry/native/HttpPlatform.h>
 #include <ridgeferry/net/EventLoop.h>
 #include <ridgeferry/net/HttpClient.h>
 #include <ridgeferry/observe/Log.h>
 #include <ridgeferry/observe/Metrics.h>
-#include <ridgeferry/platform/GuardedTable.h>
-#include <ridgeferry/platform/HttpPlatform.h>
 #include <string>
 
 namespace ridgeferry::daemon {
@@ -24,9 +24,9 @@
   std::unique_ptr<observe::Log> m_log;
   observe::Metrics m_metrics;
   std::unique_ptr<net::HttpClient> m_http;
-  std::unique_ptr<platform::GuardedTable> m_table;
-  std::unique_ptr<platform::ObjectStore> m_objects;
-  std::unique_ptr<platform::InstanceList> m_list;
+  std::unique_ptr<native::GuardedTable> m_table;
+  std::unique_ptr<native::ObjectStore> m_objects;
+  std::unique_ptr<native::InstanceList> m_list;
   std::mt19937_64 m_random;
   std::uint64_t m_lastId = 0;
 
--- a/packages/daemon/src/PeerService.cpp
+++ b/packages/daemon/src/PeerService.cpp
@@ -127,12 +127,12 @@
 }
 
 void
-PeerService::NoteListed(std::span<const platform::ListedMember> aMembers)
+PeerService::NoteListed(std::span<const native::ListedMember> aMembers)
 {
   membership::InstancesListed listed;
   std::set<std::string> upstreams;
-  for (const platform::ListedMember& member : aMembers) {
-    if (member.m_kind != platform::ListedKind::Instance) {
+  for (const native::ListedMember& member : aMembers) {
+    if (member.m_kind != native::ListedKind::Instance) {
       upstreams.insert(member.m_id);
       continue;
     }
--- a/packages/daemon/src/PeerService.h
+++ b/packages/daemon/src/PeerService.h
@@ -4,9 +4,9 @@
 #include "Node.h"
 
 #include <ridgeferry/membership/Roster.h>
+#include <ridgeferry/native/InstanceList.h>
 #include <ridgeferry/net/HttpServer.h>
 #include <ridgeferry/net/UdpSocket.h>
-#include <ridgeferry/platform/InstanceList.h>
 #include <set>
 #include <sigc++/sigc++.h>
 #include <string>
@@ -24,7 +24,7 @@
 
   tl::expected<void, net::NetError> Start();
   void SetState(bool aReady, bool aLeaving);
-  void NoteListed(std::span<const platform::ListedMember> aMembers);
+  void NoteListed(std::span<const native::ListedMember> aMembers);
   /** This process learned that an upstream leaves: tell the peers. */
   void NoteUpstreamLeaving(const std::string& aUpstream);
   /** What this process observes of engines, asked before each heartbeat. */
--- a/packages/daemon/src/PlannerService.cpp
+++ b/packages/daemon/src/PlannerService.cpp
@@ -209,11 +209,11 @@
 }
 
 void
-PlannerService::NoteListed(std::span<const platform::ListedMember> aMembers)
+PlannerService::NoteListed(std::span<const native::ListedMember> aMembers)
 {
   std::set<std::string, std::less<>> listed = { m_node.m_settings.m_instance };
-  for (const platform::ListedMember& member : aMembers) {
-    if (member.m_kind == platform::ListedKind::Instance) {
+  for (const native::ListedMember& member : aMembers) {
+    if (member.m_kind == native::ListedKind::Instance) {
       listed.insert(member.m_id);
     }
   }
--- a/packages/daemon/src/PlannerService.h
+++ b/packages/daemon/src/PlannerService.h
@@ -7,7 +7,7 @@
 #include <ridgeferry/authority/Lease.h>
 #include <ridgeferry/authority/OrderDesk.h>
 #include <ridgeferry/membership/Roster.h>
-#include <ridgeferry/platform/InstanceList.h>
+#include <ridgeferry/native/InstanceList.h>
 #include <ridgeferry/roles/MixEstimator.h>
 #include <ridgeferry/roles/RolePlanner.h>
 #include <ridgeferry/routing/UpstreamSet.h>
@@ -40,7 +40,7 @@
   void NoteProcessEnded(const std::string& aProcess);
   /** Instances of the hall that the platform lists: a sender that is listed no
    * more has ended. */
-  void NoteListed(std::span<const platform::ListedMember> aMembers);
+  void NoteListed(std::span<const native::ListedMember> aMembers);
   /** Engine time that callers asked for, in seconds. */
   void NoteDemand(const std::string& aDeployment,
                   double aPrefillSeconds,
--- a/packages/daemon/src/UpstreamWatch.cpp
+++ b/packages/daemon/src/UpstreamWatch.cpp
@@ -34,11 +34,11 @@
 }
 
 routing::ListedUpstream
-ToUpstream(const platform::ListedMember& aMember)
+ToUpstream(const native::ListedMember& aMember)
 {
   routing::ListedUpstream out;
   out.m_id = aMember.m_id;
-  out.m_kind = aMember.m_kind == platform::ListedKind::Service
+  out.m_kind = aMember.m_kind == native::ListedKind::Service
                  ? routing::UpstreamKind::Service
                  : routing::UpstreamKind::Engine;
   out.m_hall = aMember.m_hall;
@@ -86,7 +86,7 @@
   m_listAsked = true;
   m_node.m_list->Get(
     m_node.m_settings.m_hall,
-    [this](std::optional<std::vector<platform::ListedMember>> aMembers) {
+    [this](std::optional<std::vector<native::ListedMember>> aMembers) {
       m_listAsked = false;
       if (!aMembers) {
         m_node.m_metrics.Count("list_read_failures_total");
@@ -97,12 +97,12 @@
 }
 
 void
-UpstreamWatch::OnList(std::vector<platform::ListedMember> aMembers)
+UpstreamWatch::OnList(std::vector<native::ListedMember> aMembers)
 {
   std::vector<routing::ListedUpstream> upstreams;
   std::vector<std::string> leaving;
-  for (const platform::ListedMember& member : aMembers) {
-    if (member.m_kind == platform::ListedKind::Instance) {
+  for (const native::ListedMember& member : aMembers) {
+    if (member.m_kind == native::ListedKind::Instance) {
       continue;
     }
     upstreams.push_back(ToUpstream(member));
--- a/packages/daemon/src/UpstreamWatch.h
+++ b/packages/daemon/src/UpstreamWatch.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <optional>
 #include <ridgeferry/membership/Roster.h>
-#include <ridgeferry/platform/InstanceList.h>
+#include <ridgeferry/native/InstanceList.h>
 #include <ridgeferry/routing/UpstreamSet.h>
 #include <ridgeferry/upstream/EngineClient.h>
 #include <set>
@@ -46,7 +46,7 @@
   void MarkLeaving(const std::string& aUpstream);
 
   /** The list was read. */
-  sigc::signal<void(std::span<const platform::ListedMember>)>& SignalListed()
+  sigc::signal<void(std::span<const native::ListedMember>)>& SignalListed()
   {
     return m_listed;
   }
@@ -64,7 +64,7 @@
   void PollStatus();
   void Ask(const routing::ListedUpstream& aEngine);
   bool Observes(const std::string& aEngine) const;
-  void OnList(std::vector<platform::ListedMember> aMembers);
+  void OnList(std::vector<native::ListedMember> aMembers);
   void OnStatus(const std::string& aId,
                 const std::optional<upstream::EngineStatus>& aStatus);
 
@@ -80,7 +80,7 @@
   sigc::slot<bool(const std::string&)> m_plannerInterest;
   net::Watch m_listTimer;
   net::Watch m_statusTimer;
-  sigc::signal<void(std::span<const platform::ListedMember>)> m_listed;
+  sigc::signal<void(std::span<const native::ListedMember>)> m_listed;
   sigc::signal<void(const std::string&, const upstream::EngineStatus&)>
     m_status;
   sigc::signal<void(std::string)> m_leaving;
--- /dev/null
+++ b/packages/entry/include/ridgeferry/entry/EntrySettings.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <ridgeferry/base/FieldReader.h>
+#include <ridgeferry/base/Time.h>
+#include <ridgeferry/net/Address.h>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace ridgeferry::entry {
+
+/** What the instances together may send again, as operators bound it. */
+struct RetryBounds
+{
+  double m_ratio = 0.2; ///< Repeats for each first send of a service.
+  Duration m_window{ 10'000 };
+};
+
+/** Settings of an instance that passes calls through; docs/SETTINGS.md. */
+struct EntrySettings
+{
+  std::string m_instance;
+  std::string m_hall;
+  net::Address m_callers;
+  net::Address m_readiness;
+  net::Address m_metrics;
+  std::string m_store; ///< IP:PORT.
+  /** From a planned stop's signal to the process's end by force. */
+  Duration m_stopGrace{ 8000 };
+  RetryBounds m_retries;
+};
+
+/** Why settings cannot be used: all their faults at once. */
+struct EntrySettingsError
+{
+  std::string m_file;
+  std::vector<FieldError> m_faults; ///< Empty: the file itself.
+  std::string m_cause;              ///< If the file itself is unusable.
+};
+
+/** Thread-safe. `aFile` is used in errors only. */
+tl::expected<EntrySettings, EntrySettingsError>
+ParseEntrySettings(std::string_view aText, const std::string& aFile);
+
+/** Thread-safe. Error: unreadable, no JSON, or fields that are wrong. */
+tl::expected<EntrySettings, EntrySettingsError>
+LoadEntrySettings(const std::string& aFile);
+
+/** One line a fault. Thread-safe. */
+std::string
+FormatEntrySettingsError(const EntrySettingsError& aError);
+
+} // namespace ridgeferry::entry
--- /dev/null
+++ b/packages/entry/src/Entry.cpp
@@ -0,0 +1,333 @@
+#include "ridgeferry/entry/Entry.h"
+
+#include "Relay.h"
+#include "StoreReader.h"
+
+#include <csignal>
+#include <sys/stat.h>
+
+namespace ridgeferry::entry {
+
+namespace {
+
+/** Lapses, changes of the settings file and the stop are checked this often:
+ * well inside the bounds of seconds that they are to keep. */
+constexpr Duration kTick{ 200 };
+/** The balancer asks once a second and acts on the second miss; connections
+ * that it opened until then are served. */
+constexpr Duration kLeaveBalancer{ 3500 };
+/** Kept free at the end of a planned stop's grace, for the process's end. */
+constexpr Duration kStopMargin{ 700 };
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
+std::optional<timespec>
+ModifiedAt(const std::string& aFile)
+{
+  struct stat info
+  {};
+  if (stat(aFile.c_str(), &info) != 0) {
+    return std::nullopt;
+  }
+  return info.st_mtim;
+}
+
+bool
+SameTime(const std::optional<timespec>& aLeft,
+         const std::optional<timespec>& aRight)
+{
+  return aLeft.has_value() == aRight.has_value() &&
+         (!aLeft || (aLeft->tv_sec == aRight->tv_sec &&
+                     aLeft->tv_nsec == aRight->tv_nsec));
+}
+
+} // namespace
+
+struct Entry::Impl
+{
+  EntryNode m_node;
+  std::string m_file;
+  std::optional<timespec> m_fileTime;
+  std::unique_ptr<StoreReader> m_config;
+  std::unique_ptr<StoreReader> m_members;
+  std::unique_ptr<Relay> m_relay;
+  std::unique_ptr<net::HttpServer> m_readiness;
+  std::unique_ptr<net::HttpServer> m_metrics;
+  bool m_wasReady = false;
+  std::optional<Instant> m_stopping;
+  net::Watch m_tick;
+  std::vector<net::Watch> m_signals;
+
+  tl::expected<void, net::NetError> Start();
+  void WatchSignals();
+  void TakeConfig(const relay::ApplyRows& aRows);
+  void TakeMembers(const relay::ApplyRows& aRows);
+  void TakeMember(const relay::FollowedRow& aRow, bool aAfterOutage);
+  bool IsReady() const;
+  void Tick();
+  void NoteReadiness();
+  void Reload();
+  void BeginStop();
+  void ContinueStop();
+};
+
+bool
+Entry::Impl::IsReady() const
+{
+  return !m_stopping && m_node.m_routes != nullptr && m_members->HasRead();
+}
+
+void
+Entry::Impl::TakeConfig(const relay::ApplyRows& aRows)
+{
+  for (const relay::FollowedRow& row : aRows.m_rows) {
+    if (row.m_key != m_node.m_dialect.m_configKey || row.m_removed) {
+      continue;
+    }
+    auto config = m_node.m_dialect.m_readConfig(row.m_value);
+    if (!config) {
+      std::string faults;
+      for (const FieldError& fault : config.error()) {
+        faults += FormatFieldError(fault) + "; ";
+      }
+      m_node.m_log->Write(observe::LogLevel::Error,
+                          "configuration-rejected",
+                          { { "faults", faults } });
+      continue;
+    }
+    const std::uint64_t held =
+      m_node.m_routes == nullptr ? 0 : m_node.m_routes->Version();
+    const auto version = static_cast<std::int64_t>(config->m_version);
+    if (config->m_version <= held && m_node.m_routes != nullptr) {
+      m_node.m_log->Write(observe::LogLevel::Info,
+                          "configuration-is-old",
+                          { { "version", version },
+                            { "inForce", static_cast<std::int64_t>(held) } });
+      continue;
+    }
+    m_node.m_routes =
+      std::make_shared<const relay::RouteTable>(std::move(*config));
+    m_relay->UseLimits();
+    m_node.m_log->Write(observe::LogLevel::Info,
+                        "configuration-in-force",
+                        { { "version", version },
+                          { "routes",
+                            static_cast<std::int64_t>(
+                              m_node.m_routes->Config().m_routes.size()) } });
+  }
+  NoteReadiness();
+}
+
+void
+Entry::Impl::TakeMembers(const relay::ApplyRows& aRows)
+{
+  for (const relay::FollowedRow& row : aRows.m_rows) {
+    TakeMember(row, aRows.m_afterOutage);
+  }
+  NoteReadiness();
+}
+
+void
+Entry::Impl::TakeMember(const relay::FollowedRow& aRow, bool aAfterOutage)
+{
+  if (aRow.m_removed) {
+    m_node.m_fleet.Drop(aRow.m_key, aAfterOutage, m_node.Now());
+    m_node.m_log->Write(
+      observe::LogLevel::Info,
+      "upstream-gone",
+      { { "upstream", aRow.m_key }, { "mayHaveLapsed", aAfterOutage } });
+    return;
+  }
+  const auto member = m_node.m_dialect.m_readMember(aRow.m_key, aRow.m_value);
+  if (!member) {
+    m_node.m_log->Write(observe::LogLevel::Error,
+                        "upstream-rejected",
+                        { { "upstream", aRow.m_key } });
+    return;
+  }
+  m_node.m_fleet.Put(*member);
+  m_node.m_log->Write(observe::LogLevel::Info,
+                      "upstream-listed",
+                      { { "upstream", member->m_id },
+                        { "service", member->m_service },
+                        { "address", member->m_address },
+                        { "leaving", member->m_leaving } });
+}
+
+void
+Entry::Impl::NoteReadiness()
+{
+  if (IsReady() == m_wasReady) {
+    return;
+  }
+  m_wasReady = IsReady();
+  m_node.m_log->Write(observe::LogLevel::Info,
+                      m_wasReady ? "ready" : "not-ready");
+}
+
+void
+Entry::Impl::Tick()
+{
+  m_node.m_fleet.Tick(m_node.Now());
+  if (!SameTime(ModifiedAt(m_file), m_fileTime)) {
+    Reload();
+  }
+  if (m_stopping) {
+    ContinueStop();
+  }
+}
+
+void
+Entry::Impl::Reload()
+{
+  m_fileTime = ModifiedAt(m_file);
+  auto loaded = LoadEntrySettings(m_file);
+  if (!loaded) {
+    m_node.m_log->Write(
+      observe::LogLevel::Error,
+      "settings-rejected",
+      { { "faults", FormatEntrySettingsError(loaded.error()) } });
+    return;
+  }
+  // Addresses that are bound stay until the process ends.
+  m_node.m_settings.m_store = loaded->m_store;
+  m_node.m_settings.m_stopGrace = loaded->m_stopGrace;
+  m_node.m_settings.m_retries = loaded->m_retries;
+  m_node.m_log->Write(observe::LogLevel::Info, "settings-reloaded");
+}
+
+void
+Entry::Impl::BeginStop()
+{
+  if (m_stopping) {
+    return;
+  }
+  m_stopping = m_node.Now();
+  m_relay->BeginStop();
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "stopping",
+    { { "running", static_cast<std::int64_t>(m_relay->Running()) } });
+  NoteReadiness();
+}
+
+void
+Entry::Impl::ContinueStop()
+{
+  const Duration since = m_node.Now() - *m_stopping;
+  if (since < kLeaveBalancer) {
+    return;
+  }
+  m_relay->CloseResting();
+  const bool late = since >= m_node.m_settings.m_stopGrace - kStopMargin;
+  if (m_relay->Running() > 0 && !late) {
+    return;
+  }
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "stopped",
+    { { "cut", static_cast<std::int64_t>(m_relay->Running()) } });
+  m_node.m_loop->Stop();
+}
+
+void
+Entry::Impl::WatchSignals()
+{
+  net::EventLoop& loop = *m_node.m_loop;
+  m_signals.push_back(loop.OnSignal(SIGTERM, [this] { BeginStop(); }));
+  m_signals.push_back(loop.OnSignal(SIGINT, [this] { BeginStop(); }));
+  m_signals.push_back(loop.OnSignal(SIGHUP, [this] { Reload(); }));
+}
+
+tl::expected<void, net::NetError>
+Entry::Impl::Start()
+{
+  m_config =
+    std::make_unique<StoreReader>(m_node, m_node.m_dialect.m_configTable);
+  m_members =
+    std::make_unique<StoreReader>(m_node, m_node.m_dialect.m_memberTable);
+  m_relay = std::make_unique<Relay>(m_node);
+  if (auto started = m_relay->Start(); !started) {
+    return started;
+  }
+  auto readiness = net::HttpServer::Listen(
+    *m_node.m_loop,
+    m_node.m_settings.m_readiness,
+    {},
+    [this](const std::shared_ptr<net::HttpExchange>& aExchange) {
+      aExchange->Reply(IsReady() ? kOk : kUnavailable, {}, {});
+    });
+  if (!readiness) {
+    return tl::unexpected(readiness.error());
+  }
+  m_readiness = std::move(*readiness);
+  auto metrics = net::HttpServer::Listen(
+    *m_node.m_loop,
+    m_node.m_settings.m_metrics,
+    {},
+    [this](const std::shared_ptr<net::HttpExchange>& aExchange) {
+      net::HttpHeaders headers;
+      headers.Add("Content-Type", "text/plain; version=0.0.4");
+      aExchange->Reply(kOk, headers, m_node.m_metrics.Expose());
+    });
+  if (!metrics) {
+    return tl::unexpected(metrics.error());
+  }
+  m_metrics = std::move(*metrics);
+  m_config->SignalRows().connect(
+    [this](const relay::ApplyRows& aRows) { TakeConfig(aRows); });
+  m_members->SignalRows().connect(
+    [this](const relay::ApplyRows& aRows) { TakeMembers(aRows); });
+  WatchSignals();
+  m_tick = m_node.m_loop->Every(kTick, [this] { Tick(); });
+  m_node.m_log->Write(observe::LogLevel::Info,
+                      "started",
+                      { { "callers", m_node.m_settings.m_callers.ToString() },
+                        { "store", m_node.m_settings.m_store } });
+  m_config->Start();
+  m_members->Start();
+  return {};
+}
+
+Entry::Entry(std::unique_ptr<Impl> aImpl)
+  : m_impl(std::move(aImpl))
+{
+}
+
+Entry::~Entry() = default;
+
+tl::expected<std::unique_ptr<Entry>, net::NetError>
+Entry::Make(EntrySettings aSettings, std::string aFile, Dialect aDialect)
+{
+  auto impl = std::make_unique<Impl>();
+  EntryNode& node = impl->m_node;
+  observe::LogOptions options;
+  options.m_target = observe::LogTarget::Output;
+  auto log = observe::Log::Make(
+    options,
+    { { "instance", aSettings.m_instance }, { "hall", aSettings.m_hall } });
+  if (!log) {
+    return tl::unexpected(net::NetError{ "open the log", log.error().m_cause });
+  }
+  node.m_log = std::move(*log);
+  node.m_settings = std::move(aSettings);
+  node.m_dialect = std::move(aDialect);
+  node.m_loop = net::EventLoop::Make();
+  node.m_http = std::make_unique<net::HttpClient>(*node.m_loop);
+  node.m_random.seed(std::random_device()());
+  impl->m_file = std::move(aFile);
+  impl->m_fileTime = ModifiedAt(impl->m_file);
+  if (auto started = impl->Start(); !started) {
+    return tl::unexpected(started.error());
+  }
+  return std::unique_ptr<Entry>(new Entry(std::move(impl)));
+}
+
+void
+Entry::Run()
+{
+  m_impl->m_node.m_loop->Run();
+}
+
+} // namespace ridgeferry::entry
--- /dev/null
+++ b/packages/entry/src/EntryNode.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <memory>
+#include <random>
+#include <ridgeferry/entry/Dialect.h>
+#include <ridgeferry/entry/EntrySettings.h>
+#include <ridgeferry/net/EventLoop.h>
+#include <ridgeferry/net/HttpClient.h>
+#include <ridgeferry/observe/Log.h>
+#include <ridgeferry/observe/Metrics.h>
+#include <ridgeferry/relay/Fleet.h>
+#include <ridgeferry/relay/Routes.h>
+
+namespace ridgeferry::entry {
+
+/** What all parts of one process share. */
+struct EntryNode
+{
+  EntrySettings m_settings;
+  Dialect m_dialect;
+  std::unique_ptr<net::EventLoop> m_loop;
+  std::unique_ptr<net::HttpClient> m_http;
+  std::unique_ptr<observe::Log> m_log;
+  observe::Metrics m_metrics;
+  std::mt19937_64 m_random;
+  relay::Fleet m_fleet;
+  /** In force; null until the first was read. */
+  std::shared_ptr<const relay::RouteTable> m_routes;
+
+  Instant Now() const { return m_loop->Now(); }
+};
+
+} // namespace ridgeferry::entry
--- /dev/null
+++ b/packages/entry/src/EntrySettings.cpp
@@ -0,0 +1,113 @@
+#include "ridgeferry/entry/EntrySettings.h"
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace ridgeferry::entry {
+
+namespace {
+
+constexpr double kLongestGraceS = 3600;
+constexpr double kLongestWindowS = 3600;
+constexpr double kMsPerSecond = 1000;
+
+net::Address
+ReadAddress(FieldReader& aReader, std::string_view aField)
+{
+  const std::string text = aReader.RequiredString(aField);
+  const auto address = net::Address::Parse(text);
+  if (!address && !text.empty()) {
+    aReader.Fail(aField, "IP:PORT, such as \"127.0.0.1:8080\"");
+  }
+  return address.value_or(net::Address{});
+}
+
+Duration
+ReadSeconds(FieldReader& aReader,
+            std::string_view aField,
+            Duration aFallback,
+            double aLongest)
+{
+  const double fallback = static_cast<double>(aFallback.count()) / kMsPerSecond;
+  const double seconds = aReader.OptionalNumber(aField, fallback, 0, aLongest);
+  return Duration(static_cast<std::int64_t>(seconds * kMsPerSecond));
+}
+
+void
+ReadListen(FieldReader& aListen, EntrySettings& aSettings)
+{
+  aSettings.m_callers = ReadAddress(aListen, "callers");
+  aSettings.m_readiness = ReadAddress(aListen, "readiness");
+  aSettings.m_metrics = ReadAddress(aListen, "metrics");
+  aListen.RejectUnknown();
+}
+
+void
+ReadRetries(FieldReader& aRetries, EntrySettings& aSettings)
+{
+  RetryBounds& bounds = aSettings.m_retries;
+  bounds.m_ratio = aRetries.OptionalNumber("ratio", bounds.m_ratio, 0, 1);
+  bounds.m_window =
+    ReadSeconds(aRetries, "windowSeconds", bounds.m_window, kLongestWindowS);
+  aRetries.RejectUnknown();
+}
+
+} // namespace
+
+tl::expected<EntrySettings, EntrySettingsError>
+ParseEntrySettings(std::string_view aText, const std::string& aFile)
+{
+  const nlohmann::json document = nlohmann::json::parse(aText, nullptr, false);
+  if (document.is_discarded()) {
+    return tl::unexpected(
+      EntrySettingsError{ aFile, {}, "the file is not JSON" });
+  }
+  EntrySettings out;
+  std::vector<FieldError> faults;
+  FieldReader reader(document, "", faults);
+  out.m_instance = reader.RequiredString("instance");
+  out.m_hall = reader.RequiredString("hall");
+  if (!reader.Has("listen")) {
+    reader.Fail("listen", "an object with callers, readiness and metrics");
+  }
+  reader.Object("listen",
+                [&](FieldReader& aListen) { ReadListen(aListen, out); });
+  out.m_store = ReadAddress(reader, "store").ToString();
+  out.m_stopGrace =
+    ReadSeconds(reader, "stopGraceSeconds", out.m_stopGrace, kLongestGraceS);
+  reader.Object("retries",
+                [&](FieldReader& aRetries) { ReadRetries(aRetries, out); });
+  reader.RejectUnknown();
+  if (!faults.empty()) {
+    return tl::unexpected(EntrySettingsError{ aFile, std::move(faults), {} });
+  }
+  return out;
+}
+
+tl::expected<EntrySettings, EntrySettingsError>
+LoadEntrySettings(const std::string& aFile)
+{
+  std::ifstream file(aFile);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) {
+    return tl::unexpected(
+      EntrySettingsError{ aFile, {}, "the file cannot be read" });
+  }
+  return ParseEntrySettings(text.str(), aFile);
+}
+
+std::string
+FormatEntrySettingsError(const EntrySettingsError& aError)
+{
+  if (aError.m_faults.empty()) {
+    return aError.m_file + ": " + aError.m_cause + "\n";
+  }
+  std::string out;
+  for (const FieldError& fault : aError.m_faults) {
+    out += aError.m_file + ": " + FormatFieldError(fault) + "\n";
+  }
+  return out;
+}
+
+} // namespace ridgeferry::entry
--- /dev/null
+++ b/packages/entry/src/Relay.cpp
@@ -0,0 +1,143 @@
+#include "Relay.h"
+
+namespace ridgeferry::entry {
+
+namespace {
+
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+/** An instance that has just started knows its routes in well under that. */
+constexpr std::string_view kStartRetryAfter = "0.250";
+/** Half of the operators' ratio: instances count their own windows, and the
+ * operators' count may begin anywhere between them. */
+constexpr double kRatioShare = 0.5;
+
+} // namespace
+
+Relay::Relay(EntryNode& aNode)
+  : m_node(aNode)
+{
+}
+
+tl::expected<void, net::NetError>
+Relay::Start()
+{
+  auto server = net::HttpServer::Listen(
+    *m_node.m_loop,
+    m_node.m_settings.m_callers,
+    {},
+    [this](const std::shared_ptr<net::HttpExchange>& aExchange) {
+      Take(aExchange);
+    });
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  m_server = std::move(*server);
+  return {};
+}
+
+void
+Relay::UseLimits()
+{
+  const relay::CallerLimits& limits = m_node.m_routes->Config().m_limits;
+  net::HttpServerLimits out;
+  out.m_maxHeaderBytes = limits.m_headBytes;
+  out.m_maxBodyBytes = limits.m_bodyBytes;
+  out.m_headTimeout = limits.m_headTimeout;
+  out.m_idleTimeout = limits.m_idleTimeout;
+  m_server->SetLimits(out);
+}
+
+void
+Relay::BeginStop()
+{
+  m_server->StopKeeping();
+}
+
+void
+Relay::CloseResting()
+{
+  m_server->CloseResting();
+}
+
+relay::RetryBudget&
+Relay::BudgetOf(const std::string& aService)
+{
+  const auto found = m_budgets.find(aService);
+  if (found != m_budgets.end()) {
+    return found->second;
+  }
+  const RetryBounds& bounds = m_node.m_settings.m_retries;
+  relay::BudgetTerms terms;
+  terms.m_ratio = bounds.m_ratio * kRatioShare;
+  terms.m_window = bounds.m_window;
+  return m_budgets.emplace(aService, relay::RetryBudget(terms)).first->second;
+}
+
+void
+Relay::Take(const std::shared_ptr<net::HttpExchange>& aExchange)
+{
+  CallHead head = m_node.m_dialect.m_readCall(*aExchange);
+  if (m_node.m_routes == nullptr) {
+    Refuse(*aExchange, head, kUnavailable, "no-configuration-yet");
+    return;
+  }
+  const relay::Route* route = m_node.m_routes->Find(head.m_host, head.m_path);
+  if (route == nullptr) {
+    Refuse(*aExchange, head, kNotFound, "no-route");
+    return;
+  }
+  std::uniform_real_distribution<double> unit(0, 1);
+  const std::string& service =
+    relay::RouteTable::Draw(*route, unit(m_node.m_random));
+  const std::uint64_t id = ++m_lastCall;
+  auto call = std::make_unique<RelayCall>(m_node,
+                                          RelayCallStart{ aExchange,
+                                                          std::move(head),
+                                                          m_node.m_routes,
+                                                          route,
+                                                          service,
+                                                          &BudgetOf(service) });
+  RelayCall& started = *call;
+  m_calls.emplace(id, std::move(call));
+  started.SignalDone().connect([this, id] {
+    // Later: the call is still on the stack.
+    m_node.m_loop->Defer([this, id] { Remove(id); });
+  });
+  started.Begin();
+}
+
+void
+Relay::Remove(std::uint64_t aCall)
+{
+  m_calls.erase(aCall);
+}
+
+void
+Relay::Refuse(net::HttpExchange& aExchange,
+              const CallHead& aHead,
+              int aStatus,
+              std::string_view aCode)
+{
+  m_node.m_metrics.Count(
+    observe::WithLabel("ridgeferry_calls_total", "outcome", aCode));
+  m_node.m_log->Write(observe::LogLevel::Info,
+                      "call-refused",
+                      { { "id", aHead.m_id },
+                        { "outcome", std::string(aCode) },
+                        { "status", std::int64_t{ aStatus } },
+                        { "host", aHead.m_host },
+                        { "path", aHead.m_path } });
+  net::HttpHeaders headers;
+  headers.Add("Content-Type", "application/problem+json");
+  if (aStatus == kUnavailable) {
+    headers.Add("Retry-After", std::string(kStartRetryAfter));
+  }
+  aExchange.Reply(aStatus,
+                  headers,
+                  R"({"code":")" + std::string(aCode) +
+                    R"(","outcome":"not-run","status":)" +
+                    std::to_string(aStatus) + "}");
+}
+
+} // namespace ridgeferry::entry
--- /dev/null
+++ b/packages/entry/src/Relay.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "EntryNode.h"
+#include "RelayCall.h"
+
+#include <map>
+#include <memory>
+#include <ridgeferry/net/HttpServer.h>
+#include <unordered_map>
+
+namespace ridgeferry::entry {
+
+/** The callers' side: each request becomes a call. Not thread-safe. */
+class Relay
+{
+public:
+  explicit Relay(EntryNode& aNode);
+
+  tl::expected<void, net::NetError> Start();
+  /** Takes the callers' limits of the configuration in force. */
+  void UseLimits();
+  /** From now on each answer closes its connection. */
+  void BeginStop();
+  /** Closes connections that rest between two requests. */
+  void CloseResting();
+  std::size_t Running() const { return m_calls.size(); }
+
+private:
+  void Take(const std::shared_ptr<net::HttpExchange>& aExchange);
+  void Refuse(net::HttpExchange& aExchange,
+              const CallHead& aHead,
+              int aStatus,
+              std::string_view aCode);
+  void Remove(std::uint64_t aCall);
+  relay::RetryBudget& BudgetOf(const std::string& aService);
+
+  EntryNode& m_node;
+  std::unique_ptr<net::HttpServer> m_server;
+  std::uint64_t m_lastCall = 0;
+  std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
+  std::map<std::string, relay::RetryBudget, std::less<>> m_budgets;
+};
+
+} // namespace ridgeferry::entry
--- /dev/null
+++ b/packages/entry/src/RelayCall.cpp
@@ -0,0 +1,393 @@
+#include "RelayCall.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <ridgeferry/entry/PassableHeaders.h>
+#include <utility>
+
+namespace ridgeferry::entry {
+
+namespace {
+
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+/** An upstream that has not taken a connection by then is out of reach: its
+ * answer to the opening packet takes a few milliseconds. */
+constexpr Duration kConnectTimeout{ 400 };
+/** The rest of a call's time is not worth a send below this. */
+constexpr Duration kLeastLeft{ 1 };
+/** Freeing a handle is a courtesy: nobody waits for it. */
+constexpr Duration kFreeTimeout{ 1000 };
+
+relay::RelayTraits
+TraitsOf(const relay::Route& aRoute)
+{
+  return {
+    aRoute.m_repeat, aRoute.m_stream, aRoute.m_resumable, aRoute.m_maxRuns
+  };
+}
+
+struct OwnAnswer
+{
+  int m_status;
+  std::string_view m_code;
+  std::string_view m_outcome;
+};
+
+OwnAnswer
+AnswerOf(relay::ReplyOwn::Reason aReason)
+{
+  using Reason = relay::ReplyOwn::Reason;
+  switch (aReason) {
+    case Reason::NoRoom:
+      return { kUnavailable, "overloaded", "not-run" };
+    case Reason::NoAnswer:
+      return { kBadGateway, "answer-lost", "may-have-run" };
+    case Reason::TooLate:
+      break;
+  }
+  return { kGatewayTimeout, "deadline", "may-have-run" };
+}
+
+std::string
+SecondsText(Duration aDuration)
+{
+  constexpr double kMsPerSecond = 1000;
+  std::array<char, 32> text{};
+  std::snprintf(text.data(),
+                text.size(),
+                "%.3f",
+                static_cast<double>(aDuration.count()) / kMsPerSecond);
+  return text.data();
+}
+
+relay::MemberEnd
+ToMemberEnd(relay::AttemptEnd aEnd)
+{
+  switch (aEnd) {
+    case relay::AttemptEnd::Served:
+      return relay::MemberEnd::Served;
+    case relay::AttemptEnd::Failed:
+      return relay::MemberEnd::Failed;
+    case relay::AttemptEnd::Declined:
+      return relay::MemberEnd::Declined;
+    case relay::AttemptEnd::Abandoned:
+      break;
+  }
+  return relay::MemberEnd::Abandoned;
+}
+
+} // namespace
+
+RelayCall::RelayCall(EntryNode& aNode, RelayCallStart aStart)
+  : m_node(aNode)
+  , m_start(std::move(aStart))
+  , m_flow(TraitsOf(*m_start.m_route))
+  , m_began(aNode.Now())
+  , m_deadline(m_began + m_start.m_route->m_longest)
+{
+  if (const auto& asked = m_start.m_head.m_deadline) {
+    m_deadline = std::min(m_deadline, m_began + *asked);
+  }
+}
+
+RelayCall::~RelayCall()
+{
+  if (m_attempt.m_http != 0) {
+    m_node.m_http->Cancel(m_attempt.m_http);
+  }
+}
+
+Duration
+RelayCall::Left() const
+{
+  return std::max(kLeastLeft, m_deadline - m_node.Now());
+}
+
+void
+RelayCall::Begin()
+{
+  m_start.m_exchange->SignalLeft().connect(
+    [this] { Handle(relay::CallerLeft{}); });
+  m_timer =
+    m_node.m_loop->After(Left(), [this] { Handle(relay::DeadlinePassed{}); });
+  m_start.m_budget->NoteFirst(m_began);
+  Handle(relay::CallBegan{});
+}
+
+void
+RelayCall::Handle(const relay::RelayEvent& aEvent)
+{
+  if (m_flow.IsDone()) {
+    return;
+  }
+  m_flow.SetRepeatAllowed(m_start.m_budget->MayRepeat(m_node.Now()));
+  const bool left = std::holds_alternative<relay::CallerLeft>(aEvent);
+  for (const relay::RelayAction& action : m_flow.Handle(aEvent)) {
+    std::visit([this](const auto& aTyped) { Do(aTyped); }, action);
+  }
+  if (left) {
+    LogEnd("caller-left", 0);
+  }
+  // An action may have handled a further event; the end is told once.
+  if (m_flow.IsDone() && !std::exchange(m_told, true)) {
+    m_timer = {};
+    m_done.emit();
+  }
+}
+
+void
+RelayCall::Do(const relay::FindPlace& aAction)
+{
+  relay::PlaceRequest request;
+  request.m_service = m_start.m_service;
+  request.m_hall = m_node.m_settings.m_hall;
+  request.m_prompt = m_start.m_head.m_prompt;
+  request.m_excluded = aAction.m_excluded;
+  request.m_random = m_node.m_random();
+  const relay::PlaceResult result =
+    m_node.m_fleet.FindPlace(request, m_node.Now());
+  if (const auto* place = std::get_if<relay::Place>(&result)) {
+    Handle(relay::PlaceFound{ place->m_upstream, place->m_reader });
+  } else {
+    Handle(relay::NoPlace{ relay::RelayFlow::kRetryAfter });
+  }
+}
+
+void
+RelayCall::Do(const relay::SendRead& aAction)
+{
+  const relay::Member* reader = m_node.m_fleet.Find(aAction.m_reader);
+  SendTerms terms;
+  terms.m_readOnly = true;
+  Send(aAction.m_attempt, *reader, std::move(terms));
+}
+
+void
+RelayCall::Do(const relay::SendRun& aAction)
+{
+  if (aAction.m_repeat) {
+    m_start.m_budget->NoteRepeat(m_node.Now());
+    m_node.m_metrics.Count("ridgeferry_repeats_total");
+  }
+  const relay::Member* member = m_node.m_fleet.Find(aAction.m_upstream);
+  if (member == nullptr || member->m_leaving) {
+    // It left while the prompt was read elsewhere: no byte has left.
+    m_attempt = {};
+    m_attempt.m_id = aAction.m_attempt;
+    Handle(relay::AttemptUnsent{ aAction.m_attempt });
+    return;
+  }
+  SendTerms terms;
+  terms.m_resumeAfter = aAction.m_resumeAfter;
+  if (!aAction.m_handle.empty()) {
+    const relay::Member* reader = m_node.m_fleet.Find(aAction.m_reader);
+    if (reader != nullptr) {
+      terms.m_readerAddress = reader->m_address;
+      terms.m_handle = aAction.m_handle;
+    }
+  }
+  Send(aAction.m_attempt, *member, std::move(terms));
+}
+
+void
+RelayCall::Send(relay::AttemptId aId,
+                const relay::Member& aMember,
+                SendTerms aTerms)
+{
+  m_attempt = {};
+  m_attempt.m_id = aId;
+  m_attempt.m_upstream = aMember.m_id;
+  m_attempt.m_sentAt = m_node.Now();
+  m_attempt.m_readOnly = aTerms.m_readOnly;
+  if (m_start.m_head.m_prompt && aTerms.m_handle.empty()) {
+    const relay::Prompt& prompt = *m_start.m_head.m_prompt;
+    m_attempt.m_tokens = relay::Fleet::TokensToRead(
+      prompt, m_node.m_fleet.IsHome(prompt, aMember.m_id));
+  }
+  m_path += (m_path.empty() ? "" : ",") + aMember.m_id;
+  aTerms.m_address = aMember.m_address;
+  aTerms.m_upstream = aMember.m_id;
+  aTerms.m_left = Left();
+  aTerms.m_priority = m_start.m_route->m_priority;
+  net::HttpRequest request =
+    m_node.m_dialect.m_writeSend(*m_start.m_exchange, aTerms);
+  request.m_timeout = aTerms.m_left;
+  request.m_connectTimeout = kConnectTimeout;
+  m_node.m_fleet.NoteSent(aMember.m_id, m_attempt.m_tokens);
+  m_node.m_metrics.Count("ridgeferry_sends_total");
+  net::HttpCallbacks callbacks;
+  callbacks.m_head = [this](const net::HttpHead& aHead) { TakeHead(aHead); };
+  callbacks.m_chunk = [this](std::string_view aBytes) { TakeBytes(aBytes); };
+  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
+    TakeEnd(aResponse);
+  };
+  m_attempt.m_http = m_node.m_http->Send(request, std::move(callbacks));
+}
+
+void
+RelayCall::TakeHead(const net::HttpHead& aHead)
+{
+  m_node.m_fleet.NoteFirstByte(m_attempt.m_upstream, m_attempt.m_tokens);
+  m_attempt.m_tokens = 0;
+  m_attempt.m_hasHead = true;
+  m_attempt.m_head = aHead;
+  m_attempt.m_saidNotRun = m_node.m_dialect.m_saysNotRun(aHead);
+  m_readBody.clear();
+  if (!m_attempt.m_saidNotRun && !m_attempt.m_readOnly) {
+    Handle(relay::HeadArrived{ m_attempt.m_id, aHead.m_status });
+  }
+}
+
+void
+RelayCall::TakeBytes(std::string_view aBytes)
+{
+  if (m_attempt.m_readOnly) {
+    m_readBody.append(aBytes);
+  } else if (!m_attempt.m_saidNotRun) {
+    Handle(relay::BytesArrived{ m_attempt.m_id, std::string(aBytes) });
+  }
+}
+
+void
+RelayCall::TakeEnd(const net::HttpResponse& aResponse)
+{
+  m_attempt.m_http = 0;
+  const relay::AttemptId id = m_attempt.m_id;
+  if (aResponse.m_end == net::HttpEnd::NotSent) {
+    Handle(relay::AttemptUnsent{ id });
+  } else if (m_attempt.m_hasHead && m_attempt.m_saidNotRun) {
+    Handle(relay::AttemptRefused{ id });
+  } else if (aResponse.m_end == net::HttpEnd::Broken) {
+    Handle(relay::AttemptBroke{ id });
+  } else if (m_attempt.m_readOnly) {
+    std::string handle = m_node.m_dialect.m_readHandle(m_readBody);
+    if (handle.empty()) {
+      Handle(relay::AnswerEnded{ id });
+    } else {
+      Handle(relay::PromptRead{ id, std::move(handle) });
+    }
+  } else {
+    Handle(relay::AnswerEnded{ id });
+  }
+}
+
+void
+RelayCall::Do(const relay::CancelAttempt&)
+{
+  if (m_attempt.m_http != 0) {
+    m_node.m_http->Cancel(m_attempt.m_http);
+    m_attempt.m_http = 0;
+  }
+}
+
+void
+RelayCall::Do(const relay::NoteAttemptEnd& aAction)
+{
+  m_node.m_fleet.NoteEnded(m_attempt.m_upstream,
+                           m_attempt.m_tokens,
+                           ToMemberEnd(aAction.m_end),
+                           m_node.Now() - m_attempt.m_sentAt,
+                           m_node.Now());
+  m_attempt.m_tokens = 0;
+}
+
+void
+RelayCall::Do(const relay::FreeHandle& aAction)
+{
+  const relay::Member* reader = m_node.m_fleet.Find(aAction.m_reader);
+  if (reader == nullptr) {
+    return;
+  }
+  net::HttpRequest request =
+    m_node.m_dialect.m_writeFreeHandle(reader->m_address, aAction.m_handle);
+  request.m_address = reader->m_address;
+  request.m_timeout = kFreeTimeout;
+  net::HttpCallbacks callbacks;
+  callbacks.m_done = [&node = m_node](const net::HttpResponse& aResponse) {
+    if (aResponse.m_end != net::HttpEnd::Complete) {
+      // The reader drops it by itself when its time is over.
+      node.m_metrics.Count("ridgeferry_handles_not_freed_total");
+    }
+  };
+  m_node.m_http->Send(request, std::move(callbacks));
+}
+
+void
+RelayCall::Do(const relay::ForwardHead&)
+{
+  m_start.m_exchange->StartStream(m_attempt.m_head.m_status,
+                                  PassableHeaders(m_attempt.m_head.m_headers));
+}
+
+void
+RelayCall::Do(const relay::ForwardBytes& aAction)
+{
+  m_start.m_exchange->SendChunk(aAction.m_bytes);
+}
+
+void
+RelayCall::Do(const relay::ForwardEnd&)
+{
+  LogEnd("served", m_attempt.m_head.m_status);
+  m_start.m_exchange->EndStream();
+}
+
+void
+RelayCall::Do(const relay::ForwardWhole& aAction)
+{
+  LogEnd("served", m_attempt.m_head.m_status);
+  m_start.m_exchange->Reply(m_attempt.m_head.m_status,
+                            PassableHeaders(m_attempt.m_head.m_headers),
+                            aAction.m_body);
+}
+
+void
+RelayCall::Do(const relay::BreakOff&)
+{
+  LogEnd("broken-off", m_attempt.m_head.m_status);
+  m_start.m_exchange->Abort();
+}
+
+void
+RelayCall::Do(const relay::ReplyOwn& aAction)
+{
+  const OwnAnswer answer = AnswerOf(aAction.m_reason);
+  LogEnd(answer.m_code, answer.m_status);
+  net::HttpHeaders headers;
+  headers.Add("Content-Type", "application/problem+json");
+  if (aAction.m_retryAfter.count() > 0) {
+    headers.Add("Retry-After", SecondsText(aAction.m_retryAfter));
+  }
+  const std::string body = R"({"code":")" + std::string(answer.m_code) +
+                           R"(","outcome":")" + std::string(answer.m_outcome) +
+                           R"(","status":)" + std::to_string(answer.m_status) +
+                           "}";
+  m_start.m_exchange->Reply(answer.m_status, headers, body);
+}
+
+void
+RelayCall::LogEnd(std::string_view aOutcome, int aStatus)
+{
+  const Duration took = m_node.Now() - m_began;
+  m_node.m_metrics.Count(
+    observe::WithLabel("ridgeferry_calls_total", "outcome", aOutcome));
+  m_node.m_metrics.Observe("ridgeferry_call_ms",
+                           static_cast<double>(took.count()));
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "call-ended",
+    { { "id", m_start.m_head.m_id },
+      { "outcome", std::string(aOutcome) },
+      { "status", std::int64_t{ aStatus } },
+      { "route", m_start.m_route->m_name },
+      { "service", m_start.m_service },
+      { "tried", m_path },
+      { "runs", std::int64_t{ m_flow.Runs() } },
+      { "tookMs", took.count() },
+      { "config", static_cast<std::int64_t>(m_start.m_routes->Version()) } });
+}
+
+} // namespace ridgeferry::entry
--- /dev/null
+++ b/packages/entry/src/RelayCall.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "EntryNode.h"
+
+#include <memory>
+#include <ridgeferry/net/HttpServer.h>
+#include <ridgeferry/relay/RelayFlow.h>
+#include <ridgeferry/relay/RetryBudget.h>
+#include <sigc++/sigc++.h>
+#include <string>
+
+namespace ridgeferry::entry {
+
+/** What a call knows from its beginning. */
+struct RelayCallStart
+{
+  std::shared_ptr<net::HttpExchange> m_exchange;
+  CallHead m_head;
+  /** Keeps the route alive when a newer configuration comes. */
+  std::shared_ptr<const relay::RouteTable> m_routes;
+  const relay::Route* m_route = nullptr;
+  std::string m_service;
+  relay::RetryBudget* m_budget = nullptr; ///< Of the service; outlives calls.
+};
+
+/** Carries out what a `RelayFlow` decides for one call. Not thread-safe. */
+class RelayCall
+{
+public:
+  RelayCall(EntryNode& aNode, RelayCallStart aStart);
+  ~RelayCall();
+  RelayCall(const RelayCall&) = delete;
+  RelayCall& operator=(const RelayCall&) = delete;
+
+  void Begin();
+  /** Emitted once, when the call has its final answer or its caller left. It
+   * may come from inside `Begin`; the call must outlive the emission. */
+  sigc::signal<void()>& SignalDone() { return m_done; }
+
+private:
+  /** The send that is under way. */
+  struct Attempt
+  {
+    relay::AttemptId m_id = 0;
+    net::HttpCallId m_http = 0;
+    std::string m_upstream;
+    std::int64_t m_tokens = 0; ///< That it still has to read.
+    Instant m_sentAt;
+    bool m_readOnly = false;
+    bool m_saidNotRun = false;
+    bool m_hasHead = false;
+    net::HttpHead m_head;
+  };
+
+  void Handle(const relay::RelayEvent& aEvent);
+  void Do(const relay::FindPlace& aAction);
+  void Do(const relay::SendRead& aAction);
+  void Do(const relay::SendRun& aAction);
+  void Do(const relay::CancelAttempt& aAction);
+  void Do(const relay::NoteAttemptEnd& aAction);
+  void Do(const relay::FreeHandle& aAction);
+  void Do(const relay::ForwardHead& aAction);
+  void Do(const relay::ForwardBytes& aAction);
+  void Do(const relay::ForwardEnd& aAction);
+  void Do(const relay::ForwardWhole& aAction);
+  void Do(const relay::BreakOff& aAction);
+  void Do(const relay::ReplyOwn& aAction);
+
+  void Send(relay::AttemptId aId,
+            const relay::Member& aMember,
+            SendTerms aTerms);
+  void TakeHead(const net::HttpHead& aHead);
+  void TakeBytes(std::string_view aBytes);
+  void TakeEnd(const net::HttpResponse& aResponse);
+  Duration Left() const;
+  void LogEnd(std::string_view aOutcome, int aStatus);
+
+  EntryNode& m_node;
+  RelayCallStart m_start;
+  relay::RelayFlow m_flow;
+  Instant m_began;
+  Instant m_deadline;
+  net::Watch m_timer;
+  Attempt m_attempt;
+  std::string m_readBody; ///< Of a reader's answer.
+  std::string m_path;     ///< Members tried, in order, for the log.
+  bool m_told = false;
+  sigc::signal<void()> m_done;
+};
+
+} // namespace ridgeferry::entry
--- /dev/null
+++ b/packages/entry/src/StoreReader.cpp
@@ -0,0 +1,153 @@
+#include "StoreReader.h"
+
+#include <ridgeferry/base/Overloaded.h>
+
+namespace ridgeferry::entry {
+
+namespace {
+
+/** Longest silence of the store beyond what it was asked to wait: it answers
+ * in milliseconds, and sixty times slower when it is ill. */
+constexpr Duration kStoreSlack{ 800 };
+
+} // namespace
+
+StoreReader::StoreReader(EntryNode& aNode, std::string aTable)
+  : m_node(aNode)
+  , m_table(std::move(aTable))
+{
+}
+
+void
+StoreReader::Start()
+{
+  Handle(relay::FollowBegan{});
+}
+
+void
+StoreReader::Handle(const relay::FollowEvent& aEvent)
+{
+  for (const relay::FollowAction& action :
+       m_follower.Handle(aEvent, m_node.Now())) {
+    std::visit([this](const auto& aTyped) { Do(aTyped); }, action);
+  }
+}
+
+void
+StoreReader::Do(const relay::ReadTable&)
+{
+  m_pages.clear();
+  ReadPage({});
+}
+
+void
+StoreReader::ReadPage(std::string aFromKey)
+{
+  StoreRead read;
+  read.m_table = m_table;
+  read.m_fromKey = std::move(aFromKey);
+  Send(read);
+}
+
+void
+StoreReader::Do(const relay::ReadChanges& aAction)
+{
+  StoreRead read;
+  read.m_table = m_table;
+  read.m_after = aAction.m_after;
+  read.m_wait = aAction.m_wait;
+  Send(read);
+}
+
+void
+StoreReader::Send(const StoreRead& aRead)
+{
+  m_node.m_metrics.Count("ridgeferry_store_reads_total");
+  net::HttpRequest request = m_node.m_dialect.m_writeStoreRead(aRead);
+  request.m_address = m_node.m_settings.m_store;
+  request.m_timeout = aRead.m_wait + kStoreSlack;
+  request.m_connectTimeout = kStoreSlack;
+  net::HttpCallbacks callbacks;
+  callbacks.m_done = [this, aRead](const net::HttpResponse& aResponse) {
+    TakeAnswer(aRead, aResponse);
+  };
+  m_node.m_http->Send(request, std::move(callbacks));
+}
+
+void
+StoreReader::TakeAnswer(const StoreRead& aRead,
+                        const net::HttpResponse& aResponse)
+{
+  if (aResponse.m_end != net::HttpEnd::Complete) {
+    const bool unsent = aResponse.m_end == net::HttpEnd::NotSent;
+    Handle(relay::ReadFailed{ unsent ? "no connection" : "no whole answer" });
+    return;
+  }
+  StoreAnswer answer = m_node.m_dialect.m_readStoreAnswer(aResponse);
+  std::visit(Overloaded{
+               [&](StorePage& aPage) { TakePage(aRead, std::move(aPage)); },
+               [&](const relay::HistoryGone& aGone) { Handle(aGone); },
+               [&](const relay::ReadFailed& aFailed) { Handle(aFailed); },
+             },
+             answer);
+}
+
+void
+StoreReader::TakePage(const StoreRead& aRead, StorePage aPage)
+{
+  if (aRead.m_after) {
+    Handle(relay::ChangesRead{ std::move(aPage.m_rows), aPage.m_version });
+    return;
+  }
+  if (aRead.m_fromKey.empty()) {
+    // Later pages are newer; what changed since the first is read again.
+    m_pagesVersion = aPage.m_version;
+  }
+  for (relay::FollowedRow& row : aPage.m_rows) {
+    m_pages.push_back(std::move(row));
+  }
+  if (aPage.m_hasMore && !m_pages.empty()) {
+    // The smallest key above the last one read.
+    ReadPage(m_pages.back().m_key + '\0');
+    return;
+  }
+  Handle(relay::TableRead{ std::move(m_pages), m_pagesVersion });
+  m_pages.clear();
+}
+
+void
+StoreReader::Do(const relay::RetryLater& aAction)
+{
+  m_retry = m_node.m_loop->After(aAction.m_delay,
+                                 [this] { Handle(relay::RetryDue{}); });
+}
+
+void
+StoreReader::Do(const relay::ApplyRows& aAction)
+{
+  m_rows.emit(aAction);
+}
+
+void
+StoreReader::Do(const relay::StoreLost& aAction)
+{
+  m_node.m_metrics.Count("ridgeferry_store_losses_total");
+  m_node.m_log->Write(
+    observe::LogLevel::Warning,
+    "store-lost",
+    { { "table", m_table },
+      { "cause", aAction.m_cause },
+      { "version", static_cast<std::int64_t>(m_follower.Version()) } });
+}
+
+void
+StoreReader::Do(const relay::StoreBack&)
+{
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "store-back",
+    { { "table", m_table },
+      { "version", static_cast<std::int64_t>(m_follower.Version()) } });
+}
+
+} // namespace ridgeferry::entry
--- /dev/null
+++ b/packages/entry/src/StoreReader.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "EntryNode.h"
+
+#include <ridgeferry/relay/TableFollower.h>
+#include <sigc++/sigc++.h>
+#include <string>
+
+namespace ridgeferry::entry {
+
+/**
+ * Carries out what a `TableFollower` decides for one table of the store.
+ * Not thread-safe.
+ */
+class StoreReader
+{
+public:
+  StoreReader(EntryNode& aNode, std::string aTable);
+
+  void Start();
+  bool HasRead() const { return m_follower.HasRead(); }
+  sigc::signal<void(const relay::ApplyRows&)>& SignalRows() { return m_rows; }
+
+private:
+  void Handle(const relay::FollowEvent& aEvent);
+  void Do(const relay::ReadTable& aAction);
+  void Do(const relay::ReadChanges& aAction);
+  void Do(const relay::RetryLater& aAction);
+  void Do(const relay::ApplyRows& aAction);
+  void Do(const relay::StoreLost& aAction);
+  void Do(const relay::StoreBack& aAction);
+  void Send(const StoreRead& aRead);
+  void ReadPage(std::string aFromKey);
+  void TakeAnswer(const StoreRead& aRead, const net::HttpResponse& aResponse);
+  void TakePage(const StoreRead& aRead, StorePage aPage);
+
+  EntryNode& m_node;
+  std::string m_table;
+  relay::TableFollower m_follower;
+  /** Pages of a whole read that goes on. */
+  std::vector<relay::FollowedRow> m_pages;
+  std::uint64_t m_pagesVersion = 0;
+  net::Watch m_retry;
+  sigc::signal<void(const relay::ApplyRows&)> m_rows;
+};
+
+} // namespace ridgeferry::entry
--- a/packages/platform/include/ridgeferry/platform/GuardedTable.h
+++ b/packages/native/include/ridgeferry/native/GuardedTable.h
@@ -3,10 +3,10 @@
 #include <functional>
 #include <memory>
 #include <ridgeferry/base/Time.h>
-#include <ridgeferry/platform/TableService.h>
+#include <ridgeferry/native/TableService.h>
 #include <ridgeferry/table/Health.h>
 
-namespace ridgeferry::platform {
+namespace ridgeferry::native {
 
 /**
  * Puts `table::Health` before a table: calls that it does not let through are
@@ -36,4 +36,4 @@
   table::Health m_health;
 };
 
-} // namespace ridgeferry::platform
+} // namespace ridgeferry::native
--- a/packages/platform/include/ridgeferry/platform/HttpPlatform.h
+++ b/packages/native/include/ridgeferry/native/HttpPlatform.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <memory>
+#include <ridgeferry/native/InstanceList.h>
+#include <ridgeferry/native/ObjectStore.h>
+#include <ridgeferry/native/TableService.h>
 #include <ridgeferry/net/HttpClient.h>
-#include <ridgeferry/platform/InstanceList.h>
-#include <ridgeferry/platform/ObjectStore.h>
-#include <ridgeferry/platform/TableService.h>
 #include <string>
 
-namespace ridgeferry::platform {
+namespace ridgeferry::native {
 
 /** Time after which a call to the platform counts as lost. */
 inline constexpr Duration kPlatformTimeout{ 1500 };
@@ -24,4 +24,4 @@
 std::unique_ptr<InstanceList>
 MakeHttpInstanceList(net::HttpClient& aClient, std::string aAddress);
 
-} // namespace ridgeferry::platform
+} // namespace ridgeferry::native
--- a/packages/platform/include/ridgeferry/platform/InstanceList.h
+++ b/packages/native/include/ridgeferry/native/InstanceList.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace ridgeferry::platform {
+namespace ridgeferry::native {
 
 enum class ListedKind
 {
@@ -37,4 +37,4 @@
     sigc::slot<void(std::optional<std::vector<ListedMember>>)> aDone) = 0;
 };
 
-} // namespace ridgeferry::platform
+} // namespace ridgeferry::native
--- a/packages/platform/include/ridgeferry/platform/ObjectStore.h
+++ b/packages/native/include/ridgeferry/native/ObjectStore.h
@@ -4,7 +4,7 @@
 #include <sigc++/sigc++.h>
 #include <string>
 
-namespace ridgeferry::platform {
+namespace ridgeferry::native {
 
 /** The platform's object store, for large values. Not thread-safe. */
 class ObjectStore
@@ -20,4 +20,4 @@
                    sigc::slot<void(bool)> aDone) = 0;
 };
 
-} // namespace ridgeferry::platform
+} // namespace ridgeferry::native
--- a/packages/platform/include/ridgeferry/platform/TableService.h
+++ b/packages/native/include/ridgeferry/native/TableService.h
@@ -5,7 +5,7 @@
 #include <sigc++/sigc++.h>
 #include <string>
 
-namespace ridgeferry::platform {
+namespace ridgeferry::native {
 
 /**
  * The platform's transactional table. Every call is answered exactly once,
@@ -28,4 +28,4 @@
                       sigc::slot<void(table::CommitResult)> aDone) = 0;
 };
 
-} // namespace ridgeferry::platform
+} // namespace ridgeferry::native
--- a/packages/platform/src/GuardedTable.cpp
+++ b/packages/native/src/GuardedTable.cpp
@@ -1,6 +1,6 @@
-#include "ridgeferry/platform/GuardedTable.h"
+#include "ridgeferry/native/GuardedTable.h"
 
-namespace ridgeferry::platform {
+namespace ridgeferry::native {
 
 GuardedTable::GuardedTable(std::unique_ptr<TableService> aTable,
                            std::function<Instant()> aNow)
@@ -55,4 +55,4 @@
   });
 }
 
-} // namespace ridgeferry::platform
+} // namespace ridgeferry::native
--- a/packages/platform/src/HttpInstanceList.cpp
+++ b/packages/native/src/HttpInstanceList.cpp
@@ -1,9 +1,9 @@
-#include "Uri.h"
-#include "ridgeferry/platform/HttpPlatform.h"
+#include "ridgeferry/native/HttpPlatform.h"
 
 #include <nlohmann/json.hpp>
+#include <ridgeferry/net/Uri.h>
 
-namespace ridgeferry::platform {
+namespace ridgeferry::native {
 
 namespace {
 
@@ -61,7 +61,7 @@
   {
     net::HttpRequest request;
     request.m_address = m_address;
-    request.m_target = "/instances?hall=" + EncodeUriPart(aHall);
+    request.m_target = "/instances?hall=" + net::EncodeUriPart(aHall);
     request.m_timeout = kPlatformTimeout;
     net::HttpCallbacks callbacks;
     callbacks.m_done = [aDone](const net::HttpResponse& aResponse) {
@@ -83,4 +83,4 @@
   return std::make_unique<HttpInstanceList>(aClient, std::move(aAddress));
 }
 
-} // namespace ridgeferry::platform
+} // namespace ridgeferry::native
--- a/packages/platform/src/HttpObjectStore.cpp
+++ b/packages/native/src/HttpObjectStore.cpp
@@ -1,7 +1,6 @@
-#include "Uri.h"
-#include "ridgeferry/platform/HttpPlatform.h"
+#include "ridgeferry/native/HttpPlatform.h"
 
-namespace ridgeferry::platform {
+namespace ridgeferry::native {
 
 namespace {
 
@@ -52,7 +51,7 @@
     net::HttpRequest request;
     request.m_method = aMethod;
     request.m_address = m_address;
-    request.m_target = "/objects?key=" + EncodeUriPart(aKey);
+    request.m_target = "/objects?key=" + net::EncodeUriPart(aKey);
     request.m_timeout = kPlatformTimeout;
     request.m_body = std::move(aBody);
     net::HttpCallbacks callbacks;
@@ -72,4 +71,4 @@
   return std::make_unique<HttpObjectStore>(aClient, std::move(aAddress));
 }
 
-} // namespace ridgeferry::platform
+} // namespace ridgeferry::native
--- a/packages/platform/src/HttpTable.cpp
+++ b/packages/native/src/HttpTable.cpp
@@ -1,9 +1,9 @@
-#include "Uri.h"
-#include "ridgeferry/platform/HttpPlatform.h"
+#include "ridgeferry/native/HttpPlatform.h"
 
 #include <nlohmann/json.hpp>
+#include <ridgeferry/net/Uri.h>
 
-namespace ridgeferry::platform {
+namespace ridgeferry::native {
 
 namespace {
 
@@ -95,7 +95,7 @@
   void Read(const std::string& aKey,
             sigc::slot<void(table::ReadResult)> aDone) override
   {
-    Get("/table/row?key=" + EncodeUriPart(aKey),
+    Get("/table/row?key=" + net::EncodeUriPart(aKey),
         [aKey, aDone](const net::HttpResponse& aResponse) {
           aDone(ToReadResult(aResponse, aKey));
         });
@@ -106,8 +106,8 @@
             std::size_t aLimit,
             sigc::slot<void(table::ScanResult)> aDone) override
   {
-    Get("/table/scan?prefix=" + EncodeUriPart(aPrefix) + "&after=" +
-          EncodeUriPart(aAfter) + "&limit=" + std::to_string(aLimit),
+    Get("/table/scan?prefix=" + net::EncodeUriPart(aPrefix) + "&after=" +
+          net::EncodeUriPart(aAfter) + "&limit=" + std::to_string(aLimit),
         [aDone](const net::HttpResponse& aResponse) {
           aDone(ToScanResult(aResponse));
         });
@@ -165,4 +165,4 @@
   return std::make_unique<HttpTable>(aClient, std::move(aAddress));
 }
 
-} // namespace ridgeferry::platform
+} // namespace ridgeferry::native
--- a/packages/net/include/ridgeferry/net/Http.h
+++ b/packages/net/include/ridgeferry/net/Http.h
@@ -14,8 +14,9 @@
 {
 public:
   void Add(std::string aName, std::string aValue);
-  /** The first value of that name. */
+  /** The first value of that name; valid until the next change. */
   std::optional<std::string_view> Find(std::string_view aName) const;
+  static bool SameName(std::string_view aLeft, std::string_view aRight);
   const std::vector<std::pair<std::string, std::string>>& All() const
   {
     return m_items;
@@ -39,6 +40,16 @@
    * it, and then it is not known whether the request ran.
    */
   bool m_fresh = false;
+  /** Longest wait for a new connection; no byte has left by then. One second:
+   * two losses of the opening packet inside a hall. */
+  Duration m_connectTimeout{ 1000 };
+  /**
+   * Name and value of a header that the answer must repeat. An answer on the
+   * same connection that does not is an earlier request's: it is skipped.
+   */
+  std::optional<std::pair<std::string, std::string>> m_mustEcho;
+  /** Most idle connections that are kept to this address afterwards. */
+  std::size_t m_keepIdle = 32;
 };
 
 struct HttpHead
--- a/packages/net/include/ridgeferry/net/HttpServer.h
+++ b/packages/net/include/ridgeferry/net/HttpServer.h
@@ -10,11 +10,20 @@
 #include <string_view>
 #include <tl/expected.hpp>
 
-struct evhttp_connection;
-struct evhttp_request;
-
 namespace ridgeferry::net {
 
+class ServerConnection;
+
+/** The head and body of a request as it came in. */
+struct ReceivedRequest
+{
+  std::string m_method;
+  std::string m_target; ///< As sent.
+  HttpHeaders m_headers;
+  std::string m_body;
+  std::string m_peer; ///< IP:PORT of the caller.
+};
+
 /**
  * One request of a caller and its answer. Once the caller has left, all that
  * is sent is dropped. Not thread-safe.
@@ -22,19 +31,20 @@
 class HttpExchange : public std::enable_shared_from_this<HttpExchange>
 {
 public:
-  explicit HttpExchange(evhttp_request* aRequest);
+  HttpExchange(ServerConnection& aConnection, ReceivedRequest aRequest);
   ~HttpExchange();
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
 
-  const std::string& Method() const { return m_method; }
+  const std::string& Method() const { return m_request.m_method; }
+  const std::string& Target() const { return m_request.m_target; }
   const std::string& Path() const { return m_path; }   ///< Decoded.
   const std::string& Query() const { return m_query; } ///< As sent.
   /** One parameter of the query, decoded; empty if missing. */
   std::string QueryValue(std::string_view aName) const;
-  const HttpHeaders& Headers() const { return m_headers; }
-  const std::string& Body() const { return m_body; }
-  const std::string& Peer() const { return m_peer; }
+  const HttpHeaders& Headers() const { return m_request.m_headers; }
+  const std::string& Body() const { return m_request.m_body; }
+  const std::string& Peer() const { return m_request.m_peer; }
 
   /** The whole answer. Precondition: nothing was sent yet. */
   void Reply(int aStatus, const HttpHeaders& aHeaders, std::string_view aBody);
@@ -47,24 +57,18 @@
 
   /** Bytes that the caller has not read yet. */
   std::size_t Backlog() const;
-  bool IsOpen() const { return m_request != nullptr; }
+  bool IsOpen() const { return m_connection != nullptr; }
   /** Emitted once if the caller leaves before the answer ended. */
   sigc::signal<void()>& SignalLeft() { return m_left; }
 
-  /** For the library's close callback only. */
+  /** For the connection only: it has ended under this exchange. */
   void NoteClosed();
 
 private:
-  void Detach();
-
-  evhttp_request* m_request;
-  evhttp_connection* m_connection = nullptr;
-  std::string m_method;
+  ServerConnection* m_connection; ///< Null once answered or left.
+  ReceivedRequest m_request;
   std::string m_path;
   std::string m_query;
-  HttpHeaders m_headers;
-  std::string m_body;
-  std::string m_peer;
   sigc::signal<void()> m_left;
 };
 
@@ -72,8 +76,11 @@
 {
   std::size_t m_maxHeaderBytes = std::size_t{ 32 } * 1024;
   std::size_t m_maxBodyBytes = std::size_t{ 16 } * 1024 * 1024;
-  /** Silence after which a connection is closed: above any deadline. */
+  /** Longest rest of a connection between two requests. */
   Duration m_idleTimeout{ 3'700'000 };
+  /** Longest time from a head's first byte to its last, and longest silence
+   * inside a body. Ten seconds: a slow phone link still gets through. */
+  Duration m_headTimeout{ 10'000 };
 };
 
 /** Listens on one address and hands each request to the handler. */
@@ -95,6 +102,13 @@
   /** The address bound: tells the port where 0 was asked for. */
   const Address& Bound() const;
 
+  /** Holds from the next request of each connection on. */
+  void SetLimits(HttpServerLimits aLimits);
+  /** From now on each answer closes its connection. */
+  void StopKeeping();
+  /** Closes the connections that rest between two requests. */
+  void CloseResting();
+
   struct Impl;
   explicit HttpServer(std::unique_ptr<Impl> aImpl);
 
--- a/packages/platform/src/Uri.h
+++ b/packages/net/include/ridgeferry/net/Uri.h
@@ -3,10 +3,10 @@
 #include <string>
 #include <string_view>
 
-namespace ridgeferry::platform {
+namespace ridgeferry::net {
 
 /** Percent-encodes all but the unreserved characters. */
 std::string
 EncodeUriPart(std::string_view aText);
 
-} // namespace ridgeferry::platform
+} // namespace ridgeferry::net
--- /dev/null
+++ b/packages/net/src/ClientConnection.cpp
@@ -0,0 +1,311 @@
+#include "ClientConnection.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <charconv>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <limits>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace ridgeferry::net {
+
+namespace {
+
+/** Longest head of an answer: far above what any upstream sends. */
+constexpr std::size_t kMaxAnswerHead = std::size_t{ 64 } * 1024;
+/** A peer that closes idle connections after N seconds gets no request in the
+ * last of them: it could cross the close. */
+constexpr Duration kIdleMargin{ 1000 };
+constexpr int kFirstFinalStatus = 200;
+constexpr int kSwitchingProtocols = 101;
+
+void
+Readable(bufferevent*, void* aContext)
+{
+  static_cast<ClientConnection*>(aContext)->OnReadable();
+}
+
+void
+Happened(bufferevent*, short aEvents, void* aContext)
+{
+  static_cast<ClientConnection*>(aContext)->OnEvent(aEvents);
+}
+
+timeval
+ToTimeval(Duration aDuration)
+{
+  constexpr std::int64_t kMsPerSecond = 1000;
+  return { aDuration.count() / kMsPerSecond,
+           aDuration.count() % kMsPerSecond * kMsPerSecond };
+}
+
+bool
+IsInterim(int aStatus)
+{
+  return aStatus < kFirstFinalStatus && aStatus != kSwitchingProtocols;
+}
+
+std::string
+RequestText(const HttpRequest& aRequest)
+{
+  std::string out =
+    aRequest.m_method + " " + aRequest.m_target + " HTTP/1.1\r\n";
+  if (!aRequest.m_headers.Find("Host")) {
+    out += "Host: " + aRequest.m_address + "\r\n";
+  }
+  for (const auto& [name, value] : aRequest.m_headers.All()) {
+    out += name + ": " + value + "\r\n";
+  }
+  const bool mayHaveBody = aRequest.m_method != "GET" &&
+                           aRequest.m_method != "HEAD" &&
+                           aRequest.m_method != "DELETE";
+  if (!aRequest.m_body.empty() || mayHaveBody) {
+    out += "Content-Length: " + std::to_string(aRequest.m_body.size()) + "\r\n";
+  }
+  return out + "\r\n" + aRequest.m_body;
+}
+
+/** Seconds of `Keep-Alive: timeout=N`, if the peer tells them. */
+std::optional<std::chrono::seconds>
+IdleSeconds(const HttpHeaders& aHeaders)
+{
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto value = aHeaders.Find("Keep-Alive");
+  if (!value) {
+    return std::nullopt;
+  }
+  const std::size_t at = value->find(kTimeout);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  int seconds = 0;
+  const char* start = value->data() + at + kTimeout.size();
+  const auto read =
+    std::from_chars(start, value->data() + value->size(), seconds);
+  if (read.ec != std::errc{}) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+ClientConnection::ClientConnection(EventLoop& aLoop, const Address& aAddress)
+  : m_loop(aLoop)
+  , m_events(bufferevent_socket_new(aLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE))
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aAddress.m_port);
+  inet_pton(AF_INET, aAddress.m_ip.c_str(), &address.sin_addr);
+  bufferevent_setcb(m_events, &Readable, nullptr, &Happened, this);
+  bufferevent_socket_connect(
+    m_events, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  const int on = 1;
+  // Failure only costs delay: small writes would wait for one another.
+  (void)setsockopt(
+    bufferevent_getfd(m_events), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  bufferevent_enable(m_events, EV_READ | EV_WRITE);
+}
+
+ClientConnection::~ClientConnection()
+{
+  bufferevent_free(m_events);
+}
+
+std::size_t
+ClientConnection::Unread() const
+{
+  return evbuffer_get_length(bufferevent_get_input(m_events));
+}
+
+std::size_t
+ClientConnection::Unwritten() const
+{
+  return evbuffer_get_length(bufferevent_get_output(m_events));
+}
+
+bool
+ClientConnection::IsFit(Instant aNow) const
+{
+  return !m_closed && !m_busy && Unread() == 0 &&
+         (!m_idleUntil || aNow < *m_idleUntil);
+}
+
+void
+ClientConnection::Send(const HttpRequest& aRequest, ClientListener aListener)
+{
+  m_busy = true;
+  m_listener = std::move(aListener);
+  m_response = {};
+  m_headOnly = aRequest.m_method == "HEAD";
+  m_mustEcho = aRequest.m_mustEcho;
+  StartAnswer();
+  m_silence = aRequest.m_timeout;
+  const timeval silence = ToTimeval(m_silence);
+  const timeval connect =
+    ToTimeval(std::min(aRequest.m_connectTimeout, aRequest.m_timeout));
+  bufferevent_set_timeouts(
+    m_events, &silence, m_connected ? &silence : &connect);
+  const std::string text = RequestText(aRequest);
+  bufferevent_write(m_events, text.data(), text.size());
+}
+
+void
+ClientConnection::StartAnswer()
+{
+  m_headTaken = false;
+  m_skipping = false;
+  m_parser = std::make_unique<MessageParser<false>>(
+    kMaxAnswerHead, std::numeric_limits<std::size_t>::max());
+  if (m_headOnly) {
+    m_parser->ExpectNoBody();
+  }
+}
+
+void
+ClientConnection::OnReadable()
+{
+  if (!m_busy) {
+    // Nothing was asked: the bytes belong to no request.
+    FinishBroken();
+    return;
+  }
+  for (;;) {
+    const ParseState state = m_parser->Feed(bufferevent_get_input(m_events));
+    if (state == ParseState::Failed) {
+      FinishBroken();
+      return;
+    }
+    if (m_parser->HasHead() && !TakeHead()) {
+      return;
+    }
+    if (state == ParseState::NeedsMore) {
+      DeliverBody();
+      return;
+    }
+    if (!m_skipping) {
+      break;
+    }
+    if (!m_parser->KeepsAlive()) {
+      FinishBroken();
+      return;
+    }
+    StartAnswer();
+  }
+  FinishWhole(m_parser->KeepsAlive());
+}
+
+/** False: the listener has ended the request. */
+bool
+ClientConnection::TakeHead()
+{
+  if (m_headTaken) {
+    return true;
+  }
+  m_headTaken = true;
+  m_skipping = IsInterim(m_parser->m_status);
+  if (m_mustEcho) {
+    const auto found = m_parser->m_headers.Find(m_mustEcho->first);
+    m_skipping = m_skipping || !found || *found != m_mustEcho->second;
+  }
+  if (m_skipping) {
+    return true;
+  }
+  m_response.m_head = { m_parser->m_status, std::move(m_parser->m_headers) };
+  if (m_listener.m_head) {
+    m_listener.m_head(m_response.m_head);
+  }
+  return m_busy && !m_closed;
+}
+
+void
+ClientConnection::DeliverBody()
+{
+  if (m_skipping) {
+    m_parser->m_body.clear();
+    return;
+  }
+  if (m_parser->m_body.empty()) {
+    return;
+  }
+  if (m_listener.m_chunk) {
+    const std::string piece = std::exchange(m_parser->m_body, {});
+    m_listener.m_chunk(piece);
+  } else {
+    m_response.m_body += std::exchange(m_parser->m_body, {});
+  }
+}
+
+void
+ClientConnection::FinishWhole(bool aKeepsAlive)
+{
+  DeliverBody();
+  if (!m_busy || m_closed) {
+    return;
+  }
+  m_response.m_end = HttpEnd::Complete;
+  if (const auto seconds = IdleSeconds(m_response.m_head.m_headers)) {
+    m_idleUntil = m_loop.Now() + *seconds - kIdleMargin;
+  }
+  const bool clean = Unread() == 0 && Unwritten() == 0;
+  Report({ std::move(m_response), aKeepsAlive && clean });
+}
+
+void
+ClientConnection::FinishBroken()
+{
+  m_response.m_end = m_connected ? HttpEnd::Broken : HttpEnd::NotSent;
+  Report({ std::move(m_response), false });
+}
+
+void
+ClientConnection::Report(ClientEnd aEnd)
+{
+  m_busy = false;
+  if (!aEnd.m_reusable) {
+    Close();
+  } else {
+    bufferevent_set_timeouts(m_events, nullptr, nullptr);
+  }
+  // A copy: the listener may be replaced by the next request inside the call.
+  const auto end = m_listener.m_end;
+  if (end) {
+    end(std::move(aEnd));
+  }
+}
+
+void
+ClientConnection::Close()
+{
+  m_closed = true;
+  m_busy = false;
+  bufferevent_disable(m_events, EV_READ | EV_WRITE);
+}
+
+void
+ClientConnection::OnEvent(short aEvents)
+{
+  if ((aEvents & BEV_EVENT_CONNECTED) != 0) {
+    m_connected = true;
+    const timeval silence = ToTimeval(m_silence);
+    bufferevent_set_timeouts(m_events, &silence, &silence);
+    return;
+  }
+  if (m_closed) {
+    return;
+  }
+  const bool clean = (aEvents & BEV_EVENT_EOF) != 0;
+  if (m_busy && clean && m_headTaken && !m_skipping &&
+      m_parser->FinishAtClose()) {
+    FinishWhole(false);
+    return;
+  }
+  FinishBroken();
+}
+
+} // namespace ridgeferry::net
--- /dev/null
+++ b/packages/net/src/ClientConnection.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "MessageParser.h"
+
+#include <memory>
+#include <ridgeferry/net/Address.h>
+#include <ridgeferry/net/HttpClient.h>
+
+struct bufferevent;
+
+namespace ridgeferry::net {
+
+class ClientConnection;
+
+/** How a request on a connection ended. */
+struct ClientEnd
+{
+  HttpResponse m_response;
+  bool m_reusable = false;
+};
+
+/** Who hears of a connection's events; it may cancel in any of them. */
+struct ClientListener
+{
+  sigc::slot<void(const HttpHead&)> m_head;
+  sigc::slot<void(std::string_view)> m_chunk;
+  sigc::slot<void(ClientEnd)> m_end;
+};
+
+/**
+ * One connection to an upstream, one request at a time. It is fit for the next
+ * request only if the last answer was whole, the request was written to its
+ * end, and no byte came behind the answer. Not thread-safe.
+ */
+class ClientConnection
+{
+public:
+  ClientConnection(EventLoop& aLoop, const Address& aAddress);
+  ~ClientConnection();
+  ClientConnection(const ClientConnection&) = delete;
+  ClientConnection& operator=(const ClientConnection&) = delete;
+
+  /** Precondition: no request is under way. */
+  void Send(const HttpRequest& aRequest, ClientListener aListener);
+  /** Ends the connection without calling back. */
+  void Close();
+
+  /** Whether an idle connection may take a request now. */
+  bool IsFit(Instant aNow) const;
+
+  // For the library's callbacks only.
+  void OnReadable();
+  void OnEvent(short aEvents);
+
+private:
+  void StartAnswer();
+  bool TakeHead();
+  void DeliverBody();
+  void FinishWhole(bool aKeepsAlive);
+  void FinishBroken();
+  void Report(ClientEnd aEnd);
+  std::size_t Unread() const;
+  std::size_t Unwritten() const;
+
+  EventLoop& m_loop;
+  bufferevent* m_events;
+  Duration m_silence{}; ///< Longest silence of the peer in this request.
+  bool m_connected = false;
+  bool m_closed = false;
+  bool m_busy = false;
+  bool m_headOnly = false;
+  bool m_headTaken = false;
+  bool m_skipping = false; ///< An answer that is not this request's.
+  std::optional<std::pair<std::string, std::string>> m_mustEcho;
+  std::unique_ptr<MessageParser<false>> m_parser;
+  ClientListener m_listener;
+  HttpResponse m_response;
+  std::optional<Instant> m_idleUntil; ///< The peer closes it after that.
+};
+
+} // namespace ridgeferry::net
--- a/packages/net/src/Http.cpp
+++ b/packages/net/src/Http.cpp
@@ -10,13 +10,18 @@
   m_items.emplace_back(std::move(aName), std::move(aValue));
 }
 
+bool
+HttpHeaders::SameName(std::string_view aLeft, std::string_view aRight)
+{
+  return aLeft.size() == aRight.size() &&
+         strncasecmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
+}
+
 std::optional<std::string_view>
 HttpHeaders::Find(std::string_view aName) const
 {
   for (const auto& [name, value] : m_items) {
-    const bool same = name.size() == aName.size() &&
-                      strncasecmp(name.data(), aName.data(), name.size()) == 0;
-    if (same) {
+    if (SameName(name, aName)) {
       return value;
     }
   }
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -1,75 +1,52 @@
 #include "ridgeferry/net/HttpServer.h"
 
-#include "EvHttp.h"
+#include "ServerConnection.h"
 
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
-#include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/http.h>
 #include <event2/keyvalq_struct.h>
-#include <list>
+#include <event2/listener.h>
+#include <sys/socket.h>
+#include <unordered_map>
 
 namespace ridgeferry::net {
 
 namespace {
 
-void
-OnClosed(evhttp_connection*, void* aContext)
-{
-  static_cast<HttpExchange*>(aContext)->NoteClosed();
-}
-
-void
-AddHeaders(evhttp_request* aRequest, const HttpHeaders& aHeaders)
-{
-  evkeyvalq* out = evhttp_request_get_output_headers(aRequest);
-  for (const auto& [name, value] : aHeaders.All()) {
-    evhttp_add_header(out, name.c_str(), value.c_str());
-  }
-}
+/** How often connections are checked for silence: limits are seconds. */
+constexpr Duration kTimesTick{ 500 };
+/** New connections that the kernel keeps for us: a burst of one second. */
+constexpr int kBacklog = 1024;
 
 std::string
-DecodePath(const evhttp_uri* aUri)
+DecodePath(std::string_view aPath)
 {
-  const char* path = evhttp_uri_get_path(aUri);
-  if (path == nullptr) {
-    return "/";
-  }
   std::size_t length = 0;
-  char* decoded = evhttp_uridecode(path, 0, &length);
-  std::string out =
-    decoded == nullptr ? std::string(path) : std::string(decoded, length);
+  char* decoded = evhttp_uridecode(std::string(aPath).c_str(), 0, &length);
+  if (decoded == nullptr) {
+    return std::string(aPath);
+  }
+  std::string out(decoded, length);
   free(decoded); // NOLINT: allocated by the library with malloc.
   return out;
 }
 
-std::string
-PeerOf(evhttp_connection* aConnection)
-{
-  char* ip = nullptr;
-  std::uint16_t port = 0;
-  evhttp_connection_get_peer(aConnection, &ip, &port);
-  return Address{ ip == nullptr ? "" : ip, port }.ToString();
-}
-
 } // namespace
 
-HttpExchange::HttpExchange(evhttp_request* aRequest)
-  : m_request(aRequest)
-  , m_connection(evhttp_request_get_connection(aRequest))
-  , m_method(CommandName(evhttp_request_get_command(aRequest)))
-  , m_headers(CopyHeaders(evhttp_request_get_input_headers(aRequest)))
-  , m_body(TakeBytes(evhttp_request_get_input_buffer(aRequest)))
-  , m_peer(PeerOf(m_connection))
+HttpExchange::HttpExchange(ServerConnection& aConnection,
+                           ReceivedRequest aRequest)
+  : m_connection(&aConnection)
+  , m_request(std::move(aRequest))
 {
-  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(aRequest);
-  m_path = DecodePath(uri);
-  const char* query = evhttp_uri_get_query(uri);
-  m_query = query == nullptr ? "" : query;
-  evhttp_connection_set_closecb(m_connection, &OnClosed, this);
-  // Without an interest in reading, a caller's close would go unseen.
-  bufferevent_enable(evhttp_connection_get_bufferevent(m_connection), EV_READ);
+  const std::string_view target = m_request.m_target;
+  const std::size_t mark = target.find('?');
+  m_path = DecodePath(target.substr(0, mark));
+  if (mark != std::string_view::npos) {
+    m_query = target.substr(mark + 1);
+  }
 }
 
 HttpExchange::~HttpExchange()
@@ -90,24 +67,9 @@
   return out;
 }
 
-void
-HttpExchange::Detach()
-{
-  evhttp_connection_set_closecb(m_connection, nullptr, nullptr);
-  m_request = nullptr;
-  m_connection = nullptr;
-}
-
 void
 HttpExchange::NoteClosed()
 {
-  // The library has taken a request that was not answered yet off its
-  // connection and left it to us; one that is still on it dies with it.
-  if (m_request != nullptr &&
-      evhttp_request_get_connection(m_request) == nullptr) {
-    evhttp_request_free(m_request);
-  }
-  m_request = nullptr;
   m_connection = nullptr;
   const auto self = weak_from_this().lock();
   m_left.emit();
@@ -118,104 +80,154 @@
                     const HttpHeaders& aHeaders,
                     std::string_view aBody)
 {
-  if (m_request == nullptr) {
-    return;
+  if (ServerConnection* connection = std::exchange(m_connection, nullptr)) {
+    connection->SendWhole(aStatus, aHeaders, aBody);
   }
-  evhttp_request* request = m_request;
-  Detach();
-  AddHeaders(request, aHeaders);
-  evbuffer* body = evbuffer_new();
-  evbuffer_add(body, aBody.data(), aBody.size());
-  evhttp_send_reply(request, aStatus, nullptr, body);
-  evbuffer_free(body);
 }
 
 void
 HttpExchange::StartStream(int aStatus, const HttpHeaders& aHeaders)
 {
-  if (m_request == nullptr) {
-    return;
+  if (m_connection != nullptr) {
+    m_connection->SendHead(aStatus, aHeaders);
   }
-  AddHeaders(m_request, aHeaders);
-  evhttp_send_reply_start(m_request, aStatus, nullptr);
 }
 
 void
 HttpExchange::SendChunk(std::string_view aBytes)
 {
-  if (m_request == nullptr || aBytes.empty()) {
-    return;
+  if (m_connection != nullptr && !aBytes.empty()) {
+    m_connection->SendChunk(aBytes);
   }
-  evbuffer* piece = evbuffer_new();
-  evbuffer_add(piece, aBytes.data(), aBytes.size());
-  evhttp_send_reply_chunk(m_request, piece);
-  evbuffer_free(piece);
 }
 
 void
 HttpExchange::EndStream()
 {
-  if (m_request == nullptr) {
-    return;
+  if (ServerConnection* connection = std::exchange(m_connection, nullptr)) {
+    connection->SendEnd();
   }
-  evhttp_request* request = m_request;
-  Detach();
-  evhttp_send_reply_end(request);
 }
 
 void
 HttpExchange::Abort()
 {
-  if (m_request == nullptr) {
-    return;
+  if (ServerConnection* connection = std::exchange(m_connection, nullptr)) {
+    connection->Abort();
   }
-  evhttp_connection* connection = m_connection;
-  Detach();
-  evhttp_connection_free(connection);
 }
 
 std::size_t
 HttpExchange::Backlog() const
 {
-  if (m_connection == nullptr) {
-    return 0;
-  }
-  return evbuffer_get_length(
-    bufferevent_get_output(evhttp_connection_get_bufferevent(m_connection)));
+  return m_connection == nullptr ? 0 : m_connection->Backlog();
 }
 
 struct HttpServer::Impl
 {
-  evhttp* m_http = nullptr;
-  Handler m_handler;
-  Address m_bound;
-
-  Impl() = default;
+  explicit Impl(EventLoop& aLoop, HttpServerLimits aLimits, Handler aHandler)
+    : m_shared{ aLoop, aLimits, std::move(aHandler), true, {} }
+  {
+    m_shared.m_ended = [this](ServerConnection& aEnded) { Remove(aEnded); };
+  }
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
   ~Impl()
   {
-    if (m_http != nullptr) {
-      evhttp_free(m_http);
+    if (m_listener != nullptr) {
+      evconnlistener_free(m_listener);
+    }
+    m_ended.clear();
+    m_open.clear();
+  }
+
+  /** Connections end inside their own callbacks: they are freed after them. */
+  void Remove(ServerConnection& aEnded)
+  {
+    const auto found = m_open.find(&aEnded);
+    if (found == m_open.end()) {
+      return;
+    }
+    m_ended.push_back(std::move(found->second));
+    m_open.erase(found);
+    if (m_ended.size() > 1) {
+      return; // A sweep is planned already.
     }
+    m_shared.m_loop.Defer([this, alive = std::weak_ptr<bool>(m_alive)] {
+      if (!alive.expired()) {
+        m_ended.clear();
+      }
+    });
   }
+
+  template<typename Visit>
+  void ForEachOpen(Visit aVisit)
+  {
+    std::vector<ServerConnection*> all;
+    all.reserve(m_open.size());
+    for (const auto& [connection, owned] : m_open) {
+      all.push_back(connection);
+    }
+    for (ServerConnection* connection : all) {
+      aVisit(*connection);
+    }
+  }
+
+  ServerShared m_shared;
+  evconnlistener* m_listener = nullptr;
+  Address m_bound;
+  Watch m_times;
+  std::unordered_map<ServerConnection*, std::unique_ptr<ServerConnection>>
+    m_open;
+  std::vector<std::unique_ptr<ServerConnection>> m_ended;
+  /** Guards deferred calls against the server's own end. */
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 namespace {
 
+std::string
+PeerText(const sockaddr* aAddress)
+{
+  if (aAddress->sa_family != AF_INET) {
+    return {};
+  }
+  const auto* in = reinterpret_cast<const sockaddr_in*>(aAddress);
+  char text[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &in->sin_addr, text, sizeof(text));
+  return Address{ text, ntohs(in->sin_port) }.ToString();
+}
+
 void
-OnRequest(evhttp_request* aRequest, void* aContext)
+OnAccepted(evconnlistener*,
+           evutil_socket_t aSocket,
+           sockaddr* aPeer,
+           int,
+           void* aContext)
+{
+  HttpServer::Impl& impl = *static_cast<HttpServer::Impl*>(aContext);
+  auto connection =
+    std::make_unique<ServerConnection>(impl.m_shared, aSocket, PeerText(aPeer));
+  ServerConnection* key = connection.get();
+  impl.m_open.emplace(key, std::move(connection));
+}
+
+sockaddr_in
+ToSystem(const Address& aAddress)
 {
-  static_cast<HttpServer::Impl*>(aContext)->m_handler(
-    std::make_shared<HttpExchange>(aRequest));
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_port = htons(aAddress.m_port);
+  inet_pton(AF_INET, aAddress.m_ip.c_str(), &out.sin_addr);
+  return out;
 }
 
 Address
-BoundAddress(evhttp_bound_socket* aSocket, const Address& aAsked)
+BoundAddress(evconnlistener* aListener, const Address& aAsked)
 {
   sockaddr_in actual{};
   socklen_t length = sizeof(actual);
-  getsockname(evhttp_bound_socket_get_fd(aSocket),
+  getsockname(evconnlistener_get_fd(aListener),
               reinterpret_cast<sockaddr*>(&actual),
               &length);
   return { aAsked.m_ip, ntohs(actual.sin_port) };
@@ -236,39 +248,51 @@
   return m_impl->m_bound;
 }
 
+void
+HttpServer::SetLimits(HttpServerLimits aLimits)
+{
+  m_impl->m_shared.m_limits = aLimits;
+}
+
+void
+HttpServer::StopKeeping()
+{
+  m_impl->m_shared.m_keepAlive = false;
+}
+
+void
+HttpServer::CloseResting()
+{
+  m_impl->ForEachOpen(
+    [](ServerConnection& aConnection) { aConnection.CloseIfResting(); });
+}
+
 tl::expected<std::unique_ptr<HttpServer>, NetError>
 HttpServer::Listen(EventLoop& aLoop,
                    const Address& aAddress,
                    HttpServerLimits aLimits,
                    Handler aHandler)
 {
-  auto impl = std::make_unique<Impl>();
-  impl->m_handler = std::move(aHandler);
-  impl->m_http = evhttp_new(aLoop.Base());
-  if (impl->m_http == nullptr) {
-    return tl::unexpected(NetError{ "make a server", std::strerror(errno) });
-  }
-  evhttp_set_max_headers_size(
-    impl->m_http, static_cast<ev_ssize_t>(aLimits.m_maxHeaderBytes));
-  evhttp_set_max_body_size(impl->m_http,
-                           static_cast<ev_ssize_t>(aLimits.m_maxBodyBytes));
-  evhttp_set_allowed_methods(impl->m_http,
-                             EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
-                               EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH |
-                               EVHTTP_REQ_HEAD);
-  evhttp_set_timeout(
-    impl->m_http,
-    static_cast<int>(
-      std::chrono::duration_cast<std::chrono::seconds>(aLimits.m_idleTimeout)
-        .count()));
-  evhttp_set_gencb(impl->m_http, &OnRequest, impl.get());
-  evhttp_bound_socket* socket = evhttp_bind_socket_with_handle(
-    impl->m_http, aAddress.m_ip.c_str(), aAddress.m_port);
-  if (socket == nullptr) {
+  auto impl = std::make_unique<Impl>(aLoop, aLimits, std::move(aHandler));
+  const sockaddr_in address = ToSystem(aAddress);
+  impl->m_listener =
+    evconnlistener_new_bind(aLoop.Base(),
+                            &OnAccepted,
+                            impl.get(),
+                            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                            kBacklog,
+                            reinterpret_cast<const sockaddr*>(&address),
+                            sizeof(address));
+  if (impl->m_listener == nullptr) {
     return tl::unexpected(
       NetError{ "listen on " + aAddress.ToString(), std::strerror(errno) });
   }
-  impl->m_bound = BoundAddress(socket, aAddress);
+  impl->m_bound = BoundAddress(impl->m_listener, aAddress);
+  impl->m_times = aLoop.Every(kTimesTick, [raw = impl.get()] {
+    const Instant now = raw->m_shared.m_loop.Now();
+    raw->ForEachOpen(
+      [now](ServerConnection& aConnection) { aConnection.CheckTimes(now); });
+  });
   return std::make_unique<HttpServer>(std::move(impl));
 }
 
--- /dev/null
+++ b/packages/net/src/MessageParser.cpp
@@ -0,0 +1,148 @@
+#include "MessageParser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <event2/buffer.h>
+
+namespace ridgeferry::net {
+
+namespace {
+
+std::string
+ToString(boost::beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+} // namespace
+
+template<bool kIsRequest>
+MessageParser<kIsRequest>::MessageParser(std::size_t aMaxHeaderBytes,
+                                         std::size_t aMaxBodyBytes)
+{
+  this->eager(true);
+  this->header_limit(static_cast<std::uint32_t>(aMaxHeaderBytes));
+  this->body_limit(aMaxBodyBytes);
+}
+
+template<bool kIsRequest>
+ParseState
+MessageParser<kIsRequest>::Feed(evbuffer* aBuffer)
+{
+  while (!this->is_done()) {
+    const std::size_t length = evbuffer_get_length(aBuffer);
+    if (length == 0) {
+      return ParseState::NeedsMore;
+    }
+    const unsigned char* bytes = evbuffer_pullup(aBuffer, -1);
+    ErrorCode error;
+    const std::size_t used =
+      this->put(boost::asio::const_buffer(bytes, length), error);
+    evbuffer_drain(aBuffer, used);
+    if (error == boost::beast::http::error::need_more) {
+      return ParseState::NeedsMore;
+    }
+    if (error) {
+      m_error = error;
+      return ParseState::Failed;
+    }
+    if (used == 0 && !this->is_done()) {
+      return ParseState::NeedsMore;
+    }
+  }
+  return ParseState::Done;
+}
+
+template<bool kIsRequest>
+bool
+MessageParser<kIsRequest>::FinishAtClose()
+{
+  if (this->is_done()) {
+    return true;
+  }
+  if (!this->is_header_done()) {
+    return false;
+  }
+  ErrorCode error;
+  this->put_eof(error);
+  return !error && this->is_done();
+}
+
+template<bool kIsRequest>
+void
+MessageParser<kIsRequest>::on_request_impl(boost::beast::http::verb,
+                                           BeastView aMethod,
+                                           BeastView aTarget,
+                                           int,
+                                           ErrorCode&)
+{
+  m_method = ToString(aMethod);
+  m_target = ToString(aTarget);
+}
+
+template<bool kIsRequest>
+void
+MessageParser<kIsRequest>::on_response_impl(int aStatus,
+                                            BeastView,
+                                            int,
+                                            ErrorCode&)
+{
+  m_status = aStatus;
+}
+
+template<bool kIsRequest>
+void
+MessageParser<kIsRequest>::on_field_impl(boost::beast::http::field,
+                                         BeastView aName,
+                                         BeastView aValue,
+                                         ErrorCode&)
+{
+  if (!this->is_header_done()) {
+    m_headers.Add(ToString(aName), ToString(aValue));
+  }
+}
+
+template<bool kIsRequest>
+void
+MessageParser<kIsRequest>::on_header_impl(ErrorCode&)
+{
+  m_sawLength = this->chunked() || this->content_length().has_value();
+}
+
+template<bool kIsRequest>
+void
+MessageParser<kIsRequest>::on_body_init_impl(
+  const boost::optional<std::uint64_t>&,
+  ErrorCode&)
+{
+}
+
+template<bool kIsRequest>
+std::size_t
+MessageParser<kIsRequest>::on_body_impl(BeastView aBytes, ErrorCode&)
+{
+  m_body.append(aBytes.data(), aBytes.size());
+  return aBytes.size();
+}
+
+template<bool kIsRequest>
+void
+MessageParser<kIsRequest>::on_chunk_header_impl(std::uint64_t,
+                                                BeastView,
+                                                ErrorCode&)
+{
+}
+
+template<bool kIsRequest>
+std::size_t
+MessageParser<kIsRequest>::on_chunk_body_impl(std::uint64_t,
+                                              BeastView aBytes,
+                                              ErrorCode&)
+{
+  m_body.append(aBytes.data(), aBytes.size());
+  return aBytes.size();
+}
+
+template class MessageParser<true>;
+template class MessageParser<false>;
+
+} // namespace ridgeferry::net
--- /dev/null
+++ b/packages/net/src/ServerConnection.cpp
@@ -0,0 +1,363 @@
+#include "ServerConnection.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/status.hpp>
+#include <charconv>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace ridgeferry::net {
+
+namespace {
+
+/** Bytes read ahead of the request under way; more stays in the kernel. */
+constexpr std::size_t kReadAhead = std::size_t{ 64 } * 1024;
+/** How long a caller may go on sending after a refusal: one second lets the
+ * refusal arrive before a reset would. */
+constexpr Duration kLinger{ 1000 };
+
+constexpr int kContinue = 100;
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+void
+Readable(bufferevent*, void* aContext)
+{
+  static_cast<ServerConnection*>(aContext)->OnReadable();
+}
+
+void
+Written(bufferevent*, void* aContext)
+{
+  static_cast<ServerConnection*>(aContext)->OnWritten();
+}
+
+void
+Happened(bufferevent*, short aEvents, void* aContext)
+{
+  static_cast<ServerConnection*>(aContext)->OnEvent(aEvents);
+}
+
+bool
+HasBody(int aStatus)
+{
+  return aStatus != kNoContent && aStatus != kNotModified;
+}
+
+int
+StatusOf(const boost::system::error_code& aError)
+{
+  using boost::beast::http::error;
+  if (aError == error::header_limit) {
+    return kHeadTooLarge;
+  }
+  if (aError == error::body_limit) {
+    return kTooLarge;
+  }
+  return kBadRequest;
+}
+
+/** Why a request that parsed is refused all the same; empty: it is good. */
+std::string_view
+FaultOf(const MessageParser<true>& aParser)
+{
+  const auto& all = aParser.m_headers.All();
+  const auto count = [&](std::string_view aName) {
+    return std::count_if(all.begin(), all.end(), [&](const auto& aField) {
+      return HttpHeaders::SameName(aField.first, aName);
+    });
+  };
+  if (count("Host") != 1) {
+    return "exactly one Host header is needed";
+  }
+  if (count("Content-Length") > 1) {
+    return "more than one Content-Length header";
+  }
+  if (count("Transfer-Encoding") > 0 && !aParser.m_sawLength) {
+    return "the only transfer coding here is chunked";
+  }
+  if (!aParser.m_target.starts_with('/')) {
+    return "the target must be a path that begins with a slash";
+  }
+  return {};
+}
+
+} // namespace
+
+ServerConnection::ServerConnection(ServerShared& aShared,
+                                   int aSocket,
+                                   std::string aPeer)
+  : m_shared(aShared)
+  , m_events(bufferevent_socket_new(aShared.m_loop.Base(),
+                                    aSocket,
+                                    BEV_OPT_CLOSE_ON_FREE))
+  , m_peer(std::move(aPeer))
+{
+  const int on = 1;
+  // Failure only costs delay: small writes would wait for one another.
+  (void)setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  bufferevent_setcb(m_events, &Readable, &Written, &Happened, this);
+  bufferevent_setwatermark(m_events, EV_READ, 0, kReadAhead);
+  StartRequest();
+  bufferevent_enable(m_events, EV_READ | EV_WRITE);
+}
+
+ServerConnection::~ServerConnection()
+{
+  if (const auto exchange = m_exchange.lock()) {
+    exchange->NoteClosed();
+  }
+  bufferevent_free(m_events);
+}
+
+void
+ServerConnection::StartRequest()
+{
+  m_state = State::Reading;
+  m_begun = false;
+  m_since = m_shared.m_loop.Now();
+  m_parser = std::make_unique<MessageParser<true>>(
+    m_shared.m_limits.m_maxHeaderBytes, m_shared.m_limits.m_maxBodyBytes);
+}
+
+void
+ServerConnection::OnReadable()
+{
+  evbuffer* input = bufferevent_get_input(m_events);
+  if (m_state == State::Lingering || m_state == State::Flushing) {
+    evbuffer_drain(input, evbuffer_get_length(input));
+    return;
+  }
+  if (m_state != State::Reading) {
+    return;
+  }
+  const bool hadHead = m_parser->HasHead();
+  if (!m_begun || hadHead) {
+    m_since = m_shared.m_loop.Now();
+  }
+  m_begun = true;
+  const ParseState state = m_parser->Feed(input);
+  if (state == ParseState::Failed) {
+    Refuse(StatusOf(m_parser->Error()), m_parser->Error().message());
+    return;
+  }
+  if (!hadHead && m_parser->HasHead()) {
+    if (const std::string_view fault = FaultOf(*m_parser); !fault.empty()) {
+      Refuse(kBadRequest, fault);
+      return;
+    }
+    if (state == ParseState::NeedsMore &&
+        m_parser->m_headers.Find("Expect").has_value()) {
+      const std::string text =
+        "HTTP/1.1 " + std::to_string(kContinue) + " Continue\r\n\r\n";
+      bufferevent_write(m_events, text.data(), text.size());
+    }
+  }
+  if (state == ParseState::Done) {
+    Dispatch();
+  }
+}
+
+void
+ServerConnection::Dispatch()
+{
+  m_state = State::Answering;
+  m_keepAlive = m_parser->KeepsAlive();
+  m_headOnly = m_parser->m_method == "HEAD";
+  const auto exchange = std::make_shared<HttpExchange>(
+    *this,
+    ReceivedRequest{ std::move(m_parser->m_method),
+                     std::move(m_parser->m_target),
+                     std::move(m_parser->m_headers),
+                     std::move(m_parser->m_body),
+                     m_peer });
+  m_parser.reset();
+  m_exchange = exchange;
+  m_shared.m_handler(exchange);
+}
+
+void
+ServerConnection::Refuse(int aStatus, std::string_view aReason)
+{
+  m_linger = true;
+  m_keepAlive = false;
+  m_state = State::Answering;
+  HttpHeaders headers;
+  headers.Add("Content-Type", "application/problem+json");
+  std::string body = R"({"code":"bad-request","outcome":"not-run","status":)" +
+                     std::to_string(aStatus) + R"(,"detail":")";
+  body.append(aReason);
+  body += "\"}";
+  SendWhole(aStatus, headers, body);
+}
+
+std::string
+ServerConnection::HeadText(int aStatus, const HttpHeaders& aHeaders) const
+{
+  const auto reason = boost::beast::http::obsolete_reason(
+    static_cast<boost::beast::http::status>(aStatus));
+  std::string out = "HTTP/1.1 " + std::to_string(aStatus) + " ";
+  out.append(reason.data(), reason.size());
+  out += "\r\n";
+  for (const auto& [name, value] : aHeaders.All()) {
+    out += name + ": " + value + "\r\n";
+  }
+  if (!m_keepAlive || !m_shared.m_keepAlive) {
+    out += "Connection: close\r\n";
+  }
+  return out;
+}
+
+void
+ServerConnection::SendWhole(int aStatus,
+                            const HttpHeaders& aHeaders,
+                            std::string_view aBody)
+{
+  std::string out = HeadText(aStatus, aHeaders);
+  if (HasBody(aStatus)) {
+    out += "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n";
+    if (!m_headOnly) {
+      out.append(aBody);
+    }
+  } else {
+    out += "\r\n";
+  }
+  bufferevent_write(m_events, out.data(), out.size());
+  FinishAnswer();
+}
+
+void
+ServerConnection::SendHead(int aStatus, const HttpHeaders& aHeaders)
+{
+  const std::string out =
+    HeadText(aStatus, aHeaders) + "Transfer-Encoding: chunked\r\n\r\n";
+  bufferevent_write(m_events, out.data(), out.size());
+}
+
+void
+ServerConnection::SendChunk(std::string_view aBytes)
+{
+  constexpr int kHex = 16;
+  std::array<char, kHex + 2> size{};
+  char* end =
+    std::to_chars(size.data(), size.data() + kHex, aBytes.size(), kHex).ptr;
+  *end++ = '\r';
+  *end++ = '\n';
+  evbuffer* output = bufferevent_get_output(m_events);
+  evbuffer_add(
+    output, size.data(), static_cast<std::size_t>(end - size.data()));
+  evbuffer_add(output, aBytes.data(), aBytes.size());
+  evbuffer_add(output, "\r\n", 2);
+}
+
+void
+ServerConnection::SendEnd()
+{
+  constexpr std::string_view kLastChunk = "0\r\n\r\n";
+  bufferevent_write(m_events, kLastChunk.data(), kLastChunk.size());
+  FinishAnswer();
+}
+
+void
+ServerConnection::FinishAnswer()
+{
+  m_exchange.reset();
+  if (!m_keepAlive || !m_shared.m_keepAlive) {
+    m_state = State::Flushing;
+    m_since = m_shared.m_loop.Now();
+    return;
+  }
+  StartRequest();
+  if (evbuffer_get_length(bufferevent_get_input(m_events)) > 0) {
+    // Deferred: a caller that pipelines must not deepen the stack.
+    bufferevent_trigger(m_events, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+  }
+}
+
+void
+ServerConnection::OnWritten()
+{
+  if (m_state != State::Flushing || Backlog() > 0) {
+    return;
+  }
+  if (!m_linger) {
+    End();
+    return;
+  }
+  shutdown(bufferevent_getfd(m_events), SHUT_WR);
+  m_state = State::Lingering;
+  m_since = m_shared.m_loop.Now();
+}
+
+void
+ServerConnection::OnEvent(short aEvents)
+{
+  if ((aEvents & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+    End();
+  }
+}
+
+void
+ServerConnection::Abort()
+{
+  End();
+}
+
+void
+ServerConnection::End()
+{
+  if (m_state == State::Ended) {
+    return;
+  }
+  m_state = State::Ended;
+  bufferevent_disable(m_events, EV_READ | EV_WRITE);
+  if (const auto exchange = m_exchange.lock()) {
+    m_exchange.reset();
+    exchange->NoteClosed();
+  }
+  m_shared.m_ended(*this);
+}
+
+std::size_t
+ServerConnection::Backlog() const
+{
+  return evbuffer_get_length(bufferevent_get_output(m_events));
+}
+
+void
+ServerConnection::CheckTimes(Instant aNow)
+{
+  const Duration silent = aNow - m_since;
+  const HttpServerLimits& limits = m_shared.m_limits;
+  if (m_state == State::Lingering && silent >= kLinger) {
+    End();
+  } else if (m_state == State::Flushing && silent >= limits.m_idleTimeout) {
+    End();
+  } else if (m_state == State::Reading && m_begun &&
+             silent >= limits.m_headTimeout) {
+    Refuse(kRequestTimeout, "the request did not arrive in time");
+  } else if (m_state == State::Reading && !m_begun &&
+             silent >= limits.m_idleTimeout) {
+    End();
+  }
+}
+
+void
+ServerConnection::CloseIfResting()
+{
+  if (m_state == State::Reading && !m_begun &&
+      evbuffer_get_length(bufferevent_get_input(m_events)) == 0) {
+    End();
+  }
+}
+
+} // namespace ridgeferry::net
--- /dev/null
+++ b/packages/net/src/ServerConnection.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "MessageParser.h"
+
+#include <memory>
+#include <ridgeferry/net/HttpServer.h>
+
+struct bufferevent;
+
+namespace ridgeferry::net {
+
+/** What the connections of one server share. */
+struct ServerShared
+{
+  EventLoop& m_loop;
+  HttpServerLimits m_limits;
+  HttpServer::Handler m_handler;
+  bool m_keepAlive = true;
+  /** Called once by a connection that has ended; it is freed later. */
+  sigc::slot<void(ServerConnection&)> m_ended;
+};
+
+/**
+ * One connection of a caller: one request after the other. Bytes of the next
+ * request wait in the buffer until the present one is answered.
+ * Not thread-safe.
+ */
+class ServerConnection
+{
+public:
+  ServerConnection(ServerShared& aShared, int aSocket, std::string aPeer);
+  ~ServerConnection();
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
+
+  // For the exchange under way.
+  void SendWhole(int aStatus,
+                 const HttpHeaders& aHeaders,
+                 std::string_view aBody);
+  void SendHead(int aStatus, const HttpHeaders& aHeaders);
+  void SendChunk(std::string_view aBytes);
+  void SendEnd();
+  void Abort();
+  std::size_t Backlog() const;
+
+  /** Ends what has been silent for too long. */
+  void CheckTimes(Instant aNow);
+  void CloseIfResting();
+
+  // For the library's callbacks only.
+  void OnReadable();
+  void OnWritten();
+  void OnEvent(short aEvents);
+
+private:
+  enum class State
+  {
+    Reading,   ///< The next request, or its first byte, is awaited.
+    Answering, ///< An exchange is under way.
+    Flushing,  ///< Closes once all is written.
+    Lingering, ///< All is written; what the caller still sends is dropped.
+    Ended,
+  };
+
+  void StartRequest();
+  void Dispatch();
+  void Refuse(int aStatus, std::string_view aReason);
+  void FinishAnswer();
+  void End();
+  std::string HeadText(int aStatus, const HttpHeaders& aHeaders) const;
+
+  ServerShared& m_shared;
+  bufferevent* m_events;
+  std::string m_peer;
+  State m_state = State::Reading;
+  std::unique_ptr<MessageParser<true>> m_parser;
+  std::weak_ptr<HttpExchange> m_exchange;
+  Instant m_since; ///< Of the state, or of the last byte of a body.
+  bool m_begun = false;
+  bool m_keepAlive = true;
+  bool m_headOnly = false; ///< The request was HEAD.
+  bool m_linger = false;   ///< The request was not read to its end.
+};
+
+} // namespace ridgeferry::net
--- a/packages/platform/src/Uri.cpp
+++ b/packages/net/src/Uri.cpp
@@ -1,9 +1,9 @@
-#include "Uri.h"
+#include "ridgeferry/net/Uri.h"
 
 #include <cstdlib>
 #include <event2/http.h>
 
-namespace ridgeferry::platform {
+namespace ridgeferry::net {
 
 std::string
 EncodeUriPart(std::string_view aText)
@@ -15,4 +15,4 @@
   return out;
 }
 
-} // namespace ridgeferry::platform
+} // namespace ridgeferry::net
--- a/packages/observe/include/ridgeferry/observe/Log.h
+++ b/packages/observe/include/ridgeferry/observe/Log.h
@@ -31,11 +31,18 @@
   std::variant<std::string, std::int64_t, double, bool> m_value;
 };
 
+enum class LogTarget
+{
+  Error,  ///< Standard error.
+  Output, ///< Standard output, never waited for: see `Log::Dropped`.
+};
+
 struct LogOptions
 {
   LogFormat m_format = LogFormat::Json;
   LogLevel m_level = LogLevel::Info;
-  std::string m_file; ///< Empty: standard error.
+  LogTarget m_target = LogTarget::Error;
+  std::string m_file; ///< Goes before the target, if it is not empty.
 };
 
 /** The file of the log could not be opened. */
@@ -62,6 +69,15 @@
              const std::vector<LogField>& aFields = {});
   void Flush();
 
+  /**
+   * Lines to standard output that were left out so far: above
+   * `kMaxLinesPerSecond`, or because its reader had fallen behind. Each second
+   * in which lines were left out is told by one line of its own.
+   */
+  std::uint64_t Dropped() const;
+  /** Four times the calls that an instance ends in a second at its peak. */
+  static constexpr int kMaxLinesPerSecond = 400;
+
   struct Impl;
   explicit Log(std::unique_ptr<Impl> aImpl);
 
--- a/packages/observe/src/Log.cpp
+++ b/packages/observe/src/Log.cpp
@@ -1,14 +1,60 @@
 #include "ridgeferry/observe/Log.h"
 
+#include <chrono>
+#include <fcntl.h>
 #include <nlohmann/json.hpp>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace ridgeferry::observe {
 
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+/**
+ * Standard output without waiting for its reader: a line that does not fit
+ * the pipe now is left out. Lines are shorter than what a pipe takes as one.
+ */
+class OutputSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+{
+public:
+  OutputSink()
+  {
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+  std::uint64_t m_dropped = 0;
+
+protected:
+  void sink_it_(const spdlog::details::log_msg& aMessage) override // NOLINT
+  {
+    spdlog::memory_buf_t line;
+    formatter_->format(aMessage, line);
+    const ssize_t written = write(STDOUT_FILENO, line.data(), line.size());
+    if (written != static_cast<ssize_t>(line.size())) {
+      ++m_dropped;
+    }
+  }
+  void flush_() override {} // NOLINT: the library's name.
+};
+
+} // namespace
+
 struct Log::Impl
 {
+  /** Counts a line of this second; false: it is left out. */
+  bool TakeLine();
+
+  std::shared_ptr<OutputSink> m_output; ///< Null: another target.
+  Clock::time_point m_secondStart;
+  int m_linesInSecond = 0;
+  std::uint64_t m_droppedInSecond = 0;
+  std::uint64_t m_dropped = 0;
   std::shared_ptr<spdlog::logger> m_logger;
   LogFormat m_format = LogFormat::Json;
   std::vector<LogField> m_fixed;
@@ -74,6 +120,39 @@
 
 } // namespace
 
+bool
+Log::Impl::TakeLine()
+{
+  if (m_output == nullptr) {
+    return true;
+  }
+  const Clock::time_point now = Clock::now();
+  if (now - m_secondStart >= std::chrono::seconds(1)) {
+    m_secondStart = now;
+    m_linesInSecond = 0;
+    if (const auto dropped = std::exchange(m_droppedInSecond, 0)) {
+      m_logger->warn(
+        FormatLine(m_format,
+                   "log-lines-left-out",
+                   m_fixed,
+                   { { "count", static_cast<std::int64_t>(dropped) } }));
+    }
+  }
+  if (++m_linesInSecond > kMaxLinesPerSecond) {
+    ++m_droppedInSecond;
+    ++m_dropped;
+    return false;
+  }
+  return true;
+}
+
+std::uint64_t
+Log::Dropped() const
+{
+  const auto& output = m_impl->m_output;
+  return m_impl->m_dropped + (output == nullptr ? 0 : output->m_dropped);
+}
+
 Log::Log(std::unique_ptr<Impl> aImpl)
   : m_impl(std::move(aImpl))
 {
@@ -87,11 +166,14 @@
   auto impl = std::make_unique<Impl>();
   spdlog::sink_ptr sink;
   try {
-    if (aOptions.m_file.empty()) {
-      sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
-    } else {
+    if (!aOptions.m_file.empty()) {
       sink =
         std::make_shared<spdlog::sinks::basic_file_sink_st>(aOptions.m_file);
+    } else if (aOptions.m_target == LogTarget::Output) {
+      impl->m_output = std::make_shared<OutputSink>();
+      sink = impl->m_output;
+    } else {
+      sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
     }
   } catch (const spdlog::spdlog_ex& error) {
     return tl::unexpected(LogError{ error.what() });
@@ -115,7 +197,7 @@
            const std::vector<LogField>& aFields)
 {
   const spdlog::level::level_enum level = ToLevel(aLevel);
-  if (!m_impl->m_logger->should_log(level)) {
+  if (!m_impl->m_logger->should_log(level) || !m_impl->TakeLine()) {
     return;
   }
   m_impl->m_logger->log(
--- /dev/null
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <ridgeferry/base/Time.h>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace ridgeferry::relay {
+
+/** What an upstream does with a call. */
+enum class Part : std::uint8_t
+{
+  Whole,    ///< A plain service: all of it.
+  Prefill,  ///< An engine that only reads prompts and hands their memory over.
+  Generate, ///< An engine that gives the output, and can read prompts slowly.
+};
+
+/** An upstream as the platform lists it. */
+struct Member
+{
+  std::string m_id;
+  std::string m_service;
+  std::string m_hall;
+  std::string m_address; ///< IP:PORT.
+  std::int64_t m_slots = 1;
+  Part m_part = Part::Whole;
+  bool m_leaving = false;
+  bool operator==(const Member&) const = default;
+};
+
+/** What a prompt costs to read, in tokens. */
+struct Prompt
+{
+  /** Of the parts that other calls share, in order; 0: it shares none. */
+  std::uint64_t m_sharedKey = 0;
+  std::int64_t m_sharedTokens = 0;
+  std::int64_t m_ownTokens = 0;
+  std::int64_t m_outTokens = 0;
+};
+
+struct PlaceRequest
+{
+  std::string_view m_service;
+  std::string_view m_hall;        ///< Of this instance.
+  std::optional<Prompt> m_prompt; ///< Nothing: a plain call.
+  std::span<const std::string> m_excluded;
+  std::uint64_t m_random = 0; ///< Breaks ties.
+};
+
+struct Place
+{
+  std::string m_upstream;
+  std::string m_reader; ///< Empty: the upstream reads the prompt itself.
+};
+
+/** Why there is no place. */
+enum class PlaceFault : std::uint8_t
+{
+  NoUpstream, ///< None is listed, or none is sound.
+  Full,
+};
+
+using PlaceResult = std::variant<Place, PlaceFault>;
+
+/** How an attempt at a member ended. */
+enum class MemberEnd : std::uint8_t
+{
+  Served,
+  Failed,
+  Declined,  ///< It had no room.
+  Abandoned, ///< Ended from this side.
+};
+
+/**
+ * The upstreams of all services and what this instance has under way at each.
+ *
+ * Engines are chosen by the estimated tokens to read before the first token:
+ * what is under way there, plus what of this prompt has to be read anew. Each
+ * chain of shared parts has home engines, by rendezvous, where it is taken to
+ * be kept: instances agree on them without talking. Plain upstreams are chosen
+ * by least expected time. Decisions only; not thread-safe.
+ */
+class Fleet
+{
+public:
+  /** Failures in a row after which a member rests: one is chance, three are
+   * not at the error rates of sound upstreams. */
+  static constexpr int kFailuresToRest = 3;
+  static constexpr Duration kRest{ 1000 };
+  /**
+   * A listed member that vanished while the list was out of reach may only
+   * have lapsed there. It stays this long: sound ones are listed again within
+   * two seconds of the list's return.
+   */
+  static constexpr Duration kLapseGrace{ 1800 };
+
+  void Put(const Member& aMember);
+  /** `aMayHaveLapsed`: the list was out of reach not long ago. */
+  void Drop(std::string_view aId, bool aMayHaveLapsed, Instant aNow);
+  /** Ends the graces that have passed. */
+  void Tick(Instant aNow);
+
+  PlaceResult FindPlace(const PlaceRequest& aRequest, Instant aNow) const;
+
+  /** `aTokens` to read before the first byte of its answer. */
+  void NoteSent(std::string_view aId, std::int64_t aTokens);
+  void NoteFirstByte(std::string_view aId, std::int64_t aTokens);
+  /** `aTokens` still unread; `aTook` counts for served attempts. */
+  void NoteEnded(std::string_view aId,
+                 std::int64_t aTokens,
+                 MemberEnd aEnd,
+                 Duration aTook,
+                 Instant aNow);
+
+  /** Null if it is not known. */
+  const Member* Find(std::string_view aId) const;
+  std::size_t Size() const { return m_members.size(); }
+  /** Tokens that `aMember` has to read for the prompt, by what is known. */
+  static std::int64_t TokensToRead(const Prompt& aPrompt, bool aKept);
+  /** Whether the prompt's shared parts are taken to be kept there. */
+  bool IsHome(const Prompt& aPrompt, std::string_view aId) const;
+
+private:
+  struct State
+  {
+    Member m_member;
+    std::uint64_t m_hash = 0;
+    std::int64_t m_inFlight = 0;
+    std::int64_t m_tokens = 0; ///< Under way here, not read yet.
+    double m_tookMs = 0;       ///< Smoothed, of served plain calls.
+    double m_failShare = 0;    ///< Smoothed.
+    int m_failuresInRow = 0;
+    std::optional<Instant> m_restsUntil;
+    std::optional<Instant> m_goneAt; ///< Dropped, within its grace.
+  };
+
+  bool MayServe(const State& aState,
+                const PlaceRequest& aRequest,
+                Instant aNow) const;
+  PlaceResult FindPlain(std::span<const State* const> aSound,
+                        const PlaceRequest& aRequest) const;
+  PlaceResult FindEngine(std::span<const State* const> aSound,
+                         const PlaceRequest& aRequest) const;
+  std::vector<std::uint64_t> HomesOf(std::uint64_t aKey,
+                                     std::string_view aService) const;
+
+  std::map<std::string, State, std::less<>> m_members;
+};
+
+} // namespace ridgeferry::relay
--- /dev/null
+++ b/packages/relay/src/RelayFlow.cpp
@@ -0,0 +1,342 @@
+#include "ridgeferry/relay/RelayFlow.h"
+
+namespace ridgeferry::relay {
+
+namespace {
+
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+constexpr int kFirstServerError = 500;
+
+/** Statuses that promise a caller that its call has not run. */
+bool
+PromisesNotRun(int aStatus)
+{
+  constexpr int kRequestTimeout = 408;
+  constexpr int kMisdirected = 421;
+  constexpr int kTooMany = 429;
+  constexpr int kUnavailable = 503;
+  return aStatus == kRequestTimeout || aStatus == kMisdirected ||
+         aStatus == kTooMany || aStatus == kUnavailable;
+}
+
+} // namespace
+
+RelayFlow::RelayFlow(RelayTraits aTraits)
+  : m_traits(aTraits)
+{
+}
+
+std::vector<RelayAction>
+RelayFlow::Handle(const RelayEvent& aEvent)
+{
+  Actions actions;
+  if (m_step != Step::Done) {
+    std::visit([&](const auto& aTyped) { On(aTyped, actions); }, aEvent);
+  }
+  return actions;
+}
+
+bool
+RelayFlow::IsCurrent(AttemptId aAttempt) const
+{
+  return aAttempt == m_attempt &&
+         (m_step == Step::Reading || m_step == Step::Running);
+}
+
+bool
+RelayFlow::IsIdempotent() const
+{
+  return m_traits.m_stream ? m_traits.m_resumable
+                           : m_traits.m_repeat == Repeat::Freely;
+}
+
+bool
+RelayFlow::MayRunAgain() const
+{
+  return IsIdempotent() && m_repeatAllowed && m_runs < m_traits.m_maxRuns &&
+         m_tries < kMaxSends;
+}
+
+RelayFlow::Fate
+RelayFlow::FateOf(int aStatus) const
+{
+  // This run counts already, though its answer is not whole yet.
+  if (aStatus >= kFirstServerError && !m_forwarded && IsIdempotent() &&
+      m_repeatAllowed && m_runs + 1 < m_traits.m_maxRuns &&
+      m_tries < kMaxSends) {
+    return Fate::Repeat;
+  }
+  if (PromisesNotRun(aStatus)) {
+    return Fate::Conceal;
+  }
+  const bool success = aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
+  if (m_traits.m_stream && success) {
+    return Fate::Stream;
+  }
+  // A failure cannot go on what the caller was given of an earlier run.
+  return m_forwarded ? Fate::Conceal : Fate::Gather;
+}
+
+void
+RelayFlow::On(const CallBegan&, Actions& aActions)
+{
+  m_step = Step::Placing;
+  aActions.emplace_back(FindPlace{});
+}
+
+void
+RelayFlow::On(const PlaceFound& aEvent, Actions& aActions)
+{
+  if (m_step != Step::Placing) {
+    return;
+  }
+  m_upstream = aEvent.m_upstream;
+  m_reader = aEvent.m_reader;
+  m_handle.clear();
+  if (m_reader.empty()) {
+    StartRun(aActions);
+    return;
+  }
+  m_step = Step::Reading;
+  aActions.emplace_back(SendRead{ ++m_attempt, m_reader });
+}
+
+void
+RelayFlow::StartRun(Actions& aActions)
+{
+  m_step = Step::Running;
+  m_fate = Fate::Unknown;
+  m_gathered.clear();
+  ++m_tries;
+  const bool repeat = m_sends > 0;
+  ++m_sends;
+  aActions.emplace_back(SendRun{ ++m_attempt,
+                                 m_upstream,
+                                 m_reader,
+                                 m_handle,
+                                 m_forwarded ? m_events.LastId() : "",
+                                 repeat });
+}
+
+void
+RelayFlow::On(const NoPlace& aEvent, Actions& aActions)
+{
+  if (m_step == Step::Placing) {
+    GiveUp(aEvent.m_retryAfter, aActions);
+  }
+}
+
+void
+RelayFlow::FindAgain(Actions& aActions)
+{
+  m_step = Step::Placing;
+  aActions.emplace_back(FindPlace{ m_excluded });
+}
+
+void
+RelayFlow::Leave(AttemptEnd aEnd, Actions& aActions)
+{
+  aActions.emplace_back(NoteAttemptEnd{ m_attempt, aEnd });
+  if (aEnd == AttemptEnd::Failed || aEnd == AttemptEnd::Declined) {
+    m_excluded.push_back(m_step == Step::Reading ? m_reader : m_upstream);
+  }
+}
+
+void
+RelayFlow::On(const AttemptUnsent& aEvent, Actions& aActions)
+{
+  if (!IsCurrent(aEvent.m_attempt)) {
+    return;
+  }
+  Leave(AttemptEnd::Failed, aActions);
+  if (m_step == Step::Reading) {
+    m_reader.clear();
+    StartRun(aActions);
+    return;
+  }
+  --m_sends;
+  if (m_tries < kMaxSends) {
+    FindAgain(aActions);
+  } else {
+    GiveUp(kRetryAfter, aActions);
+  }
+}
+
+void
+RelayFlow::On(const AttemptRefused& aEvent, Actions& aActions)
+{
+  if (!IsCurrent(aEvent.m_attempt)) {
+    return;
+  }
+  Leave(AttemptEnd::Declined, aActions);
+  if (m_step == Step::Reading) {
+    // A reading that was declined counts as a send.
+    ++m_sends;
+  }
+  m_reader.clear();
+  if (m_repeatAllowed && m_tries < kMaxSends) {
+    FindAgain(aActions);
+  } else {
+    GiveUp(kRetryAfter, aActions);
+  }
+}
+
+void
+RelayFlow::On(const PromptRead& aEvent, Actions& aActions)
+{
+  if (!IsCurrent(aEvent.m_attempt) || m_step != Step::Reading) {
+    return;
+  }
+  aActions.emplace_back(NoteAttemptEnd{ m_attempt, AttemptEnd::Served });
+  m_handle = aEvent.m_handle;
+  StartRun(aActions);
+}
+
+void
+RelayFlow::On(const HeadArrived& aEvent, Actions& aActions)
+{
+  if (!IsCurrent(aEvent.m_attempt) || m_step != Step::Running) {
+    return;
+  }
+  m_fate = FateOf(aEvent.m_status);
+  if (m_fate == Fate::Stream && !m_forwarded) {
+    m_forwarded = true;
+    aActions.emplace_back(ForwardHead{});
+  }
+}
+
+void
+RelayFlow::On(const BytesArrived& aEvent, Actions& aActions)
+{
+  if (!IsCurrent(aEvent.m_attempt) || m_step != Step::Running) {
+    return;
+  }
+  if (m_fate == Fate::Stream) {
+    if (std::string whole = m_events.Add(aEvent.m_bytes); !whole.empty()) {
+      aActions.emplace_back(ForwardBytes{ std::move(whole) });
+    }
+  } else if (m_fate == Fate::Pass) {
+    aActions.emplace_back(ForwardBytes{ aEvent.m_bytes });
+  } else if (m_fate == Fate::Gather) {
+    m_gathered += aEvent.m_bytes;
+    if (m_gathered.size() > kGatherBytes) {
+      m_fate = Fate::Pass;
+      m_forwarded = true;
+      aActions.emplace_back(ForwardHead{});
+      aActions.emplace_back(ForwardBytes{ std::move(m_gathered) });
+    }
+  }
+}
+
+void
+RelayFlow::On(const AnswerEnded& aEvent, Actions& aActions)
+{
+  if (!IsCurrent(aEvent.m_attempt)) {
+    return;
+  }
+  if (m_step == Step::Reading) {
+    // An answer without a handle: read the prompt where it runs.
+    Leave(AttemptEnd::Failed, aActions);
+    m_reader.clear();
+    StartRun(aActions);
+    return;
+  }
+  ++m_runs;
+  const bool failed = m_fate == Fate::Repeat || m_fate == Fate::Conceal;
+  Leave(failed ? AttemptEnd::Failed : AttemptEnd::Served, aActions);
+  switch (m_fate) {
+    case Fate::Repeat:
+      FindAgain(aActions);
+      return;
+    case Fate::Unknown:
+    case Fate::Conceal:
+      GiveUp(kRetryAfter, aActions);
+      return;
+    case Fate::Stream:
+      if (std::string rest = m_events.TakeRest(); !rest.empty()) {
+        aActions.emplace_back(ForwardBytes{ std::move(rest) });
+      }
+      Finish(aActions, ForwardEnd{});
+      return;
+    case Fate::Pass:
+      Finish(aActions, ForwardEnd{});
+      return;
+    case Fate::Gather:
+      Finish(aActions, ForwardWhole{ std::move(m_gathered) });
+      return;
+  }
+}
+
+void
+RelayFlow::On(const AttemptBroke& aEvent, Actions& aActions)
+{
+  if (!IsCurrent(aEvent.m_attempt)) {
+    return;
+  }
+  Leave(AttemptEnd::Failed, aActions);
+  if (m_step == Step::Reading) {
+    m_reader.clear();
+    StartRun(aActions);
+    return;
+  }
+  ++m_runs;
+  m_events.TakeRest();
+  if (MayRunAgain() && (!m_forwarded || m_fate == Fate::Stream)) {
+    FindAgain(aActions);
+    return;
+  }
+  GiveUp(kRetryAfter, aActions);
+}
+
+void
+RelayFlow::On(const DeadlinePassed&, Actions& aActions)
+{
+  const bool running = m_step == Step::Running;
+  if (running || m_step == Step::Reading) {
+    aActions.emplace_back(CancelAttempt{ m_attempt });
+    Leave(AttemptEnd::Abandoned, aActions);
+  }
+  if (m_forwarded) {
+    Finish(aActions, BreakOff{});
+  } else if (running || m_runs > 0) {
+    Finish(aActions, ReplyOwn{ ReplyOwn::Reason::TooLate, {} });
+  } else {
+    Finish(aActions, ReplyOwn{ ReplyOwn::Reason::NoRoom, kRetryAfter });
+  }
+}
+
+void
+RelayFlow::On(const CallerLeft&, Actions& aActions)
+{
+  if (m_step == Step::Running || m_step == Step::Reading) {
+    aActions.emplace_back(CancelAttempt{ m_attempt });
+    Leave(AttemptEnd::Abandoned, aActions);
+  }
+  const bool untaken = m_step == Step::Running && m_fate == Fate::Unknown;
+  if (untaken && !m_handle.empty()) {
+    aActions.emplace_back(FreeHandle{ m_reader, m_handle });
+  }
+  m_step = Step::Done;
+}
+
+void
+RelayFlow::GiveUp(Duration aRetryAfter, Actions& aActions)
+{
+  if (m_forwarded) {
+    Finish(aActions, BreakOff{});
+  } else if (m_runs > 0) {
+    Finish(aActions, ReplyOwn{ ReplyOwn::Reason::NoAnswer, {} });
+  } else {
+    Finish(aActions, ReplyOwn{ ReplyOwn::Reason::NoRoom, aRetryAfter });
+  }
+}
+
+void
+RelayFlow::Finish(Actions& aActions, RelayAction aFinal)
+{
+  m_step = Step::Done;
+  aActions.push_back(std::move(aFinal));
+}
+
+} // namespace ridgeferry::relay
--- /dev/null
+++ b/packages/relay/src/Routes.cpp
@@ -0,0 +1,79 @@
+#include "ridgeferry/relay/Routes.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace ridgeferry::relay {
+
+namespace {
+
+std::string
+LowerHost(std::string_view aHost)
+{
+  std::string out(aHost.substr(0, aHost.find(':')));
+  std::transform(out.begin(), out.end(), out.begin(), [](unsigned char aSign) {
+    return static_cast<char>(std::tolower(aSign));
+  });
+  return out;
+}
+
+} // namespace
+
+RouteTable::RouteTable(RouteConfig aConfig)
+  : m_config(std::move(aConfig))
+{
+  for (const Route& route : m_config.m_routes) {
+    m_byPlace[LowerHost(route.m_host) + route.m_pathPrefix] = &route;
+  }
+  for (const Service& service : m_config.m_services) {
+    m_byService[service.m_name] = &service;
+  }
+}
+
+const Route*
+RouteTable::Find(std::string_view aHost, std::string_view aPath) const
+{
+  const std::string host = LowerHost(aHost);
+  std::size_t end = aPath.rfind('/');
+  while (end != std::string_view::npos) {
+    const auto found =
+      m_byPlace.find(host + std::string(aPath.substr(0, end + 1)));
+    if (found != m_byPlace.end()) {
+      return found->second;
+    }
+    if (end == 0) {
+      break;
+    }
+    end = aPath.rfind('/', end - 1);
+  }
+  return nullptr;
+}
+
+const Service*
+RouteTable::FindService(std::string_view aName) const
+{
+  const auto found = m_byService.find(aName);
+  return found == m_byService.end() ? nullptr : found->second;
+}
+
+const std::string&
+RouteTable::Draw(const Route& aRoute, double aDraw)
+{
+  const double total =
+    std::accumulate(aRoute.m_services.begin(),
+                    aRoute.m_services.end(),
+                    0.0,
+                    [](double aSum, const ServiceShare& aShare) {
+                      return aSum + aShare.m_weight;
+                    });
+  double left = aDraw * total;
+  for (const ServiceShare& share : aRoute.m_services) {
+    left -= share.m_weight;
+    if (left < 0) {
+      return share.m_service;
+    }
+  }
+  return aRoute.m_services.back().m_service;
+}
+
+} // namespace ridgeferry::relay
--- /dev/null
+++ b/packages/relay/src/TableFollower.cpp
@@ -0,0 +1,129 @@
+#include "ridgeferry/relay/TableFollower.h"
+
+#include <algorithm>
+#include <set>
+
+namespace ridgeferry::relay {
+
+std::vector<FollowAction>
+TableFollower::Handle(const FollowEvent& aEvent, Instant aNow)
+{
+  Actions actions;
+  std::visit([&](const auto& aTyped) { On(aTyped, aNow, actions); }, aEvent);
+  return actions;
+}
+
+void
+TableFollower::Ask(Actions& aActions) const
+{
+  if (m_needsTable) {
+    aActions.emplace_back(ReadTable{});
+  } else {
+    aActions.emplace_back(ReadChanges{ m_version, kWait });
+  }
+}
+
+bool
+TableFollower::IsAfterOutage(Instant aNow) const
+{
+  return m_hadOutage && aNow - m_lastFailure < kOutageMemory;
+}
+
+void
+TableFollower::NoteAnswer(Instant, Actions& aActions)
+{
+  m_retry = kFirstRetry;
+  if (m_lost) {
+    m_lost = false;
+    aActions.emplace_back(StoreBack{});
+  }
+}
+
+void
+TableFollower::On(const FollowBegan&, Instant, Actions& aActions)
+{
+  Ask(aActions);
+}
+
+void
+TableFollower::On(const TableRead& aEvent, Instant aNow, Actions& aActions)
+{
+  NoteAnswer(aNow, aActions);
+  if (m_hasRead && aEvent.m_version < m_version) {
+    // An answer from before what was already told: ask again a little later.
+    aActions.emplace_back(RetryLater{ kFirstRetry });
+    return;
+  }
+  ApplyRows apply{ {}, IsAfterOutage(aNow) };
+  std::set<std::string> present;
+  for (const FollowedRow& row : aEvent.m_rows) {
+    present.insert(row.m_key);
+    const auto known = m_rows.find(row.m_key);
+    if (known == m_rows.end() || known->second != row.m_value) {
+      apply.m_rows.push_back(row);
+    }
+  }
+  for (const auto& [key, value] : m_rows) {
+    if (!present.contains(key)) {
+      apply.m_rows.push_back({ key, {}, true });
+    }
+  }
+  m_rows.clear();
+  for (const FollowedRow& row : aEvent.m_rows) {
+    m_rows[row.m_key] = row.m_value;
+  }
+  m_hasRead = true;
+  m_needsTable = false;
+  m_version = aEvent.m_version;
+  aActions.emplace_back(std::move(apply));
+  Ask(aActions);
+}
+
+void
+TableFollower::On(const ChangesRead& aEvent, Instant aNow, Actions& aActions)
+{
+  NoteAnswer(aNow, aActions);
+  if (aEvent.m_version >= m_version) {
+    m_version = aEvent.m_version;
+    for (const FollowedRow& row : aEvent.m_rows) {
+      if (row.m_removed) {
+        m_rows.erase(row.m_key);
+      } else {
+        m_rows[row.m_key] = row.m_value;
+      }
+    }
+    if (!aEvent.m_rows.empty()) {
+      aActions.emplace_back(ApplyRows{ aEvent.m_rows, IsAfterOutage(aNow) });
+    }
+  }
+  Ask(aActions);
+}
+
+void
+TableFollower::On(const HistoryGone&, Instant aNow, Actions& aActions)
+{
+  NoteAnswer(aNow, aActions);
+  m_needsTable = true;
+  Ask(aActions);
+}
+
+void
+TableFollower::On(const ReadFailed& aEvent, Instant aNow, Actions& aActions)
+{
+  m_lastFailure = aNow;
+  m_hadOutage = true;
+  if (!m_lost) {
+    m_lost = true;
+    aActions.emplace_back(StoreLost{ aEvent.m_cause });
+  }
+  aActions.emplace_back(RetryLater{ m_retry });
+  m_retry = std::min(m_retry * 2, kLongestRetry);
+}
+
+void
+TableFollower::On(const RetryDue&, Instant, Actions& aActions)
+{
+  Ask(aActions);
+}
+
+} // namespace ridgeferry::relay
