Placement: loads of all instances by datagrams; prompts that would miss their aim are refused at once

Each instance saw only its own sends. Change: instances tell each other what is under way (membership's roster and heartbeat, Thrift over UDP, every 40 ms); the first token's time is estimated by tokens under way and a learned pace; past 0.9 of the aim the call is refused at once with the time of the missing room; a quarter of the generators read no long prompts.

--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -56,6 +56,14 @@
   bool m_hasMore = false;
 };
 
+/** Puts one row, whatever it held before. */
+struct StoreWrite
+{
+  std::string m_table;
+  std::string m_key;
+  std::string m_value;
+};
+
 /** What the answer to a store read means. */
 using StoreAnswer =
   std::variant<StorePage, relay::HistoryGone, relay::ReadFailed>;
@@ -78,6 +86,9 @@
     m_writeFreeHandle;
   sigc::slot<net::HttpRequest(const StoreRead&)> m_writeStoreRead;
   sigc::slot<StoreAnswer(const net::HttpResponse&)> m_readStoreAnswer;
+  sigc::slot<net::HttpRequest(const StoreWrite&)> m_writeStoreWrite;
+  /** Whether the store has taken a write. */
+  sigc::slot<bool(const net::HttpResponse&)> m_saysWritten;
   sigc::slot<tl::expected<relay::RouteConfig, std::vector<FieldError>>(
     std::string_view)>
     m_readConfig;
@@ -88,6 +99,7 @@
   std::string m_configTable;
   std::string m_configKey;
   std::string m_memberTable;
+  std::string m_instanceTable; ///< Ours: a row an instance, its address.
 };
 
 } // namespace ridgeferry::entry
--- a/packages/entry/include/ridgeferry/entry/EntrySettings.h
+++ b/packages/entry/include/ridgeferry/entry/EntrySettings.h
@@ -25,6 +25,9 @@
   net::Address m_callers;
   net::Address m_readiness;
   net::Address m_metrics;
+  net::Address m_peers; ///< UDP; the port is the same at all instances.
+  /** Addresses of some instances, at any port; they may be out of date. */
+  std::vector<net::Address> m_seeds;
   std::string m_store; ///< IP:PORT.
   /** From a planned stop's signal to the process's end by force. */
   Duration m_stopGrace{ 8000 };
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -1,5 +1,6 @@
 #include "ridgeferry/entry/Entry.h"
 
+#include "Peers.h"
 #include "Relay.h"
 #include "StoreReader.h"
 
@@ -52,6 +53,7 @@
   std::unique_ptr<StoreReader> m_config;
   std::unique_ptr<StoreReader> m_members;
   std::unique_ptr<Relay> m_relay;
+  std::unique_ptr<Peers> m_peers;
   std::unique_ptr<net::HttpServer> m_readiness;
   std::unique_ptr<net::HttpServer> m_metrics;
   bool m_wasReady = false;
@@ -248,6 +250,7 @@
   m_members =
     std::make_unique<StoreReader>(m_node, m_node.m_dialect.m_memberTable);
   m_relay = std::make_unique<Relay>(m_node);
+  m_peers = std::make_unique<Peers>(m_node);
   if (auto started = m_relay->Start(); !started) {
     return started;
   }
@@ -287,7 +290,7 @@
                         { "store", m_node.m_settings.m_store } });
   m_config->Start();
   m_members->Start();
-  return {};
+  return m_peers->Start();
 }
 
 Entry::Entry(std::unique_ptr<Impl> aImpl)
--- a/packages/entry/src/EntrySettings.cpp
+++ b/packages/entry/src/EntrySettings.cpp
@@ -40,9 +40,22 @@
   aSettings.m_callers = ReadAddress(aListen, "callers");
   aSettings.m_readiness = ReadAddress(aListen, "readiness");
   aSettings.m_metrics = ReadAddress(aListen, "metrics");
+  aSettings.m_peers = ReadAddress(aListen, "peers");
   aListen.RejectUnknown();
 }
 
+void
+ReadSeeds(FieldReader& aReader, EntrySettings& aSettings)
+{
+  for (const std::string& text : aReader.StringList("seeds")) {
+    if (const auto address = net::Address::Parse(text)) {
+      aSettings.m_seeds.push_back(*address);
+    } else {
+      aReader.Fail("seeds", "a list of IP:PORT");
+    }
+  }
+}
+
 void
 ReadRetries(FieldReader& aRetries, EntrySettings& aSettings)
 {
@@ -73,6 +86,7 @@
   }
   reader.Object("listen",
                 [&](FieldReader& aListen) { ReadListen(aListen, out); });
+  ReadSeeds(reader, out);
   out.m_store = ReadAddress(reader, "store").ToString();
   out.m_stopGrace =
     ReadSeconds(reader, "stopGraceSeconds", out.m_stopGrace, kLongestGraceS);
--- /dev/null
+++ b/packages/entry/src/Peers.cpp
@@ -0,0 +1,257 @@
+#include "Peers.h"
+
+#include <algorithm>
+#include <ridgeferry/base/Overloaded.h>
+#include <ridgeferry/protocol/Messages.h>
+
+namespace ridgeferry::entry {
+
+namespace {
+
+/**
+ * How often an instance tells the others what it has under way. A long prompt
+ * occupies an engine for some tens of milliseconds; older news would send the
+ * next ones to the same engine. Larger deployments talk less often: each other
+ * instance adds its part, so that the bytes stay bounded.
+ */
+constexpr Duration kTalkEvery{ 40 };
+constexpr Duration kTalkEachPeer{ 4 };
+/** Missed talks after which an instance counts as dead: about half a second. */
+constexpr int kDeadAfterMissed = 10;
+/** The store's rows are asked for again after a failure in this time. */
+constexpr Duration kRetry{ 500 };
+constexpr Duration kStoreTimeout{ 1000 };
+/** Most loads of one talk: its datagram stays below a network's packet. */
+constexpr std::size_t kMostLoads = 100;
+
+membership::RosterTimes
+Times()
+{
+  membership::RosterTimes out;
+  out.m_heartbeatEvery = kTalkEvery;
+  out.m_heartbeatEachPeer = kTalkEachPeer;
+  out.m_deadAfterMissed = kDeadAfterMissed;
+  return out;
+}
+
+} // namespace
+
+Peers::Peers(EntryNode& aNode)
+  : m_node(aNode)
+  , m_roster(aNode.m_settings.m_instance, Times())
+  , m_incarnation(static_cast<std::uint64_t>(
+      net::EventLoop::WallNow().time_since_epoch().count()))
+{
+}
+
+tl::expected<void, net::NetError>
+Peers::Start()
+{
+  auto socket = net::UdpSocket::Bind(
+    *m_node.m_loop, m_node.m_settings.m_peers, [this](std::string_view aBytes) {
+      OnDatagram(aBytes);
+    });
+  if (!socket) {
+    return tl::unexpected(socket.error());
+  }
+  m_socket = std::move(*socket);
+  m_tick = m_node.m_loop->Every(kTalkEvery, [this] {
+    ForgetDead();
+    Handle(membership::RosterTick{});
+  });
+  std::set<std::string> seeds;
+  for (const net::Address& seed : m_node.m_settings.m_seeds) {
+    seeds.insert(
+      net::Address{ seed.m_ip, m_node.m_settings.m_peers.m_port }.ToString());
+  }
+  SendTo(seeds);
+  WriteOwnRow();
+  return {};
+}
+
+membership::Heartbeat
+Peers::Own() const
+{
+  membership::Heartbeat out;
+  out.m_instance = m_node.m_settings.m_instance;
+  out.m_incarnation = m_incarnation;
+  out.m_hall = m_node.m_settings.m_hall;
+  out.m_peerAddress = m_node.m_settings.m_peers.ToString();
+  out.m_ready = m_ready;
+  out.m_leaving = m_leaving;
+  out.m_revision = m_node.m_routes == nullptr ? 0 : m_node.m_routes->Version();
+  out.m_leavingUpstreams.assign(m_leavingUpstreams.begin(),
+                                m_leavingUpstreams.end());
+  for (const relay::OtherLoad& load : m_node.m_fleet.OwnLoads()) {
+    if (out.m_engines.size() == kMostLoads) {
+      break;
+    }
+    out.m_engines.push_back({ load.m_member,
+                              0,
+                              static_cast<std::int32_t>(load.m_running),
+                              static_cast<std::int32_t>(load.m_tokens) });
+  }
+  return out;
+}
+
+void
+Peers::SendTo(const std::set<std::string>& aAddresses)
+{
+  if (aAddresses.empty()) {
+    return;
+  }
+  const std::string bytes = protocol::Encode(Own());
+  for (const std::string& text : aAddresses) {
+    if (const auto address = net::Address::Parse(text)) {
+      m_socket->Send(*address, bytes);
+    }
+  }
+}
+
+void
+Peers::TellAll()
+{
+  const std::vector<std::string> live = m_roster.LiveAddresses();
+  SendTo({ live.begin(), live.end() });
+}
+
+void
+Peers::SetState(bool aReady, bool aLeaving)
+{
+  m_ready = aReady;
+  m_leaving = aLeaving;
+}
+
+void
+Peers::NoteLeaving(const std::string& aUpstream)
+{
+  if (m_leavingUpstreams.insert(aUpstream).second) {
+    TellAll();
+  }
+}
+
+void
+Peers::OnDatagram(std::string_view aBytes)
+{
+  auto heartbeat = protocol::DecodeHeartbeat(aBytes);
+  if (!heartbeat) {
+    m_node.m_metrics.Count("ridgeferry_bad_datagrams_total");
+    return;
+  }
+  if (heartbeat->m_instance == m_node.m_settings.m_instance) {
+    return;
+  }
+  std::vector<relay::OtherLoad> loads;
+  for (const membership::EngineDigest& digest : heartbeat->m_engines) {
+    loads.push_back({ digest.m_engine, digest.m_running, digest.m_work });
+  }
+  m_counted.insert(heartbeat->m_instance);
+  m_node.m_fleet.SetOther(heartbeat->m_instance, std::move(loads));
+  Handle(membership::HeartbeatArrived{ std::move(*heartbeat) });
+}
+
+void
+Peers::ForgetDead()
+{
+  const auto& peers = m_roster.Peers();
+  std::erase_if(m_counted, [&](const std::string& aInstance) {
+    const auto found = peers.find(aInstance);
+    const bool alive = found != peers.end() && found->second.m_alive;
+    if (!alive) {
+      m_node.m_fleet.SetOther(aInstance, {});
+      m_node.m_log->Write(
+        observe::LogLevel::Info, "peer-silent", { { "peer", aInstance } });
+    }
+    return !alive;
+  });
+}
+
+void
+Peers::Handle(const membership::RosterEvent& aEvent)
+{
+  std::set<std::string> addresses;
+  for (const membership::RosterAction& action :
+       m_roster.Handle(aEvent, m_node.Now())) {
+    std::visit(Overloaded{
+                 [&](const membership::SendHeartbeat& aSend) {
+                   addresses.insert(aSend.m_peerAddress);
+                 },
+                 [&](const membership::IncarnationEnded&) {},
+                 [&](const membership::UpstreamLeaving& aLeaving) {
+                   if (m_leavingUpstreams.insert(aLeaving.m_upstream).second) {
+                     m_leaves.emit(aLeaving.m_upstream);
+                   }
+                 },
+               },
+               action);
+  }
+  SendTo(addresses);
+}
+
+void
+Peers::RetryLater(sigc::slot<void()> aWhat)
+{
+  m_retry = m_node.m_loop->After(kRetry, std::move(aWhat));
+}
+
+void
+Peers::WriteOwnRow()
+{
+  net::HttpRequest request = m_node.m_dialect.m_writeStoreWrite(
+    { m_node.m_dialect.m_instanceTable,
+      m_node.m_settings.m_instance,
+      m_node.m_settings.m_peers.ToString() });
+  request.m_address = m_node.m_settings.m_store;
+  request.m_timeout = kStoreTimeout;
+  net::HttpCallbacks callbacks;
+  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
+    if (m_node.m_dialect.m_saysWritten(aResponse)) {
+      ReadRows();
+      return;
+    }
+    // It may have been written all the same; writing it again is harmless.
+    RetryLater([this] { WriteOwnRow(); });
+  };
+  m_node.m_http->Send(request, std::move(callbacks));
+}
+
+void
+Peers::ReadRows()
+{
+  StoreRead read;
+  read.m_table = m_node.m_dialect.m_instanceTable;
+  net::HttpRequest request = m_node.m_dialect.m_writeStoreRead(read);
+  request.m_address = m_node.m_settings.m_store;
+  request.m_timeout = kStoreTimeout;
+  net::HttpCallbacks callbacks;
+  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
+    const bool whole = aResponse.m_end == net::HttpEnd::Complete;
+    const StoreAnswer answer =
+      whole ? m_node.m_dialect.m_readStoreAnswer(aResponse)
+            : StoreAnswer(relay::ReadFailed{ "no whole answer" });
+    if (const auto* page = std::get_if<StorePage>(&answer)) {
+      TakeRows(*page);
+    } else {
+      RetryLater([this] { ReadRows(); });
+    }
+  };
+  m_node.m_http->Send(request, std::move(callbacks));
+}
+
+void
+Peers::TakeRows(const StorePage& aPage)
+{
+  membership::InstancesListed listed;
+  for (const relay::FollowedRow& row : aPage.m_rows) {
+    if (row.m_key != m_node.m_settings.m_instance) {
+      listed.m_instances.push_back({ row.m_key, row.m_value });
+    }
+  }
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "peers-listed",
+    { { "count", static_cast<std::int64_t>(listed.m_instances.size()) } });
+  Handle(listed);
+}
+
+} // namespace ridgeferry::entry
--- /dev/null
+++ b/packages/entry/src/Peers.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "EntryNode.h"
+
+#include <ridgeferry/membership/Roster.h>
+#include <ridgeferry/net/UdpSocket.h>
+#include <set>
+#include <sigc++/sigc++.h>
+
+namespace ridgeferry::entry {
+
+/**
+ * Talk between the instances of a deployment: each tells the others several
+ * times a second what it has under way and which upstreams leave. Instances
+ * find one another by rows of the store, written before they are read, and by
+ * the seeds; once found, they need neither. Not thread-safe.
+ */
+class Peers
+{
+public:
+  explicit Peers(EntryNode& aNode);
+
+  tl::expected<void, net::NetError> Start();
+  /** This instance learned that an upstream leaves: tell the others. */
+  void NoteLeaving(const std::string& aUpstream);
+  void SetState(bool aReady, bool aLeaving);
+  /** Live instances, with this one. */
+  std::size_t LiveCount() const { return m_roster.LiveCount(); }
+
+  /** Another instance says that an upstream leaves. */
+  sigc::signal<void(const std::string&)>& SignalLeaving() { return m_leaves; }
+
+private:
+  void Handle(const membership::RosterEvent& aEvent);
+  void OnDatagram(std::string_view aBytes);
+  void TellAll();
+  void SendTo(const std::set<std::string>& aAddresses);
+  membership::Heartbeat Own() const;
+  void ForgetDead();
+  void WriteOwnRow();
+  void ReadRows();
+  void TakeRows(const StorePage& aPage);
+  void RetryLater(sigc::slot<void()> aWhat);
+
+  EntryNode& m_node;
+  membership::Roster m_roster;
+  std::uint64_t m_incarnation;
+  bool m_ready = false;
+  bool m_leaving = false;
+  std::set<std::string> m_leavingUpstreams;
+  std::set<std::string> m_counted; ///< Instances whose loads are counted.
+  std::unique_ptr<net::UdpSocket> m_socket;
+  net::Watch m_tick;
+  net::Watch m_retry;
+  sigc::signal<void(const std::string&)> m_leaves;
+};
+
+} // namespace ridgeferry::entry
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -147,12 +147,18 @@
   request.m_prompt = m_start.m_head.m_prompt;
   request.m_excluded = aAction.m_excluded;
   request.m_random = m_node.m_random();
+  if (m_start.m_head.m_prompt && m_start.m_route->m_aim.count() > 0) {
+    const Duration spent = m_node.Now() - m_began;
+    request.m_patience = m_start.m_route->m_aim * 9 / 10 - spent;
+  }
   const relay::PlaceResult result =
     m_node.m_fleet.FindPlace(request, m_node.Now());
   if (const auto* place = std::get_if<relay::Place>(&result)) {
     Handle(relay::PlaceFound{ place->m_upstream, place->m_reader });
   } else {
-    Handle(relay::NoPlace{ relay::RelayFlow::kRetryAfter });
+    const auto& fault = std::get<relay::PlaceFault>(result);
+    Handle(relay::NoPlace{
+      fault.m_full ? fault.m_roomIn : relay::RelayFlow::kRetryAfter });
   }
 }
 
@@ -216,6 +222,7 @@
     m_node.m_dialect.m_writeSend(*m_start.m_exchange, aTerms);
   request.m_timeout = aTerms.m_left;
   request.m_connectTimeout = kConnectTimeout;
+  m_attempt.m_tokensAhead = m_node.m_fleet.TokensAt(aMember.m_id);
   m_node.m_fleet.NoteSent(aMember.m_id, m_attempt.m_tokens);
   m_node.m_metrics.Count("ridgeferry_sends_total");
   net::HttpCallbacks callbacks;
@@ -230,6 +237,11 @@
 void
 RelayCall::TakeHead(const net::HttpHead& aHead)
 {
+  if (m_attempt.m_tokens > 0) {
+    m_node.m_fleet.NotePace(m_attempt.m_upstream,
+                            m_attempt.m_tokensAhead + m_attempt.m_tokens,
+                            m_node.Now() - m_attempt.m_sentAt);
+  }
   m_node.m_fleet.NoteFirstByte(m_attempt.m_upstream, m_attempt.m_tokens);
   m_attempt.m_tokens = 0;
   m_attempt.m_hasHead = true;
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -22,6 +22,8 @@
   std::uint32_t m_engine = 0; ///< Hash of its id.
   std::uint32_t m_state = 0;  ///< Hash of its state, all but the load.
   std::int32_t m_running = 0; ///< Requests running or waiting.
+  /** Tokens that the sender's own requests still have to have read there. */
+  std::int32_t m_work = 0;
   bool operator==(const EngineDigest&) const = default;
 };
 
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -65,6 +65,11 @@
   this->loads = val;
 __isset.loads = true;
 }
+
+void Heartbeat::__set_work(const std::vector<int32_t> & val) {
+  this->work = val;
+__isset.work = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -236,6 +241,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->work.clear();
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->work.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
+            {
+              xfer += iprot->readI32(this->work[_i24]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.work = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -299,10 +324,10 @@
     xfer += oprot->writeFieldBegin("leavingUpstreams", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leavingUpstreams.size()));
-      std::vector<std::string> ::const_iterator _iter20;
-      for (_iter20 = this->leavingUpstreams.begin(); _iter20 != this->leavingUpstreams.end(); ++_iter20)
+      std::vector<std::string> ::const_iterator _iter25;
+      for (_iter25 = this->leavingUpstreams.begin(); _iter25 != this->leavingUpstreams.end(); ++_iter25)
       {
-        xfer += oprot->writeString((*_iter20));
+        xfer += oprot->writeString((*_iter25));
       }
       xfer += oprot->writeListEnd();
     }
@@ -312,10 +337,10 @@
     xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->engines.size()));
-      std::vector<int32_t> ::const_iterator _iter21;
-      for (_iter21 = this->engines.begin(); _iter21 != this->engines.end(); ++_iter21)
+      std::vector<int32_t> ::const_iterator _iter26;
+      for (_iter26 = this->engines.begin(); _iter26 != this->engines.end(); ++_iter26)
       {
-        xfer += oprot->writeI32((*_iter21));
+        xfer += oprot->writeI32((*_iter26));
       }
       xfer += oprot->writeListEnd();
     }
@@ -325,10 +350,10 @@
     xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->states.size()));
-      std::vector<int32_t> ::const_iterator _iter22;
-      for (_iter22 = this->states.begin(); _iter22 != this->states.end(); ++_iter22)
+      std::vector<int32_t> ::const_iterator _iter27;
+      for (_iter27 = this->states.begin(); _iter27 != this->states.end(); ++_iter27)
       {
-        xfer += oprot->writeI32((*_iter22));
+        xfer += oprot->writeI32((*_iter27));
       }
       xfer += oprot->writeListEnd();
     }
@@ -338,10 +363,23 @@
     xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->loads.size()));
-      std::vector<int32_t> ::const_iterator _iter23;
-      for (_iter23 = this->loads.begin(); _iter23 != this->loads.end(); ++_iter23)
+      std::vector<int32_t> ::const_iterator _iter28;
+      for (_iter28 = this->loads.begin(); _iter28 != this->loads.end(); ++_iter28)
+      {
+        xfer += oprot->writeI32((*_iter28));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.work) {
+    xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 12);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->work.size()));
+      std::vector<int32_t> ::const_iterator _iter29;
+      for (_iter29 = this->work.begin(); _iter29 != this->work.end(); ++_iter29)
       {
-        xfer += oprot->writeI32((*_iter23));
+        xfer += oprot->writeI32((*_iter29));
       }
       xfer += oprot->writeListEnd();
     }
@@ -365,36 +403,39 @@
   swap(a.engines, b.engines);
   swap(a.states, b.states);
   swap(a.loads, b.loads);
+  swap(a.work, b.work);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other24) {
-  instance = other24.instance;
-  incarnation = other24.incarnation;
-  hall = other24.hall;
-  peerAddress = other24.peerAddress;
-  ready = other24.ready;
-  leaving = other24.leaving;
-  revision = other24.revision;
-  leavingUpstreams = other24.leavingUpstreams;
-  engines = other24.engines;
-  states = other24.states;
-  loads = other24.loads;
-  __isset = other24.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other25) {
-  instance = other25.instance;
-  incarnation = other25.incarnation;
-  hall = other25.hall;
-  peerAddress = other25.peerAddress;
-  ready = other25.ready;
-  leaving = other25.leaving;
-  revision = other25.revision;
-  leavingUpstreams = other25.leavingUpstreams;
-  engines = other25.engines;
-  states = other25.states;
-  loads = other25.loads;
-  __isset = other25.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other30) {
+  instance = other30.instance;
+  incarnation = other30.incarnation;
+  hall = other30.hall;
+  peerAddress = other30.peerAddress;
+  ready = other30.ready;
+  leaving = other30.leaving;
+  revision = other30.revision;
+  leavingUpstreams = other30.leavingUpstreams;
+  engines = other30.engines;
+  states = other30.states;
+  loads = other30.loads;
+  work = other30.work;
+  __isset = other30.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other31) {
+  instance = other31.instance;
+  incarnation = other31.incarnation;
+  hall = other31.hall;
+  peerAddress = other31.peerAddress;
+  ready = other31.ready;
+  leaving = other31.leaving;
+  revision = other31.revision;
+  leavingUpstreams = other31.leavingUpstreams;
+  engines = other31.engines;
+  states = other31.states;
+  loads = other31.loads;
+  work = other31.work;
+  __isset = other31.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -411,6 +452,7 @@
   out << ", " << "engines="; (__isset.engines ? (out << to_string(engines)) : (out << "<null>"));
   out << ", " << "states="; (__isset.states ? (out << to_string(states)) : (out << "<null>"));
   out << ", " << "loads="; (__isset.loads ? (out << to_string(loads)) : (out << "<null>"));
+  out << ", " << "work="; (__isset.work ? (out << to_string(work)) : (out << "<null>"));
   out << ")";
 }
 
@@ -492,11 +534,11 @@
   swap(a.after, b.after);
 }
 
-ChangesRequest::ChangesRequest(const ChangesRequest& other26) noexcept {
-  after = other26.after;
+ChangesRequest::ChangesRequest(const ChangesRequest& other32) noexcept {
+  after = other32.after;
 }
-ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other27) noexcept {
-  after = other27.after;
+ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other33) noexcept {
+  after = other33.after;
   return *this;
 }
 void ChangesRequest::printTo(std::ostream& out) const {
@@ -604,13 +646,13 @@
   swap(a.json, b.json);
 }
 
-ConfigObject::ConfigObject(const ConfigObject& other28) {
-  key = other28.key;
-  json = other28.json;
+ConfigObject::ConfigObject(const ConfigObject& other34) {
+  key = other34.key;
+  json = other34.json;
 }
-ConfigObject& ConfigObject::operator=(const ConfigObject& other29) {
-  key = other29.key;
-  json = other29.json;
+ConfigObject& ConfigObject::operator=(const ConfigObject& other35) {
+  key = other35.key;
+  json = other35.json;
   return *this;
 }
 void ConfigObject::printTo(std::ostream& out) const {
@@ -680,14 +722,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->changes.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->changes.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += iprot->readString(this->changes[_i34]);
+              xfer += iprot->readString(this->changes[_i40]);
             }
             xfer += iprot->readListEnd();
           }
@@ -700,14 +742,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->snapshot.clear();
-            uint32_t _size35;
-            ::apache::thrift::protocol::TType _etype38;
-            xfer += iprot->readListBegin(_etype38, _size35);
-            this->snapshot.resize(_size35);
-            uint32_t _i39;
-            for (_i39 = 0; _i39 < _size35; ++_i39)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->snapshot.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->snapshot[_i39].read(iprot);
+              xfer += this->snapshot[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -744,10 +786,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->changes.size()));
-    std::vector<std::string> ::const_iterator _iter40;
-    for (_iter40 = this->changes.begin(); _iter40 != this->changes.end(); ++_iter40)
+    std::vector<std::string> ::const_iterator _iter46;
+    for (_iter46 = this->changes.begin(); _iter46 != this->changes.end(); ++_iter46)
     {
-      xfer += oprot->writeString((*_iter40));
+      xfer += oprot->writeString((*_iter46));
     }
     xfer += oprot->writeListEnd();
   }
@@ -757,10 +799,10 @@
     xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->snapshot.size()));
-      std::vector<ConfigObject> ::const_iterator _iter41;
-      for (_iter41 = this->snapshot.begin(); _iter41 != this->snapshot.end(); ++_iter41)
+      std::vector<ConfigObject> ::const_iterator _iter47;
+      for (_iter47 = this->snapshot.begin(); _iter47 != this->snapshot.end(); ++_iter47)
       {
-        xfer += (*_iter41).write(oprot);
+        xfer += (*_iter47).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -779,17 +821,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangesReply::ChangesReply(const ChangesReply& other42) {
-  revision = other42.revision;
-  changes = other42.changes;
-  snapshot = other42.snapshot;
-  __isset = other42.__isset;
+ChangesReply::ChangesReply(const ChangesReply& other48) {
+  revision = other48.revision;
+  changes = other48.changes;
+  snapshot = other48.snapshot;
+  __isset = other48.__isset;
 }
-ChangesReply& ChangesReply::operator=(const ChangesReply& other43) {
-  revision = other43.revision;
-  changes = other43.changes;
-  snapshot = other43.snapshot;
-  __isset = other43.__isset;
+ChangesReply& ChangesReply::operator=(const ChangesReply& other49) {
+  revision = other49.revision;
+  changes = other49.changes;
+  snapshot = other49.snapshot;
+  __isset = other49.__isset;
   return *this;
 }
 void ChangesReply::printTo(std::ostream& out) const {
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -30,11 +30,12 @@
 class ChangesReply;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false) {}
+  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false) {}
   bool leavingUpstreams :1;
   bool engines :1;
   bool states :1;
   bool loads :1;
+  bool work :1;
 } _Heartbeat__isset;
 
 /**
@@ -71,6 +72,11 @@
   std::vector<int32_t>  engines;
   std::vector<int32_t>  states;
   std::vector<int32_t>  loads;
+  /**
+   * Of the same length: tokens that the sender's own calls still have to have
+   * read at each engine.
+   */
+  std::vector<int32_t>  work;
 
   _Heartbeat__isset __isset;
 
@@ -96,6 +102,8 @@
 
   void __set_loads(const std::vector<int32_t> & val);
 
+  void __set_work(const std::vector<int32_t> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -128,6 +136,10 @@
       return false;
     else if (__isset.loads && !(loads == rhs.loads))
       return false;
+    if (__isset.work != rhs.__isset.work)
+      return false;
+    else if (__isset.work && !(work == rhs.work))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -1,5 +1,5 @@
 /**
- * The protocol between ridgeferryd processes of one hall. Fields are only ever
+ * The protocol between the processes of one hall or deployment. Fields are only ever
  * added, as optional ones with new numbers: processes of two versions run side
  * by side during an upgrade.
  */
@@ -22,6 +22,9 @@
   9: optional list<i32> engines;
   10: optional list<i32> states;
   11: optional list<i32> loads;
+  /** Of the same length: tokens that the sender's own calls still have to have
+   * read at each engine. */
+  12: optional list<i32> work;
 }
 
 /** Asks a peer for the changes after a revision. */
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -2,6 +2,7 @@
 
 #include "ridgeferry_types.h"
 
+#include <algorithm>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
@@ -69,14 +70,21 @@
     std::vector<std::int32_t> engines;
     std::vector<std::int32_t> states;
     std::vector<std::int32_t> loads;
+    std::vector<std::int32_t> work;
     for (const membership::EngineDigest& digest : aMessage.m_engines) {
       engines.push_back(static_cast<std::int32_t>(digest.m_engine));
       states.push_back(static_cast<std::int32_t>(digest.m_state));
       loads.push_back(digest.m_running);
+      work.push_back(digest.m_work);
     }
     out.__set_engines(engines);
     out.__set_states(states);
     out.__set_loads(loads);
+    const bool any = std::any_of(
+      work.begin(), work.end(), [](std::int32_t aWork) { return aWork != 0; });
+    if (any) {
+      out.__set_work(work);
+    }
   }
   return Write(out);
 }
@@ -127,13 +135,15 @@
   out.m_revision = static_cast<std::uint64_t>(in->revision);
   out.m_leavingUpstreams = in->leavingUpstreams;
   if (in->states.size() != in->engines.size() ||
-      in->loads.size() != in->engines.size()) {
+      in->loads.size() != in->engines.size() ||
+      (!in->work.empty() && in->work.size() != in->engines.size())) {
     return tl::unexpected(DecodeError{ "digests of different lengths" });
   }
   for (std::size_t i = 0; i < in->engines.size(); ++i) {
     out.m_engines.push_back({ static_cast<std::uint32_t>(in->engines[i]),
                               static_cast<std::uint32_t>(in->states[i]),
-                              in->loads[i] });
+                              in->loads[i],
+                              in->work.empty() ? 0 : in->work[i] });
   }
   return out;
 }
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -19,8 +19,10 @@
   out.m_leavingUpstreams = *rc::gen::arbitrary<std::vector<std::string>>();
   for (std::uint32_t engine :
        *rc::gen::arbitrary<std::vector<std::uint32_t>>()) {
-    out.m_engines.push_back(
-      { engine, engine ^ 7U, *rc::gen::arbitrary<std::int32_t>() });
+    out.m_engines.push_back({ engine,
+                              engine ^ 7U,
+                              *rc::gen::arbitrary<std::int32_t>(),
+                              *rc::gen::arbitrary<std::int32_t>() });
   }
   return out;
 }
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -50,6 +51,8 @@
   std::optional<Prompt> m_prompt; ///< Nothing: a plain call.
   std::span<const std::string> m_excluded;
   std::uint64_t m_random = 0; ///< Breaks ties.
+  /** A prompt whose first token would come later than this has no place. */
+  Duration m_patience = Duration::max();
 };
 
 struct Place
@@ -59,14 +62,23 @@
 };
 
 /** Why there is no place. */
-enum class PlaceFault : std::uint8_t
+struct PlaceFault
 {
-  NoUpstream, ///< None is listed, or none is sound.
-  Full,
+  bool m_full = false;     ///< Else: none is listed, or none is sound.
+  Duration m_roomIn{}; ///< If full: when there should be room.
 };
 
 using PlaceResult = std::variant<Place, PlaceFault>;
 
+/** What another instance has under way at a member. */
+struct OtherLoad
+{
+  std::uint32_t m_member = 0; ///< `Fleet::ShortHash` of its id.
+  std::int64_t m_running = 0;
+  std::int64_t m_tokens = 0; ///< Still to be read.
+  bool operator==(const OtherLoad&) const = default;
+};
+
 /** How an attempt at a member ended. */
 enum class MemberEnd : std::uint8_t
 {
@@ -116,6 +128,19 @@
                  MemberEnd aEnd,
                  Duration aTook,
                  Instant aNow);
+  /**
+   * A sample of a member's pace: between a send and its first byte it read
+   * `aTokens`, those ahead of the call's own with them.
+   */
+  void NotePace(std::string_view aId, std::int64_t aTokens, Duration aTook);
+  /** Tokens under way at a member, of all instances. */
+  std::int64_t TokensAt(std::string_view aId) const;
+
+  /** Replaces what an instance has under way; empty: it has ended. */
+  void SetOther(const std::string& aInstance, std::vector<OtherLoad> aLoads);
+  /** What this instance has under way, for the others. */
+  std::vector<OtherLoad> OwnLoads() const;
+  static std::uint32_t ShortHash(std::string_view aId);
 
   /** Null if it is not known. */
   const Member* Find(std::string_view aId) const;
@@ -132,7 +157,10 @@
     std::uint64_t m_hash = 0;
     std::int64_t m_inFlight = 0;
     std::int64_t m_tokens = 0; ///< Under way here, not read yet.
+    std::int64_t m_othersInFlight = 0;
+    std::int64_t m_othersTokens = 0;
     double m_tookMs = 0;       ///< Smoothed, of served plain calls.
+    double m_pace = 0; ///< Tokens read in a ms, smoothed; 0: no sample.
     double m_failShare = 0;    ///< Smoothed.
     int m_failuresInRow = 0;
     std::optional<Instant> m_restsUntil;
@@ -146,10 +174,18 @@
                         const PlaceRequest& aRequest) const;
   PlaceResult FindEngine(std::span<const State* const> aSound,
                          const PlaceRequest& aRequest) const;
+  static double FirstTokenMs(const State& aState,
+                             const Prompt& aPrompt,
+                             bool aKept);
+  bool IsQuiet(const State& aState) const;
   std::vector<std::uint64_t> HomesOf(std::uint64_t aKey,
                                      std::string_view aService) const;
 
+  void AddOther(std::span<const OtherLoad> aLoads, std::int64_t aSign);
+
   std::map<std::string, State, std::less<>> m_members;
+  std::unordered_map<std::uint32_t, std::string> m_byShortHash;
+  std::map<std::string, std::vector<OtherLoad>, std::less<>> m_others;
 };
 
 } // namespace ridgeferry::relay
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -13,14 +13,22 @@
 constexpr double kNewest = 0.1;
 /** An engine that generates reads prompts at half the pace. */
 constexpr double kGenerateReadCost = 2.0;
-/** What handing a prompt's memory over costs, as tokens to read: about two
- * milliseconds at three hundred tokens a millisecond. */
-constexpr double kHandOverTokens = 600;
-/** What one call that generates costs the others there, in tokens. */
-constexpr double kRunningTokens = 40;
-/** Other instances send as well; this one sees its own share. Three: their
- * sends spread out over engines as ours do. */
-constexpr double kOthers = 3;
+/** What handing a prompt's memory over costs, in ms: the way there and back,
+ * and a gigabyte at some terabits a second. */
+constexpr double kHandOverMs = 6;
+/** What one call that generates costs the next there, in ms. */
+constexpr double kRunningMs = 0.3;
+/** Paces until one was seen, in tokens a ms: of engines of today's kind. */
+constexpr double kPrefillPace = 250;
+constexpr double kGeneratePace = 125;
+/** Bounds of what is believed of a pace, and the least sample for it: below
+ * that the way there counts more than the reading. */
+constexpr double kLowestPace = 10;
+constexpr double kHighestPace = 2000;
+constexpr std::int64_t kLeastPaceTokens = 1500;
+/** Share of the generators that read no long prompts, so that the output of
+ * others comes steadily there. */
+constexpr double kQuietShare = 0.25;
 /** Least expected time of a plain call before any was seen, in ms. */
 constexpr double kUnknownTookMs = 10;
 /** A member that fails all its calls looks this many times slower. */
@@ -58,10 +66,24 @@
 void
 Fleet::Put(const Member& aMember)
 {
+  const bool isNew = !m_members.contains(aMember.m_id);
   State& state = m_members[aMember.m_id];
   state.m_member = aMember;
   state.m_hash = Hash64(aMember.m_id);
+  m_byShortHash[ShortHash(aMember.m_id)] = aMember.m_id;
   state.m_goneAt.reset();
+  if (!isNew) {
+    return;
+  }
+  const std::uint32_t hash = ShortHash(aMember.m_id);
+  for (const auto& [instance, loads] : m_others) {
+    for (const OtherLoad& load : loads) {
+      if (load.m_member == hash) {
+        state.m_othersInFlight += load.m_running;
+        state.m_othersTokens += load.m_tokens;
+      }
+    }
+  }
 }
 
 void
@@ -87,6 +109,54 @@
   });
 }
 
+std::uint32_t
+Fleet::ShortHash(std::string_view aId)
+{
+  return static_cast<std::uint32_t>(Hash64(aId));
+}
+
+void
+Fleet::AddOther(std::span<const OtherLoad> aLoads, std::int64_t aSign)
+{
+  for (const OtherLoad& load : aLoads) {
+    const auto id = m_byShortHash.find(load.m_member);
+    if (id == m_byShortHash.end()) {
+      continue; // Not listed here yet.
+    }
+    const auto found = m_members.find(id->second);
+    if (found != m_members.end()) {
+      found->second.m_othersInFlight += aSign * load.m_running;
+      found->second.m_othersTokens += aSign * load.m_tokens;
+    }
+  }
+}
+
+void
+Fleet::SetOther(const std::string& aInstance, std::vector<OtherLoad> aLoads)
+{
+  const auto known = m_others.find(aInstance);
+  if (known != m_others.end()) {
+    AddOther(known->second, -1);
+    m_others.erase(known);
+  }
+  if (!aLoads.empty()) {
+    AddOther(aLoads, 1);
+    m_others.emplace(aInstance, std::move(aLoads));
+  }
+}
+
+std::vector<OtherLoad>
+Fleet::OwnLoads() const
+{
+  std::vector<OtherLoad> out;
+  for (const auto& [id, state] : m_members) {
+    if (state.m_inFlight != 0 || state.m_tokens != 0) {
+      out.push_back({ ShortHash(id), state.m_inFlight, state.m_tokens });
+    }
+  }
+  return out;
+}
+
 const Member*
 Fleet::Find(std::string_view aId) const
 {
@@ -157,7 +227,7 @@
     }
   }
   if (sound.empty()) {
-    return PlaceFault::NoUpstream;
+    return PlaceFault{};
   }
   // Equal estimates are common when little is under way: start anywhere.
   std::rotate(sound.begin(),
@@ -175,7 +245,8 @@
   const auto expected = [&](const State* aState) {
     const double took =
       aState->m_tookMs == 0 ? kUnknownTookMs : aState->m_tookMs;
-    const double busy = static_cast<double>(aState->m_inFlight) + 1;
+    const double busy =
+      static_cast<double>(aState->m_inFlight + aState->m_othersInFlight) + 1;
     const bool away = aState->m_member.m_hall != aRequest.m_hall;
     return took * busy * (1 + kFailPenalty * aState->m_failShare) +
            (away ? kOtherHallMs : 0);
@@ -187,6 +258,37 @@
   return Place{ (*best)->m_member.m_id, {} };
 }
 
+double
+Fleet::FirstTokenMs(const State& aState, const Prompt& aPrompt, bool aKept)
+{
+  const bool generates = aState.m_member.m_part == Part::Generate;
+  const double prior = generates ? kGeneratePace : kPrefillPace;
+  const double pace = aState.m_pace == 0 ? prior : aState.m_pace;
+  const auto tokens =
+    static_cast<double>(aState.m_tokens + aState.m_othersTokens +
+                        TokensToRead(aPrompt, aKept));
+  const auto running =
+    static_cast<double>(aState.m_inFlight + aState.m_othersInFlight);
+  return tokens / pace + (generates ? kRunningMs * running : kHandOverMs);
+}
+
+bool
+Fleet::IsQuiet(const State& aState) const
+{
+  // The first quarter of the service's generators, by hash: all agree on it.
+  std::size_t all = 0;
+  std::size_t before = 0;
+  for (const auto& [id, state] : m_members) {
+    const bool peer = state.m_member.m_part == Part::Generate &&
+                      state.m_member.m_service == aState.m_member.m_service &&
+                      !state.m_member.m_leaving;
+    all += peer ? 1 : 0;
+    before += peer && state.m_hash < aState.m_hash ? 1 : 0;
+  }
+  return static_cast<double>(before) + 0.5 <
+         kQuietShare * static_cast<double>(all);
+}
+
 PlaceResult
 Fleet::FindEngine(std::span<const State* const> aSound,
                   const PlaceRequest& aRequest) const
@@ -196,48 +298,79 @@
   const std::vector<std::uint64_t> homes =
     longPrompt ? HomesOf(prompt.m_sharedKey, aRequest.m_service)
                : std::vector<std::uint64_t>{};
-  const auto cost = [&](const State* aState) {
+  const auto firstToken = [&](const State* aState) {
     const bool kept =
       std::find(homes.begin(), homes.end(), aState->m_hash) != homes.end();
-    const double waiting = kOthers * static_cast<double>(aState->m_tokens);
-    const auto reading = static_cast<double>(TokensToRead(prompt, kept));
-    const bool generates = aState->m_member.m_part == Part::Generate;
-    const double running =
-      kRunningTokens * static_cast<double>(aState->m_inFlight);
-    return (waiting + reading) * (generates ? kGenerateReadCost : 1) +
-           (generates ? running : kHandOverTokens);
+    return FirstTokenMs(*aState, prompt, kept);
   };
-  const State* generator = nullptr;
-  const State* reader = nullptr;
+  const State* best = nullptr;
+  const State* taker = nullptr;
+  double bestMs = 0;
+  double takerMs = 0;
   for (const State* state : aSound) {
-    const State*& best =
-      state->m_member.m_part == Part::Prefill ? reader : generator;
-    if (best == nullptr || cost(state) < cost(best)) {
+    const bool reads = state->m_member.m_part == Part::Prefill;
+    const double ms = firstToken(state);
+    if (!reads && (taker == nullptr || ms < takerMs)) {
+      taker = state;
+      takerMs = ms;
+    }
+    const bool fits = longPrompt ? reads || !IsQuiet(*state) : !reads;
+    if (fits && (best == nullptr || ms < bestMs)) {
       best = state;
+      bestMs = ms;
     }
   }
-  if (generator == nullptr) {
-    return PlaceFault::NoUpstream;
+  if (best == nullptr) {
+    best = taker;
+    bestMs = takerMs;
+  }
+  if (taker == nullptr) {
+    return PlaceFault{};
+  }
+  const Duration wait(static_cast<std::int64_t>(bestMs));
+  if (wait > aRequest.m_patience) {
+    return PlaceFault{ true, wait - aRequest.m_patience };
   }
-  const bool handOver =
-    longPrompt && reader != nullptr && cost(reader) < cost(generator);
-  if (!handOver) {
-    return Place{ generator->m_member.m_id, {} };
+  if (best->m_member.m_part == Part::Generate) {
+    return Place{ best->m_member.m_id, {} };
   }
   // The memory moves faster inside a hall; any of its generators will do.
   const auto taking = [&](const State* aState) {
-    const bool away = aState->m_member.m_hall != reader->m_member.m_hall;
-    return kOthers * static_cast<double>(aState->m_tokens) +
-           kRunningTokens * static_cast<double>(aState->m_inFlight) +
-           (away ? kHandOverTokens : 0);
+    const bool away = aState->m_member.m_hall != best->m_member.m_hall;
+    return firstToken(aState) + (away ? kHandOverMs : 0);
   };
   for (const State* state : aSound) {
     if (state->m_member.m_part == Part::Generate &&
-        taking(state) < taking(generator)) {
-      generator = state;
+        taking(state) < taking(taker)) {
+      taker = state;
     }
   }
-  return Place{ generator->m_member.m_id, reader->m_member.m_id };
+  return Place{ taker->m_member.m_id, best->m_member.m_id };
+}
+
+std::int64_t
+Fleet::TokensAt(std::string_view aId) const
+{
+  const auto found = m_members.find(aId);
+  return found == m_members.end()
+           ? 0
+           : found->second.m_tokens + found->second.m_othersTokens;
+}
+
+void
+Fleet::NotePace(std::string_view aId, std::int64_t aTokens, Duration aTook)
+{
+  const auto found = m_members.find(aId);
+  if (found == m_members.end() || aTokens < kLeastPaceTokens) {
+    return;
+  }
+  const double took = std::max(1.0, static_cast<double>(aTook.count()));
+  const double pace = std::clamp(
+    static_cast<double>(aTokens) / took, kLowestPace, kHighestPace);
+  State& state = found->second;
+  const double prior = state.m_member.m_part == Part::Prefill ? kPrefillPace
+                                                              : kGeneratePace;
+  state.m_pace = Smooth(state.m_pace == 0 ? prior : state.m_pace, pace);
 }
 
 void
