Planned stop: calls are taken for 2.8 s, then refused as not run

Ruled out: mute workers alone (they were not listed on). Change: relay::PlannedStop, pure: connections at rest close from 2.5 s on, calls are refused as not run from 2.8 s on.

--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -14,12 +14,6 @@
 /** Lapses, changes of the settings file and the stop are checked this often:
  * well inside the bounds of seconds that they are to keep. */
 constexpr Duration kTick{ 200 };
-/** The balancer asks once a second and acts on the second miss; connections
- * that it opened until then are served. */
-constexpr Duration kLeaveBalancer{ 3500 };
-/** Kept free at the end of a planned stop's grace, for the process's end. */
-constexpr Duration kStopMargin{ 700 };
-
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
@@ -57,7 +51,6 @@
   std::unique_ptr<net::HttpServer> m_readiness;
   std::unique_ptr<net::HttpServer> m_metrics;
   bool m_wasReady = false;
-  std::optional<Instant> m_stopping;
   net::Watch m_tick;
   std::vector<net::Watch> m_signals;
 
@@ -77,7 +70,8 @@
 bool
 Entry::Impl::IsReady() const
 {
-  return !m_stopping && m_node.m_routes != nullptr && m_members->HasRead();
+  return !m_node.m_stop.HasBegun() && m_node.m_routes != nullptr &&
+         m_members->HasRead();
 }
 
 void
@@ -175,7 +169,7 @@
   if (!SameTime(ModifiedAt(m_file), m_fileTime)) {
     Reload();
   }
-  if (m_stopping) {
+  if (m_node.m_stop.HasBegun()) {
     ContinueStop();
   }
 }
@@ -202,10 +196,10 @@
 void
 Entry::Impl::BeginStop()
 {
-  if (m_stopping) {
+  if (m_node.m_stop.HasBegun()) {
     return;
   }
-  m_stopping = m_node.Now();
+  m_node.m_stop.Begin(m_node.m_settings.m_stopGrace, m_node.Now());
   m_relay->BeginStop();
   m_node.m_log->Write(
     observe::LogLevel::Info,
@@ -217,13 +211,11 @@
 void
 Entry::Impl::ContinueStop()
 {
-  const Duration since = m_node.Now() - *m_stopping;
-  if (since < kLeaveBalancer) {
-    return;
+  const Instant now = m_node.Now();
+  if (m_node.m_stop.ClosesResting(now)) {
+    m_relay->CloseResting();
   }
-  m_relay->CloseResting();
-  const bool late = since >= m_node.m_settings.m_stopGrace - kStopMargin;
-  if (m_relay->Running() > 0 && !late) {
+  if (!m_node.m_stop.MayEnd(m_relay->Running(), now)) {
     return;
   }
   m_node.m_log->Write(
--- a/packages/entry/src/EntryNode.h
+++ b/packages/entry/src/EntryNode.h
@@ -9,6 +9,7 @@
 #include <ridgeferry/observe/Log.h>
 #include <ridgeferry/observe/Metrics.h>
 #include <ridgeferry/relay/Fleet.h>
+#include <ridgeferry/relay/PlannedStop.h>
 #include <ridgeferry/relay/Routes.h>
 
 namespace ridgeferry::entry {
@@ -24,6 +25,7 @@
   observe::Metrics m_metrics;
   std::mt19937_64 m_random;
   relay::Fleet m_fleet;
+  relay::PlannedStop m_stop;
   /** In force; null until the first was read. */
   std::shared_ptr<const relay::RouteTable> m_routes;
 
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -6,8 +6,9 @@
 
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
-/** An instance that has just started knows its routes in well under that. */
-constexpr std::string_view kStartRetryAfter = "0.250";
+/** An instance that starts knows its routes in well under that; one that stops
+ * is no longer sent new connections. */
+constexpr std::string_view kOtherRetryAfter = "0.250";
 /** Half of the operators' ratio: instances count their own windows, and the
  * operators' count may begin anywhere between them. */
 constexpr double kRatioShare = 0.5;
@@ -78,6 +79,10 @@
 Relay::Take(const std::shared_ptr<net::HttpExchange>& aExchange)
 {
   CallHead head = m_node.m_dialect.m_readCall(*aExchange);
+  if (!m_node.m_stop.TakesCalls(m_node.Now())) {
+    Refuse(*aExchange, head, kUnavailable, "stopping");
+    return;
+  }
   if (m_node.m_routes == nullptr) {
     Refuse(*aExchange, head, kUnavailable, "no-configuration-yet");
     return;
@@ -131,7 +136,7 @@
   net::HttpHeaders headers;
   headers.Add("Content-Type", "application/problem+json");
   if (aStatus == kUnavailable) {
-    headers.Add("Retry-After", std::string(kStartRetryAfter));
+    headers.Add("Retry-After", std::string(kOtherRetryAfter));
   }
   aExchange.Reply(aStatus,
                   headers,
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -157,8 +157,8 @@
     Handle(relay::PlaceFound{ place->m_upstream, place->m_reader });
   } else {
     const auto& fault = std::get<relay::PlaceFault>(result);
-    Handle(relay::NoPlace{
-      fault.m_full ? fault.m_roomIn : relay::RelayFlow::kRetryAfter });
+    Handle(relay::NoPlace{ fault.m_full ? fault.m_roomIn
+                                        : relay::RelayFlow::kRetryAfter });
   }
 }
 
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -44,7 +44,7 @@
     relay::AttemptId m_id = 0;
     net::HttpCallId m_http = 0;
     std::string m_upstream;
-    std::int64_t m_tokens = 0; ///< That it still has to read.
+    std::int64_t m_tokens = 0;      ///< That it still has to read.
     std::int64_t m_tokensAhead = 0; ///< Under way there when it was sent.
     Instant m_sentAt;
     bool m_readOnly = false;
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -64,7 +64,7 @@
 /** Why there is no place. */
 struct PlaceFault
 {
-  bool m_full = false;     ///< Else: none is listed, or none is sound.
+  bool m_full = false; ///< Else: none is listed, or none is sound.
   Duration m_roomIn{}; ///< If full: when there should be room.
 };
 
@@ -159,9 +159,9 @@
     std::int64_t m_tokens = 0; ///< Under way here, not read yet.
     std::int64_t m_othersInFlight = 0;
     std::int64_t m_othersTokens = 0;
-    double m_tookMs = 0;       ///< Smoothed, of served plain calls.
-    double m_pace = 0; ///< Tokens read in a ms, smoothed; 0: no sample.
-    double m_failShare = 0;    ///< Smoothed.
+    double m_tookMs = 0;    ///< Smoothed, of served plain calls.
+    double m_pace = 0;      ///< Tokens read in a ms, smoothed; 0: no sample.
+    double m_failShare = 0; ///< Smoothed.
     int m_failuresInRow = 0;
     std::optional<Instant> m_restsUntil;
     std::optional<Instant> m_goneAt; ///< Dropped, within its grace.
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -264,9 +264,8 @@
   const bool generates = aState.m_member.m_part == Part::Generate;
   const double prior = generates ? kGeneratePace : kPrefillPace;
   const double pace = aState.m_pace == 0 ? prior : aState.m_pace;
-  const auto tokens =
-    static_cast<double>(aState.m_tokens + aState.m_othersTokens +
-                        TokensToRead(aPrompt, aKept));
+  const auto tokens = static_cast<double>(
+    aState.m_tokens + aState.m_othersTokens + TokensToRead(aPrompt, aKept));
   const auto running =
     static_cast<double>(aState.m_inFlight + aState.m_othersInFlight);
   return tokens / pace + (generates ? kRunningMs * running : kHandOverMs);
@@ -365,11 +364,11 @@
     return;
   }
   const double took = std::max(1.0, static_cast<double>(aTook.count()));
-  const double pace = std::clamp(
-    static_cast<double>(aTokens) / took, kLowestPace, kHighestPace);
+  const double pace =
+    std::clamp(static_cast<double>(aTokens) / took, kLowestPace, kHighestPace);
   State& state = found->second;
-  const double prior = state.m_member.m_part == Part::Prefill ? kPrefillPace
-                                                              : kGeneratePace;
+  const double prior =
+    state.m_member.m_part == Part::Prefill ? kPrefillPace : kGeneratePace;
   state.m_pace = Smooth(state.m_pace == 0 ? prior : state.m_pace, pace);
 }
 
--- /dev/null
+++ b/packages/relay/src/PlannedStop.cpp
@@ -0,0 +1,35 @@
+#include "ridgeferry/relay/PlannedStop.h"
+
+namespace ridgeferry::relay {
+
+void
+PlannedStop::Begin(Duration aGrace, Instant aNow)
+{
+  if (!m_began) {
+    m_began = aNow;
+    m_grace = aGrace;
+  }
+}
+
+bool
+PlannedStop::TakesCalls(Instant aNow) const
+{
+  return !m_began || Since(aNow) < kTakeFor;
+}
+
+bool
+PlannedStop::ClosesResting(Instant aNow) const
+{
+  return m_began && Since(aNow) >= kKeepRestingFor;
+}
+
+bool
+PlannedStop::MayEnd(std::size_t aRunning, Instant aNow) const
+{
+  if (!m_began || Since(aNow) < kListenFor) {
+    return false;
+  }
+  return aRunning == 0 || Since(aNow) >= m_grace - kMargin;
+}
+
+} // namespace ridgeferry::relay
