--- a/packages/native/src/HttpObjectStore.cpp
+++ b/packages/native/src/HttpObjectStore.cpp
@@ -1,5 +1,7 @@
 #include "ridgeferry/native/HttpPlatform.h"
 
+#include <ridgeferry/net/Uri.h>
+
 namespace ridgeferry::native {
 
 namespace {
--- /dev/null
+++ b/packages/relay/tests/FleetTest.cpp
@@ -0,0 +1,219 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <ridgeferry/relay/Fleet.h>
+#include <set>
+
+namespace ridgeferry::relay {
+namespace {
+
+constexpr Instant kNow{ Duration{ 10'000 } };
+
+Member
+MakeMember(std::string aId, std::string aService, Part aPart = Part::Whole)
+{
+  Member out;
+  out.m_id = std::move(aId);
+  out.m_service = std::move(aService);
+  out.m_hall = "hall";
+  out.m_address = "10.0.0.1:80";
+  out.m_part = aPart;
+  return out;
+}
+
+PlaceRequest
+PlainRequest()
+{
+  PlaceRequest out;
+  out.m_service = "desk";
+  out.m_hall = "hall";
+  return out;
+}
+
+PlaceRequest
+LongRequest(std::uint64_t aChain)
+{
+  PlaceRequest out;
+  out.m_service = "llm";
+  out.m_hall = "hall";
+  out.m_prompt = Prompt{ aChain, 6000, 3000, 2 };
+  return out;
+}
+
+Place
+MustFind(const Fleet& aFleet, const PlaceRequest& aRequest)
+{
+  const PlaceResult result = aFleet.FindPlace(aRequest, kNow);
+  const auto* place = std::get_if<Place>(&result);
+  EXPECT_NE(place, nullptr);
+  return place == nullptr ? Place{} : *place;
+}
+
+void
+Fail(Fleet& aFleet, std::string_view aId, int aTimes)
+{
+  for (int i = 0; i < aTimes; ++i) {
+    aFleet.NoteSent(aId, 0);
+    aFleet.NoteEnded(aId, 0, MemberEnd::Failed, Duration{ 5 }, kNow);
+  }
+}
+
+class FleetTest : public ::testing::Test
+{
+protected:
+  FleetTest()
+  {
+    m_fleet.Put(MakeMember("a", "desk"));
+    m_fleet.Put(MakeMember("b", "desk"));
+    for (int i = 0; i < 8; ++i) {
+      m_fleet.Put(MakeMember("g" + std::to_string(i), "llm", Part::Generate));
+    }
+    for (int i = 0; i < 4; ++i) {
+      m_fleet.Put(MakeMember("p" + std::to_string(i), "llm", Part::Prefill));
+    }
+  }
+
+  Fleet m_fleet;
+};
+
+TEST_F(FleetTest, NothingIsPlacedWhereNothingIsListed)
+{
+  PlaceRequest request = PlainRequest();
+  request.m_service = "unknown";
+  EXPECT_TRUE(
+    std::holds_alternative<PlaceFault>(m_fleet.FindPlace(request, kNow)));
+}
+
+TEST_F(FleetTest, ALeavingMemberGetsNothing)
+{
+  Member leaving = MakeMember("a", "desk");
+  leaving.m_leaving = true;
+  m_fleet.Put(leaving);
+  for (std::uint64_t draw = 0; draw < 10; ++draw) {
+    PlaceRequest request = PlainRequest();
+    request.m_random = draw;
+    EXPECT_EQ(MustFind(m_fleet, request).m_upstream, "b");
+  }
+}
+
+TEST_F(FleetTest, AnExcludedMemberGetsNothing)
+{
+  const std::vector<std::string> excluded{ "b" };
+  PlaceRequest request = PlainRequest();
+  request.m_excluded = excluded;
+  EXPECT_EQ(MustFind(m_fleet, request).m_upstream, "a");
+}
+
+TEST_F(FleetTest, TheLessLoadedIsTaken)
+{
+  m_fleet.NoteSent("a", 0);
+  EXPECT_EQ(MustFind(m_fleet, PlainRequest()).m_upstream, "b");
+  m_fleet.SetOther("peer", { { Fleet::ShortHash("b"), 4, 0 } });
+  EXPECT_EQ(MustFind(m_fleet, PlainRequest()).m_upstream, "a");
+  m_fleet.SetOther("peer", {});
+  EXPECT_EQ(MustFind(m_fleet, PlainRequest()).m_upstream, "b");
+}
+
+TEST_F(FleetTest, LoadsToldBeforeTheMemberWasListedCount)
+{
+  m_fleet.SetOther("peer", { { Fleet::ShortHash("c"), 50, 0 } });
+  m_fleet.Put(MakeMember("c", "desk"));
+  EXPECT_NE(MustFind(m_fleet, PlainRequest()).m_upstream, "c");
+}
+
+TEST_F(FleetTest, AMemberThatFailsInARowRests)
+{
+  Fail(m_fleet, "a", Fleet::kFailuresToRest);
+  for (int i = 0; i < 20; ++i) {
+    m_fleet.NoteSent("b", 0); // However loaded the other one is.
+  }
+  EXPECT_EQ(MustFind(m_fleet, PlainRequest()).m_upstream, "b");
+}
+
+TEST_F(FleetTest, ALapsedMemberStaysForItsGrace)
+{
+  m_fleet.Drop("b", true, kNow);
+  m_fleet.Tick(kNow + Fleet::kLapseGrace - Duration{ 1 });
+  EXPECT_NE(m_fleet.Find("b"), nullptr);
+  m_fleet.Tick(kNow + Fleet::kLapseGrace);
+  EXPECT_EQ(m_fleet.Find("b"), nullptr);
+}
+
+TEST_F(FleetTest, AMemberListedAgainInItsGraceStays)
+{
+  m_fleet.Drop("b", true, kNow);
+  m_fleet.Put(MakeMember("b", "desk"));
+  m_fleet.Tick(kNow + Fleet::kLapseGrace);
+  EXPECT_NE(m_fleet.Find("b"), nullptr);
+}
+
+// Its own word that it leaves is no lapse of the list.
+TEST_F(FleetTest, ALeavingMemberHasNoGrace)
+{
+  Member leaving = MakeMember("b", "desk");
+  leaving.m_leaving = true;
+  m_fleet.Put(leaving);
+  m_fleet.Drop("b", true, kNow);
+  EXPECT_EQ(m_fleet.Find("b"), nullptr);
+}
+
+TEST_F(FleetTest, AChainHasOneHomeThatAllAgreeOn)
+{
+  Fleet other;
+  for (int i = 7; i >= 0; --i) {
+    other.Put(MakeMember("g" + std::to_string(i), "llm", Part::Generate));
+  }
+  for (int i = 0; i < 4; ++i) {
+    other.Put(MakeMember("p" + std::to_string(i), "llm", Part::Prefill));
+  }
+  std::set<std::string> used;
+  for (std::uint64_t chain = 1; chain <= 200; ++chain) {
+    const Place mine = MustFind(m_fleet, LongRequest(chain));
+    const Place theirs = MustFind(other, LongRequest(chain));
+    const auto home = [](const Place& aPlace) {
+      return aPlace.m_reader.empty() ? aPlace.m_upstream : aPlace.m_reader;
+    };
+    EXPECT_EQ(home(mine), home(theirs));
+    used.insert(home(mine));
+  }
+  EXPECT_GE(used.size(), 8U); // Spread over the fleet.
+}
+
+TEST_F(FleetTest, APromptThatWouldComeTooLateIsRefusedWithATime)
+{
+  for (int i = 0; i < 8; ++i) {
+    m_fleet.NoteSent("g" + std::to_string(i), 100'000);
+  }
+  for (int i = 0; i < 4; ++i) {
+    m_fleet.NoteSent("p" + std::to_string(i), 100'000);
+  }
+  PlaceRequest request = LongRequest(5);
+  request.m_patience = Duration{ 180 };
+  const PlaceResult result = m_fleet.FindPlace(request, kNow);
+  const auto* fault = std::get_if<PlaceFault>(&result);
+  ASSERT_NE(fault, nullptr);
+  EXPECT_TRUE(fault->m_full);
+  EXPECT_GT(fault->m_roomIn.count(), 0);
+  request.m_patience = Duration{ 10'000 };
+  EXPECT_TRUE(std::holds_alternative<Place>(m_fleet.FindPlace(request, kNow)));
+}
+
+TEST_F(FleetTest, AReaderIsNeverAskedToGenerate)
+{
+  EXPECT_TRUE(rc::check("any load", [] {
+    Fleet fleet;
+    fleet.Put(MakeMember("g", "llm", Part::Generate));
+    fleet.Put(MakeMember("p", "llm", Part::Prefill));
+    fleet.NoteSent("g", *rc::gen::inRange<std::int64_t>(0, 500'000));
+    fleet.NoteSent("p", *rc::gen::inRange<std::int64_t>(0, 500'000));
+    PlaceRequest request = LongRequest(*rc::gen::inRange(1, 1000));
+    request.m_prompt->m_sharedTokens = *rc::gen::inRange(0, 9000);
+    const PlaceResult result = fleet.FindPlace(request, kNow);
+    const auto* place = std::get_if<Place>(&result);
+    RC_ASSERT(place != nullptr);
+    RC_ASSERT(place->m_upstream == "g");
+    RC_ASSERT(place->m_reader.empty() || place->m_reader == "p");
+  }));
+}
+
+} // namespace
+} // namespace ridgeferry::relay
--- /dev/null
+++ b/packages/relay/tests/RelayFlowTest.cpp
@@ -0,0 +1,283 @@
+#include <gtest/gtest.h>
+#include <ridgeferry/base/Overloaded.h>
+#include <ridgeferry/relay/RelayFlow.h>
+
+namespace ridgeferry::relay {
+namespace {
+
+/** A word for each action, so that a whole story is one line of text. */
+std::string
+Word(const RelayAction& aAction)
+{
+  return std::visit(
+    Overloaded{
+      [](const FindPlace&) { return std::string("find"); },
+      [](const SendRead& aSend) { return "read@" + aSend.m_reader; },
+      [](const SendRun& aSend) {
+        return "run@" + aSend.m_upstream +
+               (aSend.m_handle.empty() ? "" : "+" + aSend.m_handle) +
+               (aSend.m_resumeAfter.empty() ? "" : ">" + aSend.m_resumeAfter) +
+               (aSend.m_repeat ? "!" : "");
+      },
+      [](const CancelAttempt&) { return std::string("cancel"); },
+      [](const NoteAttemptEnd& aNote) {
+        static constexpr const char* kEnds[] = {
+          "served", "failed", "declined", "abandoned"
+        };
+        return std::string(kEnds[static_cast<std::size_t>(aNote.m_end)]);
+      },
+      [](const FreeHandle& aFree) { return "free+" + aFree.m_handle; },
+      [](const ForwardHead&) { return std::string("head"); },
+      [](const ForwardBytes& aBytes) {
+        return "bytes" + std::to_string(aBytes.m_bytes.size());
+      },
+      [](const ForwardEnd&) { return std::string("end"); },
+      [](const ForwardWhole& aWhole) { return "whole:" + aWhole.m_body; },
+      [](const BreakOff&) { return std::string("break"); },
+      [](const ReplyOwn& aReply) {
+        static constexpr const char* kReasons[] = { "no-room",
+                                                    "no-answer",
+                                                    "too-late" };
+        return std::string(kReasons[static_cast<std::size_t>(aReply.m_reason)]);
+      },
+    },
+    aAction);
+}
+
+constexpr RelayTraits kUnsafe{ Repeat::Never, false, false, 1 };
+constexpr RelayTraits kSafe{ Repeat::Freely, false, false, 2 };
+constexpr RelayTraits kStream{ Repeat::Never, true, false, 1 };
+constexpr RelayTraits kResumable{ Repeat::Never, true, true, 2 };
+
+struct FlowCase
+{
+  const char* m_name;
+  RelayTraits m_traits;
+  std::vector<RelayEvent> m_events; ///< After the call began.
+  const char* m_story;              ///< All actions from its beginning on.
+  bool m_repeatAllowed = true;
+};
+
+class RelayFlowTest : public ::testing::TestWithParam<FlowCase>
+{};
+
+TEST_P(RelayFlowTest, TellsItsStory)
+{
+  RelayFlow flow(GetParam().m_traits);
+  flow.SetRepeatAllowed(GetParam().m_repeatAllowed);
+  std::string story;
+  const auto take = [&](const RelayEvent& aEvent) {
+    for (const RelayAction& action : flow.Handle(aEvent)) {
+      story += (story.empty() ? "" : " ") + Word(action);
+    }
+  };
+  take(CallBegan{});
+  for (const RelayEvent& event : GetParam().m_events) {
+    take(event);
+  }
+  EXPECT_EQ(story, GetParam().m_story);
+}
+
+const std::string kEvent1 = "id: 1\ndata: a\n\n"; // 15 bytes.
+const std::string kEvent2 = "id: 2\ndata: b\n\n";
+
+INSTANTIATE_TEST_SUITE_P(
+  Whole,
+  RelayFlowTest,
+  ::testing::Values(
+    FlowCase{ "Served",
+              kUnsafe,
+              { PlaceFound{ "u", "" },
+                HeadArrived{ 1, 200 },
+                BytesArrived{ 1, "ab" },
+                BytesArrived{ 1, "c" },
+                AnswerEnded{ 1 } },
+              "find run@u served whole:abc" },
+    FlowCase{ "NoPlaceIsNotRun",
+              kUnsafe,
+              { NoPlace{ Duration{ 50 } } },
+              "find no-room" },
+    FlowCase{ "UnsentIsSentElsewhere",
+              kUnsafe,
+              { PlaceFound{ "u", "" },
+                AttemptUnsent{ 1 },
+                PlaceFound{ "v", "" },
+                HeadArrived{ 2, 200 },
+                AnswerEnded{ 2 } },
+              "find run@u failed find run@v served whole:" },
+    FlowCase{ "RefusedIsSentElsewhereAndCounts",
+              kUnsafe,
+              { PlaceFound{ "u", "" },
+                AttemptRefused{ 1 },
+                PlaceFound{ "v", "" },
+                HeadArrived{ 2, 200 },
+                AnswerEnded{ 2 } },
+              "find run@u declined find run@v! served whole:" },
+    FlowCase{ "RefusedWithoutBudget",
+              kUnsafe,
+              { PlaceFound{ "u", "" }, AttemptRefused{ 1 } },
+              "find run@u declined no-room",
+              false },
+    FlowCase{ "BrokenMayHaveRun",
+              kUnsafe,
+              { PlaceFound{ "u", "" }, AttemptBroke{ 1 } },
+              "find run@u failed no-answer" },
+    FlowCase{ "BrokenIsRepeatedIfSafe",
+              kSafe,
+              { PlaceFound{ "u", "" },
+                AttemptBroke{ 1 },
+                PlaceFound{ "v", "" },
+                AttemptBroke{ 2 } },
+              "find run@u failed find run@v! failed no-answer" },
+    FlowCase{ "AnErrorIsPassedOnIfUnsafe",
+              kUnsafe,
+              { PlaceFound{ "u", "" },
+                HeadArrived{ 1, 500 },
+                BytesArrived{ 1, "no" },
+                AnswerEnded{ 1 } },
+              "find run@u served whole:no" },
+    FlowCase{ "AnErrorIsRepeatedIfSafeAndTheLastIsPassedOn",
+              kSafe,
+              { PlaceFound{ "u", "" },
+                HeadArrived{ 1, 500 },
+                AnswerEnded{ 1 },
+                PlaceFound{ "v", "" },
+                HeadArrived{ 2, 500 },
+                BytesArrived{ 2, "no" },
+                AnswerEnded{ 2 } },
+              "find run@u failed find run@v! served whole:no" },
+    FlowCase{
+      "AStatusThatPromisesTooMuchIsConcealed",
+      kUnsafe,
+      { PlaceFound{ "u", "" }, HeadArrived{ 1, 503 }, AnswerEnded{ 1 } },
+      "find run@u failed no-answer" },
+    FlowCase{ "LateWhileItRuns",
+              kUnsafe,
+              { PlaceFound{ "u", "" }, DeadlinePassed{} },
+              "find run@u cancel abandoned too-late" },
+    FlowCase{ "LateBeforeItRan",
+              kUnsafe,
+              { DeadlinePassed{} },
+              "find no-room" },
+    FlowCase{ "TheCallerLeaves",
+              kUnsafe,
+              { PlaceFound{ "u", "" }, CallerLeft{}, AnswerEnded{ 1 } },
+              "find run@u cancel abandoned" },
+    FlowCase{ "WordsOfAnEarlierAttemptCountNoMore",
+              kSafe,
+              { PlaceFound{ "u", "" },
+                AttemptBroke{ 1 },
+                PlaceFound{ "v", "" },
+                HeadArrived{ 1, 200 },
+                AnswerEnded{ 1 },
+                HeadArrived{ 2, 200 },
+                AnswerEnded{ 2 } },
+              "find run@u failed find run@v! served whole:" }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+INSTANTIATE_TEST_SUITE_P(
+  Streams,
+  RelayFlowTest,
+  ::testing::Values(
+    FlowCase{ "EventByEvent",
+              kStream,
+              { PlaceFound{ "u", "" },
+                HeadArrived{ 1, 200 },
+                BytesArrived{ 1, kEvent1 + "id" },
+                BytesArrived{ 1, ": 2\ndata: b\n\n" },
+                AnswerEnded{ 1 } },
+              "find run@u head bytes15 bytes15 served end" },
+    FlowCase{ "BrokenBeforeItsHead",
+              kStream,
+              { PlaceFound{ "u", "" }, AttemptBroke{ 1 } },
+              "find run@u failed no-answer" },
+    FlowCase{ "BrokenInTheMiddleIsBrokenOff",
+              kStream,
+              { PlaceFound{ "u", "" },
+                HeadArrived{ 1, 200 },
+                BytesArrived{ 1, kEvent1 },
+                AttemptBroke{ 1 } },
+              "find run@u head bytes15 failed break" },
+    FlowCase{ "GoesOnElsewhereAfterTheLastWholeEvent",
+              kResumable,
+              { PlaceFound{ "u", "" },
+                HeadArrived{ 1, 200 },
+                BytesArrived{ 1, kEvent1 + "id: 2" },
+                AttemptBroke{ 1 },
+                PlaceFound{ "v", "" },
+                HeadArrived{ 2, 200 },
+                BytesArrived{ 2, kEvent2 },
+                AnswerEnded{ 2 } },
+              "find run@u head bytes15 failed find run@v>1! bytes15 served "
+              "end" },
+    FlowCase{ "AFailureInPlaceOfTheRestIsBrokenOff",
+              kResumable,
+              { PlaceFound{ "u", "" },
+                HeadArrived{ 1, 200 },
+                BytesArrived{ 1, kEvent1 },
+                AttemptBroke{ 1 },
+                PlaceFound{ "v", "" },
+                HeadArrived{ 2, 500 },
+                AnswerEnded{ 2 } },
+              "find run@u head bytes15 failed find run@v>1! failed break" },
+    FlowCase{ "LateInTheMiddle",
+              kStream,
+              { PlaceFound{ "u", "" },
+                HeadArrived{ 1, 200 },
+                BytesArrived{ 1, kEvent1 },
+                DeadlinePassed{} },
+              "find run@u head bytes15 cancel abandoned break" }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+INSTANTIATE_TEST_SUITE_P(
+  HandedOver,
+  RelayFlowTest,
+  ::testing::Values(
+    FlowCase{ "ReadThenRun",
+              kStream,
+              { PlaceFound{ "u", "r" },
+                PromptRead{ 1, "h" },
+                HeadArrived{ 2, 200 },
+                BytesArrived{ 2, kEvent1 },
+                AnswerEnded{ 2 } },
+              "find read@r served run@u+h head bytes15 served end" },
+    FlowCase{ "TheReaderBreaks",
+              kStream,
+              { PlaceFound{ "u", "r" }, AttemptBroke{ 1 } },
+              "find read@r failed run@u" },
+    FlowCase{ "TheReaderIsOutOfReach",
+              kStream,
+              { PlaceFound{ "u", "r" }, AttemptUnsent{ 1 } },
+              "find read@r failed run@u" },
+    FlowCase{ "TheReaderNamesNoHandle",
+              kStream,
+              { PlaceFound{ "u", "r" }, AnswerEnded{ 1 } },
+              "find read@r failed run@u" },
+    FlowCase{
+      "TheReaderDeclines",
+      kStream,
+      { PlaceFound{ "u", "r" }, AttemptRefused{ 1 }, PlaceFound{ "v", "" } },
+      "find read@r declined find run@v!" },
+    FlowCase{ "TheHandleIsGone",
+              kStream,
+              { PlaceFound{ "u", "r" },
+                PromptRead{ 1, "h" },
+                AttemptRefused{ 2 },
+                PlaceFound{ "v", "" } },
+              "find read@r served run@u+h declined find run@v!" },
+    FlowCase{ "TheCallerLeavesBeforeItIsTaken",
+              kStream,
+              { PlaceFound{ "u", "r" }, PromptRead{ 1, "h" }, CallerLeft{} },
+              "find read@r served run@u+h cancel abandoned free+h" },
+    FlowCase{ "TheCallerLeavesWhileItIsRead",
+              kStream,
+              { PlaceFound{ "u", "r" }, CallerLeft{} },
+              "find read@r cancel abandoned" },
+    FlowCase{ "LateWhileItIsReadHasNotRun",
+              kStream,
+              { PlaceFound{ "u", "r" }, DeadlinePassed{} },
+              "find read@r cancel abandoned no-room" }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+} // namespace
+} // namespace ridgeferry::relay
--- /dev/null
+++ b/packages/relay/tests/RelayWorldTest.cpp
@@ -0,0 +1,245 @@
+// A call among upstreams that refuse, break off and answer as they please,
+// with words that come late or twice: what must always hold of it.
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <ridgeferry/relay/RelayFlow.h>
+
+namespace ridgeferry::relay {
+namespace {
+
+constexpr int kStreamLength = 4;
+
+std::string
+EventText(int aNumber)
+{
+  return "id: " + std::to_string(aNumber) + "\ndata: x\n\n";
+}
+
+/** One call, and the truth about what ran of it. */
+class World
+{
+public:
+  explicit World(RelayTraits aTraits)
+    : m_traits(aTraits)
+    , m_flow(aTraits)
+  {
+  }
+
+  void Take(const RelayEvent& aEvent)
+  {
+    for (const RelayAction& action : m_flow.Handle(aEvent)) {
+      std::visit([this](const auto& aTyped) { Do(aTyped); }, action);
+    }
+  }
+
+  void Step()
+  {
+    const int what = *rc::gen::inRange(0, 12);
+    m_flow.SetRepeatAllowed(*rc::gen::inRange(0, 4) != 0);
+    if (what == 0) {
+      Take(CallerLeft{});
+      m_left = true;
+    } else if (what == 1) {
+      Take(DeadlinePassed{});
+    } else if (m_finding) {
+      m_finding = false;
+      StepPlace();
+    } else if (m_attempt != 0) {
+      StepAttempt(what);
+    }
+    // A word of an earlier attempt, at any time.
+    if (m_attempt > 1 && *rc::gen::inRange(0, 4) == 0) {
+      Take(BytesArrived{ m_attempt - 1, EventText(99) });
+      Take(AnswerEnded{ m_attempt - 1 });
+    }
+  }
+
+  void Check() const
+  {
+    RC_ASSERT(m_finals <= 1);
+    const bool idempotent = m_traits.m_stream
+                              ? m_traits.m_resumable
+                              : m_traits.m_repeat == Repeat::Freely;
+    if (!idempotent) {
+      RC_ASSERT(m_runs <= 1);
+      RC_ASSERT(!m_saidNotRun || m_runs == 0);
+    }
+    RC_ASSERT(m_runs <= m_traits.m_maxRuns);
+    // The stream: whole events in their order, each once.
+    std::string expected;
+    for (int i = 1; expected.size() < m_forwarded.size(); ++i) {
+      expected += EventText(i);
+    }
+    RC_ASSERT(m_forwarded == expected || !m_traits.m_stream);
+    RC_ASSERT(!m_ended || !m_traits.m_stream || m_given == kStreamLength);
+  }
+
+  bool IsDone() const { return m_flow.IsDone(); }
+  int Finals() const { return m_finals; }
+  bool Left() const { return m_left; }
+
+private:
+  void StepPlace()
+  {
+    const int kind = *rc::gen::inRange(0, 5);
+    if (kind == 0) {
+      Take(NoPlace{ Duration{ 10 } });
+    } else {
+      Take(PlaceFound{ "u", kind == 1 && m_traits.m_stream ? "r" : "" });
+    }
+  }
+
+  void StepAttempt(int aWhat)
+  {
+    if (m_reading) {
+      const std::vector<RelayEvent> ends{ PromptRead{ m_attempt, "h" },
+                                          AttemptBroke{ m_attempt },
+                                          AttemptRefused{ m_attempt },
+                                          AttemptUnsent{ m_attempt },
+                                          AnswerEnded{ m_attempt } };
+      Take(ends[static_cast<std::size_t>(*rc::gen::inRange(0, 5))]);
+    } else if (!m_headSent && aWhat < 4) {
+      m_attemptRan = false;
+      if (aWhat == 2) {
+        Take(AttemptRefused{ m_attempt });
+      } else {
+        Take(AttemptUnsent{ m_attempt });
+      }
+    } else if (aWhat < 6) {
+      CountRun();
+      Take(AttemptBroke{ m_attempt });
+    } else if (!m_headSent) {
+      CountRun();
+      m_headSent = true;
+      m_status = *rc::gen::element(200, 200, 200, 500, 503, 429);
+      Take(HeadArrived{ m_attempt, m_status });
+    } else {
+      StepAnswer();
+    }
+  }
+
+  void StepAnswer()
+  {
+    const bool stream = m_traits.m_stream && m_status == 200;
+    if (!stream) {
+      Take(AnswerEnded{ m_attempt });
+    } else if (m_next <= kStreamLength) {
+      // Cut somewhere, so that events come in parts.
+      const std::string text = EventText(m_next++);
+      const auto cut = *rc::gen::inRange<std::size_t>(0, text.size());
+      const AttemptId attempt = m_attempt;
+      Take(BytesArrived{ attempt, text.substr(0, cut) });
+      Take(BytesArrived{ attempt, text.substr(cut) });
+    } else {
+      Take(AnswerEnded{ m_attempt });
+    }
+  }
+
+  void CountRun()
+  {
+    if (!std::exchange(m_attemptRan, true)) {
+      ++m_runs;
+    }
+  }
+
+  void Do(const FindPlace&)
+  {
+    m_finding = true;
+    m_attempt = 0;
+  }
+  void Do(const SendRead& aAction)
+  {
+    m_attempt = aAction.m_attempt;
+    m_reading = true;
+  }
+  void Do(const SendRun& aAction)
+  {
+    m_attempt = aAction.m_attempt;
+    m_reading = false;
+    m_headSent = false;
+    m_attemptRan = false;
+    m_next =
+      aAction.m_resumeAfter.empty() ? 1 : std::stoi(aAction.m_resumeAfter) + 1;
+  }
+  void Do(const CancelAttempt&) {}
+  void Do(const NoteAttemptEnd&) {}
+  void Do(const FreeHandle&) {}
+  void Do(const ForwardHead&) {}
+  void Do(const ForwardBytes& aAction)
+  {
+    m_forwarded += aAction.m_bytes;
+    m_given =
+      static_cast<int>(std::count(m_forwarded.begin(), m_forwarded.end(), 'x'));
+  }
+  void Do(const ForwardEnd&)
+  {
+    ++m_finals;
+    m_ended = true;
+  }
+  void Do(const ForwardWhole&) { ++m_finals; }
+  void Do(const BreakOff&) { ++m_finals; }
+  void Do(const ReplyOwn& aAction)
+  {
+    ++m_finals;
+    m_saidNotRun = aAction.m_reason == ReplyOwn::Reason::NoRoom;
+  }
+
+  RelayTraits m_traits;
+  RelayFlow m_flow;
+  bool m_finding = false;
+  bool m_reading = false;
+  bool m_headSent = false;
+  bool m_attemptRan = false;
+  bool m_left = false;
+  bool m_ended = false;
+  bool m_saidNotRun = false;
+  AttemptId m_attempt = 0;
+  int m_status = 0;
+  int m_next = 1;
+  int m_runs = 0;
+  int m_finals = 0;
+  int m_given = 0;
+  std::string m_forwarded;
+};
+
+struct WorldCase
+{
+  const char* m_name;
+  RelayTraits m_traits;
+};
+
+class RelayWorldTest : public ::testing::TestWithParam<WorldCase>
+{};
+
+TEST_P(RelayWorldTest, OneTrueFinalAnswerAndAtMostOneRun)
+{
+  EXPECT_TRUE(rc::check(GetParam().m_name, [] {
+    World world(GetParam().m_traits);
+    world.Take(CallBegan{});
+    for (int i = 0; i < 60 && !world.IsDone(); ++i) {
+      world.Step();
+      world.Check();
+    }
+    if (!world.IsDone()) {
+      world.Take(DeadlinePassed{});
+      world.Check();
+    }
+    RC_ASSERT(world.IsDone());
+    RC_ASSERT(world.Finals() == 1 || world.Left());
+  }));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Kinds,
+  RelayWorldTest,
+  ::testing::Values(WorldCase{ "Unsafe", { Repeat::Never, false, false, 1 } },
+                    WorldCase{ "UnsafeWithMoreRunsAllowed",
+                               { Repeat::Never, false, false, 3 } },
+                    WorldCase{ "Safe", { Repeat::Freely, false, false, 2 } },
+                    WorldCase{ "Stream", { Repeat::Never, true, false, 1 } },
+                    WorldCase{ "Resumable", { Repeat::Never, true, true, 3 } }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+} // namespace
+} // namespace ridgeferry::relay
--- /dev/null
+++ b/packages/relay/tests/RoutesTest.cpp
@@ -0,0 +1,99 @@
+#include <gtest/gtest.h>
+#include <ridgeferry/relay/Routes.h>
+
+namespace ridgeferry::relay {
+namespace {
+
+Route
+MakeRoute(std::string aName, std::string aHost, std::string aPrefix)
+{
+  Route out;
+  out.m_name = std::move(aName);
+  out.m_host = std::move(aHost);
+  out.m_pathPrefix = std::move(aPrefix);
+  out.m_services = { { "one", 1 } };
+  return out;
+}
+
+RouteTable
+MakeTable()
+{
+  RouteConfig config;
+  config.m_version = 7;
+  config.m_routes = { MakeRoute("tiles", "a.example", "/tiles/"),
+                      MakeRoute("deep", "a.example", "/tiles/deep/"),
+                      MakeRoute("all", "b.example", "/") };
+  config.m_services = { { "one", 10, std::nullopt } };
+  return RouteTable(std::move(config));
+}
+
+struct FindCase
+{
+  const char* m_name;
+  const char* m_host;
+  const char* m_path;
+  const char* m_route; ///< Null: no route fits.
+};
+
+class RouteTableTest : public ::testing::TestWithParam<FindCase>
+{};
+
+TEST_P(RouteTableTest, FindsTheLongestPrefixOfTheHost)
+{
+  const RouteTable table = MakeTable();
+  const Route* route = table.Find(GetParam().m_host, GetParam().m_path);
+  if (GetParam().m_route == nullptr) {
+    EXPECT_EQ(route, nullptr);
+  } else {
+    ASSERT_NE(route, nullptr);
+    EXPECT_EQ(route->m_name, GetParam().m_route);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Paths,
+  RouteTableTest,
+  ::testing::Values(
+    FindCase{ "Plain", "a.example", "/tiles/5", "tiles" },
+    FindCase{ "Longest", "a.example", "/tiles/deep/5", "deep" },
+    FindCase{ "PrefixItself", "a.example", "/tiles/", "tiles" },
+    FindCase{ "WithoutItsSlash", "a.example", "/tiles", nullptr },
+    FindCase{ "LongerWord", "a.example", "/tilesets/5", nullptr },
+    FindCase{ "DeeperThanKnown", "a.example", "/tiles/x/y/z", "tiles" },
+    FindCase{ "HostInCapitals", "A.Example", "/tiles/5", "tiles" },
+    FindCase{ "HostWithPort", "a.example:80", "/tiles/5", "tiles" },
+    FindCase{ "OtherHost", "c.example", "/tiles/5", nullptr },
+    FindCase{ "WholeHost", "b.example", "/anything", "all" },
+    FindCase{ "NoPath", "b.example", "", nullptr },
+    FindCase{ "PathOfAnotherHost", "b.example", "/tiles/5", "all" }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+struct DrawCase
+{
+  const char* m_name;
+  double m_draw;
+  const char* m_service;
+};
+
+class RouteDrawTest : public ::testing::TestWithParam<DrawCase>
+{};
+
+TEST_P(RouteDrawTest, FollowsTheWeights)
+{
+  Route route = MakeRoute("split", "a", "/");
+  route.m_services = { { "large", 90 }, { "small", 10 }, { "none", 0 } };
+  EXPECT_EQ(RouteTable::Draw(route, GetParam().m_draw), GetParam().m_service);
+}
+
+INSTANTIATE_TEST_SUITE_P(Draws,
+                         RouteDrawTest,
+                         ::testing::Values(DrawCase{ "First", 0, "large" },
+                                           DrawCase{ "Edge", 0.89, "large" },
+                                           DrawCase{ "Second", 0.91, "small" },
+                                           DrawCase{ "Last", 0.999, "small" }),
+                         [](const auto& aInfo) {
+                           return std::string(aInfo.param.m_name);
+                         });
+
+} // namespace
+} // namespace ridgeferry::relay
--- /dev/null
+++ b/packages/relay/tests/TableFollowerTest.cpp
@@ -0,0 +1,190 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <ridgeferry/relay/TableFollower.h>
+
+namespace ridgeferry::relay {
+namespace {
+
+template<typename Action>
+const Action*
+Find(const std::vector<FollowAction>& aActions)
+{
+  for (const FollowAction& action : aActions) {
+    if (const auto* found = std::get_if<Action>(&action)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+class TableFollowerTest : public ::testing::Test
+{
+protected:
+  std::vector<FollowAction> Handle(const FollowEvent& aEvent, int aAtMs = 0)
+  {
+    return m_follower.Handle(aEvent, Instant{ Duration{ aAtMs } });
+  }
+
+  TableFollower m_follower;
+};
+
+TEST_F(TableFollowerTest, ReadsTheTableThenItsChanges)
+{
+  EXPECT_NE(Find<ReadTable>(Handle(FollowBegan{})), nullptr);
+  const auto actions = Handle(TableRead{ { { "a", "1" } }, 5 });
+  ASSERT_NE(Find<ApplyRows>(actions), nullptr);
+  EXPECT_EQ(Find<ApplyRows>(actions)->m_rows.size(), 1U);
+  ASSERT_NE(Find<ReadChanges>(actions), nullptr);
+  EXPECT_EQ(Find<ReadChanges>(actions)->m_after, 5U);
+}
+
+TEST_F(TableFollowerTest, ATableReadAgainTellsOnlyWhatDiffers)
+{
+  Handle(TableRead{ { { "a", "1" }, { "b", "1" }, { "c", "1" } }, 5 });
+  EXPECT_NE(Find<ReadTable>(Handle(HistoryGone{})), nullptr);
+  const auto actions = Handle(TableRead{ { { "a", "1" }, { "b", "2" } }, 9 });
+  const auto* apply = Find<ApplyRows>(actions);
+  ASSERT_NE(apply, nullptr);
+  ASSERT_EQ(apply->m_rows.size(), 2U);
+  EXPECT_EQ(apply->m_rows[0].m_key, "b");
+  EXPECT_TRUE(apply->m_rows[1].m_removed);
+  EXPECT_EQ(apply->m_rows[1].m_key, "c");
+}
+
+// A store may answer a read from before what it has already told.
+TEST_F(TableFollowerTest, AnOlderTableIsNotTaken)
+{
+  Handle(TableRead{ { { "a", "2" } }, 9 });
+  Handle(HistoryGone{});
+  const auto actions = Handle(TableRead{ { { "a", "1" } }, 5 });
+  EXPECT_EQ(Find<ApplyRows>(actions), nullptr);
+  EXPECT_NE(Find<RetryLater>(actions), nullptr);
+  EXPECT_EQ(m_follower.Version(), 9U);
+}
+
+TEST_F(TableFollowerTest, OneLineForAnOutageAndOneForItsEnd)
+{
+  Handle(TableRead{ {}, 1 });
+  EXPECT_NE(Find<StoreLost>(Handle(ReadFailed{ "x" })), nullptr);
+  EXPECT_EQ(Find<StoreLost>(Handle(ReadFailed{ "x" })), nullptr);
+  EXPECT_NE(Find<StoreBack>(Handle(ChangesRead{ {}, 1 })), nullptr);
+  EXPECT_EQ(Find<StoreBack>(Handle(ChangesRead{ {}, 1 })), nullptr);
+}
+
+TEST_F(TableFollowerTest, RetriesSlowDownToTheirLongestPause)
+{
+  Duration last{};
+  for (int i = 0; i < 6; ++i) {
+    const auto actions = Handle(ReadFailed{ "x" });
+    const auto* retry = Find<RetryLater>(actions);
+    ASSERT_NE(retry, nullptr);
+    EXPECT_GE(retry->m_delay, last);
+    last = retry->m_delay;
+  }
+  EXPECT_EQ(last, TableFollower::kLongestRetry);
+}
+
+TEST_F(TableFollowerTest, RemovalsSoonAfterAnOutageMayBeLapses)
+{
+  Handle(TableRead{ { { "a", "1" }, { "b", "1" } }, 1 });
+  Handle(ReadFailed{ "x" }, 1000);
+  const auto soon = Handle(ChangesRead{ { { "a", {}, true } }, 2 }, 2000);
+  ASSERT_NE(Find<ApplyRows>(soon), nullptr);
+  EXPECT_TRUE(Find<ApplyRows>(soon)->m_afterOutage);
+  const auto later = Handle(ChangesRead{ { { "b", {}, true } }, 3 }, 9000);
+  ASSERT_NE(Find<ApplyRows>(later), nullptr);
+  EXPECT_FALSE(Find<ApplyRows>(later)->m_afterOutage);
+}
+
+// Whatever is lost, late or asked twice: the follower ends with the store's
+// rows, and never tells a row that it had already replaced.
+TEST(TableFollowerWorldTest, EndsWithTheRowsOfTheStore)
+{
+  EXPECT_TRUE(rc::check("lossy store", [] {
+    TableFollower follower;
+    std::map<std::string, std::string> store;
+    std::vector<std::pair<std::uint64_t, FollowedRow>> history;
+    std::map<std::string, std::string> told;
+    std::uint64_t version = 1;
+    std::uint64_t forgotten = 0;
+    Instant now{};
+    std::vector<FollowAction> pending = follower.Handle(FollowBegan{}, now);
+    const auto take = [&](std::vector<FollowAction> aActions) {
+      for (FollowAction& action : aActions) {
+        if (const auto* apply = std::get_if<ApplyRows>(&action)) {
+          for (const FollowedRow& row : apply->m_rows) {
+            if (row.m_removed) {
+              told.erase(row.m_key);
+            } else {
+              // Values are versions here: they may only rise.
+              const auto known = told.find(row.m_key);
+              const bool rises =
+                known == told.end() ||
+                std::stoull(known->second) <= std::stoull(row.m_value);
+              RC_ASSERT(rises);
+              told[row.m_key] = row.m_value;
+            }
+          }
+        }
+      }
+      pending = std::move(aActions);
+    };
+    const auto answer = [&](bool aLost) {
+      for (const FollowAction& action : pending) {
+        if (aLost) {
+          take(follower.Handle(ReadFailed{ "lost" }, now));
+          return;
+        }
+        if (std::holds_alternative<ReadTable>(action)) {
+          TableRead read{ {}, version };
+          for (const auto& [key, value] : store) {
+            read.m_rows.push_back({ key, value });
+          }
+          take(follower.Handle(read, now));
+          return;
+        }
+        if (const auto* changes = std::get_if<ReadChanges>(&action)) {
+          if (changes->m_after < forgotten) {
+            take(follower.Handle(HistoryGone{}, now));
+            return;
+          }
+          ChangesRead read{ {}, version };
+          for (const auto& [at, row] : history) {
+            if (at > changes->m_after) {
+              read.m_rows.push_back(row);
+            }
+          }
+          take(follower.Handle(read, now));
+          return;
+        }
+        if (std::holds_alternative<RetryLater>(action)) {
+          take(follower.Handle(RetryDue{}, now));
+          return;
+        }
+      }
+    };
+    for (int i = 0; i < 80; ++i) {
+      now += Duration{ 50 };
+      const int what = *rc::gen::inRange(0, 6);
+      const std::string key(1, static_cast<char>('a' + i % 4));
+      if (what == 0) {
+        store[key] = std::to_string(++version);
+        history.push_back({ version, { key, store[key] } });
+      } else if (what == 1 && store.erase(key) > 0) {
+        history.push_back({ ++version, { key, {}, true } });
+      } else if (what == 2) {
+        forgotten = version;
+        history.clear();
+      } else {
+        answer(what == 3);
+      }
+    }
+    for (int i = 0; i < 6; ++i) {
+      answer(false);
+    }
+    RC_ASSERT(told == store);
+  }));
+}
+
+} // namespace
+} // namespace ridgeferry::relay
