--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -74,8 +74,8 @@
  */
 struct Dialect
 {
-  sigc::slot<CallHead(const net::HttpExchange&)> m_readCall;
-  sigc::slot<net::HttpRequest(const net::HttpExchange&, const SendTerms&)>
+  sigc::slot<CallHead(const net::ReceivedRequest&)> m_readCall;
+  sigc::slot<net::HttpRequest(const net::ReceivedRequest&, const SendTerms&)>
     m_writeSend;
   /** Whether the upstream says that it has not run the call. */
   sigc::slot<bool(const net::HttpHead&)> m_saysNotRun;
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -78,7 +78,7 @@
 void
 Relay::Take(const std::shared_ptr<net::HttpExchange>& aExchange)
 {
-  CallHead head = m_node.m_dialect.m_readCall(*aExchange);
+  CallHead head = m_node.m_dialect.m_readCall(aExchange->Request());
   if (!m_node.m_stop.TakesCalls(m_node.Now())) {
     Refuse(*aExchange, head, kUnavailable, "stopping");
     return;
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -219,7 +219,7 @@
   aTerms.m_left = Left();
   aTerms.m_priority = m_start.m_route->m_priority;
   net::HttpRequest request =
-    m_node.m_dialect.m_writeSend(*m_start.m_exchange, aTerms);
+    m_node.m_dialect.m_writeSend(m_start.m_exchange->Request(), aTerms);
   request.m_timeout = aTerms.m_left;
   request.m_connectTimeout = kConnectTimeout;
   m_attempt.m_tokensAhead = m_node.m_fleet.TokensAt(aMember.m_id);
--- a/packages/net/include/ridgeferry/net/HttpServer.h
+++ b/packages/net/include/ridgeferry/net/HttpServer.h
@@ -36,8 +36,8 @@
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
 
+  const ReceivedRequest& Request() const { return m_request; }
   const std::string& Method() const { return m_request.m_method; }
-  const std::string& Target() const { return m_request.m_target; }
   const std::string& Path() const { return m_path; }   ///< Decoded.
   const std::string& Query() const { return m_query; } ///< As sent.
   /** One parameter of the query, decoded; empty if missing. */
