Placement: as many quiet generators as the running calls need

With three generators for all short prompts 60 and more ran at each; their contexts doubled the time of a step, and outputs of 150 events and more missed their 15 s.

--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -26,12 +26,16 @@
 constexpr double kLowestPace = 10;
 constexpr double kHighestPace = 2000;
 constexpr std::int64_t kLeastPaceTokens = 1500;
-/** Share of the generators that read no long prompts, so that the output of
- * others comes steadily there. */
-constexpr double kQuietShare = 0.38;
+/** Bounds of the share of generators that read no long prompts, so that the
+ * output of others comes steadily there. */
+constexpr double kLeastQuietShare = 0.25;
+constexpr double kMostQuietShare = 0.62;
 /** Above this share of its slots an engine counts as full: what others have
  * sent meanwhile is not known yet. */
 constexpr double kFullShare = 0.85;
+/** Calls that generate at one engine before the next ones go elsewhere: their
+ * contexts slow each step, and the longest outputs would miss their end. */
+constexpr double kMostSteady = 40;
 /** Least expected time of a plain call before any was seen, in ms. */
 constexpr double kUnknownTookMs = 10;
 /** A member that fails all its calls looks this many times slower. */
@@ -277,18 +281,26 @@
 bool
 Fleet::IsQuiet(const State& aState) const
 {
-  // The first quarter of the service's generators, by hash: all agree on it.
-  std::size_t all = 0;
-  std::size_t before = 0;
+  // The first ones by hash, as many as the running calls need: all instances
+  // see nearly the same numbers and agree on nearly the same engines.
+  double all = 0;
+  double before = 0;
+  std::int64_t running = 0;
   for (const auto& [id, state] : m_members) {
     const bool peer = state.m_member.m_part == Part::Generate &&
                       state.m_member.m_service == aState.m_member.m_service &&
                       !state.m_member.m_leaving;
-    all += peer ? 1 : 0;
-    before += peer && state.m_hash < aState.m_hash ? 1 : 0;
+    if (!peer) {
+      continue;
+    }
+    running += state.m_inFlight + state.m_othersInFlight;
+    ++all;
+    before += state.m_hash < aState.m_hash ? 1 : 0;
   }
-  return static_cast<double>(before) + 0.5 <
-         kQuietShare * static_cast<double>(all);
+  const double wanted = std::ceil(static_cast<double>(running) / kMostSteady);
+  const double least = std::round(kLeastQuietShare * all);
+  const double most = std::round(kMostQuietShare * all);
+  return before < std::clamp(wanted, least, std::max(least, most));
 }
 
 bool
