--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -129,6 +129,7 @@
 {
   if (aRow.m_removed) {
     m_node.m_fleet.Drop(aRow.m_key, aAfterOutage, m_node.Now());
+    m_peers->NoteGone(aRow.m_key);
     m_node.m_log->Write(
       observe::LogLevel::Info,
       "upstream-gone",
@@ -143,6 +144,9 @@
     return;
   }
   m_node.m_fleet.Put(*member);
+  if (member->m_leaving) {
+    m_peers->NoteLeaving(member->m_id);
+  }
   m_node.m_log->Write(observe::LogLevel::Info,
                       "upstream-listed",
                       { { "upstream", member->m_id },
@@ -154,6 +158,7 @@
 void
 Entry::Impl::NoteReadiness()
 {
+  m_peers->SetState(IsReady(), m_node.m_stop.HasBegun());
   if (IsReady() == m_wasReady) {
     return;
   }
@@ -274,6 +279,12 @@
     [this](const relay::ApplyRows& aRows) { TakeConfig(aRows); });
   m_members->SignalRows().connect(
     [this](const relay::ApplyRows& aRows) { TakeMembers(aRows); });
+  m_peers->SignalLeaving().connect([this](const std::string& aUpstream) {
+    m_node.m_fleet.MarkLeaving(aUpstream);
+    m_node.m_log->Write(observe::LogLevel::Info,
+                        "upstream-leaves",
+                        { { "upstream", aUpstream }, { "from", "a peer" } });
+  });
   WatchSignals();
   m_tick = m_node.m_loop->Every(kTick, [this] { Tick(); });
   m_node.m_log->Write(observe::LogLevel::Info,
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -130,6 +130,12 @@
   }
 }
 
+void
+Peers::NoteGone(const std::string& aUpstream)
+{
+  m_leavingUpstreams.erase(aUpstream);
+}
+
 void
 Peers::OnDatagram(std::string_view aBytes)
 {
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -23,9 +23,9 @@
   tl::expected<void, net::NetError> Start();
   /** This instance learned that an upstream leaves: tell the others. */
   void NoteLeaving(const std::string& aUpstream);
+  /** It has gone from the list: there is nothing left to tell. */
+  void NoteGone(const std::string& aUpstream);
   void SetState(bool aReady, bool aLeaving);
-  /** Live instances, with this one. */
-  std::size_t LiveCount() const { return m_roster.LiveCount(); }
 
   /** Another instance says that an upstream leaves. */
   sigc::signal<void(const std::string&)>& SignalLeaving() { return m_leaves; }
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -114,6 +114,8 @@
   void Put(const Member& aMember);
   /** `aMayHaveLapsed`: the list was out of reach not long ago. */
   void Drop(std::string_view aId, bool aMayHaveLapsed, Instant aNow);
+  /** Another instance says that it leaves: it gets no new work. */
+  void MarkLeaving(std::string_view aId);
   /** Ends the graces that have passed. */
   void Tick(Instant aNow);
 
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -108,6 +108,15 @@
   m_members.erase(found);
 }
 
+void
+Fleet::MarkLeaving(std::string_view aId)
+{
+  const auto found = m_members.find(aId);
+  if (found != m_members.end()) {
+    found->second.m_member.m_leaving = true;
+  }
+}
+
 void
 Fleet::Tick(Instant aNow)
 {
