Logs: a line for each send and refusal; ridgeferry explain --id reads them

Change: attempt-sent, attempt-ended (if not served) and no-place with their inputs; explain --id ID [LOG ...] prints one request's story with what was said of its upstreams.

--- a/packages/cli/include/ridgeferry/cli/Command.h
+++ b/packages/cli/include/ridgeferry/cli/Command.h
@@ -60,6 +60,12 @@
   std::string m_key;
   std::string m_body;
 };
+/** What became of a request, out of the instances' logs. */
+struct StoryCommand
+{
+  std::string m_id;
+  std::vector<std::string> m_files; ///< None: standard input.
+};
 struct HelpCommand
 {};
 struct VersionCommand
@@ -74,6 +80,7 @@
                              AuditCommand,
                              ChangeCommand,
                              ExplainCommand,
+                             StoryCommand,
                              HelpCommand,
                              VersionCommand>;
 
--- a/packages/cli/src/Command.cpp
+++ b/packages/cli/src/Command.cpp
@@ -21,6 +21,7 @@
   OptionLabels,
   OptionKey,
   OptionBody,
+  OptionId,
   OptionHelp,
   OptionVersion,
 };
@@ -37,6 +38,7 @@
   { "labels", required_argument, nullptr, OptionLabels },
   { "key", required_argument, nullptr, OptionKey },
   { "body", required_argument, nullptr, OptionBody },
+  { "id", required_argument, nullptr, OptionId },
   { "help", no_argument, nullptr, OptionHelp },
   { "version", no_argument, nullptr, OptionVersion },
   { nullptr, 0, nullptr, 0 },
@@ -104,9 +106,13 @@
     }
     return ChangeCommand{ aRest[0] };
   }
+  if (aName == "explain" && aValues.contains(OptionId)) {
+    return StoryCommand{ ValueOr(aValues, OptionId, nullptr), aRest };
+  }
   if (aName == "explain") {
     if (aRest.size() != 1) {
-      return Wrong("explain needs one request path, such as /services/tiles/");
+      return Wrong("explain needs one request path, such as /services/tiles/, "
+                   "or --id ID and log files");
     }
     return ExplainCommand{ aRest[0],
                            ValueOr(aValues, OptionTeam, nullptr),
@@ -164,14 +170,15 @@
     return Wrong("--output: found \"" + output + "\"; allowed: text, json");
   }
   out.m_common.m_output = output == "json" ? Output::Json : Output::Text;
-  if (out.m_common.m_server.empty()) {
-    return Wrong("--server IP:PORT is needed, or RIDGEFERRY_SERVER");
-  }
   auto command =
     MakeCommand(words[0], { words.begin() + 1, words.end() }, options);
   if (!command) {
     return tl::unexpected(command.error());
   }
+  const bool readsLogs = std::holds_alternative<StoryCommand>(*command);
+  if (out.m_common.m_server.empty() && !readsLogs) {
+    return Wrong("--server IP:PORT is needed, or RIDGEFERRY_SERVER");
+  }
   out.m_command = std::move(*command);
   return out;
 }
@@ -192,6 +199,9 @@
          "  change ID                         one change, by its id\n"
          "  explain PATH --team TEAM [--labels k=v,...] [--key KEY]\n"
          "          [--body JSON]             how a request would be served\n"
+         "  explain --id ID [LOG ...]         what became of a request, out "
+         "of\n"
+         "                                    logs (none: standard input)\n"
          "\n"
          "options\n"
          "  --server IP:PORT     administration API (RIDGEFERRY_SERVER)\n"
--- a/packages/cli/src/Run.cpp
+++ b/packages/cli/src/Run.cpp
@@ -5,8 +5,13 @@
 #include "Print.h"
 
 #include <cstdio>
+#include <fstream>
+#include <iostream>
 #include <nlohmann/json.hpp>
 #include <ridgeferry/base/Overloaded.h>
+#include <ridgeferry/cli/Story.h>
+#include <sstream>
+#include <tl/expected.hpp>
 
 namespace ridgeferry::cli {
 
@@ -196,6 +201,49 @@
                 &PrintExplanation);
 }
 
+/** Error: the name of a file that cannot be read. */
+tl::expected<std::vector<StoryLine>, std::string>
+StoryOf(const StoryCommand& aCommand)
+{
+  if (aCommand.m_files.empty()) {
+    return ReadStory(std::cin, aCommand.m_id);
+  }
+  std::stringstream all;
+  for (const std::string& name : aCommand.m_files) {
+    std::ifstream file(name);
+    if (!file) {
+      return tl::unexpected(name);
+    }
+    // An empty file would set the target's failure bit.
+    if (file.peek() != std::ifstream::traits_type::eof()) {
+      all << file.rdbuf() << '\n';
+    }
+  }
+  return ReadStory(all, aCommand.m_id);
+}
+
+ExitCode
+Execute(const Common&, const StoryCommand& aCommand)
+{
+  const auto story = StoryOf(aCommand);
+  if (!story) {
+    std::fprintf(
+      stderr, "ridgeferry: cannot read the log %s\n", story.error().c_str());
+    return ExitCode::Usage;
+  }
+  for (const StoryLine& line : *story) {
+    std::printf("%s %s\n", line.m_time.c_str(), line.m_text.c_str());
+  }
+  if (story->empty()) {
+    std::fprintf(stderr,
+                 "ridgeferry: no line names the id \"%s\"; give the logs of "
+                 "all instances that its caller can have reached\n",
+                 aCommand.m_id.c_str());
+    return ExitCode::Failed;
+  }
+  return ExitCode::Ok;
+}
+
 ExitCode
 Execute(const Common&, const HelpCommand&)
 {
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -77,6 +77,22 @@
   return text.data();
 }
 
+std::string_view
+NameOf(relay::AttemptEnd aEnd)
+{
+  switch (aEnd) {
+    case relay::AttemptEnd::Served:
+      return "served";
+    case relay::AttemptEnd::Failed:
+      return "failed";
+    case relay::AttemptEnd::Declined:
+      return "declined";
+    case relay::AttemptEnd::Abandoned:
+      break;
+  }
+  return "abandoned";
+}
+
 relay::MemberEnd
 ToMemberEnd(relay::AttemptEnd aEnd)
 {
@@ -174,6 +190,15 @@
     Handle(relay::PlaceFound{ place->m_upstream, place->m_reader });
   } else {
     const auto& fault = std::get<relay::PlaceFault>(result);
+    m_node.m_log->Write(
+      observe::LogLevel::Info,
+      "no-place",
+      { { "id", m_start.m_head.m_id },
+        { "service", m_start.m_service },
+        { "cause",
+          fault.m_full ? "first token too late" : "no sound upstream" },
+        { "roomInMs", fault.m_roomIn.count() },
+        { "listed", static_cast<std::int64_t>(m_node.m_fleet.Size()) } });
     Handle(relay::NoPlace{ fault.m_full ? fault.m_roomIn
                                         : relay::RelayFlow::kRetryAfter });
   }
@@ -240,6 +265,16 @@
   request.m_timeout = aTerms.m_left;
   request.m_connectTimeout = kConnectTimeout;
   m_attempt.m_tokensAhead = m_node.m_fleet.TokensAt(aMember.m_id);
+  m_node.m_log->Write(observe::LogLevel::Info,
+                      "attempt-sent",
+                      { { "id", m_start.m_head.m_id },
+                        { "attempt", static_cast<std::int64_t>(aId) },
+                        { "upstream", aMember.m_id },
+                        { "readOnly", aTerms.m_readOnly },
+                        { "handle", aTerms.m_handle },
+                        { "tokens", m_attempt.m_tokens },
+                        { "tokensAhead", m_attempt.m_tokensAhead },
+                        { "leftMs", Left().count() } });
   m_node.m_fleet.NoteSent(aMember.m_id, m_attempt.m_tokens);
   m_node.m_metrics.Count("ridgeferry_sends_total");
   net::HttpCallbacks callbacks;
@@ -315,6 +350,17 @@
 void
 RelayCall::Do(const relay::NoteAttemptEnd& aAction)
 {
+  if (aAction.m_end != relay::AttemptEnd::Served) {
+    m_node.m_log->Write(
+      observe::LogLevel::Info,
+      "attempt-ended",
+      { { "id", m_start.m_head.m_id },
+        { "attempt", static_cast<std::int64_t>(aAction.m_attempt) },
+        { "upstream", m_attempt.m_upstream },
+        { "how", std::string(NameOf(aAction.m_end)) },
+        { "status", std::int64_t{ m_attempt.m_head.m_status } },
+        { "tookMs", (m_node.Now() - m_attempt.m_sentAt).count() } });
+  }
   m_node.m_fleet.NoteEnded(m_attempt.m_upstream,
                            m_attempt.m_tokens,
                            ToMemberEnd(aAction.m_end),
