--- a/packages/daemon/include/ridgeferry/daemon/Settings.h
+++ b/packages/daemon/include/ridgeferry/daemon/Settings.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <ridgeferry/authority/Lease.h>
-#include <ridgeferry/base/FieldReader.h>
+#include <ridgeferry/base/SettingsError.h>
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/net/Address.h>
 #include <ridgeferry/observe/Log.h>
@@ -61,14 +61,6 @@
   std::size_t m_maxBodyBytes = std::size_t{ 16 } * 1024 * 1024;
 };
 
-/** Why a settings file cannot be used: all its faults at once. */
-struct SettingsError
-{
-  std::string m_file;
-  std::vector<FieldError> m_faults; ///< Empty: the file itself.
-  std::string m_cause;              ///< If the file itself is unusable.
-};
-
 /** Checks settings given as text. `aFile` is used in errors only. */
 tl::expected<Settings, SettingsError>
 ParseSettings(std::string_view aText, const std::string& aFile);
@@ -76,8 +68,4 @@
 tl::expected<Settings, SettingsError>
 LoadSettings(const std::string& aFile);
 
-/** One line a fault. */
-std::string
-FormatSettingsError(const SettingsError& aError);
-
 } // namespace ridgeferry::daemon
--- a/packages/daemon/src/Main.cpp
+++ b/packages/daemon/src/Main.cpp
@@ -82,9 +82,8 @@
   }
   auto settings = ridgeferry::daemon::LoadSettings(arguments.m_settings);
   if (!settings) {
-    std::fputs(
-      ridgeferry::daemon::FormatSettingsError(settings.error()).c_str(),
-      stderr);
+    std::fputs(ridgeferry::FormatSettingsError(settings.error()).c_str(),
+               stderr);
     return kExitBadInput;
   }
   if (arguments.m_check) {
--- a/packages/daemon/src/Settings.cpp
+++ b/packages/daemon/src/Settings.cpp
@@ -167,17 +167,4 @@
   return ParseSettings(text.str(), aFile);
 }
 
-std::string
-FormatSettingsError(const SettingsError& aError)
-{
-  if (aError.m_faults.empty()) {
-    return aError.m_file + ": " + aError.m_cause + "\n";
-  }
-  std::string out;
-  for (const FieldError& fault : aError.m_faults) {
-    out += aError.m_file + ": " + FormatFieldError(fault) + "\n";
-  }
-  return out;
-}
-
 } // namespace ridgeferry::daemon
--- a/packages/entry/include/ridgeferry/entry/EntrySettings.h
+++ b/packages/entry/include/ridgeferry/entry/EntrySettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <ridgeferry/base/FieldReader.h>
+#include <ridgeferry/base/SettingsError.h>
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/net/Address.h>
 #include <string>
@@ -34,24 +34,12 @@
   RetryBounds m_retries;
 };
 
-/** Why settings cannot be used: all their faults at once. */
-struct EntrySettingsError
-{
-  std::string m_file;
-  std::vector<FieldError> m_faults; ///< Empty: the file itself.
-  std::string m_cause;              ///< If the file itself is unusable.
-};
-
 /** Thread-safe. `aFile` is used in errors only. */
-tl::expected<EntrySettings, EntrySettingsError>
+tl::expected<EntrySettings, SettingsError>
 ParseEntrySettings(std::string_view aText, const std::string& aFile);
 
 /** Thread-safe. Error: unreadable, no JSON, or fields that are wrong. */
-tl::expected<EntrySettings, EntrySettingsError>
+tl::expected<EntrySettings, SettingsError>
 LoadEntrySettings(const std::string& aFile);
 
-/** One line a fault. Thread-safe. */
-std::string
-FormatEntrySettingsError(const EntrySettingsError& aError);
-
 } // namespace ridgeferry::entry
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -185,10 +185,9 @@
   m_fileTime = ModifiedAt(m_file);
   auto loaded = LoadEntrySettings(m_file);
   if (!loaded) {
-    m_node.m_log->Write(
-      observe::LogLevel::Error,
-      "settings-rejected",
-      { { "faults", FormatEntrySettingsError(loaded.error()) } });
+    m_node.m_log->Write(observe::LogLevel::Error,
+                        "settings-rejected",
+                        { { "faults", FormatSettingsError(loaded.error()) } });
     return;
   }
   // Addresses that are bound stay until the process ends.
--- a/packages/entry/src/EntrySettings.cpp
+++ b/packages/entry/src/EntrySettings.cpp
@@ -68,13 +68,12 @@
 
 } // namespace
 
-tl::expected<EntrySettings, EntrySettingsError>
+tl::expected<EntrySettings, SettingsError>
 ParseEntrySettings(std::string_view aText, const std::string& aFile)
 {
   const nlohmann::json document = nlohmann::json::parse(aText, nullptr, false);
   if (document.is_discarded()) {
-    return tl::unexpected(
-      EntrySettingsError{ aFile, {}, "the file is not JSON" });
+    return tl::unexpected(SettingsError{ aFile, {}, "the file is not JSON" });
   }
   EntrySettings out;
   std::vector<FieldError> faults;
@@ -94,34 +93,21 @@
                 [&](FieldReader& aRetries) { ReadRetries(aRetries, out); });
   reader.RejectUnknown();
   if (!faults.empty()) {
-    return tl::unexpected(EntrySettingsError{ aFile, std::move(faults), {} });
+    return tl::unexpected(SettingsError{ aFile, std::move(faults), {} });
   }
   return out;
 }
 
-tl::expected<EntrySettings, EntrySettingsError>
+tl::expected<EntrySettings, SettingsError>
 LoadEntrySettings(const std::string& aFile)
 {
   std::ifstream file(aFile);
   std::ostringstream text;
   if (!file || !(text << file.rdbuf())) {
     return tl::unexpected(
-      EntrySettingsError{ aFile, {}, "the file cannot be read" });
+      SettingsError{ aFile, {}, "the file cannot be read" });
   }
   return ParseEntrySettings(text.str(), aFile);
 }
 
-std::string
-FormatEntrySettingsError(const EntrySettingsError& aError)
-{
-  if (aError.m_faults.empty()) {
-    return aError.m_file + ": " + aError.m_cause + "\n";
-  }
-  std::string out;
-  for (const FieldError& fault : aError.m_faults) {
-    out += aError.m_file + ": " + FormatFieldError(fault) + "\n";
-  }
-  return out;
-}
-
 } // namespace ridgeferry::entry
--- /dev/null
+++ b/packages/entry/tests/EntrySettingsTest.cpp
@@ -0,0 +1,85 @@
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <ridgeferry/entry/EntrySettings.h>
+
+namespace ridgeferry::entry {
+namespace {
+
+using Json = nlohmann::json;
+
+Json
+GoodSettings()
+{
+  return { { "instance", "one" },
+           { "hall", "east" },
+           { "listen",
+             { { "callers", "10.0.0.1:80" },
+               { "readiness", "10.0.0.1:81" },
+               { "metrics", "10.0.0.1:82" },
+               { "peers", "10.0.0.1:83" } } },
+           { "seeds", { "10.0.0.2:9" } },
+           { "store", "10.0.0.3:7" },
+           { "stopGraceSeconds", 8 },
+           { "retries", { { "ratio", 0.2 }, { "windowSeconds", 10 } } } };
+}
+
+TEST(EntrySettingsTest, TakesAllFields)
+{
+  const auto settings = ParseEntrySettings(GoodSettings().dump(), "s.json");
+  ASSERT_TRUE(settings.has_value()) << FormatSettingsError(settings.error());
+  EXPECT_EQ(settings->m_instance, "one");
+  EXPECT_EQ(settings->m_peers.ToString(), "10.0.0.1:83");
+  ASSERT_EQ(settings->m_seeds.size(), 1U);
+  EXPECT_EQ(settings->m_store, "10.0.0.3:7");
+  EXPECT_EQ(settings->m_stopGrace, Duration{ 8000 });
+  EXPECT_EQ(settings->m_retries.m_window, Duration{ 10'000 });
+}
+
+struct BadSettingsCase
+{
+  const char* m_name;
+  const char* m_pointer; ///< Of what is changed and of the fault.
+  const char* m_value;   ///< JSON put there.
+};
+
+class BadEntrySettingsTest : public ::testing::TestWithParam<BadSettingsCase>
+{};
+
+TEST_P(BadEntrySettingsTest, IsToldWithItsPlace)
+{
+  Json document = GoodSettings();
+  document[Json::json_pointer(GetParam().m_pointer)] =
+    Json::parse(GetParam().m_value);
+  const auto settings = ParseEntrySettings(document.dump(), "s.json");
+  ASSERT_FALSE(settings.has_value());
+  const std::string told = FormatSettingsError(settings.error());
+  EXPECT_TRUE(told.starts_with("s.json: ")) << told;
+  EXPECT_NE(told.find(GetParam().m_pointer), std::string::npos) << told;
+  EXPECT_NE(told.find("allowed: "), std::string::npos) << told;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Fields,
+  BadEntrySettingsTest,
+  ::testing::Values(
+    BadSettingsCase{ "NoInstance", "/instance", "null" },
+    BadSettingsCase{ "HallIsNumber", "/hall", "5" },
+    BadSettingsCase{ "AddressWithoutPort", "/listen/callers", "\"10.0.0.1\"" },
+    BadSettingsCase{ "AddressIsName", "/store", "\"host:80\"" },
+    BadSettingsCase{ "SeedIsNoAddress", "/seeds", "[\"x\"]" },
+    BadSettingsCase{ "GraceIsText", "/stopGraceSeconds", "\"8\"" },
+    BadSettingsCase{ "GraceIsNegative", "/stopGraceSeconds", "-1" },
+    BadSettingsCase{ "RatioAboveOne", "/retries/ratio", "2" },
+    BadSettingsCase{ "UnknownField", "/colour", "1" }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+TEST(EntrySettingsTest, AFileThatIsNoJsonOrNotThereIsTold)
+{
+  EXPECT_EQ(FormatSettingsError(ParseEntrySettings("x", "s.json").error()),
+            "s.json: the file is not JSON\n");
+  EXPECT_EQ(FormatSettingsError(LoadEntrySettings("/no/such/file").error()),
+            "/no/such/file: the file cannot be read\n");
+}
+
+} // namespace
+} // namespace ridgeferry::entry
