--- a/packages/claims/include/ridgeferry/claims/Claim.h
+++ b/packages/claims/include/ridgeferry/claims/Claim.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <ridgeferry/base/Outcome.h>
+#include <ridgeferry/base/Time.h>
 #include <ridgeferry/table/Table.h>
 #include <string>
 #include <string_view>
@@ -64,7 +65,10 @@
   Outcome m_outcome = Outcome::MayHaveRun;
   RecordedAnswer m_answer; ///< For `Ran`.
 };
-using ClaimEvent = std::variant<ClaimRead, ClaimWritten, CallEnded>;
+/** The wait that `RecordLater` asked for is over. */
+struct RecordDue
+{};
+using ClaimEvent = std::variant<ClaimRead, ClaimWritten, CallEnded, RecordDue>;
 
 struct ReadClaim
 {
@@ -99,6 +103,15 @@
 {
   Outcome m_outcome = Outcome::MayHaveRun;
 };
+/**
+ * The end could not be recorded yet: `RecordDue` is wanted after this wait.
+ * The outcome may be told to the caller meanwhile.
+ */
+struct RecordLater
+{
+  Duration m_wait{};
+  Outcome m_outcome = Outcome::MayHaveRun;
+};
 /** Nothing to do. */
 struct NoClaimAction
 {};
@@ -110,6 +123,7 @@
                                  KeyReused,
                                  StoreUnavailable,
                                  ClaimSettled,
+                                 RecordLater,
                                  NoClaimAction>;
 
 /**
@@ -119,13 +133,25 @@
  * Invariants: `RunCall` comes at most once, and only after the row was seen to
  * name this attempt; of all attempts with one key at most one is open at a
  * time; `NotRun` is settled only after the row says so, so that whoever
- * retries may run the call. A pure state machine; not thread-safe.
+ * retries may run the call. An end that is known is recorded again and again
+ * while the table is away: an open row would tell each retry "may have run"
+ * for ever. A pure state machine; not thread-safe.
  */
 class Claim
 {
 public:
   /** Reads and writes tried before the table counts as unavailable. */
   static constexpr int kMaxTries = 4;
+  /** First wait before an end is recorded again; it doubles. A quarter of a
+   * second: most lost answers of the table are single ones. */
+  static constexpr Duration kFirstRecordWait{ 250 };
+  /** Longest such wait: a retry of the caller, who is told to come back after
+   * five seconds, should find the record. */
+  static constexpr Duration kLongestRecordWait{ 4000 };
+  /** Rounds of recording before an end is given up: a quarter of an hour,
+   * beyond the longest outage of the table that is planned for (ten minutes).
+   */
+  static constexpr int kMaxRecordRounds = 230;
 
   /** `aId` must be unique for ever. */
   Claim(std::string_view aTeam,
@@ -142,6 +168,7 @@
     Claiming,
     Running,
     Recording,
+    Waiting, ///< To record again.
     Done,
   };
 
@@ -150,9 +177,12 @@
   ClaimAction OnReadWhileRecording(const ClaimRow& aRow);
   ClaimAction OnWritten(const ClaimWritten& aWritten);
   ClaimAction OnEnded(const CallEnded& aEnded);
+  ClaimAction OnRecordDue();
   ClaimAction Write();
   ClaimAction Read();
   ClaimAction GiveUp();
+  ClaimAction RecordAgain();
+  Outcome KnownOutcome() const;
   ClaimAction Run();
   ClaimAction Finish(Outcome aOutcome);
 
@@ -161,6 +191,8 @@
   table::Version m_version = 0; ///< Of the row as last seen.
   Step m_step = Step::Claiming;
   int m_tries = 0;
+  int m_recordRounds = 0;
+  Duration m_recordWait = kFirstRecordWait;
 };
 
 } // namespace ridgeferry::claims
--- a/packages/claims/src/Claim.cpp
+++ b/packages/claims/src/Claim.cpp
@@ -1,5 +1,6 @@
 #include "ridgeferry/claims/Claim.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <ridgeferry/base/Overloaded.h>
 
@@ -121,7 +122,8 @@
     Overloaded{
       [&](const ClaimRead& aRead) { return OnRead(aRead); },
       [&](const ClaimWritten& aWritten) { return OnWritten(aWritten); },
-      [&](const CallEnded& aEnded) { return OnEnded(aEnded); } },
+      [&](const CallEnded& aEnded) { return OnEnded(aEnded); },
+      [&](const RecordDue&) { return OnRecordDue(); } },
     aEvent);
 }
 
@@ -146,15 +148,43 @@
 ClaimAction
 Claim::GiveUp()
 {
-  const bool claiming = m_step == Step::Claiming;
-  m_step = Step::Done;
-  if (claiming) {
+  if (m_step == Step::Claiming) {
+    m_step = Step::Done;
     return StoreUnavailable{};
   }
+  return RecordAgain();
+}
+
+Outcome
+Claim::KnownOutcome() const
+{
   // What could not be recorded cannot be promised, but an answer that came
   // is an answer.
-  return ClaimSettled{ m_row.m_state == ClaimState::Ran ? Outcome::Ran
-                                                        : Outcome::MayHaveRun };
+  return m_row.m_state == ClaimState::Ran ? Outcome::Ran : Outcome::MayHaveRun;
+}
+
+ClaimAction
+Claim::RecordAgain()
+{
+  if (++m_recordRounds > kMaxRecordRounds) {
+    return Finish(KnownOutcome());
+  }
+  m_step = Step::Waiting;
+  const Duration wait = m_recordWait;
+  m_recordWait = std::min(m_recordWait * 2, kLongestRecordWait);
+  return RecordLater{ wait, KnownOutcome() };
+}
+
+ClaimAction
+Claim::OnRecordDue()
+{
+  if (m_step != Step::Waiting) {
+    return NoClaimAction{};
+  }
+  m_step = Step::Recording;
+  m_tries = 0;
+  // Read first: an earlier write may have landed after its answer was lost.
+  return Read();
 }
 
 ClaimAction
@@ -175,7 +205,7 @@
 ClaimAction
 Claim::OnWritten(const ClaimWritten& aWritten)
 {
-  if (m_step == Step::Running) {
+  if (m_step == Step::Running || m_step == Step::Waiting) {
     return NoClaimAction{}; // A late second answer.
   }
   switch (aWritten.m_result) {
@@ -200,7 +230,7 @@
 ClaimAction
 Claim::OnRead(const ClaimRead& aRead)
 {
-  if (m_step == Step::Running) {
+  if (m_step == Step::Running || m_step == Step::Waiting) {
     return NoClaimAction{};
   }
   if (aRead.m_result.m_status != table::ReadStatus::Ok) {
--- a/packages/claims/tests/ClaimWorldTest.cpp
+++ b/packages/claims/tests/ClaimWorldTest.cpp
@@ -54,6 +54,7 @@
 
   int Runs() const { return m_runs; }
   int Replays() const { return m_replays; }
+  int Waits() const { return m_waits; }
   const std::vector<std::string>& Faults() const { return m_faults; }
 
 private:
@@ -92,6 +93,11 @@
             m_faults.emplace_back("\"not run\" of a call that ran");
           }
         },
+        [&](const RecordLater&) {
+          ++m_waits;
+          m_network.push_back(
+            [this, &aAttempt](bool) { Feed(aAttempt, RecordDue{}); });
+        },
         [](const auto&) {} },
       aAction);
   }
@@ -172,6 +178,7 @@
   std::vector<std::function<void(bool)>> m_network;
   int m_runs = 0;
   int m_replays = 0;
+  int m_waits = 0; ///< For the table, to record an end.
   std::vector<std::string> m_faults;
 };
 
@@ -179,6 +186,7 @@
 {
   int runs = 0;
   int replays = 0;
+  int waits = 0;
   EXPECT_TRUE(rc::check("at most once", [&]() {
     constexpr std::size_t kSteps = 250;
     const auto schedule = *support::AnySchedule(kSteps);
@@ -189,12 +197,115 @@
     }
     runs += world.Runs();
     replays += world.Replays();
+    waits += world.Waits();
     RC_ASSERT(world.Faults() == std::vector<std::string>());
   }));
   EXPECT_GT(runs, 0) << "no schedule ever ran the call";
   EXPECT_GT(replays, 0) << "no schedule ever answered from the record";
+  EXPECT_GT(waits, 0) << "no schedule ever kept an end for later";
+}
+
+/** How the table fails while an end is to be recorded. */
+struct OutageCase
+{
+  const char* m_name;
+  table::CommitResult m_write;
+  CallEnded m_ended;
+  Outcome m_toldMeanwhile;
+  ClaimState m_recorded;
+};
+
+class ClaimOutageTest : public ::testing::TestWithParam<OutageCase>
+{
+protected:
+  /** Answers the claim's reads and writes with failures until it waits. */
+  RecordLater FailUntilItWaits(ClaimAction aAction)
+  {
+    constexpr int kMostSteps = 20;
+    for (int i = 0; i < kMostSteps; ++i) {
+      if (const auto* later = std::get_if<RecordLater>(&aAction)) {
+        return *later;
+      }
+      const bool writes = std::holds_alternative<WriteClaim>(aAction);
+      aAction = writes ? m_claim.Handle(ClaimWritten{ GetParam().m_write })
+                       : m_claim.Handle(ClaimRead{}); // Of no whole answer.
+    }
+    ADD_FAILURE() << "it never waits for the table";
+    return {};
+  }
+
+  void ClaimTheKey()
+  {
+    const auto write = std::get<WriteClaim>(m_claim.Start());
+    ASSERT_TRUE(m_table.Commit(write.m_transaction));
+    const auto action =
+      m_claim.Handle(ClaimWritten{ table::CommitResult::Committed });
+    ASSERT_TRUE(std::holds_alternative<RunCall>(action));
+  }
+
+  /** The table is back: carries out what the claim asks for. */
+  ClaimAction Serve(ClaimAction aAction)
+  {
+    while (true) {
+      if (const auto* read = std::get_if<ReadClaim>(&aAction)) {
+        aAction = m_claim.Handle(
+          ClaimRead{ { table::ReadStatus::Ok, m_table.Read(read->m_key) } });
+      } else if (const auto* write = std::get_if<WriteClaim>(&aAction)) {
+        const bool done = m_table.Commit(write->m_transaction);
+        aAction =
+          m_claim.Handle(ClaimWritten{ done ? table::CommitResult::Committed
+                                            : table::CommitResult::Conflict });
+      } else {
+        return aAction;
+      }
+    }
+  }
+
+  support::MemoryTable m_table;
+  Claim m_claim{ "team", "key", "attempt", 7 };
+};
+
+TEST_P(ClaimOutageTest, AKnownEndIsRecordedOnceTheTableIsBack)
+{
+  ClaimTheKey();
+  ClaimAction action = m_claim.Handle(GetParam().m_ended);
+  Duration last{};
+  for (int round = 0; round < 10; ++round) {
+    const RecordLater later = FailUntilItWaits(std::move(action));
+    EXPECT_EQ(later.m_outcome, GetParam().m_toldMeanwhile);
+    EXPECT_GE(later.m_wait, last);
+    EXPECT_LE(later.m_wait, Claim::kLongestRecordWait);
+    last = later.m_wait;
+    action = m_claim.Handle(RecordDue{});
+  }
+  const ClaimAction end = Serve(std::move(action));
+  EXPECT_TRUE(std::holds_alternative<ClaimSettled>(end));
+  const auto row = DecodeClaim(m_table.Read(ClaimKey("team", "key")).m_value);
+  ASSERT_TRUE(row.has_value());
+  EXPECT_EQ(row->m_state, GetParam().m_recorded);
 }
 
+INSTANTIATE_TEST_SUITE_P(
+  Outages,
+  ClaimOutageTest,
+  ::testing::Values(
+    OutageCase{ "RanAndTheTableRefuses",
+                table::CommitResult::NotWritten,
+                { Outcome::Ran, { 200, "text/plain", "answer", false } },
+                Outcome::Ran,
+                ClaimState::Ran },
+    OutageCase{ "RanAndAnswersAreLost",
+                table::CommitResult::Unknown,
+                { Outcome::Ran, { 200, "text/plain", "answer", false } },
+                Outcome::Ran,
+                ClaimState::Ran },
+    OutageCase{ "NotRunAndTheTableRefuses",
+                table::CommitResult::NotWritten,
+                { Outcome::NotRun, {} },
+                Outcome::MayHaveRun,
+                ClaimState::NotRun }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 struct RowCase
 {
   const char* m_name;
--- a/packages/daemon/src/CallerApi.h
+++ b/packages/daemon/src/CallerApi.h
@@ -35,6 +35,8 @@
   void Drain() { m_draining = true; }
   /** Calls that have no final answer yet. */
   std::size_t Running() const { return m_calls.size(); }
+  /** Connections to callers with bytes that are still to be sent. */
+  std::size_t Unsent() const { return m_server->Unsent(); }
   std::size_t Queued() const { return m_dispatcher.Queued(); }
   /** The upstreams changed: look for work that can be served now. */
   void Pump();
--- a/packages/daemon/src/ClaimService.cpp
+++ b/packages/daemon/src/ClaimService.cpp
@@ -20,9 +20,11 @@
 {
 public:
   Running(ClaimService& aService,
+          std::string aId,
           claims::Claim aClaim,
           sigc::slot<bool(const claims::ClaimAction&)> aDone)
     : m_service(aService)
+    , m_id(std::move(aId))
     , m_claim(std::move(aClaim))
     , m_done(std::move(aDone))
     , m_open(aService.m_open)
@@ -61,14 +63,49 @@
     if (std::holds_alternative<claims::NoClaimAction>(aAction)) {
       return;
     }
+    if (const auto* later = std::get_if<claims::RecordLater>(&aAction)) {
+      WaitToRecord(*later);
+      return;
+    }
+    if (std::exchange(m_waited, false)) {
+      Log("claim-recorded", {});
+    }
     const bool taken = m_done(aAction);
     if (!taken && std::holds_alternative<claims::RunCall>(aAction)) {
       Close({ Outcome::NotRun, {} });
     }
   }
 
+  void WaitToRecord(const claims::RecordLater& aLater)
+  {
+    if (!std::exchange(m_waited, true)) {
+      Log("claim-not-recorded-yet", aLater.m_wait);
+      m_done(claims::ClaimSettled{ aLater.m_outcome });
+    }
+    m_service.m_waiting.insert(shared_from_this());
+    const std::weak_ptr<Running> weak = weak_from_this();
+    m_timer = m_service.m_node.m_loop->After(aLater.m_wait, [weak] {
+      const auto self = weak.lock();
+      if (self) {
+        self->m_service.m_waiting.erase(self);
+        self->Act(self->m_claim.Handle(claims::RecordDue{}));
+      }
+    });
+  }
+
+  void Log(std::string_view aEvent, Duration aWait) const
+  {
+    m_service.m_node.m_log->Write(
+      observe::LogLevel::Warning,
+      aEvent,
+      { { "claim", m_id }, { "waitMs", aWait.count() } });
+  }
+
   ClaimService& m_service;
+  std::string m_id;
   claims::Claim m_claim;
+  net::Watch m_timer;
+  bool m_waited = false; ///< Its end could not be recorded at once.
   sigc::slot<bool(const claims::ClaimAction&)> m_done;
   std::shared_ptr<std::size_t> m_open;
 };
@@ -86,10 +123,9 @@
                     std::uint64_t aFingerprint,
                     sigc::slot<bool(const claims::ClaimAction&)> aDone)
 {
+  const std::string id = m_node.NewId();
   auto running = std::make_shared<Running>(
-    *this,
-    claims::Claim(aTeam, aKey, m_node.NewId(), aFingerprint),
-    std::move(aDone));
+    *this, id, claims::Claim(aTeam, aKey, id, aFingerprint), std::move(aDone));
   running->Start();
   return running;
 }
--- a/packages/daemon/src/ClaimService.h
+++ b/packages/daemon/src/ClaimService.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <ridgeferry/claims/Claim.h>
+#include <set>
 #include <sigc++/sigc++.h>
 #include <string>
 #include <vector>
@@ -63,6 +64,8 @@
   Node& m_node;
   std::vector<QueuedWrite> m_queue;
   net::Watch m_flushTimer;
+  /** Ended, and waiting for the table to record it. */
+  std::set<std::shared_ptr<Running>> m_waiting;
   bool m_flushPlanned = false;
   /** Shared with the claims, which may outlive the service. */
   std::shared_ptr<std::size_t> m_open = std::make_shared<std::size_t>(0);
--- a/packages/daemon/src/Instance.cpp
+++ b/packages/daemon/src/Instance.cpp
@@ -182,8 +182,8 @@
     return true;
   }
   // A claim whose end is not recorded would tell a retry "may have run".
-  return m_callers->Running() == 0 && m_claims->Open() == 0 &&
-         since >= m_node.m_settings.m_stop.m_linger;
+  return m_callers->Running() == 0 && m_callers->Unsent() == 0 &&
+         m_claims->Open() == 0 && since >= m_node.m_settings.m_stop.m_linger;
 }
 
 void
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -219,13 +219,13 @@
   if (m_node.m_stop.ClosesResting(now)) {
     m_relay->CloseResting();
   }
-  if (!m_node.m_stop.MayEnd(m_relay->Running(), now)) {
+  const std::size_t open = m_relay->Running() + m_relay->Unsent();
+  if (!m_node.m_stop.MayEnd(open, now)) {
     return;
   }
-  m_node.m_log->Write(
-    observe::LogLevel::Info,
-    "stopped",
-    { { "cut", static_cast<std::int64_t>(m_relay->Running()) } });
+  m_node.m_log->Write(observe::LogLevel::Info,
+                      "stopped",
+                      { { "cut", static_cast<std::int64_t>(open) } });
   m_node.m_loop->Stop();
 }
 
--- a/packages/entry/src/EntryNode.h
+++ b/packages/entry/src/EntryNode.h
@@ -25,6 +25,8 @@
   observe::Metrics m_metrics;
   std::mt19937_64 m_random;
   relay::Fleet m_fleet;
+  /** Alive, this one with them; kept by `Peers`. */
+  std::size_t m_instances = 1;
   relay::PlannedStop m_stop;
   /** In force; null until the first was read. */
   std::shared_ptr<const relay::RouteTable> m_routes;
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -58,6 +58,7 @@
   m_tick = m_node.m_loop->Every(kTalkEvery, [this] {
     ForgetDead();
     Handle(membership::RosterTick{});
+    m_node.m_instances = m_roster.LiveCount();
   });
   std::set<std::string> seeds;
   for (const net::Address& seed : m_node.m_settings.m_seeds) {
@@ -80,8 +81,7 @@
   out.m_ready = m_ready;
   out.m_leaving = m_leaving;
   out.m_revision = m_node.m_routes == nullptr ? 0 : m_node.m_routes->Version();
-  out.m_leavingUpstreams.assign(m_leavingUpstreams.begin(),
-                                m_leavingUpstreams.end());
+  out.m_leavingUpstreams.assign(m_news.Told().begin(), m_news.Told().end());
   for (const relay::OtherLoad& load : m_node.m_fleet.OwnLoads()) {
     if (out.m_engines.size() == kMostLoads) {
       break;
@@ -125,7 +125,7 @@
 void
 Peers::NoteLeaving(const std::string& aUpstream)
 {
-  if (m_leavingUpstreams.insert(aUpstream).second) {
+  if (m_news.NoteListed(aUpstream)) {
     TellAll();
   }
 }
@@ -133,7 +133,7 @@
 void
 Peers::NoteGone(const std::string& aUpstream)
 {
-  m_leavingUpstreams.erase(aUpstream);
+  m_news.NoteGone(aUpstream);
 }
 
 void
@@ -184,8 +184,10 @@
                  },
                  [&](const membership::IncarnationEnded&) {},
                  [&](const membership::UpstreamLeaving& aLeaving) {
-                   if (m_leavingUpstreams.insert(aLeaving.m_upstream).second) {
-                     m_leaves.emit(aLeaving.m_upstream);
+                   const std::string& id = aLeaving.m_upstream;
+                   const bool listed = m_node.m_fleet.Find(id) != nullptr;
+                   if (m_news.NoteFromPeer(id, listed)) {
+                     m_leaves.emit(id);
                    }
                  },
                },
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -4,6 +4,7 @@
 
 #include <ridgeferry/membership/Roster.h>
 #include <ridgeferry/net/UdpSocket.h>
+#include <ridgeferry/relay/LeavingNews.h>
 #include <set>
 #include <sigc++/sigc++.h>
 
@@ -47,7 +48,7 @@
   std::uint64_t m_incarnation;
   bool m_ready = false;
   bool m_leaving = false;
-  std::set<std::string> m_leavingUpstreams;
+  relay::LeavingNews m_news;
   std::set<std::string> m_counted; ///< Instances whose loads are counted.
   std::unique_ptr<net::UdpSocket> m_socket;
   net::Watch m_tick;
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -75,6 +75,15 @@
   return m_budgets.emplace(aService, relay::RetryBudget(terms)).first->second;
 }
 
+relay::ConnectionShare
+Relay::ConnectionsOf(const std::string& aService) const
+{
+  const relay::Service* service = m_node.m_routes->FindService(aService);
+  // One that is routed to and not described: one connection an instance.
+  const std::int64_t most = service == nullptr ? 1 : service->m_maxConnections;
+  return relay::ShareConnections(most, m_node.m_instances);
+}
+
 void
 Relay::Take(const std::shared_ptr<net::HttpExchange>& aExchange)
 {
@@ -96,13 +105,15 @@
   const std::string& service =
     relay::RouteTable::Draw(*route, unit(m_node.m_random));
   const std::uint64_t id = ++m_lastCall;
-  auto call = std::make_unique<RelayCall>(m_node,
-                                          RelayCallStart{ aExchange,
-                                                          std::move(head),
-                                                          m_node.m_routes,
-                                                          route,
-                                                          service,
-                                                          &BudgetOf(service) });
+  auto call =
+    std::make_unique<RelayCall>(m_node,
+                                RelayCallStart{ aExchange,
+                                                std::move(head),
+                                                m_node.m_routes,
+                                                route,
+                                                service,
+                                                ConnectionsOf(service),
+                                                &BudgetOf(service) });
   RelayCall& started = *call;
   m_calls.emplace(id, std::move(call));
   started.SignalDone().connect([this, id] {
--- a/packages/entry/src/Relay.h
+++ b/packages/entry/src/Relay.h
@@ -24,6 +24,8 @@
   /** Closes connections that rest between two requests. */
   void CloseResting();
   std::size_t Running() const { return m_calls.size(); }
+  /** Connections to callers with bytes that are still to be sent. */
+  std::size_t Unsent() const { return m_server->Unsent(); }
 
 private:
   void Take(const std::shared_ptr<net::HttpExchange>& aExchange);
@@ -33,6 +35,7 @@
               std::string_view aCode);
   void Remove(std::uint64_t aCall);
   relay::RetryBudget& BudgetOf(const std::string& aService);
+  relay::ConnectionShare ConnectionsOf(const std::string& aService) const;
 
   EntryNode& m_node;
   std::unique_ptr<net::HttpServer> m_server;
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -18,6 +18,9 @@
 constexpr Duration kConnectTimeout{ 400 };
 /** The rest of a call's time is not worth a send below this. */
 constexpr Duration kLeastLeft{ 1 };
+/** Bytes of one answer that its caller may leave unread. A stream of today's
+ * longest outputs is a tenth of it; a hundred such callers fit the memory. */
+constexpr std::size_t kMostUnread = std::size_t{ 512 } * 1024;
 /** Freeing a handle is a courtesy: nobody waits for it. */
 constexpr Duration kFreeTimeout{ 1000 };
 
@@ -93,22 +96,6 @@
   return "abandoned";
 }
 
-relay::MemberEnd
-ToMemberEnd(relay::AttemptEnd aEnd)
-{
-  switch (aEnd) {
-    case relay::AttemptEnd::Served:
-      return relay::MemberEnd::Served;
-    case relay::AttemptEnd::Failed:
-      return relay::MemberEnd::Failed;
-    case relay::AttemptEnd::Declined:
-      return relay::MemberEnd::Declined;
-    case relay::AttemptEnd::Abandoned:
-      break;
-  }
-  return relay::MemberEnd::Abandoned;
-}
-
 } // namespace
 
 RelayCall::RelayCall(EntryNode& aNode, RelayCallStart aStart)
@@ -176,6 +163,7 @@
   request.m_hall = m_node.m_settings.m_hall;
   request.m_prompt = m_start.m_head.m_prompt;
   request.m_excluded = aAction.m_excluded;
+  request.m_mostOpen = m_start.m_connections.m_open;
   request.m_random = m_node.m_random();
   // What was begun elsewhere is gone on with, late or not.
   const bool isFirst = aAction.m_excluded.empty();
@@ -196,7 +184,7 @@
       { { "id", m_start.m_head.m_id },
         { "service", m_start.m_service },
         { "cause",
-          fault.m_full ? "first token too late" : "no sound upstream" },
+          fault.m_full ? "all are busy for too long" : "no sound upstream" },
         { "roomInMs", fault.m_roomIn.count() },
         { "listed", static_cast<std::int64_t>(m_node.m_fleet.Size()) } });
     Handle(relay::NoPlace{ fault.m_full ? fault.m_roomIn
@@ -264,6 +252,7 @@
     m_node.m_dialect.m_writeSend(m_start.m_exchange->Request(), aTerms);
   request.m_timeout = aTerms.m_left;
   request.m_connectTimeout = kConnectTimeout;
+  request.m_keepIdle = m_start.m_connections.m_idle;
   m_attempt.m_tokensAhead = m_node.m_fleet.TokensAt(aMember.m_id);
   m_node.m_log->Write(observe::LogLevel::Info,
                       "attempt-sent",
@@ -363,7 +352,7 @@
   }
   m_node.m_fleet.NoteEnded(m_attempt.m_upstream,
                            m_attempt.m_tokens,
-                           ToMemberEnd(aAction.m_end),
+                           aAction.m_end,
                            m_node.Now() - m_attempt.m_sentAt,
                            m_node.Now());
   m_attempt.m_tokens = 0;
@@ -400,7 +389,17 @@
 void
 RelayCall::Do(const relay::ForwardBytes& aAction)
 {
-  m_start.m_exchange->SendChunk(aAction.m_bytes);
+  const auto exchange = m_start.m_exchange;
+  exchange->SendChunk(aAction.m_bytes);
+  if (exchange->Backlog() > kMostUnread) {
+    m_node.m_log->Write(
+      observe::LogLevel::Warning,
+      "caller-reads-too-slowly",
+      { { "id", m_start.m_head.m_id },
+        { "unread", static_cast<std::int64_t>(exchange->Backlog()) } });
+    // Not inside the flow's own turn: it counts as a caller that leaves.
+    m_node.m_loop->Defer([exchange] { exchange->Abort(); });
+  }
 }
 
 void
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <ridgeferry/net/HttpServer.h>
+#include <ridgeferry/relay/ConnectionShare.h>
 #include <ridgeferry/relay/RelayFlow.h>
 #include <ridgeferry/relay/RetryBudget.h>
 #include <sigc++/sigc++.h>
@@ -20,6 +21,8 @@
   std::shared_ptr<const relay::RouteTable> m_routes;
   const relay::Route* m_route = nullptr;
   std::string m_service;
+  /** Of the service: connections to each of its upstreams. */
+  relay::ConnectionShare m_connections;
   relay::RetryBudget* m_budget = nullptr; ///< Of the service; outlives calls.
 };
 
--- a/packages/net/include/ridgeferry/net/HttpServer.h
+++ b/packages/net/include/ridgeferry/net/HttpServer.h
@@ -108,6 +108,11 @@
   void StopKeeping();
   /** Closes the connections that rest between two requests. */
   void CloseResting();
+  /**
+   * Connections with bytes that the system has not taken yet, also of answers
+   * that have ended. A loop that is stopped before they are gone cuts them.
+   */
+  std::size_t Unsent() const;
 
   struct Impl;
   explicit HttpServer(std::unique_ptr<Impl> aImpl);
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "ServerConnection.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
@@ -267,6 +268,16 @@
     [](ServerConnection& aConnection) { aConnection.CloseIfResting(); });
 }
 
+std::size_t
+HttpServer::Unsent() const
+{
+  const auto& open = m_impl->m_open;
+  return static_cast<std::size_t>(
+    std::count_if(open.begin(), open.end(), [](const auto& aEntry) {
+      return aEntry.first->Backlog() > 0;
+    }));
+}
+
 tl::expected<std::unique_ptr<HttpServer>, NetError>
 HttpServer::Listen(EventLoop& aLoop,
                    const Address& aAddress,
--- a/packages/net/src/MessageParser.h
+++ b/packages/net/src/MessageParser.h
@@ -42,7 +42,6 @@
   /** The answer to a HEAD request: it has a length but no body. */
   void ExpectNoBody() { this->skip(true); }
 
-  bool HasBegun() const { return this->got_some(); }
   bool HasHead() const { return this->is_header_done(); }
   bool KeepsAlive() const { return this->keep_alive(); }
   const boost::system::error_code& Error() const { return m_error; }
--- a/packages/net/tests/HttpTest.cpp
+++ b/packages/net/tests/HttpTest.cpp
@@ -147,6 +147,51 @@
   EXPECT_TRUE(left);
 }
 
+/** What the handler does before the loop is stopped, as a planned stop does. */
+struct UnsentCase
+{
+  const char* m_name;
+  void (*m_serve)(const std::shared_ptr<HttpExchange>&);
+  std::size_t m_unsentAtOnce;
+};
+
+class HttpUnsentTest
+  : public HttpTest
+  , public ::testing::WithParamInterface<UnsentCase>
+{};
+
+// A process that ends while this is above zero cuts an answer that has ended.
+TEST_P(HttpUnsentTest, CountsUntilTheBytesHaveLeft)
+{
+  std::size_t atOnce = 0;
+  Serve([&](const std::shared_ptr<HttpExchange>& aExchange) {
+    GetParam().m_serve(aExchange);
+    atOnce = m_server->Unsent();
+  });
+  const HttpResponse response = Ask(m_server->Bound().ToString());
+  EXPECT_EQ(response.m_end, HttpEnd::Complete);
+  EXPECT_EQ(atOnce, GetParam().m_unsentAtOnce);
+  EXPECT_EQ(m_server->Unsent(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Answers,
+  HttpUnsentTest,
+  ::testing::Values(
+    UnsentCase{ "Whole",
+                [](const std::shared_ptr<HttpExchange>& aExchange) {
+                  aExchange->Reply(200, {}, "body");
+                },
+                1 },
+    UnsentCase{ "StreamThatHasEnded",
+                [](const std::shared_ptr<HttpExchange>& aExchange) {
+                  aExchange->StartStream(200, {});
+                  aExchange->SendChunk("body");
+                  aExchange->EndStream();
+                },
+                1 }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 struct AddressCase
 {
   const char* m_text;
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <ridgeferry/base/Time.h>
+#include <ridgeferry/relay/AttemptEnd.h>
 #include <span>
 #include <string>
 #include <string_view>
@@ -50,6 +52,8 @@
   std::string_view m_hall;        ///< Of this instance.
   std::optional<Prompt> m_prompt; ///< Nothing: a plain call.
   std::span<const std::string> m_excluded;
+  /** Most connections of this instance to one upstream. */
+  std::int64_t m_mostOpen = std::numeric_limits<std::int64_t>::max();
   std::uint64_t m_random = 0; ///< Breaks ties.
   /** A prompt whose first token would come later than this has no place. */
   Duration m_patience = Duration::max();
@@ -79,15 +83,6 @@
   bool operator==(const OtherLoad&) const = default;
 };
 
-/** How an attempt at a member ended. */
-enum class MemberEnd : std::uint8_t
-{
-  Served,
-  Failed,
-  Declined,  ///< It had no room.
-  Abandoned, ///< Ended from this side.
-};
-
 /**
  * The upstreams of all services and what this instance has under way at each.
  *
@@ -111,6 +106,7 @@
    */
   static constexpr Duration kLapseGrace{ 1800 };
 
+  /** A member that leaves stays leaving: its id is used for one life only. */
   void Put(const Member& aMember);
   /** `aMayHaveLapsed`: the list was out of reach not long ago. */
   void Drop(std::string_view aId, bool aMayHaveLapsed, Instant aNow);
@@ -127,7 +123,7 @@
   /** `aTokens` still unread; `aTook` counts for served attempts. */
   void NoteEnded(std::string_view aId,
                  std::int64_t aTokens,
-                 MemberEnd aEnd,
+                 AttemptEnd aEnd,
                  Duration aTook,
                  Instant aNow);
   /**
@@ -172,6 +168,7 @@
   bool MayServe(const State& aState,
                 const PlaceRequest& aRequest,
                 Instant aNow) const;
+  static bool HasConnection(const State& aState, const PlaceRequest& aRequest);
   PlaceResult FindPlain(std::span<const State* const> aSound,
                         const PlaceRequest& aRequest) const;
   PlaceResult FindEngine(std::span<const State* const> aSound,
--- a/packages/relay/include/ridgeferry/relay/PlannedStop.h
+++ b/packages/relay/include/ridgeferry/relay/PlannedStop.h
@@ -35,8 +35,9 @@
   bool TakesCalls(Instant aNow) const;
   /** Whether connections between two requests are to be closed. */
   bool ClosesResting(Instant aNow) const;
-  /** Whether the process may end, with that many calls under way. */
-  bool MayEnd(std::size_t aRunning, Instant aNow) const;
+  /** Whether the process may end, with that many calls under way or ended
+   * with bytes that are still to be sent. */
+  bool MayEnd(std::size_t aOpen, Instant aNow) const;
 
 private:
   Duration Since(Instant aNow) const { return aNow - *m_began; }
--- a/packages/relay/include/ridgeferry/relay/RelayFlow.h
+++ b/packages/relay/include/ridgeferry/relay/RelayFlow.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <ridgeferry/base/Outcome.h>
 #include <ridgeferry/base/Time.h>
+#include <ridgeferry/relay/AttemptEnd.h>
 #include <ridgeferry/relay/EventSplitter.h>
 #include <ridgeferry/relay/Routes.h>
 #include <string>
@@ -118,14 +119,6 @@
 {
   AttemptId m_attempt = 0;
 };
-/** How an attempt ended, for what is known of its upstream. */
-enum class AttemptEnd : std::uint8_t
-{
-  Served,
-  Failed,    ///< Broken off, an error of its own, or out of reach.
-  Declined,  ///< It said that it did not run it.
-  Abandoned, ///< Ended from this side.
-};
 struct NoteAttemptEnd
 {
   AttemptId m_attempt = 0;
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -42,6 +42,9 @@
 constexpr double kFailPenalty = 8;
 /** Another hall costs a plain call this much more, in ms: its way there. */
 constexpr double kOtherHallMs = 3;
+/** When one of the connections in use should be free again: several times what
+ * a plain call takes. */
+constexpr Duration kConnectionWait{ 100 };
 /** Below this a prompt is not worth a home: reading it takes a millisecond. */
 constexpr std::int64_t kLeastSharedTokens = 512;
 
@@ -75,7 +78,9 @@
 {
   const bool isNew = !m_members.contains(aMember.m_id);
   State& state = m_members[aMember.m_id];
+  const bool leaves = state.m_member.m_leaving || aMember.m_leaving;
   state.m_member = aMember;
+  state.m_member.m_leaving = leaves;
   state.m_hash = Hash64(aMember.m_id);
   m_byShortHash[ShortHash(aMember.m_id)] = aMember.m_id;
   state.m_goneAt.reset();
@@ -233,17 +238,29 @@
          !excluded && !rests;
 }
 
+bool
+Fleet::HasConnection(const State& aState, const PlaceRequest& aRequest)
+{
+  return aState.m_inFlight < aRequest.m_mostOpen;
+}
+
 PlaceResult
 Fleet::FindPlace(const PlaceRequest& aRequest, Instant aNow) const
 {
   std::vector<const State*> sound;
+  bool anyBusy = false;
   for (const auto& [id, state] : m_members) {
-    if (MayServe(state, aRequest, aNow)) {
+    if (!MayServe(state, aRequest, aNow)) {
+      continue;
+    }
+    if (HasConnection(state, aRequest)) {
       sound.push_back(&state);
+    } else {
+      anyBusy = true;
     }
   }
   if (sound.empty()) {
-    return PlaceFault{};
+    return anyBusy ? PlaceFault{ true, kConnectionWait } : PlaceFault{};
   }
   // Equal estimates are common when little is under way: start anywhere.
   std::rotate(sound.begin(),
@@ -434,7 +451,7 @@
 void
 Fleet::NoteEnded(std::string_view aId,
                  std::int64_t aTokens,
-                 MemberEnd aEnd,
+                 AttemptEnd aEnd,
                  Duration aTook,
                  Instant aNow)
 {
@@ -446,10 +463,10 @@
   // A member that lapsed and came back starts anew at none.
   state.m_inFlight = std::max<std::int64_t>(0, state.m_inFlight - 1);
   state.m_tokens = std::max<std::int64_t>(0, state.m_tokens - aTokens);
-  if (aEnd == MemberEnd::Abandoned || aEnd == MemberEnd::Declined) {
+  if (aEnd == AttemptEnd::Abandoned || aEnd == AttemptEnd::Declined) {
     return;
   }
-  const bool failed = aEnd == MemberEnd::Failed;
+  const bool failed = aEnd == AttemptEnd::Failed;
   state.m_failShare += kNewest * ((failed ? 1 : 0) - state.m_failShare);
   if (!failed) {
     state.m_failuresInRow = 0;
--- a/packages/relay/src/PlannedStop.cpp
+++ b/packages/relay/src/PlannedStop.cpp
@@ -24,12 +24,12 @@
 }
 
 bool
-PlannedStop::MayEnd(std::size_t aRunning, Instant aNow) const
+PlannedStop::MayEnd(std::size_t aOpen, Instant aNow) const
 {
   if (!m_began || Since(aNow) < kListenFor) {
     return false;
   }
-  return aRunning == 0 || Since(aNow) >= m_grace - kMargin;
+  return aOpen == 0 || Since(aNow) >= m_grace - kMargin;
 }
 
 } // namespace ridgeferry::relay
--- a/packages/relay/tests/FleetTest.cpp
+++ b/packages/relay/tests/FleetTest.cpp
@@ -53,7 +53,7 @@
 {
   for (int i = 0; i < aTimes; ++i) {
     aFleet.NoteSent(aId, 0);
-    aFleet.NoteEnded(aId, 0, MemberEnd::Failed, Duration{ 5 }, kNow);
+    aFleet.NoteEnded(aId, 0, AttemptEnd::Failed, Duration{ 5 }, kNow);
   }
 }
 
@@ -95,6 +95,30 @@
   }
 }
 
+// Another instance has read the list further than this one.
+TEST_F(FleetTest, AnOlderRowDoesNotTakeLeavingBack)
+{
+  m_fleet.MarkLeaving("a");
+  m_fleet.Put(MakeMember("a", "desk"));
+  EXPECT_TRUE(m_fleet.Find("a")->m_leaving);
+}
+
+TEST_F(FleetTest, NoMemberGetsMoreConnectionsThanItsShare)
+{
+  PlaceRequest request = PlainRequest();
+  request.m_mostOpen = 2;
+  for (int i = 0; i < 4; ++i) {
+    m_fleet.NoteSent(MustFind(m_fleet, request).m_upstream, 0);
+  }
+  const PlaceResult full = m_fleet.FindPlace(request, kNow);
+  const auto* fault = std::get_if<PlaceFault>(&full);
+  ASSERT_NE(fault, nullptr);
+  EXPECT_TRUE(fault->m_full); // There will be room: not one without members.
+  EXPECT_GT(fault->m_roomIn.count(), 0);
+  m_fleet.NoteEnded("a", 0, AttemptEnd::Served, Duration{ 5 }, kNow);
+  EXPECT_EQ(MustFind(m_fleet, request).m_upstream, "a");
+}
+
 TEST_F(FleetTest, AnExcludedMemberGetsNothing)
 {
   const std::vector<std::string> excluded{ "b" };
--- /dev/null
+++ b/packages/relay/tests/LeavingNewsTest.cpp
@@ -0,0 +1,71 @@
+#include <gtest/gtest.h>
+#include <ridgeferry/relay/LeavingNews.h>
+#include <vector>
+
+namespace ridgeferry::relay {
+namespace {
+
+enum class Said
+{
+  ByList,
+  ByPeer,         ///< Of an upstream that is listed here.
+  ByPeerUnlisted, ///< Of one that is not, or no longer.
+  Gone,
+};
+
+struct NewsCase
+{
+  const char* m_name;
+  std::vector<Said> m_said;
+  bool m_lastIsNew;
+  std::size_t m_told;
+};
+
+class LeavingNewsTest : public ::testing::TestWithParam<NewsCase>
+{};
+
+bool
+Tell(LeavingNews& aNews, Said aSaid)
+{
+  switch (aSaid) {
+    case Said::ByList:
+      return aNews.NoteListed("engine-1");
+    case Said::ByPeer:
+      return aNews.NoteFromPeer("engine-1", true);
+    case Said::ByPeerUnlisted:
+      return aNews.NoteFromPeer("engine-1", false);
+    case Said::Gone:
+      aNews.NoteGone("engine-1");
+      break;
+  }
+  return false;
+}
+
+TEST_P(LeavingNewsTest, LivesAsLongAsTheListing)
+{
+  LeavingNews news;
+  bool isNew = false;
+  for (const Said said : GetParam().m_said) {
+    isNew = Tell(news, said);
+  }
+  EXPECT_EQ(isNew, GetParam().m_lastIsNew);
+  EXPECT_EQ(news.Told().size(), GetParam().m_told);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Sayings,
+  LeavingNewsTest,
+  ::testing::Values(
+    NewsCase{ "TheListIsTold", { Said::ByList }, true, 1 },
+    NewsCase{ "APeerIsBelieved", { Said::ByPeer }, true, 1 },
+    NewsCase{ "NothingIsNewTwice", { Said::ByList, Said::ByPeer }, false, 1 },
+    NewsCase{ "ItEndsWithTheListing", { Said::ByList, Said::Gone }, false, 0 },
+    NewsCase{ "ItIsNotTakenBackFromAPeer",
+              { Said::ByList, Said::Gone, Said::ByPeerUnlisted },
+              false,
+              0 },
+    NewsCase{ "ALatePeerIsNotBelieved", { Said::ByPeerUnlisted }, false, 0 }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+} // namespace
+} // namespace ridgeferry::relay
