--- a/packages/entry/include/ridgeferry/entry/EntrySettings.h
+++ b/packages/entry/include/ridgeferry/entry/EntrySettings.h
@@ -14,6 +14,7 @@
 struct RetryBounds
 {
   double m_ratio = 0.2; ///< Repeats for each first send of a service.
+  double m_floor = 50;  ///< Repeats besides, in each window.
   Duration m_window{ 10'000 };
 };
 
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -60,6 +60,7 @@
   void TakeMembers(const relay::ApplyRows& aRows);
   void TakeMember(const relay::FollowedRow& aRow, bool aAfterOutage);
   bool IsReady() const;
+  membership::StoreView StoreView() const;
   void Tick();
   void NoteReadiness();
   void Reload();
@@ -167,10 +168,24 @@
                       m_wasReady ? "ready" : "not-ready");
 }
 
+membership::StoreView
+Entry::Impl::StoreView() const
+{
+  const relay::TableFollower& config = m_config->Follower();
+  const relay::TableFollower& members = m_members->Follower();
+  return { config.ChangedVersion(),
+           members.ChangedVersion(),
+           config.IsLost() || members.IsLost() };
+}
+
 void
 Entry::Impl::Tick()
 {
   m_node.m_fleet.Tick(m_node.Now());
+  const bool onDuty = m_peers->IsOnDuty();
+  m_config->SetDuty(onDuty);
+  m_members->SetDuty(onDuty);
+  m_peers->SetStoreView(StoreView());
   if (!SameTime(ModifiedAt(m_file), m_fileTime)) {
     Reload();
   }
@@ -284,6 +299,11 @@
                         "upstream-leaves",
                         { { "upstream", aUpstream }, { "from", "a peer" } });
   });
+  m_peers->SignalStoreView().connect(
+    [this](const membership::StoreView& aView) {
+      m_config->NotePeer(aView.m_configVersion, aView.m_lost);
+      m_members->NotePeer(aView.m_membersVersion, aView.m_lost);
+    });
   WatchSignals();
   m_tick = m_node.m_loop->Every(kTick, [this] { Tick(); });
   m_node.m_log->Write(observe::LogLevel::Info,
--- a/packages/entry/src/EntrySettings.cpp
+++ b/packages/entry/src/EntrySettings.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr double kLongestGraceS = 3600;
+/** Far above what any fleet could repeat in a window. */
+constexpr double kMostFloor = 1e6;
 constexpr double kLongestWindowS = 3600;
 constexpr double kMsPerSecond = 1000;
 
@@ -61,6 +63,8 @@
 {
   RetryBounds& bounds = aSettings.m_retries;
   bounds.m_ratio = aRetries.OptionalNumber("ratio", bounds.m_ratio, 0, 1);
+  bounds.m_floor =
+    aRetries.OptionalNumber("floor", bounds.m_floor, 0, kMostFloor);
   bounds.m_window =
     ReadSeconds(aRetries, "windowSeconds", bounds.m_window, kLongestWindowS);
   aRetries.RejectUnknown();
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -1,6 +1,7 @@
 #include "Peers.h"
 
 #include <algorithm>
+#include <ridgeferry/base/Hash.h>
 #include <ridgeferry/base/Overloaded.h>
 #include <ridgeferry/protocol/Messages.h>
 
@@ -21,6 +22,9 @@
 /** The store's rows are asked for again after a failure in this time. */
 constexpr Duration kRetry{ 500 };
 constexpr Duration kStoreTimeout{ 1000 };
+/** Instances of a hall that ask the store often: two, so that the loss of one
+ * leaves one. */
+constexpr std::ptrdiff_t kOnDutyInHall = 2;
 /** Most loads of one talk: its datagram stays below a network's packet. */
 constexpr std::size_t kMostLoads = 100;
 
@@ -82,6 +86,7 @@
   out.m_leaving = m_leaving;
   out.m_revision = m_node.m_routes == nullptr ? 0 : m_node.m_routes->Version();
   out.m_leavingUpstreams.assign(m_news.Told().begin(), m_news.Told().end());
+  out.m_store = m_storeView;
   for (const relay::OtherLoad& load : m_node.m_fleet.OwnLoads()) {
     if (out.m_engines.size() == kMostLoads) {
       break;
@@ -108,6 +113,21 @@
   }
 }
 
+bool
+Peers::IsOnDuty() const
+{
+  const std::uint64_t own = Hash64(m_node.m_settings.m_instance);
+  const auto& peers = m_roster.Peers();
+  const auto before =
+    std::count_if(peers.begin(), peers.end(), [&](const auto& aEntry) {
+      const membership::PeerView& peer = aEntry.second;
+      return peer.m_alive && !peer.m_last.m_leaving &&
+             peer.m_last.m_hall == m_node.m_settings.m_hall &&
+             Hash64(aEntry.first) < own;
+    });
+  return before < kOnDutyInHall;
+}
+
 void
 Peers::TellAll()
 {
@@ -151,6 +171,9 @@
   for (const membership::EngineDigest& digest : heartbeat->m_engines) {
     loads.push_back({ digest.m_engine, digest.m_running, digest.m_work });
   }
+  if (heartbeat->m_store) {
+    m_storeViews.emit(*heartbeat->m_store);
+  }
   m_counted.insert(heartbeat->m_instance);
   m_node.m_fleet.SetOther(heartbeat->m_instance, std::move(loads));
   Handle(membership::HeartbeatArrived{ std::move(*heartbeat) });
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -28,6 +28,19 @@
   void NoteGone(const std::string& aUpstream);
   void SetState(bool aReady, bool aLeaving);
 
+  /** How far this instance has read the store, for the others. */
+  void SetStoreView(const membership::StoreView& aView) { m_storeView = aView; }
+  /**
+   * Whether this instance is one of the few of its hall that keep an eye on
+   * the store; always so if it hears of no other.
+   */
+  bool IsOnDuty() const;
+
+  /** How far another instance has read the store. */
+  sigc::signal<void(const membership::StoreView&)>& SignalStoreView()
+  {
+    return m_storeViews;
+  }
   /** Another instance says that an upstream leaves. */
   sigc::signal<void(const std::string&)>& SignalLeaving() { return m_leaves; }
 
@@ -49,11 +62,13 @@
   bool m_ready = false;
   bool m_leaving = false;
   relay::LeavingNews m_news;
+  membership::StoreView m_storeView;
   std::set<std::string> m_counted; ///< Instances whose loads are counted.
   std::unique_ptr<net::UdpSocket> m_socket;
   net::Watch m_tick;
   net::Watch m_retry;
   sigc::signal<void(const std::string&)> m_leaves;
+  sigc::signal<void(const membership::StoreView&)> m_storeViews;
 };
 
 } // namespace ridgeferry::entry
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -1,5 +1,7 @@
 #include "Relay.h"
 
+#include <algorithm>
+
 namespace ridgeferry::entry {
 
 namespace {
@@ -9,9 +11,12 @@
 /** An instance that starts knows its routes in well under that; one that stops
  * is no longer sent new connections. */
 constexpr std::string_view kOtherRetryAfter = "0.250";
-/** Half of the operators' ratio: instances count their own windows, and the
- * operators' count may begin anywhere between them. */
-constexpr double kRatioShare = 0.5;
+/** Half of what the operators allow: instances count their own windows, and
+ * the operators' count may begin anywhere between them. */
+constexpr double kBudgetShare = 0.5;
+/** Most repeats of one instance besides its share by its own sends: one that
+ * has just started does not know yet how many share the floor. */
+constexpr double kMostFloor = 2;
 
 } // namespace
 
@@ -64,15 +69,17 @@
 relay::RetryBudget&
 Relay::BudgetOf(const std::string& aService)
 {
-  const auto found = m_budgets.find(aService);
-  if (found != m_budgets.end()) {
-    return found->second;
-  }
   const RetryBounds& bounds = m_node.m_settings.m_retries;
+  const auto instances = static_cast<double>(m_node.m_instances);
   relay::BudgetTerms terms;
-  terms.m_ratio = bounds.m_ratio * kRatioShare;
+  terms.m_ratio = bounds.m_ratio * kBudgetShare;
+  terms.m_floor =
+    std::min(kMostFloor, bounds.m_floor * kBudgetShare / instances);
   terms.m_window = bounds.m_window;
-  return m_budgets.emplace(aService, relay::RetryBudget(terms)).first->second;
+  const auto found =
+    m_budgets.try_emplace(aService, relay::RetryBudget(terms)).first;
+  found->second.SetTerms(terms);
+  return found->second;
 }
 
 relay::ConnectionShare
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+/** Said by whoever is not the one that the send names. */
+constexpr int kMisdirected = 421;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -90,6 +92,8 @@
       return "failed";
     case relay::AttemptEnd::Declined:
       return "declined";
+    case relay::AttemptEnd::Displaced:
+      return "displaced";
     case relay::AttemptEnd::Abandoned:
       break;
   }
@@ -192,9 +196,19 @@
   }
 }
 
+void
+RelayCall::NoteRepeat()
+{
+  m_start.m_budget->NoteRepeat(m_node.Now());
+  m_node.m_metrics.Count("ridgeferry_repeats_total");
+}
+
 void
 RelayCall::Do(const relay::SendRead& aAction)
 {
+  if (aAction.m_repeat) {
+    NoteRepeat();
+  }
   const relay::Member* reader = m_node.m_fleet.Find(aAction.m_reader);
   SendTerms terms;
   terms.m_readOnly = true;
@@ -205,8 +219,7 @@
 RelayCall::Do(const relay::SendRun& aAction)
 {
   if (aAction.m_repeat) {
-    m_start.m_budget->NoteRepeat(m_node.Now());
-    m_node.m_metrics.Count("ridgeferry_repeats_total");
+    NoteRepeat();
   }
   const relay::Member* member = m_node.m_fleet.Find(aAction.m_upstream);
   if (member == nullptr || member->m_leaving) {
@@ -312,7 +325,8 @@
   if (aResponse.m_end == net::HttpEnd::NotSent) {
     Handle(relay::AttemptUnsent{ id });
   } else if (m_attempt.m_hasHead && m_attempt.m_saidNotRun) {
-    Handle(relay::AttemptRefused{ id });
+    const bool displaced = m_attempt.m_head.m_status == kMisdirected;
+    Handle(relay::AttemptRefused{ id, displaced });
   } else if (aResponse.m_end == net::HttpEnd::Broken) {
     Handle(relay::AttemptBroke{ id });
   } else if (m_attempt.m_readOnly) {
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -76,6 +76,7 @@
   void TakeHead(const net::HttpHead& aHead);
   void TakeBytes(std::string_view aBytes);
   void TakeEnd(const net::HttpResponse& aResponse);
+  void NoteRepeat();
   Duration Left() const;
   void LogEnd(std::string_view aOutcome, int aStatus);
 
--- a/packages/entry/src/StoreReader.cpp
+++ b/packages/entry/src/StoreReader.cpp
@@ -71,7 +71,33 @@
   callbacks.m_done = [this, aRead](const net::HttpResponse& aResponse) {
     TakeAnswer(aRead, aResponse);
   };
-  m_node.m_http->Send(request, std::move(callbacks));
+  m_call = m_node.m_http->Send(request, std::move(callbacks));
+}
+
+void
+StoreReader::NotePeer(std::uint64_t aVersion, bool aLost)
+{
+  if (aLost) {
+    Handle(relay::PeerLostStore{});
+  }
+  Handle(relay::PeerIsAhead{ aVersion });
+}
+
+void
+StoreReader::SetDuty(bool aOnDuty)
+{
+  Handle(relay::DutyChanged{ aOnDuty });
+}
+
+void
+StoreReader::Do(const relay::DropRead&)
+{
+  m_node.m_http->Cancel(m_call);
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "store-read-made-again",
+    { { "table", m_table },
+      { "version", static_cast<std::int64_t>(m_follower.Version()) } });
 }
 
 void
--- a/packages/entry/src/StoreReader.h
+++ b/packages/entry/src/StoreReader.h
@@ -19,12 +19,17 @@
 
   void Start();
   bool HasRead() const { return m_follower.HasRead(); }
+  const relay::TableFollower& Follower() const { return m_follower; }
+  /** Another instance has read changes up to a version, or cannot read. */
+  void NotePeer(std::uint64_t aVersion, bool aLost);
+  void SetDuty(bool aOnDuty);
   sigc::signal<void(const relay::ApplyRows&)>& SignalRows() { return m_rows; }
 
 private:
   void Handle(const relay::FollowEvent& aEvent);
   void Do(const relay::ReadTable& aAction);
   void Do(const relay::ReadChanges& aAction);
+  void Do(const relay::DropRead& aAction);
   void Do(const relay::RetryLater& aAction);
   void Do(const relay::ApplyRows& aAction);
   void Do(const relay::StoreLost& aAction);
@@ -40,6 +45,7 @@
   /** Pages of a whole read that goes on. */
   std::vector<relay::FollowedRow> m_pages;
   std::uint64_t m_pagesVersion = 0;
+  net::HttpCallId m_call = 0; ///< The read under way.
   net::Watch m_retry;
   sigc::signal<void(const relay::ApplyRows&)> m_rows;
 };
--- a/packages/entry/tests/EntrySettingsTest.cpp
+++ b/packages/entry/tests/EntrySettingsTest.cpp
@@ -20,7 +20,8 @@
            { "seeds", { "10.0.0.2:9" } },
            { "store", "10.0.0.3:7" },
            { "stopGraceSeconds", 8 },
-           { "retries", { { "ratio", 0.2 }, { "windowSeconds", 10 } } } };
+           { "retries",
+             { { "ratio", 0.2 }, { "floor", 56 }, { "windowSeconds", 10 } } } };
 }
 
 TEST(EntrySettingsTest, TakesAllFields)
@@ -32,6 +33,7 @@
   ASSERT_EQ(settings->m_seeds.size(), 1U);
   EXPECT_EQ(settings->m_store, "10.0.0.3:7");
   EXPECT_EQ(settings->m_stopGrace, Duration{ 8000 });
+  EXPECT_EQ(settings->m_retries.m_floor, 56);
   EXPECT_EQ(settings->m_retries.m_window, Duration{ 10'000 });
 }
 
@@ -70,6 +72,7 @@
     BadSettingsCase{ "GraceIsText", "/stopGraceSeconds", "\"8\"" },
     BadSettingsCase{ "GraceIsNegative", "/stopGraceSeconds", "-1" },
     BadSettingsCase{ "RatioAboveOne", "/retries/ratio", "2" },
+    BadSettingsCase{ "FloorBelowZero", "/retries/floor", "-1" },
     BadSettingsCase{ "UnknownField", "/colour", "1" }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -27,6 +27,18 @@
   bool operator==(const EngineDigest&) const = default;
 };
 
+/**
+ * How far an instance has read the tables that it follows, so that one whose
+ * own read hangs learns that it is behind.
+ */
+struct StoreView
+{
+  std::uint64_t m_configVersion = 0;  ///< At the last change that it read.
+  std::uint64_t m_membersVersion = 0; ///< The same, of the upstreams.
+  bool m_lost = false;                ///< Its reads fail.
+  bool operator==(const StoreView&) const = default;
+};
+
 /** What an instance says of itself to its peers, every heartbeat. */
 struct Heartbeat
 {
@@ -43,6 +55,7 @@
    * platform's list learns of them. */
   std::vector<std::string> m_leavingUpstreams;
   std::vector<EngineDigest> m_engines; ///< Those that it observes.
+  std::optional<StoreView> m_store;    ///< Nothing: it follows no tables.
   bool operator==(const Heartbeat&) const = default;
 };
 
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -70,6 +70,21 @@
   this->work = val;
 __isset.work = true;
 }
+
+void Heartbeat::__set_configVersion(const int64_t val) {
+  this->configVersion = val;
+__isset.configVersion = true;
+}
+
+void Heartbeat::__set_membersVersion(const int64_t val) {
+  this->membersVersion = val;
+__isset.membersVersion = true;
+}
+
+void Heartbeat::__set_storeLost(const bool val) {
+  this->storeLost = val;
+__isset.storeLost = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -261,6 +276,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configVersion);
+          this->__isset.configVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->membersVersion);
+          this->__isset.membersVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->storeLost);
+          this->__isset.storeLost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -385,6 +424,21 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.configVersion) {
+    xfer += oprot->writeFieldBegin("configVersion", ::apache::thrift::protocol::T_I64, 13);
+    xfer += oprot->writeI64(this->configVersion);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.membersVersion) {
+    xfer += oprot->writeFieldBegin("membersVersion", ::apache::thrift::protocol::T_I64, 14);
+    xfer += oprot->writeI64(this->membersVersion);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.storeLost) {
+    xfer += oprot->writeFieldBegin("storeLost", ::apache::thrift::protocol::T_BOOL, 15);
+    xfer += oprot->writeBool(this->storeLost);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -404,6 +458,9 @@
   swap(a.states, b.states);
   swap(a.loads, b.loads);
   swap(a.work, b.work);
+  swap(a.configVersion, b.configVersion);
+  swap(a.membersVersion, b.membersVersion);
+  swap(a.storeLost, b.storeLost);
   swap(a.__isset, b.__isset);
 }
 
@@ -420,6 +477,9 @@
   states = other30.states;
   loads = other30.loads;
   work = other30.work;
+  configVersion = other30.configVersion;
+  membersVersion = other30.membersVersion;
+  storeLost = other30.storeLost;
   __isset = other30.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other31) {
@@ -435,6 +495,9 @@
   states = other31.states;
   loads = other31.loads;
   work = other31.work;
+  configVersion = other31.configVersion;
+  membersVersion = other31.membersVersion;
+  storeLost = other31.storeLost;
   __isset = other31.__isset;
   return *this;
 }
@@ -453,6 +516,9 @@
   out << ", " << "states="; (__isset.states ? (out << to_string(states)) : (out << "<null>"));
   out << ", " << "loads="; (__isset.loads ? (out << to_string(loads)) : (out << "<null>"));
   out << ", " << "work="; (__isset.work ? (out << to_string(work)) : (out << "<null>"));
+  out << ", " << "configVersion="; (__isset.configVersion ? (out << to_string(configVersion)) : (out << "<null>"));
+  out << ", " << "membersVersion="; (__isset.membersVersion ? (out << to_string(membersVersion)) : (out << "<null>"));
+  out << ", " << "storeLost="; (__isset.storeLost ? (out << to_string(storeLost)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -30,12 +30,15 @@
 class ChangesReply;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false) {}
+  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false) {}
   bool leavingUpstreams :1;
   bool engines :1;
   bool states :1;
   bool loads :1;
   bool work :1;
+  bool configVersion :1;
+  bool membersVersion :1;
+  bool storeLost :1;
 } _Heartbeat__isset;
 
 /**
@@ -53,7 +56,10 @@
               peerAddress(),
               ready(0),
               leaving(0),
-              revision(0) {
+              revision(0),
+              configVersion(0),
+              membersVersion(0),
+              storeLost(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -77,6 +83,15 @@
    * read at each engine.
    */
   std::vector<int32_t>  work;
+  /**
+   * Versions of the followed tables at the last change that the sender read.
+   */
+  int64_t configVersion;
+  int64_t membersVersion;
+  /**
+   * The sender's own reads of the store fail.
+   */
+  bool storeLost;
 
   _Heartbeat__isset __isset;
 
@@ -104,6 +119,12 @@
 
   void __set_work(const std::vector<int32_t> & val);
 
+  void __set_configVersion(const int64_t val);
+
+  void __set_membersVersion(const int64_t val);
+
+  void __set_storeLost(const bool val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -140,6 +161,18 @@
       return false;
     else if (__isset.work && !(work == rhs.work))
       return false;
+    if (__isset.configVersion != rhs.__isset.configVersion)
+      return false;
+    else if (__isset.configVersion && !(configVersion == rhs.configVersion))
+      return false;
+    if (__isset.membersVersion != rhs.__isset.membersVersion)
+      return false;
+    else if (__isset.membersVersion && !(membersVersion == rhs.membersVersion))
+      return false;
+    if (__isset.storeLost != rhs.__isset.storeLost)
+      return false;
+    else if (__isset.storeLost && !(storeLost == rhs.storeLost))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -25,6 +25,11 @@
   /** Of the same length: tokens that the sender's own calls still have to have
    * read at each engine. */
   12: optional list<i32> work;
+  /** Versions of the followed tables at the last change that the sender read. */
+  13: optional i64 configVersion;
+  14: optional i64 membersVersion;
+  /** The sender's own reads of the store fail. */
+  15: optional bool storeLost;
 }
 
 /** Asks a peer for the changes after a revision. */
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -86,6 +86,12 @@
       out.__set_work(work);
     }
   }
+  if (aMessage.m_store) {
+    const membership::StoreView& store = *aMessage.m_store;
+    out.__set_configVersion(static_cast<std::int64_t>(store.m_configVersion));
+    out.__set_membersVersion(static_cast<std::int64_t>(store.m_membersVersion));
+    out.__set_storeLost(store.m_lost);
+  }
   return Write(out);
 }
 
@@ -145,6 +151,11 @@
                               in->loads[i],
                               in->work.empty() ? 0 : in->work[i] });
   }
+  if (in->__isset.configVersion && in->__isset.membersVersion) {
+    out.m_store = { static_cast<std::uint64_t>(in->configVersion),
+                    static_cast<std::uint64_t>(in->membersVersion),
+                    in->storeLost };
+  }
   return out;
 }
 
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -24,6 +24,11 @@
                               *rc::gen::arbitrary<std::int32_t>(),
                               *rc::gen::arbitrary<std::int32_t>() });
   }
+  if (*rc::gen::arbitrary<bool>()) {
+    out.m_store = { *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62U),
+                    *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62U),
+                    *rc::gen::arbitrary<bool>() };
+  }
   return out;
 }
 
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -44,6 +44,9 @@
   std::int64_t m_sharedTokens = 0;
   std::int64_t m_ownTokens = 0;
   std::int64_t m_outTokens = 0;
+  /** Of the shared ones, in the first part: so many calls share it that every
+   * engine keeps it. */
+  std::int64_t m_commonTokens = 0;
 };
 
 struct PlaceRequest
@@ -99,6 +102,9 @@
    * not at the error rates of sound upstreams. */
   static constexpr int kFailuresToRest = 3;
   static constexpr Duration kRest{ 1000 };
+  /** Rest of a member at whose address another one answers: the list should
+   * say so within two seconds, unless the store is away. */
+  static constexpr Duration kDisplacedRest{ 3000 };
   /**
    * A listed member that vanished while the list was out of reach may only
    * have lapsed there. It stays this long: sound ones are listed again within
@@ -165,6 +171,16 @@
     std::optional<Instant> m_goneAt; ///< Dropped, within its grace.
   };
 
+  /** An engine that could take a prompt, and when its first token would come.
+   */
+  struct Candidate
+  {
+    const State* m_state = nullptr;
+    double m_ms = 0;
+    bool m_isHome = false;
+    bool operator<(const Candidate& aOther) const { return m_ms < aOther.m_ms; }
+  };
+
   bool MayServe(const State& aState,
                 const PlaceRequest& aRequest,
                 Instant aNow) const;
@@ -173,13 +189,21 @@
                         const PlaceRequest& aRequest) const;
   PlaceResult FindEngine(std::span<const State* const> aSound,
                          const PlaceRequest& aRequest) const;
+  /** Who reads a long prompt. Precondition: there is a candidate. */
+  static const Candidate* PickReader(std::span<const Candidate> aCandidates,
+                                     const Candidate& aBest,
+                                     const PlaceRequest& aRequest);
+  /** Adds who gives the output. Precondition: some sound one generates. */
+  static Place WithTaker(const State& aReader,
+                         std::span<const State* const> aSound,
+                         const Prompt& aPrompt);
   static double FirstTokenMs(const State& aState,
                              const Prompt& aPrompt,
                              bool aKept);
-  bool IsQuiet(const State& aState) const;
+  static bool IsQuiet(const State& aState, std::uint64_t aQuietBelow);
+  std::uint64_t QuietBelow(std::string_view aService) const;
   static bool HasFreeSlots(const State& aState);
-  std::vector<std::uint64_t> HomesOf(std::uint64_t aKey,
-                                     std::string_view aService) const;
+  std::uint64_t HomeOf(std::uint64_t aKey, std::string_view aService) const;
 
   void AddOther(std::span<const OtherLoad> aLoads, std::int64_t aSign);
 
--- a/packages/relay/include/ridgeferry/relay/RelayFlow.h
+++ b/packages/relay/include/ridgeferry/relay/RelayFlow.h
@@ -47,6 +47,7 @@
 struct AttemptRefused
 {
   AttemptId m_attempt = 0;
+  bool m_displaced = false; ///< Said by another upstream, at its address.
 };
 /** A reader holds the prompt's memory under a handle. */
 struct PromptRead
@@ -104,6 +105,7 @@
 {
   AttemptId m_attempt = 0;
   std::string m_reader;
+  bool m_repeat = false; ///< Counts in the budget: not the first of its call.
 };
 struct SendRun
 {
@@ -264,6 +266,7 @@
   bool m_forwarded = false; ///< The caller has seen a head.
   AttemptId m_attempt = 0;
   int m_sends = 0; ///< Sends that the upstream can have received.
+  int m_reads = 0; ///< Of prompts, for another upstream.
   int m_tries = 0;
   int m_runs = 0;
   /** The upstream that broke off is asked to go on: if it has ended, that run
--- a/packages/relay/include/ridgeferry/relay/TableFollower.h
+++ b/packages/relay/include/ridgeferry/relay/TableFollower.h
@@ -2,7 +2,9 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <ridgeferry/base/Time.h>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -15,6 +17,7 @@
   std::string m_key;
   std::string m_value; ///< Empty if removed.
   bool m_removed = false;
+  std::uint64_t m_version = 0; ///< Of the row's own last change; 0: not told.
 };
 
 // ---- events ----
@@ -43,13 +46,29 @@
 };
 struct RetryDue
 {};
+/** Another instance has read a change of that version. */
+struct PeerIsAhead
+{
+  std::uint64_t m_version = 0;
+};
+/** Another instance's reads of the store fail. */
+struct PeerLostStore
+{};
+/** Whether this instance is one of those that keep an eye on the store. */
+struct DutyChanged
+{
+  bool m_onDuty = true;
+};
 
 using FollowEvent = std::variant<FollowBegan,
                                  TableRead,
                                  ChangesRead,
                                  HistoryGone,
                                  ReadFailed,
-                                 RetryDue>;
+                                 RetryDue,
+                                 PeerIsAhead,
+                                 PeerLostStore,
+                                 DutyChanged>;
 
 // ---- actions ----
 
@@ -61,6 +80,9 @@
   std::uint64_t m_after = 0;
   Duration m_wait{};
 };
+/** Give up the read that is under way. */
+struct DropRead
+{};
 /** Come back with `RetryDue`. */
 struct RetryLater
 {
@@ -80,23 +102,42 @@
 struct StoreBack
 {};
 
-using FollowAction = std::
-  variant<ReadTable, ReadChanges, RetryLater, ApplyRows, StoreLost, StoreBack>;
+using FollowAction = std::variant<ReadTable,
+                                  ReadChanges,
+                                  DropRead,
+                                  RetryLater,
+                                  ApplyRows,
+                                  StoreLost,
+                                  StoreBack>;
 
 /**
  * Follows one table of the store: reads it whole, then its changes; whole
  * again when the history is gone. What it has told never goes back to an
- * older version. A pure state machine; not thread-safe.
+ * older version.
+ *
+ * Every call of the store has its price, so few instances (those on duty) ask
+ * often enough to notice by themselves that the store has fallen silent. The
+ * others leave a read with it for long, and learn from their peers when that
+ * read must have been lost: it is then given up and made again. An instance
+ * that hears of no peer is on duty. A pure state machine; not thread-safe.
  */
 class TableFollower
 {
 public:
   /**
-   * How long the store may hold a read of changes. Short enough that a silent
-   * store is noticed well within the time that a change may take to be in
-   * force; each such read is a priced call, half a call a second a table.
+   * How long the store may hold a read of changes of an instance on duty.
+   * Short enough that a silent store is noticed well within the time that a
+   * change may take to be in force: half a call a second a table.
    */
-  static constexpr Duration kWait{ 2000 };
+  static constexpr Duration kDutyWait{ 2000 };
+  /** The same of the others: near the longest that the store allows. */
+  static constexpr Duration kRestWait{ 25'000 };
+  /** Pause after changes, so that those that come together are read together;
+   * a sixth of the time that a change may take to be in force. */
+  static constexpr Duration kSettle{ 300 };
+  /** How long a peer may be ahead before a read counts as lost: the store
+   * answers all held reads at once, a slow one within that time. */
+  static constexpr Duration kBehindPatience{ 400 };
   /** First and longest pause after a failed read. */
   static constexpr Duration kFirstRetry{ 150 };
   static constexpr Duration kLongestRetry{ 600 };
@@ -108,6 +149,9 @@
 
   bool HasRead() const { return m_hasRead; }
   std::uint64_t Version() const { return m_version; }
+  /** Highest version of a row that was read. */
+  std::uint64_t ChangedVersion() const { return m_changedVersion; }
+  bool IsLost() const { return m_lost; }
 
 private:
   using Actions = std::vector<FollowAction>;
@@ -118,8 +162,13 @@
   void On(const HistoryGone& aEvent, Instant aNow, Actions& aActions);
   void On(const ReadFailed& aEvent, Instant aNow, Actions& aActions);
   void On(const RetryDue& aEvent, Instant aNow, Actions& aActions);
+  void On(const PeerIsAhead& aEvent, Instant aNow, Actions& aActions);
+  void On(const PeerLostStore& aEvent, Instant aNow, Actions& aActions);
+  void On(const DutyChanged& aEvent, Instant aNow, Actions& aActions);
 
-  void Ask(Actions& aActions) const;
+  void Ask(Actions& aActions);
+  void AskAnew(Actions& aActions);
+  void NoteVersions(std::span<const FollowedRow> aRows);
   void NoteAnswer(Instant aNow, Actions& aActions);
   bool IsAfterOutage(Instant aNow) const;
 
@@ -127,9 +176,16 @@
   bool m_needsTable = true;
   bool m_lost = false;
   bool m_hadOutage = false;
+  bool m_onDuty = true;
+  bool m_asking = false;   ///< A read is under way.
+  bool m_longWait = false; ///< That read may be held for `kRestWait`.
+  std::optional<Instant> m_behindSince;
+  std::uint64_t m_askedAnewFor =
+    0; ///< Version that the last `DropRead` was for.
   Instant m_lastFailure;
   Duration m_retry = kFirstRetry;
   std::uint64_t m_version = 0;
+  std::uint64_t m_changedVersion = 0;
   std::map<std::string, std::string> m_rows;
 };
 
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -36,6 +36,9 @@
 /** Calls that generate at one engine before the next ones go elsewhere: their
  * contexts slow each step, and the longest outputs would miss their end. */
 constexpr double kMostSteady = 40;
+/** How much later the first token may come at a prompt's home than elsewhere:
+ * what is kept there need not be read, which spares all that wait there. */
+constexpr double kHomeSlackMs = 40;
 /** Least expected time of a plain call before any was seen, in ms. */
 constexpr double kUnknownTookMs = 10;
 /** A member that fails all its calls looks this many times slower. */
@@ -188,7 +191,8 @@
 std::int64_t
 Fleet::TokensToRead(const Prompt& aPrompt, bool aKept)
 {
-  return aPrompt.m_ownTokens + (aKept ? 0 : aPrompt.m_sharedTokens);
+  const std::int64_t shared = aPrompt.m_sharedTokens - aPrompt.m_commonTokens;
+  return aPrompt.m_ownTokens + (aKept ? 0 : shared);
 }
 
 bool
@@ -198,20 +202,21 @@
   if (found == m_members.end() || aPrompt.m_sharedTokens < kLeastSharedTokens) {
     return false;
   }
-  const auto homes =
-    HomesOf(aPrompt.m_sharedKey, found->second.m_member.m_service);
-  return std::find(homes.begin(), homes.end(), found->second.m_hash) !=
-         homes.end();
+  return HomeOf(aPrompt.m_sharedKey, found->second.m_member.m_service) ==
+         found->second.m_hash;
 }
 
-std::vector<std::uint64_t>
-Fleet::HomesOf(std::uint64_t aKey, std::string_view aService) const
+std::uint64_t
+Fleet::HomeOf(std::uint64_t aKey, std::string_view aService) const
 {
-  // One home: the fleet's memory holds the hot chains about once.
+  // One home: the fleet's memory holds the hot chains about once. Quiet
+  // engines read no long prompts, so they are nobody's home.
+  const std::uint64_t quietBelow = QuietBelow(aService);
   double best = -1;
   std::uint64_t home = 0;
   for (const auto& [id, state] : m_members) {
-    if (state.m_member.m_service != aService || state.m_member.m_leaving) {
+    if (state.m_member.m_service != aService || state.m_member.m_leaving ||
+        IsQuiet(state, quietBelow)) {
       continue;
     }
     const double score =
@@ -221,7 +226,7 @@
       home = state.m_hash;
     }
   }
-  return { home };
+  return home;
 }
 
 bool
@@ -305,28 +310,38 @@
 }
 
 bool
-Fleet::IsQuiet(const State& aState) const
+Fleet::IsQuiet(const State& aState, std::uint64_t aQuietBelow)
+{
+  return aState.m_member.m_part == Part::Generate &&
+         aState.m_hash < aQuietBelow;
+}
+
+std::uint64_t
+Fleet::QuietBelow(std::string_view aService) const
 {
   // The first ones by hash, as many as the running calls need: all instances
   // see nearly the same numbers and agree on nearly the same engines.
-  double all = 0;
-  double before = 0;
+  std::vector<std::uint64_t> hashes;
   std::int64_t running = 0;
   for (const auto& [id, state] : m_members) {
-    const bool peer = state.m_member.m_part == Part::Generate &&
-                      state.m_member.m_service == aState.m_member.m_service &&
-                      !state.m_member.m_leaving;
-    if (!peer) {
-      continue;
+    if (state.m_member.m_part == Part::Generate &&
+        state.m_member.m_service == aService && !state.m_member.m_leaving) {
+      running += state.m_inFlight + state.m_othersInFlight;
+      hashes.push_back(state.m_hash);
     }
-    running += state.m_inFlight + state.m_othersInFlight;
-    ++all;
-    before += state.m_hash < aState.m_hash ? 1 : 0;
   }
+  const auto all = static_cast<double>(hashes.size());
   const double wanted = std::ceil(static_cast<double>(running) / kMostSteady);
   const double least = std::round(kLeastQuietShare * all);
   const double most = std::round(kMostQuietShare * all);
-  return before < std::clamp(wanted, least, std::max(least, most));
+  const auto quiet =
+    static_cast<std::size_t>(std::clamp(wanted, least, std::max(least, most)));
+  if (quiet >= hashes.size()) {
+    return std::numeric_limits<std::uint64_t>::max();
+  }
+  const auto nth = hashes.begin() + static_cast<std::ptrdiff_t>(quiet);
+  std::nth_element(hashes.begin(), nth, hashes.end());
+  return *nth;
 }
 
 bool
@@ -337,70 +352,93 @@
   return running < kFullShare * static_cast<double>(aState.m_member.m_slots);
 }
 
+const Fleet::Candidate*
+Fleet::PickReader(std::span<const Candidate> aCandidates,
+                  const Candidate& aBest,
+                  const PlaceRequest& aRequest)
+{
+  const auto home =
+    std::find_if(aCandidates.begin(),
+                 aCandidates.end(),
+                 [](const Candidate& aItem) { return aItem.m_isHome; });
+  if (home != aCandidates.end() && home->m_ms <= aBest.m_ms + kHomeSlackMs) {
+    return &*home;
+  }
+  // Several instances see the same loads, some of them old: if all took the
+  // least loaded one, it would be the most loaded one next.
+  const std::size_t count = aCandidates.size();
+  const Candidate& one = aCandidates[aRequest.m_random % count];
+  const Candidate& other = aCandidates[aRequest.m_random / count % count];
+  const Candidate& better = one.m_ms <= other.m_ms ? one : other;
+  const bool inTime =
+    better.m_ms < static_cast<double>(aRequest.m_patience.count());
+  return inTime ? &better : &aBest;
+}
+
+Place
+Fleet::WithTaker(const State& aReader,
+                 std::span<const State* const> aSound,
+                 const Prompt& aPrompt)
+{
+  // The memory moves faster inside a hall; any of its generators will do.
+  const auto taking = [&](const State* aState) {
+    const bool away = aState->m_member.m_hall != aReader.m_member.m_hall;
+    return FirstTokenMs(*aState, aPrompt, false) + (away ? kHandOverMs : 0);
+  };
+  const State* taker = nullptr;
+  for (const State* state : aSound) {
+    if (state->m_member.m_part == Part::Generate &&
+        (taker == nullptr || taking(state) < taking(taker))) {
+      taker = state;
+    }
+  }
+  return Place{ taker->m_member.m_id, aReader.m_member.m_id };
+}
+
 PlaceResult
 Fleet::FindEngine(std::span<const State* const> aSound,
                   const PlaceRequest& aRequest) const
 {
   const Prompt& prompt = *aRequest.m_prompt;
   const bool longPrompt = prompt.m_sharedTokens >= kLeastSharedTokens;
-  const std::vector<std::uint64_t> homes =
-    longPrompt ? HomesOf(prompt.m_sharedKey, aRequest.m_service)
-               : std::vector<std::uint64_t>{};
-  const auto firstToken = [&](const State* aState) {
-    const bool kept =
-      std::find(homes.begin(), homes.end(), aState->m_hash) != homes.end();
-    return FirstTokenMs(*aState, prompt, kept);
-  };
+  const std::uint64_t home =
+    longPrompt ? HomeOf(prompt.m_sharedKey, aRequest.m_service) : 0;
+  const std::uint64_t quietBelow = QuietBelow(aRequest.m_service);
   // Output comes steadily where no long prompts are read.
   const bool quietHasRoom =
     std::any_of(aSound.begin(), aSound.end(), [&](const State* aState) {
-      return aState->m_member.m_part == Part::Generate && IsQuiet(*aState) &&
-             HasFreeSlots(*aState);
+      return IsQuiet(*aState, quietBelow) && HasFreeSlots(*aState);
     });
-  const State* best = nullptr;
-  const State* taker = nullptr;
-  double bestMs = 0;
-  double takerMs = 0;
+  std::vector<Candidate> fitting;
+  std::vector<Candidate> generators;
   for (const State* state : aSound) {
+    const bool isHome = longPrompt && state->m_hash == home;
+    const Candidate item{ state, FirstTokenMs(*state, prompt, isHome), isHome };
     const bool reads = state->m_member.m_part == Part::Prefill;
-    const double ms = firstToken(state);
-    if (!reads && (taker == nullptr || ms < takerMs)) {
-      taker = state;
-      takerMs = ms;
+    const bool quiet = IsQuiet(*state, quietBelow);
+    if (longPrompt ? !quiet : !reads && (quiet || !quietHasRoom)) {
+      fitting.push_back(item);
     }
-    const bool fits = longPrompt ? reads || !IsQuiet(*state)
-                                 : !reads && (IsQuiet(*state) || !quietHasRoom);
-    if (fits && (best == nullptr || ms < bestMs)) {
-      best = state;
-      bestMs = ms;
+    if (!reads) {
+      generators.push_back(item);
     }
   }
-  if (best == nullptr) {
-    best = taker;
-    bestMs = takerMs;
-  }
-  if (taker == nullptr) {
-    return PlaceFault{};
+  if (generators.empty()) {
+    return PlaceFault{}; // Nobody could give the output.
   }
-  const Duration wait(static_cast<std::int64_t>(bestMs));
+  const auto& candidates = fitting.empty() ? generators : fitting;
+  const Candidate& best =
+    *std::min_element(candidates.begin(), candidates.end());
+  const Duration wait(static_cast<std::int64_t>(best.m_ms));
   if (wait > aRequest.m_patience) {
     return PlaceFault{ true, wait - aRequest.m_patience };
   }
-  if (best->m_member.m_part == Part::Generate) {
-    return Place{ best->m_member.m_id, {} };
+  const State& chosen =
+    *(longPrompt ? PickReader(candidates, best, aRequest) : &best)->m_state;
+  if (chosen.m_member.m_part == Part::Generate) {
+    return Place{ chosen.m_member.m_id, {} };
   }
-  // The memory moves faster inside a hall; any of its generators will do.
-  const auto taking = [&](const State* aState) {
-    const bool away = aState->m_member.m_hall != best->m_member.m_hall;
-    return firstToken(aState) + (away ? kHandOverMs : 0);
-  };
-  for (const State* state : aSound) {
-    if (state->m_member.m_part == Part::Generate &&
-        taking(state) < taking(taker)) {
-      taker = state;
-    }
-  }
-  return Place{ taker->m_member.m_id, best->m_member.m_id };
+  return WithTaker(chosen, aSound, prompt);
 }
 
 std::int64_t
@@ -466,6 +504,10 @@
   if (aEnd == AttemptEnd::Abandoned || aEnd == AttemptEnd::Declined) {
     return;
   }
+  if (aEnd == AttemptEnd::Displaced) {
+    state.m_restsUntil = aNow + kDisplacedRest;
+    return;
+  }
   const bool failed = aEnd == AttemptEnd::Failed;
   state.m_failShare += kNewest * ((failed ? 1 : 0) - state.m_failShare);
   if (!failed) {
--- a/packages/relay/src/RelayFlow.cpp
+++ b/packages/relay/src/RelayFlow.cpp
@@ -108,7 +108,9 @@
     return;
   }
   m_step = Step::Reading;
-  aActions.emplace_back(SendRead{ ++m_attempt, m_reader });
+  const bool repeat = m_reads > 0;
+  ++m_reads;
+  aActions.emplace_back(SendRead{ ++m_attempt, m_reader, repeat });
 }
 
 void
@@ -147,7 +149,7 @@
 RelayFlow::Leave(AttemptEnd aEnd, Actions& aActions)
 {
   aActions.emplace_back(NoteAttemptEnd{ m_attempt, aEnd });
-  if (aEnd == AttemptEnd::Failed || aEnd == AttemptEnd::Declined) {
+  if (aEnd != AttemptEnd::Served && aEnd != AttemptEnd::Abandoned) {
     m_excluded.push_back(m_step == Step::Reading ? m_reader : m_upstream);
   }
 }
@@ -181,7 +183,8 @@
   if (!IsCurrent(aEvent.m_attempt)) {
     return;
   }
-  Leave(AttemptEnd::Declined, aActions);
+  Leave(aEvent.m_displaced ? AttemptEnd::Displaced : AttemptEnd::Declined,
+        aActions);
   if (m_step == Step::Reading) {
     // A reading that was declined counts as a send.
     ++m_sends;
--- a/packages/relay/src/TableFollower.cpp
+++ b/packages/relay/src/TableFollower.cpp
@@ -14,15 +14,37 @@
 }
 
 void
-TableFollower::Ask(Actions& aActions) const
+TableFollower::Ask(Actions& aActions)
 {
+  m_asking = true;
+  m_longWait = !m_needsTable && !m_onDuty;
   if (m_needsTable) {
     aActions.emplace_back(ReadTable{});
   } else {
-    aActions.emplace_back(ReadChanges{ m_version, kWait });
+    aActions.emplace_back(
+      ReadChanges{ m_version, m_onDuty ? kDutyWait : kRestWait });
   }
 }
 
+void
+TableFollower::NoteVersions(std::span<const FollowedRow> aRows)
+{
+  for (const FollowedRow& row : aRows) {
+    // The answer's own version is no lower than that of any row in it.
+    const std::uint64_t version =
+      row.m_version == 0 ? m_version : row.m_version;
+    m_changedVersion = std::max(m_changedVersion, version);
+  }
+}
+
+void
+TableFollower::AskAnew(Actions& aActions)
+{
+  m_behindSince.reset();
+  aActions.emplace_back(DropRead{});
+  Ask(aActions);
+}
+
 bool
 TableFollower::IsAfterOutage(Instant aNow) const
 {
@@ -32,6 +54,8 @@
 void
 TableFollower::NoteAnswer(Instant, Actions& aActions)
 {
+  m_asking = false;
+  m_behindSince.reset();
   m_retry = kFirstRetry;
   if (m_lost) {
     m_lost = false;
@@ -75,6 +99,7 @@
   m_hasRead = true;
   m_needsTable = false;
   m_version = aEvent.m_version;
+  NoteVersions(aEvent.m_rows);
   aActions.emplace_back(std::move(apply));
   Ask(aActions);
 }
@@ -83,6 +108,7 @@
 TableFollower::On(const ChangesRead& aEvent, Instant aNow, Actions& aActions)
 {
   NoteAnswer(aNow, aActions);
+  const bool isNew = aEvent.m_version >= m_version && !aEvent.m_rows.empty();
   if (aEvent.m_version >= m_version) {
     m_version = aEvent.m_version;
     for (const FollowedRow& row : aEvent.m_rows) {
@@ -92,11 +118,14 @@
         m_rows[row.m_key] = row.m_value;
       }
     }
-    if (!aEvent.m_rows.empty()) {
-      aActions.emplace_back(ApplyRows{ aEvent.m_rows, IsAfterOutage(aNow) });
-    }
   }
-  Ask(aActions);
+  if (!isNew) {
+    Ask(aActions);
+    return;
+  }
+  NoteVersions(aEvent.m_rows);
+  aActions.emplace_back(ApplyRows{ aEvent.m_rows, IsAfterOutage(aNow) });
+  aActions.emplace_back(RetryLater{ kSettle });
 }
 
 void
@@ -110,6 +139,7 @@
 void
 TableFollower::On(const ReadFailed& aEvent, Instant aNow, Actions& aActions)
 {
+  m_asking = false;
   m_lastFailure = aNow;
   m_hadOutage = true;
   if (!m_lost) {
@@ -126,4 +156,38 @@
   Ask(aActions);
 }
 
+void
+TableFollower::On(const PeerIsAhead& aEvent, Instant aNow, Actions& aActions)
+{
+  // Once for each version: what the store does not tell now it will not tell.
+  const bool isNew =
+    aEvent.m_version > m_version && aEvent.m_version > m_askedAnewFor;
+  if (!m_asking || !isNew) {
+    return;
+  }
+  if (!m_behindSince) {
+    m_behindSince = aNow;
+  } else if (aNow - *m_behindSince >= kBehindPatience) {
+    m_askedAnewFor = aEvent.m_version;
+    AskAnew(aActions);
+  }
+}
+
+void
+TableFollower::On(const PeerLostStore&, Instant aNow, Actions&)
+{
+  // What is removed after this may only have lapsed, as after an own failure.
+  m_lastFailure = aNow;
+  m_hadOutage = true;
+}
+
+void
+TableFollower::On(const DutyChanged& aEvent, Instant, Actions& aActions)
+{
+  m_onDuty = aEvent.m_onDuty;
+  if (m_onDuty && m_asking && m_longWait) {
+    AskAnew(aActions);
+  }
+}
+
 } // namespace ridgeferry::relay
--- a/packages/relay/tests/FleetTest.cpp
+++ b/packages/relay/tests/FleetTest.cpp
@@ -103,6 +103,17 @@
   EXPECT_TRUE(m_fleet.Find("a")->m_leaving);
 }
 
+TEST_F(FleetTest, AMemberAtWhoseAddressAnotherAnswersRestsAtOnce)
+{
+  m_fleet.NoteSent("a", 0);
+  m_fleet.NoteEnded("a", 0, AttemptEnd::Displaced, Duration{ 5 }, kNow);
+  for (std::uint64_t draw = 0; draw < 10; ++draw) {
+    PlaceRequest request = PlainRequest();
+    request.m_random = draw;
+    EXPECT_EQ(MustFind(m_fleet, request).m_upstream, "b");
+  }
+}
+
 TEST_F(FleetTest, NoMemberGetsMoreConnectionsThanItsShare)
 {
   PlaceRequest request = PlainRequest();
@@ -202,6 +213,65 @@
   EXPECT_GE(used.size(), 8U); // Spread over the fleet.
 }
 
+std::string
+ReaderOf(const Place& aPlace)
+{
+  return aPlace.m_reader.empty() ? aPlace.m_upstream : aPlace.m_reader;
+}
+
+/** What waits at a prompt's home, and whether it is read there all the same. */
+struct HomeCase
+{
+  const char* m_name;
+  std::int64_t m_tokensAtHome;
+  bool m_readAtHome;
+};
+
+class HomeTest
+  : public FleetTest
+  , public ::testing::WithParamInterface<HomeCase>
+{};
+
+TEST_P(HomeTest, IsLeftOnlyWhenItIsMuchLater)
+{
+  const std::string home = ReaderOf(MustFind(m_fleet, LongRequest(3)));
+  m_fleet.NoteSent(home, GetParam().m_tokensAtHome);
+  PlaceRequest request = LongRequest(3);
+  for (request.m_random = 0; request.m_random < 50; ++request.m_random) {
+    EXPECT_EQ(ReaderOf(MustFind(m_fleet, request)) == home,
+              GetParam().m_readAtHome);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Loads,
+  HomeTest,
+  ::testing::Values(HomeCase{ "Nothing", 0, true },
+                    HomeCase{ "OnePromptOrTwo", 3'000, true },
+                    HomeCase{ "AQueue", 60'000, false }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+// Several instances that see the same loads must not all choose alike.
+TEST_F(FleetTest, PromptsWhoseHomeIsBusySpreadOverOthers)
+{
+  const std::string home = ReaderOf(MustFind(m_fleet, LongRequest(3)));
+  m_fleet.NoteSent(home, 60'000);
+  std::set<std::string> used;
+  PlaceRequest request = LongRequest(3);
+  for (request.m_random = 0; request.m_random < 200; ++request.m_random) {
+    used.insert(ReaderOf(MustFind(m_fleet, request)));
+  }
+  EXPECT_GE(used.size(), 4U);
+}
+
+TEST_F(FleetTest, WhatEveryEngineKeepsIsNotCountedAnywhere)
+{
+  Prompt prompt = *LongRequest(1).m_prompt;
+  prompt.m_commonTokens = 2500;
+  EXPECT_EQ(Fleet::TokensToRead(prompt, false), 3000 + 6000 - 2500);
+  EXPECT_EQ(Fleet::TokensToRead(prompt, true), 3000);
+}
+
 TEST_F(FleetTest, APromptThatWouldComeTooLateIsRefusedWithATime)
 {
   for (int i = 0; i < 8; ++i) {
--- a/packages/relay/tests/RelayFlowTest.cpp
+++ b/packages/relay/tests/RelayFlowTest.cpp
@@ -12,7 +12,9 @@
   return std::visit(
     Overloaded{
       [](const FindPlace&) { return std::string("find"); },
-      [](const SendRead& aSend) { return "read@" + aSend.m_reader; },
+      [](const SendRead& aSend) {
+        return "read@" + aSend.m_reader + (aSend.m_repeat ? "!" : "");
+      },
       [](const SendRun& aSend) {
         return "run@" + aSend.m_upstream +
                (aSend.m_handle.empty() ? "" : "+" + aSend.m_handle) +
@@ -22,7 +24,7 @@
       [](const CancelAttempt&) { return std::string("cancel"); },
       [](const NoteAttemptEnd& aNote) {
         static constexpr const char* kEnds[] = {
-          "served", "failed", "declined", "abandoned"
+          "served", "failed", "declined", "displaced", "abandoned"
         };
         return std::string(kEnds[static_cast<std::size_t>(aNote.m_end)]);
       },
@@ -114,6 +116,25 @@
                 HeadArrived{ 2, 200 },
                 AnswerEnded{ 2 } },
               "find run@u declined find run@v! served whole:" },
+    FlowCase{ "DisplacedIsSentElsewhereAndCounts",
+              kUnsafe,
+              { PlaceFound{ "u", "" },
+                AttemptRefused{ 1, true },
+                PlaceFound{ "v", "" },
+                HeadArrived{ 2, 200 },
+                AnswerEnded{ 2 } },
+              "find run@u displaced find run@v! served whole:" },
+    FlowCase{ "ASecondReadingCountsToo",
+              kUnsafe,
+              { PlaceFound{ "u", "r" },
+                PromptRead{ 1, "h1" },
+                AttemptRefused{ 2 },
+                PlaceFound{ "v", "s" },
+                PromptRead{ 3, "h2" },
+                HeadArrived{ 4, 200 },
+                AnswerEnded{ 4 } },
+              "find read@r served run@u+h1 declined find read@s! served "
+              "run@v+h2! served whole:" },
     FlowCase{ "RefusedWithoutBudget",
               kUnsafe,
               { PlaceFound{ "u", "" }, AttemptRefused{ 1 } },
--- a/packages/relay/tests/TableFollowerTest.cpp
+++ b/packages/relay/tests/TableFollowerTest.cpp
@@ -96,6 +96,85 @@
   EXPECT_FALSE(Find<ApplyRows>(later)->m_afterOutage);
 }
 
+// Releases and rolling changes write many rows within moments.
+TEST_F(TableFollowerTest, AfterAChangeItWaitsForMore)
+{
+  Handle(TableRead{ {}, 1 });
+  const auto actions = Handle(ChangesRead{ { { "a", "1", false, 2 } }, 2 });
+  ASSERT_NE(Find<RetryLater>(actions), nullptr);
+  EXPECT_EQ(Find<RetryLater>(actions)->m_delay, TableFollower::kSettle);
+  EXPECT_EQ(Find<ReadChanges>(actions), nullptr);
+  EXPECT_NE(Find<ReadChanges>(Handle(RetryDue{})), nullptr);
+}
+
+TEST_F(TableFollowerTest, OnDutyItAsksOftenElseSeldom)
+{
+  const auto waitOf = [](const std::vector<FollowAction>& aActions) {
+    const auto* read = Find<ReadChanges>(aActions);
+    return read == nullptr ? Duration{} : read->m_wait;
+  };
+  EXPECT_EQ(waitOf(Handle(TableRead{ {}, 1 })), TableFollower::kDutyWait);
+  EXPECT_TRUE(Handle(DutyChanged{ false }).empty());
+  EXPECT_EQ(waitOf(Handle(ChangesRead{ {}, 1 })), TableFollower::kRestWait);
+  const auto back = Handle(DutyChanged{ true });
+  EXPECT_NE(Find<DropRead>(back), nullptr);
+  EXPECT_EQ(waitOf(back), TableFollower::kDutyWait);
+  EXPECT_TRUE(Handle(DutyChanged{ true }).empty());
+}
+
+/** What a peer tells, when, and whether the read is made again then. */
+struct PeerCase
+{
+  const char* m_name;
+  std::vector<std::pair<int, std::uint64_t>> m_told; ///< At ms, version.
+  std::size_t m_dropped;
+};
+
+class PeerTest
+  : public TableFollowerTest
+  , public ::testing::WithParamInterface<PeerCase>
+{};
+
+// A read that the store will never answer: its outage began after the call.
+TEST_P(PeerTest, AReadThatMustHaveBeenLostIsMadeAgain)
+{
+  Handle(DutyChanged{ false });
+  Handle(TableRead{ { { "a", "1", false, 5 } }, 9 });
+  EXPECT_EQ(m_follower.ChangedVersion(), 5U);
+  std::size_t dropped = 0;
+  for (const auto& [at, version] : GetParam().m_told) {
+    const auto actions = Handle(PeerIsAhead{ version }, at);
+    if (Find<DropRead>(actions) != nullptr) {
+      ++dropped;
+      ASSERT_NE(Find<ReadChanges>(actions), nullptr);
+      EXPECT_EQ(Find<ReadChanges>(actions)->m_after, 9U);
+    }
+  }
+  EXPECT_EQ(dropped, GetParam().m_dropped);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Tellings,
+  PeerTest,
+  ::testing::Values(
+    PeerCase{ "NothingNew", { { 0, 9 }, { 900, 9 } }, 0 },
+    PeerCase{ "NewButJustNow", { { 0, 12 }, { 300, 12 } }, 0 },
+    PeerCase{ "BehindForLong", { { 0, 12 }, { 400, 12 } }, 1 },
+    PeerCase{ "OnceForAVersion", { { 0, 12 }, { 400, 12 }, { 900, 12 } }, 1 },
+    PeerCase{ "AgainForTheNext",
+              { { 0, 12 }, { 400, 12 }, { 500, 15 }, { 900, 15 } },
+              2 }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+TEST_F(TableFollowerTest, APeersOutageCountsForRemovals)
+{
+  Handle(TableRead{ { { "a", "1", false, 1 } }, 1 });
+  Handle(PeerLostStore{}, 1000);
+  const auto soon = Handle(ChangesRead{ { { "a", {}, true, 2 } }, 2 }, 2000);
+  ASSERT_NE(Find<ApplyRows>(soon), nullptr);
+  EXPECT_TRUE(Find<ApplyRows>(soon)->m_afterOutage);
+}
+
 // Whatever is lost, late or asked twice: the follower ends with the store's
 // rows, and never tells a row that it had already replaced.
 TEST(TableFollowerWorldTest, EndsWithTheRowsOfTheStore)
