Placement: prompts stay with their homes; estimates follow how late first tokens come

Cause: the peaks of the grown sites ask for more reading than there is, and a fifth of the prompts was served late. Seen in the logs of eleven instances: reads of a thousand tokens at idle engines take 22 ms where 5 were expected, in peaks the first token takes several times the estimate (loads of others are a quarter of a second old), and chains left their homes for 40 ms, so that a quarter of the shared parts was found kept at best.

Change: a fixed part of 15 ms in each estimate and in paces; the refusal follows a smoothed ratio of seen to expected first tokens (half a second); a home is left only for 100 ms; engines that may become quiet are nobody's home, so homes stay; quiet engines are counted by their slots, 0.12 to 0.45 of the generators.

--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -12,6 +12,7 @@
 
 /** Said by whoever is not the one that the send names. */
 constexpr int kMisdirected = 421;
+constexpr int kOk = 200;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -179,6 +180,8 @@
   const relay::PlaceResult result =
     m_node.m_fleet.FindPlace(request, m_node.Now());
   if (const auto* place = std::get_if<relay::Place>(&result)) {
+    m_expectedMs = isFirst && m_start.m_head.m_prompt ? place->m_expectedMs : 0;
+    m_placedAt = m_node.Now();
     Handle(relay::PlaceFound{ place->m_upstream, place->m_reader });
   } else {
     const auto& fault = std::get<relay::PlaceFault>(result);
@@ -288,6 +291,17 @@
   m_attempt.m_http = m_node.m_http->Send(request, std::move(callbacks));
 }
 
+void
+RelayCall::NoteFirstToken()
+{
+  if (m_expectedMs > 0) {
+    m_node.m_fleet.NoteFirstToken(m_start.m_service,
+                                  std::exchange(m_expectedMs, 0),
+                                  m_node.Now() - m_placedAt,
+                                  m_node.Now());
+  }
+}
+
 void
 RelayCall::TakeHead(const net::HttpHead& aHead)
 {
@@ -296,6 +310,9 @@
                             m_attempt.m_tokensAhead + m_attempt.m_tokens,
                             m_node.Now() - m_attempt.m_sentAt);
   }
+  if (!m_attempt.m_readOnly && aHead.m_status == kOk) {
+    NoteFirstToken();
+  }
   m_node.m_fleet.NoteFirstByte(m_attempt.m_upstream, m_attempt.m_tokens);
   m_attempt.m_tokens = 0;
   m_attempt.m_hasHead = true;
@@ -364,6 +381,11 @@
         { "status", std::int64_t{ m_attempt.m_head.m_status } },
         { "tookMs", (m_node.Now() - m_attempt.m_sentAt).count() } });
   }
+  const Duration waited = m_node.Now() - m_placedAt;
+  const bool late = static_cast<double>(waited.count()) > m_expectedMs;
+  if (aAction.m_end == relay::AttemptEnd::Abandoned && late) {
+    NoteFirstToken(); // It would have come later still.
+  }
   m_node.m_fleet.NoteEnded(m_attempt.m_upstream,
                            m_attempt.m_tokens,
                            aAction.m_end,
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -77,6 +77,7 @@
   void TakeBytes(std::string_view aBytes);
   void TakeEnd(const net::HttpResponse& aResponse);
   void NoteRepeat();
+  void NoteFirstToken();
   Duration Left() const;
   void LogEnd(std::string_view aOutcome, int aStatus);
 
@@ -87,6 +88,8 @@
   Instant m_deadline;
   net::Watch m_timer;
   Attempt m_attempt;
+  double m_expectedMs = 0; ///< Of the first token, by the first place; 0: none.
+  Instant m_placedAt;
   std::string m_readBody; ///< Of a reader's answer.
   std::string m_path;     ///< Members tried, in order, for the log.
   bool m_told = false;
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -66,6 +66,9 @@
 {
   std::string m_upstream;
   std::string m_reader; ///< Empty: the upstream reads the prompt itself.
+  /** Of a prompt: when its first token should come, by loads and paces alone,
+   * without what `NoteFirstToken` has taught. */
+  double m_expectedMs = 0;
 };
 
 /** Why there is no place. */
@@ -137,6 +140,15 @@
    * `aTokens`, those ahead of the call's own with them.
    */
   void NotePace(std::string_view aId, std::int64_t aTokens, Duration aTook);
+  /**
+   * A prompt's first token came after `aTook`; `aExpectedMs` as its place said.
+   * Loads of other instances are known late, and later in larger deployments:
+   * this tells soon by how much all estimates of a service are off.
+   */
+  void NoteFirstToken(std::string_view aService,
+                      double aExpectedMs,
+                      Duration aTook,
+                      Instant aNow);
   /** Tokens under way at a member, of all instances. */
   std::int64_t TokensAt(std::string_view aId) const;
 
@@ -201,15 +213,25 @@
                              const Prompt& aPrompt,
                              bool aKept);
   static bool IsQuiet(const State& aState, std::uint64_t aQuietBelow);
-  std::uint64_t QuietBelow(std::string_view aService) const;
+  /** Hashes of quiet engines are below this; `aMost`: of all that may be. */
+  std::uint64_t QuietBelow(std::string_view aService, bool aMost) const;
   static bool HasFreeSlots(const State& aState);
   std::uint64_t HomeOf(std::uint64_t aKey, std::string_view aService) const;
 
+  /** By how much first tokens come later than expected, smoothed. */
+  struct Stretch
+  {
+    double m_factor = 1;
+    Instant m_at;
+  };
+  double StretchOf(std::string_view aService) const;
+
   void AddOther(std::span<const OtherLoad> aLoads, std::int64_t aSign);
 
   std::map<std::string, State, std::less<>> m_members;
   std::unordered_map<std::uint32_t, std::string> m_byShortHash;
   std::map<std::string, std::vector<OtherLoad>, std::less<>> m_others;
+  std::map<std::string, Stretch, std::less<>> m_stretch; ///< By service.
 };
 
 } // namespace ridgeferry::relay
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -16,6 +16,10 @@
 /** What handing a prompt's memory over costs, in ms: the way there and back,
  * and a gigabyte at some terabits a second. */
 constexpr double kHandOverMs = 6;
+/** What a first token takes however short its prompt is, in ms: ways, steps and
+ * the other calls of a step (measured: reads of 1,000 tokens at engines without
+ * queues took 22 ms and more). */
+constexpr double kFirstTokenMs = 15;
 /** What one call that generates costs the next there, in ms. */
 constexpr double kRunningMs = 0.3;
 /** Paces until one was seen, in tokens a ms: of engines of today's kind. */
@@ -28,8 +32,8 @@
 constexpr std::int64_t kLeastPaceTokens = 1500;
 /** Bounds of the share of generators that read no long prompts, so that the
  * output of others comes steadily there. */
-constexpr double kLeastQuietShare = 0.25;
-constexpr double kMostQuietShare = 0.62;
+constexpr double kLeastQuietShare = 0.12;
+constexpr double kMostQuietShare = 0.45;
 /** Above this share of its slots an engine counts as full: what others have
  * sent meanwhile is not known yet. */
 constexpr double kFullShare = 0.85;
@@ -38,7 +42,19 @@
 constexpr double kMostSteady = 40;
 /** How much later the first token may come at a prompt's home than elsewhere:
  * what is kept there need not be read, which spares all that wait there. */
-constexpr double kHomeSlackMs = 40;
+constexpr double kHomeSlackMs = 100;
+/** How far a drawn reader may be behind the best one that is known. */
+constexpr double kMostDrawnMs = 60;
+/** How long the lateness of first tokens is remembered: a peak rises within
+ * half a second, and its end should be seen as soon. */
+constexpr Duration kStretchMemory{ 500 };
+/** Bounds of that lateness, and the least expectation it is measured against:
+ * the ways there alone take some milliseconds. */
+constexpr double kLeastStretch = 0.7;
+constexpr double kMostStretch = 6;
+constexpr double kLeastExpectedMs = 20;
+/** Most weight of one first token. */
+constexpr double kMostStretchWeight = 0.5;
 /** Least expected time of a plain call before any was seen, in ms. */
 constexpr double kUnknownTookMs = 10;
 /** A member that fails all its calls looks this many times slower. */
@@ -209,9 +225,9 @@
 std::uint64_t
 Fleet::HomeOf(std::uint64_t aKey, std::string_view aService) const
 {
-  // One home: the fleet's memory holds the hot chains about once. Quiet
-  // engines read no long prompts, so they are nobody's home.
-  const std::uint64_t quietBelow = QuietBelow(aService);
+  // One home: the fleet's memory holds the hot chains about once. Those that
+  // may be quiet at some time are nobody's home, so that homes stay.
+  const std::uint64_t quietBelow = QuietBelow(aService, true);
   double best = -1;
   std::uint64_t home = 0;
   for (const auto& [id, state] : m_members) {
@@ -306,7 +322,8 @@
     aState.m_tokens + aState.m_othersTokens + TokensToRead(aPrompt, aKept));
   const auto running =
     static_cast<double>(aState.m_inFlight + aState.m_othersInFlight);
-  return tokens / pace + (generates ? kRunningMs * running : kHandOverMs);
+  return kFirstTokenMs + tokens / pace +
+         (generates ? kRunningMs * running : kHandOverMs);
 }
 
 bool
@@ -317,25 +334,29 @@
 }
 
 std::uint64_t
-Fleet::QuietBelow(std::string_view aService) const
+Fleet::QuietBelow(std::string_view aService, bool aMost) const
 {
   // The first ones by hash, as many as the running calls need: all instances
   // see nearly the same numbers and agree on nearly the same engines.
   std::vector<std::uint64_t> hashes;
   std::int64_t running = 0;
+  std::int64_t slots = 1;
   for (const auto& [id, state] : m_members) {
     if (state.m_member.m_part == Part::Generate &&
         state.m_member.m_service == aService && !state.m_member.m_leaving) {
       running += state.m_inFlight + state.m_othersInFlight;
+      slots = std::max(slots, state.m_member.m_slots);
       hashes.push_back(state.m_hash);
     }
   }
   const auto all = static_cast<double>(hashes.size());
-  const double wanted = std::ceil(static_cast<double>(running) / kMostSteady);
+  const double steady =
+    std::min(kMostSteady, kFullShare * static_cast<double>(slots));
+  const double wanted = std::ceil(static_cast<double>(running) / steady);
   const double least = std::round(kLeastQuietShare * all);
   const double most = std::round(kMostQuietShare * all);
-  const auto quiet =
-    static_cast<std::size_t>(std::clamp(wanted, least, std::max(least, most)));
+  const auto quiet = static_cast<std::size_t>(
+    aMost ? most : std::clamp(wanted, least, std::max(least, most)));
   if (quiet >= hashes.size()) {
     return std::numeric_limits<std::uint64_t>::max();
   }
@@ -370,9 +391,9 @@
   const Candidate& one = aCandidates[aRequest.m_random % count];
   const Candidate& other = aCandidates[aRequest.m_random / count % count];
   const Candidate& better = one.m_ms <= other.m_ms ? one : other;
-  const bool inTime =
-    better.m_ms < static_cast<double>(aRequest.m_patience.count());
-  return inTime ? &better : &aBest;
+  // Not one that comes too late where the best one would not.
+  const bool isFar = better.m_ms > aBest.m_ms + kMostDrawnMs;
+  return isFar ? &aBest : &better;
 }
 
 Place
@@ -403,7 +424,7 @@
   const bool longPrompt = prompt.m_sharedTokens >= kLeastSharedTokens;
   const std::uint64_t home =
     longPrompt ? HomeOf(prompt.m_sharedKey, aRequest.m_service) : 0;
-  const std::uint64_t quietBelow = QuietBelow(aRequest.m_service);
+  const std::uint64_t quietBelow = QuietBelow(aRequest.m_service, false);
   // Output comes steadily where no long prompts are read.
   const bool quietHasRoom =
     std::any_of(aSound.begin(), aSound.end(), [&](const State* aState) {
@@ -429,16 +450,19 @@
   const auto& candidates = fitting.empty() ? generators : fitting;
   const Candidate& best =
     *std::min_element(candidates.begin(), candidates.end());
-  const Duration wait(static_cast<std::int64_t>(best.m_ms));
+  const double expected = best.m_ms * StretchOf(aRequest.m_service);
+  const Duration wait(static_cast<std::int64_t>(expected));
   if (wait > aRequest.m_patience) {
     return PlaceFault{ true, wait - aRequest.m_patience };
   }
-  const State& chosen =
-    *(longPrompt ? PickReader(candidates, best, aRequest) : &best)->m_state;
-  if (chosen.m_member.m_part == Part::Generate) {
-    return Place{ chosen.m_member.m_id, {} };
-  }
-  return WithTaker(chosen, aSound, prompt);
+  const Candidate& chosen =
+    longPrompt ? *PickReader(candidates, best, aRequest) : best;
+  const State& state = *chosen.m_state;
+  Place place = state.m_member.m_part == Part::Generate
+                  ? Place{ state.m_member.m_id, {} }
+                  : WithTaker(state, aSound, prompt);
+  place.m_expectedMs = chosen.m_ms;
+  return place;
 }
 
 std::int64_t
@@ -450,6 +474,33 @@
            : found->second.m_tokens + found->second.m_othersTokens;
 }
 
+double
+Fleet::StretchOf(std::string_view aService) const
+{
+  const auto found = m_stretch.find(aService);
+  return found == m_stretch.end() ? 1 : found->second.m_factor;
+}
+
+void
+Fleet::NoteFirstToken(std::string_view aService,
+                      double aExpectedMs,
+                      Duration aTook,
+                      Instant aNow)
+{
+  Stretch& stretch = m_stretch[std::string(aService)];
+  const double seen = std::clamp(static_cast<double>(aTook.count()) /
+                                   std::max(aExpectedMs, kLeastExpectedMs),
+                                 kLeastStretch,
+                                 kMostStretch);
+  const double age = static_cast<double>((aNow - stretch.m_at).count());
+  const double weight =
+    std::max(kNewest / 2,
+             1 - std::exp(-age / static_cast<double>(kStretchMemory.count())));
+  stretch.m_factor +=
+    std::min(weight, kMostStretchWeight) * (seen - stretch.m_factor);
+  stretch.m_at = aNow;
+}
+
 void
 Fleet::NotePace(std::string_view aId, std::int64_t aTokens, Duration aTook)
 {
@@ -457,7 +508,8 @@
   if (found == m_members.end() || aTokens < kLeastPaceTokens) {
     return;
   }
-  const double took = std::max(1.0, static_cast<double>(aTook.count()));
+  const double took =
+    std::max(1.0, static_cast<double>(aTook.count()) - kFirstTokenMs);
   const double pace =
     std::clamp(static_cast<double>(aTokens) / took, kLowestPace, kHighestPace);
   State& state = found->second;
--- a/packages/relay/tests/FleetTest.cpp
+++ b/packages/relay/tests/FleetTest.cpp
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <map>
 #include <rapidcheck/gtest.h>
 #include <ridgeferry/relay/Fleet.h>
 #include <set>
@@ -264,6 +265,63 @@
   EXPECT_GE(used.size(), 4U);
 }
 
+// Calls come and go by the second; a chain that moved with them would be read
+// again each time.
+TEST_F(FleetTest, HomesStayWhenMoreEnginesAreKeptQuiet)
+{
+  std::map<std::uint64_t, std::string> before;
+  for (std::uint64_t chain = 1; chain <= 100; ++chain) {
+    before[chain] = ReaderOf(MustFind(m_fleet, LongRequest(chain)));
+  }
+  for (int i = 0; i < 8; ++i) {
+    for (int call = 0; call < 100; ++call) {
+      m_fleet.NoteSent("g" + std::to_string(i), 0);
+    }
+  }
+  for (const auto& [chain, home] : before) {
+    EXPECT_TRUE(m_fleet.IsHome(*LongRequest(chain).m_prompt, home));
+  }
+}
+
+/** What first tokens took, when 50 ms were expected, before a prompt comes. */
+struct LateCase
+{
+  const char* m_name;
+  std::vector<int> m_tookMs; ///< One every 100 ms.
+  bool m_refused;            ///< A prompt with patience for 100 ms.
+};
+
+class LateTest
+  : public FleetTest
+  , public ::testing::WithParamInterface<LateCase>
+{};
+
+TEST_P(LateTest, EstimatesFollowWhatWasSeen)
+{
+  Instant now = kNow;
+  for (const int took : GetParam().m_tookMs) {
+    now += Duration{ 100 };
+    m_fleet.NoteFirstToken("llm", 50, Duration{ took }, now);
+  }
+  PlaceRequest request = LongRequest(1);
+  request.m_patience = Duration{ 100 };
+  const PlaceResult result = m_fleet.FindPlace(request, now);
+  EXPECT_EQ(std::holds_alternative<PlaceFault>(result), GetParam().m_refused);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Lateness,
+  LateTest,
+  ::testing::Values(
+    LateCase{ "NothingSeen", {}, false },
+    LateCase{ "AsExpected", { 50, 50, 50 }, false },
+    LateCase{ "OneLateOneIsChance", { 50, 50, 50, 150, 50, 50 }, false },
+    LateCase{ "LateForHalfASecond", { 300, 300, 300, 300, 300 }, true },
+    LateCase{ "ThePeakIsOver",
+              { 300, 300, 300, 50, 50, 50, 50, 50, 50, 50, 50, 50, 50 },
+              false }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 TEST_F(FleetTest, WhatEveryEngineKeepsIsNotCountedAnywhere)
 {
   Prompt prompt = *LongRequest(1).m_prompt;
