Lapses end before what is gone binds again; old connections take no call that may run once

Now all graces end at one moment, 2.3 s after the first answer behind the outage, so less than three seconds after the store's return (LapseTest fails before: the grace ended 1.8 s after the reading, however late that was).

Tests changed: ALapsedMemberStaysForItsGrace and its neighbours give the moment instead of a flag; a member that vanishes in a calm store has its own test now.

--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -58,7 +58,8 @@
   void WatchSignals();
   void TakeConfig(const relay::ApplyRows& aRows);
   void TakeMembers(const relay::ApplyRows& aRows);
-  void TakeMember(const relay::FollowedRow& aRow, bool aAfterOutage);
+  void TakeMember(const relay::FollowedRow& aRow,
+                  std::optional<Instant> aLapsesUntil);
   bool IsReady() const;
   membership::StoreView StoreView() const;
   void Tick();
@@ -120,21 +121,22 @@
 Entry::Impl::TakeMembers(const relay::ApplyRows& aRows)
 {
   for (const relay::FollowedRow& row : aRows.m_rows) {
-    TakeMember(row, aRows.m_afterOutage);
+    TakeMember(row, aRows.m_lapsesUntil);
   }
   NoteReadiness();
 }
 
 void
-Entry::Impl::TakeMember(const relay::FollowedRow& aRow, bool aAfterOutage)
+Entry::Impl::TakeMember(const relay::FollowedRow& aRow,
+                        std::optional<Instant> aLapsesUntil)
 {
   if (aRow.m_removed) {
-    m_node.m_fleet.Drop(aRow.m_key, aAfterOutage, m_node.Now());
+    m_node.m_fleet.Drop(aRow.m_key, aLapsesUntil);
     m_peers->NoteGone(aRow.m_key);
-    m_node.m_log->Write(
-      observe::LogLevel::Info,
-      "upstream-gone",
-      { { "upstream", aRow.m_key }, { "mayHaveLapsed", aAfterOutage } });
+    m_node.m_log->Write(observe::LogLevel::Info,
+                        "upstream-gone",
+                        { { "upstream", aRow.m_key },
+                          { "mayHaveLapsed", aLapsesUntil.has_value() } });
     return;
   }
   const auto member = m_node.m_dialect.m_readMember(aRow.m_key, aRow.m_value);
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -24,6 +24,10 @@
 /** Bytes of one answer that its caller may leave unread. A stream of today's
  * longest outputs is a tenth of it; a hundred such callers fit the memory. */
 constexpr std::size_t kMostUnread = std::size_t{ 512 } * 1024;
+/** Longest rest of a connection that takes a call which may run once: upstreams
+ * are known to forget connections at rest from 300 ms on, and what is sent on
+ * such a one may have run for all that its sender knows. */
+constexpr Duration kLongestRest{ 250 };
 /** Freeing a handle is a courtesy: nobody waits for it. */
 constexpr Duration kFreeTimeout{ 1000 };
 
@@ -269,6 +273,9 @@
   request.m_timeout = aTerms.m_left;
   request.m_connectTimeout = kConnectTimeout;
   request.m_keepIdle = m_start.m_connections.m_idle;
+  if (m_start.m_route->m_repeat == relay::Repeat::Never) {
+    request.m_longestRest = kLongestRest;
+  }
   m_attempt.m_tokensAhead = m_node.m_fleet.TokensAt(aMember.m_id);
   m_node.m_log->Write(observe::LogLevel::Info,
                       "attempt-sent",
--- a/packages/net/include/ridgeferry/net/Http.h
+++ b/packages/net/include/ridgeferry/net/Http.h
@@ -40,6 +40,9 @@
    * it, and then it is not known whether the request ran.
    */
   bool m_fresh = false;
+  /** The same for kept connections that have rested longer than this: a peer
+   * may have forgotten them without a word. */
+  Duration m_longestRest = Duration::max();
   /** Longest wait for a new connection; no byte has left by then. One second:
    * two losses of the opening packet inside a hall. */
   Duration m_connectTimeout{ 1000 };
--- a/packages/net/src/ClientConnection.cpp
+++ b/packages/net/src/ClientConnection.cpp
@@ -267,6 +267,7 @@
 ClientConnection::Report(const ClientEnd& aEnd)
 {
   m_busy = false;
+  m_restsSince = m_loop.Now();
   if (!aEnd.m_reusable) {
     Close();
   } else {
--- a/packages/net/src/ClientConnection.h
+++ b/packages/net/src/ClientConnection.h
@@ -47,6 +47,8 @@
 
   /** Whether an idle connection may take a request now. */
   bool IsFit(Instant aNow) const;
+  /** How long no request has used it. */
+  Duration RestedFor(Instant aNow) const { return aNow - m_restsSince; }
 
   // For the library's callbacks only.
   void OnReadable();
@@ -75,6 +77,7 @@
   std::unique_ptr<MessageParser<false>> m_parser;
   ClientListener m_listener;
   HttpResponse m_response;
+  Instant m_restsSince;
   std::optional<Instant> m_idleUntil; ///< The peer closes it after that.
 };
 
--- a/packages/net/src/HttpClient.cpp
+++ b/packages/net/src/HttpClient.cpp
@@ -36,6 +36,10 @@
   {
     std::vector<ConnectionPtr>& idle = m_idle[aRequest.m_address];
     while (!aRequest.m_fresh && !idle.empty()) {
+      // The last one has rested least.
+      if (idle.back()->RestedFor(m_loop.Now()) > aRequest.m_longestRest) {
+        break;
+      }
       ConnectionPtr kept = std::move(idle.back());
       idle.pop_back();
       if (kept->IsFit(m_loop.Now())) {
--- a/packages/net/tests/HttpTest.cpp
+++ b/packages/net/tests/HttpTest.cpp
@@ -33,11 +33,14 @@
     m_server = std::move(*server);
   }
 
-  HttpResponse Ask(const std::string& aAddress, bool aFresh = false)
+  HttpResponse Ask(const std::string& aAddress,
+                   bool aFresh = false,
+                   Duration aLongestRest = Duration::max())
   {
     HttpRequest request;
     request.m_address = aAddress;
     request.m_fresh = aFresh;
+    request.m_longestRest = aLongestRest;
     HttpResponse out;
     HttpCallbacks callbacks;
     callbacks.m_done = [&](const HttpResponse& aResponse) {
@@ -147,6 +150,45 @@
   EXPECT_TRUE(left);
 }
 
+/** How long a connection rests, and whether the next request may use it. */
+struct RestCase
+{
+  const char* m_name;
+  Duration m_rests;
+  Duration m_longestRest;
+  bool m_reused;
+};
+
+class HttpRestTest
+  : public HttpTest
+  , public ::testing::WithParamInterface<RestCase>
+{};
+
+TEST_P(HttpRestTest, AConnectionThatRestedForLongIsNotUsed)
+{
+  std::vector<std::string> peers;
+  Serve([&](const std::shared_ptr<HttpExchange>& aExchange) {
+    peers.push_back(aExchange->Peer());
+    aExchange->Reply(200, {}, "body");
+  });
+  Ask(m_server->Bound().ToString());
+  const Watch rest =
+    m_loop->After(GetParam().m_rests, [this] { m_loop->Stop(); });
+  m_loop->Run();
+  Ask(m_server->Bound().ToString(), false, GetParam().m_longestRest);
+  ASSERT_EQ(peers.size(), 2U);
+  EXPECT_EQ(peers[0] == peers[1], GetParam().m_reused);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Rests,
+  HttpRestTest,
+  ::testing::Values(
+    RestCase{ "Unbounded", Duration{ 50 }, Duration::max(), true },
+    RestCase{ "WithinTheBound", Duration{ 1 }, Duration{ 10'000 }, true },
+    RestCase{ "BeyondTheBound", Duration{ 50 }, Duration{ 20 }, false }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 /** What the handler does before the loop is stopped, as a planned stop does. */
 struct UnsentCase
 {
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -108,17 +108,12 @@
   /** Rest of a member at whose address another one answers: the list should
    * say so within two seconds, unless the store is away. */
   static constexpr Duration kDisplacedRest{ 3000 };
-  /**
-   * A listed member that vanished while the list was out of reach may only
-   * have lapsed there. It stays this long: sound ones are listed again within
-   * two seconds of the list's return.
-   */
-  static constexpr Duration kLapseGrace{ 1800 };
 
   /** A member that leaves stays leaving: its id is used for one life only. */
   void Put(const Member& aMember);
-  /** `aMayHaveLapsed`: the list was out of reach not long ago. */
-  void Drop(std::string_view aId, bool aMayHaveLapsed, Instant aNow);
+  /** `aLapsesUntil`: the list was out of reach not long ago, and a member that
+   * has vanished may only have lapsed there; it stays until then. */
+  void Drop(std::string_view aId, std::optional<Instant> aLapsesUntil);
   /** Another instance says that it leaves: it gets no new work. */
   void MarkLeaving(std::string_view aId);
   /** Ends the graces that have passed. */
--- a/packages/relay/include/ridgeferry/relay/TableFollower.h
+++ b/packages/relay/include/ridgeferry/relay/TableFollower.h
@@ -92,8 +92,9 @@
 struct ApplyRows
 {
   std::vector<FollowedRow> m_rows;
-  /** The store was out of reach shortly before: removals may be lapses. */
-  bool m_afterOutage = false;
+  /** The store was out of reach shortly before: until then, a removed row may
+   * only have lapsed, and come back. Nothing: removed is gone. */
+  std::optional<Instant> m_lapsesUntil;
 };
 struct StoreLost
 {
@@ -141,9 +142,17 @@
   /** First and longest pause after a failed read. */
   static constexpr Duration kFirstRetry{ 150 };
   static constexpr Duration kLongestRetry{ 600 };
-  /** How long after an outage a removal may still be a lapse: two heartbeats
-   * of a listed member and the store's own return. */
-  static constexpr Duration kOutageMemory{ 5000 };
+  /**
+   * How long after the first answer behind an outage a removed row may only
+   * have lapsed. Rows of sound upstreams are back two seconds after the store's
+   * own return, and are read with `kSettle`; the first answer comes up to
+   * `kLongestRetry` after that return. So all graces have ended three seconds
+   * after it, when what is gone binds again.
+   */
+  static constexpr Duration kLapseTime{ 2300 };
+  /** The same after the last word of a peer's outage, which comes up to a
+   * second after that peer's first answer. */
+  static constexpr Duration kPeerLapseTime{ 1400 };
 
   std::vector<FollowAction> Handle(const FollowEvent& aEvent, Instant aNow);
 
@@ -170,19 +179,19 @@
   void AskAnew(Actions& aActions);
   void NoteVersions(std::span<const FollowedRow> aRows);
   void NoteAnswer(Instant aNow, Actions& aActions);
-  bool IsAfterOutage(Instant aNow) const;
+  std::optional<Instant> LapsesUntil(Instant aNow) const;
 
   bool m_hasRead = false;
   bool m_needsTable = true;
   bool m_lost = false;
-  bool m_hadOutage = false;
+  /** After an outage; empty: none yet. */
+  std::optional<Instant> m_lapsesUntil;
   bool m_onDuty = true;
   bool m_asking = false;   ///< A read is under way.
   bool m_longWait = false; ///< That read may be held for `kRestWait`.
   std::optional<Instant> m_behindSince;
   std::uint64_t m_askedAnewFor =
     0; ///< Version that the last `DropRead` was for.
-  Instant m_lastFailure;
   Duration m_retry = kFirstRetry;
   std::uint64_t m_version = 0;
   std::uint64_t m_changedVersion = 0;
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -118,15 +118,15 @@
 }
 
 void
-Fleet::Drop(std::string_view aId, bool aMayHaveLapsed, Instant aNow)
+Fleet::Drop(std::string_view aId, std::optional<Instant> aLapsesUntil)
 {
   const auto found = m_members.find(aId);
   if (found == m_members.end()) {
     return;
   }
   State& state = found->second;
-  if (aMayHaveLapsed && !state.m_member.m_leaving) {
-    state.m_goneAt = aNow + kLapseGrace;
+  if (aLapsesUntil && !state.m_member.m_leaving) {
+    state.m_goneAt = *aLapsesUntil;
     return;
   }
   m_members.erase(found);
--- a/packages/relay/src/TableFollower.cpp
+++ b/packages/relay/src/TableFollower.cpp
@@ -45,20 +45,21 @@
   Ask(aActions);
 }
 
-bool
-TableFollower::IsAfterOutage(Instant aNow) const
+std::optional<Instant>
+TableFollower::LapsesUntil(Instant aNow) const
 {
-  return m_hadOutage && aNow - m_lastFailure < kOutageMemory;
+  return m_lapsesUntil && aNow < *m_lapsesUntil ? m_lapsesUntil : std::nullopt;
 }
 
 void
-TableFollower::NoteAnswer(Instant, Actions& aActions)
+TableFollower::NoteAnswer(Instant aNow, Actions& aActions)
 {
   m_asking = false;
   m_behindSince.reset();
   m_retry = kFirstRetry;
   if (m_lost) {
     m_lost = false;
+    m_lapsesUntil = aNow + kLapseTime;
     aActions.emplace_back(StoreBack{});
   }
 }
@@ -78,7 +79,7 @@
     aActions.emplace_back(RetryLater{ kFirstRetry });
     return;
   }
-  ApplyRows apply{ {}, IsAfterOutage(aNow) };
+  ApplyRows apply{ {}, LapsesUntil(aNow) };
   std::set<std::string> present;
   for (const FollowedRow& row : aEvent.m_rows) {
     present.insert(row.m_key);
@@ -124,7 +125,7 @@
     return;
   }
   NoteVersions(aEvent.m_rows);
-  aActions.emplace_back(ApplyRows{ aEvent.m_rows, IsAfterOutage(aNow) });
+  aActions.emplace_back(ApplyRows{ aEvent.m_rows, LapsesUntil(aNow) });
   aActions.emplace_back(RetryLater{ kSettle });
 }
 
@@ -137,11 +138,9 @@
 }
 
 void
-TableFollower::On(const ReadFailed& aEvent, Instant aNow, Actions& aActions)
+TableFollower::On(const ReadFailed& aEvent, Instant, Actions& aActions)
 {
   m_asking = false;
-  m_lastFailure = aNow;
-  m_hadOutage = true;
   if (!m_lost) {
     m_lost = true;
     aActions.emplace_back(StoreLost{ aEvent.m_cause });
@@ -177,8 +176,8 @@
 TableFollower::On(const PeerLostStore&, Instant aNow, Actions&)
 {
   // What is removed after this may only have lapsed, as after an own failure.
-  m_lastFailure = aNow;
-  m_hadOutage = true;
+  const Instant until = aNow + kPeerLapseTime;
+  m_lapsesUntil = std::max(m_lapsesUntil.value_or(until), until);
 }
 
 void
--- a/packages/relay/tests/FleetTest.cpp
+++ b/packages/relay/tests/FleetTest.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Instant kNow{ Duration{ 10'000 } };
+constexpr Duration kGrace{ 2000 };
 
 Member
 MakeMember(std::string aId, std::string aService, Part aPart = Part::Whole)
@@ -167,18 +168,24 @@
 
 TEST_F(FleetTest, ALapsedMemberStaysForItsGrace)
 {
-  m_fleet.Drop("b", true, kNow);
-  m_fleet.Tick(kNow + Fleet::kLapseGrace - Duration{ 1 });
+  m_fleet.Drop("b", kNow + kGrace);
+  m_fleet.Tick(kNow + kGrace - Duration{ 1 });
   EXPECT_NE(m_fleet.Find("b"), nullptr);
-  m_fleet.Tick(kNow + Fleet::kLapseGrace);
+  m_fleet.Tick(kNow + kGrace);
+  EXPECT_EQ(m_fleet.Find("b"), nullptr);
+}
+
+TEST_F(FleetTest, AMemberThatVanishesInACalmStoreIsGone)
+{
+  m_fleet.Drop("b", std::nullopt);
   EXPECT_EQ(m_fleet.Find("b"), nullptr);
 }
 
 TEST_F(FleetTest, AMemberListedAgainInItsGraceStays)
 {
-  m_fleet.Drop("b", true, kNow);
+  m_fleet.Drop("b", kNow + kGrace);
   m_fleet.Put(MakeMember("b", "desk"));
-  m_fleet.Tick(kNow + Fleet::kLapseGrace);
+  m_fleet.Tick(kNow + kGrace);
   EXPECT_NE(m_fleet.Find("b"), nullptr);
 }
 
@@ -188,7 +195,7 @@
   Member leaving = MakeMember("b", "desk");
   leaving.m_leaving = true;
   m_fleet.Put(leaving);
-  m_fleet.Drop("b", true, kNow);
+  m_fleet.Drop("b", kNow + kGrace);
   EXPECT_EQ(m_fleet.Find("b"), nullptr);
 }
 
--- a/packages/relay/tests/TableFollowerTest.cpp
+++ b/packages/relay/tests/TableFollowerTest.cpp
@@ -84,18 +84,46 @@
   EXPECT_EQ(last, TableFollower::kLongestRetry);
 }
 
-TEST_F(TableFollowerTest, RemovalsSoonAfterAnOutageMayBeLapses)
+/** When a row's removal is read, after an outage whose end the first answer
+ * shows at 2,000 ms, and until when it may be a lapse; 0: it is none. */
+struct LapseCase
 {
-  Handle(TableRead{ { { "a", "1" }, { "b", "1" } }, 1 });
+  const char* m_name;
+  int m_readAtMs;
+  int m_untilMs;
+};
+
+class LapseTest
+  : public TableFollowerTest
+  , public ::testing::WithParamInterface<LapseCase>
+{};
+
+// Three seconds after the store's return what is gone binds again, and the
+// return is up to one pause between reads before the first answer.
+TEST_P(LapseTest, EndsAtOneMomentHoweverLateTheRemovalIsRead)
+{
+  Handle(TableRead{ { { "a", "1" } }, 1 });
   Handle(ReadFailed{ "x" }, 1000);
-  const auto soon = Handle(ChangesRead{ { { "a", {}, true } }, 2 }, 2000);
-  ASSERT_NE(Find<ApplyRows>(soon), nullptr);
-  EXPECT_TRUE(Find<ApplyRows>(soon)->m_afterOutage);
-  const auto later = Handle(ChangesRead{ { { "b", {}, true } }, 3 }, 9000);
-  ASSERT_NE(Find<ApplyRows>(later), nullptr);
-  EXPECT_FALSE(Find<ApplyRows>(later)->m_afterOutage);
+  Handle(ChangesRead{ {}, 1 }, 2000);
+  const auto actions =
+    Handle(ChangesRead{ { { "a", {}, true } }, 2 }, GetParam().m_readAtMs);
+  const auto* apply = Find<ApplyRows>(actions);
+  ASSERT_NE(apply, nullptr);
+  const auto until = apply->m_lapsesUntil.value_or(Instant{});
+  EXPECT_EQ(until, Instant{ Duration{ GetParam().m_untilMs } });
+  const Instant returned{ Duration{ 2000 } - TableFollower::kLongestRetry };
+  EXPECT_LT(until, returned + Duration{ 3000 });
 }
 
+INSTANTIATE_TEST_SUITE_P(Times,
+                         LapseTest,
+                         ::testing::Values(LapseCase{ "AtOnce", 2000, 4300 },
+                                           LapseCase{ "Late", 4200, 4300 },
+                                           LapseCase{ "TooLate", 4300, 0 }),
+                         [](const auto& aInfo) {
+                           return std::string(aInfo.param.m_name);
+                         });
+
 // Releases and rolling changes write many rows within moments.
 TEST_F(TableFollowerTest, AfterAChangeItWaitsForMore)
 {
@@ -172,7 +200,8 @@
   Handle(PeerLostStore{}, 1000);
   const auto soon = Handle(ChangesRead{ { { "a", {}, true, 2 } }, 2 }, 2000);
   ASSERT_NE(Find<ApplyRows>(soon), nullptr);
-  EXPECT_TRUE(Find<ApplyRows>(soon)->m_afterOutage);
+  EXPECT_EQ(Find<ApplyRows>(soon)->m_lapsesUntil,
+            Instant{ Duration{ 1000 } + TableFollower::kPeerLapseTime });
 }
 
 // Whatever is lost, late or asked twice: the follower ends with the store's
