Relay and entry: placement in a file of its own, one way to send an own answer

Fleet.cpp had grown to 576 lines with two jobs: what is known of upstreams, and where a call goes. The second is FleetPlacement.cpp; the paces that both need are in EnginePace.h. RelayCall and Relay each built the same problem body and time to come back: SendOwnAnswer does, with fmt in place of snprintf and joined strings. Nothing is decided otherwise: relay 130, entry 12, adapter 80 tests pass.

--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -1,5 +1,7 @@
 #include "Relay.h"
 
+#include "OwnAnswer.h"
+
 #include <algorithm>
 
 namespace ridgeferry::entry {
@@ -10,7 +12,7 @@
 constexpr int kUnavailable = 503;
 /** An instance that starts knows its routes in well under that; one that stops
  * is no longer sent new connections. */
-constexpr std::string_view kOtherRetryAfter = "0.250";
+constexpr Duration kOtherRetryAfter{ 250 };
 /** Half of what the operators allow: instances count their own windows, and
  * the operators' count may begin anywhere between them. */
 constexpr double kBudgetShare = 0.5;
@@ -151,16 +153,10 @@
                         { "status", std::int64_t{ aStatus } },
                         { "host", aHead.m_host },
                         { "path", aHead.m_path } });
-  net::HttpHeaders headers;
-  headers.Add("Content-Type", "application/problem+json");
-  if (aStatus == kUnavailable) {
-    headers.Add("Retry-After", std::string(kOtherRetryAfter));
-  }
-  aExchange.Reply(aStatus,
-                  headers,
-                  R"({"code":")" + std::string(aCode) +
-                    R"(","outcome":"not-run","status":)" +
-                    std::to_string(aStatus) + "}");
+  const bool helpsLater = aStatus == kUnavailable;
+  SendOwnAnswer(
+    aExchange,
+    { aStatus, aCode, "not-run", helpsLater ? kOtherRetryAfter : Duration{} });
 }
 
 } // namespace ridgeferry::entry
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -1,8 +1,8 @@
 #include "RelayCall.h"
 
+#include "OwnAnswer.h"
+
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <ridgeferry/entry/PassableHeaders.h>
 #include <utility>
 
@@ -53,38 +53,21 @@
   return aRoute.m_aim * kTenths / kWhole;
 }
 
-struct OwnAnswer
-{
-  int m_status;
-  std::string_view m_code;
-  std::string_view m_outcome;
-};
-
 OwnAnswer
-AnswerOf(relay::ReplyOwn::Reason aReason)
+AnswerOf(const relay::ReplyOwn& aReply)
 {
   using Reason = relay::ReplyOwn::Reason;
-  switch (aReason) {
+  switch (aReply.m_reason) {
     case Reason::NoRoom:
-      return { kUnavailable, "overloaded", "not-run" };
+      return { kUnavailable, "overloaded", "not-run", aReply.m_retryAfter };
     case Reason::NoAnswer:
-      return { kBadGateway, "answer-lost", "may-have-run" };
+      return {
+        kBadGateway, "answer-lost", "may-have-run", aReply.m_retryAfter
+      };
     case Reason::TooLate:
       break;
   }
-  return { kGatewayTimeout, "deadline", "may-have-run" };
-}
-
-std::string
-SecondsText(Duration aDuration)
-{
-  constexpr double kMsPerSecond = 1000;
-  std::array<char, 32> text{};
-  std::snprintf(text.data(),
-                text.size(),
-                "%.3f",
-                static_cast<double>(aDuration.count()) / kMsPerSecond);
-  return text.data();
+  return { kGatewayTimeout, "deadline", "may-have-run", aReply.m_retryAfter };
 }
 
 std::string_view
@@ -471,18 +454,9 @@
 void
 RelayCall::Do(const relay::ReplyOwn& aAction)
 {
-  const OwnAnswer answer = AnswerOf(aAction.m_reason);
+  const OwnAnswer answer = AnswerOf(aAction);
   LogEnd(answer.m_code, answer.m_status);
-  net::HttpHeaders headers;
-  headers.Add("Content-Type", "application/problem+json");
-  if (aAction.m_retryAfter.count() > 0) {
-    headers.Add("Retry-After", SecondsText(aAction.m_retryAfter));
-  }
-  const std::string body = R"({"code":")" + std::string(answer.m_code) +
-                           R"(","outcome":")" + std::string(answer.m_outcome) +
-                           R"(","status":)" + std::to_string(answer.m_status) +
-                           "}";
-  m_start.m_exchange->Reply(answer.m_status, headers, body);
+  SendOwnAnswer(*m_start.m_exchange, answer);
 }
 
 void
--- /dev/null
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -0,0 +1,328 @@
+// Where a call goes: the part of `Fleet` that chooses.
+
+#include "EnginePace.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <ridgeferry/base/Hash.h>
+
+namespace ridgeferry::relay {
+
+namespace {
+
+/** An engine that generates reads prompts at half the pace. */
+constexpr double kGenerateReadCost = 2.0;
+/** What handing a prompt's memory over costs, in ms: the way there and back,
+ * and a gigabyte at some terabits a second. */
+constexpr double kHandOverMs = 6;
+/** What one call that generates costs the next there, in ms. */
+constexpr double kRunningMs = 0.3;
+/** Bounds of the share of generators that read no long prompts, so that the
+ * output of others comes steadily there. */
+constexpr double kLeastQuietShare = 0.12;
+constexpr double kMostQuietShare = 0.45;
+/** Above this share of its slots an engine counts as full: what others have
+ * sent meanwhile is not known yet. */
+constexpr double kFullShare = 0.85;
+/** Calls that generate at one engine before the next ones go elsewhere: their
+ * contexts slow each step, and the longest outputs would miss their end. */
+constexpr double kMostSteady = 40;
+/** How much later the first token may come at a prompt's home than elsewhere:
+ * what is kept there need not be read, which spares all that wait there. */
+constexpr double kHomeSlackMs = 100;
+/** How far a drawn reader may be behind the best one that is known. */
+constexpr double kMostDrawnMs = 60;
+/** Least expected time of a plain call before any was seen, in ms. */
+constexpr double kUnknownTookMs = 10;
+/** A member that fails all its calls looks this many times slower. */
+constexpr double kFailPenalty = 8;
+/** Another hall costs a plain call this much more, in ms: its way there. */
+constexpr double kOtherHallMs = 3;
+/** When one of the connections in use should be free again: several times what
+ * a plain call takes. */
+constexpr Duration kConnectionWait{ 100 };
+/** Below this a prompt is not worth a home: reading it takes a millisecond. */
+constexpr std::int64_t kLeastSharedTokens = 512;
+
+/** Weighted rendezvous: the higher, the nearer; `aWeight` members' worth. */
+double
+HomeScore(std::uint64_t aKey, std::uint64_t aMember, double aWeight)
+{
+  const auto hash = static_cast<double>(RendezvousWeight(aKey, aMember));
+  const auto range =
+    static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  const double unit = (hash + 1) / (range + 2);
+  return -aWeight / std::log(unit);
+}
+
+double
+HomeWeight(Part aPart)
+{
+  return aPart == Part::Prefill ? kGenerateReadCost : 1;
+}
+
+} // namespace
+
+std::int64_t
+Fleet::TokensToRead(const Prompt& aPrompt, bool aKept)
+{
+  const std::int64_t shared = aPrompt.m_sharedTokens - aPrompt.m_commonTokens;
+  return aPrompt.m_ownTokens + (aKept ? 0 : shared);
+}
+
+bool
+Fleet::IsHome(const Prompt& aPrompt, std::string_view aId) const
+{
+  const auto found = m_members.find(aId);
+  if (found == m_members.end() || aPrompt.m_sharedTokens < kLeastSharedTokens) {
+    return false;
+  }
+  return HomeOf(aPrompt.m_sharedKey, found->second.m_member.m_service) ==
+         found->second.m_hash;
+}
+
+std::uint64_t
+Fleet::HomeOf(std::uint64_t aKey, std::string_view aService) const
+{
+  // One home: the fleet's memory holds the hot chains about once. Those that
+  // may be quiet at some time are nobody's home, so that homes stay.
+  const std::uint64_t quietBelow = QuietBelow(aService, true);
+  double best = -1;
+  std::uint64_t home = 0;
+  for (const auto& [id, state] : m_members) {
+    if (state.m_member.m_service != aService || state.m_member.m_leaving ||
+        IsQuiet(state, quietBelow)) {
+      continue;
+    }
+    const double score =
+      HomeScore(aKey, state.m_hash, HomeWeight(state.m_member.m_part));
+    if (score > best) {
+      best = score;
+      home = state.m_hash;
+    }
+  }
+  return home;
+}
+
+bool
+Fleet::MayServe(const State& aState,
+                const PlaceRequest& aRequest,
+                Instant aNow) const
+{
+  const Member& member = aState.m_member;
+  const bool excluded = std::find(aRequest.m_excluded.begin(),
+                                  aRequest.m_excluded.end(),
+                                  member.m_id) != aRequest.m_excluded.end();
+  const bool rests = aState.m_restsUntil && aNow < *aState.m_restsUntil;
+  return member.m_service == aRequest.m_service && !member.m_leaving &&
+         !excluded && !rests;
+}
+
+bool
+Fleet::HasConnection(const State& aState, const PlaceRequest& aRequest)
+{
+  return aState.m_inFlight < aRequest.m_mostOpen;
+}
+
+PlaceResult
+Fleet::FindPlace(const PlaceRequest& aRequest, Instant aNow) const
+{
+  std::vector<const State*> sound;
+  bool anyBusy = false;
+  for (const auto& [id, state] : m_members) {
+    if (!MayServe(state, aRequest, aNow)) {
+      continue;
+    }
+    if (HasConnection(state, aRequest)) {
+      sound.push_back(&state);
+    } else {
+      anyBusy = true;
+    }
+  }
+  if (sound.empty()) {
+    return anyBusy ? PlaceFault{ true, kConnectionWait } : PlaceFault{};
+  }
+  // Equal estimates are common when little is under way: start anywhere.
+  std::rotate(sound.begin(),
+              sound.begin() +
+                static_cast<std::ptrdiff_t>(aRequest.m_random % sound.size()),
+              sound.end());
+  return aRequest.m_prompt ? FindEngine(sound, aRequest)
+                           : FindPlain(sound, aRequest);
+}
+
+PlaceResult
+Fleet::FindPlain(std::span<const State* const> aSound,
+                 const PlaceRequest& aRequest) const
+{
+  const auto expected = [&](const State* aState) {
+    const double took =
+      aState->m_tookMs == 0 ? kUnknownTookMs : aState->m_tookMs;
+    const double busy =
+      static_cast<double>(aState->m_inFlight + aState->m_othersInFlight) + 1;
+    const bool away = aState->m_member.m_hall != aRequest.m_hall;
+    return took * busy * (1 + kFailPenalty * aState->m_failShare) +
+           (away ? kOtherHallMs : 0);
+  };
+  const auto best = std::min_element(
+    aSound.begin(), aSound.end(), [&](const State* aLeft, const State* aRight) {
+      return expected(aLeft) < expected(aRight);
+    });
+  return Place{ (*best)->m_member.m_id, {} };
+}
+
+double
+Fleet::FirstTokenMs(const State& aState, const Prompt& aPrompt, bool aKept)
+{
+  const Part part = aState.m_member.m_part;
+  const bool generates = part == Part::Generate;
+  const double pace = aState.m_pace == 0 ? UnseenPace(part) : aState.m_pace;
+  const auto tokens = static_cast<double>(
+    aState.m_tokens + aState.m_othersTokens + TokensToRead(aPrompt, aKept));
+  const auto running =
+    static_cast<double>(aState.m_inFlight + aState.m_othersInFlight);
+  return kFirstTokenMs + tokens / pace +
+         (generates ? kRunningMs * running : kHandOverMs);
+}
+
+bool
+Fleet::IsQuiet(const State& aState, std::uint64_t aQuietBelow)
+{
+  return aState.m_member.m_part == Part::Generate &&
+         aState.m_hash < aQuietBelow;
+}
+
+std::uint64_t
+Fleet::QuietBelow(std::string_view aService, bool aMost) const
+{
+  // The first ones by hash, as many as the running calls need: all instances
+  // see nearly the same numbers and agree on nearly the same engines.
+  std::vector<std::uint64_t> hashes;
+  std::int64_t running = 0;
+  std::int64_t slots = 1;
+  for (const auto& [id, state] : m_members) {
+    if (state.m_member.m_part == Part::Generate &&
+        state.m_member.m_service == aService && !state.m_member.m_leaving) {
+      running += state.m_inFlight + state.m_othersInFlight;
+      slots = std::max(slots, state.m_member.m_slots);
+      hashes.push_back(state.m_hash);
+    }
+  }
+  const auto all = static_cast<double>(hashes.size());
+  const double steady =
+    std::min(kMostSteady, kFullShare * static_cast<double>(slots));
+  const double wanted = std::ceil(static_cast<double>(running) / steady);
+  const double least = std::round(kLeastQuietShare * all);
+  const double most = std::round(kMostQuietShare * all);
+  const auto quiet = static_cast<std::size_t>(
+    aMost ? most : std::clamp(wanted, least, std::max(least, most)));
+  if (quiet >= hashes.size()) {
+    return std::numeric_limits<std::uint64_t>::max();
+  }
+  const auto nth = hashes.begin() + static_cast<std::ptrdiff_t>(quiet);
+  std::nth_element(hashes.begin(), nth, hashes.end());
+  return *nth;
+}
+
+bool
+Fleet::HasFreeSlots(const State& aState)
+{
+  const auto running =
+    static_cast<double>(aState.m_inFlight + aState.m_othersInFlight);
+  return running < kFullShare * static_cast<double>(aState.m_member.m_slots);
+}
+
+const Fleet::Candidate*
+Fleet::PickReader(std::span<const Candidate> aCandidates,
+                  const Candidate& aBest,
+                  const PlaceRequest& aRequest)
+{
+  const auto home =
+    std::find_if(aCandidates.begin(),
+                 aCandidates.end(),
+                 [](const Candidate& aItem) { return aItem.m_isHome; });
+  if (home != aCandidates.end() && home->m_ms <= aBest.m_ms + kHomeSlackMs) {
+    return &*home;
+  }
+  // Several instances see the same loads, some of them old: if all took the
+  // least loaded one, it would be the most loaded one next.
+  const std::size_t count = aCandidates.size();
+  const Candidate& one = aCandidates[aRequest.m_random % count];
+  const Candidate& other = aCandidates[aRequest.m_random / count % count];
+  const Candidate& better = one.m_ms <= other.m_ms ? one : other;
+  // Not one that comes too late where the best one would not.
+  const bool isFar = better.m_ms > aBest.m_ms + kMostDrawnMs;
+  return isFar ? &aBest : &better;
+}
+
+Place
+Fleet::WithTaker(const State& aReader,
+                 std::span<const State* const> aSound,
+                 const Prompt& aPrompt)
+{
+  // The memory moves faster inside a hall; any of its generators will do.
+  const auto taking = [&](const State* aState) {
+    const bool away = aState->m_member.m_hall != aReader.m_member.m_hall;
+    return FirstTokenMs(*aState, aPrompt, false) + (away ? kHandOverMs : 0);
+  };
+  const State* taker = nullptr;
+  for (const State* state : aSound) {
+    if (state->m_member.m_part == Part::Generate &&
+        (taker == nullptr || taking(state) < taking(taker))) {
+      taker = state;
+    }
+  }
+  return Place{ taker->m_member.m_id, aReader.m_member.m_id };
+}
+
+PlaceResult
+Fleet::FindEngine(std::span<const State* const> aSound,
+                  const PlaceRequest& aRequest) const
+{
+  const Prompt& prompt = *aRequest.m_prompt;
+  const bool longPrompt = prompt.m_sharedTokens >= kLeastSharedTokens;
+  const std::uint64_t home =
+    longPrompt ? HomeOf(prompt.m_sharedKey, aRequest.m_service) : 0;
+  const std::uint64_t quietBelow = QuietBelow(aRequest.m_service, false);
+  // Output comes steadily where no long prompts are read.
+  const bool quietHasRoom =
+    std::any_of(aSound.begin(), aSound.end(), [&](const State* aState) {
+      return IsQuiet(*aState, quietBelow) && HasFreeSlots(*aState);
+    });
+  std::vector<Candidate> fitting;
+  std::vector<Candidate> generators;
+  for (const State* state : aSound) {
+    const bool isHome = longPrompt && state->m_hash == home;
+    const Candidate item{ state, FirstTokenMs(*state, prompt, isHome), isHome };
+    const bool reads = state->m_member.m_part == Part::Prefill;
+    const bool quiet = IsQuiet(*state, quietBelow);
+    if (longPrompt ? !quiet : !reads && (quiet || !quietHasRoom)) {
+      fitting.push_back(item);
+    }
+    if (!reads) {
+      generators.push_back(item);
+    }
+  }
+  if (generators.empty()) {
+    return PlaceFault{}; // Nobody could give the output.
+  }
+  const auto& candidates = fitting.empty() ? generators : fitting;
+  const Candidate& best =
+    *std::min_element(candidates.begin(), candidates.end());
+  const double expected = best.m_ms * StretchOf(aRequest.m_service);
+  const Duration wait(static_cast<std::int64_t>(expected));
+  if (wait > aRequest.m_patience) {
+    return PlaceFault{ true, wait - aRequest.m_patience };
+  }
+  const Candidate& chosen =
+    longPrompt ? *PickReader(candidates, best, aRequest) : best;
+  const State& state = *chosen.m_state;
+  Place place = state.m_member.m_part == Part::Generate
+                  ? Place{ state.m_member.m_id, {} }
+                  : WithTaker(state, aSound, prompt);
+  place.m_expectedMs = chosen.m_ms;
+  return place;
+}
+
+} // namespace ridgeferry::relay
