--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -286,6 +286,7 @@
 {
   if (m_expectedMs > 0) {
     m_node.m_fleet.NoteFirstToken(m_start.m_service,
+                                  *m_start.m_head.m_prompt,
                                   std::exchange(m_expectedMs, 0),
                                   m_node.Now() - m_placedAt,
                                   m_node.Now());
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -138,9 +138,11 @@
   /**
    * A prompt's first token came after `aTook`; `aExpectedMs` as its place said.
    * Loads of other instances are known late, and later in larger deployments:
-   * this tells soon by how much all estimates of a service are off.
+   * this tells soon by how much all estimates of a service are off, those of
+   * long prompts and of short ones apart: they go to different engines.
    */
   void NoteFirstToken(std::string_view aService,
+                      const Prompt& aPrompt,
                       double aExpectedMs,
                       Duration aTook,
                       Instant aNow);
@@ -219,14 +221,18 @@
     double m_factor = 1;
     Instant m_at;
   };
-  double StretchOf(std::string_view aService) const;
+  double StretchOf(std::string_view aService, const Prompt& aPrompt) const;
+  /** Whether it is worth a home, and is kept from quiet engines. */
+  static bool IsLong(const Prompt& aPrompt);
 
   void AddOther(std::span<const OtherLoad> aLoads, std::int64_t aSign);
 
   std::map<std::string, State, std::less<>> m_members;
   std::unordered_map<std::uint32_t, std::string> m_byShortHash;
   std::map<std::string, std::vector<OtherLoad>, std::less<>> m_others;
-  std::map<std::string, Stretch, std::less<>> m_stretch; ///< By service.
+  /** By service: of long prompts, and of short ones. */
+  std::map<std::string, Stretch, std::less<>> m_longStretch;
+  std::map<std::string, Stretch, std::less<>> m_shortStretch;
 };
 
 } // namespace ridgeferry::relay
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -158,19 +158,22 @@
 }
 
 double
-Fleet::StretchOf(std::string_view aService) const
+Fleet::StretchOf(std::string_view aService, const Prompt& aPrompt) const
 {
-  const auto found = m_stretch.find(aService);
-  return found == m_stretch.end() ? 1 : found->second.m_factor;
+  const auto& stretches = IsLong(aPrompt) ? m_longStretch : m_shortStretch;
+  const auto found = stretches.find(aService);
+  return found == stretches.end() ? 1 : found->second.m_factor;
 }
 
 void
 Fleet::NoteFirstToken(std::string_view aService,
+                      const Prompt& aPrompt,
                       double aExpectedMs,
                       Duration aTook,
                       Instant aNow)
 {
-  Stretch& stretch = m_stretch[std::string(aService)];
+  auto& stretches = IsLong(aPrompt) ? m_longStretch : m_shortStretch;
+  Stretch& stretch = stretches[std::string(aService)];
   const double seen = std::clamp(static_cast<double>(aTook.count()) /
                                    std::max(aExpectedMs, kLeastExpectedMs),
                                  kLeastStretch,
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -71,11 +71,17 @@
   return aPrompt.m_ownTokens + (aKept ? 0 : shared);
 }
 
+bool
+Fleet::IsLong(const Prompt& aPrompt)
+{
+  return aPrompt.m_sharedTokens >= kLeastSharedTokens;
+}
+
 bool
 Fleet::IsHome(const Prompt& aPrompt, std::string_view aId) const
 {
   const auto found = m_members.find(aId);
-  if (found == m_members.end() || aPrompt.m_sharedTokens < kLeastSharedTokens) {
+  if (found == m_members.end() || !IsLong(aPrompt)) {
     return false;
   }
   return HomeOf(aPrompt.m_sharedKey, found->second.m_member.m_service) ==
@@ -281,7 +287,7 @@
                   const PlaceRequest& aRequest) const
 {
   const Prompt& prompt = *aRequest.m_prompt;
-  const bool longPrompt = prompt.m_sharedTokens >= kLeastSharedTokens;
+  const bool longPrompt = IsLong(prompt);
   const std::uint64_t home =
     longPrompt ? HomeOf(prompt.m_sharedKey, aRequest.m_service) : 0;
   const std::uint64_t quietBelow = QuietBelow(aRequest.m_service, false);
@@ -310,7 +316,7 @@
   const auto& candidates = fitting.empty() ? generators : fitting;
   const Candidate& best =
     *std::min_element(candidates.begin(), candidates.end());
-  const double expected = best.m_ms * StretchOf(aRequest.m_service);
+  const double expected = best.m_ms * StretchOf(aRequest.m_service, prompt);
   const Duration wait(static_cast<std::int64_t>(expected));
   if (wait > aRequest.m_patience) {
     return PlaceFault{ true, wait - aRequest.m_patience };
--- a/packages/relay/tests/FleetTest.cpp
+++ b/packages/relay/tests/FleetTest.cpp
@@ -308,7 +308,8 @@
   Instant now = kNow;
   for (const int took : GetParam().m_tookMs) {
     now += Duration{ 100 };
-    m_fleet.NoteFirstToken("llm", 50, Duration{ took }, now);
+    m_fleet.NoteFirstToken(
+      "llm", *LongRequest(1).m_prompt, 50, Duration{ took }, now);
   }
   PlaceRequest request = LongRequest(1);
   request.m_patience = Duration{ 100 };
@@ -329,6 +330,20 @@
               false }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+TEST_F(FleetTest, LateLongPromptsDoNotTurnShortOnesAway)
+{
+  PlaceRequest request = LongRequest(1);
+  const Prompt longPrompt = *request.m_prompt;
+  for (int i = 0; i < 10; ++i) {
+    m_fleet.NoteFirstToken("llm", longPrompt, 50, Duration{ 500 }, kNow);
+  }
+  request.m_patience = Duration{ 100 };
+  EXPECT_TRUE(
+    std::holds_alternative<PlaceFault>(m_fleet.FindPlace(request, kNow)));
+  request.m_prompt = Prompt{ 1, 80, 140, 90 };
+  EXPECT_TRUE(std::holds_alternative<Place>(m_fleet.FindPlace(request, kNow)));
+}
+
 TEST_F(FleetTest, WhatEveryEngineKeepsIsNotCountedAnywhere)
 {
   Prompt prompt = *LongRequest(1).m_prompt;
