--- a/packages/relay/tests/RetryBudgetTest.cpp
+++ b/packages/relay/tests/RetryBudgetTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <deque>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -22,6 +23,15 @@
       } else if (budget.MayRepeat(now)) {
         budget.NoteRepeat(now);
         repeats.push_back(now);
+        const auto inWindow = [&](const std::deque<Instant>& aSends) {
+          return static_cast<double>(
+            std::count_if(aSends.begin(), aSends.end(), [&](Instant aSent) {
+              return now - aSent < terms.m_window;
+            }));
+        };
+        // Exactly, whenever a repeat is made.
+        RC_ASSERT(inWindow(repeats) <=
+                  terms.m_floor + terms.m_ratio * inWindow(first));
       }
       for (auto* sends : { &first, &repeats }) {
         while (!sends->empty() && now - sends->front() >= terms.m_window) {
--- a/tests/session/Cluster.cpp
+++ b/tests/session/Cluster.cpp
@@ -203,11 +203,13 @@
     std::fprintf(stderr, "%s\n", applied.m_body.c_str());
     return false;
   }
-  // Ready: the objects are in force and every upstream has been met.
+  // The objects are in force, every upstream has been met, and each instance
+  // takes calls: it says so up to a tick after the objects are in force.
   return WaitFor([&] {
     for (const auto& [name, plan] : m_instances) {
       const nlohmann::json status = Status(name);
-      if (!status.is_object() || status.value("revision", 0) < 1) {
+      if (!status.is_object() || status.value("revision", 0) < 1 ||
+          !IsReady(name)) {
         return false;
       }
       for (const auto& upstream : status.at("upstreams")) {
