Net, placement: connections that nobody acknowledges end; silent upstreams rest at once

Cause: open connections may go silent for good, and engines go dark. What was sent to one hung for the whole time of its call, three such ends in a row were needed before an instance left it alone, and a new connection waited 400 ms.

Changed: unacknowledged bytes end a connection after 0.7 s, connections at rest are probed every second; one that has fallen silent takes the kept ones to its address with it; a new connection has 120 ms. A member that has been sent something and said nothing for 0.3 s gets nothing more while others are sound; if an attempt ends so, it rests at once and is then asked by one call at a time. If all are silent at once, it is the connections: new ones are opened. A peer that was silent may come back with an earlier start time (its clock was set back).

Ruled out: spreading the word by datagrams: an instance that is itself cut off would take all engines from the others.

--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -17,8 +17,9 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 /** An upstream that has not taken a connection by then is out of reach: its
- * answer to the opening packet takes a few milliseconds. */
-constexpr Duration kConnectTimeout{ 400 };
+ * answer to the opening packet takes a few milliseconds. Below the aims of
+ * plain calls (100 ms and more), so that another one can still meet them. */
+constexpr Duration kConnectTimeout{ 120 };
 /** The rest of a call's time is not worth a send below this. */
 constexpr Duration kLeastLeft{ 1 };
 /** Bytes of one answer that its caller may leave unread. A stream of today's
@@ -216,6 +217,8 @@
     // It left while the prompt was read elsewhere: no byte has left.
     m_attempt = {};
     m_attempt.m_id = aAction.m_attempt;
+    m_attempt.m_upstream = aAction.m_upstream;
+    m_attempt.m_sentAt = m_node.Now();
     Handle(relay::AttemptUnsent{ aAction.m_attempt });
     return;
   }
@@ -270,7 +273,9 @@
                         { "tokens", m_attempt.m_tokens },
                         { "tokensAhead", m_attempt.m_tokensAhead },
                         { "leftMs", Left().count() } });
-  m_node.m_fleet.NoteSent(aMember.m_id, m_attempt.m_tokens);
+  // Those that are kept may be what has gone silent.
+  request.m_fresh = m_node.m_fleet.IsSilent(aMember.m_id, m_node.Now());
+  m_node.m_fleet.NoteSent(aMember.m_id, m_attempt.m_tokens, m_node.Now());
   m_node.m_metrics.Count("ridgeferry_sends_total");
   net::HttpCallbacks callbacks;
   callbacks.m_head = [this](const net::HttpHead& aHead) { TakeHead(aHead); };
@@ -296,6 +301,7 @@
 void
 RelayCall::TakeHead(const net::HttpHead& aHead)
 {
+  m_node.m_fleet.NoteHeard(m_attempt.m_upstream);
   if (m_attempt.m_tokens > 0) {
     m_node.m_fleet.NotePace(m_attempt.m_upstream,
                             m_attempt.m_tokensAhead + m_attempt.m_tokens,
@@ -318,6 +324,7 @@
 void
 RelayCall::TakeBytes(std::string_view aBytes)
 {
+  m_node.m_fleet.NoteHeard(m_attempt.m_upstream);
   if (m_attempt.m_readOnly) {
     m_readBody.append(aBytes);
   } else if (!m_attempt.m_saidNotRun) {
@@ -329,6 +336,9 @@
 RelayCall::TakeEnd(const net::HttpResponse& aResponse)
 {
   m_attempt.m_http = 0;
+  if (aResponse.m_silent) {
+    m_node.m_fleet.NoteOutOfReach(m_attempt.m_upstream, m_node.Now());
+  }
   const relay::AttemptId id = m_attempt.m_id;
   if (aResponse.m_end == net::HttpEnd::NotSent) {
     Handle(relay::AttemptUnsent{ id });
--- a/packages/membership/src/Roster.cpp
+++ b/packages/membership/src/Roster.cpp
@@ -41,9 +41,10 @@
   }
   PeerView& peer = m_peers[aHeartbeat.m_instance];
   const std::uint64_t known = peer.m_last.m_incarnation;
-  if (aHeartbeat.m_incarnation < known) {
+  if (aHeartbeat.m_incarnation < known && peer.m_alive) {
     return; // Late news of an earlier life.
   }
+  // From one that was silent it is a new life whose clock was set back.
   if (known != 0 && aHeartbeat.m_incarnation > known) {
     aActions.emplace_back(IncarnationEnded{ aHeartbeat.m_instance, known });
   }
--- a/packages/membership/tests/RosterTest.cpp
+++ b/packages/membership/tests/RosterTest.cpp
@@ -56,6 +56,19 @@
   EXPECT_EQ(roster.Peers().at("b").m_last.m_incarnation, 6U);
 }
 
+// The time of day may have been set back between two lives of an instance.
+TEST(RosterTest, ASilentPeerMayComeBackWithAnEarlierStart)
+{
+  Roster roster("a");
+  roster.Handle(HeartbeatArrived{ From("b", 6) }, kStart);
+  const Instant later = kStart + Duration{ 5000 };
+  roster.Handle(RosterTick{}, later);
+  ASSERT_EQ(roster.LiveCount(), 1U);
+  roster.Handle(HeartbeatArrived{ From("b", 5) }, later);
+  EXPECT_EQ(roster.LiveCount(), 2U);
+  EXPECT_EQ(roster.Peers().at("b").m_last.m_incarnation, 5U);
+}
+
 TEST(RosterTest, SendsToListedAndHeardPeersOnceAnInterval)
 {
   Roster roster("a");
--- a/packages/net/include/ridgeferry/net/Http.h
+++ b/packages/net/include/ridgeferry/net/Http.h
@@ -72,6 +72,8 @@
 struct HttpResponse
 {
   HttpEnd m_end = HttpEnd::Broken;
+  /** Nothing came from the other side for too long, not even a reset. */
+  bool m_silent = false;
   HttpHead m_head;
   std::string m_body; ///< Empty if the chunks were asked for.
 };
--- a/packages/net/src/ClientConnection.cpp
+++ b/packages/net/src/ClientConnection.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -20,6 +21,15 @@
 /** A peer that closes idle connections after N seconds gets no request in the
  * last of them: it could cross the close. */
 constexpr Duration kIdleMargin{ 1000 };
+/** How long the peer's machine may leave sent bytes, or a probe, without its
+ * acknowledgement. Inside a deployment that comes within milliseconds; a lost
+ * packet is sent again after 200 ms and after 400 ms more. */
+constexpr Duration kUnacknowledged{ 700 };
+/** Silence after which the system probes whether the connection still stands,
+ * and the pause between two probes: the shortest that it knows, one second. */
+constexpr int kProbeSeconds = 1;
+/** Probes without an answer after which it counts as gone. */
+constexpr int kProbes = 2;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kSwitchingProtocols = 101;
 
@@ -43,6 +53,33 @@
            aDuration.count() % kMsPerSecond * kMsPerSecond };
 }
 
+/** Failure only costs time: a dead connection is then noticed by the request's
+ * own time-out. */
+void
+SetOption(int aSocket, int aLevel, int aName, int aValue)
+{
+  (void)setsockopt(aSocket, aLevel, aName, &aValue, sizeof(aValue));
+}
+
+/**
+ * Small writes leave at once, and a connection whose other side has gone silent
+ * for good, also at rest, ends by the system's own time-outs: no reset comes
+ * from a machine that is dark or behind a cut.
+ */
+void
+SetOptions(int aSocket)
+{
+  SetOption(aSocket, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(aSocket,
+            IPPROTO_TCP,
+            TCP_USER_TIMEOUT,
+            static_cast<int>(kUnacknowledged.count()));
+  SetOption(aSocket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, kProbeSeconds);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPINTVL, kProbeSeconds);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
 bool
 IsInterim(int aStatus)
 {
@@ -105,10 +142,7 @@
   bufferevent_setcb(m_events, &Readable, nullptr, &Happened, this);
   bufferevent_socket_connect(
     m_events, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  const int on = 1;
-  // Failure only costs delay: small writes would wait for one another.
-  (void)setsockopt(
-    bufferevent_getfd(m_events), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  SetOptions(bufferevent_getfd(m_events));
   bufferevent_enable(m_events, EV_READ | EV_WRITE);
 }
 
@@ -172,13 +206,13 @@
 {
   if (!m_busy) {
     // Nothing was asked: the bytes belong to no request.
-    FinishBroken();
+    FinishBroken(false);
     return;
   }
   for (;;) {
     const ParseState state = m_parser->Feed(bufferevent_get_input(m_events));
     if (state == ParseState::Failed) {
-      FinishBroken();
+      FinishBroken(false);
       return;
     }
     if (m_parser->HasHead() && !TakeHead()) {
@@ -192,7 +226,7 @@
       break;
     }
     if (!m_parser->KeepsAlive()) {
-      FinishBroken();
+      FinishBroken(false);
       return;
     }
     StartAnswer();
@@ -257,9 +291,10 @@
 }
 
 void
-ClientConnection::FinishBroken()
+ClientConnection::FinishBroken(bool aSilent)
 {
   m_response.m_end = m_connected ? HttpEnd::Broken : HttpEnd::NotSent;
+  m_response.m_silent = aSilent;
   Report({ std::move(m_response), false });
 }
 
@@ -306,7 +341,11 @@
     FinishWhole(false);
     return;
   }
-  FinishBroken();
+  // By our own time-out or the system's: no word came from the other side.
+  const bool silent =
+    (aEvents & BEV_EVENT_TIMEOUT) != 0 ||
+    ((aEvents & BEV_EVENT_ERROR) != 0 && EVUTIL_SOCKET_ERROR() == ETIMEDOUT);
+  FinishBroken(silent);
 }
 
 } // namespace ridgeferry::net
--- a/packages/net/src/ClientConnection.h
+++ b/packages/net/src/ClientConnection.h
@@ -59,7 +59,7 @@
   bool TakeHead();
   void DeliverBody();
   void FinishWhole(bool aKeepsAlive);
-  void FinishBroken();
+  void FinishBroken(bool aSilent);
   void Report(const ClientEnd& aEnd);
   std::size_t Unread() const;
   std::size_t Unwritten() const;
--- a/packages/net/src/HttpClient.cpp
+++ b/packages/net/src/HttpClient.cpp
@@ -80,12 +80,24 @@
     }
     Call call = std::move(found->second);
     m_calls.erase(found);
+    if (aEnd.m_response.m_silent) {
+      RetireIdle(call.m_address);
+    }
     if (call.m_connection != nullptr) {
       Keep(call, aEnd.m_reusable);
     }
     call.m_callbacks.m_done(aEnd.m_response);
   }
 
+  /** Other connections to that address may have gone silent as well: the next
+   * requests open their own. */
+  void RetireIdle(const std::string& aAddress)
+  {
+    for (ConnectionPtr& kept : std::exchange(m_idle[aAddress], {})) {
+      Retire(std::move(kept));
+    }
+  }
+
   void Keep(Call& aCall, bool aReusable)
   {
     std::vector<ConnectionPtr>& idle = m_idle[aCall.m_address];
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -108,6 +108,13 @@
   /** Rest of a member at whose address another one answers: the list should
    * say so within two seconds, unless the store is away. */
   static constexpr Duration kDisplacedRest{ 3000 };
+  /**
+   * A member that was sent something and has not said a word for so long gets
+   * nothing more while others are sound: far above what a step or a plain call
+   * takes. Longer prompts wait longer only where others are waited for, and
+   * then those are heard of.
+   */
+  static constexpr Duration kSilence{ 300 };
 
   /** A member that leaves stays leaving: its id is used for one life only. */
   void Put(const Member& aMember);
@@ -122,7 +129,15 @@
   PlaceResult FindPlace(const PlaceRequest& aRequest, Instant aNow) const;
 
   /** `aTokens` to read before the first byte of its answer. */
-  void NoteSent(std::string_view aId, std::int64_t aTokens);
+  void NoteSent(std::string_view aId, std::int64_t aTokens, Instant aNow);
+  /** Some bytes came from it, of whatever call. */
+  void NoteHeard(std::string_view aId);
+  /** No connection to it came about in time, or none of what was sent on one
+   * was acknowledged: it rests, and then is asked again by one call. */
+  void NoteOutOfReach(std::string_view aId, Instant aNow);
+  /** Whether it has been sent something and been silent since for too long, or
+   * has failed so and a call is out to see whether it is back. */
+  bool IsSilent(std::string_view aId, Instant aNow) const;
   void NoteFirstByte(std::string_view aId, std::int64_t aTokens);
   /** `aTokens` still unread; `aTook` counts for served attempts. */
   void NoteEnded(std::string_view aId,
@@ -177,6 +192,11 @@
     double m_failShare = 0; ///< Smoothed.
     int m_failuresInRow = 0;
     std::optional<Instant> m_restsUntil;
+    /** When it was first sent something that it has not answered by any word.
+     */
+    std::optional<Instant> m_unheardSince;
+    /** It failed without a word: one call at a time until it says something. */
+    bool m_mustProve = false;
     std::optional<Instant> m_goneAt; ///< Dropped, within its grace.
   };
 
@@ -193,6 +213,8 @@
   bool MayServe(const State& aState,
                 const PlaceRequest& aRequest,
                 Instant aNow) const;
+  static bool IsSilent(const State& aState, Instant aNow);
+  static void Rest(State& aState, Instant aNow);
   static bool HasConnection(const State& aState, const PlaceRequest& aRequest);
   PlaceResult FindPlain(std::span<const State* const> aSound,
                         const PlaceRequest& aRequest) const;
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -205,15 +205,62 @@
 }
 
 void
-Fleet::NoteSent(std::string_view aId, std::int64_t aTokens)
+Fleet::NoteSent(std::string_view aId, std::int64_t aTokens, Instant aNow)
+{
+  const auto found = m_members.find(aId);
+  if (found == m_members.end()) {
+    return;
+  }
+  State& state = found->second;
+  ++state.m_inFlight;
+  state.m_tokens += aTokens;
+  if (!state.m_unheardSince) {
+    state.m_unheardSince = aNow;
+  }
+}
+
+void
+Fleet::NoteHeard(std::string_view aId)
 {
   const auto found = m_members.find(aId);
   if (found != m_members.end()) {
-    ++found->second.m_inFlight;
-    found->second.m_tokens += aTokens;
+    found->second.m_unheardSince.reset();
+    found->second.m_mustProve = false;
   }
 }
 
+void
+Fleet::NoteOutOfReach(std::string_view aId, Instant aNow)
+{
+  const auto found = m_members.find(aId);
+  if (found != m_members.end()) {
+    Rest(found->second, aNow);
+  }
+}
+
+void
+Fleet::Rest(State& aState, Instant aNow)
+{
+  aState.m_restsUntil = aNow + kRest;
+  aState.m_mustProve = true;
+}
+
+bool
+Fleet::IsSilent(const State& aState, Instant aNow)
+{
+  if (!aState.m_unheardSince) {
+    return false;
+  }
+  return aState.m_mustProve || aNow - *aState.m_unheardSince >= kSilence;
+}
+
+bool
+Fleet::IsSilent(std::string_view aId, Instant aNow) const
+{
+  const auto found = m_members.find(aId);
+  return found != m_members.end() && IsSilent(found->second, aNow);
+}
+
 void
 Fleet::NoteFirstByte(std::string_view aId, std::int64_t aTokens)
 {
@@ -239,6 +286,13 @@
   // A member that lapsed and came back starts anew at none.
   state.m_inFlight = std::max<std::int64_t>(0, state.m_inFlight - 1);
   state.m_tokens = std::max<std::int64_t>(0, state.m_tokens - aTokens);
+  const bool silent = IsSilent(state, aNow);
+  if (state.m_inFlight == 0) {
+    state.m_unheardSince.reset(); // Nothing is awaited from it any more.
+  }
+  if (silent && aEnd != AttemptEnd::Displaced) {
+    Rest(state, aNow);
+  }
   if (aEnd == AttemptEnd::Abandoned || aEnd == AttemptEnd::Declined) {
     return;
   }
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -135,17 +135,24 @@
 Fleet::FindPlace(const PlaceRequest& aRequest, Instant aNow) const
 {
   std::vector<const State*> sound;
+  std::vector<const State*> silent;
   bool anyBusy = false;
   for (const auto& [id, state] : m_members) {
     if (!MayServe(state, aRequest, aNow)) {
       continue;
     }
-    if (HasConnection(state, aRequest)) {
-      sound.push_back(&state);
-    } else {
+    if (!HasConnection(state, aRequest)) {
       anyBusy = true;
+    } else if (IsSilent(state, aNow)) {
+      silent.push_back(&state);
+    } else {
+      sound.push_back(&state);
     }
   }
+  if (sound.empty() && !anyBusy) {
+    // All at once: more likely the connections than the members.
+    sound = std::move(silent);
+  }
   if (sound.empty()) {
     return anyBusy ? PlaceFault{ true, kConnectionWait } : PlaceFault{};
   }
--- a/packages/relay/tests/FleetTest.cpp
+++ b/packages/relay/tests/FleetTest.cpp
@@ -54,7 +54,7 @@
 Fail(Fleet& aFleet, std::string_view aId, int aTimes)
 {
   for (int i = 0; i < aTimes; ++i) {
-    aFleet.NoteSent(aId, 0);
+    aFleet.NoteSent(aId, 0, kNow);
     aFleet.NoteEnded(aId, 0, AttemptEnd::Failed, Duration{ 5 }, kNow);
   }
 }
@@ -107,7 +107,7 @@
 
 TEST_F(FleetTest, AMemberAtWhoseAddressAnotherAnswersRestsAtOnce)
 {
-  m_fleet.NoteSent("a", 0);
+  m_fleet.NoteSent("a", 0, kNow);
   m_fleet.NoteEnded("a", 0, AttemptEnd::Displaced, Duration{ 5 }, kNow);
   for (std::uint64_t draw = 0; draw < 10; ++draw) {
     PlaceRequest request = PlainRequest();
@@ -116,12 +116,119 @@
   }
 }
 
+/** What was seen of a member that was sent something, until a later choice. */
+struct SilenceCase
+{
+  const char* m_name;
+  Duration m_since;     ///< From the send to the choice.
+  bool m_heard;         ///< Some bytes came from it meanwhile.
+  bool m_otherIsSilent; ///< The other member is in the same case.
+  bool m_mayBeChosen;
+};
+
+class FleetSilenceTest
+  : public FleetTest
+  , public ::testing::WithParamInterface<SilenceCase>
+{};
+
+TEST_P(FleetSilenceTest, NothingMoreGoesThereWhileOthersAreSound)
+{
+  m_fleet.NoteSent("a", 0, kNow);
+  if (GetParam().m_heard) {
+    m_fleet.NoteHeard("a");
+  }
+  if (GetParam().m_otherIsSilent) {
+    m_fleet.NoteSent("b", 0, kNow);
+  }
+  // So many calls at the other one that `a` is the better place.
+  for (int i = 0; i < 5; ++i) {
+    m_fleet.NoteSent("b", 0, kNow);
+    if (!GetParam().m_otherIsSilent) {
+      m_fleet.NoteHeard("b");
+    }
+  }
+  const PlaceResult result =
+    m_fleet.FindPlace(PlainRequest(), kNow + GetParam().m_since);
+  const auto* place = std::get_if<Place>(&result);
+  ASSERT_NE(place, nullptr);
+  EXPECT_EQ(place->m_upstream == "a", GetParam().m_mayBeChosen);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Cases,
+  FleetSilenceTest,
+  ::testing::Values(
+    SilenceCase{ "JustSent", Duration{ 10 }, false, false, true },
+    SilenceCase{ "Silent", Fleet::kSilence, false, false, false },
+    SilenceCase{ "Heard", Fleet::kSilence, true, false, true },
+    SilenceCase{ "BothSilent", Fleet::kSilence, false, true, true }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
+/** How an attempt ended that its member had not said a word to. */
+class FleetSilentEndTest
+  : public FleetTest
+  , public ::testing::WithParamInterface<AttemptEnd>
+{
+protected:
+  bool IsChosen(Instant aNow)
+  {
+    for (std::uint64_t draw = 0; draw < 10; ++draw) {
+      PlaceRequest request = PlainRequest();
+      request.m_random = draw;
+      const PlaceResult result = m_fleet.FindPlace(request, aNow);
+      if (std::get<Place>(result).m_upstream == "a") {
+        return true;
+      }
+    }
+    return false;
+  }
+};
+
+TEST_P(FleetSilentEndTest, RestsAtOnceAndIsThenAskedByOneCall)
+{
+  // So many calls at the other one that `a` is the better place.
+  for (int i = 0; i < 5; ++i) {
+    m_fleet.NoteSent("b", 0, kNow);
+    m_fleet.NoteHeard("b");
+  }
+  m_fleet.NoteSent("a", 0, kNow);
+  const Instant later = kNow + Fleet::kSilence;
+  m_fleet.NoteEnded("a", 0, GetParam(), Fleet::kSilence, later);
+  EXPECT_FALSE(m_fleet.IsSilent("a", later)); // Nothing is awaited from it.
+  EXPECT_FALSE(IsChosen(later));
+  const Instant rested = later + Fleet::kRest;
+  EXPECT_TRUE(IsChosen(rested));
+  m_fleet.NoteSent("a", 0, rested);
+  EXPECT_FALSE(IsChosen(rested));
+  m_fleet.NoteHeard("a");
+  m_fleet.NoteEnded("a", 0, AttemptEnd::Served, Duration{ 5 }, rested);
+  m_fleet.NoteSent("a", 0, rested);
+  EXPECT_TRUE(IsChosen(rested)); // Not one call at a time any more.
+}
+
+INSTANTIATE_TEST_SUITE_P(Ends,
+                         FleetSilentEndTest,
+                         ::testing::Values(AttemptEnd::Failed,
+                                           AttemptEnd::Abandoned));
+
+TEST_F(FleetTest, AMemberOutOfReachRestsAtOnce)
+{
+  m_fleet.NoteSent("a", 0, kNow);
+  m_fleet.NoteOutOfReach("a", kNow);
+  m_fleet.NoteEnded("a", 0, AttemptEnd::Failed, Duration{ 5 }, kNow);
+  for (std::uint64_t draw = 0; draw < 10; ++draw) {
+    PlaceRequest request = PlainRequest();
+    request.m_random = draw;
+    EXPECT_EQ(MustFind(m_fleet, request).m_upstream, "b");
+  }
+}
+
 TEST_F(FleetTest, NoMemberGetsMoreConnectionsThanItsShare)
 {
   PlaceRequest request = PlainRequest();
   request.m_mostOpen = 2;
   for (int i = 0; i < 4; ++i) {
-    m_fleet.NoteSent(MustFind(m_fleet, request).m_upstream, 0);
+    m_fleet.NoteSent(MustFind(m_fleet, request).m_upstream, 0, kNow);
   }
   const PlaceResult full = m_fleet.FindPlace(request, kNow);
   const auto* fault = std::get_if<PlaceFault>(&full);
@@ -142,7 +249,7 @@
 
 TEST_F(FleetTest, TheLessLoadedIsTaken)
 {
-  m_fleet.NoteSent("a", 0);
+  m_fleet.NoteSent("a", 0, kNow);
   EXPECT_EQ(MustFind(m_fleet, PlainRequest()).m_upstream, "b");
   m_fleet.SetOther("peer", { { Fleet::ShortHash("b"), 4, 0 } });
   EXPECT_EQ(MustFind(m_fleet, PlainRequest()).m_upstream, "a");
@@ -161,7 +268,7 @@
 {
   Fail(m_fleet, "a", Fleet::kFailuresToRest);
   for (int i = 0; i < 20; ++i) {
-    m_fleet.NoteSent("b", 0); // However loaded the other one is.
+    m_fleet.NoteSent("b", 0, kNow); // However loaded the other one is.
   }
   EXPECT_EQ(MustFind(m_fleet, PlainRequest()).m_upstream, "b");
 }
@@ -243,7 +350,7 @@
 TEST_P(HomeTest, IsLeftOnlyWhenItIsMuchLater)
 {
   const std::string home = ReaderOf(MustFind(m_fleet, LongRequest(3)));
-  m_fleet.NoteSent(home, GetParam().m_tokensAtHome);
+  m_fleet.NoteSent(home, GetParam().m_tokensAtHome, kNow);
   PlaceRequest request = LongRequest(3);
   for (request.m_random = 0; request.m_random < 50; ++request.m_random) {
     EXPECT_EQ(ReaderOf(MustFind(m_fleet, request)) == home,
@@ -263,7 +370,7 @@
 TEST_F(FleetTest, PromptsWhoseHomeIsBusySpreadOverOthers)
 {
   const std::string home = ReaderOf(MustFind(m_fleet, LongRequest(3)));
-  m_fleet.NoteSent(home, 60'000);
+  m_fleet.NoteSent(home, 60'000, kNow);
   std::set<std::string> used;
   PlaceRequest request = LongRequest(3);
   for (request.m_random = 0; request.m_random < 200; ++request.m_random) {
@@ -282,7 +389,7 @@
   }
   for (int i = 0; i < 8; ++i) {
     for (int call = 0; call < 100; ++call) {
-      m_fleet.NoteSent("g" + std::to_string(i), 0);
+      m_fleet.NoteSent("g" + std::to_string(i), 0, kNow);
     }
   }
   for (const auto& [chain, home] : before) {
@@ -355,10 +462,10 @@
 TEST_F(FleetTest, APromptThatWouldComeTooLateIsRefusedWithATime)
 {
   for (int i = 0; i < 8; ++i) {
-    m_fleet.NoteSent("g" + std::to_string(i), 100'000);
+    m_fleet.NoteSent("g" + std::to_string(i), 100'000, kNow);
   }
   for (int i = 0; i < 4; ++i) {
-    m_fleet.NoteSent("p" + std::to_string(i), 100'000);
+    m_fleet.NoteSent("p" + std::to_string(i), 100'000, kNow);
   }
   PlaceRequest request = LongRequest(5);
   request.m_patience = Duration{ 180 };
@@ -377,8 +484,8 @@
     Fleet fleet;
     fleet.Put(MakeMember("g", "llm", Part::Generate));
     fleet.Put(MakeMember("p", "llm", Part::Prefill));
-    fleet.NoteSent("g", *rc::gen::inRange<std::int64_t>(0, 500'000));
-    fleet.NoteSent("p", *rc::gen::inRange<std::int64_t>(0, 500'000));
+    fleet.NoteSent("g", *rc::gen::inRange<std::int64_t>(0, 500'000), kNow);
+    fleet.NoteSent("p", *rc::gen::inRange<std::int64_t>(0, 500'000), kNow);
     PlaceRequest request = LongRequest(*rc::gen::inRange(1, 1000));
     request.m_prompt->m_sharedTokens = *rc::gen::inRange(0, 9000);
     const PlaceResult result = fleet.FindPlace(request, kNow);
