Store: who is not on duty holds no read; it reads when a peer has read further

Changed: an instance that rests holds no read. It reads 0.7 s after a peer's first word of a change, once for all that came meanwhile, or after 18 s. Whoever is on duty is told by the same rule from what everybody hears: no new field.

Ruled out: rows by datagrams (leaving upstreams go that way already; the configuration does not fit a datagram).

--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -32,7 +32,7 @@
   void SetStoreView(const membership::StoreView& aView) { m_storeView = aView; }
   /**
    * Whether this instance is one of the few of its hall that keep an eye on
-   * the store; always so if it hears of no other.
+   * the store; always so if it hears of none whose reads succeed.
    */
   bool IsOnDuty() const;
 
@@ -45,6 +45,11 @@
   sigc::signal<void(const std::string&)>& SignalLeaving() { return m_leaves; }
 
 private:
+  /** Whether it is among those that keep an eye on the store for their hall. */
+  bool IsFirstInHall(const std::string& aInstance,
+                     const std::string& aHall) const;
+  /** Whether anyone on duty is heard whose reads of the store succeed. */
+  bool HearsOfStore() const;
   void Handle(const membership::RosterEvent& aEvent);
   void OnDatagram(std::string_view aBytes);
   void TellAll();
--- a/packages/relay/include/ridgeferry/relay/TableFollower.h
+++ b/packages/relay/include/ridgeferry/relay/TableFollower.h
@@ -116,11 +116,13 @@
  * again when the history is gone. What it has told never goes back to an
  * older version.
  *
- * Every call of the store has its price, so few instances (those on duty) ask
- * often enough to notice by themselves that the store has fallen silent. The
- * others leave a read with it for long, and learn from their peers when that
- * read must have been lost: it is then given up and made again. An instance
- * that hears of no peer is on duty. A pure state machine; not thread-safe.
+ * Every call of the store has its price, and a change answers every read that
+ * the store holds. So few instances (those on duty) leave a read with it, short
+ * enough to notice by themselves that the store has fallen silent. The others
+ * rest: they read when a peer has read further, once for changes that come
+ * together. An instance that hears of nobody on duty is on duty itself. On
+ * duty, a read is given up and made again when a peer's news show that it must
+ * have been lost. A pure state machine; not thread-safe.
  */
 class TableFollower
 {
@@ -131,8 +133,14 @@
    * change may take to be in force: half a call a second a table.
    */
   static constexpr Duration kDutyWait{ 2000 };
-  /** The same of the others: near the longest that the store allows. */
-  static constexpr Duration kRestWait{ 25'000 };
+  /** How long one that rests waits after a peer's first word of a change, so
+   * that changes which come together are read together. With what the news take
+   * on their way it stays below the shortest time that a change may take to be
+   * in force, two seconds. */
+  static constexpr Duration kRestPatience{ 700 };
+  /** Longest rest without a read: below the history that stores keep, 20 s, or
+   * the table would have to be read whole. */
+  static constexpr Duration kLongestRest{ 18'000 };
   /** Pause after changes, so that those that come together are read together;
    * a sixth of the time that a change may take to be in force. */
   static constexpr Duration kSettle{ 300 };
@@ -176,6 +184,8 @@
   void On(const DutyChanged& aEvent, Instant aNow, Actions& aActions);
 
   void Ask(Actions& aActions);
+  /** After an answer: what comes next, the next read or a rest. */
+  void GoOn(Actions& aActions);
   void AskAnew(Actions& aActions);
   void NoteVersions(std::span<const FollowedRow> aRows);
   void NoteAnswer(Instant aNow, Actions& aActions);
@@ -187,8 +197,8 @@
   /** After an outage; empty: none yet. */
   std::optional<Instant> m_lapsesUntil;
   bool m_onDuty = true;
-  bool m_asking = false;   ///< A read is under way.
-  bool m_longWait = false; ///< That read may be held for `kRestWait`.
+  bool m_asking = false;  ///< A read is under way.
+  bool m_resting = false; ///< None is, and none is due soon.
   std::optional<Instant> m_behindSince;
   std::uint64_t m_askedAnewFor =
     0; ///< Version that the last `DropRead` was for.
--- a/packages/relay/src/TableFollower.cpp
+++ b/packages/relay/src/TableFollower.cpp
@@ -17,15 +17,26 @@
 TableFollower::Ask(Actions& aActions)
 {
   m_asking = true;
-  m_longWait = !m_needsTable && !m_onDuty;
+  m_resting = false;
   if (m_needsTable) {
     aActions.emplace_back(ReadTable{});
   } else {
     aActions.emplace_back(
-      ReadChanges{ m_version, m_onDuty ? kDutyWait : kRestWait });
+      ReadChanges{ m_version, m_onDuty ? kDutyWait : Duration{} });
   }
 }
 
+void
+TableFollower::GoOn(Actions& aActions)
+{
+  if (m_onDuty || m_needsTable) {
+    Ask(aActions);
+    return;
+  }
+  m_resting = true;
+  aActions.emplace_back(RetryLater{ kLongestRest });
+}
+
 void
 TableFollower::NoteVersions(std::span<const FollowedRow> aRows)
 {
@@ -102,7 +113,7 @@
   m_version = aEvent.m_version;
   NoteVersions(aEvent.m_rows);
   aActions.emplace_back(std::move(apply));
-  Ask(aActions);
+  GoOn(aActions);
 }
 
 void
@@ -121,12 +132,16 @@
     }
   }
   if (!isNew) {
-    Ask(aActions);
+    GoOn(aActions);
     return;
   }
   NoteVersions(aEvent.m_rows);
   aActions.emplace_back(ApplyRows{ aEvent.m_rows, LapsesUntil(aNow) });
-  aActions.emplace_back(RetryLater{ kSettle });
+  if (m_onDuty) {
+    aActions.emplace_back(RetryLater{ kSettle });
+  } else {
+    GoOn(aActions);
+  }
 }
 
 void
@@ -152,7 +167,10 @@
 void
 TableFollower::On(const RetryDue&, Instant, Actions& aActions)
 {
-  Ask(aActions);
+  // A timer of a rest that has ended otherwise may still come.
+  if (!m_asking) {
+    Ask(aActions);
+  }
 }
 
 void
@@ -161,12 +179,15 @@
   // Once for each version: what the store does not tell now it will not tell.
   const bool isNew =
     aEvent.m_version > m_version && aEvent.m_version > m_askedAnewFor;
-  if (!m_asking || !isNew) {
+  if ((!m_asking && !m_resting) || !isNew) {
     return;
   }
   if (!m_behindSince) {
     m_behindSince = aNow;
-  } else if (aNow - *m_behindSince >= kBehindPatience) {
+    if (m_resting) {
+      aActions.emplace_back(RetryLater{ kRestPatience });
+    }
+  } else if (m_asking && aNow - *m_behindSince >= kBehindPatience) {
     m_askedAnewFor = aEvent.m_version;
     AskAnew(aActions);
   }
@@ -184,8 +205,8 @@
 TableFollower::On(const DutyChanged& aEvent, Instant, Actions& aActions)
 {
   m_onDuty = aEvent.m_onDuty;
-  if (m_onDuty && m_asking && m_longWait) {
-    AskAnew(aActions);
+  if (m_onDuty && m_resting) {
+    Ask(aActions);
   }
 }
 
