--- a/tests/session/Cluster.cpp
+++ b/tests/session/Cluster.cpp
@@ -1,34 +1,15 @@
 #include "Cluster.h"
 
-#include <arpa/inet.h>
 #include <fstream>
-#include <sys/socket.h>
-#include <unistd.h>
 
 namespace ridgeferry::session {
 
 namespace {
 
-constexpr int kFirstPort = 12'000;
-constexpr int kPorts = 18'000; // Below the range of outgoing connections.
 constexpr Duration kPollStep{ 20 };
 constexpr int kOk = 200;
 constexpr const char* kToken = "session-token";
 
-bool
-PortIsFree(int aPort, int aType)
-{
-  const int fd = socket(AF_INET, aType, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<std::uint16_t>(aPort));
-  inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-  const bool free =
-    bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
-  close(fd);
-  return free;
-}
-
 } // namespace
 
 Cluster::Cluster(net::EventLoop& aLoop, RunPlace aPlace, nlohmann::json aPlan)
@@ -36,28 +17,17 @@
   , m_client(aLoop)
   , m_place(std::move(aPlace))
   , m_plan(std::move(aPlan))
-  , m_nextPort(kFirstPort + static_cast<int>(getpid()) * 97 % kPorts)
 {
   PlanAddresses();
 }
 
-std::string
-Cluster::NewAddress()
-{
-  do {
-    m_nextPort = kFirstPort + (m_nextPort - kFirstPort + 1) % kPorts;
-  } while (!PortIsFree(m_nextPort, SOCK_STREAM) ||
-           !PortIsFree(m_nextPort, SOCK_DGRAM));
-  return "127.0.0.1:" + std::to_string(m_nextPort);
-}
-
 void
 Cluster::PlanAddresses()
 {
   const auto fake = [&](const std::string& aProgram,
                         const std::string& aName,
                         const nlohmann::json& aArguments) {
-    m_fakes[aName] = NewAddress();
+    m_fakes[aName] = m_ports.NewAddress();
     std::vector<std::string> command = {
       (m_place.m_programs / "fakes" / aProgram).string(),
       "--listen",
@@ -91,7 +61,7 @@
   for (const auto& [hall, count] : m_plan.at("instances").items()) {
     for (int i = 1; i <= count.get<int>(); ++i) {
       m_instances[hall + "-" + std::to_string(i)] = {
-        hall, NewAddress(), NewAddress(), NewAddress()
+        hall, m_ports.NewAddress(), m_ports.NewAddress(), m_ports.NewAddress()
       };
     }
   }
--- a/tests/session/Cluster.h
+++ b/tests/session/Cluster.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "FreePorts.h"
+#include "FreePorts.h"
 #include "ProcessGroup.h"
 
 #include <filesystem>
@@ -71,7 +73,6 @@
     std::string m_peers;
   };
 
-  std::string NewAddress();
   void PlanAddresses();
   nlohmann::json SettingsOf(const std::string& aName) const;
   nlohmann::json Members() const;
@@ -80,7 +81,7 @@
   net::HttpClient m_client;
   RunPlace m_place;
   nlohmann::json m_plan;
-  int m_nextPort = 0;
+  FreePorts m_ports;
   std::map<std::string, InstancePlan> m_instances;
   std::map<std::string, std::string> m_fakes;
   std::map<std::string, std::vector<std::string>> m_fakeCommands;
--- a/tests/session/ProcessGroup.cpp
+++ b/tests/session/ProcessGroup.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 extern char** environ;
 
@@ -40,6 +41,7 @@
                                    aOutput.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND,
                                    kMode);
+  posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
   Process process;
   const int failed = posix_spawn(
     &process.m_pid, arguments[0], &actions, nullptr, arguments.data(), environ);
