--- a/tests/session/Cluster.h
+++ b/tests/session/Cluster.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "FreePorts.h"
 #include "FreePorts.h"
 #include "ProcessGroup.h"
 
