Soak: the checker itself judges probes that a newer configuration overtook

Looked at now: the probe was sent at 53.5 s, version 2 came into force at that instance at 56.133 s and the 404 was given at 56.135 s; in that life versions only rose.

Changed: probes keep when they were answered, and CheckSoak leaves out one that was answered after a newer version was accepted. Two histories: an overtaken probe is taken, a way back answered before the next version is still refused.

--- a/tests/soak/SoakCallers.cpp
+++ b/tests/soak/SoakCallers.cpp
@@ -175,10 +175,9 @@
          [this, probe, asked = instance.get()](const SoakCall& aCall) mutable {
            m_probing.erase(probe.m_instance);
            probe.m_inForce = aCall.m_status != kNotFound;
-           // Of a refusal it cannot be told; of another life's answer neither,
-           // nor where a newer version was accepted meanwhile: it has another
-           // route in the place of this one.
-           if (aCall.m_end == CallEnd::Whole && probe.m_version == m_version &&
+           probe.m_answeredAt = aCall.m_endedAt;
+           // Of a refusal it cannot be told; of another life's answer neither.
+           if (aCall.m_end == CallEnd::Whole &&
                aCall.m_status != kUnavailable &&
                asked->m_life == probe.m_life) {
              m_history.m_probes.push_back(probe);
--- a/tests/soak/SoakHistory.cpp
+++ b/tests/soak/SoakHistory.cpp
@@ -240,7 +240,8 @@
                      [&](const AcceptedConfig& aItem) {
                        return aItem.m_version == probe.m_version;
                      });
-      if (probe.m_inForce || accepted == m_history.m_configs.end()) {
+      if (probe.m_inForce || accepted == m_history.m_configs.end() ||
+          IsOvertaken(probe)) {
         continue;
       }
       const Instant due =
@@ -253,6 +254,18 @@
     CheckNoRevert();
   }
 
+  /** Whether a newer version was accepted before its answer: that has another
+   * route in the place of this one's. */
+  bool IsOvertaken(const ConfigProbe& aProbe) const
+  {
+    return std::any_of(m_history.m_configs.begin(),
+                       m_history.m_configs.end(),
+                       [&](const AcceptedConfig& aItem) {
+                         return aItem.m_version > aProbe.m_version &&
+                                aItem.m_at <= aProbe.m_answeredAt;
+                       });
+  }
+
   void CheckNoRevert()
   {
     std::map<std::pair<std::string, int>, std::uint64_t> seen;
@@ -260,7 +273,7 @@
       std::uint64_t& highest = seen[{ probe.m_instance, probe.m_life }];
       if (probe.m_inForce) {
         highest = std::max(highest, probe.m_version);
-      } else if (probe.m_version == highest) {
+      } else if (probe.m_version == highest && !IsOvertaken(probe)) {
         Wrong(probe.m_instance + " went back behind version " +
               std::to_string(highest) + At(probe.m_sentAt));
       }
--- a/tests/soak/SoakHistory.h
+++ b/tests/soak/SoakHistory.h
@@ -84,6 +84,7 @@
   std::uint64_t m_version = 0;
   bool m_inForce = false;
   Instant m_sentAt;
+  Instant m_answeredAt;
 };
 
 /** All that was seen in one run. */
--- a/tests/soak/SoakHistoryTest.cpp
+++ b/tests/soak/SoakHistoryTest.cpp
@@ -116,7 +116,8 @@
 Probe(SoakHistory& aHistory, int aAt, bool aInForce)
 {
   aHistory.m_configs = { { 4, kStart } };
-  aHistory.m_probes.push_back({ "i", 1, 4, aInForce, After(aAt) });
+  aHistory.m_probes.push_back(
+    { "i", 1, 4, aInForce, After(aAt), After(aAt + 20) });
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -256,6 +257,22 @@
                    Probe(aHistory, 1000, true);
                    Probe(aHistory, 1100, false);
                  } },
+    HistoryCase{ "ConfigProbeOvertaken",
+                 CallKind::Safe,
+                 true,
+                 [](SoakHistory& aHistory) {
+                   Probe(aHistory, 1000, true);
+                   Probe(aHistory, 1100, false);
+                   aHistory.m_configs.push_back({ 5, After(1110) });
+                 } },
+    HistoryCase{ "ConfigRevertedBeforeTheNext",
+                 CallKind::Safe,
+                 false,
+                 [](SoakHistory& aHistory) {
+                   Probe(aHistory, 1000, true);
+                   Probe(aHistory, 1100, false);
+                   aHistory.m_configs.push_back({ 5, After(1130) });
+                 } },
     HistoryCase{ "ManyRepeats",
                  CallKind::Safe,
                  false,
