--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -6,8 +6,10 @@
 #include <ridgeferry/net/Http.h>
 #include <ridgeferry/net/HttpServer.h>
 #include <ridgeferry/relay/Fleet.h>
+#include <ridgeferry/relay/PartDesk.h>
 #include <ridgeferry/relay/Routes.h>
 #include <ridgeferry/relay/TableFollower.h>
+#include <ridgeferry/table/Table.h>
 #include <sigc++/sigc++.h>
 #include <string>
 #include <string_view>
@@ -56,12 +58,22 @@
   bool m_hasMore = false;
 };
 
-/** Puts one row, whatever it held before. */
-struct StoreWrite
+/** Changes rows of one table, all or none of them. */
+struct StoreCommit
 {
   std::string m_table;
-  std::string m_key;
-  std::string m_value;
+  table::Transaction m_transaction;
+};
+
+/** An order to an engine to do something else. */
+struct PartOrder
+{
+  std::string m_address; ///< IP:PORT of the engine.
+  std::string m_engine;
+  relay::Part m_to = relay::Part::Prefill;
+  std::int64_t m_expectedOrders = 0; ///< Void unless it has taken so many.
+  std::string m_holder;              ///< Of the right to order.
+  std::uint64_t m_fencing = 0;
 };
 
 /** What the answer to a store read means. */
@@ -86,9 +98,16 @@
     m_writeFreeHandle;
   sigc::slot<net::HttpRequest(const StoreRead&)> m_writeStoreRead;
   sigc::slot<StoreAnswer(const net::HttpResponse&)> m_readStoreAnswer;
-  sigc::slot<net::HttpRequest(const StoreWrite&)> m_writeStoreWrite;
-  /** Whether the store has taken a write. */
-  sigc::slot<bool(const net::HttpResponse&)> m_saysWritten;
+  sigc::slot<net::HttpRequest(const StoreCommit&)> m_writeStoreCommit;
+  /** What is known of a commit by its answer, or by the lack of one. */
+  sigc::slot<table::CommitResult(const net::HttpResponse&)> m_readStoreCommit;
+  /** Asks the engine at an address what it does. */
+  sigc::slot<net::HttpRequest(const std::string& aAddress)> m_writeReportAsk;
+  /** Nothing: no whole report. */
+  sigc::slot<std::optional<relay::EngineReport>(const net::HttpResponse&)>
+    m_readReport;
+  sigc::slot<net::HttpRequest(const PartOrder&)> m_writePartOrder;
+  sigc::slot<relay::OrderAnswer(const net::HttpResponse&)> m_readOrderAnswer;
   sigc::slot<tl::expected<relay::RouteConfig, std::vector<FieldError>>(
     std::string_view)>
     m_readConfig;
@@ -100,6 +119,7 @@
   std::string m_configKey;
   std::string m_memberTable;
   std::string m_instanceTable; ///< Ours: a row an instance, its address.
+  std::string m_leaseTable;    ///< Ours: who may order engines.
 };
 
 } // namespace ridgeferry::entry
--- a/packages/entry/include/ridgeferry/entry/EntrySettings.h
+++ b/packages/entry/include/ridgeferry/entry/EntrySettings.h
@@ -33,6 +33,8 @@
   /** From a planned stop's signal to the process's end by force. */
   Duration m_stopGrace{ 8000 };
   RetryBounds m_retries;
+  /** Shortest time between the orders of two instances to engines. */
+  Duration m_orderTurn{ 3000 };
 };
 
 /** Thread-safe. `aFile` is used in errors only. */
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -1,5 +1,6 @@
 #include "ridgeferry/entry/Entry.h"
 
+#include "PartKeeper.h"
 #include "Peers.h"
 #include "Relay.h"
 #include "StoreReader.h"
@@ -48,6 +49,7 @@
   std::unique_ptr<StoreReader> m_members;
   std::unique_ptr<Relay> m_relay;
   std::unique_ptr<Peers> m_peers;
+  std::unique_ptr<PartKeeper> m_parts;
   std::unique_ptr<net::HttpServer> m_readiness;
   std::unique_ptr<net::HttpServer> m_metrics;
   bool m_wasReady = false;
@@ -135,6 +137,7 @@
   if (aRow.m_removed) {
     m_node.m_fleet.Drop(aRow.m_key, aLapsesUntil);
     m_peers->NoteGone(aRow.m_key);
+    m_parts->NoteGone(aRow.m_key);
     m_node.m_log->Write(observe::LogLevel::Info,
                         "upstream-gone",
                         { { "upstream", aRow.m_key },
@@ -276,6 +279,7 @@
     std::make_unique<StoreReader>(m_node, m_node.m_dialect.m_memberTable);
   m_relay = std::make_unique<Relay>(m_node);
   m_peers = std::make_unique<Peers>(m_node);
+  m_parts = std::make_unique<PartKeeper>(m_node, *m_peers);
   if (auto started = m_relay->Start(); !started) {
     return started;
   }
@@ -327,6 +331,7 @@
                         { "store", m_node.m_settings.m_store } });
   m_config->Start();
   m_members->Start();
+  m_parts->Start();
   return m_peers->Start();
 }
 
--- a/packages/entry/src/EntrySettings.cpp
+++ b/packages/entry/src/EntrySettings.cpp
@@ -12,6 +12,7 @@
 /** Far above what any fleet could repeat in a window. */
 constexpr double kMostFloor = 1e6;
 constexpr double kLongestWindowS = 3600;
+constexpr std::int64_t kLongestTurnMs = 3'600'000;
 constexpr double kMsPerSecond = 1000;
 
 net::Address
@@ -93,6 +94,8 @@
   out.m_store = ReadAddress(reader, "store").ToString();
   out.m_stopGrace =
     ReadSeconds(reader, "stopGraceSeconds", out.m_stopGrace, kLongestGraceS);
+  out.m_orderTurn = Duration(reader.OptionalInt(
+    "orderTurnMs", out.m_orderTurn.count(), 1, kLongestTurnMs));
   reader.Object("retries",
                 [&](FieldReader& aRetries) { ReadRetries(aRetries, out); });
   reader.RejectUnknown();
--- /dev/null
+++ b/packages/entry/src/PartKeeper.cpp
@@ -0,0 +1,298 @@
+#include "PartKeeper.h"
+
+#include <algorithm>
+#include <cmath>
+#include <ridgeferry/relay/PartPlan.h>
+
+namespace ridgeferry::entry {
+
+namespace {
+
+/** The lease covers the engines of all halls: plans need them together. */
+constexpr const char* kScope = "engines";
+constexpr Duration kTick{ 50 };
+/** Instances that try for a free lease; the others read it seldom. */
+constexpr std::size_t kContenders = 2;
+constexpr Duration kStoreTimeout{ 1000 };
+/** An engine answers within milliseconds; what is later counts as lost. */
+constexpr Duration kEngineTimeout{ 600 };
+/** How long a need of generating engines is remembered: about the time between
+ * two swings of the mix, so that engines do not follow each of them. */
+constexpr double kNeedMemoryMs = 10'000;
+
+authority::LeaseTimes
+TimesFor(Duration aTurn)
+{
+  // A holder stops ordering a margin before its term's end, and a taker waits a
+  // margin longer: between the orders of two holders lie 1.4 turns.
+  authority::LeaseTimes out;
+  out.m_term = aTurn * 5 / 3;
+  out.m_margin = aTurn * 7 / 10;
+  out.m_renewEvery = aTurn / 3;
+  out.m_pollEvery = aTurn / 3;
+  return out;
+}
+
+} // namespace
+
+PartKeeper::PartKeeper(EntryNode& aNode, Peers& aPeers)
+  : m_node(aNode)
+  , m_peers(aPeers)
+  , m_lease(
+      kScope,
+      aNode.m_settings.m_instance + "/" +
+        std::to_string(net::EventLoop::WallNow().time_since_epoch().count()),
+      TimesFor(aNode.m_settings.m_orderTurn))
+{
+}
+
+void
+PartKeeper::Start()
+{
+  m_tick = m_node.m_loop->Every(kTick, [this] { Tick(); });
+}
+
+void
+PartKeeper::NoteGone(const std::string& aEngine)
+{
+  HandleDesk(relay::EngineGone{ aEngine });
+}
+
+void
+PartKeeper::Tick()
+{
+  const bool hasEngines =
+    m_node.m_routes != nullptr &&
+    std::any_of(m_node.m_routes->Config().m_services.begin(),
+                m_node.m_routes->Config().m_services.end(),
+                [](const relay::Service& aService) {
+                  return aService.m_engine.has_value();
+                });
+  if (!hasEngines) {
+    return;
+  }
+  const bool contends = !m_node.m_stop.HasBegun() &&
+                        m_peers.Rank(kScope) < kContenders;
+  HandleLease(authority::LeaseTick{ contends });
+  const bool mayOrder =
+    !m_node.m_stop.HasBegun() && m_lease.HasAuthority(m_node.Now());
+  HandleDesk(relay::DeskTick{ mayOrder });
+  if (mayOrder) {
+    Plan();
+  }
+}
+
+double
+PartKeeper::NeededNow(const relay::Service& aService)
+{
+  const Instant now = m_node.Now();
+  const double needed =
+    m_node.m_fleet.GeneratorsNeeded(aService.m_name, *aService.m_engine);
+  Need& need = m_needs[aService.m_name];
+  const auto age = static_cast<double>((now - need.m_at).count());
+  need.m_held =
+    std::max(needed, need.m_held * std::exp(-age / kNeedMemoryMs));
+  need.m_at = now;
+  return need.m_held;
+}
+
+void
+PartKeeper::PlanService(const relay::Service& aService,
+                        std::vector<relay::PartChange>& aChanges)
+{
+  if (m_node.m_fleet.ReadsBeside(aService.m_name)) {
+    m_needs.erase(aService.m_name);
+    return; // Generating engines read well enough as they are.
+  }
+  const double needed = NeededNow(aService);
+  std::vector<relay::PlannedEngine> engines =
+    m_node.m_fleet.EnginesOf(aService.m_name, m_node.Now());
+  for (relay::PlannedEngine& engine : engines) {
+    engine.m_part = m_desk.TargetOf(engine.m_id).value_or(engine.m_part);
+  }
+  for (const relay::PartChange& change : relay::PlanParts(engines, needed)) {
+    if (!m_desk.IsLeftAlone(change.m_engine)) {
+      aChanges.push_back(change);
+    }
+  }
+}
+
+void
+PartKeeper::Plan()
+{
+  relay::ChangesWanted wanted;
+  for (const relay::Service& service : m_node.m_routes->Config().m_services) {
+    if (service.m_engine) {
+      PlanService(service, wanted.m_changes);
+    }
+  }
+  if (!wanted.m_changes.empty()) {
+    HandleDesk(wanted);
+  }
+}
+
+void
+PartKeeper::HandleLease(const authority::LeaseEvent& aEvent)
+{
+  for (const authority::LeaseAction& action :
+       m_lease.Handle(aEvent, m_node.Now())) {
+    std::visit([this](const auto& aTyped) { Do(aTyped); }, action);
+  }
+}
+
+void
+PartKeeper::HandleDesk(const relay::DeskEvent& aEvent)
+{
+  for (const relay::DeskAction& action :
+       m_desk.Handle(aEvent, m_node.Now())) {
+    std::visit([this](const auto& aTyped) { Do(aTyped); }, action);
+  }
+}
+
+void
+PartKeeper::Do(const authority::ReadLease&)
+{
+  StoreRead read;
+  read.m_table = m_node.m_dialect.m_leaseTable;
+  net::HttpRequest request = m_node.m_dialect.m_writeStoreRead(read);
+  request.m_address = m_node.m_settings.m_store;
+  request.m_timeout = kStoreTimeout;
+  net::HttpCallbacks callbacks;
+  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
+    authority::LeaseRead event;
+    const bool whole = aResponse.m_end == net::HttpEnd::Complete;
+    const StoreAnswer answer =
+      whole ? m_node.m_dialect.m_readStoreAnswer(aResponse)
+            : StoreAnswer(relay::ReadFailed{ "no whole answer" });
+    if (const auto* page = std::get_if<StorePage>(&answer)) {
+      event.m_lease = { table::ReadStatus::Ok,
+                        { authority::LeaseKey(kScope), 0, {} } };
+      event.m_fence = { table::ReadStatus::Ok,
+                        { authority::FenceKey(kScope), 0, {} } };
+      for (const relay::FollowedRow& row : page->m_rows) {
+        for (table::ReadResult* wanted : { &event.m_lease, &event.m_fence }) {
+          if (row.m_key == wanted->m_row.m_key) {
+            wanted->m_row.m_version = row.m_version;
+            wanted->m_row.m_value = row.m_value;
+          }
+        }
+      }
+    }
+    HandleLease(event);
+  };
+  m_node.m_http->Send(request, std::move(callbacks));
+}
+
+void
+PartKeeper::Do(const authority::WriteLease& aAction)
+{
+  net::HttpRequest request = m_node.m_dialect.m_writeStoreCommit(
+    { m_node.m_dialect.m_leaseTable, aAction.m_transaction });
+  request.m_address = m_node.m_settings.m_store;
+  request.m_timeout = kStoreTimeout;
+  net::HttpCallbacks callbacks;
+  callbacks.m_done = [this, attempt = aAction.m_attempt](
+                       const net::HttpResponse& aResponse) {
+    HandleLease(authority::LeaseWritten{
+      attempt, m_node.m_dialect.m_readStoreCommit(aResponse) });
+  };
+  m_node.m_http->Send(request, std::move(callbacks));
+}
+
+void
+PartKeeper::Do(const authority::AuthorityGained& aAction)
+{
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "lease-gained",
+    { { "scope", std::string(kScope) },
+      { "fencing", static_cast<std::int64_t>(aAction.m_fencing) } });
+}
+
+void
+PartKeeper::Do(const authority::AuthorityLost&)
+{
+  m_node.m_log->Write(observe::LogLevel::Info,
+                      "lease-lost",
+                      { { "scope", std::string(kScope) } });
+}
+
+void
+PartKeeper::Do(const relay::AskReport& aAction)
+{
+  const std::string engine = aAction.m_engine;
+  const relay::Member* member = m_node.m_fleet.Find(engine);
+  if (member == nullptr) {
+    m_node.m_loop->Defer(
+      [this, engine] { HandleDesk(relay::EngineGone{ engine }); });
+    return;
+  }
+  net::HttpRequest request =
+    m_node.m_dialect.m_writeReportAsk(member->m_address);
+  request.m_timeout = kEngineTimeout;
+  request.m_connectTimeout = kEngineTimeout;
+  net::HttpCallbacks callbacks;
+  callbacks.m_done = [this, engine](const net::HttpResponse& aResponse) {
+    HandleDesk(relay::ReportCame{
+      engine, m_node.m_dialect.m_readReport(aResponse) });
+  };
+  m_node.m_http->Send(request, std::move(callbacks));
+}
+
+void
+PartKeeper::Do(const relay::SendPartOrder& aAction)
+{
+  const std::string engine = aAction.m_engine;
+  const relay::Member* member = m_node.m_fleet.Find(engine);
+  if (member == nullptr || !m_lease.HasAuthority(m_node.Now())) {
+    m_node.m_loop->Defer([this, engine] {
+      HandleDesk(relay::OrderAnswered{ engine, relay::OrderAnswer::Refused });
+    });
+    return;
+  }
+  PartOrder order;
+  order.m_address = member->m_address;
+  order.m_engine = engine;
+  order.m_to = aAction.m_to;
+  order.m_expectedOrders = aAction.m_expectedOrders;
+  order.m_holder = m_node.m_settings.m_instance;
+  order.m_fencing = m_lease.Fencing();
+  net::HttpRequest request = m_node.m_dialect.m_writePartOrder(order);
+  // It must not wait on a connection that has fallen silent, nor go out later.
+  request.m_fresh = true;
+  request.m_timeout = kEngineTimeout;
+  request.m_connectTimeout = kEngineTimeout;
+  net::HttpCallbacks callbacks;
+  callbacks.m_done = [this, engine](const net::HttpResponse& aResponse) {
+    m_node.m_log->Write(
+      observe::LogLevel::Info,
+      "order-answered",
+      { { "upstream", engine },
+        { "status", std::int64_t{ aResponse.m_head.m_status } } });
+    HandleDesk(relay::OrderAnswered{
+      engine, m_node.m_dialect.m_readOrderAnswer(aResponse) });
+  };
+  m_node.m_metrics.Count("ridgeferry_orders_total");
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "order-sent",
+    { { "upstream", engine },
+      { "to", aAction.m_to == relay::Part::Prefill ? "read" : "generate" },
+      { "expectedOrders", aAction.m_expectedOrders },
+      { "fencing", static_cast<std::int64_t>(order.m_fencing) } });
+  m_node.m_http->Send(request, std::move(callbacks));
+}
+
+void
+PartKeeper::Do(const relay::TellNews&)
+{
+  const std::vector<relay::PartNews> news = m_desk.News();
+  std::vector<relay::PartNewsOf> own;
+  for (const relay::PartNews& item : news) {
+    own.push_back({ relay::Fleet::ShortHash(item.m_engine), item.m_part });
+  }
+  m_node.m_fleet.SetNews(m_node.m_settings.m_instance, std::move(own));
+  m_peers.SetPartNews(news);
+}
+
+} // namespace ridgeferry::entry
--- /dev/null
+++ b/packages/entry/src/PartKeeper.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "EntryNode.h"
+#include "Peers.h"
+
+#include <map>
+#include <ridgeferry/authority/Lease.h>
+#include <ridgeferry/relay/PartDesk.h>
+
+namespace ridgeferry::entry {
+
+/**
+ * Keeps engines doing what the load asks for: one instance at a time holds the
+ * lease of the whole deployment, plans and orders; the others follow the news.
+ * While nobody holds it, engines stay what they are. Not thread-safe.
+ */
+class PartKeeper
+{
+public:
+  /** Precondition: both outlive it. */
+  PartKeeper(EntryNode& aNode, Peers& aPeers);
+
+  void Start();
+  /** An engine has left the list. */
+  void NoteGone(const std::string& aEngine);
+
+private:
+  void Tick();
+  void Plan();
+  void PlanService(const relay::Service& aService,
+                   std::vector<relay::PartChange>& aChanges);
+  double NeededNow(const relay::Service& aService);
+  void HandleLease(const authority::LeaseEvent& aEvent);
+  void HandleDesk(const relay::DeskEvent& aEvent);
+  void Do(const authority::ReadLease& aAction);
+  void Do(const authority::WriteLease& aAction);
+  void Do(const authority::AuthorityGained& aAction);
+  void Do(const authority::AuthorityLost& aAction);
+  void Do(const relay::AskReport& aAction);
+  void Do(const relay::SendPartOrder& aAction);
+  void Do(const relay::TellNews& aAction);
+
+  /** Most engines that the output needed lately. */
+  struct Need
+  {
+    double m_held = 0;
+    Instant m_at;
+  };
+
+  EntryNode& m_node;
+  Peers& m_peers;
+  authority::Lease m_lease;
+  relay::PartDesk m_desk;
+  std::map<std::string, Need> m_needs; ///< By service.
+  net::Watch m_tick;
+};
+
+} // namespace ridgeferry::entry
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -35,6 +35,30 @@
   return out;
 }
 
+std::optional<relay::Part>
+PartOf(membership::EnginePart aPart)
+{
+  switch (aPart) {
+    case membership::EnginePart::Changing:
+      return std::nullopt;
+    case membership::EnginePart::Reads:
+      return relay::Part::Prefill;
+    case membership::EnginePart::Generates:
+      break;
+  }
+  return relay::Part::Generate;
+}
+
+membership::EnginePart
+DigestOf(std::optional<relay::Part> aPart)
+{
+  if (!aPart) {
+    return membership::EnginePart::Changing;
+  }
+  return *aPart == relay::Part::Prefill ? membership::EnginePart::Reads
+                                        : membership::EnginePart::Generates;
+}
+
 } // namespace
 
 Peers::Peers(EntryNode& aNode)
@@ -84,6 +108,10 @@
   out.m_revision = m_node.m_routes == nullptr ? 0 : m_node.m_routes->Version();
   out.m_leavingUpstreams.assign(m_news.Told().begin(), m_news.Told().end());
   out.m_store = m_storeView;
+  for (const relay::PartNews& news : m_partNews) {
+    out.m_parts.push_back(
+      { relay::Fleet::ShortHash(news.m_engine), DigestOf(news.m_part) });
+  }
   for (const relay::OtherLoad& load : m_node.m_fleet.OwnLoads()) {
     if (out.m_engines.size() == kMostLoads) {
       break;
@@ -137,6 +165,13 @@
   m_leaving = aLeaving;
 }
 
+void
+Peers::SetPartNews(std::vector<relay::PartNews> aNews)
+{
+  m_partNews = std::move(aNews);
+  TellAll();
+}
+
 void
 Peers::NoteLeaving(const std::string& aUpstream)
 {
@@ -166,11 +201,16 @@
   for (const membership::EngineDigest& digest : heartbeat->m_engines) {
     loads.push_back({ digest.m_engine, digest.m_running, digest.m_work });
   }
+  std::vector<relay::PartNewsOf> news;
+  for (const membership::PartDigest& digest : heartbeat->m_parts) {
+    news.push_back({ digest.m_engine, PartOf(digest.m_part) });
+  }
   if (heartbeat->m_store) {
     TellStoreView(*heartbeat->m_store);
   }
   m_counted.insert(heartbeat->m_instance);
   m_node.m_fleet.SetOther(heartbeat->m_instance, std::move(loads));
+  m_node.m_fleet.SetNews(heartbeat->m_instance, std::move(news));
   Handle(membership::HeartbeatArrived{ std::move(*heartbeat) });
 }
 
@@ -192,6 +232,7 @@
     const bool alive = found != peers.end() && found->second.m_alive;
     if (!alive) {
       m_node.m_fleet.SetOther(aInstance, {});
+      m_node.m_fleet.SetNews(aInstance, {});
       m_node.m_log->Write(
         observe::LogLevel::Info, "peer-silent", { { "peer", aInstance } });
     }
@@ -232,15 +273,17 @@
 void
 Peers::WriteOwnRow()
 {
-  net::HttpRequest request = m_node.m_dialect.m_writeStoreWrite(
-    { m_node.m_dialect.m_instanceTable,
-      m_node.m_settings.m_instance,
-      m_node.m_settings.m_peers.ToString() });
+  StoreCommit commit;
+  commit.m_table = m_node.m_dialect.m_instanceTable;
+  commit.m_transaction.m_puts.push_back(
+    { m_node.m_settings.m_instance, m_node.m_settings.m_peers.ToString() });
+  net::HttpRequest request = m_node.m_dialect.m_writeStoreCommit(commit);
   request.m_address = m_node.m_settings.m_store;
   request.m_timeout = kStoreTimeout;
   net::HttpCallbacks callbacks;
   callbacks.m_done = [this](const net::HttpResponse& aResponse) {
-    if (m_node.m_dialect.m_saysWritten(aResponse)) {
+    if (m_node.m_dialect.m_readStoreCommit(aResponse) ==
+        table::CommitResult::Committed) {
       ReadRows();
       return;
     }
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -28,6 +28,14 @@
   /** It has gone from the list: there is nothing left to tell. */
   void NoteGone(const std::string& aUpstream);
   void SetState(bool aReady, bool aLeaving);
+  /** What this instance knows of engines' parts ahead of the list: told at once
+   * and with each talk. */
+  void SetPartNews(std::vector<relay::PartNews> aNews);
+  /** Place of this instance among the live ones in an order for a topic. */
+  std::size_t Rank(std::string_view aTopic) const
+  {
+    return m_roster.Rank(aTopic);
+  }
 
   /** How far this instance has read the store, for the others. */
   void SetStoreView(const membership::StoreView& aView) { m_storeView = aView; }
@@ -67,6 +75,7 @@
   bool m_leaving = false;
   relay::LeavingNews m_news;
   membership::StoreView m_storeView;
+  std::vector<relay::PartNews> m_partNews;
   std::set<std::string> m_counted; ///< Instances whose loads are counted.
   std::unique_ptr<net::UdpSocket> m_socket;
   net::Watch m_tick;
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -19,6 +19,9 @@
 /** Most repeats of one instance besides its share by its own sends: one that
  * has just started does not know yet how many share the floor. */
 constexpr double kMostFloor = 2;
+/** Callers of a route wait equally long, so one with less time has been here
+ * before; less than this is the way and the clocks. */
+constexpr Duration kLeastLost{ 50 };
 
 } // namespace
 
@@ -54,6 +57,7 @@
   out.m_headTimeout = limits.m_headTimeout;
   out.m_idleTimeout = limits.m_idleTimeout;
   m_server->SetLimits(out);
+  m_deadlines.clear(); // Callers of a changed route may wait differently.
 }
 
 void
@@ -113,6 +117,7 @@
   std::uniform_real_distribution<double> unit(0, 1);
   const std::string& service =
     relay::RouteTable::Draw(*route, unit(m_node.m_random));
+  const Duration lost = NoteDeadline(route->m_name, head.m_deadline);
   const std::uint64_t id = ++m_lastCall;
   auto call =
     std::make_unique<RelayCall>(m_node,
@@ -121,6 +126,7 @@
                                                 m_node.m_routes,
                                                 route,
                                                 service,
+                                                lost,
                                                 ConnectionsOf(service),
                                                 &BudgetOf(service) });
   RelayCall& started = *call;
@@ -132,6 +138,19 @@
   started.Begin();
 }
 
+Duration
+Relay::NoteDeadline(const std::string& aRoute,
+                    std::optional<Duration> aDeadline)
+{
+  if (!aDeadline) {
+    return Duration{};
+  }
+  Duration& most = m_deadlines[aRoute];
+  most = std::max(most, *aDeadline);
+  const Duration lost = most - *aDeadline;
+  return lost >= kLeastLost ? lost : Duration{};
+}
+
 void
 Relay::Remove(std::uint64_t aCall)
 {
--- a/packages/entry/src/Relay.h
+++ b/packages/entry/src/Relay.h
@@ -34,6 +34,10 @@
               int aStatus,
               std::string_view aCode);
   void Remove(std::uint64_t aCall);
+  /** What a caller with so much time has waited already, before this attempt,
+   * by the longest time that callers of its route have come with. */
+  Duration NoteDeadline(const std::string& aRoute,
+                        std::optional<Duration> aDeadline);
   relay::RetryBudget& BudgetOf(const std::string& aService);
   relay::ConnectionShare ConnectionsOf(const std::string& aService) const;
 
@@ -42,6 +46,7 @@
   std::uint64_t m_lastCall = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
   std::map<std::string, relay::RetryBudget, std::less<>> m_budgets;
+  std::map<std::string, Duration, std::less<>> m_deadlines; ///< By route.
 };
 
 } // namespace ridgeferry::entry
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -22,6 +22,9 @@
  * are known to forget connections at rest from 300 ms on, and what is sent on
  * such a one may have run for all that its sender knows. */
 constexpr Duration kLongestRest{ 250 };
+/** Of calls that miss their aim whatever happens: behind all that can still
+ * meet theirs. Routes have priorities below ten. */
+constexpr int kLatePriority = 9;
 /** Freeing a handle is a courtesy: nobody waits for it. */
 constexpr Duration kFreeTimeout{ 1000 };
 
@@ -122,16 +125,22 @@
   request.m_random = m_node.m_random();
   // What was begun elsewhere is gone on with, late or not.
   const bool isFirst = aAction.m_excluded.empty();
+  request.m_pause = m_start.m_route->m_pause;
+  request.m_left = Left();
   if (isFirst && m_start.m_head.m_prompt &&
       m_start.m_route->m_aim.count() > 0) {
     const Duration spent = m_node.Now() - m_began;
-    request.m_patience = relay::PatienceOf(m_start.m_route->m_aim) - spent;
+    request.m_patience =
+      relay::PatienceOf(m_start.m_route->m_aim) - spent - m_start.m_lost;
+    m_node.m_fleet.NotePrompt(
+      m_start.m_service, *request.m_prompt, request.m_pause);
   }
   const relay::PlaceResult result =
     m_node.m_fleet.FindPlace(request, m_node.Now());
   if (const auto* place = std::get_if<relay::Place>(&result)) {
     m_expectedMs = isFirst && m_start.m_head.m_prompt ? place->m_expectedMs : 0;
     m_placedAt = m_node.Now();
+    m_late = place->m_late;
     Handle(relay::PlaceFound{ place->m_upstream, place->m_reader });
   } else {
     const auto& fault = std::get<relay::PlaceFault>(result);
@@ -208,14 +217,13 @@
   m_attempt.m_readOnly = aTerms.m_readOnly;
   if (m_start.m_head.m_prompt && aTerms.m_handle.empty()) {
     const relay::Prompt& prompt = *m_start.m_head.m_prompt;
-    m_attempt.m_tokens = relay::Fleet::TokensToRead(
-      prompt, m_node.m_fleet.IsHome(prompt, aMember.m_id));
+    m_attempt.m_tokens = m_node.m_fleet.WorkAt(prompt, aMember.m_id);
   }
   m_path += (m_path.empty() ? "" : ",") + aMember.m_id;
   aTerms.m_address = aMember.m_address;
   aTerms.m_upstream = aMember.m_id;
   aTerms.m_left = Left();
-  aTerms.m_priority = m_start.m_route->m_priority;
+  aTerms.m_priority = m_late ? kLatePriority : m_start.m_route->m_priority;
   net::HttpRequest request =
     m_node.m_dialect.m_writeSend(m_start.m_exchange->Request(), aTerms);
   request.m_timeout = aTerms.m_left;
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -27,6 +27,22 @@
   bool operator==(const EngineDigest&) const = default;
 };
 
+/** What an engine does now, as told by whoever ordered a change of it. */
+enum class EnginePart : std::uint8_t
+{
+  Changing = 0, ///< Between two parts: it takes nothing new.
+  Reads = 1,
+  Generates = 2,
+};
+
+/** News of an engine's part, ahead of the platform's list. */
+struct PartDigest
+{
+  std::uint32_t m_engine = 0; ///< Hash of its id.
+  EnginePart m_part = EnginePart::Changing;
+  bool operator==(const PartDigest&) const = default;
+};
+
 /**
  * How far an instance has read the tables that it follows, so that one whose
  * own read hangs learns that it is behind.
@@ -55,6 +71,7 @@
    * platform's list learns of them. */
   std::vector<std::string> m_leavingUpstreams;
   std::vector<EngineDigest> m_engines; ///< Those that it observes.
+  std::vector<PartDigest> m_parts;     ///< Engines whose part it changes.
   std::optional<StoreView> m_store;    ///< Nothing: it follows no tables.
   bool operator==(const Heartbeat&) const = default;
 };
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -85,6 +85,16 @@
   this->storeLost = val;
 __isset.storeLost = true;
 }
+
+void Heartbeat::__set_changedEngines(const std::vector<int32_t> & val) {
+  this->changedEngines = val;
+__isset.changedEngines = true;
+}
+
+void Heartbeat::__set_changedParts(const std::vector<int32_t> & val) {
+  this->changedParts = val;
+__isset.changedParts = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -300,6 +310,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changedEngines.clear();
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->changedEngines.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
+            {
+              xfer += iprot->readI32(this->changedEngines[_i29]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.changedEngines = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changedParts.clear();
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->changedParts.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
+            {
+              xfer += iprot->readI32(this->changedParts[_i34]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.changedParts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -363,10 +413,10 @@
     xfer += oprot->writeFieldBegin("leavingUpstreams", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leavingUpstreams.size()));
-      std::vector<std::string> ::const_iterator _iter25;
-      for (_iter25 = this->leavingUpstreams.begin(); _iter25 != this->leavingUpstreams.end(); ++_iter25)
+      std::vector<std::string> ::const_iterator _iter35;
+      for (_iter35 = this->leavingUpstreams.begin(); _iter35 != this->leavingUpstreams.end(); ++_iter35)
       {
-        xfer += oprot->writeString((*_iter25));
+        xfer += oprot->writeString((*_iter35));
       }
       xfer += oprot->writeListEnd();
     }
@@ -376,10 +426,10 @@
     xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->engines.size()));
-      std::vector<int32_t> ::const_iterator _iter26;
-      for (_iter26 = this->engines.begin(); _iter26 != this->engines.end(); ++_iter26)
+      std::vector<int32_t> ::const_iterator _iter36;
+      for (_iter36 = this->engines.begin(); _iter36 != this->engines.end(); ++_iter36)
       {
-        xfer += oprot->writeI32((*_iter26));
+        xfer += oprot->writeI32((*_iter36));
       }
       xfer += oprot->writeListEnd();
     }
@@ -389,10 +439,10 @@
     xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->states.size()));
-      std::vector<int32_t> ::const_iterator _iter27;
-      for (_iter27 = this->states.begin(); _iter27 != this->states.end(); ++_iter27)
+      std::vector<int32_t> ::const_iterator _iter37;
+      for (_iter37 = this->states.begin(); _iter37 != this->states.end(); ++_iter37)
       {
-        xfer += oprot->writeI32((*_iter27));
+        xfer += oprot->writeI32((*_iter37));
       }
       xfer += oprot->writeListEnd();
     }
@@ -402,10 +452,10 @@
     xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->loads.size()));
-      std::vector<int32_t> ::const_iterator _iter28;
-      for (_iter28 = this->loads.begin(); _iter28 != this->loads.end(); ++_iter28)
+      std::vector<int32_t> ::const_iterator _iter38;
+      for (_iter38 = this->loads.begin(); _iter38 != this->loads.end(); ++_iter38)
       {
-        xfer += oprot->writeI32((*_iter28));
+        xfer += oprot->writeI32((*_iter38));
       }
       xfer += oprot->writeListEnd();
     }
@@ -415,10 +465,10 @@
     xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->work.size()));
-      std::vector<int32_t> ::const_iterator _iter29;
-      for (_iter29 = this->work.begin(); _iter29 != this->work.end(); ++_iter29)
+      std::vector<int32_t> ::const_iterator _iter39;
+      for (_iter39 = this->work.begin(); _iter39 != this->work.end(); ++_iter39)
       {
-        xfer += oprot->writeI32((*_iter29));
+        xfer += oprot->writeI32((*_iter39));
       }
       xfer += oprot->writeListEnd();
     }
@@ -439,6 +489,32 @@
     xfer += oprot->writeBool(this->storeLost);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.changedEngines) {
+    xfer += oprot->writeFieldBegin("changedEngines", ::apache::thrift::protocol::T_LIST, 16);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->changedEngines.size()));
+      std::vector<int32_t> ::const_iterator _iter40;
+      for (_iter40 = this->changedEngines.begin(); _iter40 != this->changedEngines.end(); ++_iter40)
+      {
+        xfer += oprot->writeI32((*_iter40));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.changedParts) {
+    xfer += oprot->writeFieldBegin("changedParts", ::apache::thrift::protocol::T_LIST, 17);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->changedParts.size()));
+      std::vector<int32_t> ::const_iterator _iter41;
+      for (_iter41 = this->changedParts.begin(); _iter41 != this->changedParts.end(); ++_iter41)
+      {
+        xfer += oprot->writeI32((*_iter41));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -461,44 +537,50 @@
   swap(a.configVersion, b.configVersion);
   swap(a.membersVersion, b.membersVersion);
   swap(a.storeLost, b.storeLost);
+  swap(a.changedEngines, b.changedEngines);
+  swap(a.changedParts, b.changedParts);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other30) {
-  instance = other30.instance;
-  incarnation = other30.incarnation;
-  hall = other30.hall;
-  peerAddress = other30.peerAddress;
-  ready = other30.ready;
-  leaving = other30.leaving;
-  revision = other30.revision;
-  leavingUpstreams = other30.leavingUpstreams;
-  engines = other30.engines;
-  states = other30.states;
-  loads = other30.loads;
-  work = other30.work;
-  configVersion = other30.configVersion;
-  membersVersion = other30.membersVersion;
-  storeLost = other30.storeLost;
-  __isset = other30.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other31) {
-  instance = other31.instance;
-  incarnation = other31.incarnation;
-  hall = other31.hall;
-  peerAddress = other31.peerAddress;
-  ready = other31.ready;
-  leaving = other31.leaving;
-  revision = other31.revision;
-  leavingUpstreams = other31.leavingUpstreams;
-  engines = other31.engines;
-  states = other31.states;
-  loads = other31.loads;
-  work = other31.work;
-  configVersion = other31.configVersion;
-  membersVersion = other31.membersVersion;
-  storeLost = other31.storeLost;
-  __isset = other31.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other42) {
+  instance = other42.instance;
+  incarnation = other42.incarnation;
+  hall = other42.hall;
+  peerAddress = other42.peerAddress;
+  ready = other42.ready;
+  leaving = other42.leaving;
+  revision = other42.revision;
+  leavingUpstreams = other42.leavingUpstreams;
+  engines = other42.engines;
+  states = other42.states;
+  loads = other42.loads;
+  work = other42.work;
+  configVersion = other42.configVersion;
+  membersVersion = other42.membersVersion;
+  storeLost = other42.storeLost;
+  changedEngines = other42.changedEngines;
+  changedParts = other42.changedParts;
+  __isset = other42.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other43) {
+  instance = other43.instance;
+  incarnation = other43.incarnation;
+  hall = other43.hall;
+  peerAddress = other43.peerAddress;
+  ready = other43.ready;
+  leaving = other43.leaving;
+  revision = other43.revision;
+  leavingUpstreams = other43.leavingUpstreams;
+  engines = other43.engines;
+  states = other43.states;
+  loads = other43.loads;
+  work = other43.work;
+  configVersion = other43.configVersion;
+  membersVersion = other43.membersVersion;
+  storeLost = other43.storeLost;
+  changedEngines = other43.changedEngines;
+  changedParts = other43.changedParts;
+  __isset = other43.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -519,6 +601,8 @@
   out << ", " << "configVersion="; (__isset.configVersion ? (out << to_string(configVersion)) : (out << "<null>"));
   out << ", " << "membersVersion="; (__isset.membersVersion ? (out << to_string(membersVersion)) : (out << "<null>"));
   out << ", " << "storeLost="; (__isset.storeLost ? (out << to_string(storeLost)) : (out << "<null>"));
+  out << ", " << "changedEngines="; (__isset.changedEngines ? (out << to_string(changedEngines)) : (out << "<null>"));
+  out << ", " << "changedParts="; (__isset.changedParts ? (out << to_string(changedParts)) : (out << "<null>"));
   out << ")";
 }
 
@@ -600,11 +684,11 @@
   swap(a.after, b.after);
 }
 
-ChangesRequest::ChangesRequest(const ChangesRequest& other32) noexcept {
-  after = other32.after;
+ChangesRequest::ChangesRequest(const ChangesRequest& other44) noexcept {
+  after = other44.after;
 }
-ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other33) noexcept {
-  after = other33.after;
+ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other45) noexcept {
+  after = other45.after;
   return *this;
 }
 void ChangesRequest::printTo(std::ostream& out) const {
@@ -712,13 +796,13 @@
   swap(a.json, b.json);
 }
 
-ConfigObject::ConfigObject(const ConfigObject& other34) {
-  key = other34.key;
-  json = other34.json;
+ConfigObject::ConfigObject(const ConfigObject& other46) {
+  key = other46.key;
+  json = other46.json;
 }
-ConfigObject& ConfigObject::operator=(const ConfigObject& other35) {
-  key = other35.key;
-  json = other35.json;
+ConfigObject& ConfigObject::operator=(const ConfigObject& other47) {
+  key = other47.key;
+  json = other47.json;
   return *this;
 }
 void ConfigObject::printTo(std::ostream& out) const {
@@ -788,14 +872,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->changes.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->changes.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += iprot->readString(this->changes[_i40]);
+              xfer += iprot->readString(this->changes[_i52]);
             }
             xfer += iprot->readListEnd();
           }
@@ -808,14 +892,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->snapshot.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->snapshot.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->snapshot.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += this->snapshot[_i45].read(iprot);
+              xfer += this->snapshot[_i57].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -852,10 +936,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->changes.size()));
-    std::vector<std::string> ::const_iterator _iter46;
-    for (_iter46 = this->changes.begin(); _iter46 != this->changes.end(); ++_iter46)
+    std::vector<std::string> ::const_iterator _iter58;
+    for (_iter58 = this->changes.begin(); _iter58 != this->changes.end(); ++_iter58)
     {
-      xfer += oprot->writeString((*_iter46));
+      xfer += oprot->writeString((*_iter58));
     }
     xfer += oprot->writeListEnd();
   }
@@ -865,10 +949,10 @@
     xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->snapshot.size()));
-      std::vector<ConfigObject> ::const_iterator _iter47;
-      for (_iter47 = this->snapshot.begin(); _iter47 != this->snapshot.end(); ++_iter47)
+      std::vector<ConfigObject> ::const_iterator _iter59;
+      for (_iter59 = this->snapshot.begin(); _iter59 != this->snapshot.end(); ++_iter59)
       {
-        xfer += (*_iter47).write(oprot);
+        xfer += (*_iter59).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -887,17 +971,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangesReply::ChangesReply(const ChangesReply& other48) {
-  revision = other48.revision;
-  changes = other48.changes;
-  snapshot = other48.snapshot;
-  __isset = other48.__isset;
+ChangesReply::ChangesReply(const ChangesReply& other60) {
+  revision = other60.revision;
+  changes = other60.changes;
+  snapshot = other60.snapshot;
+  __isset = other60.__isset;
 }
-ChangesReply& ChangesReply::operator=(const ChangesReply& other49) {
-  revision = other49.revision;
-  changes = other49.changes;
-  snapshot = other49.snapshot;
-  __isset = other49.__isset;
+ChangesReply& ChangesReply::operator=(const ChangesReply& other61) {
+  revision = other61.revision;
+  changes = other61.changes;
+  snapshot = other61.snapshot;
+  __isset = other61.__isset;
   return *this;
 }
 void ChangesReply::printTo(std::ostream& out) const {
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -30,7 +30,7 @@
 class ChangesReply;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false) {}
+  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false) {}
   bool leavingUpstreams :1;
   bool engines :1;
   bool states :1;
@@ -39,6 +39,8 @@
   bool configVersion :1;
   bool membersVersion :1;
   bool storeLost :1;
+  bool changedEngines :1;
+  bool changedParts :1;
 } _Heartbeat__isset;
 
 /**
@@ -92,6 +94,13 @@
    * The sender's own reads of the store fail.
    */
   bool storeLost;
+  /**
+   * Engines whose part the sender knows better than the list, as two lists of
+   * one length: hashes of their ids, and 0 (changing), 1 (reads) or 2
+   * (generates).
+   */
+  std::vector<int32_t>  changedEngines;
+  std::vector<int32_t>  changedParts;
 
   _Heartbeat__isset __isset;
 
@@ -125,6 +134,10 @@
 
   void __set_storeLost(const bool val);
 
+  void __set_changedEngines(const std::vector<int32_t> & val);
+
+  void __set_changedParts(const std::vector<int32_t> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -173,6 +186,14 @@
       return false;
     else if (__isset.storeLost && !(storeLost == rhs.storeLost))
       return false;
+    if (__isset.changedEngines != rhs.__isset.changedEngines)
+      return false;
+    else if (__isset.changedEngines && !(changedEngines == rhs.changedEngines))
+      return false;
+    if (__isset.changedParts != rhs.__isset.changedParts)
+      return false;
+    else if (__isset.changedParts && !(changedParts == rhs.changedParts))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -30,6 +30,13 @@
   14: optional i64 membersVersion;
   /** The sender's own reads of the store fail. */
   15: optional bool storeLost;
+  /**
+   * Engines whose part the sender knows better than the list, as two lists of
+   * one length: hashes of their ids, and 0 (changing), 1 (reads) or 2
+   * (generates).
+   */
+  16: optional list<i32> changedEngines;
+  17: optional list<i32> changedParts;
 }
 
 /** Asks a peer for the changes after a revision. */
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -50,6 +50,17 @@
   return message;
 }
 
+std::optional<membership::EnginePart>
+PartFrom(std::int32_t aValue)
+{
+  const auto highest =
+    static_cast<std::int32_t>(membership::EnginePart::Generates);
+  if (aValue < 0 || aValue > highest) {
+    return std::nullopt;
+  }
+  return static_cast<membership::EnginePart>(aValue);
+}
+
 } // namespace
 
 std::string
@@ -86,6 +97,16 @@
       out.__set_work(work);
     }
   }
+  if (!aMessage.m_parts.empty()) {
+    std::vector<std::int32_t> engines;
+    std::vector<std::int32_t> parts;
+    for (const membership::PartDigest& digest : aMessage.m_parts) {
+      engines.push_back(static_cast<std::int32_t>(digest.m_engine));
+      parts.push_back(static_cast<std::int32_t>(digest.m_part));
+    }
+    out.__set_changedEngines(engines);
+    out.__set_changedParts(parts);
+  }
   if (aMessage.m_store) {
     const membership::StoreView& store = *aMessage.m_store;
     out.__set_configVersion(static_cast<std::int64_t>(store.m_configVersion));
@@ -151,6 +172,17 @@
                               in->loads[i],
                               in->work.empty() ? 0 : in->work[i] });
   }
+  if (in->changedParts.size() != in->changedEngines.size()) {
+    return tl::unexpected(DecodeError{ "parts of different lengths" });
+  }
+  for (std::size_t i = 0; i < in->changedParts.size(); ++i) {
+    const auto part = PartFrom(in->changedParts[i]);
+    if (!part) {
+      return tl::unexpected(DecodeError{ "no part of an engine" });
+    }
+    out.m_parts.push_back(
+      { static_cast<std::uint32_t>(in->changedEngines[i]), *part });
+  }
   if (in->__isset.configVersion && in->__isset.membersVersion) {
     out.m_store = { static_cast<std::uint64_t>(in->configVersion),
                     static_cast<std::uint64_t>(in->membersVersion),
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -24,6 +24,11 @@
                               *rc::gen::arbitrary<std::int32_t>(),
                               *rc::gen::arbitrary<std::int32_t>() });
   }
+  for (std::uint32_t engine :
+       *rc::gen::arbitrary<std::vector<std::uint32_t>>()) {
+    out.m_parts.push_back({ engine,
+                            static_cast<membership::EnginePart>(engine % 3) });
+  }
   if (*rc::gen::arbitrary<bool>()) {
     out.m_store = { *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62U),
                     *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62U),
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -6,6 +6,10 @@
 #include <optional>
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/relay/AttemptEnd.h>
+#include <ridgeferry/relay/Member.h>
+#include <ridgeferry/relay/PartDesk.h>
+#include <ridgeferry/relay/ReadingBeside.h>
+#include <ridgeferry/relay/Routes.h>
 #include <span>
 #include <string>
 #include <string_view>
@@ -15,27 +19,6 @@
 
 namespace ridgeferry::relay {
 
-/** What an upstream does with a call. */
-enum class Part : std::uint8_t
-{
-  Whole,    ///< A plain service: all of it.
-  Prefill,  ///< An engine that only reads prompts and hands their memory over.
-  Generate, ///< An engine that gives the output, and can read prompts slowly.
-};
-
-/** An upstream as the platform lists it. */
-struct Member
-{
-  std::string m_id;
-  std::string m_service;
-  std::string m_hall;
-  std::string m_address; ///< IP:PORT.
-  std::int64_t m_slots = 1;
-  Part m_part = Part::Whole;
-  bool m_leaving = false;
-  bool operator==(const Member&) const = default;
-};
-
 /** What a prompt costs to read, in tokens. */
 struct Prompt
 {
@@ -60,6 +43,12 @@
   std::uint64_t m_random = 0; ///< Breaks ties.
   /** A prompt whose first token would come later than this has no place. */
   Duration m_patience = Duration::max();
+  /** Longest pause between two events that keeps the answer in time; 0: not
+   * known. */
+  Duration m_pause{};
+  /** How long the caller will still wait. Where engines read apart, a prompt
+   * that comes too late for its aim still has a place if it fits in this. */
+  Duration m_left{};
 };
 
 struct Place
@@ -69,6 +58,8 @@
   /** Of a prompt: when its first token should come, by loads and paces alone,
    * without what `NoteFirstToken` has taught. */
   double m_expectedMs = 0;
+  /** It misses its aim: it is to stand behind those that still can meet it. */
+  bool m_late = false;
 };
 
 /** Why there is no place. */
@@ -89,6 +80,14 @@
   bool operator==(const OtherLoad&) const = default;
 };
 
+/** What another instance knows of an engine's part ahead of the list. */
+struct PartNewsOf
+{
+  std::uint32_t m_member = 0; ///< `Fleet::ShortHash` of its id.
+  std::optional<Part> m_part; ///< Nothing: between two parts.
+  bool operator==(const PartNewsOf&) const = default;
+};
+
 /**
  * The upstreams of all services and what this instance has under way at each.
  *
@@ -128,6 +127,10 @@
 
   PlaceResult FindPlace(const PlaceRequest& aRequest, Instant aNow) const;
 
+  /** A prompt was asked for; `aPause` as in `PlaceRequest`. */
+  void NotePrompt(std::string_view aService,
+                  const Prompt& aPrompt,
+                  Duration aPause);
   /** `aTokens` to read before the first byte of its answer. */
   void NoteSent(std::string_view aId, std::int64_t aTokens, Instant aNow);
   /** Some bytes came from it, of whatever call. True: it had to prove itself,
@@ -169,6 +172,18 @@
   /** Tokens under way at a member, of all instances. */
   std::int64_t TokensAt(std::string_view aId) const;
 
+  /** Replaces what an instance knows of engines' parts ahead of the list;
+   * empty: nothing, or it has ended. */
+  void SetNews(const std::string& aInstance, std::vector<PartNewsOf> aNews);
+  /** The engines of a service that are sound, for a plan of their parts. */
+  std::vector<PlannedEngine> EnginesOf(std::string_view aService,
+                                       Instant aNow) const;
+  /** Whether generating engines may read prompts beside the output. */
+  bool ReadsBeside(std::string_view aService) const;
+  /** Generating engines that the output keeps busy. */
+  double GeneratorsNeeded(std::string_view aService,
+                          const EngineTraits& aTraits) const;
+
   /** Replaces what an instance has under way; empty: it has ended. */
   void SetOther(const std::string& aInstance, std::vector<OtherLoad> aLoads);
   /** What this instance has under way, for the others. */
@@ -180,13 +195,22 @@
   std::size_t Size() const { return m_members.size(); }
   /** Tokens that `aMember` has to read for the prompt, by what is known. */
   static std::int64_t TokensToRead(const Prompt& aPrompt, bool aKept);
+  /**
+   * The same with what attention adds: each token costs more the more tokens
+   * stand before it. In tokens without any before them.
+   */
+  static std::int64_t WorkToRead(const Prompt& aPrompt, bool aKept);
+  /** Work to read it at a member, by what is taken to be kept there. */
+  std::int64_t WorkAt(const Prompt& aPrompt, std::string_view aId) const;
   /** Whether the prompt's shared parts are taken to be kept there. */
   bool IsHome(const Prompt& aPrompt, std::string_view aId) const;
 
 private:
   struct State
   {
-    Member m_member;
+    Member m_member; ///< Its part: by the news, if there are any.
+    Part m_listedPart = Part::Whole;
+    bool m_changing = false; ///< Between two parts: it takes nothing new.
     std::uint64_t m_hash = 0;
     std::int64_t m_inFlight = 0;
     std::int64_t m_tokens = 0; ///< Under way here, not read yet.
@@ -194,6 +218,7 @@
     std::int64_t m_othersTokens = 0;
     double m_tookMs = 0;    ///< Smoothed, of served plain calls.
     double m_pace = 0;      ///< Tokens read in a ms, smoothed; 0: no sample.
+    int m_paces = 0;        ///< Samples of it, up to those that it remembers.
     double m_failShare = 0; ///< Smoothed.
     int m_failuresInRow = 0;
     std::optional<Instant> m_restsUntil;
@@ -225,6 +250,20 @@
                         const PlaceRequest& aRequest) const;
   PlaceResult FindEngine(std::span<const State* const> aSound,
                          const PlaceRequest& aRequest) const;
+  /** The same where no prompt is read beside the output. Nothing: no engine
+   * only reads. */
+  std::optional<PlaceResult> FindReader(std::span<const State* const> aSound,
+                                        const PlaceRequest& aRequest) const;
+  /** `aByHome`: readers, nearest home first, one or more. Prefers the nearest
+   * that comes within `aLimitMs`. */
+  static const Candidate& PickApart(std::span<const Candidate> aByHome,
+                                    const PlaceRequest& aRequest);
+  /** Who gives the output of a prompt that was read elsewhere; null: nobody. */
+  static const State* PickTaker(const State& aReader,
+                                std::span<const State* const> aSound);
+  /** Readers that are listed, nearest home first. */
+  std::vector<std::uint64_t> ReadersByHome(std::uint64_t aKey,
+                                           std::string_view aService) const;
   /** Who reads a long prompt. Precondition: there is a candidate. */
   static const Candidate* PickReader(std::span<const Candidate> aCandidates,
                                      const Candidate& aBest,
@@ -248,15 +287,25 @@
     double m_factor = 1;
     Instant m_at;
   };
+  /** What is believed of the calls of one service. */
+  struct ServiceBelief
+  {
+    ReadingBeside m_beside;
+    double m_heldTokens = 0; ///< Of a call's prompt and output, smoothed.
+  };
   double StretchOf(std::string_view aService, const Prompt& aPrompt) const;
   /** Whether it is worth a home, and is kept from quiet engines. */
   static bool IsLong(const Prompt& aPrompt);
 
   void AddOther(std::span<const OtherLoad> aLoads, std::int64_t aSign);
+  void UseNews(State& aState);
+  const PartNewsOf* NewsOf(std::uint32_t aMember) const;
 
   std::map<std::string, State, std::less<>> m_members;
   std::unordered_map<std::uint32_t, std::string> m_byShortHash;
   std::map<std::string, std::vector<OtherLoad>, std::less<>> m_others;
+  std::map<std::string, std::vector<PartNewsOf>, std::less<>> m_news;
+  std::map<std::string, ServiceBelief, std::less<>> m_beliefs; ///< By service.
   /** By service: of long prompts, and of short ones. */
   std::map<std::string, Stretch, std::less<>> m_longStretch;
   std::map<std::string, Stretch, std::less<>> m_shortStretch;
--- /dev/null
+++ b/packages/relay/include/ridgeferry/relay/Member.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace ridgeferry::relay {
+
+/** What an upstream does with a call. */
+enum class Part : std::uint8_t
+{
+  Whole,    ///< A plain service: all of it.
+  Prefill,  ///< An engine that only reads prompts and hands their memory over.
+  Generate, ///< An engine that gives the output, and can read prompts slowly.
+};
+
+/** An upstream as the platform lists it. */
+struct Member
+{
+  std::string m_id;
+  std::string m_service;
+  std::string m_hall;
+  std::string m_address; ///< IP:PORT.
+  std::int64_t m_slots = 1;
+  Part m_part = Part::Whole;
+  bool m_leaving = false;
+  bool operator==(const Member&) const = default;
+};
+
+} // namespace ridgeferry::relay
--- a/packages/relay/include/ridgeferry/relay/Routes.h
+++ b/packages/relay/include/ridgeferry/relay/Routes.h
@@ -40,6 +40,7 @@
   int m_priority = 0;       ///< 0 is the most urgent.
   Duration m_longest{};     ///< How long a call may be held.
   Duration m_aim{};         ///< To the first byte of the answer.
+  Duration m_pause{};       ///< Longest between two events; 0: not told.
 };
 
 /** What the engines of a service can hold and do. */
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -1,6 +1,7 @@
 #include "ridgeferry/relay/Fleet.h"
 
 #include "EnginePace.h"
+#include "Smoothing.h"
 
 #include <algorithm>
 #include <cmath>
@@ -18,6 +19,12 @@
 constexpr double kLowestPace = 10;
 constexpr double kHighestPace = 2000;
 constexpr std::int64_t kLeastPaceTokens = 1500;
+/** Samples that a pace remembers, in which the belief before any counts as one:
+ * engines that read five times as slowly as believed are known after three. */
+constexpr int kPaceMemory = 10;
+/** Part of an engine's slots and memory that the output should take: bursts of
+ * half as much more still fit. */
+constexpr double kSteadyShare = 0.6;
 /** How long the lateness of first tokens is remembered: a peak rises within
  * half a second, and its end should be seen as soon. */
 constexpr Duration kStretchMemory{ 500 };
@@ -45,6 +52,8 @@
   const bool leaves = state.m_member.m_leaving || aMember.m_leaving;
   state.m_member = aMember;
   state.m_member.m_leaving = leaves;
+  state.m_listedPart = aMember.m_part;
+  UseNews(state);
   state.m_hash = Hash64(aMember.m_id);
   m_byShortHash[ShortHash(aMember.m_id)] = aMember.m_id;
   state.m_goneAt.reset();
@@ -130,6 +139,115 @@
   }
 }
 
+const PartNewsOf*
+Fleet::NewsOf(std::uint32_t aMember) const
+{
+  for (const auto& [instance, news] : m_news) {
+    for (const PartNewsOf& item : news) {
+      if (item.m_member == aMember) {
+        return &item;
+      }
+    }
+  }
+  return nullptr;
+}
+
+void
+Fleet::UseNews(State& aState)
+{
+  const PartNewsOf* news = NewsOf(ShortHash(aState.m_member.m_id));
+  const Part before = aState.m_member.m_part;
+  aState.m_changing = news != nullptr && !news->m_part;
+  aState.m_member.m_part = news != nullptr && news->m_part
+                             ? *news->m_part
+                             : aState.m_listedPart;
+  if (aState.m_member.m_part != before) {
+    aState.m_pace = 0; // It was the pace of the other part.
+  }
+}
+
+void
+Fleet::SetNews(const std::string& aInstance, std::vector<PartNewsOf> aNews)
+{
+  const auto known = m_news.find(aInstance);
+  const bool same =
+    known == m_news.end() ? aNews.empty() : known->second == aNews;
+  if (same) {
+    return;
+  }
+  if (aNews.empty()) {
+    m_news.erase(aInstance);
+  } else {
+    m_news[aInstance] = std::move(aNews);
+  }
+  for (auto& [id, state] : m_members) {
+    UseNews(state);
+  }
+}
+
+std::vector<PlannedEngine>
+Fleet::EnginesOf(std::string_view aService, Instant aNow) const
+{
+  std::vector<PlannedEngine> out;
+  for (const auto& [id, state] : m_members) {
+    const Member& member = state.m_member;
+    const bool rests = state.m_restsUntil && aNow < *state.m_restsUntil;
+    if (member.m_service == aService && !member.m_leaving && !rests &&
+        !state.m_goneAt && member.m_part != Part::Whole) {
+      out.push_back({ id,
+                      member.m_hall,
+                      member.m_part,
+                      state.m_inFlight + state.m_othersInFlight });
+    }
+  }
+  return out;
+}
+
+bool
+Fleet::ReadsBeside(std::string_view aService) const
+{
+  const auto found = m_beliefs.find(aService);
+  return found == m_beliefs.end() || found->second.m_beside.IsAllowed();
+}
+
+double
+Fleet::GeneratorsNeeded(std::string_view aService,
+                        const EngineTraits& aTraits) const
+{
+  double running = 0;
+  for (const auto& [id, state] : m_members) {
+    if (state.m_member.m_service == aService &&
+        state.m_member.m_part == Part::Generate) {
+      running += static_cast<double>(state.m_inFlight + state.m_othersInFlight);
+    }
+  }
+  const auto belief = m_beliefs.find(aService);
+  const double held =
+    belief == m_beliefs.end() ? 0 : belief->second.m_heldTokens * running;
+  const double bySlots =
+    running / (kSteadyShare * static_cast<double>(aTraits.m_slots));
+  const double byMemory =
+    aTraits.m_cacheTokens == 0
+      ? 0
+      : held / (kSteadyShare * static_cast<double>(aTraits.m_cacheTokens));
+  return std::max(bySlots, byMemory);
+}
+
+void
+Fleet::NotePrompt(std::string_view aService,
+                  const Prompt& aPrompt,
+                  Duration aPause)
+{
+  ServiceBelief& belief = m_beliefs[std::string(aService)];
+  const auto held = static_cast<double>(
+    aPrompt.m_sharedTokens + aPrompt.m_ownTokens + aPrompt.m_outTokens);
+  belief.m_heldTokens = Smooth(belief.m_heldTokens, held);
+  if (IsLong(aPrompt)) {
+    belief.m_beside.NotePrompt(
+      static_cast<double>(WorkToRead(aPrompt, false)), aPause);
+  }
+}
+
 std::vector<OtherLoad>
 Fleet::OwnLoads() const
 {
@@ -200,9 +318,14 @@
   const double pace =
     std::clamp(static_cast<double>(aTokens) / took, kLowestPace, kHighestPace);
   State& state = found->second;
-  const double known =
-    state.m_pace == 0 ? UnseenPace(state.m_member.m_part) : state.m_pace;
-  state.m_pace = Smooth(known, pace);
+  if (state.m_pace == 0) {
+    state.m_pace = UnseenPace(state.m_member.m_part);
+    state.m_paces = 1;
+  }
+  state.m_pace = Blend(state.m_pace, pace, state.m_paces, kPaceMemory);
+  if (state.m_member.m_part == Part::Generate) {
+    m_beliefs[state.m_member.m_service].m_beside.NotePace(pace);
+  }
 }
 
 void
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -1,6 +1,7 @@
 // Where a call goes: the part of `Fleet` that chooses.
 
 #include "EnginePace.h"
+#include "HomeScore.h"
 
 #include <algorithm>
 #include <cmath>
@@ -42,20 +43,12 @@
 /** When one of the connections in use should be free again: several times what
  * a plain call takes. */
 constexpr Duration kConnectionWait{ 100 };
+/** Tokens before a token at which attention to them costs as much as the rest of
+ * its reading: 22,000 to 26,000 at dense models of 32 and 70 billion weights. */
+constexpr double kAttentionTokens = 24'000;
 /** Below this a prompt is not worth a home: reading it takes a millisecond. */
 constexpr std::int64_t kLeastSharedTokens = 512;
 
-/** Weighted rendezvous: the higher, the nearer; `aWeight` members' worth. */
-double
-HomeScore(std::uint64_t aKey, std::uint64_t aMember, double aWeight)
-{
-  const auto hash = static_cast<double>(RendezvousWeight(aKey, aMember));
-  const auto range =
-    static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-  const double unit = (hash + 1) / (range + 2);
-  return -aWeight / std::log(unit);
-}
-
 double
 HomeWeight(Part aPart)
 {
@@ -71,6 +64,16 @@
   return aPrompt.m_ownTokens + (aKept ? 0 : shared);
 }
 
+std::int64_t
+Fleet::WorkToRead(const Prompt& aPrompt, bool aKept)
+{
+  const auto tokens = static_cast<double>(TokensToRead(aPrompt, aKept));
+  const auto whole =
+    static_cast<double>(aPrompt.m_sharedTokens + aPrompt.m_ownTokens);
+  const double before = whole - tokens / 2; // On average, of those read.
+  return std::llround(tokens * (1 + before / kAttentionTokens));
+}
+
 bool
 Fleet::IsLong(const Prompt& aPrompt)
 {
@@ -88,9 +91,21 @@
          found->second.m_hash;
 }
 
+std::int64_t
+Fleet::WorkAt(const Prompt& aPrompt, std::string_view aId) const
+{
+  return WorkToRead(aPrompt, IsHome(aPrompt, aId));
+}
+
 std::uint64_t
 Fleet::HomeOf(std::uint64_t aKey, std::string_view aService) const
 {
+  if (!ReadsBeside(aService)) {
+    const std::vector<std::uint64_t> readers = ReadersByHome(aKey, aService);
+    if (!readers.empty()) {
+      return readers.front();
+    }
+  }
   // One home: the fleet's memory holds the hot chains about once. Those that
   // may be quiet at some time are nobody's home, so that homes stay.
   const std::uint64_t quietBelow = QuietBelow(aService, true);
@@ -122,7 +137,7 @@
                                   member.m_id) != aRequest.m_excluded.end();
   const bool rests = aState.m_restsUntil && aNow < *aState.m_restsUntil;
   return member.m_service == aRequest.m_service && !member.m_leaving &&
-         !excluded && !rests;
+         !excluded && !rests && !aState.m_changing;
 }
 
 bool
@@ -192,7 +207,7 @@
   const bool generates = part == Part::Generate;
   const double pace = aState.m_pace == 0 ? UnseenPace(part) : aState.m_pace;
   const auto tokens = static_cast<double>(
-    aState.m_tokens + aState.m_othersTokens + TokensToRead(aPrompt, aKept));
+    aState.m_tokens + aState.m_othersTokens + WorkToRead(aPrompt, aKept));
   const auto running =
     static_cast<double>(aState.m_inFlight + aState.m_othersInFlight);
   return kFirstTokenMs + tokens / pace +
@@ -293,6 +308,11 @@
 Fleet::FindEngine(std::span<const State* const> aSound,
                   const PlaceRequest& aRequest) const
 {
+  if (!ReadsBeside(aRequest.m_service)) {
+    if (auto place = FindReader(aSound, aRequest)) {
+      return *place;
+    }
+  }
   const Prompt& prompt = *aRequest.m_prompt;
   const bool longPrompt = IsLong(prompt);
   const std::uint64_t home =
