--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -24,6 +24,10 @@
 constexpr Duration kStoreTimeout{ 1000 };
 /** Most loads of one talk: its datagram stays below a network's packet. */
 constexpr std::size_t kMostLoads = 100;
+/** Most reads of one talk, and how often each is told: datagrams are lost now
+ * and then. */
+constexpr std::size_t kMostReads = 30;
+constexpr int kTellReadsTimes = 3;
 
 membership::RosterTimes
 Times()
@@ -121,6 +125,14 @@
                               static_cast<std::int32_t>(load.m_running),
                               static_cast<std::int32_t>(load.m_tokens) });
   }
+  const Duration since = m_roster.HeartbeatInterval() * kTellReadsTimes;
+  for (const relay::KeptPart& kept :
+       m_node.m_fleet.OwnReads(m_node.Now(), since)) {
+    if (out.m_reads.size() == kMostReads) {
+      break;
+    }
+    out.m_reads.push_back({ kept.m_part, kept.m_member });
+  }
   return out;
 }
 
@@ -205,6 +217,9 @@
   for (const membership::PartDigest& digest : heartbeat->m_parts) {
     news.push_back({ digest.m_engine, PartOf(digest.m_part) });
   }
+  for (const membership::ReadDigest& digest : heartbeat->m_reads) {
+    m_node.m_fleet.NoteKept({ digest.m_part, digest.m_engine }, m_node.Now());
+  }
   if (heartbeat->m_store) {
     TellStoreView(*heartbeat->m_store);
   }
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -217,7 +217,8 @@
   m_attempt.m_readOnly = aTerms.m_readOnly;
   if (m_start.m_head.m_prompt && aTerms.m_handle.empty()) {
     const relay::Prompt& prompt = *m_start.m_head.m_prompt;
-    m_attempt.m_tokens = m_node.m_fleet.WorkAt(prompt, aMember.m_id);
+    m_attempt.m_tokens = m_node.m_fleet.WorkAt(prompt, aMember.m_id, m_node.Now());
+    m_node.m_fleet.NoteRead(prompt, aMember.m_id, m_node.Now());
   }
   m_path += (m_path.empty() ? "" : ",") + aMember.m_id;
   aTerms.m_address = aMember.m_address;
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -43,6 +43,14 @@
   bool operator==(const PartDigest&) const = default;
 };
 
+/** A shared part of prompts that an engine was given to read. */
+struct ReadDigest
+{
+  std::uint32_t m_part = 0;
+  std::uint32_t m_engine = 0; ///< Hash of its id.
+  bool operator==(const ReadDigest&) const = default;
+};
+
 /**
  * How far an instance has read the tables that it follows, so that one whose
  * own read hangs learns that it is behind.
@@ -72,6 +80,7 @@
   std::vector<std::string> m_leavingUpstreams;
   std::vector<EngineDigest> m_engines; ///< Those that it observes.
   std::vector<PartDigest> m_parts;     ///< Engines whose part it changes.
+  std::vector<ReadDigest> m_reads;     ///< That it ordered lately.
   std::optional<StoreView> m_store;    ///< Nothing: it follows no tables.
   bool operator==(const Heartbeat&) const = default;
 };
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -95,6 +95,16 @@
   this->changedParts = val;
 __isset.changedParts = true;
 }
+
+void Heartbeat::__set_readParts(const std::vector<int32_t> & val) {
+  this->readParts = val;
+__isset.readParts = true;
+}
+
+void Heartbeat::__set_readEngines(const std::vector<int32_t> & val) {
+  this->readEngines = val;
+__isset.readEngines = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -350,6 +360,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->readParts.clear();
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->readParts.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
+            {
+              xfer += iprot->readI32(this->readParts[_i39]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.readParts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->readEngines.clear();
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->readEngines.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
+            {
+              xfer += iprot->readI32(this->readEngines[_i44]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.readEngines = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -413,10 +463,10 @@
     xfer += oprot->writeFieldBegin("leavingUpstreams", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leavingUpstreams.size()));
-      std::vector<std::string> ::const_iterator _iter35;
-      for (_iter35 = this->leavingUpstreams.begin(); _iter35 != this->leavingUpstreams.end(); ++_iter35)
+      std::vector<std::string> ::const_iterator _iter45;
+      for (_iter45 = this->leavingUpstreams.begin(); _iter45 != this->leavingUpstreams.end(); ++_iter45)
       {
-        xfer += oprot->writeString((*_iter35));
+        xfer += oprot->writeString((*_iter45));
       }
       xfer += oprot->writeListEnd();
     }
@@ -426,10 +476,10 @@
     xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->engines.size()));
-      std::vector<int32_t> ::const_iterator _iter36;
-      for (_iter36 = this->engines.begin(); _iter36 != this->engines.end(); ++_iter36)
+      std::vector<int32_t> ::const_iterator _iter46;
+      for (_iter46 = this->engines.begin(); _iter46 != this->engines.end(); ++_iter46)
       {
-        xfer += oprot->writeI32((*_iter36));
+        xfer += oprot->writeI32((*_iter46));
       }
       xfer += oprot->writeListEnd();
     }
@@ -439,10 +489,10 @@
     xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->states.size()));
-      std::vector<int32_t> ::const_iterator _iter37;
-      for (_iter37 = this->states.begin(); _iter37 != this->states.end(); ++_iter37)
+      std::vector<int32_t> ::const_iterator _iter47;
+      for (_iter47 = this->states.begin(); _iter47 != this->states.end(); ++_iter47)
       {
-        xfer += oprot->writeI32((*_iter37));
+        xfer += oprot->writeI32((*_iter47));
       }
       xfer += oprot->writeListEnd();
     }
@@ -452,10 +502,10 @@
     xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->loads.size()));
-      std::vector<int32_t> ::const_iterator _iter38;
-      for (_iter38 = this->loads.begin(); _iter38 != this->loads.end(); ++_iter38)
+      std::vector<int32_t> ::const_iterator _iter48;
+      for (_iter48 = this->loads.begin(); _iter48 != this->loads.end(); ++_iter48)
       {
-        xfer += oprot->writeI32((*_iter38));
+        xfer += oprot->writeI32((*_iter48));
       }
       xfer += oprot->writeListEnd();
     }
@@ -465,10 +515,10 @@
     xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->work.size()));
-      std::vector<int32_t> ::const_iterator _iter39;
-      for (_iter39 = this->work.begin(); _iter39 != this->work.end(); ++_iter39)
+      std::vector<int32_t> ::const_iterator _iter49;
+      for (_iter49 = this->work.begin(); _iter49 != this->work.end(); ++_iter49)
       {
-        xfer += oprot->writeI32((*_iter39));
+        xfer += oprot->writeI32((*_iter49));
       }
       xfer += oprot->writeListEnd();
     }
@@ -493,10 +543,10 @@
     xfer += oprot->writeFieldBegin("changedEngines", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->changedEngines.size()));
-      std::vector<int32_t> ::const_iterator _iter40;
-      for (_iter40 = this->changedEngines.begin(); _iter40 != this->changedEngines.end(); ++_iter40)
+      std::vector<int32_t> ::const_iterator _iter50;
+      for (_iter50 = this->changedEngines.begin(); _iter50 != this->changedEngines.end(); ++_iter50)
       {
-        xfer += oprot->writeI32((*_iter40));
+        xfer += oprot->writeI32((*_iter50));
       }
       xfer += oprot->writeListEnd();
     }
@@ -506,10 +556,36 @@
     xfer += oprot->writeFieldBegin("changedParts", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->changedParts.size()));
-      std::vector<int32_t> ::const_iterator _iter41;
-      for (_iter41 = this->changedParts.begin(); _iter41 != this->changedParts.end(); ++_iter41)
+      std::vector<int32_t> ::const_iterator _iter51;
+      for (_iter51 = this->changedParts.begin(); _iter51 != this->changedParts.end(); ++_iter51)
       {
-        xfer += oprot->writeI32((*_iter41));
+        xfer += oprot->writeI32((*_iter51));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.readParts) {
+    xfer += oprot->writeFieldBegin("readParts", ::apache::thrift::protocol::T_LIST, 18);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->readParts.size()));
+      std::vector<int32_t> ::const_iterator _iter52;
+      for (_iter52 = this->readParts.begin(); _iter52 != this->readParts.end(); ++_iter52)
+      {
+        xfer += oprot->writeI32((*_iter52));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.readEngines) {
+    xfer += oprot->writeFieldBegin("readEngines", ::apache::thrift::protocol::T_LIST, 19);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->readEngines.size()));
+      std::vector<int32_t> ::const_iterator _iter53;
+      for (_iter53 = this->readEngines.begin(); _iter53 != this->readEngines.end(); ++_iter53)
+      {
+        xfer += oprot->writeI32((*_iter53));
       }
       xfer += oprot->writeListEnd();
     }
@@ -539,48 +615,54 @@
   swap(a.storeLost, b.storeLost);
   swap(a.changedEngines, b.changedEngines);
   swap(a.changedParts, b.changedParts);
+  swap(a.readParts, b.readParts);
+  swap(a.readEngines, b.readEngines);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other42) {
-  instance = other42.instance;
-  incarnation = other42.incarnation;
-  hall = other42.hall;
-  peerAddress = other42.peerAddress;
-  ready = other42.ready;
-  leaving = other42.leaving;
-  revision = other42.revision;
-  leavingUpstreams = other42.leavingUpstreams;
-  engines = other42.engines;
-  states = other42.states;
-  loads = other42.loads;
-  work = other42.work;
-  configVersion = other42.configVersion;
-  membersVersion = other42.membersVersion;
-  storeLost = other42.storeLost;
-  changedEngines = other42.changedEngines;
-  changedParts = other42.changedParts;
-  __isset = other42.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other43) {
-  instance = other43.instance;
-  incarnation = other43.incarnation;
-  hall = other43.hall;
-  peerAddress = other43.peerAddress;
-  ready = other43.ready;
-  leaving = other43.leaving;
-  revision = other43.revision;
-  leavingUpstreams = other43.leavingUpstreams;
-  engines = other43.engines;
-  states = other43.states;
-  loads = other43.loads;
-  work = other43.work;
-  configVersion = other43.configVersion;
-  membersVersion = other43.membersVersion;
-  storeLost = other43.storeLost;
-  changedEngines = other43.changedEngines;
-  changedParts = other43.changedParts;
-  __isset = other43.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other54) {
+  instance = other54.instance;
+  incarnation = other54.incarnation;
+  hall = other54.hall;
+  peerAddress = other54.peerAddress;
+  ready = other54.ready;
+  leaving = other54.leaving;
+  revision = other54.revision;
+  leavingUpstreams = other54.leavingUpstreams;
+  engines = other54.engines;
+  states = other54.states;
+  loads = other54.loads;
+  work = other54.work;
+  configVersion = other54.configVersion;
+  membersVersion = other54.membersVersion;
+  storeLost = other54.storeLost;
+  changedEngines = other54.changedEngines;
+  changedParts = other54.changedParts;
+  readParts = other54.readParts;
+  readEngines = other54.readEngines;
+  __isset = other54.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other55) {
+  instance = other55.instance;
+  incarnation = other55.incarnation;
+  hall = other55.hall;
+  peerAddress = other55.peerAddress;
+  ready = other55.ready;
+  leaving = other55.leaving;
+  revision = other55.revision;
+  leavingUpstreams = other55.leavingUpstreams;
+  engines = other55.engines;
+  states = other55.states;
+  loads = other55.loads;
+  work = other55.work;
+  configVersion = other55.configVersion;
+  membersVersion = other55.membersVersion;
+  storeLost = other55.storeLost;
+  changedEngines = other55.changedEngines;
+  changedParts = other55.changedParts;
+  readParts = other55.readParts;
+  readEngines = other55.readEngines;
+  __isset = other55.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -603,6 +685,8 @@
   out << ", " << "storeLost="; (__isset.storeLost ? (out << to_string(storeLost)) : (out << "<null>"));
   out << ", " << "changedEngines="; (__isset.changedEngines ? (out << to_string(changedEngines)) : (out << "<null>"));
   out << ", " << "changedParts="; (__isset.changedParts ? (out << to_string(changedParts)) : (out << "<null>"));
+  out << ", " << "readParts="; (__isset.readParts ? (out << to_string(readParts)) : (out << "<null>"));
+  out << ", " << "readEngines="; (__isset.readEngines ? (out << to_string(readEngines)) : (out << "<null>"));
   out << ")";
 }
 
@@ -684,11 +768,11 @@
   swap(a.after, b.after);
 }
 
-ChangesRequest::ChangesRequest(const ChangesRequest& other44) noexcept {
-  after = other44.after;
+ChangesRequest::ChangesRequest(const ChangesRequest& other56) noexcept {
+  after = other56.after;
 }
-ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other45) noexcept {
-  after = other45.after;
+ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other57) noexcept {
+  after = other57.after;
   return *this;
 }
 void ChangesRequest::printTo(std::ostream& out) const {
@@ -796,13 +880,13 @@
   swap(a.json, b.json);
 }
 
-ConfigObject::ConfigObject(const ConfigObject& other46) {
-  key = other46.key;
-  json = other46.json;
+ConfigObject::ConfigObject(const ConfigObject& other58) {
+  key = other58.key;
+  json = other58.json;
 }
-ConfigObject& ConfigObject::operator=(const ConfigObject& other47) {
-  key = other47.key;
-  json = other47.json;
+ConfigObject& ConfigObject::operator=(const ConfigObject& other59) {
+  key = other59.key;
+  json = other59.json;
   return *this;
 }
 void ConfigObject::printTo(std::ostream& out) const {
@@ -872,14 +956,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->changes.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->changes.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += iprot->readString(this->changes[_i52]);
+              xfer += iprot->readString(this->changes[_i64]);
             }
             xfer += iprot->readListEnd();
           }
@@ -892,14 +976,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->snapshot.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->snapshot.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->snapshot.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
             {
-              xfer += this->snapshot[_i57].read(iprot);
+              xfer += this->snapshot[_i69].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -936,10 +1020,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->changes.size()));
-    std::vector<std::string> ::const_iterator _iter58;
-    for (_iter58 = this->changes.begin(); _iter58 != this->changes.end(); ++_iter58)
+    std::vector<std::string> ::const_iterator _iter70;
+    for (_iter70 = this->changes.begin(); _iter70 != this->changes.end(); ++_iter70)
     {
-      xfer += oprot->writeString((*_iter58));
+      xfer += oprot->writeString((*_iter70));
     }
     xfer += oprot->writeListEnd();
   }
@@ -949,10 +1033,10 @@
     xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->snapshot.size()));
-      std::vector<ConfigObject> ::const_iterator _iter59;
-      for (_iter59 = this->snapshot.begin(); _iter59 != this->snapshot.end(); ++_iter59)
+      std::vector<ConfigObject> ::const_iterator _iter71;
+      for (_iter71 = this->snapshot.begin(); _iter71 != this->snapshot.end(); ++_iter71)
       {
-        xfer += (*_iter59).write(oprot);
+        xfer += (*_iter71).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -971,17 +1055,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangesReply::ChangesReply(const ChangesReply& other60) {
-  revision = other60.revision;
-  changes = other60.changes;
-  snapshot = other60.snapshot;
-  __isset = other60.__isset;
+ChangesReply::ChangesReply(const ChangesReply& other72) {
+  revision = other72.revision;
+  changes = other72.changes;
+  snapshot = other72.snapshot;
+  __isset = other72.__isset;
 }
-ChangesReply& ChangesReply::operator=(const ChangesReply& other61) {
-  revision = other61.revision;
-  changes = other61.changes;
-  snapshot = other61.snapshot;
-  __isset = other61.__isset;
+ChangesReply& ChangesReply::operator=(const ChangesReply& other73) {
+  revision = other73.revision;
+  changes = other73.changes;
+  snapshot = other73.snapshot;
+  __isset = other73.__isset;
   return *this;
 }
 void ChangesReply::printTo(std::ostream& out) const {
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -30,7 +30,7 @@
 class ChangesReply;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false) {}
+  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false) {}
   bool leavingUpstreams :1;
   bool engines :1;
   bool states :1;
@@ -41,6 +41,8 @@
   bool storeLost :1;
   bool changedEngines :1;
   bool changedParts :1;
+  bool readParts :1;
+  bool readEngines :1;
 } _Heartbeat__isset;
 
 /**
@@ -101,6 +103,12 @@
    */
   std::vector<int32_t>  changedEngines;
   std::vector<int32_t>  changedParts;
+  /**
+   * Shared parts of prompts that the sender had read lately, and hashes of the
+   * engines that read them: two lists of one length.
+   */
+  std::vector<int32_t>  readParts;
+  std::vector<int32_t>  readEngines;
 
   _Heartbeat__isset __isset;
 
@@ -138,6 +146,10 @@
 
   void __set_changedParts(const std::vector<int32_t> & val);
 
+  void __set_readParts(const std::vector<int32_t> & val);
+
+  void __set_readEngines(const std::vector<int32_t> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -194,6 +206,14 @@
       return false;
     else if (__isset.changedParts && !(changedParts == rhs.changedParts))
       return false;
+    if (__isset.readParts != rhs.__isset.readParts)
+      return false;
+    else if (__isset.readParts && !(readParts == rhs.readParts))
+      return false;
+    if (__isset.readEngines != rhs.__isset.readEngines)
+      return false;
+    else if (__isset.readEngines && !(readEngines == rhs.readEngines))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -37,6 +37,10 @@
    */
   16: optional list<i32> changedEngines;
   17: optional list<i32> changedParts;
+  /** Shared parts of prompts that the sender had read lately, and hashes of the
+   * engines that read them: two lists of one length. */
+  18: optional list<i32> readParts;
+  19: optional list<i32> readEngines;
 }
 
 /** Asks a peer for the changes after a revision. */
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -107,6 +107,16 @@
     out.__set_changedEngines(engines);
     out.__set_changedParts(parts);
   }
+  if (!aMessage.m_reads.empty()) {
+    std::vector<std::int32_t> parts;
+    std::vector<std::int32_t> engines;
+    for (const membership::ReadDigest& digest : aMessage.m_reads) {
+      parts.push_back(static_cast<std::int32_t>(digest.m_part));
+      engines.push_back(static_cast<std::int32_t>(digest.m_engine));
+    }
+    out.__set_readParts(parts);
+    out.__set_readEngines(engines);
+  }
   if (aMessage.m_store) {
     const membership::StoreView& store = *aMessage.m_store;
     out.__set_configVersion(static_cast<std::int64_t>(store.m_configVersion));
@@ -183,6 +193,13 @@
     out.m_parts.push_back(
       { static_cast<std::uint32_t>(in->changedEngines[i]), *part });
   }
+  if (in->readParts.size() != in->readEngines.size()) {
+    return tl::unexpected(DecodeError{ "reads of different lengths" });
+  }
+  for (std::size_t i = 0; i < in->readParts.size(); ++i) {
+    out.m_reads.push_back({ static_cast<std::uint32_t>(in->readParts[i]),
+                            static_cast<std::uint32_t>(in->readEngines[i]) });
+  }
   if (in->__isset.configVersion && in->__isset.membersVersion) {
     out.m_store = { static_cast<std::uint64_t>(in->configVersion),
                     static_cast<std::uint64_t>(in->membersVersion),
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -29,6 +29,10 @@
     out.m_parts.push_back({ engine,
                             static_cast<membership::EnginePart>(engine % 3) });
   }
+  for (std::uint32_t part :
+       *rc::gen::arbitrary<std::vector<std::uint32_t>>()) {
+    out.m_reads.push_back({ part, part ^ 5U });
+  }
   if (*rc::gen::arbitrary<bool>()) {
     out.m_store = { *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62U),
                     *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62U),
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <limits>
 #include <map>
 #include <optional>
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/relay/AttemptEnd.h>
 #include <ridgeferry/relay/Member.h>
+#include <ridgeferry/relay/KeptParts.h>
 #include <ridgeferry/relay/PartDesk.h>
+#include <ridgeferry/relay/Prompt.h>
 #include <ridgeferry/relay/ReadingBeside.h>
 #include <ridgeferry/relay/Routes.h>
 #include <span>
@@ -19,19 +22,6 @@
 
 namespace ridgeferry::relay {
 
-/** What a prompt costs to read, in tokens. */
-struct Prompt
-{
-  /** Of the parts that other calls share, in order; 0: it shares none. */
-  std::uint64_t m_sharedKey = 0;
-  std::int64_t m_sharedTokens = 0;
-  std::int64_t m_ownTokens = 0;
-  std::int64_t m_outTokens = 0;
-  /** Of the shared ones, in the first part: so many calls share it that every
-   * engine keeps it. */
-  std::int64_t m_commonTokens = 0;
-};
-
 struct PlaceRequest
 {
   std::string_view m_service;
@@ -186,6 +176,12 @@
 
   /** Replaces what an instance has under way; empty: it has ended. */
   void SetOther(const std::string& aInstance, std::vector<OtherLoad> aLoads);
+  /** A prompt is sent to be read there, or was by another instance: its shared
+   * parts are kept there from now on. */
+  void NoteRead(const Prompt& aPrompt, std::string_view aId, Instant aNow);
+  void NoteKept(const KeptPart& aPart, Instant aNow);
+  /** What own calls have had read not long ago, for the others. */
+  std::vector<KeptPart> OwnReads(Instant aNow, Duration aSince) const;
   /** What this instance has under way, for the others. */
   std::vector<OtherLoad> OwnLoads() const;
   static std::uint32_t ShortHash(std::string_view aId);
@@ -196,12 +192,15 @@
   /** Tokens that `aMember` has to read for the prompt, by what is known. */
   static std::int64_t TokensToRead(const Prompt& aPrompt, bool aKept);
   /**
-   * The same with what attention adds: each token costs more the more tokens
-   * stand before it. In tokens without any before them.
+   * What the last `aTokens` of a prompt cost to read with attention: each token
+   * costs more the more stand before it. In tokens with none before them.
    */
+  static std::int64_t WorkOf(const Prompt& aPrompt, std::int64_t aTokens);
   static std::int64_t WorkToRead(const Prompt& aPrompt, bool aKept);
   /** Work to read it at a member, by what is taken to be kept there. */
-  std::int64_t WorkAt(const Prompt& aPrompt, std::string_view aId) const;
+  std::int64_t WorkAt(const Prompt& aPrompt,
+                      std::string_view aId,
+                      Instant aNow) const;
   /** Whether the prompt's shared parts are taken to be kept there. */
   bool IsHome(const Prompt& aPrompt, std::string_view aId) const;
 
@@ -237,6 +236,7 @@
     const State* m_state = nullptr;
     double m_ms = 0;
     bool m_isHome = false;
+    double m_readMs = 0; ///< Of it, for the prompt itself.
     bool operator<(const Candidate& aOther) const { return m_ms < aOther.m_ms; }
   };
 
@@ -249,21 +249,18 @@
   PlaceResult FindPlain(std::span<const State* const> aSound,
                         const PlaceRequest& aRequest) const;
   PlaceResult FindEngine(std::span<const State* const> aSound,
-                         const PlaceRequest& aRequest) const;
+                         const PlaceRequest& aRequest,
+                         Instant aNow) const;
   /** The same where no prompt is read beside the output. Nothing: no engine
    * only reads. */
   std::optional<PlaceResult> FindReader(std::span<const State* const> aSound,
-                                        const PlaceRequest& aRequest) const;
-  /** `aByHome`: readers, nearest home first, one or more. Prefers the nearest
-   * that comes within `aLimitMs`. */
-  static const Candidate& PickApart(std::span<const Candidate> aByHome,
+                                        const PlaceRequest& aRequest,
+                                        Instant aNow) const;
+  static const Candidate& PickApart(std::span<const Candidate> aReaders,
                                     const PlaceRequest& aRequest);
   /** Who gives the output of a prompt that was read elsewhere; null: nobody. */
   static const State* PickTaker(const State& aReader,
                                 std::span<const State* const> aSound);
-  /** Readers that are listed, nearest home first. */
-  std::vector<std::uint64_t> ReadersByHome(std::uint64_t aKey,
-                                           std::string_view aService) const;
   /** Who reads a long prompt. Precondition: there is a candidate. */
   static const Candidate* PickReader(std::span<const Candidate> aCandidates,
                                      const Candidate& aBest,
@@ -272,9 +269,13 @@
   static Place WithTaker(const State& aReader,
                          std::span<const State* const> aSound,
                          const Prompt& aPrompt);
-  static double FirstTokenMs(const State& aState,
-                             const Prompt& aPrompt,
-                             bool aKept);
+  static double PaceOf(const State& aState);
+  static double FirstTokenMs(const State& aState, std::int64_t aWork);
+  /** Work to read it where prompts are read apart, by what is known of kept
+   * parts. */
+  std::int64_t WorkApart(const Prompt& aPrompt,
+                         const State& aState,
+                         Instant aNow) const;
   static bool IsQuiet(const State& aState, std::uint64_t aQuietBelow);
   /** Hashes of quiet engines are below this; `aMost`: of all that may be. */
   std::uint64_t QuietBelow(std::string_view aService, bool aMost) const;
@@ -305,6 +306,8 @@
   std::unordered_map<std::uint32_t, std::string> m_byShortHash;
   std::map<std::string, std::vector<OtherLoad>, std::less<>> m_others;
   std::map<std::string, std::vector<PartNewsOf>, std::less<>> m_news;
+  KeptParts m_kept;
+  std::deque<std::pair<Instant, KeptPart>> m_ownReads;
   std::map<std::string, ServiceBelief, std::less<>> m_beliefs; ///< By service.
   /** By service: of long prompts, and of short ones. */
   std::map<std::string, Stretch, std::less<>> m_longStretch;
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -25,6 +25,8 @@
 /** Part of an engine's slots and memory that the output should take: bursts of
  * half as much more still fit. */
 constexpr double kSteadyShare = 0.6;
+/** Own reads that are older are not told any more. */
+constexpr Duration kTellReadsFor{ 2000 };
 /** How long the lateness of first tokens is remembered: a peak rises within
  * half a second, and its end should be seen as soon. */
 constexpr Duration kStretchMemory{ 500 };
@@ -248,6 +250,38 @@
   }
 }
 
+void
+Fleet::NoteRead(const Prompt& aPrompt, std::string_view aId, Instant aNow)
+{
+  for (const SharedPart& part : aPrompt.m_parts) {
+    const KeptPart kept{ part.m_key, ShortHash(aId) };
+    m_kept.Note(kept, aNow);
+    m_ownReads.emplace_back(aNow, kept);
+  }
+  while (!m_ownReads.empty() &&
+         aNow - m_ownReads.front().first >= kTellReadsFor) {
+    m_ownReads.pop_front();
+  }
+}
+
+void
+Fleet::NoteKept(const KeptPart& aPart, Instant aNow)
+{
+  m_kept.Note(aPart, aNow);
+}
+
+std::vector<KeptPart>
+Fleet::OwnReads(Instant aNow, Duration aSince) const
+{
+  std::vector<KeptPart> out;
+  for (const auto& [at, kept] : m_ownReads) {
+    if (aNow - at < aSince) {
+      out.push_back(kept);
+    }
+  }
+  return out;
+}
+
 std::vector<OtherLoad>
 Fleet::OwnLoads() const
 {
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -65,15 +65,21 @@
 }
 
 std::int64_t
-Fleet::WorkToRead(const Prompt& aPrompt, bool aKept)
+Fleet::WorkOf(const Prompt& aPrompt, std::int64_t aTokens)
 {
-  const auto tokens = static_cast<double>(TokensToRead(aPrompt, aKept));
+  const auto tokens = static_cast<double>(aTokens);
   const auto whole =
     static_cast<double>(aPrompt.m_sharedTokens + aPrompt.m_ownTokens);
   const double before = whole - tokens / 2; // On average, of those read.
   return std::llround(tokens * (1 + before / kAttentionTokens));
 }
 
+std::int64_t
+Fleet::WorkToRead(const Prompt& aPrompt, bool aKept)
+{
+  return WorkOf(aPrompt, TokensToRead(aPrompt, aKept));
+}
+
 bool
 Fleet::IsLong(const Prompt& aPrompt)
 {
@@ -92,20 +98,19 @@
 }
 
 std::int64_t
-Fleet::WorkAt(const Prompt& aPrompt, std::string_view aId) const
+Fleet::WorkAt(const Prompt& aPrompt, std::string_view aId, Instant aNow) const
 {
+  const auto found = m_members.find(aId);
+  if (found != m_members.end() &&
+      !ReadsBeside(found->second.m_member.m_service)) {
+    return WorkApart(aPrompt, found->second, aNow);
+  }
   return WorkToRead(aPrompt, IsHome(aPrompt, aId));
 }
 
 std::uint64_t
 Fleet::HomeOf(std::uint64_t aKey, std::string_view aService) const
 {
-  if (!ReadsBeside(aService)) {
-    const std::vector<std::uint64_t> readers = ReadersByHome(aKey, aService);
-    if (!readers.empty()) {
-      return readers.front();
-    }
-  }
   // One home: the fleet's memory holds the hot chains about once. Those that
   // may be quiet at some time are nobody's home, so that homes stay.
   const std::uint64_t quietBelow = QuietBelow(aService, true);
@@ -176,7 +181,7 @@
               sound.begin() +
                 static_cast<std::ptrdiff_t>(aRequest.m_random % sound.size()),
               sound.end());
-  return aRequest.m_prompt ? FindEngine(sound, aRequest)
+  return aRequest.m_prompt ? FindEngine(sound, aRequest, aNow)
                            : FindPlain(sound, aRequest);
 }
 
@@ -201,16 +206,21 @@
 }
 
 double
-Fleet::FirstTokenMs(const State& aState, const Prompt& aPrompt, bool aKept)
+Fleet::PaceOf(const State& aState)
+{
+  return aState.m_pace == 0 ? UnseenPace(aState.m_member.m_part)
+                            : aState.m_pace;
+}
+
+double
+Fleet::FirstTokenMs(const State& aState, std::int64_t aWork)
 {
-  const Part part = aState.m_member.m_part;
-  const bool generates = part == Part::Generate;
-  const double pace = aState.m_pace == 0 ? UnseenPace(part) : aState.m_pace;
-  const auto tokens = static_cast<double>(
-    aState.m_tokens + aState.m_othersTokens + WorkToRead(aPrompt, aKept));
+  const bool generates = aState.m_member.m_part == Part::Generate;
+  const auto work =
+    static_cast<double>(aState.m_tokens + aState.m_othersTokens + aWork);
   const auto running =
     static_cast<double>(aState.m_inFlight + aState.m_othersInFlight);
-  return kFirstTokenMs + tokens / pace +
+  return kFirstTokenMs + work / PaceOf(aState) +
          (generates ? kRunningMs * running : kHandOverMs);
 }
 
@@ -292,7 +302,8 @@
   // The memory moves faster inside a hall; any of its generators will do.
   const auto taking = [&](const State* aState) {
     const bool away = aState->m_member.m_hall != aReader.m_member.m_hall;
-    return FirstTokenMs(*aState, aPrompt, false) + (away ? kHandOverMs : 0);
+    return FirstTokenMs(*aState, WorkToRead(aPrompt, false)) +
+           (away ? kHandOverMs : 0);
   };
   const State* taker = nullptr;
   for (const State* state : aSound) {
@@ -306,10 +317,11 @@
 
 PlaceResult
 Fleet::FindEngine(std::span<const State* const> aSound,
-                  const PlaceRequest& aRequest) const
+                  const PlaceRequest& aRequest,
+                  Instant aNow) const
 {
   if (!ReadsBeside(aRequest.m_service)) {
-    if (auto place = FindReader(aSound, aRequest)) {
+    if (auto place = FindReader(aSound, aRequest, aNow)) {
       return *place;
     }
   }
@@ -327,7 +339,8 @@
   std::vector<Candidate> generators;
   for (const State* state : aSound) {
     const bool isHome = longPrompt && state->m_hash == home;
-    const Candidate item{ state, FirstTokenMs(*state, prompt, isHome), isHome };
+    const double ms = FirstTokenMs(*state, WorkToRead(prompt, isHome));
+    const Candidate item{ state, ms, isHome };
     const bool reads = state->m_member.m_part == Part::Prefill;
     const bool quiet = IsQuiet(*state, quietBelow);
     if (longPrompt ? !quiet : !reads && (quiet || !quietHasRoom)) {
--- a/packages/relay/src/FleetReaders.cpp
+++ b/packages/relay/src/FleetReaders.cpp
@@ -3,6 +3,7 @@
 
 #include "ridgeferry/relay/Fleet.h"
 
+#include "EnginePace.h"
 #include "HomeScore.h"
 
 #include <algorithm>
@@ -16,31 +17,34 @@
  * token if it comes after its aim anyway: the output has to follow. */
 constexpr double kMostOfLeft = 0.5;
 /** How far behind the best reader a drawn one may be. */
-constexpr double kMostDrawnMs = 60;
-constexpr double kHomeSlackMs = 200;
+constexpr double kMostDrawnMs = 15;
+/** What a ms of reading costs the prompts that wait behind it, in ms of the one
+ * that is placed. */
+constexpr double kReadingWeight = 1;
+/** What the home by hash is worth: instances that see a chain for the first time
+ * should not each have it read elsewhere. */
+constexpr double kHomeMs = 60;
 /** Calls under way, as a part of the slots, that another hall's generating
  * engine must have less: memory takes twice as long to get there. */
 constexpr double kAwayShare = 0.33;
 
 } // namespace
 
-std::vector<std::uint64_t>
-Fleet::ReadersByHome(std::uint64_t aKey, std::string_view aService) const
+std::int64_t
+Fleet::WorkApart(const Prompt& aPrompt,
+                 const State& aState,
+                 Instant aNow) const
 {
-  std::vector<std::pair<double, std::uint64_t>> scored;
-  for (const auto& [id, state] : m_members) {
-    const Member& member = state.m_member;
-    if (member.m_service == aService && !member.m_leaving &&
-        member.m_part == Part::Prefill && !state.m_changing) {
-      scored.emplace_back(-HomeScore(aKey, state.m_hash, 1), state.m_hash);
+  const std::uint32_t member = ShortHash(aState.m_member.m_id);
+  std::int64_t kept = 0;
+  for (const SharedPart& part : aPrompt.m_parts) {
+    if (!m_kept.IsKept({ part.m_key, member }, aNow)) {
+      break; // A part counts only if all before it are kept too.
     }
+    kept += part.m_tokens;
   }
-  std::sort(scored.begin(), scored.end());
-  std::vector<std::uint64_t> out;
-  for (const auto& [score, hash] : scored) {
-    out.push_back(hash);
-  }
-  return out;
+  const std::int64_t whole = aPrompt.m_sharedTokens + aPrompt.m_ownTokens;
+  return WorkOf(aPrompt, std::max<std::int64_t>(0, whole - kept));
 }
 
 const Fleet::State*
@@ -63,48 +67,56 @@
 }
 
 const Fleet::Candidate&
-Fleet::PickApart(std::span<const Candidate> aByHome,
+Fleet::PickApart(std::span<const Candidate> aReaders,
                  const PlaceRequest& aRequest)
 {
-  const Candidate& best = *std::min_element(aByHome.begin(), aByHome.end());
-  if (IsLong(*aRequest.m_prompt)) {
-    const Candidate& home = aByHome.front();
-    return home.m_ms <= best.m_ms + kHomeSlackMs ? home : best;
-  }
+  const auto cost = [](const Candidate& aItem) {
+    return aItem.m_ms + kReadingWeight * aItem.m_readMs -
+           (aItem.m_isHome ? kHomeMs : 0);
+  };
+  const auto less = [&](const Candidate& aLeft, const Candidate& aRight) {
+    return cost(aLeft) < cost(aRight);
+  };
+  const Candidate& best =
+    *std::min_element(aReaders.begin(), aReaders.end(), less);
   // Several instances see the same loads, some of them old: if all took the
   // least loaded one, it would be the most loaded one next.
-  const std::size_t count = aByHome.size();
-  const Candidate& one = aByHome[aRequest.m_random % count];
-  const Candidate& other = aByHome[aRequest.m_random / count % count];
-  const Candidate& better = one.m_ms <= other.m_ms ? one : other;
-  return better.m_ms > best.m_ms + kMostDrawnMs ? best : better;
+  const std::size_t count = aReaders.size();
+  const Candidate& one = aReaders[aRequest.m_random % count];
+  const Candidate& other = aReaders[aRequest.m_random / count % count];
+  const Candidate& better = less(other, one) ? other : one;
+  return cost(better) > cost(best) + kMostDrawnMs ? best : better;
 }
 
 std::optional<PlaceResult>
 Fleet::FindReader(std::span<const State* const> aSound,
-                  const PlaceRequest& aRequest) const
+                  const PlaceRequest& aRequest,
+                  Instant aNow) const
 {
   const Prompt& prompt = *aRequest.m_prompt;
-  const std::vector<std::uint64_t> homes =
-    ReadersByHome(prompt.m_sharedKey, aRequest.m_service);
-  std::vector<Candidate> byHome;
-  for (const std::uint64_t hash : homes) {
-    const auto found =
-      std::find_if(aSound.begin(), aSound.end(), [hash](const State* aState) {
-        return aState->m_hash == hash;
-      });
-    if (found != aSound.end()) {
-      const bool isHome = IsLong(prompt) && hash == homes.front();
-      byHome.push_back(
-        { *found, FirstTokenMs(**found, prompt, isHome), isHome });
+  std::vector<Candidate> readers;
+  double nearest = 0;
+  for (const State* state : aSound) {
+    if (state->m_member.m_part != Part::Prefill) {
+      continue;
     }
+    const std::int64_t work = WorkApart(prompt, *state, aNow);
+    readers.push_back({ state, FirstTokenMs(*state, work), false });
+    readers.back().m_readMs = static_cast<double>(work) / PaceOf(*state);
+    nearest =
+      std::max(nearest, HomeScore(prompt.m_sharedKey, state->m_hash, 1));
   }
-  if (byHome.empty()) {
+  if (readers.empty()) {
     return std::nullopt;
   }
+  for (Candidate& reader : readers) {
+    reader.m_isHome =
+      IsLong(prompt) &&
+      HomeScore(prompt.m_sharedKey, reader.m_state->m_hash, 1) >= nearest;
+  }
   const double stretch = StretchOf(aRequest.m_service, prompt);
   const auto limit = static_cast<double>(aRequest.m_patience.count());
-  const Candidate& chosen = PickApart(byHome, aRequest);
+  const Candidate& chosen = PickApart(readers, aRequest);
   const State* taker = PickTaker(*chosen.m_state, aSound);
   if (taker == nullptr) {
     return std::nullopt; // Nobody could give the output.
