--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -25,6 +25,12 @@
 /** Of calls that miss their aim whatever happens: behind all that can still
  * meet theirs. Routes have priorities below ten. */
 constexpr int kLatePriority = 9;
+/** Calls that are to be placed later are tried again so often, on average: as
+ * often as the instances tell each other their loads. */
+constexpr Duration kPlaceAgain{ 40 };
+/** Time that the output of a late call needs: one that could not end any more
+ * is not begun. Outputs of today's lengths take a fifth to one second. */
+constexpr Duration kOutputTime{ 1000 };
 /** Freeing a handle is a courtesy: nobody waits for it. */
 constexpr Duration kFreeTimeout{ 1000 };
 
@@ -81,6 +87,16 @@
   return std::max(kLeastLeft, m_deadline - m_node.Now());
 }
 
+Duration
+RelayCall::LeftToFirstToken() const
+{
+  const Duration silence = m_start.m_route->m_silence;
+  const Duration spent = m_node.Now() - m_began;
+  const Duration output = Left() - kOutputTime;
+  return silence == Duration::max() ? output
+                                    : std::min(output, silence - spent);
+}
+
 void
 RelayCall::Begin()
 {
@@ -89,6 +105,11 @@
   m_timer =
     m_node.m_loop->After(Left(), [this] { Handle(relay::DeadlinePassed{}); });
   m_start.m_budget->NoteFirst(m_began);
+  if (m_start.m_head.m_prompt) {
+    m_node.m_fleet.NotePrompt(m_start.m_service,
+                              *m_start.m_head.m_prompt,
+                              m_start.m_route->m_pause);
+  }
   Handle(relay::CallBegan{});
 }
 
@@ -126,17 +147,20 @@
   // What was begun elsewhere is gone on with, late or not.
   const bool isFirst = aAction.m_excluded.empty();
   request.m_pause = m_start.m_route->m_pause;
-  request.m_left = Left();
+  request.m_left = LeftToFirstToken();
   if (isFirst && m_start.m_head.m_prompt &&
       m_start.m_route->m_aim.count() > 0) {
     const Duration spent = m_node.Now() - m_began;
     request.m_patience =
       relay::PatienceOf(m_start.m_route->m_aim) - spent - m_start.m_lost;
-    m_node.m_fleet.NotePrompt(
-      m_start.m_service, *request.m_prompt, request.m_pause);
   }
   const relay::PlaceResult result =
     m_node.m_fleet.FindPlace(request, m_node.Now());
+  if (std::holds_alternative<relay::PlaceLater>(result)) {
+    m_placing = m_node.m_loop->After(
+      PlaceAgainIn(), [this, aAction] { Do(aAction); });
+    return;
+  }
   if (const auto* place = std::get_if<relay::Place>(&result)) {
     m_expectedMs = isFirst && m_start.m_head.m_prompt ? place->m_expectedMs : 0;
     m_placedAt = m_node.Now();
@@ -158,6 +182,15 @@
   }
 }
 
+Duration
+RelayCall::PlaceAgainIn() const
+{
+  // Not all that wait at once: they would all take the same room.
+  std::uniform_int_distribution<Duration::rep> spread(
+    kPlaceAgain.count() / 2, kPlaceAgain.count() * 3 / 2);
+  return Duration(spread(m_node.m_random));
+}
+
 void
 RelayCall::NoteRepeat()
 {
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -79,12 +79,15 @@
   void TakeBytes(std::string_view aBytes);
   void TakeEnd(const net::HttpResponse& aResponse);
   void NoteRepeat();
+  Duration PlaceAgainIn() const;
   void NoteFirstToken();
   /** Some bytes of the present attempt came. */
   void NoteHeard();
   /** Its member gets nothing for a while, and why. */
   void LogRest(std::string_view aCause);
   Duration Left() const;
+  /** Until its caller gives it up if nothing has come, or it cannot end. */
+  Duration LeftToFirstToken() const;
   void LogEnd(std::string_view aOutcome, int aStatus);
 
   EntryNode& m_node;
@@ -93,6 +96,7 @@
   Instant m_began;
   Instant m_deadline;
   net::Watch m_timer;
+  net::Watch m_placing; ///< Until a call that waits is tried again.
   Attempt m_attempt;
   double m_expectedMs = 0; ///< Of the first token, by the first place; 0: none.
   Instant m_placedAt;
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -36,8 +36,8 @@
   /** Longest pause between two events that keeps the answer in time; 0: not
    * known. */
   Duration m_pause{};
-  /** How long the caller will still wait. Where engines read apart, a prompt
-   * that comes too late for its aim still has a place if it fits in this. */
+  /** How long the caller will still wait for the first token. Where engines read
+   * apart, a prompt that misses its aim still has a place if it fits in this. */
   Duration m_left{};
 };
 
@@ -59,7 +59,15 @@
   Duration m_roomIn{}; ///< If full: when there should be room.
 };
 
-using PlaceResult = std::variant<Place, PlaceFault>;
+/**
+ * It misses its aim whatever happens, and there will be room for it in its
+ * caller's time: it is to be placed later, so that it takes nothing from those
+ * that can still meet theirs.
+ */
+struct PlaceLater
+{};
+
+using PlaceResult = std::variant<Place, PlaceFault, PlaceLater>;
 
 /** What another instance has under way at a member. */
 struct OtherLoad
--- a/packages/relay/include/ridgeferry/relay/Routes.h
+++ b/packages/relay/include/ridgeferry/relay/Routes.h
@@ -41,6 +41,9 @@
   Duration m_longest{};     ///< How long a call may be held.
   Duration m_aim{};         ///< To the first byte of the answer.
   Duration m_pause{};       ///< Longest between two events; 0: not told.
+  /** Callers give a stream up that has brought nothing for so long, from its
+   * beginning on. */
+  Duration m_silence = Duration::max();
 };
 
 /** What the engines of a service can hold and do. */
--- a/packages/relay/src/FleetReaders.cpp
+++ b/packages/relay/src/FleetReaders.cpp
@@ -13,9 +13,11 @@
 
 namespace {
 
-/** Part of what its caller will still wait that a prompt may take to its first
- * token if it comes after its aim anyway: the output has to follow. */
-constexpr double kMostOfLeft = 0.5;
+/** What waits at a reader before a prompt that misses its aim anyway, at most, in
+ * ms with what a first token takes at least: next to nothing. */
+constexpr double kRoomMs = 60;
+/** What an estimate that far ahead may be wrong by, at least. */
+constexpr double kLeastSpareMs = 150;
 /** How far behind the best reader a drawn one may be. */
 constexpr double kMostDrawnMs = 15;
 /** What a ms of reading costs the prompts that wait behind it, in ms of the one
@@ -122,14 +124,17 @@
     return std::nullopt; // Nobody could give the output.
   }
   const double expected = chosen.m_ms * stretch;
-  const double most = std::max(
-    limit, kMostOfLeft * static_cast<double>(aRequest.m_left.count()));
-  if (expected > most) {
-    return PlaceFault{ true, Duration(std::llround(expected - most)) };
+  const bool late = expected > limit;
+  if (late && chosen.m_ms - chosen.m_readMs > kRoomMs) {
+    const auto left = static_cast<double>(aRequest.m_left.count());
+    const double missing = expected + kLeastSpareMs - left;
+    return missing > 0
+             ? PlaceResult(PlaceFault{ true, Duration(std::llround(missing)) })
+             : PlaceResult(PlaceLater{});
   }
   Place place{ taker->m_member.m_id, chosen.m_state->m_member.m_id };
   place.m_expectedMs = chosen.m_ms;
-  place.m_late = expected > limit;
+  place.m_late = late;
   return place;
 }
 
