--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -160,6 +160,7 @@
                       { { "upstream", member->m_id },
                         { "service", member->m_service },
                         { "address", member->m_address },
+                        { "part", std::string(relay::NameOf(member->m_part)) },
                         { "leaving", member->m_leaving } });
 }
 
--- a/packages/entry/src/PartKeeper.cpp
+++ b/packages/entry/src/PartKeeper.cpp
@@ -77,7 +77,9 @@
   const bool mayOrder =
     !m_node.m_stop.HasBegun() && m_lease.HasAuthority(m_node.Now());
   HandleDesk(relay::DeskTick{ mayOrder });
-  if (mayOrder) {
+  // While listed engines may only have lapsed, a plan would replace what is
+  // still there.
+  if (mayOrder && !m_node.m_fleet.HasLapsed()) {
     Plan();
   }
 }
@@ -106,14 +108,21 @@
   }
   const double needed = NeededNow(aService);
   std::vector<relay::PlannedEngine> engines =
-    m_node.m_fleet.EnginesOf(aService.m_name, m_node.Now());
+    m_node.m_fleet.EnginesOf(aService.m_name);
   for (relay::PlannedEngine& engine : engines) {
-    engine.m_part = m_desk.TargetOf(engine.m_id).value_or(engine.m_part);
+    const std::optional<relay::Part> target = m_desk.TargetOf(engine.m_id);
+    engine.m_changes = target.has_value() || m_desk.IsLeftAlone(engine.m_id);
+    engine.m_part = target.value_or(engine.m_part);
   }
   for (const relay::PartChange& change : relay::PlanParts(engines, needed)) {
-    if (!m_desk.IsLeftAlone(change.m_engine)) {
-      aChanges.push_back(change);
-    }
+    aChanges.push_back(change);
+    m_node.m_log->Write(
+      observe::LogLevel::Info,
+      "part-wanted",
+      { { "upstream", change.m_engine },
+        { "to", std::string(relay::NameOf(change.m_to)) },
+        { "generatorsNeeded", needed },
+        { "engines", static_cast<std::int64_t>(engines.size()) } });
   }
 }
 
@@ -277,7 +286,7 @@
     observe::LogLevel::Info,
     "order-sent",
     { { "upstream", engine },
-      { "to", aAction.m_to == relay::Part::Prefill ? "read" : "generate" },
+      { "to", std::string(relay::NameOf(aAction.m_to)) },
       { "expectedOrders", aAction.m_expectedOrders },
       { "fencing", static_cast<std::int64_t>(order.m_fencing) } });
   m_node.m_http->Send(request, std::move(callbacks));
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -173,9 +173,10 @@
   /** Replaces what an instance knows of engines' parts ahead of the list;
    * empty: nothing, or it has ended. */
   void SetNews(const std::string& aInstance, std::vector<PartNewsOf> aNews);
-  /** The engines of a service that are sound, for a plan of their parts. */
-  std::vector<PlannedEngine> EnginesOf(std::string_view aService,
-                                       Instant aNow) const;
+  /** The engines of a service that are listed, for a plan of their parts. */
+  std::vector<PlannedEngine> EnginesOf(std::string_view aService) const;
+  /** Whether some member may only have lapsed from the list. */
+  bool HasLapsed() const;
   /** Whether generating engines may read prompts beside the output. */
   bool ReadsBeside(std::string_view aService) const;
   /** Generating engines that the output keeps busy. */
--- a/packages/relay/include/ridgeferry/relay/Member.h
+++ b/packages/relay/include/ridgeferry/relay/Member.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace ridgeferry::relay {
 
@@ -13,6 +14,10 @@
   Generate, ///< An engine that gives the output, and can read prompts slowly.
 };
 
+/** For logs: `whole`, `read` or `generate`. */
+std::string_view
+NameOf(Part aPart);
+
 /** An upstream as the platform lists it. */
 struct Member
 {
--- a/packages/relay/include/ridgeferry/relay/PartDesk.h
+++ b/packages/relay/include/ridgeferry/relay/PartDesk.h
@@ -119,8 +119,8 @@
 
   /** Engines whose part is known better here than in the list. */
   std::vector<PartNews> News() const;
-  /** The part that an engine is on its way to; nothing: none, as far as known
-   * here. An engine that is left alone counts as where it is. */
+  /** The part that an engine is on its way to; nothing: it is on none that is
+   * known here. */
   std::optional<Part> TargetOf(const std::string& aEngine) const;
   /** Whether nothing may be wanted of it for now. */
   bool IsLeftAlone(const std::string& aEngine) const;
--- a/packages/relay/include/ridgeferry/relay/PartPlan.h
+++ b/packages/relay/include/ridgeferry/relay/PartPlan.h
@@ -15,6 +15,7 @@
   std::string m_hall;
   Part m_part = Part::Generate; ///< The one it is on its way to, if any.
   std::int64_t m_running = 0;   ///< Calls there, of all instances.
+  bool m_changes = false;       ///< It is on its way already.
 };
 
 /** An engine should do something else from now on. */
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -188,13 +188,13 @@
 }
 
 std::vector<PlannedEngine>
-Fleet::EnginesOf(std::string_view aService, Instant aNow) const
+Fleet::EnginesOf(std::string_view aService) const
 {
   std::vector<PlannedEngine> out;
   for (const auto& [id, state] : m_members) {
     const Member& member = state.m_member;
-    const bool rests = state.m_restsUntil && aNow < *state.m_restsUntil;
-    if (member.m_service == aService && !member.m_leaving && !rests &&
+    // Also one that rests: it should be back before a change would be done.
+    if (member.m_service == aService && !member.m_leaving &&
         !state.m_goneAt && member.m_part != Part::Whole) {
       out.push_back({ id,
                       member.m_hall,
@@ -205,6 +205,15 @@
   return out;
 }
 
+bool
+Fleet::HasLapsed() const
+{
+  return std::any_of(
+    m_members.begin(), m_members.end(), [](const auto& aEntry) {
+      return aEntry.second.m_goneAt.has_value();
+    });
+}
+
 bool
 Fleet::ReadsBeside(std::string_view aService) const
 {
@@ -219,7 +228,7 @@
   double running = 0;
   for (const auto& [id, state] : m_members) {
     if (state.m_member.m_service == aService &&
-        state.m_member.m_part == Part::Generate) {
+        state.m_member.m_part == Part::Generate && !state.m_mustProve) {
       running += static_cast<double>(state.m_inFlight + state.m_othersInFlight);
     }
   }
--- a/packages/relay/src/PartDesk.cpp
+++ b/packages/relay/src/PartDesk.cpp
@@ -186,7 +186,8 @@
 PartDesk::TargetOf(const std::string& aEngine) const
 {
   const auto found = m_changes.find(aEngine);
-  if (found == m_changes.end() || found->second.m_step == Step::Paused) {
+  if (found == m_changes.end() || found->second.m_step == Step::Paused ||
+      found->second.m_step == Step::Done) {
     return std::nullopt;
   }
   return found->second.m_to;
--- a/packages/relay/src/PartPlan.cpp
+++ b/packages/relay/src/PartPlan.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-/** Generating engines that each hall keeps: one may be lost while the hall is
- * cut off. Halls with fewer than four engines keep one. */
+/** Generating engines that each hall keeps when others become readers, so that
+ * one may be lost: a lost one is back in its first part sooner than another
+ * could take its place, so only the last one of a hall is replaced. Halls with
+ * fewer than four engines keep one. */
 constexpr std::size_t kLeastGenerating = 2;
 constexpr std::size_t kSmallHall = 4;
 /** What the need must fall below before generating engines become readers: a
@@ -26,14 +28,18 @@
 };
 
 std::size_t
-GeneratingIn(std::size_t aHall, std::size_t aAll, double aNeeded)
+LeastKept(std::size_t aHall)
 {
-  const std::size_t least = aHall < kSmallHall ? 1 : kLeastGenerating;
-  const std::size_t most = aHall > 1 ? aHall - 1 : 1;
-  const double share =
-    aNeeded * static_cast<double>(aHall) / static_cast<double>(aAll);
+  return aHall < kSmallHall ? 1 : kLeastGenerating;
+}
+
+/** Generating engines of a hall for a need; one engine of several reads. */
+std::size_t
+AtLeast(std::size_t aHall, double aNeeded, std::size_t aLeast)
+{
+  const std::size_t most = std::max(aLeast, aHall > 1 ? aHall - 1 : 1);
   return std::clamp(
-    static_cast<std::size_t>(std::ceil(share)), least, std::max(least, most));
+    static_cast<std::size_t>(std::ceil(aNeeded)), aLeast, most);
 }
 
 void
@@ -42,6 +48,8 @@
        Part aTo,
        std::vector<PartChange>& aChanges)
 {
+  std::erase_if(
+    aFrom, [](const PlannedEngine* aEngine) { return aEngine->m_changes; });
   std::stable_sort(aFrom.begin(),
                    aFrom.end(),
                    [](const PlannedEngine* aLeft, const PlannedEngine* aRight) {
@@ -66,9 +74,11 @@
   std::vector<PartChange> out;
   for (const auto& [name, hall] : halls) {
     const std::size_t now = hall.m_generating.size();
-    const std::size_t least = GeneratingIn(hall.Size(), aEngines.size(), aNeeded);
-    const std::size_t most =
-      GeneratingIn(hall.Size(), aEngines.size(), aNeeded * kShrinkMargin);
+    const double share = static_cast<double>(hall.Size()) /
+                         static_cast<double>(aEngines.size());
+    const std::size_t least = AtLeast(hall.Size(), aNeeded * share, 1);
+    const std::size_t most = AtLeast(
+      hall.Size(), aNeeded * share * kShrinkMargin, LeastKept(hall.Size()));
     if (now < least) {
       Change(hall.m_reading, least - now, Part::Generate, out);
     } else if (now > most) {
