--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -36,6 +36,7 @@
   Duration m_left{}; ///< How long the caller will still wait.
   int m_priority = 0;
   bool m_readOnly = false;     ///< Read the prompt and keep it; do not run.
+  std::string m_fetchAddress;  ///< Keeps part of the prompt; empty: nobody.
   std::string m_readerAddress; ///< Holds the prompt's memory; empty: nobody.
   std::string m_handle;        ///< Of that memory.
   std::string m_resumeAfter;   ///< Event id to go on after; empty: as asked.
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -97,6 +97,18 @@
   return relay::ShareConnections(most, m_node.m_instances);
 }
 
+double
+Relay::MovedTokensPerMs(const std::string& aService) const
+{
+  const relay::Service* service = m_node.m_routes->FindService(aService);
+  if (service == nullptr || !service->m_engine ||
+      service->m_engine->m_bytesPerToken == 0) {
+    return 0;
+  }
+  const relay::EngineTraits& engine = *service->m_engine;
+  return engine.m_movedBytesPerMs / engine.m_bytesPerToken;
+}
+
 void
 Relay::Take(const std::shared_ptr<net::HttpExchange>& aExchange)
 {
@@ -127,6 +139,7 @@
                                                 route,
                                                 service,
                                                 lost,
+                                                MovedTokensPerMs(service),
                                                 ConnectionsOf(service),
                                                 &BudgetOf(service) });
   RelayCall& started = *call;
--- a/packages/entry/src/Relay.h
+++ b/packages/entry/src/Relay.h
@@ -39,6 +39,7 @@
   Duration NoteDeadline(const std::string& aRoute,
                         std::optional<Duration> aDeadline);
   relay::RetryBudget& BudgetOf(const std::string& aService);
+  double MovedTokensPerMs(const std::string& aService) const;
   relay::ConnectionShare ConnectionsOf(const std::string& aService) const;
 
   EntryNode& m_node;
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -148,6 +148,7 @@
   const bool isFirst = aAction.m_excluded.empty();
   request.m_pause = m_start.m_route->m_pause;
   request.m_left = LeftToFirstToken();
+  request.m_movedPerMs = m_start.m_movedTokensPerMs;
   if (isFirst && m_start.m_head.m_prompt &&
       m_start.m_route->m_aim.count() > 0) {
     const Duration spent = m_node.Now() - m_began;
@@ -164,7 +165,7 @@
   if (const auto* place = std::get_if<relay::Place>(&result)) {
     m_expectedMs = isFirst && m_start.m_head.m_prompt ? place->m_expectedMs : 0;
     m_placedAt = m_node.Now();
-    m_late = place->m_late;
+    m_place = *place;
     Handle(relay::PlaceFound{ place->m_upstream, place->m_reader });
   } else {
     const auto& fault = std::get<relay::PlaceFault>(result);
@@ -207,6 +208,9 @@
   const relay::Member* reader = m_node.m_fleet.Find(aAction.m_reader);
   SendTerms terms;
   terms.m_readOnly = true;
+  if (const relay::Member* donor = m_node.m_fleet.Find(m_place.m_fetchFrom)) {
+    terms.m_fetchAddress = donor->m_address;
+  }
   Send(aAction.m_attempt, *reader, std::move(terms));
 }
 
@@ -250,14 +254,17 @@
   m_attempt.m_readOnly = aTerms.m_readOnly;
   if (m_start.m_head.m_prompt && aTerms.m_handle.empty()) {
     const relay::Prompt& prompt = *m_start.m_head.m_prompt;
-    m_attempt.m_tokens = m_node.m_fleet.WorkAt(prompt, aMember.m_id, m_node.Now());
+    const bool asPlaced = aTerms.m_readOnly && m_place.m_work > 0;
+    m_attempt.m_tokens =
+      asPlaced ? m_place.m_work
+               : m_node.m_fleet.WorkAt(prompt, aMember.m_id, m_node.Now());
     m_node.m_fleet.NoteRead(prompt, aMember.m_id, m_node.Now());
   }
   m_path += (m_path.empty() ? "" : ",") + aMember.m_id;
   aTerms.m_address = aMember.m_address;
   aTerms.m_upstream = aMember.m_id;
   aTerms.m_left = Left();
-  aTerms.m_priority = m_late ? kLatePriority : m_start.m_route->m_priority;
+  aTerms.m_priority = m_place.m_late ? kLatePriority : m_start.m_route->m_priority;
   net::HttpRequest request =
     m_node.m_dialect.m_writeSend(m_start.m_exchange->Request(), aTerms);
   request.m_timeout = aTerms.m_left;
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -23,6 +23,8 @@
   std::string m_service;
   /** What its caller has waited already, before it came back. */
   Duration m_lost{};
+  /** See `PlaceRequest::m_movedPerMs`. */
+  double m_movedTokensPerMs = 0;
   /** Of the service: connections to each of its upstreams. */
   relay::ConnectionShare m_connections;
   relay::RetryBudget* m_budget = nullptr; ///< Of the service; outlives calls.
@@ -100,7 +102,7 @@
   Attempt m_attempt;
   double m_expectedMs = 0; ///< Of the first token, by the first place; 0: none.
   Instant m_placedAt;
-  bool m_late = false;    ///< It misses its aim whatever happens.
+  relay::Place m_place; ///< The one in use.
   std::string m_readBody; ///< Of a reader's answer.
   std::string m_path;     ///< Members tried, in order, for the log.
   bool m_told = false;
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -36,6 +36,9 @@
   /** Longest pause between two events that keeps the answer in time; 0: not
    * known. */
   Duration m_pause{};
+  /** Tokens of a prompt's memory that pass between two engines in a ms; 0: they
+   * do not fetch from each other. */
+  double m_movedPerMs = 0;
   /** How long the caller will still wait for the first token. Where engines read
    * apart, a prompt that misses its aim still has a place if it fits in this. */
   Duration m_left{};
@@ -48,6 +51,11 @@
   /** Of a prompt: when its first token should come, by loads and paces alone,
    * without what `NoteFirstToken` has taught. */
   double m_expectedMs = 0;
+  /** The reader fetches from there what it does not keep itself; empty: it reads
+   * all of that. */
+  std::string m_fetchFrom = {};
+  /** Work that the reader has to do; see `Fleet::WorkOf`. */
+  std::int64_t m_work = 0;
   /** It misses its aim: it is to stand behind those that still can meet it. */
   bool m_late = false;
 };
@@ -246,6 +254,8 @@
     double m_ms = 0;
     bool m_isHome = false;
     double m_readMs = 0; ///< Of it, for the prompt itself.
+    std::int64_t m_work = 0;           ///< The same as work.
+    const State* m_donor = nullptr; ///< It fetches from there.
     bool operator<(const Candidate& aOther) const { return m_ms < aOther.m_ms; }
   };
 
@@ -280,11 +290,28 @@
                          const Prompt& aPrompt);
   static double PaceOf(const State& aState);
   static double FirstTokenMs(const State& aState, std::int64_t aWork);
+  /** Tokens of the prompt's beginning that a member keeps. */
+  std::int64_t TokensKept(const Prompt& aPrompt,
+                          const State& aState,
+                          Instant aNow) const;
   /** Work to read it where prompts are read apart, by what is known of kept
    * parts. */
   std::int64_t WorkApart(const Prompt& aPrompt,
                          const State& aState,
                          Instant aNow) const;
+  /** An engine that others may fetch from, and how much it keeps. */
+  struct Donor
+  {
+    const State* m_state = nullptr;
+    std::int64_t m_tokens = 0;
+  };
+  /** Who keeps most of the prompt; in `aHall` first. */
+  Donor FindDonor(const PlaceRequest& aRequest,
+                  std::string_view aHall,
+                  Instant aNow) const;
+  Candidate ReaderFor(const PlaceRequest& aRequest,
+                      const State& aState,
+                      Instant aNow) const;
   static bool IsQuiet(const State& aState, std::uint64_t aQuietBelow);
   /** Hashes of quiet engines are below this; `aMost`: of all that may be. */
   std::uint64_t QuietBelow(std::string_view aService, bool aMost) const;
--- a/packages/relay/include/ridgeferry/relay/Routes.h
+++ b/packages/relay/include/ridgeferry/relay/Routes.h
@@ -52,6 +52,7 @@
   std::int64_t m_slots = 1;       ///< Calls at once.
   std::int64_t m_cacheTokens = 0; ///< Memory for running and kept prompts.
   double m_bytesPerToken = 0;     ///< Of that memory.
+  double m_movedBytesPerMs = 0;   ///< Of it between two engines; 0: not told.
   Duration m_handleLife{};        ///< Of a prompt read for another engine.
 };
 
--- a/packages/relay/src/FleetReaders.cpp
+++ b/packages/relay/src/FleetReaders.cpp
@@ -30,12 +30,19 @@
  * engine must have less: memory takes twice as long to get there. */
 constexpr double kAwayShare = 0.33;
 
+/** Fewer tokens are read sooner than fetched. */
+constexpr std::int64_t kLeastFetched = 500;
+/** What begins and ends a fetch, in ms. */
+constexpr double kFetchMs = 4;
+/** How much longer memory takes between two halls. */
+constexpr double kAwayMoves = 2;
+
 } // namespace
 
 std::int64_t
-Fleet::WorkApart(const Prompt& aPrompt,
-                 const State& aState,
-                 Instant aNow) const
+Fleet::TokensKept(const Prompt& aPrompt,
+                  const State& aState,
+                  Instant aNow) const
 {
   const std::uint32_t member = ShortHash(aState.m_member.m_id);
   std::int64_t kept = 0;
@@ -45,8 +52,67 @@
     }
     kept += part.m_tokens;
   }
+  return kept;
+}
+
+std::int64_t
+Fleet::WorkApart(const Prompt& aPrompt,
+                 const State& aState,
+                 Instant aNow) const
+{
   const std::int64_t whole = aPrompt.m_sharedTokens + aPrompt.m_ownTokens;
-  return WorkOf(aPrompt, std::max<std::int64_t>(0, whole - kept));
+  return WorkOf(aPrompt, whole - TokensKept(aPrompt, aState, aNow));
+}
+
+Fleet::Donor
+Fleet::FindDonor(const PlaceRequest& aRequest,
+                 std::string_view aHall,
+                 Instant aNow) const
+{
+  Donor out;
+  for (const auto& [id, state] : m_members) {
+    const Member& member = state.m_member;
+    if (member.m_service != aRequest.m_service ||
+        member.m_part != Part::Prefill || state.m_mustProve) {
+      continue;
+    }
+    const std::int64_t kept = TokensKept(*aRequest.m_prompt, state, aNow);
+    const bool nearer = kept > 0 && kept == out.m_tokens &&
+                        member.m_hall == aHall &&
+                        out.m_state->m_member.m_hall != aHall;
+    if (kept > out.m_tokens || nearer) {
+      out = { &state, kept };
+    }
+  }
+  return out;
+}
+
+Fleet::Candidate
+Fleet::ReaderFor(const PlaceRequest& aRequest,
+                 const State& aState,
+                 Instant aNow) const
+{
+  const Prompt& prompt = *aRequest.m_prompt;
+  std::int64_t kept = TokensKept(prompt, aState, aNow);
+  Candidate out;
+  out.m_state = &aState;
+  double fetchMs = 0;
+  if (aRequest.m_movedPerMs > 0 && kept < prompt.m_sharedTokens) {
+    const Donor donor = FindDonor(aRequest, aState.m_member.m_hall, aNow);
+    const std::int64_t more = donor.m_tokens - kept;
+    if (more >= kLeastFetched) {
+      const bool away = donor.m_state->m_member.m_hall != aState.m_member.m_hall;
+      fetchMs = kFetchMs + static_cast<double>(more) / aRequest.m_movedPerMs *
+                             (away ? kAwayMoves : 1);
+      out.m_donor = donor.m_state;
+      kept = donor.m_tokens;
+    }
+  }
+  const std::int64_t whole = prompt.m_sharedTokens + prompt.m_ownTokens;
+  out.m_work = WorkOf(prompt, whole - kept);
+  out.m_readMs = static_cast<double>(out.m_work) / PaceOf(aState) + fetchMs;
+  out.m_ms = FirstTokenMs(aState, out.m_work) + fetchMs;
+  return out;
 }
 
 const Fleet::State*
@@ -102,9 +168,7 @@
     if (state->m_member.m_part != Part::Prefill) {
       continue;
     }
-    const std::int64_t work = WorkApart(prompt, *state, aNow);
-    readers.push_back({ state, FirstTokenMs(*state, work), false });
-    readers.back().m_readMs = static_cast<double>(work) / PaceOf(*state);
+    readers.push_back(ReaderFor(aRequest, *state, aNow));
     nearest =
       std::max(nearest, HomeScore(prompt.m_sharedKey, state->m_hash, 1));
   }
@@ -135,6 +199,10 @@
   Place place{ taker->m_member.m_id, chosen.m_state->m_member.m_id };
   place.m_expectedMs = chosen.m_ms;
   place.m_late = late;
+  place.m_work = chosen.m_work;
+  if (chosen.m_donor != nullptr) {
+    place.m_fetchFrom = chosen.m_donor->m_member.m_id;
+  }
   return place;
 }
 
