--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -148,6 +148,8 @@
   const bool isFirst = aAction.m_excluded.empty();
   request.m_pause = m_start.m_route->m_pause;
   request.m_left = LeftToFirstToken();
+  request.m_shortestAim =
+    m_start.m_routes->ShortestAim(m_start.m_service);
   request.m_movedPerMs = m_start.m_movedTokensPerMs;
   if (isFirst && m_start.m_head.m_prompt &&
       m_start.m_route->m_aim.count() > 0) {
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -36,6 +36,8 @@
   /** Longest pause between two events that keeps the answer in time; 0: not
    * known. */
   Duration m_pause{};
+  /** The shortest aim of all prompts of the service; 0: not known. */
+  Duration m_shortestAim{};
   /** Tokens of a prompt's memory that pass between two engines in a ms; 0: they
    * do not fetch from each other. */
   double m_movedPerMs = 0;
@@ -309,6 +311,11 @@
   Donor FindDonor(const PlaceRequest& aRequest,
                   std::string_view aHall,
                   Instant aNow) const;
+  /** What may wait at a reader, in ms, before a prompt that takes so long to read
+   * is sent there. */
+  static double MostAhead(const PlaceRequest& aRequest,
+                          double aReadMs,
+                          bool aLate);
   Candidate ReaderFor(const PlaceRequest& aRequest,
                       const State& aState,
                       Instant aNow) const;
--- a/packages/relay/include/ridgeferry/relay/Routes.h
+++ b/packages/relay/include/ridgeferry/relay/Routes.h
@@ -93,6 +93,8 @@
   /** Null if no route fits. `aHost` may carry a port; `aPath` has no query. */
   const Route* Find(std::string_view aHost, std::string_view aPath) const;
   const Service* FindService(std::string_view aName) const;
+  /** The shortest aim among the streams of a service; 0: it has none. */
+  Duration ShortestAim(std::string_view aService) const;
   /** The service for one call, drawn by weight; `aDraw` is in [0, 1). */
   static const std::string& Draw(const Route& aRoute, double aDraw);
 
@@ -100,9 +102,12 @@
   const RouteConfig& Config() const { return m_config; }
 
 private:
+  void NoteAim(const Route& aRoute);
+
   RouteConfig m_config;
   std::unordered_map<std::string, const Route*> m_byPlace; ///< Host + prefix.
   std::map<std::string, const Service*, std::less<>> m_byService;
+  std::map<std::string, Duration, std::less<>> m_shortestAims; ///< By service.
 };
 
 } // namespace ridgeferry::relay
--- a/packages/relay/src/FleetReaders.cpp
+++ b/packages/relay/src/FleetReaders.cpp
@@ -16,6 +16,14 @@
 /** What waits at a reader before a prompt that misses its aim anyway, at most, in
  * ms with what a first token takes at least: next to nothing. */
 constexpr double kRoomMs = 60;
+/** What may wait at a reader before prompts that can still meet their aim, as
+ * parts of the shortest aim of the service: a long aim must not fill the readers
+ * until no short one can be met. Prompts that take up to this part of it to read
+ * are let in before longer ones: more callers are served in time by the same
+ * reading. */
+constexpr double kShortReading = 0.15;
+constexpr double kAheadOfShort = 0.5;
+constexpr double kAheadOfLong = 0.25;
 /** What an estimate that far ahead may be wrong by, at least. */
 constexpr double kLeastSpareMs = 150;
 /** How far behind the best reader a drawn one may be. */
@@ -156,6 +164,17 @@
   return cost(better) > cost(best) + kMostDrawnMs ? best : better;
 }
 
+double
+Fleet::MostAhead(const PlaceRequest& aRequest, double aReadMs, bool aLate)
+{
+  const auto shortest = static_cast<double>(aRequest.m_shortestAim.count());
+  if (aLate || shortest == 0) {
+    return kRoomMs;
+  }
+  const bool isShort = aReadMs <= kShortReading * shortest;
+  return kRoomMs + shortest * (isShort ? kAheadOfShort : kAheadOfLong);
+}
+
 std::optional<PlaceResult>
 Fleet::FindReader(std::span<const State* const> aSound,
                   const PlaceRequest& aRequest,
@@ -189,7 +208,8 @@
   }
   const double expected = chosen.m_ms * stretch;
   const bool late = expected > limit;
-  if (late && chosen.m_ms - chosen.m_readMs > kRoomMs) {
+  const double ahead = chosen.m_ms - chosen.m_readMs;
+  if (ahead > MostAhead(aRequest, chosen.m_readMs, late)) {
     const auto left = static_cast<double>(aRequest.m_left.count());
     const double missing = expected + kLeastSpareMs - left;
     return missing > 0
--- a/packages/relay/src/Routes.cpp
+++ b/packages/relay/src/Routes.cpp
@@ -25,6 +25,9 @@
   for (const Route& route : m_config.m_routes) {
     m_byPlace[LowerHost(route.m_host) + route.m_pathPrefix] = &route;
   }
+  for (const Route& route : m_config.m_routes) {
+    NoteAim(route);
+  }
   for (const Service& service : m_config.m_services) {
     m_byService[service.m_name] = &service;
   }
@@ -49,6 +52,26 @@
   return nullptr;
 }
 
+void
+RouteTable::NoteAim(const Route& aRoute)
+{
+  if (!aRoute.m_stream || aRoute.m_aim.count() == 0) {
+    return;
+  }
+  for (const ServiceShare& share : aRoute.m_services) {
+    const auto known =
+      m_shortestAims.try_emplace(share.m_service, aRoute.m_aim).first;
+    known->second = std::min(known->second, aRoute.m_aim);
+  }
+}
+
+Duration
+RouteTable::ShortestAim(std::string_view aService) const
+{
+  const auto found = m_shortestAims.find(aService);
+  return found == m_shortestAims.end() ? Duration{} : found->second;
+}
+
 const Service*
 RouteTable::FindService(std::string_view aName) const
 {
