--- a/packages/entry/src/PartKeeper.cpp
+++ b/packages/entry/src/PartKeeper.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <sstream>
 #include <ridgeferry/relay/PartPlan.h>
 
 namespace ridgeferry::entry {
@@ -10,6 +11,9 @@
 
 /** The lease covers the engines of all halls: plans need them together. */
 constexpr const char* kScope = "engines";
+/** Row of the lease's table: hashes of the services whose engines cannot read
+ * beside the output, for instances that start later. */
+constexpr const char* kFoundKey = "found/apart";
 constexpr Duration kTick{ 50 };
 /** Instances that try for a free lease; the others read it seldom. */
 constexpr std::size_t kContenders = 2;
@@ -79,23 +83,25 @@
   HandleDesk(relay::DeskTick{ mayOrder });
   // While listed engines may only have lapsed, a plan would replace what is
   // still there.
+  if (mayOrder) {
+    KeepFound();
+  }
   if (mayOrder && !m_node.m_fleet.HasLapsed()) {
     Plan();
   }
 }
 
 double
-PartKeeper::NeededNow(const relay::Service& aService)
+PartKeeper::NeededNow(const relay::Service& aService, ServicePlan& aPlan)
 {
   const Instant now = m_node.Now();
   const double needed =
     m_node.m_fleet.GeneratorsNeeded(aService.m_name, *aService.m_engine);
-  Need& need = m_needs[aService.m_name];
-  const auto age = static_cast<double>((now - need.m_at).count());
-  need.m_held =
-    std::max(needed, need.m_held * std::exp(-age / kNeedMemoryMs));
-  need.m_at = now;
-  return need.m_held;
+  const auto age = static_cast<double>((now - aPlan.m_at).count());
+  aPlan.m_held =
+    std::max(needed, aPlan.m_held * std::exp(-age / kNeedMemoryMs));
+  aPlan.m_at = now;
+  return aPlan.m_held;
 }
 
 void
@@ -103,10 +109,11 @@
                         std::vector<relay::PartChange>& aChanges)
 {
   if (m_node.m_fleet.ReadsBeside(aService.m_name)) {
-    m_needs.erase(aService.m_name);
+    m_plans.erase(aService.m_name);
     return; // Generating engines read well enough as they are.
   }
-  const double needed = NeededNow(aService);
+  ServicePlan& plan = m_plans[aService.m_name];
+  const double needed = NeededNow(aService, plan);
   std::vector<relay::PlannedEngine> engines =
     m_node.m_fleet.EnginesOf(aService.m_name);
   for (relay::PlannedEngine& engine : engines) {
@@ -114,7 +121,7 @@
     engine.m_changes = target.has_value() || m_desk.IsLeftAlone(engine.m_id);
     engine.m_part = target.value_or(engine.m_part);
   }
-  for (const relay::PartChange& change : relay::PlanParts(engines, needed)) {
+  for (const relay::PartChange& change : plan.m_planner.Plan(engines, needed, m_node.Now())) {
     aChanges.push_back(change);
     m_node.m_log->Write(
       observe::LogLevel::Info,
@@ -179,6 +186,9 @@
       event.m_fence = { table::ReadStatus::Ok,
                         { authority::FenceKey(kScope), 0, {} } };
       for (const relay::FollowedRow& row : page->m_rows) {
+        if (row.m_key == kFoundKey) {
+          Recall(row.m_value);
+        }
         for (table::ReadResult* wanted : { &event.m_lease, &event.m_fence }) {
           if (row.m_key == wanted->m_row.m_key) {
             wanted->m_row.m_version = row.m_version;
@@ -192,6 +202,54 @@
   m_node.m_http->Send(request, std::move(callbacks));
 }
 
+void
+PartKeeper::Recall(const std::string& aServices)
+{
+  if (aServices == m_written) {
+    return;
+  }
+  m_written = aServices;
+  std::vector<std::uint32_t> out;
+  std::istringstream text(aServices);
+  for (std::uint32_t service = 0; text >> service;) {
+    out.push_back(service);
+  }
+  m_node.m_fleet.RecallApart(out);
+  m_node.m_log->Write(observe::LogLevel::Info,
+                      "engines-recalled",
+                      { { "servicesApart", aServices } });
+}
+
+void
+PartKeeper::KeepFound()
+{
+  std::string found;
+  for (const relay::Service& service : m_node.m_routes->Config().m_services) {
+    if (!m_node.m_fleet.ReadsBeside(service.m_name)) {
+      found += std::to_string(relay::Fleet::ShortHash(service.m_name)) + " ";
+    }
+  }
+  if (found == m_written || m_writing) {
+    return;
+  }
+  StoreCommit commit;
+  commit.m_table = m_node.m_dialect.m_leaseTable;
+  commit.m_transaction.m_puts.push_back({ kFoundKey, found });
+  net::HttpRequest request = m_node.m_dialect.m_writeStoreCommit(commit);
+  request.m_address = m_node.m_settings.m_store;
+  request.m_timeout = kStoreTimeout;
+  net::HttpCallbacks callbacks;
+  m_writing = true;
+  callbacks.m_done = [this, found](const net::HttpResponse& aResponse) {
+    m_writing = false;
+    if (m_node.m_dialect.m_readStoreCommit(aResponse) ==
+        table::CommitResult::Committed) {
+      m_written = found;
+    }
+  };
+  m_node.m_http->Send(request, std::move(callbacks));
+}
+
 void
 PartKeeper::Do(const authority::WriteLease& aAction)
 {
--- a/packages/entry/src/PartKeeper.h
+++ b/packages/entry/src/PartKeeper.h
@@ -29,7 +29,10 @@
   void Plan();
   void PlanService(const relay::Service& aService,
                    std::vector<relay::PartChange>& aChanges);
-  double NeededNow(const relay::Service& aService);
+  /** Takes what was found before; `aServices`: the row's words. */
+  void Recall(const std::string& aServices);
+  /** Writes what is found now, if it has changed. */
+  void KeepFound();
   void HandleLease(const authority::LeaseEvent& aEvent);
   void HandleDesk(const relay::DeskEvent& aEvent);
   void Do(const authority::ReadLease& aAction);
@@ -40,18 +43,23 @@
   void Do(const relay::SendPartOrder& aAction);
   void Do(const relay::TellNews& aAction);
 
-  /** Most engines that the output needed lately. */
-  struct Need
+  /** The parts of one service's engines. */
+  struct ServicePlan
   {
-    double m_held = 0;
-    Instant m_at;
+    relay::PartPlanner m_planner;
+    double m_held = 0; ///< Most engines that the output needed lately.
+    Instant m_at;      ///< Of that.
   };
 
+  double NeededNow(const relay::Service& aService, ServicePlan& aPlan);
+
   EntryNode& m_node;
   Peers& m_peers;
   authority::Lease m_lease;
   relay::PartDesk m_desk;
-  std::map<std::string, Need> m_needs; ///< By service.
+  std::map<std::string, ServicePlan> m_plans; ///< By service.
+  std::string m_written; ///< Of what is found, as the store has it.
+  bool m_writing = false;
   net::Watch m_tick;
 };
 
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -112,6 +112,7 @@
   out.m_revision = m_node.m_routes == nullptr ? 0 : m_node.m_routes->Version();
   out.m_leavingUpstreams.assign(m_news.Told().begin(), m_news.Told().end());
   out.m_store = m_storeView;
+  out.m_apart = m_node.m_fleet.OwnApart();
   for (const relay::PartNews& news : m_partNews) {
     out.m_parts.push_back(
       { relay::Fleet::ShortHash(news.m_engine), DigestOf(news.m_part) });
@@ -226,6 +227,7 @@
   m_counted.insert(heartbeat->m_instance);
   m_node.m_fleet.SetOther(heartbeat->m_instance, std::move(loads));
   m_node.m_fleet.SetNews(heartbeat->m_instance, std::move(news));
+  m_node.m_fleet.SetApart(heartbeat->m_instance, heartbeat->m_apart);
   Handle(membership::HeartbeatArrived{ std::move(*heartbeat) });
 }
 
@@ -248,6 +250,7 @@
     if (!alive) {
       m_node.m_fleet.SetOther(aInstance, {});
       m_node.m_fleet.SetNews(aInstance, {});
+      m_node.m_fleet.SetApart(aInstance, {});
       m_node.m_log->Write(
         observe::LogLevel::Info, "peer-silent", { { "peer", aInstance } });
     }
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -81,6 +81,9 @@
   std::vector<EngineDigest> m_engines; ///< Those that it observes.
   std::vector<PartDigest> m_parts;     ///< Engines whose part it changes.
   std::vector<ReadDigest> m_reads;     ///< That it ordered lately.
+  /** Hashes of services whose engines it found unable to read prompts beside
+   * the output. */
+  std::vector<std::uint32_t> m_apart;
   std::optional<StoreView> m_store;    ///< Nothing: it follows no tables.
   bool operator==(const Heartbeat&) const = default;
 };
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -105,6 +105,11 @@
   this->readEngines = val;
 __isset.readEngines = true;
 }
+
+void Heartbeat::__set_servicesApart(const std::vector<int32_t> & val) {
+  this->servicesApart = val;
+__isset.servicesApart = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -400,6 +405,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servicesApart.clear();
+            uint32_t _size45;
+            ::apache::thrift::protocol::TType _etype48;
+            xfer += iprot->readListBegin(_etype48, _size45);
+            this->servicesApart.resize(_size45);
+            uint32_t _i49;
+            for (_i49 = 0; _i49 < _size45; ++_i49)
+            {
+              xfer += iprot->readI32(this->servicesApart[_i49]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servicesApart = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -463,10 +488,10 @@
     xfer += oprot->writeFieldBegin("leavingUpstreams", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leavingUpstreams.size()));
-      std::vector<std::string> ::const_iterator _iter45;
-      for (_iter45 = this->leavingUpstreams.begin(); _iter45 != this->leavingUpstreams.end(); ++_iter45)
+      std::vector<std::string> ::const_iterator _iter50;
+      for (_iter50 = this->leavingUpstreams.begin(); _iter50 != this->leavingUpstreams.end(); ++_iter50)
       {
-        xfer += oprot->writeString((*_iter45));
+        xfer += oprot->writeString((*_iter50));
       }
       xfer += oprot->writeListEnd();
     }
@@ -476,10 +501,10 @@
     xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->engines.size()));
-      std::vector<int32_t> ::const_iterator _iter46;
-      for (_iter46 = this->engines.begin(); _iter46 != this->engines.end(); ++_iter46)
+      std::vector<int32_t> ::const_iterator _iter51;
+      for (_iter51 = this->engines.begin(); _iter51 != this->engines.end(); ++_iter51)
       {
-        xfer += oprot->writeI32((*_iter46));
+        xfer += oprot->writeI32((*_iter51));
       }
       xfer += oprot->writeListEnd();
     }
@@ -489,10 +514,10 @@
     xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->states.size()));
-      std::vector<int32_t> ::const_iterator _iter47;
-      for (_iter47 = this->states.begin(); _iter47 != this->states.end(); ++_iter47)
+      std::vector<int32_t> ::const_iterator _iter52;
+      for (_iter52 = this->states.begin(); _iter52 != this->states.end(); ++_iter52)
       {
-        xfer += oprot->writeI32((*_iter47));
+        xfer += oprot->writeI32((*_iter52));
       }
       xfer += oprot->writeListEnd();
     }
@@ -502,10 +527,10 @@
     xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->loads.size()));
-      std::vector<int32_t> ::const_iterator _iter48;
-      for (_iter48 = this->loads.begin(); _iter48 != this->loads.end(); ++_iter48)
+      std::vector<int32_t> ::const_iterator _iter53;
+      for (_iter53 = this->loads.begin(); _iter53 != this->loads.end(); ++_iter53)
       {
-        xfer += oprot->writeI32((*_iter48));
+        xfer += oprot->writeI32((*_iter53));
       }
       xfer += oprot->writeListEnd();
     }
@@ -515,10 +540,10 @@
     xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->work.size()));
-      std::vector<int32_t> ::const_iterator _iter49;
-      for (_iter49 = this->work.begin(); _iter49 != this->work.end(); ++_iter49)
+      std::vector<int32_t> ::const_iterator _iter54;
+      for (_iter54 = this->work.begin(); _iter54 != this->work.end(); ++_iter54)
       {
-        xfer += oprot->writeI32((*_iter49));
+        xfer += oprot->writeI32((*_iter54));
       }
       xfer += oprot->writeListEnd();
     }
@@ -543,10 +568,10 @@
     xfer += oprot->writeFieldBegin("changedEngines", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->changedEngines.size()));
-      std::vector<int32_t> ::const_iterator _iter50;
-      for (_iter50 = this->changedEngines.begin(); _iter50 != this->changedEngines.end(); ++_iter50)
+      std::vector<int32_t> ::const_iterator _iter55;
+      for (_iter55 = this->changedEngines.begin(); _iter55 != this->changedEngines.end(); ++_iter55)
       {
-        xfer += oprot->writeI32((*_iter50));
+        xfer += oprot->writeI32((*_iter55));
       }
       xfer += oprot->writeListEnd();
     }
@@ -556,10 +581,10 @@
     xfer += oprot->writeFieldBegin("changedParts", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->changedParts.size()));
-      std::vector<int32_t> ::const_iterator _iter51;
-      for (_iter51 = this->changedParts.begin(); _iter51 != this->changedParts.end(); ++_iter51)
+      std::vector<int32_t> ::const_iterator _iter56;
+      for (_iter56 = this->changedParts.begin(); _iter56 != this->changedParts.end(); ++_iter56)
       {
-        xfer += oprot->writeI32((*_iter51));
+        xfer += oprot->writeI32((*_iter56));
       }
       xfer += oprot->writeListEnd();
     }
@@ -569,10 +594,10 @@
     xfer += oprot->writeFieldBegin("readParts", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->readParts.size()));
-      std::vector<int32_t> ::const_iterator _iter52;
-      for (_iter52 = this->readParts.begin(); _iter52 != this->readParts.end(); ++_iter52)
+      std::vector<int32_t> ::const_iterator _iter57;
+      for (_iter57 = this->readParts.begin(); _iter57 != this->readParts.end(); ++_iter57)
       {
-        xfer += oprot->writeI32((*_iter52));
+        xfer += oprot->writeI32((*_iter57));
       }
       xfer += oprot->writeListEnd();
     }
@@ -582,10 +607,23 @@
     xfer += oprot->writeFieldBegin("readEngines", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->readEngines.size()));
-      std::vector<int32_t> ::const_iterator _iter53;
-      for (_iter53 = this->readEngines.begin(); _iter53 != this->readEngines.end(); ++_iter53)
+      std::vector<int32_t> ::const_iterator _iter58;
+      for (_iter58 = this->readEngines.begin(); _iter58 != this->readEngines.end(); ++_iter58)
       {
-        xfer += oprot->writeI32((*_iter53));
+        xfer += oprot->writeI32((*_iter58));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.servicesApart) {
+    xfer += oprot->writeFieldBegin("servicesApart", ::apache::thrift::protocol::T_LIST, 20);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->servicesApart.size()));
+      std::vector<int32_t> ::const_iterator _iter59;
+      for (_iter59 = this->servicesApart.begin(); _iter59 != this->servicesApart.end(); ++_iter59)
+      {
+        xfer += oprot->writeI32((*_iter59));
       }
       xfer += oprot->writeListEnd();
     }
@@ -617,52 +655,55 @@
   swap(a.changedParts, b.changedParts);
   swap(a.readParts, b.readParts);
   swap(a.readEngines, b.readEngines);
+  swap(a.servicesApart, b.servicesApart);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other54) {
-  instance = other54.instance;
-  incarnation = other54.incarnation;
-  hall = other54.hall;
-  peerAddress = other54.peerAddress;
-  ready = other54.ready;
-  leaving = other54.leaving;
-  revision = other54.revision;
-  leavingUpstreams = other54.leavingUpstreams;
-  engines = other54.engines;
-  states = other54.states;
-  loads = other54.loads;
-  work = other54.work;
-  configVersion = other54.configVersion;
-  membersVersion = other54.membersVersion;
-  storeLost = other54.storeLost;
-  changedEngines = other54.changedEngines;
-  changedParts = other54.changedParts;
-  readParts = other54.readParts;
-  readEngines = other54.readEngines;
-  __isset = other54.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other60) {
+  instance = other60.instance;
+  incarnation = other60.incarnation;
+  hall = other60.hall;
+  peerAddress = other60.peerAddress;
+  ready = other60.ready;
+  leaving = other60.leaving;
+  revision = other60.revision;
+  leavingUpstreams = other60.leavingUpstreams;
+  engines = other60.engines;
+  states = other60.states;
+  loads = other60.loads;
+  work = other60.work;
+  configVersion = other60.configVersion;
+  membersVersion = other60.membersVersion;
+  storeLost = other60.storeLost;
+  changedEngines = other60.changedEngines;
+  changedParts = other60.changedParts;
+  readParts = other60.readParts;
+  readEngines = other60.readEngines;
+  servicesApart = other60.servicesApart;
+  __isset = other60.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other55) {
-  instance = other55.instance;
-  incarnation = other55.incarnation;
-  hall = other55.hall;
-  peerAddress = other55.peerAddress;
-  ready = other55.ready;
-  leaving = other55.leaving;
-  revision = other55.revision;
-  leavingUpstreams = other55.leavingUpstreams;
-  engines = other55.engines;
-  states = other55.states;
-  loads = other55.loads;
-  work = other55.work;
-  configVersion = other55.configVersion;
-  membersVersion = other55.membersVersion;
-  storeLost = other55.storeLost;
-  changedEngines = other55.changedEngines;
-  changedParts = other55.changedParts;
-  readParts = other55.readParts;
-  readEngines = other55.readEngines;
-  __isset = other55.__isset;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other61) {
+  instance = other61.instance;
+  incarnation = other61.incarnation;
+  hall = other61.hall;
+  peerAddress = other61.peerAddress;
+  ready = other61.ready;
+  leaving = other61.leaving;
+  revision = other61.revision;
+  leavingUpstreams = other61.leavingUpstreams;
+  engines = other61.engines;
+  states = other61.states;
+  loads = other61.loads;
+  work = other61.work;
+  configVersion = other61.configVersion;
+  membersVersion = other61.membersVersion;
+  storeLost = other61.storeLost;
+  changedEngines = other61.changedEngines;
+  changedParts = other61.changedParts;
+  readParts = other61.readParts;
+  readEngines = other61.readEngines;
+  servicesApart = other61.servicesApart;
+  __isset = other61.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -687,6 +728,7 @@
   out << ", " << "changedParts="; (__isset.changedParts ? (out << to_string(changedParts)) : (out << "<null>"));
   out << ", " << "readParts="; (__isset.readParts ? (out << to_string(readParts)) : (out << "<null>"));
   out << ", " << "readEngines="; (__isset.readEngines ? (out << to_string(readEngines)) : (out << "<null>"));
+  out << ", " << "servicesApart="; (__isset.servicesApart ? (out << to_string(servicesApart)) : (out << "<null>"));
   out << ")";
 }
 
@@ -768,11 +810,11 @@
   swap(a.after, b.after);
 }
 
-ChangesRequest::ChangesRequest(const ChangesRequest& other56) noexcept {
-  after = other56.after;
+ChangesRequest::ChangesRequest(const ChangesRequest& other62) noexcept {
+  after = other62.after;
 }
-ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other57) noexcept {
-  after = other57.after;
+ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other63) noexcept {
+  after = other63.after;
   return *this;
 }
 void ChangesRequest::printTo(std::ostream& out) const {
@@ -880,13 +922,13 @@
   swap(a.json, b.json);
 }
 
-ConfigObject::ConfigObject(const ConfigObject& other58) {
-  key = other58.key;
-  json = other58.json;
+ConfigObject::ConfigObject(const ConfigObject& other64) {
+  key = other64.key;
+  json = other64.json;
 }
-ConfigObject& ConfigObject::operator=(const ConfigObject& other59) {
-  key = other59.key;
-  json = other59.json;
+ConfigObject& ConfigObject::operator=(const ConfigObject& other65) {
+  key = other65.key;
+  json = other65.json;
   return *this;
 }
 void ConfigObject::printTo(std::ostream& out) const {
@@ -956,14 +998,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->changes.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->changes.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += iprot->readString(this->changes[_i64]);
+              xfer += iprot->readString(this->changes[_i70]);
             }
             xfer += iprot->readListEnd();
           }
@@ -976,14 +1018,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->snapshot.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->snapshot.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->snapshot.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
             {
-              xfer += this->snapshot[_i69].read(iprot);
+              xfer += this->snapshot[_i75].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1020,10 +1062,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->changes.size()));
-    std::vector<std::string> ::const_iterator _iter70;
-    for (_iter70 = this->changes.begin(); _iter70 != this->changes.end(); ++_iter70)
+    std::vector<std::string> ::const_iterator _iter76;
+    for (_iter76 = this->changes.begin(); _iter76 != this->changes.end(); ++_iter76)
     {
-      xfer += oprot->writeString((*_iter70));
+      xfer += oprot->writeString((*_iter76));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1033,10 +1075,10 @@
     xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->snapshot.size()));
-      std::vector<ConfigObject> ::const_iterator _iter71;
-      for (_iter71 = this->snapshot.begin(); _iter71 != this->snapshot.end(); ++_iter71)
+      std::vector<ConfigObject> ::const_iterator _iter77;
+      for (_iter77 = this->snapshot.begin(); _iter77 != this->snapshot.end(); ++_iter77)
       {
-        xfer += (*_iter71).write(oprot);
+        xfer += (*_iter77).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1055,17 +1097,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangesReply::ChangesReply(const ChangesReply& other72) {
-  revision = other72.revision;
-  changes = other72.changes;
-  snapshot = other72.snapshot;
-  __isset = other72.__isset;
+ChangesReply::ChangesReply(const ChangesReply& other78) {
+  revision = other78.revision;
+  changes = other78.changes;
+  snapshot = other78.snapshot;
+  __isset = other78.__isset;
 }
-ChangesReply& ChangesReply::operator=(const ChangesReply& other73) {
-  revision = other73.revision;
-  changes = other73.changes;
-  snapshot = other73.snapshot;
-  __isset = other73.__isset;
+ChangesReply& ChangesReply::operator=(const ChangesReply& other79) {
+  revision = other79.revision;
+  changes = other79.changes;
+  snapshot = other79.snapshot;
+  __isset = other79.__isset;
   return *this;
 }
 void ChangesReply::printTo(std::ostream& out) const {
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -30,7 +30,7 @@
 class ChangesReply;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false) {}
+  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false) {}
   bool leavingUpstreams :1;
   bool engines :1;
   bool states :1;
@@ -43,6 +43,7 @@
   bool changedParts :1;
   bool readParts :1;
   bool readEngines :1;
+  bool servicesApart :1;
 } _Heartbeat__isset;
 
 /**
@@ -109,6 +110,11 @@
    */
   std::vector<int32_t>  readParts;
   std::vector<int32_t>  readEngines;
+  /**
+   * Hashes of the services whose generating engines, as the sender has measured
+   * itself, cannot read beside the output.
+   */
+  std::vector<int32_t>  servicesApart;
 
   _Heartbeat__isset __isset;
 
@@ -150,6 +156,8 @@
 
   void __set_readEngines(const std::vector<int32_t> & val);
 
+  void __set_servicesApart(const std::vector<int32_t> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -214,6 +222,10 @@
       return false;
     else if (__isset.readEngines && !(readEngines == rhs.readEngines))
       return false;
+    if (__isset.servicesApart != rhs.__isset.servicesApart)
+      return false;
+    else if (__isset.servicesApart && !(servicesApart == rhs.servicesApart))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -41,6 +41,9 @@
    * engines that read them: two lists of one length. */
   18: optional list<i32> readParts;
   19: optional list<i32> readEngines;
+  /** Hashes of the services whose generating engines, as the sender has measured
+   * itself, cannot read beside the output. */
+  20: optional list<i32> servicesApart;
 }
 
 /** Asks a peer for the changes after a revision. */
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -117,6 +117,10 @@
     out.__set_readParts(parts);
     out.__set_readEngines(engines);
   }
+  if (!aMessage.m_apart.empty()) {
+    out.__set_servicesApart(
+      { aMessage.m_apart.begin(), aMessage.m_apart.end() });
+  }
   if (aMessage.m_store) {
     const membership::StoreView& store = *aMessage.m_store;
     out.__set_configVersion(static_cast<std::int64_t>(store.m_configVersion));
@@ -200,6 +204,7 @@
     out.m_reads.push_back({ static_cast<std::uint32_t>(in->readParts[i]),
                             static_cast<std::uint32_t>(in->readEngines[i]) });
   }
+  out.m_apart = { in->servicesApart.begin(), in->servicesApart.end() };
   if (in->__isset.configVersion && in->__isset.membersVersion) {
     out.m_store = { static_cast<std::uint64_t>(in->configVersion),
                     static_cast<std::uint64_t>(in->membersVersion),
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -187,8 +187,18 @@
   std::vector<PlannedEngine> EnginesOf(std::string_view aService) const;
   /** Whether some member may only have lapsed from the list. */
   bool HasLapsed() const;
-  /** Whether generating engines may read prompts beside the output. */
+  /** Whether generating engines may read prompts beside the output: as this
+   * instance has found, or as enough others have. */
   bool ReadsBeside(std::string_view aService) const;
+  /** `ShortHash` of the services that this instance has itself found unable to.
+   */
+  std::vector<std::uint32_t> OwnApart() const;
+  /** Replaces what another instance has found; empty: nothing, or it has ended.
+   */
+  void SetApart(const std::string& aInstance,
+                std::vector<std::uint32_t> aServices);
+  /** What was found before this process began. */
+  void RecallApart(std::vector<std::uint32_t> aServices);
   /** Generating engines that the output keeps busy. */
   double GeneratorsNeeded(std::string_view aService,
                           const EngineTraits& aTraits) const;
@@ -316,6 +326,10 @@
   static double MostAhead(const PlaceRequest& aRequest,
                           double aReadMs,
                           bool aLate);
+  /** Whether a prompt is so short that it may be read beside the output there,
+   * where longer ones may not. */
+  static bool FitsBeside(const PlaceRequest& aRequest, const State& aState);
+  static Candidate BesideAt(const Prompt& aPrompt, const State& aState);
   Candidate ReaderFor(const PlaceRequest& aRequest,
                       const State& aState,
                       Instant aNow) const;
@@ -350,6 +364,8 @@
   std::map<std::string, std::vector<OtherLoad>, std::less<>> m_others;
   std::map<std::string, std::vector<PartNewsOf>, std::less<>> m_news;
   KeptParts m_kept;
+  std::map<std::string, std::vector<std::uint32_t>, std::less<>> m_apart;
+  std::vector<std::uint32_t> m_recalledApart;
   std::deque<std::pair<Instant, KeptPart>> m_ownReads;
   std::map<std::string, ServiceBelief, std::less<>> m_beliefs; ///< By service.
   /** By service: of long prompts, and of short ones. */
--- a/packages/relay/include/ridgeferry/relay/PartDesk.h
+++ b/packages/relay/include/ridgeferry/relay/PartDesk.h
@@ -90,8 +90,8 @@
  * it any more. Then the engine is asked how many orders it has taken, and the
  * order names that count: one that is carried out late, after another one, is
  * void, so that two orders never conflict even where engines do not check
- * fencing numbers. An order without an answer is not sent again; the reports
- * tell whether it was taken. At last the news of the new part go on until the
+ * fencing numbers. After an order without an answer the reports tell whether it was
+ * taken; if not, the next one names the same count, so one of the two is void. At last the news of the new part go on until the
  * list has it.
  *
  * Orders leave only while `DeskTick` says that this instance may order. What
@@ -104,6 +104,10 @@
   /** From the news to the order: three talks of the instances, so that the loss
    * of two datagrams costs only a call that is placed again. */
   static constexpr Duration kAnnounce{ 120 };
+  /** After an order without an answer, and without a sign of it in the reports:
+   * the next one names the same count, so that only one of the two can take
+   * effect. Reports are 0.2 s old, and a sound engine answers at once. */
+  static constexpr Duration kOrderAgain{ 1000 };
   /** Between two reports of an engine that changes: as old as a report is. */
   static constexpr Duration kAskEvery{ 200 };
   /** An engine that did not follow an order by then is as the list says: well
--- a/packages/relay/include/ridgeferry/relay/PartPlan.h
+++ b/packages/relay/include/ridgeferry/relay/PartPlan.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
+#include <ridgeferry/base/Time.h>
 #include <ridgeferry/relay/Member.h>
 #include <span>
 #include <string>
@@ -34,11 +36,27 @@
  * engine that generates and is not needed for it is idle, while prompts wait.
  *
  * Each hall keeps some of both kinds, so that it serves while it is cut off.
- * `aNeeded`: generating engines that the output keeps busy, of all halls.
- * Returns the changes from here to there, least busy engines first. Pure and
- * thread-safe.
+ * Decisions only; not thread-safe.
  */
-std::vector<PartChange>
-PlanParts(std::span<const PlannedEngine> aEngines, double aNeeded);
+class PartPlanner
+{
+public:
+  /**
+   * How long a hall must be short of generating engines before a reader takes
+   * over: a crashed engine is back in two to four seconds, and a list that was
+   * cut off brings its engines back in two; a change takes three itself.
+   */
+  static constexpr Duration kShortFor{ 3000 };
+
+  /** `aNeeded`: generating engines that the output keeps busy, of all halls.
+   * Returns the changes that are due now, least busy engines first. */
+  std::vector<PartChange> Plan(std::span<const PlannedEngine> aEngines,
+                               double aNeeded,
+                               Instant aNow);
+
+private:
+  /** Halls that are short of generating engines, and since when. */
+  std::map<std::string, Instant> m_shortSince;
+};
 
 } // namespace ridgeferry::relay
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -23,8 +23,11 @@
  * engines that read five times as slowly as believed are known after three. */
 constexpr int kPaceMemory = 10;
 /** Part of an engine's slots and memory that the output should take: bursts of
- * half as much more still fit. */
-constexpr double kSteadyShare = 0.6;
+ * a third more still fit. */
+constexpr double kSteadyShare = 0.75;
+/** Other instances that must have found engines unable to read beside the output
+ * before this one believes it: one may err by chance. */
+constexpr std::ptrdiff_t kWitnesses = 2;
 /** Own reads that are older are not told any more. */
 constexpr Duration kTellReadsFor{ 2000 };
 /** How long the lateness of first tokens is remembered: a peak rises within
@@ -218,7 +221,48 @@
 Fleet::ReadsBeside(std::string_view aService) const
 {
   const auto found = m_beliefs.find(aService);
-  return found == m_beliefs.end() || found->second.m_beside.IsAllowed();
+  if (found != m_beliefs.end() && !found->second.m_beside.IsAllowed()) {
+    return false;
+  }
+  const std::uint32_t service = ShortHash(aService);
+  const auto has = [service](const std::vector<std::uint32_t>& aServices) {
+    return std::find(aServices.begin(), aServices.end(), service) !=
+           aServices.end();
+  };
+  const auto others =
+    std::count_if(m_apart.begin(), m_apart.end(), [&](const auto& aItem) {
+      return has(aItem.second);
+    });
+  return others < kWitnesses && !has(m_recalledApart);
+}
+
+std::vector<std::uint32_t>
+Fleet::OwnApart() const
+{
+  std::vector<std::uint32_t> out;
+  for (const auto& [service, belief] : m_beliefs) {
+    if (!belief.m_beside.IsAllowed()) {
+      out.push_back(ShortHash(service));
+    }
+  }
+  return out;
+}
+
+void
+Fleet::SetApart(const std::string& aInstance,
+                std::vector<std::uint32_t> aServices)
+{
+  if (aServices.empty()) {
+    m_apart.erase(aInstance);
+  } else {
+    m_apart[aInstance] = std::move(aServices);
+  }
+}
+
+void
+Fleet::RecallApart(std::vector<std::uint32_t> aServices)
+{
+  m_recalledApart = std::move(aServices);
 }
 
 double
--- a/packages/relay/src/FleetReaders.cpp
+++ b/packages/relay/src/FleetReaders.cpp
@@ -24,6 +24,10 @@
 constexpr double kShortReading = 0.15;
 constexpr double kAheadOfShort = 0.5;
 constexpr double kAheadOfLong = 0.25;
+/** Part of the allowed pause that may be unread at a generating engine with a
+ * prompt that is read there all the same: next to one short one. The next one
+ * waits until it was read, so that at most two thirds of the steps read. */
+constexpr double kBesideShare = 0.3;
 /** What an estimate that far ahead may be wrong by, at least. */
 constexpr double kLeastSpareMs = 150;
 /** How far behind the best reader a drawn one may be. */
@@ -164,6 +168,28 @@
   return cost(better) > cost(best) + kMostDrawnMs ? best : better;
 }
 
+bool
+Fleet::FitsBeside(const PlaceRequest& aRequest, const State& aState)
+{
+  const std::int64_t work = WorkToRead(*aRequest.m_prompt, false);
+  const auto all =
+    static_cast<double>(aState.m_tokens + aState.m_othersTokens + work);
+  return all / PaceOf(aState) <=
+           kBesideShare * static_cast<double>(aRequest.m_pause.count()) &&
+         HasFreeSlots(aState);
+}
+
+Fleet::Candidate
+Fleet::BesideAt(const Prompt& aPrompt, const State& aState)
+{
+  Candidate out;
+  out.m_state = &aState;
+  out.m_work = WorkToRead(aPrompt, false);
+  out.m_readMs = static_cast<double>(out.m_work) / PaceOf(aState);
+  out.m_ms = FirstTokenMs(aState, out.m_work);
+  return out;
+}
+
 double
 Fleet::MostAhead(const PlaceRequest& aRequest, double aReadMs, bool aLate)
 {
@@ -184,10 +210,11 @@
   std::vector<Candidate> readers;
   double nearest = 0;
   for (const State* state : aSound) {
-    if (state->m_member.m_part != Part::Prefill) {
-      continue;
+    if (state->m_member.m_part == Part::Prefill) {
+      readers.push_back(ReaderFor(aRequest, *state, aNow));
+    } else if (FitsBeside(aRequest, *state)) {
+      readers.push_back(BesideAt(prompt, *state));
     }
-    readers.push_back(ReaderFor(aRequest, *state, aNow));
     nearest =
       std::max(nearest, HomeScore(prompt.m_sharedKey, state->m_hash, 1));
   }
@@ -202,7 +229,9 @@
   const double stretch = StretchOf(aRequest.m_service, prompt);
   const auto limit = static_cast<double>(aRequest.m_patience.count());
   const Candidate& chosen = PickApart(readers, aRequest);
-  const State* taker = PickTaker(*chosen.m_state, aSound);
+  const bool beside = chosen.m_state->m_member.m_part == Part::Generate;
+  const State* taker =
+    beside ? chosen.m_state : PickTaker(*chosen.m_state, aSound);
   if (taker == nullptr) {
     return std::nullopt; // Nobody could give the output.
   }
@@ -216,7 +245,10 @@
              ? PlaceResult(PlaceFault{ true, Duration(std::llround(missing)) })
              : PlaceResult(PlaceLater{});
   }
-  Place place{ taker->m_member.m_id, chosen.m_state->m_member.m_id };
+  Place place{ taker->m_member.m_id, {} };
+  if (!beside) {
+    place.m_reader = chosen.m_state->m_member.m_id;
+  }
   place.m_expectedMs = chosen.m_ms;
   place.m_late = late;
   place.m_work = chosen.m_work;
--- a/packages/relay/src/PartDesk.cpp
+++ b/packages/relay/src/PartDesk.cpp
@@ -62,6 +62,11 @@
       }
       return;
     case Step::Doubtful:
+      if (age >= kOrderAgain && aMayOrder) {
+        GoTo(aChange, Step::Announced, aNow, aActions);
+        return;
+      }
+      [[fallthrough]];
     case Step::Watching:
       if (age >= kLongest) {
         GoTo(aChange, Step::Paused, aNow, aActions);
--- a/packages/relay/src/PartPlan.cpp
+++ b/packages/relay/src/PartPlan.cpp
@@ -11,9 +11,9 @@
 /** Generating engines that each hall keeps when others become readers, so that
  * one may be lost: a lost one is back in its first part sooner than another
  * could take its place, so only the last one of a hall is replaced. Halls with
- * fewer than four engines keep one. */
+ * fewer than six engines keep one. */
 constexpr std::size_t kLeastGenerating = 2;
-constexpr std::size_t kSmallHall = 4;
+constexpr std::size_t kSmallHall = 6;
 /** What the need must fall below before generating engines become readers: a
  * change takes an engine away for seconds, so a need that swings by a fifth
  * moves nothing. */
@@ -63,7 +63,9 @@
 } // namespace
 
 std::vector<PartChange>
-PlanParts(std::span<const PlannedEngine> aEngines, double aNeeded)
+PartPlanner::Plan(std::span<const PlannedEngine> aEngines,
+                  double aNeeded,
+                  Instant aNow)
 {
   std::map<std::string, HallEngines> halls;
   for (const PlannedEngine& engine : aEngines) {
@@ -79,7 +81,14 @@
     const std::size_t least = AtLeast(hall.Size(), aNeeded * share, 1);
     const std::size_t most = AtLeast(
       hall.Size(), aNeeded * share * kShrinkMargin, LeastKept(hall.Size()));
+    if (now >= least) {
+      m_shortSince.erase(name);
+    }
     if (now < least) {
+      const Instant since = m_shortSince.try_emplace(name, aNow).first->second;
+      if (aNow - since < kShortFor) {
+        continue;
+      }
       Change(hall.m_reading, least - now, Part::Generate, out);
     } else if (now > most) {
       Change(hall.m_generating, now - most, Part::Prefill, out);
