--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -118,10 +118,20 @@
   /**
    * A member that was sent something and has not said a word for so long gets
    * nothing more while others are sound: far above what a step or a plain call
-   * takes. Longer prompts wait longer only where others are waited for, and
-   * then those are heard of.
+   * takes. An engine has besides what the prompts that wait there should take,
+   * half as long again: one that only reads says nothing before it has read.
    */
   static constexpr Duration kSilence{ 300 };
+  static constexpr double kSilenceOfWork = 1.5;
+  /** Bound of that: callers give up after two seconds. */
+  static constexpr Duration kMostSilence{ 1500 };
+  /** Longest rest: it doubles each time that a member is asked again in vain, so
+   * that those behind a cut do not cost each caller of this side a try. */
+  static constexpr Duration kLongestRest{ 4000 };
+  /** Refusals in a row after which a member rests, and for how long: one that is
+   * between two parts refuses all, looks idle and would get everything. */
+  static constexpr int kDeclinesToRest = 2;
+  static constexpr Duration kDeclinedRest{ 300 };
 
   /** A member that leaves stays leaving: its id is used for one life only. */
   void Put(const Member& aMember);
@@ -249,6 +259,8 @@
     int m_paces = 0;        ///< Samples of it, up to those that it remembers.
     double m_failShare = 0; ///< Smoothed.
     int m_failuresInRow = 0;
+    int m_declinesInRow = 0;
+    Duration m_rest = kRest; ///< The next one.
     std::optional<Instant> m_restsUntil;
     /** When it was first sent something that it has not answered by any word.
      */
@@ -274,6 +286,7 @@
   bool MayServe(const State& aState,
                 const PlaceRequest& aRequest,
                 Instant aNow) const;
+  static Duration SilenceOf(const State& aState);
   static bool IsSilent(const State& aState, Instant aNow);
   static void Rest(State& aState, Instant aNow);
   static bool HasConnection(const State& aState, const PlaceRequest& aRequest);
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -438,6 +438,7 @@
     return false;
   }
   found->second.m_unheardSince.reset();
+  found->second.m_rest = kRest;
   return std::exchange(found->second.m_mustProve, false);
 }
 
@@ -453,17 +454,33 @@
 void
 Fleet::Rest(State& aState, Instant aNow)
 {
-  aState.m_restsUntil = aNow + kRest;
+  aState.m_restsUntil = aNow + aState.m_rest;
+  if (aState.m_mustProve) {
+    aState.m_rest = std::min(aState.m_rest * 2, kLongestRest);
+  }
   aState.m_mustProve = true;
 }
 
+Duration
+Fleet::SilenceOf(const State& aState)
+{
+  if (aState.m_member.m_part == Part::Whole) {
+    return kSilence;
+  }
+  const auto waits =
+    static_cast<double>(aState.m_tokens + aState.m_othersTokens);
+  const double workMs = kSilenceOfWork * waits / PaceOf(aState);
+  return std::min(kSilence + Duration(std::llround(workMs)), kMostSilence);
+}
+
 bool
 Fleet::IsSilent(const State& aState, Instant aNow)
 {
   if (!aState.m_unheardSince) {
     return false;
   }
-  return aState.m_mustProve || aNow - *aState.m_unheardSince >= kSilence;
+  return aState.m_mustProve ||
+         aNow - *aState.m_unheardSince >= SilenceOf(aState);
 }
 
 bool
@@ -514,7 +531,15 @@
   if (rests) {
     Rest(state, aNow);
   }
-  if (aEnd == AttemptEnd::Abandoned || aEnd == AttemptEnd::Declined) {
+  if (aEnd == AttemptEnd::Declined) {
+    if (++state.m_declinesInRow < kDeclinesToRest) {
+      return rests;
+    }
+    state.m_declinesInRow = 0;
+    state.m_restsUntil = aNow + kDeclinedRest;
+    return true;
+  }
+  if (aEnd == AttemptEnd::Abandoned) {
     return rests;
   }
   if (aEnd == AttemptEnd::Displaced) {
@@ -525,6 +550,7 @@
   state.m_failShare += kNewest * ((failed ? 1 : 0) - state.m_failShare);
   if (!failed) {
     state.m_failuresInRow = 0;
+    state.m_declinesInRow = 0;
     state.m_tookMs = Smooth(state.m_tookMs, static_cast<double>(aTook.count()));
     return rests;
   }
