--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -358,10 +358,25 @@
   }
 }
 
+void
+RelayCall::NotePause()
+{
+  const Duration most = m_start.m_route->m_pause;
+  if (!m_start.m_head.m_prompt || m_attempt.m_readOnly || most.count() == 0) {
+    return;
+  }
+  const Instant now = m_node.Now();
+  const auto last = std::exchange(m_attempt.m_lastBytes, now);
+  if (last && now - *last > most && !std::exchange(m_paused, true)) {
+    m_node.m_fleet.NoteStream(m_start.m_service, true);
+  }
+}
+
 void
 RelayCall::TakeBytes(std::string_view aBytes)
 {
   NoteHeard();
+  NotePause();
   if (m_attempt.m_readOnly) {
     m_readBody.append(aBytes);
   } else if (!m_attempt.m_saidNotRun) {
@@ -420,6 +435,10 @@
         { "status", std::int64_t{ m_attempt.m_head.m_status } },
         { "tookMs", (m_node.Now() - m_attempt.m_sentAt).count() } });
   }
+  if (aAction.m_end == relay::AttemptEnd::Served && m_attempt.m_lastBytes &&
+      !m_paused) {
+    m_node.m_fleet.NoteStream(m_start.m_service, false);
+  }
   const Duration waited = m_node.Now() - m_placedAt;
   const bool late = static_cast<double>(waited.count()) > m_expectedMs;
   if (aAction.m_end == relay::AttemptEnd::Abandoned && late) {
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -57,6 +57,7 @@
     bool m_readOnly = false;
     bool m_saidNotRun = false;
     bool m_hasHead = false;
+    std::optional<Instant> m_lastBytes; ///< Of a stream of events.
     net::HttpHead m_head;
   };
 
@@ -83,6 +84,8 @@
   void NoteRepeat();
   Duration PlaceAgainIn() const;
   void NoteFirstToken();
+  /** Some bytes of a stream came: was the pause before them too long? */
+  void NotePause();
   /** Some bytes of the present attempt came. */
   void NoteHeard();
   /** Its member gets nothing for a while, and why. */
@@ -102,7 +105,8 @@
   Attempt m_attempt;
   double m_expectedMs = 0; ///< Of the first token, by the first place; 0: none.
   Instant m_placedAt;
-  relay::Place m_place; ///< The one in use.
+  relay::Place m_place;  ///< The one in use.
+  bool m_paused = false; ///< Its stream has had a pause that is too long.
   std::string m_readBody; ///< Of a reader's answer.
   std::string m_path;     ///< Members tried, in order, for the log.
   bool m_told = false;
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -149,6 +149,8 @@
   void NotePrompt(std::string_view aService,
                   const Prompt& aPrompt,
                   Duration aPause);
+  /** See `ReadingBeside::NoteStream`. */
+  void NoteStream(std::string_view aService, bool aPaused);
   /** `aTokens` to read before the first byte of its answer. */
   void NoteSent(std::string_view aId, std::int64_t aTokens, Instant aNow);
   /** Some bytes came from it, of whatever call. True: it had to prove itself,
--- a/packages/relay/include/ridgeferry/relay/ReadingBeside.h
+++ b/packages/relay/include/ridgeferry/relay/ReadingBeside.h
@@ -6,7 +6,7 @@
 
 /**
  * Whether engines that generate may read prompts beside it, learned from what
- * prompts take there.
+ * prompts take there and from the pauses of the streams.
  *
  * Each piece of a prompt that is read between two tokens holds up all streams
  * of that engine. At engines that read a typical prompt in a small part of the
@@ -15,7 +15,8 @@
  * be read apart. (Measured on a model of 18 engines that read 64 tokens a ms:
  * half of all streams were late by their pauses alone.)
  *
- * Decisions only; not thread-safe.
+ * Both have to be seen: under overload prompts wait at engines of any kind, and
+ * a crash pauses streams of any kind. Decisions only; not thread-safe.
  */
 class ReadingBeside
 {
@@ -25,6 +26,9 @@
   void NotePrompt(double aWork, Duration aPause);
   /** So much work was read in a ms by an engine that generates. */
   void NotePace(double aPace);
+  /** A stream of that service has ended without a pause between its events that
+   * its caller would mind, or has just had one. */
+  void NoteStream(bool aPaused);
   /** True until enough was seen. */
   bool IsAllowed() const { return m_allowed; }
 
@@ -37,6 +41,8 @@
   double m_pauseMs = 0;
   double m_pace = 0;
   int m_paces = 0;
+  double m_pausedShare = 0;
+  int m_streams = 0;
 };
 
 } // namespace ridgeferry::relay
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -236,6 +236,12 @@
   return others < kWitnesses && !has(m_recalledApart);
 }
 
+void
+Fleet::NoteStream(std::string_view aService, bool aPaused)
+{
+  m_beliefs[std::string(aService)].m_beside.NoteStream(aPaused);
+}
+
 std::vector<std::uint32_t>
 Fleet::OwnApart() const
 {
--- a/packages/relay/src/ReadingBeside.cpp
+++ b/packages/relay/src/ReadingBeside.cpp
@@ -19,6 +19,12 @@
 /** About the last thirty prompts and the last ten paces. */
 constexpr int kPrompts = 30;
 constexpr int kPaces = 10;
+/** Streams seen before anything is concluded, and those remembered. */
+constexpr int kLeastStreams = 5;
+constexpr int kStreams = 12;
+/** Share of streams with a pause above which they are no accident: 0.1 to 0.2 at
+ * engines that bear it, 0.6 and more at those that do not. */
+constexpr double kMostPaused = 0.45;
 
 } // namespace
 
@@ -39,6 +45,13 @@
   Decide();
 }
 
+void
+ReadingBeside::NoteStream(bool aPaused)
+{
+  m_pausedShare = Blend(m_pausedShare, aPaused ? 1 : 0, m_streams, kStreams);
+  Decide();
+}
+
 void
 ReadingBeside::Decide()
 {
@@ -46,7 +59,9 @@
     return;
   }
   const double share = m_work / m_pace / m_pauseMs;
-  if (share > kMostOfPause) {
+  const bool pauses =
+    m_streams >= kLeastStreams && m_pausedShare > kMostPaused;
+  if (share > kMostOfPause && pauses) {
     m_allowed = false;
   } else if (share < kMostOfPause * kAllowAgain) {
     m_allowed = true;
