--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -388,7 +388,7 @@
 RelayCall::TakeEnd(const net::HttpResponse& aResponse)
 {
   m_attempt.m_http = 0;
-  if (aResponse.m_silent) {
+  if (aResponse.m_silent || aResponse.m_end == net::HttpEnd::NotSent) {
     m_node.m_fleet.NoteOutOfReach(m_attempt.m_upstream, m_node.Now());
     LogRest("out of reach");
   }
--- a/packages/relay/src/FleetReaders.cpp
+++ b/packages/relay/src/FleetReaders.cpp
@@ -57,9 +57,12 @@
                   Instant aNow) const
 {
   const std::uint32_t member = ShortHash(aState.m_member.m_id);
+  const Duration life = aState.m_member.m_part == Part::Generate
+                          ? KeptParts::kLifeBesideOutput
+                          : KeptParts::kLife;
   std::int64_t kept = 0;
   for (const SharedPart& part : aPrompt.m_parts) {
-    if (!m_kept.IsKept({ part.m_key, member }, aNow)) {
+    if (!m_kept.IsKept({ part.m_key, member }, life, aNow)) {
       break; // A part counts only if all before it are kept too.
     }
     kept += part.m_tokens;
@@ -84,8 +87,7 @@
   Donor out;
   for (const auto& [id, state] : m_members) {
     const Member& member = state.m_member;
-    if (member.m_service != aRequest.m_service ||
-        member.m_part != Part::Prefill || state.m_mustProve) {
+    if (member.m_service != aRequest.m_service || state.m_mustProve) {
       continue;
     }
     const std::int64_t kept = TokensKept(*aRequest.m_prompt, state, aNow);
@@ -171,6 +173,9 @@
 bool
 Fleet::FitsBeside(const PlaceRequest& aRequest, const State& aState)
 {
+  if (aState.m_inFlight + aState.m_othersInFlight == 0) {
+    return true; // Nobody's output waits for it.
+  }
   const std::int64_t work = WorkToRead(*aRequest.m_prompt, false);
   const auto all =
     static_cast<double>(aState.m_tokens + aState.m_othersTokens + work);
--- a/packages/relay/src/KeptParts.cpp
+++ b/packages/relay/src/KeptParts.cpp
@@ -24,10 +24,10 @@
 }
 
 bool
-KeptParts::IsKept(const KeptPart& aPart, Instant aNow) const
+KeptParts::IsKept(const KeptPart& aPart, Duration aLife, Instant aNow) const
 {
   const auto found = m_usedAt.find(KeyOf(aPart));
-  return found != m_usedAt.end() && aNow - found->second < kLife;
+  return found != m_usedAt.end() && aNow - found->second < aLife;
 }
 
 void
