--- a/packages/entry/src/PartKeeper.cpp
+++ b/packages/entry/src/PartKeeper.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <sstream>
+#include <utility>
 #include <ridgeferry/relay/PartPlan.h>
 
 namespace ridgeferry::entry {
@@ -89,6 +90,7 @@
   if (mayOrder && !m_node.m_fleet.HasLapsed()) {
     Plan();
   }
+  TellNews();
 }
 
 double
@@ -353,6 +355,15 @@
 void
 PartKeeper::Do(const relay::TellNews&)
 {
+  m_newsChanged = true; // Told once a tick: one talk to all costs a millisecond.
+}
+
+void
+PartKeeper::TellNews()
+{
+  if (!std::exchange(m_newsChanged, false)) {
+    return;
+  }
   const std::vector<relay::PartNews> news = m_desk.News();
   std::vector<relay::PartNewsOf> own;
   for (const relay::PartNews& item : news) {
--- a/packages/entry/src/PartKeeper.h
+++ b/packages/entry/src/PartKeeper.h
@@ -33,6 +33,8 @@
   void Recall(const std::string& aServices);
   /** Writes what is found now, if it has changed. */
   void KeepFound();
+  /** Tells the others, if the desk's news have changed. */
+  void TellNews();
   void HandleLease(const authority::LeaseEvent& aEvent);
   void HandleDesk(const relay::DeskEvent& aEvent);
   void Do(const authority::ReadLease& aAction);
@@ -60,6 +62,7 @@
   std::map<std::string, ServicePlan> m_plans; ///< By service.
   std::string m_written; ///< Of what is found, as the store has it.
   bool m_writing = false;
+  bool m_newsChanged = false;
   net::Watch m_tick;
 };
 
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -259,6 +259,7 @@
     double m_tookMs = 0;    ///< Smoothed, of served plain calls.
     double m_pace = 0;      ///< Tokens read in a ms, smoothed; 0: no sample.
     int m_paces = 0;        ///< Samples of it, up to those that it remembers.
+    double m_kindPace = 0;  ///< Of engines like it; 0: none has been seen.
     double m_failShare = 0; ///< Smoothed.
     int m_failuresInRow = 0;
     int m_declinesInRow = 0;
@@ -332,10 +333,13 @@
     const State* m_state = nullptr;
     std::int64_t m_tokens = 0;
   };
-  /** Who keeps most of the prompt; in `aHall` first. */
-  Donor FindDonor(const PlaceRequest& aRequest,
-                  std::string_view aHall,
-                  Instant aNow) const;
+  /** Who keeps most of a prompt, of all and in each hall. */
+  struct Donors
+  {
+    Donor m_most;
+    std::map<std::string_view, Donor> m_byHall;
+  };
+  Donors FindDonors(const PlaceRequest& aRequest, Instant aNow) const;
   /** What may wait at a reader, in ms, before a prompt that takes so long to read
    * is sent there. */
   static double MostAhead(const PlaceRequest& aRequest,
@@ -347,6 +351,7 @@
   static Candidate BesideAt(const Prompt& aPrompt, const State& aState);
   Candidate ReaderFor(const PlaceRequest& aRequest,
                       const State& aState,
+                      const Donors& aDonors,
                       Instant aNow) const;
   static bool IsQuiet(const State& aState, std::uint64_t aQuietBelow);
   /** Hashes of quiet engines are below this; `aMost`: of all that may be. */
@@ -360,11 +365,19 @@
     double m_factor = 1;
     Instant m_at;
   };
+  /** Of engines of one part. */
+  struct MeanPace
+  {
+    double m_pace = 0;
+    int m_samples = 0;
+  };
   /** What is believed of the calls of one service. */
   struct ServiceBelief
   {
     ReadingBeside m_beside;
     double m_heldTokens = 0; ///< Of a call's prompt and output, smoothed.
+    MeanPace m_readers;
+    MeanPace m_generators;
   };
   double StretchOf(std::string_view aService, const Prompt& aPrompt) const;
   /** Whether it is worth a home, and is kept from quiet engines. */
@@ -372,6 +385,8 @@
 
   void AddOther(std::span<const OtherLoad> aLoads, std::int64_t aSign);
   void UseNews(State& aState);
+  /** What is believed of an engine of which no pace was seen yet. */
+  double KindPaceOf(const Member& aMember) const;
   const PartNewsOf* NewsOf(std::uint32_t aMember) const;
 
   std::map<std::string, State, std::less<>> m_members;
--- a/packages/relay/include/ridgeferry/relay/PartDesk.h
+++ b/packages/relay/include/ridgeferry/relay/PartDesk.h
@@ -110,6 +110,9 @@
   static constexpr Duration kOrderAgain{ 1000 };
   /** Between two reports of an engine that changes: as old as a report is. */
   static constexpr Duration kAskEvery{ 200 };
+  /** Reports asked for in one tick, those that waited longest first: with a tick
+   * of 50 ms sixty a second, a tenth of the smallest instance's processor. */
+  static constexpr std::size_t kMostAsksATick = 3;
   /** An engine that did not follow an order by then is as the list says: well
    * above the seconds of a change with a long stream's end before it. */
   static constexpr Duration kLongest{ 12'000 };
@@ -155,15 +158,15 @@
   void On(const ReportCame& aEvent, Instant aNow, Actions& aActions);
   void On(const OrderAnswered& aEvent, Instant aNow, Actions& aActions);
   void On(const EngineGone& aEvent, Instant aNow, Actions& aActions);
-  void GoTo(Change& aChange, Step aStep, Instant aNow, Actions& aActions);
-  void Advance(const std::string& aEngine,
-               Change& aChange,
-               bool aMayOrder,
-               Instant aNow,
-               Actions& aActions);
+  void GoTo(Change& aChange, Step aStep, Instant aNow);
+  /** What time alone brings. */
+  void Advance(Change& aChange, Instant aNow);
+  static bool IsToBeAsked(const Change& aChange, Instant aNow);
+  void Ask(const std::string& aEngine, Instant aNow, Actions& aActions);
   static bool IsOver(const Change& aChange, Instant aNow);
 
   bool m_mayOrder = false;
+  bool m_newsChanged = false; ///< By the event that is handled.
   std::map<std::string, Change> m_changes;
 };
 
--- a/packages/relay/src/EnginePace.h
+++ b/packages/relay/src/EnginePace.h
@@ -12,6 +12,9 @@
 inline constexpr double kPrefillPace = 250;
 inline constexpr double kGeneratePace = 125;
 
+/** An engine that generates reads prompts at half the pace. */
+inline constexpr double kGenerateReadCost = 2.0;
+
 /** The pace that is taken for an engine of that part until one was seen. */
 inline double
 UnseenPace(Part aPart)
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -22,6 +22,8 @@
 /** Samples that a pace remembers, in which the belief before any counts as one:
  * engines that read five times as slowly as believed are known after three. */
 constexpr int kPaceMemory = 10;
+/** The same of the engines of one part together. */
+constexpr int kKindMemory = 20;
 /** Part of an engine's slots and memory that the output should take: bursts of
  * a third more still fit. */
 constexpr double kSteadyShare = 0.75;
@@ -169,6 +171,7 @@
   if (aState.m_member.m_part != before) {
     aState.m_pace = 0; // It was the pace of the other part.
   }
+  aState.m_kindPace = KindPaceOf(aState.m_member);
 }
 
 void
@@ -412,15 +415,43 @@
     std::clamp(static_cast<double>(aTokens) / took, kLowestPace, kHighestPace);
   State& state = found->second;
   if (state.m_pace == 0) {
-    state.m_pace = UnseenPace(state.m_member.m_part);
+    state.m_pace = PaceOf(state);
     state.m_paces = 1;
   }
   state.m_pace = Blend(state.m_pace, pace, state.m_paces, kPaceMemory);
-  if (state.m_member.m_part == Part::Generate) {
-    m_beliefs[state.m_member.m_service].m_beside.NotePace(pace);
+  ServiceBelief& belief = m_beliefs[state.m_member.m_service];
+  const bool generates = state.m_member.m_part == Part::Generate;
+  if (generates) {
+    belief.m_beside.NotePace(pace);
+  }
+  MeanPace& mean = generates ? belief.m_generators : belief.m_readers;
+  mean.m_pace = Blend(mean.m_pace, pace, mean.m_samples, kKindMemory);
+  for (auto& [id, other] : m_members) {
+    if (other.m_member.m_service == state.m_member.m_service) {
+      other.m_kindPace = KindPaceOf(other.m_member);
+    }
   }
 }
 
+double
+Fleet::KindPaceOf(const Member& aMember) const
+{
+  const auto belief = m_beliefs.find(aMember.m_service);
+  if (belief == m_beliefs.end()) {
+    return 0;
+  }
+  const bool generates = aMember.m_part == Part::Generate;
+  const MeanPace& own =
+    generates ? belief->second.m_generators : belief->second.m_readers;
+  const MeanPace& others =
+    generates ? belief->second.m_readers : belief->second.m_generators;
+  if (own.m_samples > 0) {
+    return own.m_pace;
+  }
+  return generates ? others.m_pace / kGenerateReadCost
+                   : others.m_pace * kGenerateReadCost;
+}
+
 void
 Fleet::NoteSent(std::string_view aId, std::int64_t aTokens, Instant aNow)
 {
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-/** An engine that generates reads prompts at half the pace. */
-constexpr double kGenerateReadCost = 2.0;
 /** What handing a prompt's memory over costs, in ms: the way there and back,
  * and a gigabyte at some terabits a second. */
 constexpr double kHandOverMs = 6;
@@ -208,8 +206,11 @@
 double
 Fleet::PaceOf(const State& aState)
 {
-  return aState.m_pace == 0 ? UnseenPace(aState.m_member.m_part)
-                            : aState.m_pace;
+  if (aState.m_pace > 0) {
+    return aState.m_pace;
+  }
+  return aState.m_kindPace > 0 ? aState.m_kindPace
+                               : UnseenPace(aState.m_member.m_part);
 }
 
 double
--- a/packages/relay/src/FleetReaders.cpp
+++ b/packages/relay/src/FleetReaders.cpp
@@ -56,7 +56,7 @@
                   const State& aState,
                   Instant aNow) const
 {
-  const std::uint32_t member = ShortHash(aState.m_member.m_id);
+  const auto member = static_cast<std::uint32_t>(aState.m_hash);
   const Duration life = aState.m_member.m_part == Part::Generate
                           ? KeptParts::kLifeBesideOutput
                           : KeptParts::kLife;
@@ -79,23 +79,26 @@
   return WorkOf(aPrompt, whole - TokensKept(aPrompt, aState, aNow));
 }
 
-Fleet::Donor
-Fleet::FindDonor(const PlaceRequest& aRequest,
-                 std::string_view aHall,
-                 Instant aNow) const
+Fleet::Donors
+Fleet::FindDonors(const PlaceRequest& aRequest, Instant aNow) const
 {
-  Donor out;
+  Donors out;
+  if (aRequest.m_movedPerMs == 0) {
+    return out;
+  }
+  const auto keepMost = [](Donor& aDonor, const Donor& aOther) {
+    if (aOther.m_tokens > aDonor.m_tokens) {
+      aDonor = aOther;
+    }
+  };
   for (const auto& [id, state] : m_members) {
-    const Member& member = state.m_member;
-    if (member.m_service != aRequest.m_service || state.m_mustProve) {
+    if (state.m_member.m_service != aRequest.m_service || state.m_mustProve) {
       continue;
     }
-    const std::int64_t kept = TokensKept(*aRequest.m_prompt, state, aNow);
-    const bool nearer = kept > 0 && kept == out.m_tokens &&
-                        member.m_hall == aHall &&
-                        out.m_state->m_member.m_hall != aHall;
-    if (kept > out.m_tokens || nearer) {
-      out = { &state, kept };
+    const Donor donor{ &state, TokensKept(*aRequest.m_prompt, state, aNow) };
+    if (donor.m_tokens > 0) {
+      keepMost(out.m_most, donor);
+      keepMost(out.m_byHall[state.m_member.m_hall], donor);
     }
   }
   return out;
@@ -104,6 +107,7 @@
 Fleet::Candidate
 Fleet::ReaderFor(const PlaceRequest& aRequest,
                  const State& aState,
+                 const Donors& aDonors,
                  Instant aNow) const
 {
   const Prompt& prompt = *aRequest.m_prompt;
@@ -111,16 +115,17 @@
   Candidate out;
   out.m_state = &aState;
   double fetchMs = 0;
-  if (aRequest.m_movedPerMs > 0 && kept < prompt.m_sharedTokens) {
-    const Donor donor = FindDonor(aRequest, aState.m_member.m_hall, aNow);
-    const std::int64_t more = donor.m_tokens - kept;
-    if (more >= kLeastFetched) {
-      const bool away = donor.m_state->m_member.m_hall != aState.m_member.m_hall;
-      fetchMs = kFetchMs + static_cast<double>(more) / aRequest.m_movedPerMs *
-                             (away ? kAwayMoves : 1);
-      out.m_donor = donor.m_state;
-      kept = donor.m_tokens;
-    }
+  const std::string& hall = aState.m_member.m_hall;
+  const auto near = aDonors.m_byHall.find(hall);
+  const bool isNear = near != aDonors.m_byHall.end() &&
+                      near->second.m_tokens == aDonors.m_most.m_tokens;
+  const Donor& donor = isNear ? near->second : aDonors.m_most;
+  const std::int64_t more = donor.m_tokens - kept;
+  if (more >= kLeastFetched) {
+    fetchMs = kFetchMs + static_cast<double>(more) / aRequest.m_movedPerMs *
+                           (isNear ? 1 : kAwayMoves);
+    out.m_donor = donor.m_state;
+    kept = donor.m_tokens;
   }
   const std::int64_t whole = prompt.m_sharedTokens + prompt.m_ownTokens;
   out.m_work = WorkOf(prompt, whole - kept);
@@ -212,11 +217,12 @@
                   Instant aNow) const
 {
   const Prompt& prompt = *aRequest.m_prompt;
+  const Donors donors = FindDonors(aRequest, aNow);
   std::vector<Candidate> readers;
   double nearest = 0;
   for (const State* state : aSound) {
     if (state->m_member.m_part == Part::Prefill) {
-      readers.push_back(ReaderFor(aRequest, *state, aNow));
+      readers.push_back(ReaderFor(aRequest, *state, donors, aNow));
     } else if (FitsBeside(aRequest, *state)) {
       readers.push_back(BesideAt(prompt, *state));
     }
--- a/packages/relay/src/PartDesk.cpp
+++ b/packages/relay/src/PartDesk.cpp
@@ -1,21 +1,27 @@
 #include "ridgeferry/relay/PartDesk.h"
 
+#include <algorithm>
+
 namespace ridgeferry::relay {
 
 std::vector<DeskAction>
 PartDesk::Handle(const DeskEvent& aEvent, Instant aNow)
 {
   Actions actions;
+  m_newsChanged = false;
   std::visit([&](const auto& aTyped) { On(aTyped, aNow, actions); }, aEvent);
+  if (m_newsChanged) {
+    actions.emplace_back(TellNews{});
+  }
   return actions;
 }
 
 void
-PartDesk::GoTo(Change& aChange, Step aStep, Instant aNow, Actions& aActions)
+PartDesk::GoTo(Change& aChange, Step aStep, Instant aNow)
 {
   aChange.m_step = aStep;
   aChange.m_since = aNow;
-  aActions.emplace_back(TellNews{});
+  m_newsChanged = true;
 }
 
 bool
@@ -30,60 +36,70 @@
 PartDesk::On(const DeskTick& aEvent, Instant aNow, Actions& aActions)
 {
   m_mayOrder = aEvent.m_mayOrder;
+  std::vector<std::pair<Instant, const std::string*>> due;
   for (auto& [engine, change] : m_changes) {
-    Advance(engine, change, aEvent.m_mayOrder, aNow, aActions);
+    Advance(change, aNow);
+    if (IsToBeAsked(change, aNow)) {
+      due.emplace_back(change.m_asked, &engine);
+    }
+  }
+  std::sort(due.begin(), due.end());
+  due.resize(std::min(due.size(), kMostAsksATick));
+  for (const auto& [asked, engine] : due) {
+    Ask(*engine, aNow, aActions);
   }
   const std::size_t over = std::erase_if(
     m_changes, [aNow](const auto& aItem) { return IsOver(aItem.second, aNow); });
-  if (over > 0) {
-    aActions.emplace_back(TellNews{});
-  }
+  m_newsChanged = m_newsChanged || over > 0;
 }
 
 void
-PartDesk::Advance(const std::string& aEngine,
-                  Change& aChange,
-                  bool aMayOrder,
-                  Instant aNow,
-                  Actions& aActions)
+PartDesk::Ask(const std::string& aEngine, Instant aNow, Actions& aActions)
+{
+  Change& change = m_changes.at(aEngine);
+  if (change.m_step == Step::Announced) {
+    GoTo(change, Step::Asking, aNow);
+  }
+  change.m_asked = aNow;
+  aActions.emplace_back(AskReport{ aEngine });
+}
+
+bool
+PartDesk::IsToBeAsked(const Change& aChange, Instant aNow)
 {
-  const Duration age = aNow - aChange.m_since;
-  const auto ask = [&] {
-    aChange.m_asked = aNow;
-    aActions.emplace_back(AskReport{ aEngine });
-  };
   switch (aChange.m_step) {
     case Step::Announced:
-      if (!aMayOrder) {
-        GoTo(aChange, Step::Paused, aNow, aActions);
-      } else if (age >= kAnnounce) {
-        GoTo(aChange, Step::Asking, aNow, aActions);
-        ask();
-      }
-      return;
+      return aNow - aChange.m_since >= kAnnounce;
     case Step::Doubtful:
-      if (age >= kOrderAgain && aMayOrder) {
-        GoTo(aChange, Step::Announced, aNow, aActions);
-        return;
-      }
-      [[fallthrough]];
     case Step::Watching:
-      if (age >= kLongest) {
-        GoTo(aChange, Step::Paused, aNow, aActions);
-      } else if (aNow - aChange.m_asked >= kAskEvery) {
-        ask();
-      }
-      return;
+      return aNow - aChange.m_asked >= kAskEvery;
     case Step::Asking:
     case Step::Ordering:
     case Step::Done:
     case Step::Paused:
-      return; // An answer or time ends them.
+      break; // An answer or time ends them.
+  }
+  return false;
+}
+
+void
+PartDesk::Advance(Change& aChange, Instant aNow)
+{
+  const Duration age = aNow - aChange.m_since;
+  const bool ordered =
+    aChange.m_step == Step::Doubtful || aChange.m_step == Step::Watching;
+  if (aChange.m_step == Step::Announced && !m_mayOrder) {
+    GoTo(aChange, Step::Paused, aNow);
+  } else if (ordered && age >= kLongest) {
+    GoTo(aChange, Step::Paused, aNow);
+  } else if (aChange.m_step == Step::Doubtful && age >= kOrderAgain &&
+             m_mayOrder) {
+    GoTo(aChange, Step::Announced, aNow);
   }
 }
 
 void
-PartDesk::On(const ChangesWanted& aEvent, Instant aNow, Actions& aActions)
+PartDesk::On(const ChangesWanted& aEvent, Instant aNow, Actions&)
 {
   if (!m_mayOrder) {
     return;
@@ -95,7 +111,7 @@
     }
     Change& change = m_changes[wanted.m_engine];
     change.m_to = wanted.m_to;
-    GoTo(change, Step::Announced, aNow, aActions);
+    GoTo(change, Step::Announced, aNow);
   }
 }
 
@@ -110,13 +126,13 @@
   const auto& report = aEvent.m_report;
   if (change.m_step == Step::Asking) {
     if (!report || !m_mayOrder) {
-      GoTo(change, Step::Paused, aNow, aActions);
+      GoTo(change, Step::Paused, aNow);
     } else if (report->m_changing) {
-      GoTo(change, Step::Watching, aNow, aActions);
+      GoTo(change, Step::Watching, aNow);
     } else if (report->m_part == change.m_to) {
-      GoTo(change, Step::Done, aNow, aActions);
+      GoTo(change, Step::Done, aNow);
     } else {
-      GoTo(change, Step::Ordering, aNow, aActions);
+      GoTo(change, Step::Ordering, aNow);
       aActions.emplace_back(
         SendPartOrder{ aEvent.m_engine, change.m_to, report->m_ordersTaken });
     }
@@ -129,15 +145,15 @@
   }
   if (report->m_changing) {
     if (change.m_step == Step::Doubtful) {
-      GoTo(change, Step::Watching, aNow, aActions);
+      GoTo(change, Step::Watching, aNow);
     }
   } else if (report->m_part == change.m_to) {
-    GoTo(change, Step::Done, aNow, aActions);
+    GoTo(change, Step::Done, aNow);
   }
 }
 
 void
-PartDesk::On(const OrderAnswered& aEvent, Instant aNow, Actions& aActions)
+PartDesk::On(const OrderAnswered& aEvent, Instant aNow, Actions&)
 {
   const auto found = m_changes.find(aEvent.m_engine);
   if (found == m_changes.end() || found->second.m_step != Step::Ordering) {
@@ -145,23 +161,21 @@
   }
   switch (aEvent.m_answer) {
     case OrderAnswer::Taken:
-      GoTo(found->second, Step::Watching, aNow, aActions);
+      GoTo(found->second, Step::Watching, aNow);
       return;
     case OrderAnswer::Refused:
-      GoTo(found->second, Step::Paused, aNow, aActions);
+      GoTo(found->second, Step::Paused, aNow);
       return;
     case OrderAnswer::Lost:
-      GoTo(found->second, Step::Doubtful, aNow, aActions);
+      GoTo(found->second, Step::Doubtful, aNow);
       return;
   }
 }
 
 void
-PartDesk::On(const EngineGone& aEvent, Instant, Actions& aActions)
+PartDesk::On(const EngineGone& aEvent, Instant, Actions&)
 {
-  if (m_changes.erase(aEvent.m_engine) > 0) {
-    aActions.emplace_back(TellNews{});
-  }
+  m_newsChanged = m_changes.erase(aEvent.m_engine) > 0;
 }
 
 std::vector<PartNews>
