--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -31,6 +31,10 @@
 /** Time that the output of a late call needs: one that could not end any more
  * is not begun. Outputs of today's lengths take a fifth to one second. */
 constexpr Duration kOutputTime{ 1000 };
+/** The work to read a prompt is sure if no more than a quarter of it may have
+ * been kept without this instance knowing. */
+constexpr std::int64_t kSureParts = 4;
+constexpr std::int64_t kParts = 3;
 /** Freeing a handle is a courtesy: nobody waits for it. */
 constexpr Duration kFreeTimeout{ 1000 };
 
@@ -260,6 +264,9 @@
     m_attempt.m_tokens =
       asPlaced ? m_place.m_work
                : m_node.m_fleet.WorkAt(prompt, aMember.m_id, m_node.Now());
+    const std::int64_t least =
+      relay::Fleet::WorkOf(prompt, prompt.m_ownTokens);
+    m_attempt.m_workIsSure = m_attempt.m_tokens <= least * kSureParts / kParts;
     m_node.m_fleet.NoteRead(prompt, aMember.m_id, m_node.Now());
   }
   m_path += (m_path.empty() ? "" : ",") + aMember.m_id;
@@ -339,12 +346,16 @@
 RelayCall::TakeHead(const net::HttpHead& aHead)
 {
   NoteHeard();
-  if (m_attempt.m_tokens > 0) {
-    m_node.m_fleet.NotePace(m_attempt.m_upstream,
-                            m_attempt.m_tokensAhead + m_attempt.m_tokens,
-                            m_node.Now() - m_attempt.m_sentAt);
-  }
-  if (!m_attempt.m_readOnly && aHead.m_status == kOk) {
+  const bool read =
+    aHead.m_status == kOk && !m_node.m_dialect.m_saysNotRun(aHead);
+  if (m_attempt.m_tokens > 0 && read) {
+    m_node.m_fleet.NotePace(
+      { m_attempt.m_upstream,
+        m_attempt.m_tokensAhead + m_attempt.m_tokens,
+        m_node.Now() - m_attempt.m_sentAt,
+        m_attempt.m_tokensAhead == 0 && m_attempt.m_workIsSure });
+  }
+  if (!m_attempt.m_readOnly && read) {
     NoteFirstToken();
   }
   m_node.m_fleet.NoteFirstByte(m_attempt.m_upstream, m_attempt.m_tokens);
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -54,6 +54,7 @@
     std::int64_t m_tokens = 0;      ///< That it still has to read.
     std::int64_t m_tokensAhead = 0; ///< Under way there when it was sent.
     Instant m_sentAt;
+    bool m_workIsSure = false;      ///< `m_tokens` cannot be much fewer.
     bool m_readOnly = false;
     bool m_saidNotRun = false;
     bool m_hasHead = false;
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/relay/AttemptEnd.h>
+#include <ridgeferry/relay/MedianPace.h>
 #include <ridgeferry/relay/Member.h>
 #include <ridgeferry/relay/KeptParts.h>
 #include <ridgeferry/relay/PartDesk.h>
@@ -62,6 +63,18 @@
   bool m_late = false;
 };
 
+/** Between a send to an engine and its first byte. */
+struct PaceSample
+{
+  std::string_view m_engine;
+  std::int64_t m_work = 0; ///< Read meanwhile, also what was ahead of the call.
+  Duration m_took{};
+  /** Nothing was ahead as far as known, and the work is sure. Others only tell
+   * what callers meet, not what the engine can do: under load it would look
+   * slow just when that does most harm. */
+  bool m_isClean = false;
+};
+
 /** Why there is no place. */
 struct PlaceFault
 {
@@ -173,11 +186,7 @@
                  AttemptEnd aEnd,
                  Duration aTook,
                  Instant aNow);
-  /**
-   * A sample of a member's pace: between a send and its first byte it read
-   * `aTokens`, those ahead of the call's own with them.
-   */
-  void NotePace(std::string_view aId, std::int64_t aTokens, Duration aTook);
+  void NotePace(const PaceSample& aSample);
   /**
    * A prompt's first token came after `aTook`; `aExpectedMs` as its place said.
    * Loads of other instances are known late, and later in larger deployments:
@@ -257,8 +266,7 @@
     std::int64_t m_othersInFlight = 0;
     std::int64_t m_othersTokens = 0;
     double m_tookMs = 0;    ///< Smoothed, of served plain calls.
-    double m_pace = 0;      ///< Tokens read in a ms, smoothed; 0: no sample.
-    int m_paces = 0;        ///< Samples of it, up to those that it remembers.
+    MedianPace m_pace;
     double m_kindPace = 0;  ///< Of engines like it; 0: none has been seen.
     double m_failShare = 0; ///< Smoothed.
     int m_failuresInRow = 0;
@@ -365,19 +373,13 @@
     double m_factor = 1;
     Instant m_at;
   };
-  /** Of engines of one part. */
-  struct MeanPace
-  {
-    double m_pace = 0;
-    int m_samples = 0;
-  };
   /** What is believed of the calls of one service. */
   struct ServiceBelief
   {
     ReadingBeside m_beside;
     double m_heldTokens = 0; ///< Of a call's prompt and output, smoothed.
-    MeanPace m_readers;
-    MeanPace m_generators;
+    MedianPace m_readers;
+    MedianPace m_generators;
   };
   double StretchOf(std::string_view aService, const Prompt& aPrompt) const;
   /** Whether it is worth a home, and is kept from quiet engines. */
--- /dev/null
+++ b/packages/relay/include/ridgeferry/relay/MedianPace.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+
+namespace ridgeferry::relay {
+
+/**
+ * The pace of an engine by its last samples, in tokens a ms. A median: some
+ * samples are far off either way, as others' prompts were ahead that this
+ * instance did not know of, or as more was kept than it thought (a tenth of
+ * those measured were below a third or above three times the rest). Not
+ * thread-safe.
+ */
+class MedianPace
+{
+public:
+  static constexpr std::size_t kSamples = 9;
+
+  void Note(double aPace)
+  {
+    m_samples[m_next] = aPace;
+    m_next = (m_next + 1) % kSamples;
+    m_count = std::min(m_count + 1, kSamples);
+    std::array<double, kSamples> sorted = m_samples;
+    const auto end = sorted.begin() + static_cast<std::ptrdiff_t>(m_count);
+    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(m_count / 2);
+    std::nth_element(sorted.begin(), middle, end);
+    m_median = *middle;
+  }
+  void Forget() { *this = MedianPace(); }
+  std::size_t Count() const { return m_count; }
+  /** 0 before the first sample. */
+  double Median() const { return m_median; }
+
+private:
+  std::array<double, kSamples> m_samples{};
+  std::size_t m_next = 0;
+  std::size_t m_count = 0;
+  double m_median = 0;
+};
+
+} // namespace ridgeferry::relay
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -1,7 +1,6 @@
 #include "ridgeferry/relay/Fleet.h"
 
 #include "EnginePace.h"
-#include "Smoothing.h"
 
 #include <algorithm>
 #include <cmath>
@@ -19,11 +18,6 @@
 constexpr double kLowestPace = 10;
 constexpr double kHighestPace = 2000;
 constexpr std::int64_t kLeastPaceTokens = 1500;
-/** Samples that a pace remembers, in which the belief before any counts as one:
- * engines that read five times as slowly as believed are known after three. */
-constexpr int kPaceMemory = 10;
-/** The same of the engines of one part together. */
-constexpr int kKindMemory = 20;
 /** Part of an engine's slots and memory that the output should take: bursts of
  * a third more still fit. */
 constexpr double kSteadyShare = 0.75;
@@ -169,7 +163,7 @@
                              ? *news->m_part
                              : aState.m_listedPart;
   if (aState.m_member.m_part != before) {
-    aState.m_pace = 0; // It was the pace of the other part.
+    aState.m_pace.Forget(); // It was the pace of the other part.
   }
   aState.m_kindPace = KindPaceOf(aState.m_member);
 }
@@ -403,29 +397,27 @@
 }
 
 void
-Fleet::NotePace(std::string_view aId, std::int64_t aTokens, Duration aTook)
+Fleet::NotePace(const PaceSample& aSample)
 {
-  const auto found = m_members.find(aId);
-  if (found == m_members.end() || aTokens < kLeastPaceTokens) {
+  const auto found = m_members.find(aSample.m_engine);
+  if (found == m_members.end() || aSample.m_work < kLeastPaceTokens) {
     return;
   }
-  const double took =
-    std::max(1.0, static_cast<double>(aTook.count()) - kFirstTokenMs);
-  const double pace =
-    std::clamp(static_cast<double>(aTokens) / took, kLowestPace, kHighestPace);
+  const double took = std::max(
+    1.0, static_cast<double>(aSample.m_took.count()) - kFirstTokenMs);
+  const double pace = std::clamp(
+    static_cast<double>(aSample.m_work) / took, kLowestPace, kHighestPace);
   State& state = found->second;
-  if (state.m_pace == 0) {
-    state.m_pace = PaceOf(state);
-    state.m_paces = 1;
-  }
-  state.m_pace = Blend(state.m_pace, pace, state.m_paces, kPaceMemory);
   ServiceBelief& belief = m_beliefs[state.m_member.m_service];
   const bool generates = state.m_member.m_part == Part::Generate;
   if (generates) {
     belief.m_beside.NotePace(pace);
   }
-  MeanPace& mean = generates ? belief.m_generators : belief.m_readers;
-  mean.m_pace = Blend(mean.m_pace, pace, mean.m_samples, kKindMemory);
+  if (!aSample.m_isClean) {
+    return;
+  }
+  state.m_pace.Note(pace);
+  (generates ? belief.m_generators : belief.m_readers).Note(pace);
   for (auto& [id, other] : m_members) {
     if (other.m_member.m_service == state.m_member.m_service) {
       other.m_kindPace = KindPaceOf(other.m_member);
@@ -441,15 +433,15 @@
     return 0;
   }
   const bool generates = aMember.m_part == Part::Generate;
-  const MeanPace& own =
+  const MedianPace& own =
     generates ? belief->second.m_generators : belief->second.m_readers;
-  const MeanPace& others =
+  const MedianPace& others =
     generates ? belief->second.m_readers : belief->second.m_generators;
-  if (own.m_samples > 0) {
-    return own.m_pace;
+  if (own.Count() > 0) {
+    return own.Median();
   }
-  return generates ? others.m_pace / kGenerateReadCost
-                   : others.m_pace * kGenerateReadCost;
+  return generates ? others.Median() / kGenerateReadCost
+                   : others.Median() * kGenerateReadCost;
 }
 
 void
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -44,6 +44,8 @@
 /** Tokens before a token at which attention to them costs as much as the rest of
  * its reading: 22,000 to 26,000 at dense models of 32 and 70 billion weights. */
 constexpr double kAttentionTokens = 24'000;
+/** Paces of an engine of its own that count more than those of its kind. */
+constexpr std::size_t kLeastOwnPaces = 4;
 /** Below this a prompt is not worth a home: reading it takes a millisecond. */
 constexpr std::int64_t kLeastSharedTokens = 512;
 
@@ -206,8 +208,8 @@
 double
 Fleet::PaceOf(const State& aState)
 {
-  if (aState.m_pace > 0) {
-    return aState.m_pace;
+  if (aState.m_pace.Count() >= kLeastOwnPaces) {
+    return aState.m_pace.Median();
   }
   return aState.m_kindPace > 0 ? aState.m_kindPace
                                : UnseenPace(aState.m_member.m_part);
