--- a/packages/entry/tests/EntrySettingsTest.cpp
+++ b/packages/entry/tests/EntrySettingsTest.cpp
@@ -20,6 +20,7 @@
            { "seeds", { "10.0.0.2:9" } },
            { "store", "10.0.0.3:7" },
            { "stopGraceSeconds", 8 },
+           { "orderTurnMs", 4000 },
            { "retries",
              { { "ratio", 0.2 }, { "floor", 56 }, { "windowSeconds", 10 } } } };
 }
@@ -33,6 +34,7 @@
   ASSERT_EQ(settings->m_seeds.size(), 1U);
   EXPECT_EQ(settings->m_store, "10.0.0.3:7");
   EXPECT_EQ(settings->m_stopGrace, Duration{ 8000 });
+  EXPECT_EQ(settings->m_orderTurn, Duration{ 4000 });
   EXPECT_EQ(settings->m_retries.m_floor, 56);
   EXPECT_EQ(settings->m_retries.m_window, Duration{ 10'000 });
 }
@@ -70,6 +72,8 @@
     BadSettingsCase{ "AddressIsName", "/store", "\"host:80\"" },
     BadSettingsCase{ "SeedIsNoAddress", "/seeds", "[\"x\"]" },
     BadSettingsCase{ "GraceIsText", "/stopGraceSeconds", "\"8\"" },
+    BadSettingsCase{ "TurnIsText", "/orderTurnMs", "\"3\"" },
+    BadSettingsCase{ "TurnIsNothing", "/orderTurnMs", "0" },
     BadSettingsCase{ "GraceIsNegative", "/stopGraceSeconds", "-1" },
     BadSettingsCase{ "RatioAboveOne", "/retries/ratio", "2" },
     BadSettingsCase{ "FloorBelowZero", "/retries/floor", "-1" },
--- a/packages/experiment/src/FleetModel.cpp
+++ b/packages/experiment/src/FleetModel.cpp
@@ -313,9 +313,10 @@
 {
   relay::Fleet& fleet = FleetOf(aCall);
   if (aCall.m_tokens > 0) {
-    fleet.NotePace(aCall.m_member,
-                   aCall.m_tokensAhead + aCall.m_tokens,
-                   Duration(std::llround(m_now - aCall.m_sentAt)));
+    fleet.NotePace({ aCall.m_member,
+                     aCall.m_tokensAhead + aCall.m_tokens,
+                     Duration(std::llround(m_now - aCall.m_sentAt)),
+                     false });
   }
   fleet.NoteFirstByte(aCall.m_member, aCall.m_tokens);
   aCall.m_tokens = 0;
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -7,9 +7,9 @@
 #include <optional>
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/relay/AttemptEnd.h>
+#include <ridgeferry/relay/KeptParts.h>
 #include <ridgeferry/relay/MedianPace.h>
 #include <ridgeferry/relay/Member.h>
-#include <ridgeferry/relay/KeptParts.h>
 #include <ridgeferry/relay/PartDesk.h>
 #include <ridgeferry/relay/Prompt.h>
 #include <ridgeferry/relay/ReadingBeside.h>
@@ -42,8 +42,9 @@
   /** Tokens of a prompt's memory that pass between two engines in a ms; 0: they
    * do not fetch from each other. */
   double m_movedPerMs = 0;
-  /** How long the caller will still wait for the first token. Where engines read
-   * apart, a prompt that misses its aim still has a place if it fits in this. */
+  /** How long the caller will still wait for the first token. Where engines
+   * read apart, a prompt that misses its aim still has a place if it fits in
+   * this. */
   Duration m_left{};
 };
 
@@ -54,8 +55,8 @@
   /** Of a prompt: when its first token should come, by loads and paces alone,
    * without what `NoteFirstToken` has taught. */
   double m_expectedMs = 0;
-  /** The reader fetches from there what it does not keep itself; empty: it reads
-   * all of that. */
+  /** The reader fetches from there what it does not keep itself; empty: it
+   * reads all of that. */
   std::string m_fetchFrom = {};
   /** Work that the reader has to do; see `Fleet::WorkOf`. */
   std::int64_t m_work = 0;
@@ -138,11 +139,11 @@
   static constexpr double kSilenceOfWork = 1.5;
   /** Bound of that: callers give up after two seconds. */
   static constexpr Duration kMostSilence{ 1500 };
-  /** Longest rest: it doubles each time that a member is asked again in vain, so
-   * that those behind a cut do not cost each caller of this side a try. */
+  /** Longest rest: it doubles each time that a member is asked again in vain,
+   * so that those behind a cut do not cost each caller of this side a try. */
   static constexpr Duration kLongestRest{ 4000 };
-  /** Refusals in a row after which a member rests, and for how long: one that is
-   * between two parts refuses all, looks idle and would get everything. */
+  /** Refusals in a row after which a member rests, and for how long: one that
+   * is between two parts refuses all, looks idle and would get everything. */
   static constexpr int kDeclinesToRest = 2;
   static constexpr Duration kDeclinedRest{ 300 };
 
@@ -265,8 +266,11 @@
     std::int64_t m_tokens = 0; ///< Under way here, not read yet.
     std::int64_t m_othersInFlight = 0;
     std::int64_t m_othersTokens = 0;
-    double m_tookMs = 0;    ///< Smoothed, of served plain calls.
-    MedianPace m_pace;
+    double m_tookMs = 0; ///< Smoothed, of served plain calls.
+    /** As calls meet it, smoothed over all samples; 0: none. What waits there
+     * unknown to this instance, and the output beside, are in it. */
+    double m_metPace = 0;
+    MedianPace m_pace;      ///< Of the engine alone.
     double m_kindPace = 0;  ///< Of engines like it; 0: none has been seen.
     double m_failShare = 0; ///< Smoothed.
     int m_failuresInRow = 0;
@@ -288,8 +292,8 @@
     const State* m_state = nullptr;
     double m_ms = 0;
     bool m_isHome = false;
-    double m_readMs = 0; ///< Of it, for the prompt itself.
-    std::int64_t m_work = 0;           ///< The same as work.
+    double m_readMs = 0;            ///< Of it, for the prompt itself.
+    std::int64_t m_work = 0;        ///< The same as work.
     const State* m_donor = nullptr; ///< It fetches from there.
     bool operator<(const Candidate& aOther) const { return m_ms < aOther.m_ms; }
   };
@@ -325,7 +329,12 @@
                          std::span<const State* const> aSound,
                          const Prompt& aPrompt);
   static double PaceOf(const State& aState);
-  static double FirstTokenMs(const State& aState, std::int64_t aWork);
+  /** `aPace`: `MetPaceOf` where engines read beside their output, else
+   * `PaceOf`. */
+  static double FirstTokenMs(const State& aState,
+                             std::int64_t aWork,
+                             double aPace);
+  static double MetPaceOf(const State& aState);
   /** Tokens of the prompt's beginning that a member keeps. */
   std::int64_t TokensKept(const Prompt& aPrompt,
                           const State& aState,
@@ -348,8 +357,8 @@
     std::map<std::string_view, Donor> m_byHall;
   };
   Donors FindDonors(const PlaceRequest& aRequest, Instant aNow) const;
-  /** What may wait at a reader, in ms, before a prompt that takes so long to read
-   * is sent there. */
+  /** What may wait at a reader, in ms, before a prompt that takes so long to
+   * read is sent there. */
   static double MostAhead(const PlaceRequest& aRequest,
                           double aReadMs,
                           bool aLate);
--- a/packages/relay/include/ridgeferry/relay/Prompt.h
+++ b/packages/relay/include/ridgeferry/relay/Prompt.h
@@ -24,7 +24,7 @@
   /** Of the shared ones, in the first of several parts: so many calls share it
    * that every engine keeps it. */
   std::int64_t m_commonTokens = 0;
-  std::vector<SharedPart> m_parts; ///< The shared ones, in order.
+  std::vector<SharedPart> m_parts = {}; ///< The shared ones, in order.
 };
 
 } // namespace ridgeferry::relay
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -21,8 +21,8 @@
 /** Part of an engine's slots and memory that the output should take: bursts of
  * a third more still fit. */
 constexpr double kSteadyShare = 0.75;
-/** Other instances that must have found engines unable to read beside the output
- * before this one believes it: one may err by chance. */
+/** Other instances that must have found engines unable to read beside the
+ * output before this one believes it: one may err by chance. */
 constexpr std::ptrdiff_t kWitnesses = 2;
 /** Own reads that are older are not told any more. */
 constexpr Duration kTellReadsFor{ 2000 };
@@ -159,11 +159,11 @@
   const PartNewsOf* news = NewsOf(ShortHash(aState.m_member.m_id));
   const Part before = aState.m_member.m_part;
   aState.m_changing = news != nullptr && !news->m_part;
-  aState.m_member.m_part = news != nullptr && news->m_part
-                             ? *news->m_part
-                             : aState.m_listedPart;
+  aState.m_member.m_part =
+    news != nullptr && news->m_part ? *news->m_part : aState.m_listedPart;
   if (aState.m_member.m_part != before) {
     aState.m_pace.Forget(); // It was the pace of the other part.
+    aState.m_metPace = 0;
   }
   aState.m_kindPace = KindPaceOf(aState.m_member);
 }
@@ -194,8 +194,8 @@
   for (const auto& [id, state] : m_members) {
     const Member& member = state.m_member;
     // Also one that rests: it should be back before a change would be done.
-    if (member.m_service == aService && !member.m_leaving &&
-        !state.m_goneAt && member.m_part != Part::Whole) {
+    if (member.m_service == aService && !member.m_leaving && !state.m_goneAt &&
+        member.m_part != Part::Whole) {
       out.push_back({ id,
                       member.m_hall,
                       member.m_part,
@@ -301,8 +301,8 @@
     aPrompt.m_sharedTokens + aPrompt.m_ownTokens + aPrompt.m_outTokens);
   belief.m_heldTokens = Smooth(belief.m_heldTokens, held);
   if (IsLong(aPrompt)) {
-    belief.m_beside.NotePrompt(
-      static_cast<double>(WorkToRead(aPrompt, false)), aPause);
+    belief.m_beside.NotePrompt(static_cast<double>(WorkToRead(aPrompt, false)),
+                               aPause);
   }
 }
 
@@ -403,8 +403,8 @@
   if (found == m_members.end() || aSample.m_work < kLeastPaceTokens) {
     return;
   }
-  const double took = std::max(
-    1.0, static_cast<double>(aSample.m_took.count()) - kFirstTokenMs);
+  const double took =
+    std::max(1.0, static_cast<double>(aSample.m_took.count()) - kFirstTokenMs);
   const double pace = std::clamp(
     static_cast<double>(aSample.m_work) / took, kLowestPace, kHighestPace);
   State& state = found->second;
@@ -413,6 +413,7 @@
   if (generates) {
     belief.m_beside.NotePace(pace);
   }
+  state.m_metPace = Smooth(MetPaceOf(state), pace);
   if (!aSample.m_isClean) {
     return;
   }
@@ -483,6 +484,10 @@
 void
 Fleet::Rest(State& aState, Instant aNow)
 {
+  if (aState.m_restsUntil && aNow < *aState.m_restsUntil &&
+      aState.m_mustProve) {
+    return; // Several calls end there at once.
+  }
   aState.m_restsUntil = aNow + aState.m_rest;
   if (aState.m_mustProve) {
     aState.m_rest = std::min(aState.m_rest * 2, kLongestRest);
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -41,8 +41,9 @@
 /** When one of the connections in use should be free again: several times what
  * a plain call takes. */
 constexpr Duration kConnectionWait{ 100 };
-/** Tokens before a token at which attention to them costs as much as the rest of
- * its reading: 22,000 to 26,000 at dense models of 32 and 70 billion weights. */
+/** Tokens before a token at which attention to them costs as much as the rest
+ * of its reading: 22,000 to 26,000 at dense models of 32 and 70 billion
+ * weights. */
 constexpr double kAttentionTokens = 24'000;
 /** Paces of an engine of its own that count more than those of its kind. */
 constexpr std::size_t kLeastOwnPaces = 4;
@@ -216,14 +217,21 @@
 }
 
 double
-Fleet::FirstTokenMs(const State& aState, std::int64_t aWork)
+Fleet::MetPaceOf(const State& aState)
+{
+  return aState.m_metPace > 0 ? aState.m_metPace
+                              : UnseenPace(aState.m_member.m_part);
+}
+
+double
+Fleet::FirstTokenMs(const State& aState, std::int64_t aWork, double aPace)
 {
   const bool generates = aState.m_member.m_part == Part::Generate;
   const auto work =
     static_cast<double>(aState.m_tokens + aState.m_othersTokens + aWork);
   const auto running =
     static_cast<double>(aState.m_inFlight + aState.m_othersInFlight);
-  return kFirstTokenMs + work / PaceOf(aState) +
+  return kFirstTokenMs + work / aPace +
          (generates ? kRunningMs * running : kHandOverMs);
 }
 
@@ -305,7 +313,8 @@
   // The memory moves faster inside a hall; any of its generators will do.
   const auto taking = [&](const State* aState) {
     const bool away = aState->m_member.m_hall != aReader.m_member.m_hall;
-    return FirstTokenMs(*aState, WorkToRead(aPrompt, false)) +
+    return FirstTokenMs(
+             *aState, WorkToRead(aPrompt, false), MetPaceOf(*aState)) +
            (away ? kHandOverMs : 0);
   };
   const State* taker = nullptr;
@@ -342,7 +351,8 @@
   std::vector<Candidate> generators;
   for (const State* state : aSound) {
     const bool isHome = longPrompt && state->m_hash == home;
-    const double ms = FirstTokenMs(*state, WorkToRead(prompt, isHome));
+    const double ms =
+      FirstTokenMs(*state, WorkToRead(prompt, isHome), MetPaceOf(*state));
     const Candidate item{ state, ms, isHome };
     const bool reads = state->m_member.m_part == Part::Prefill;
     const bool quiet = IsQuiet(*state, quietBelow);
--- a/packages/relay/src/FleetReaders.cpp
+++ b/packages/relay/src/FleetReaders.cpp
@@ -13,14 +13,14 @@
 
 namespace {
 
-/** What waits at a reader before a prompt that misses its aim anyway, at most, in
- * ms with what a first token takes at least: next to nothing. */
+/** What waits at a reader before a prompt that misses its aim anyway, at most,
+ * in ms with what a first token takes at least: next to nothing. */
 constexpr double kRoomMs = 60;
 /** What may wait at a reader before prompts that can still meet their aim, as
- * parts of the shortest aim of the service: a long aim must not fill the readers
- * until no short one can be met. Prompts that take up to this part of it to read
- * are let in before longer ones: more callers are served in time by the same
- * reading. */
+ * parts of the shortest aim of the service: a long aim must not fill the
+ * readers until no short one can be met. Prompts that take up to this part of
+ * it to read are let in before longer ones: more callers are served in time by
+ * the same reading. */
 constexpr double kShortReading = 0.15;
 constexpr double kAheadOfShort = 0.5;
 constexpr double kAheadOfLong = 0.25;
@@ -35,8 +35,8 @@
 /** What a ms of reading costs the prompts that wait behind it, in ms of the one
  * that is placed. */
 constexpr double kReadingWeight = 1;
-/** What the home by hash is worth: instances that see a chain for the first time
- * should not each have it read elsewhere. */
+/** What the home by hash is worth: instances that see a chain for the first
+ * time should not each have it read elsewhere. */
 constexpr double kHomeMs = 60;
 /** Calls under way, as a part of the slots, that another hall's generating
  * engine must have less: memory takes twice as long to get there. */
@@ -71,9 +71,7 @@
 }
 
 std::int64_t
-Fleet::WorkApart(const Prompt& aPrompt,
-                 const State& aState,
-                 Instant aNow) const
+Fleet::WorkApart(const Prompt& aPrompt, const State& aState, Instant aNow) const
 {
   const std::int64_t whole = aPrompt.m_sharedTokens + aPrompt.m_ownTokens;
   return WorkOf(aPrompt, whole - TokensKept(aPrompt, aState, aNow));
@@ -130,7 +128,7 @@
   const std::int64_t whole = prompt.m_sharedTokens + prompt.m_ownTokens;
   out.m_work = WorkOf(prompt, whole - kept);
   out.m_readMs = static_cast<double>(out.m_work) / PaceOf(aState) + fetchMs;
-  out.m_ms = FirstTokenMs(aState, out.m_work) + fetchMs;
+  out.m_ms = FirstTokenMs(aState, out.m_work, PaceOf(aState)) + fetchMs;
   return out;
 }
 
@@ -196,7 +194,7 @@
   out.m_state = &aState;
   out.m_work = WorkToRead(aPrompt, false);
   out.m_readMs = static_cast<double>(out.m_work) / PaceOf(aState);
-  out.m_ms = FirstTokenMs(aState, out.m_work);
+  out.m_ms = FirstTokenMs(aState, out.m_work, PaceOf(aState));
   return out;
 }
 
@@ -223,18 +221,18 @@
   for (const State* state : aSound) {
     if (state->m_member.m_part == Part::Prefill) {
       readers.push_back(ReaderFor(aRequest, *state, donors, aNow));
+      nearest =
+        std::max(nearest, HomeScore(prompt.m_sharedKey, state->m_hash, 1));
     } else if (FitsBeside(aRequest, *state)) {
       readers.push_back(BesideAt(prompt, *state));
     }
-    nearest =
-      std::max(nearest, HomeScore(prompt.m_sharedKey, state->m_hash, 1));
   }
   if (readers.empty()) {
     return std::nullopt;
   }
   for (Candidate& reader : readers) {
     reader.m_isHome =
-      IsLong(prompt) &&
+      IsLong(prompt) && donors.m_most.m_tokens == 0 &&
       HomeScore(prompt.m_sharedKey, reader.m_state->m_hash, 1) >= nearest;
   }
   const double stretch = StretchOf(aRequest.m_service, prompt);
--- /dev/null
+++ b/packages/relay/tests/FleetReadersTest.cpp
@@ -0,0 +1,335 @@
+// Placement where prompts are read apart. The load: a hundred shared parts of
+// 13,300 tokens, own parts of some thousands, at engines that read 60 tokens a
+// ms; short prompts of 1,500 tokens with a tighter aim beside them.
+
+#include "FleetFixture.h"
+
+#include <rapidcheck/gtest.h>
+#include <set>
+
+namespace ridgeferry::relay {
+namespace {
+
+constexpr std::int64_t kShared = 13'300;
+constexpr std::int64_t kOwn = 3'700;
+constexpr double kPace = 60;
+
+class FleetReadersTest : public ::testing::Test
+{
+protected:
+  FleetReadersTest()
+  {
+    for (const char* hall : { "a", "b" }) {
+      for (int i = 0; i < 3; ++i) {
+        Put(std::string(hall) + "r" + std::to_string(i), hall, Part::Prefill);
+      }
+      Put(std::string(hall) + "g", hall, Part::Generate);
+    }
+    m_fleet.RecallApart({ Fleet::ShortHash("llm") });
+    // Paces are learned from a clean sample of each kind.
+    m_fleet.NotePace({ "ar0", 60'000, Duration{ 1015 }, true });
+    m_fleet.NotePace({ "ag", 30'000, Duration{ 1015 }, true });
+  }
+
+  void Put(const std::string& aId, const std::string& aHall, Part aPart)
+  {
+    Member member = MakeMember(aId, "llm", aPart);
+    member.m_hall = aHall;
+    member.m_slots = 64;
+    m_fleet.Put(member);
+  }
+
+  /** A prompt whose shared part is `aPart`, with aims as in the load. */
+  static PlaceRequest Long(std::uint32_t aPart)
+  {
+    PlaceRequest out;
+    out.m_service = "llm";
+    out.m_hall = "a";
+    Prompt prompt{ aPart, kShared, kOwn, 120 };
+    prompt.m_parts = { { aPart, kShared } };
+    out.m_prompt = prompt;
+    out.m_patience = Duration{ 420 };
+    out.m_pause = Duration{ 200 };
+    out.m_shortestAim = Duration{ 300 };
+    out.m_movedPerMs = 1200;
+    out.m_left = Duration{ 2400 };
+    return out;
+  }
+  static PlaceRequest Short()
+  {
+    PlaceRequest out = Long(1);
+    out.m_prompt = Prompt{ 2, 350, 1'100, 170 };
+    out.m_patience = Duration{ 210 };
+    out.m_left = Duration{ 2000 };
+    return out;
+  }
+  PlaceResult Find(const PlaceRequest& aRequest) const
+  {
+    return m_fleet.FindPlace(aRequest, kNow);
+  }
+  Place Must(const PlaceRequest& aRequest) const
+  {
+    return MustFind(m_fleet, aRequest);
+  }
+  /** So much work waits at all readers and at no generating engine that is
+   * idle. */
+  void LoadAll(std::int64_t aWork)
+  {
+    for (const char* hall : { "a", "b" }) {
+      for (int i = 0; i < 3; ++i) {
+        m_fleet.NoteSent(
+          std::string(hall) + "r" + std::to_string(i), aWork, kNow);
+      }
+    }
+    Occupy();
+  }
+  /** Some output runs at each generating engine. */
+  void Occupy()
+  {
+    m_fleet.NoteSent("ag", 0, kNow);
+    m_fleet.NoteSent("bg", 0, kNow);
+  }
+
+  Fleet m_fleet;
+};
+
+TEST_F(FleetReadersTest, LongPromptsAreReadByReadersAndHandedOverInTheirHall)
+{
+  Occupy();
+  for (std::uint32_t part = 1; part <= 50; ++part) {
+    const Place place = Must(Long(part));
+    ASSERT_FALSE(place.m_reader.empty());
+    EXPECT_EQ(place.m_reader[0], place.m_upstream[0]); // Their hall.
+  }
+}
+
+TEST_F(FleetReadersTest, AnUnknownPartHasOneHomeAndAllAreSpread)
+{
+  Occupy();
+  std::set<std::string> used;
+  for (std::uint32_t part = 1; part <= 60; ++part) {
+    std::set<std::string> readers;
+    PlaceRequest request = Long(part);
+    for (request.m_random = 0; request.m_random < 20; ++request.m_random) {
+      readers.insert(Must(request).m_reader);
+    }
+    EXPECT_EQ(readers.size(), 1U); // Instances agree without talking.
+    used.insert(readers.begin(), readers.end());
+  }
+  EXPECT_EQ(used.size(), 6U);
+}
+
+TEST_F(FleetReadersTest, APartIsReadWhereAnyInstanceHadItRead)
+{
+  Occupy();
+  const std::string home = Must(Long(5)).m_reader;
+  const std::string other = home == "br2" ? "br1" : "br2";
+  m_fleet.NoteKept({ 5, Fleet::ShortHash(other) }, kNow);
+  const Place place = Must(Long(5));
+  EXPECT_EQ(place.m_reader, other);
+  EXPECT_EQ(place.m_work, Fleet::WorkOf(*Long(5).m_prompt, kOwn));
+}
+
+TEST_F(FleetReadersTest, ABusyKeeperIsLeftAndThePartFetchedFromIt)
+{
+  Occupy();
+  m_fleet.NoteKept({ 5, Fleet::ShortHash("ar1") }, kNow);
+  m_fleet.NoteSent("ar1", 12'000, kNow); // 200 ms.
+  const Place place = Must(Long(5));
+  EXPECT_NE(place.m_reader, "ar1");
+  EXPECT_EQ(place.m_fetchFrom, "ar1");
+  EXPECT_EQ(place.m_work, Fleet::WorkOf(*Long(5).m_prompt, kOwn));
+}
+
+TEST_F(FleetReadersTest, WhereNothingCanBeFetchedABusyKeeperIsWaitedFor)
+{
+  Occupy();
+  m_fleet.NoteKept({ 5, Fleet::ShortHash("ar1") }, kNow);
+  m_fleet.NoteSent("ar1", 12'000, kNow);
+  PlaceRequest request = Long(5);
+  request.m_movedPerMs = 0;
+  request.m_shortestAim = Duration{ 2000 }; // So that it may queue there.
+  const Place place = Must(request);
+  EXPECT_EQ(place.m_reader, "ar1"); // Reading it again takes 350 ms.
+  EXPECT_TRUE(place.m_fetchFrom.empty());
+}
+
+/** How much work waits at each reader, and what becomes of a prompt. */
+struct QueueCase
+{
+  const char* m_name;
+  std::int64_t m_work;
+  bool m_short;
+  Duration m_left; ///< Until its caller gives it up.
+  const char* m_outcome;
+};
+
+class QueueTest
+  : public FleetReadersTest
+  , public ::testing::WithParamInterface<QueueCase>
+{
+protected:
+  static std::string NameOf(const PlaceResult& aResult)
+  {
+    if (const auto* place = std::get_if<Place>(&aResult)) {
+      return place->m_late ? "late" : "placed";
+    }
+    return std::holds_alternative<PlaceLater>(aResult) ? "waits" : "refused";
+  }
+};
+
+TEST_P(QueueTest, ShortPromptsGoFirstAndLateOnesWaitForRoom)
+{
+  LoadAll(GetParam().m_work);
+  // Nothing short may go where output runs: readers only.
+  m_fleet.NoteSent("ag", 4'000, kNow);
+  m_fleet.NoteSent("bg", 4'000, kNow);
+  PlaceRequest request = GetParam().m_short ? Short() : Long(5);
+  m_fleet.NoteKept({ 5, Fleet::ShortHash("ar1") }, kNow);
+  request.m_left = GetParam().m_left;
+  EXPECT_EQ(NameOf(Find(request)), GetParam().m_outcome);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Queues,
+  QueueTest,
+  ::testing::Values(
+    QueueCase{ "Idle", 0, false, Duration{ 2400 }, "placed" },
+    QueueCase{ "ShortBefore100Ms", 6'000, true, Duration{ 2000 }, "placed" },
+    QueueCase{ "LongBefore100Ms", 6'000, false, Duration{ 2400 }, "placed" },
+    QueueCase{ "ShortBefore150Ms", 9'000, true, Duration{ 2000 }, "placed" },
+    QueueCase{ "LongBefore150Ms", 9'000, false, Duration{ 2400 }, "waits" },
+    QueueCase{ "ShortTooLate", 15'000, true, Duration{ 2000 }, "waits" },
+    QueueCase{ "LongTooLate", 30'000, false, Duration{ 2400 }, "waits" },
+    QueueCase{ "LongWithoutTime", 30'000, false, Duration{ 500 }, "refused" },
+    QueueCase{ "ShortWithoutTime", 30'000, true, Duration{ 300 }, "refused" }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+TEST_F(FleetReadersTest, ALatePromptGoesWhereNothingWaits)
+{
+  Occupy();
+  PlaceRequest request = Long(5);
+  request.m_patience = Duration{ -500 }; // Its caller has come back.
+  const Place place = Must(request);
+  EXPECT_TRUE(place.m_late);
+}
+
+TEST_F(FleetReadersTest, ARefusalTellsWhenThereMayBeRoom)
+{
+  LoadAll(60'000);
+  m_fleet.NoteSent("ag", 4'000, kNow);
+  m_fleet.NoteSent("bg", 4'000, kNow);
+  PlaceRequest request = Long(5);
+  request.m_left = Duration{ 600 };
+  const PlaceResult result = Find(request);
+  const auto* fault = std::get_if<PlaceFault>(&result);
+  ASSERT_NE(fault, nullptr);
+  EXPECT_TRUE(fault->m_full);
+  EXPECT_GT(fault->m_roomIn, Duration{ 400 });
+}
+
+TEST_F(FleetReadersTest, ShortPromptsAreReadBesideTheOutputOneAtATime)
+{
+  LoadAll(6'000);
+  const Place first = Must(Short());
+  EXPECT_TRUE(first.m_reader.empty()); // 50 ms of the 200 that are allowed.
+  m_fleet.NoteSent("ag", 1'500, kNow);
+  m_fleet.NoteSent("bg", 1'500, kNow);
+  EXPECT_FALSE(Must(Short()).m_reader.empty());
+}
+
+TEST_F(FleetReadersTest, LongPromptsAreReadBesideNoOutput)
+{
+  LoadAll(60'000);
+  EXPECT_TRUE(std::holds_alternative<PlaceLater>(Find(Long(5))));
+  Fleet idle = m_fleet;
+  idle.NoteEnded("ag", 0, AttemptEnd::Served, Duration{ 5 }, kNow);
+  const PlaceResult result = idle.FindPlace(Long(5), kNow);
+  const auto* place = std::get_if<Place>(&result);
+  ASSERT_NE(place, nullptr);
+  EXPECT_EQ(place->m_upstream, "ag"); // Nobody's output waits there.
+  EXPECT_TRUE(place->m_reader.empty());
+}
+
+TEST_F(FleetReadersTest, NewsOfAPartGoBeforeTheList)
+{
+  m_fleet.SetNews("peer",
+                  { { Fleet::ShortHash("ar0"), std::nullopt },
+                    { Fleet::ShortHash("ar1"), Part::Generate } });
+  Occupy();
+  for (std::uint32_t part = 1; part <= 40; ++part) {
+    const Place place = Must(Long(part));
+    EXPECT_NE(place.m_reader, "ar0"); // It takes nothing between two parts.
+    EXPECT_NE(place.m_reader, "ar1");
+  }
+  m_fleet.SetNews("peer", {});
+  std::set<std::string> used;
+  for (std::uint32_t part = 1; part <= 40; ++part) {
+    used.insert(Must(Long(part)).m_reader);
+  }
+  EXPECT_TRUE(used.contains("ar0"));
+  EXPECT_TRUE(used.contains("ar1"));
+}
+
+TEST_F(FleetReadersTest, OneWitnessIsChanceTwoAreNot)
+{
+  Fleet fleet;
+  fleet.SetApart("one", { Fleet::ShortHash("llm") });
+  EXPECT_TRUE(fleet.ReadsBeside("llm"));
+  fleet.SetApart("two", { Fleet::ShortHash("llm") });
+  EXPECT_FALSE(fleet.ReadsBeside("llm"));
+  EXPECT_TRUE(fleet.ReadsBeside("desk"));
+  EXPECT_TRUE(fleet.OwnApart().empty()); // Only what it has found itself.
+  fleet.SetApart("two", {});
+  EXPECT_TRUE(fleet.ReadsBeside("llm"));
+}
+
+TEST_F(FleetReadersTest, AnUncleanSampleTeachesNoPace)
+{
+  Occupy();
+  const double before = Must(Long(5)).m_expectedMs;
+  for (int i = 0; i < 20; ++i) {
+    m_fleet.NotePace({ "ar0", 60'000, Duration{ 9'000 }, false });
+    m_fleet.NotePace({ "ar1", 60'000, Duration{ 9'000 }, false });
+  }
+  EXPECT_EQ(Must(Long(5)).m_expectedMs, before);
+}
+
+TEST_F(FleetReadersTest, TheOutputNeedsEnginesBySlotsAndByMemory)
+{
+  EngineTraits traits;
+  traits.m_slots = 64;
+  for (int i = 0; i < 96; ++i) {
+    m_fleet.NoteSent("ag", 0, kNow);
+  }
+  EXPECT_NEAR(m_fleet.GeneratorsNeeded("llm", traits), 2, 0.01);
+  for (int i = 0; i < 200; ++i) {
+    m_fleet.NotePrompt("llm", *Long(1).m_prompt, Duration{ 200 });
+  }
+  traits.m_cacheTokens = 470'000;
+  EXPECT_NEAR(m_fleet.GeneratorsNeeded("llm", traits), 4.7, 0.1);
+}
+
+TEST_F(FleetReadersTest, APlaceIsAReaderAndATakerThatAreSound)
+{
+  EXPECT_TRUE(rc::check("any load", [this] {
+    Fleet fleet = m_fleet;
+    for (const char* id : { "ar0", "ar1", "ar2", "br0", "ag", "bg" }) {
+      fleet.NoteSent(id, *rc::gen::inRange<std::int64_t>(0, 90'000), kNow);
+    }
+    fleet.MarkLeaving("br1");
+    fleet.SetNews("peer", { { Fleet::ShortHash("br2"), std::nullopt } });
+    PlaceRequest request = *rc::gen::arbitrary<bool>() ? Short() : Long(3);
+    request.m_random = *rc::gen::arbitrary<std::uint64_t>();
+    const PlaceResult result = fleet.FindPlace(request, kNow);
+    if (const auto* place = std::get_if<Place>(&result)) {
+      RC_ASSERT(place->m_upstream == "ag" || place->m_upstream == "bg");
+      RC_ASSERT(place->m_reader != "br1");
+      RC_ASSERT(place->m_reader != "br2");
+      RC_ASSERT(place->m_work > 0);
+    }
+  }));
+}
+
+} // namespace
+} // namespace ridgeferry::relay
--- a/packages/relay/tests/FleetSilenceTest.cpp
+++ b/packages/relay/tests/FleetSilenceTest.cpp
@@ -114,5 +114,64 @@
   }
 }
 
+// One that only reads says nothing before it has read all that waits there.
+TEST_F(FleetTest, AnEngineMayBeSilentWhileItReads)
+{
+  constexpr Duration kReading{ 800 };
+  m_fleet.NotePace({ "p0", 60'000, Duration{ 1015 }, true });
+  m_fleet.NoteSent("p0", 48'000, kNow);
+  EXPECT_FALSE(m_fleet.IsSilent("p0", kNow + kReading));
+  EXPECT_TRUE(m_fleet.IsSilent("p0", kNow + Fleet::kMostSilence));
+  m_fleet.NoteSent("p1", 0, kNow);
+  EXPECT_TRUE(m_fleet.IsSilent("p1", kNow + Fleet::kSilence));
+}
+
+// Those behind a cut must not cost each caller of this side a try.
+TEST_F(FleetTest, RestsDoubleUntilTheMemberIsHeard)
+{
+  Instant now = kNow;
+  const auto restOf = [&] {
+    m_fleet.NoteSent("a", 0, now);
+    m_fleet.NoteOutOfReach("a", now);
+    m_fleet.NoteEnded("a", 0, AttemptEnd::Abandoned, Duration{ 5 }, now);
+    const Instant began = now;
+    PlaceRequest request = PlainRequest();
+    const std::vector<std::string> others{ "b" };
+    request.m_excluded = others;
+    while (!std::holds_alternative<Place>(m_fleet.FindPlace(request, now))) {
+      now += Duration{ 100 };
+    }
+    return now - began;
+  };
+  EXPECT_EQ(restOf(), Fleet::kRest);
+  EXPECT_EQ(restOf(), Fleet::kRest);
+  EXPECT_EQ(restOf(), Fleet::kRest * 2);
+  EXPECT_EQ(restOf(), Fleet::kLongestRest);
+  EXPECT_EQ(restOf(), Fleet::kLongestRest);
+  m_fleet.NoteHeard("a");
+  EXPECT_EQ(restOf(), Fleet::kRest);
+}
+
+// An engine between two parts refuses at once, looks idle and would be given
+// everything.
+TEST_F(FleetTest, AMemberThatRefusesInARowRests)
+{
+  for (int i = 0; i < 5; ++i) {
+    m_fleet.NoteSent("b", 0, kNow); // `a` is the better place.
+  }
+  const auto refuse = [&] {
+    m_fleet.NoteSent("a", 0, kNow);
+    m_fleet.NoteHeard("a");
+    m_fleet.NoteEnded("a", 0, AttemptEnd::Declined, Duration{ 5 }, kNow);
+  };
+  refuse();
+  EXPECT_EQ(MustFind(m_fleet, PlainRequest()).m_upstream, "a");
+  refuse();
+  EXPECT_EQ(MustFind(m_fleet, PlainRequest()).m_upstream, "b");
+  const PlaceResult later =
+    m_fleet.FindPlace(PlainRequest(), kNow + Fleet::kDeclinedRest);
+  EXPECT_EQ(std::get<Place>(later).m_upstream, "a");
+}
+
 } // namespace
 } // namespace ridgeferry::relay
--- /dev/null
+++ b/packages/relay/tests/PartPlanTest.cpp
@@ -0,0 +1,138 @@
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <ridgeferry/relay/PartPlan.h>
+
+namespace ridgeferry::relay {
+namespace {
+
+constexpr Instant kNow{ Duration{ 10'000 } };
+
+/** `aReading` readers and `aGenerating` others in a hall, in this order. */
+void
+AddHall(std::vector<PlannedEngine>& aEngines,
+        const std::string& aHall,
+        int aReading,
+        int aGenerating)
+{
+  for (int i = 0; i < aReading + aGenerating; ++i) {
+    PlannedEngine engine;
+    engine.m_id = aHall + std::to_string(i);
+    engine.m_hall = aHall;
+    engine.m_part = i < aReading ? Part::Prefill : Part::Generate;
+    engine.m_running = i;
+    aEngines.push_back(engine);
+  }
+}
+
+std::ptrdiff_t
+CountTo(const std::vector<PartChange>& aChanges, Part aPart)
+{
+  return std::count_if(
+    aChanges.begin(), aChanges.end(), [aPart](const PartChange& aChange) {
+      return aChange.m_to == aPart;
+    });
+}
+
+/** One hall of engines beside two others of six with a third that generate. */
+struct PlanCase
+{
+  const char* m_name;
+  int m_reading;
+  int m_generating;
+  double m_needed; ///< Of all halls.
+  Duration m_lasts;
+  std::ptrdiff_t m_toRead;
+  std::ptrdiff_t m_toGenerate;
+};
+
+class PartPlanTest : public ::testing::TestWithParam<PlanCase>
+{};
+
+TEST_P(PartPlanTest, AsFewGenerateAsTheOutputNeeds)
+{
+  std::vector<PlannedEngine> engines;
+  AddHall(engines, "a", GetParam().m_reading, GetParam().m_generating);
+  AddHall(engines, "b", 4, 2);
+  AddHall(engines, "c", 4, 2);
+  PartPlanner planner;
+  planner.Plan(engines, GetParam().m_needed, kNow);
+  const auto changes =
+    planner.Plan(engines, GetParam().m_needed, kNow + GetParam().m_lasts);
+  EXPECT_EQ(CountTo(changes, Part::Prefill), GetParam().m_toRead);
+  EXPECT_EQ(CountTo(changes, Part::Generate), GetParam().m_toGenerate);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Halls,
+  PartPlanTest,
+  ::testing::Values(
+    PlanCase{ "IdleOnesRead", 2, 4, 3, Duration{ 0 }, 2, 0 },
+    PlanCase{ "TwoAreKept", 4, 2, 0.5, Duration{ 0 }, 0, 0 },
+    PlanCase{ "ASmallHallKeepsOne", 2, 3, 0.5, Duration{ 0 }, 2, 0 },
+    PlanCase{ "SwingsOfAFifthMoveNothing", 3, 3, 6, Duration{ 0 }, 0, 0 },
+    PlanCase{ "ALostOneIsAwaited", 5, 0, 3, Duration{ 2900 }, 0, 0 },
+    PlanCase{ "TheLastOneIsReplaced", 5, 0, 3, Duration{ 3000 }, 0, 1 },
+    PlanCase{ "OneOfTwoIsEnough", 4, 1, 3, Duration{ 9000 }, 0, 0 }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+TEST(PartPlannerTest, TheLeastBusyChangeAndThoseOnTheirWayDoNot)
+{
+  std::vector<PlannedEngine> engines;
+  AddHall(engines, "a", 2, 4); // a2 to a5 generate, a2 with the fewest calls.
+  engines[2].m_changes = true;
+  PartPlanner planner;
+  EXPECT_EQ(planner.Plan(engines, 1, kNow),
+            (std::vector<PartChange>{ { "a3", Part::Prefill },
+                                      { "a4", Part::Prefill } }));
+}
+
+TEST(PartPlannerTest, AHallThatIsWholeAgainIsShortAnew)
+{
+  std::vector<PlannedEngine> lost;
+  AddHall(lost, "a", 4, 0);
+  std::vector<PlannedEngine> whole;
+  AddHall(whole, "a", 4, 1);
+  PartPlanner planner;
+  planner.Plan(lost, 1, kNow);
+  planner.Plan(whole, 1, kNow + Duration{ 2000 });
+  EXPECT_TRUE(planner.Plan(lost, 1, kNow + Duration{ 3000 }).empty());
+}
+
+TEST(PartPlannerTest, NoHallLosesItsLastOfEitherKind)
+{
+  EXPECT_TRUE(rc::check("any fleet and need", [] {
+    std::vector<PlannedEngine> engines;
+    const int halls = *rc::gen::inRange(1, 4);
+    for (int hall = 0; hall < halls; ++hall) {
+      AddHall(engines,
+              std::string(1, static_cast<char>('a' + hall)),
+              *rc::gen::inRange(1, 8),
+              *rc::gen::inRange(1, 8));
+    }
+    const double needed = *rc::gen::inRange(0, 40);
+    PartPlanner planner;
+    planner.Plan(engines, needed, kNow);
+    for (const PartChange& change :
+         planner.Plan(engines, needed, kNow + PartPlanner::kShortFor)) {
+      const auto found = std::find_if(
+        engines.begin(), engines.end(), [&](const PlannedEngine& aEngine) {
+          return aEngine.m_id == change.m_engine;
+        });
+      RC_ASSERT(found != engines.end());
+      RC_ASSERT(found->m_part != change.m_to);
+      found->m_part = change.m_to;
+    }
+    for (const PlannedEngine& engine : engines) {
+      for (const Part part : { Part::Prefill, Part::Generate }) {
+        RC_ASSERT(std::any_of(
+          engines.begin(), engines.end(), [&](const PlannedEngine& aOther) {
+            return aOther.m_hall == engine.m_hall && aOther.m_part == part;
+          }));
+      }
+    }
+  }));
+}
+
+} // namespace
+} // namespace ridgeferry::relay
--- /dev/null
+++ b/packages/relay/tests/ReadingBesideTest.cpp
@@ -0,0 +1,67 @@
+#include <gtest/gtest.h>
+#include <ridgeferry/relay/ReadingBeside.h>
+
+namespace ridgeferry::relay {
+namespace {
+
+/** What was seen of a service, and whether its engines bear reading beside. */
+struct BesideCase
+{
+  const char* m_name;
+  double m_work;     ///< Of a mean prompt, whole.
+  double m_pace;     ///< Work a ms, at engines that generate.
+  int m_paces;       ///< Samples.
+  int m_pausedOfTen; ///< Streams with a long pause.
+  int m_streams;     ///< Seen.
+  bool m_allowed;
+};
+
+class ReadingBesideTest : public ::testing::TestWithParam<BesideCase>
+{};
+
+TEST_P(ReadingBesideTest, NeedsSlowReadingAndPauses)
+{
+  ReadingBeside beside;
+  for (int i = 0; i < 40; ++i) {
+    beside.NotePrompt(GetParam().m_work, Duration{ 200 });
+  }
+  for (int i = 0; i < GetParam().m_paces; ++i) {
+    beside.NotePace(GetParam().m_pace);
+  }
+  for (int i = 0; i < GetParam().m_streams; ++i) {
+    beside.NoteStream(i * 7 % 10 < GetParam().m_pausedOfTen);
+  }
+  EXPECT_EQ(beside.IsAllowed(), GetParam().m_allowed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Engines,
+  ReadingBesideTest,
+  ::testing::Values(
+    BesideCase{ "NothingSeen", 6000, 30, 0, 8, 0, true },
+    BesideCase{ "FastEngines", 8000, 150, 10, 1, 20, true },
+    BesideCase{ "FastEnginesWhoseStreamsPause", 8000, 150, 10, 8, 20, true },
+    BesideCase{ "SlowEngines", 6000, 28, 10, 8, 20, false },
+    BesideCase{ "SlowInAPeakWithoutPauses", 8000, 40, 10, 2, 20, true },
+    BesideCase{ "SlowButFewPacesSeen", 6000, 28, 2, 8, 20, true },
+    BesideCase{ "SlowButFewStreamsSeen", 6000, 28, 10, 8, 4, true },
+    BesideCase{ "SlowEnginesWithShortPrompts", 1500, 28, 10, 8, 20, true }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+TEST(ReadingBesideChangesTest, ShorterPromptsAllowItAgain)
+{
+  ReadingBeside beside;
+  for (int i = 0; i < 20; ++i) {
+    beside.NotePrompt(6000, Duration{ 200 });
+    beside.NotePace(28);
+    beside.NoteStream(true);
+  }
+  EXPECT_FALSE(beside.IsAllowed());
+  for (int i = 0; i < 200; ++i) {
+    beside.NotePrompt(800, Duration{ 200 });
+  }
+  EXPECT_TRUE(beside.IsAllowed());
+}
+
+} // namespace
+} // namespace ridgeferry::relay
