--- a/packages/entry/src/PartKeeper.cpp
+++ b/packages/entry/src/PartKeeper.cpp
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ridgeferry/relay/PartPlan.h>
 #include <sstream>
 #include <utility>
-#include <ridgeferry/relay/PartPlan.h>
 
 namespace ridgeferry::entry {
 
@@ -76,8 +76,8 @@
   if (!hasEngines) {
     return;
   }
-  const bool contends = !m_node.m_stop.HasBegun() &&
-                        m_peers.Rank(kScope) < kContenders;
+  const bool contends =
+    !m_node.m_stop.HasBegun() && m_peers.Rank(kScope) < kContenders;
   HandleLease(authority::LeaseTick{ contends });
   const bool mayOrder =
     !m_node.m_stop.HasBegun() && m_lease.HasAuthority(m_node.Now());
@@ -123,7 +123,8 @@
     engine.m_changes = target.has_value() || m_desk.IsLeftAlone(engine.m_id);
     engine.m_part = target.value_or(engine.m_part);
   }
-  for (const relay::PartChange& change : plan.m_planner.Plan(engines, needed, m_node.Now())) {
+  for (const relay::PartChange& change :
+       plan.m_planner.Plan(engines, needed, m_node.Now())) {
     aChanges.push_back(change);
     m_node.m_log->Write(
       observe::LogLevel::Info,
@@ -161,8 +162,7 @@
 void
 PartKeeper::HandleDesk(const relay::DeskEvent& aEvent)
 {
-  for (const relay::DeskAction& action :
-       m_desk.Handle(aEvent, m_node.Now())) {
+  for (const relay::DeskAction& action : m_desk.Handle(aEvent, m_node.Now())) {
     std::visit([this](const auto& aTyped) { Do(aTyped); }, action);
   }
 }
@@ -260,11 +260,11 @@
   request.m_address = m_node.m_settings.m_store;
   request.m_timeout = kStoreTimeout;
   net::HttpCallbacks callbacks;
-  callbacks.m_done = [this, attempt = aAction.m_attempt](
-                       const net::HttpResponse& aResponse) {
-    HandleLease(authority::LeaseWritten{
-      attempt, m_node.m_dialect.m_readStoreCommit(aResponse) });
-  };
+  callbacks.m_done =
+    [this, attempt = aAction.m_attempt](const net::HttpResponse& aResponse) {
+      HandleLease(authority::LeaseWritten{
+        attempt, m_node.m_dialect.m_readStoreCommit(aResponse) });
+    };
   m_node.m_http->Send(request, std::move(callbacks));
 }
 
@@ -302,8 +302,8 @@
   request.m_connectTimeout = kEngineTimeout;
   net::HttpCallbacks callbacks;
   callbacks.m_done = [this, engine](const net::HttpResponse& aResponse) {
-    HandleDesk(relay::ReportCame{
-      engine, m_node.m_dialect.m_readReport(aResponse) });
+    HandleDesk(
+      relay::ReportCame{ engine, m_node.m_dialect.m_readReport(aResponse) });
   };
   m_node.m_http->Send(request, std::move(callbacks));
 }
@@ -355,7 +355,8 @@
 void
 PartKeeper::Do(const relay::TellNews&)
 {
-  m_newsChanged = true; // Told once a tick: one talk to all costs a millisecond.
+  m_newsChanged =
+    true; // Told once a tick: one talk to all costs a millisecond.
 }
 
 void
@@ -366,6 +367,7 @@
   }
   const std::vector<relay::PartNews> news = m_desk.News();
   std::vector<relay::PartNewsOf> own;
+  own.reserve(news.size());
   for (const relay::PartNews& item : news) {
     own.push_back({ relay::Fleet::ShortHash(item.m_engine), item.m_part });
   }
--- a/packages/relay/src/PartDesk.cpp
+++ b/packages/relay/src/PartDesk.cpp
@@ -48,8 +48,9 @@
   for (const auto& [asked, engine] : due) {
     Ask(*engine, aNow, aActions);
   }
-  const std::size_t over = std::erase_if(
-    m_changes, [aNow](const auto& aItem) { return IsOver(aItem.second, aNow); });
+  const std::size_t over = std::erase_if(m_changes, [aNow](const auto& aItem) {
+    return IsOver(aItem.second, aNow);
+  });
   m_newsChanged = m_newsChanged || over > 0;
 }
 
@@ -88,9 +89,8 @@
   const Duration age = aNow - aChange.m_since;
   const bool ordered =
     aChange.m_step == Step::Doubtful || aChange.m_step == Step::Watching;
-  if (aChange.m_step == Step::Announced && !m_mayOrder) {
-    GoTo(aChange, Step::Paused, aNow);
-  } else if (ordered && age >= kLongest) {
+  const bool barred = aChange.m_step == Step::Announced && !m_mayOrder;
+  if (barred || (ordered && age >= kLongest)) {
     GoTo(aChange, Step::Paused, aNow);
   } else if (aChange.m_step == Step::Doubtful && age >= kOrderAgain &&
              m_mayOrder) {
--- a/packages/relay/src/PartPlan.cpp
+++ b/packages/relay/src/PartPlan.cpp
@@ -38,8 +38,7 @@
 AtLeast(std::size_t aHall, double aNeeded, std::size_t aLeast)
 {
   const std::size_t most = std::max(aLeast, aHall > 1 ? aHall - 1 : 1);
-  return std::clamp(
-    static_cast<std::size_t>(std::ceil(aNeeded)), aLeast, most);
+  return std::clamp(static_cast<std::size_t>(std::ceil(aNeeded)), aLeast, most);
 }
 
 void
@@ -76,8 +75,8 @@
   std::vector<PartChange> out;
   for (const auto& [name, hall] : halls) {
     const std::size_t now = hall.m_generating.size();
-    const double share = static_cast<double>(hall.Size()) /
-                         static_cast<double>(aEngines.size());
+    const double share =
+      static_cast<double>(hall.Size()) / static_cast<double>(aEngines.size());
     const std::size_t least = AtLeast(hall.Size(), aNeeded * share, 1);
     const std::size_t most = AtLeast(
       hall.Size(), aNeeded * share * kShrinkMargin, LeastKept(hall.Size()));
--- a/packages/relay/src/ReadingBeside.cpp
+++ b/packages/relay/src/ReadingBeside.cpp
@@ -11,8 +11,9 @@
 /** Paces seen before anything is concluded: one may be chance. */
 constexpr int kLeastPaces = 3;
 /** Part of the allowed pause that the reading of a whole mean prompt may take:
- * the rest is the steps of the output and parts of a second prompt. Engines that
- * bear it stand at 0.15 to 0.3, those that do not at 0.7 to 2 (measured). */
+ * the rest is the steps of the output and parts of a second prompt. Engines
+ * that bear it stand at 0.15 to 0.3, those that do not at 0.7 to 2 (measured).
+ */
 constexpr double kMostOfPause = 0.6;
 /** A prompt must become so much shorter before engines read beside again. */
 constexpr double kAllowAgain = 0.4;
@@ -22,8 +23,8 @@
 /** Streams seen before anything is concluded, and those remembered. */
 constexpr int kLeastStreams = 5;
 constexpr int kStreams = 12;
-/** Share of streams with a pause above which they are no accident: 0.1 to 0.2 at
- * engines that bear it, 0.6 and more at those that do not. */
+/** Share of streams with a pause above which they are no accident: 0.1 to 0.2
+ * at engines that bear it, 0.6 and more at those that do not. */
 constexpr double kMostPaused = 0.45;
 
 } // namespace
@@ -59,8 +60,7 @@
     return;
   }
   const double share = m_work / m_pace / m_pauseMs;
-  const bool pauses =
-    m_streams >= kLeastStreams && m_pausedShare > kMostPaused;
+  const bool pauses = m_streams >= kLeastStreams && m_pausedShare > kMostPaused;
   if (share > kMostOfPause && pauses) {
     m_allowed = false;
   } else if (share < kMostOfPause * kAllowAgain) {
