--- a/packages/relay/src/FleetParts.cpp
+++ b/packages/relay/src/FleetParts.cpp
@@ -175,10 +175,17 @@
 void
 Fleet::NoteRead(const Prompt& aPrompt, std::string_view aId, Instant aNow)
 {
+  // Only where somebody asks for it: each read told costs all peers some
+  // microseconds.
+  const auto member = m_members.find(aId);
+  const bool isTold = member != m_members.end() &&
+                      !ReadsBeside(member->second.m_member.m_service);
   for (const SharedPart& part : aPrompt.m_parts) {
     const KeptPart kept{ part.m_key, ShortHash(aId) };
     m_kept.Note(kept, aNow);
-    m_ownReads.emplace_back(aNow, kept);
+    if (isTold) {
+      m_ownReads.emplace_back(aNow, kept);
+    }
   }
   while (!m_ownReads.empty() &&
          aNow - m_ownReads.front().first >= kTellReadsFor) {
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -142,8 +142,9 @@
                                   aRequest.m_excluded.end(),
                                   member.m_id) != aRequest.m_excluded.end();
   const bool rests = aState.m_restsUntil && aNow < *aState.m_restsUntil;
+  const bool gone = aState.m_goneAt && aNow >= *aState.m_goneAt;
   return member.m_service == aRequest.m_service && !member.m_leaving &&
-         !excluded && !rests && !aState.m_changing;
+         !excluded && !rests && !gone && !aState.m_changing;
 }
 
 bool
--- a/packages/relay/tests/FleetTest.cpp
+++ b/packages/relay/tests/FleetTest.cpp
@@ -106,6 +106,21 @@
   EXPECT_EQ(m_fleet.Find("b"), nullptr);
 }
 
+// Ticks come some time after the end of a grace; a leaving upstream may get new
+// work for two seconds only.
+TEST_F(FleetTest, ALapsedMemberGetsNothingFromItsGracesEndOn)
+{
+  const std::vector<std::string> excluded{ "a" };
+  PlaceRequest request = PlainRequest();
+  request.m_excluded = excluded;
+  m_fleet.Drop("b", kNow + kGrace);
+  const Instant before = kNow + kGrace - Duration{ 1 };
+  EXPECT_TRUE(
+    std::holds_alternative<Place>(m_fleet.FindPlace(request, before)));
+  EXPECT_FALSE(
+    std::holds_alternative<Place>(m_fleet.FindPlace(request, kNow + kGrace)));
+}
+
 TEST_F(FleetTest, AMemberThatVanishesInACalmStoreIsGone)
 {
   m_fleet.Drop("b", std::nullopt);
