--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -110,9 +110,8 @@
     m_node.m_loop->After(Left(), [this] { Handle(relay::DeadlinePassed{}); });
   m_start.m_budget->NoteFirst(m_began);
   if (m_start.m_head.m_prompt) {
-    m_node.m_fleet.NotePrompt(m_start.m_service,
-                              *m_start.m_head.m_prompt,
-                              m_start.m_route->m_pause);
+    m_node.m_fleet.NotePrompt(
+      m_start.m_service, *m_start.m_head.m_prompt, m_start.m_route->m_pause);
   }
   Handle(relay::CallBegan{});
 }
@@ -152,8 +151,7 @@
   const bool isFirst = aAction.m_excluded.empty();
   request.m_pause = m_start.m_route->m_pause;
   request.m_left = LeftToFirstToken();
-  request.m_shortestAim =
-    m_start.m_routes->ShortestAim(m_start.m_service);
+  request.m_shortestAim = m_start.m_routes->ShortestAim(m_start.m_service);
   request.m_movedPerMs = m_start.m_movedTokensPerMs;
   if (isFirst && m_start.m_head.m_prompt &&
       m_start.m_route->m_aim.count() > 0) {
@@ -164,8 +162,8 @@
   const relay::PlaceResult result =
     m_node.m_fleet.FindPlace(request, m_node.Now());
   if (std::holds_alternative<relay::PlaceLater>(result)) {
-    m_placing = m_node.m_loop->After(
-      PlaceAgainIn(), [this, aAction] { Do(aAction); });
+    m_placing =
+      m_node.m_loop->After(PlaceAgainIn(), [this, aAction] { Do(aAction); });
     return;
   }
   if (const auto* place = std::get_if<relay::Place>(&result)) {
@@ -264,8 +262,7 @@
     m_attempt.m_tokens =
       asPlaced ? m_place.m_work
                : m_node.m_fleet.WorkAt(prompt, aMember.m_id, m_node.Now());
-    const std::int64_t least =
-      relay::Fleet::WorkOf(prompt, prompt.m_ownTokens);
+    const std::int64_t least = relay::Fleet::WorkOf(prompt, prompt.m_ownTokens);
     m_attempt.m_workIsSure = m_attempt.m_tokens <= least * kSureParts / kParts;
     m_node.m_fleet.NoteRead(prompt, aMember.m_id, m_node.Now());
   }
@@ -273,7 +270,8 @@
   aTerms.m_address = aMember.m_address;
   aTerms.m_upstream = aMember.m_id;
   aTerms.m_left = Left();
-  aTerms.m_priority = m_place.m_late ? kLatePriority : m_start.m_route->m_priority;
+  aTerms.m_priority =
+    m_place.m_late ? kLatePriority : m_start.m_route->m_priority;
   net::HttpRequest request =
     m_node.m_dialect.m_writeSend(m_start.m_exchange->Request(), aTerms);
   request.m_timeout = aTerms.m_left;
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -54,7 +54,7 @@
     std::int64_t m_tokens = 0;      ///< That it still has to read.
     std::int64_t m_tokensAhead = 0; ///< Under way there when it was sent.
     Instant m_sentAt;
-    bool m_workIsSure = false;      ///< `m_tokens` cannot be much fewer.
+    bool m_workIsSure = false; ///< `m_tokens` cannot be much fewer.
     bool m_readOnly = false;
     bool m_saidNotRun = false;
     bool m_hasHead = false;
@@ -106,8 +106,8 @@
   Attempt m_attempt;
   double m_expectedMs = 0; ///< Of the first token, by the first place; 0: none.
   Instant m_placedAt;
-  relay::Place m_place;  ///< The one in use.
-  bool m_paused = false; ///< Its stream has had a pause that is too long.
+  relay::Place m_place;   ///< The one in use.
+  bool m_paused = false;  ///< Its stream has had a pause that is too long.
   std::string m_readBody; ///< Of a reader's answer.
   std::string m_path;     ///< Members tried, in order, for the log.
   bool m_told = false;
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -84,7 +84,7 @@
   /** Hashes of services whose engines it found unable to read prompts beside
    * the output. */
   std::vector<std::uint32_t> m_apart;
-  std::optional<StoreView> m_store;    ///< Nothing: it follows no tables.
+  std::optional<StoreView> m_store; ///< Nothing: it follows no tables.
   bool operator==(const Heartbeat&) const = default;
 };
 
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -26,11 +26,10 @@
   }
   for (std::uint32_t engine :
        *rc::gen::arbitrary<std::vector<std::uint32_t>>()) {
-    out.m_parts.push_back({ engine,
-                            static_cast<membership::EnginePart>(engine % 3) });
+    out.m_parts.push_back(
+      { engine, static_cast<membership::EnginePart>(engine % 3) });
   }
-  for (std::uint32_t part :
-       *rc::gen::arbitrary<std::vector<std::uint32_t>>()) {
+  for (std::uint32_t part : *rc::gen::arbitrary<std::vector<std::uint32_t>>()) {
     out.m_reads.push_back({ part, part ^ 5U });
   }
   out.m_apart = *rc::gen::arbitrary<std::vector<std::uint32_t>>();
--- a/packages/relay/include/ridgeferry/relay/KeptParts.h
+++ b/packages/relay/include/ridgeferry/relay/KeptParts.h
@@ -36,8 +36,8 @@
    */
   static constexpr Duration kLife{ 20'000 };
 
-  /** The same at engines that generate: each call brings its whole prompt there,
-   * and they turn over in some 4 s. */
+  /** The same at engines that generate: each call brings its whole prompt
+   * there, and they turn over in some 4 s. */
   static constexpr Duration kLifeBesideOutput{ 4000 };
 
   void Note(const KeptPart& aPart, Instant aNow);
--- a/packages/relay/include/ridgeferry/relay/MedianPace.h
+++ b/packages/relay/include/ridgeferry/relay/MedianPace.h
@@ -25,7 +25,8 @@
     m_count = std::min(m_count + 1, kSamples);
     std::array<double, kSamples> sorted = m_samples;
     const auto end = sorted.begin() + static_cast<std::ptrdiff_t>(m_count);
-    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(m_count / 2);
+    const auto middle =
+      sorted.begin() + static_cast<std::ptrdiff_t>(m_count / 2);
     std::nth_element(sorted.begin(), middle, end);
     m_median = *middle;
   }
--- a/packages/relay/include/ridgeferry/relay/PartDesk.h
+++ b/packages/relay/include/ridgeferry/relay/PartDesk.h
@@ -15,7 +15,7 @@
 struct EngineReport
 {
   Part m_part = Part::Generate;
-  bool m_changing = false;         ///< An order is under way.
+  bool m_changing = false;        ///< An order is under way.
   std::int64_t m_ordersTaken = 0; ///< Since its start.
 };
 
@@ -62,8 +62,8 @@
 {
   std::string m_engine;
 };
-using DeskEvent = std::
-  variant<DeskTick, ChangesWanted, ReportCame, OrderAnswered, EngineGone>;
+using DeskEvent =
+  std::variant<DeskTick, ChangesWanted, ReportCame, OrderAnswered, EngineGone>;
 
 // ---- actions ----
 
@@ -90,9 +90,9 @@
  * it any more. Then the engine is asked how many orders it has taken, and the
  * order names that count: one that is carried out late, after another one, is
  * void, so that two orders never conflict even where engines do not check
- * fencing numbers. After an order without an answer the reports tell whether it was
- * taken; if not, the next one names the same count, so one of the two is void. At last the news of the new part go on until the
- * list has it.
+ * fencing numbers. After an order without an answer the reports tell whether it
+ * was taken; if not, the next one names the same count, so one of the two is
+ * void. At last the news of the new part go on until the list has it.
  *
  * Orders leave only while `DeskTick` says that this instance may order. What
  * was ordered before is watched to its end. A pure state machine; not
@@ -110,8 +110,9 @@
   static constexpr Duration kOrderAgain{ 1000 };
   /** Between two reports of an engine that changes: as old as a report is. */
   static constexpr Duration kAskEvery{ 200 };
-  /** Reports asked for in one tick, those that waited longest first: with a tick
-   * of 50 ms sixty a second, a tenth of the smallest instance's processor. */
+  /** Reports asked for in one tick, those that waited longest first: with a
+   * tick of 50 ms sixty a second, a tenth of the smallest instance's processor.
+   */
   static constexpr std::size_t kMostAsksATick = 3;
   /** An engine that did not follow an order by then is as the list says: well
    * above the seconds of a change with a long stream's end before it. */
