Lapses: an instance that alone cannot read the store grants no graces

Ruled out: the peers' words of an outage (none was lost), the tick of the fleet.

Change: each instance says whether its reads have been steady for as long as lapsed rows take to be back. One that hears such a peer grants no grace, and ends those that run once it has read as far as that peer.

--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -183,7 +183,8 @@
   const relay::TableFollower& members = m_members->Follower();
   return { config.ChangedVersion(),
            members.ChangedVersion(),
-           config.IsLost() || members.IsLost() };
+           config.IsLost() || members.IsLost(),
+           members.IsSteady(m_node.Now()) };
 }
 
 void
@@ -313,6 +314,7 @@
     [this](const relay::ApplyRows& aRows) { TakeConfig(aRows); });
   m_members->SignalRows().connect(
     [this](const relay::ApplyRows& aRows) { TakeMembers(aRows); });
+  m_members->SignalLapsesEnd().connect([this] { m_node.m_fleet.EndLapses(); });
   m_peers->SignalLeaving().connect([this](const std::string& aUpstream) {
     m_node.m_fleet.MarkLeaving(aUpstream);
     m_node.m_log->Write(observe::LogLevel::Info,
@@ -321,8 +323,8 @@
   });
   m_peers->SignalStoreView().connect(
     [this](const membership::StoreView& aView) {
-      m_config->NotePeer(aView.m_configVersion, aView.m_lost);
-      m_members->NotePeer(aView.m_membersVersion, aView.m_lost);
+      m_config->NotePeer(aView.m_configVersion, aView);
+      m_members->NotePeer(aView.m_membersVersion, aView);
     });
   WatchSignals();
   m_tick = m_node.m_loop->Every(kTick, [this] { Tick(); });
--- a/packages/entry/src/StoreReader.cpp
+++ b/packages/entry/src/StoreReader.cpp
@@ -96,11 +96,15 @@
 }
 
 void
-StoreReader::NotePeer(std::uint64_t aVersion, bool aLost)
+StoreReader::NotePeer(std::uint64_t aVersion,
+                      const membership::StoreView& aView)
 {
-  if (aLost) {
+  if (aView.m_lost) {
     Handle(relay::PeerLostStore{});
   }
+  if (aView.m_steady) {
+    Handle(relay::PeerReadsSteadily{ aVersion });
+  }
   Handle(relay::PeerIsAhead{ aVersion });
 }
 
@@ -176,6 +180,17 @@
   m_rows.emit(aAction);
 }
 
+void
+StoreReader::Do(const relay::EndLapses&)
+{
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "lapses-ended",
+    { { "table", m_table },
+      { "version", static_cast<std::int64_t>(m_follower.Version()) } });
+  m_lapsesEnd.emit();
+}
+
 void
 StoreReader::Do(const relay::StoreLost& aAction)
 {
--- a/packages/entry/src/StoreReader.h
+++ b/packages/entry/src/StoreReader.h
@@ -2,6 +2,7 @@
 
 #include "EntryNode.h"
 
+#include <ridgeferry/membership/Roster.h>
 #include <ridgeferry/relay/TableFollower.h>
 #include <sigc++/sigc++.h>
 #include <string>
@@ -20,10 +21,12 @@
   void Start();
   bool HasRead() const { return m_follower.HasRead(); }
   const relay::TableFollower& Follower() const { return m_follower; }
-  /** Another instance has read changes up to a version, or cannot read. */
-  void NotePeer(std::uint64_t aVersion, bool aLost);
+  /** What another instance says of its reads; `aVersion`: up to where it has
+   * read this table. */
+  void NotePeer(std::uint64_t aVersion, const membership::StoreView& aView);
   void SetDuty(bool aOnDuty);
   sigc::signal<void(const relay::ApplyRows&)>& SignalRows() { return m_rows; }
+  sigc::signal<void()>& SignalLapsesEnd() { return m_lapsesEnd; }
 
 private:
   void Handle(const relay::FollowEvent& aEvent);
@@ -32,6 +35,7 @@
   void Do(const relay::DropRead& aAction);
   void Do(const relay::RetryLater& aAction);
   void Do(const relay::ApplyRows& aAction);
+  void Do(const relay::EndLapses& aAction);
   void Do(const relay::StoreLost& aAction);
   void Do(const relay::StoreBack& aAction);
   void Send(const StoreRead& aRead);
@@ -54,6 +58,7 @@
   bool m_distrustsKept = false;
   net::Watch m_retry;
   sigc::signal<void(const relay::ApplyRows&)> m_rows;
+  sigc::signal<void()> m_lapsesEnd;
 };
 
 } // namespace ridgeferry::entry
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -60,6 +60,9 @@
   std::uint64_t m_configVersion = 0;  ///< At the last change that it read.
   std::uint64_t m_membersVersion = 0; ///< The same, of the upstreams.
   bool m_lost = false;                ///< Its reads fail.
+  /** Its reads of upstreams have gone on for so long that whatever had lapsed
+   * before is back or gone. */
+  bool m_steady = false;
   bool operator==(const StoreView&) const = default;
 };
 
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -110,6 +110,11 @@
   this->servicesApart = val;
 __isset.servicesApart = true;
 }
+
+void Heartbeat::__set_storeSteady(const bool val) {
+  this->storeSteady = val;
+__isset.storeSteady = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -425,6 +430,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->storeSteady);
+          this->__isset.storeSteady = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -629,6 +642,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.storeSteady) {
+    xfer += oprot->writeFieldBegin("storeSteady", ::apache::thrift::protocol::T_BOOL, 21);
+    xfer += oprot->writeBool(this->storeSteady);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -656,6 +674,7 @@
   swap(a.readParts, b.readParts);
   swap(a.readEngines, b.readEngines);
   swap(a.servicesApart, b.servicesApart);
+  swap(a.storeSteady, b.storeSteady);
   swap(a.__isset, b.__isset);
 }
 
@@ -680,6 +699,7 @@
   readParts = other60.readParts;
   readEngines = other60.readEngines;
   servicesApart = other60.servicesApart;
+  storeSteady = other60.storeSteady;
   __isset = other60.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other61) {
@@ -703,6 +723,7 @@
   readParts = other61.readParts;
   readEngines = other61.readEngines;
   servicesApart = other61.servicesApart;
+  storeSteady = other61.storeSteady;
   __isset = other61.__isset;
   return *this;
 }
@@ -729,6 +750,7 @@
   out << ", " << "readParts="; (__isset.readParts ? (out << to_string(readParts)) : (out << "<null>"));
   out << ", " << "readEngines="; (__isset.readEngines ? (out << to_string(readEngines)) : (out << "<null>"));
   out << ", " << "servicesApart="; (__isset.servicesApart ? (out << to_string(servicesApart)) : (out << "<null>"));
+  out << ", " << "storeSteady="; (__isset.storeSteady ? (out << to_string(storeSteady)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -30,7 +30,7 @@
 class ChangesReply;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false) {}
+  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false) {}
   bool leavingUpstreams :1;
   bool engines :1;
   bool states :1;
@@ -44,6 +44,7 @@
   bool readParts :1;
   bool readEngines :1;
   bool servicesApart :1;
+  bool storeSteady :1;
 } _Heartbeat__isset;
 
 /**
@@ -64,7 +65,8 @@
               revision(0),
               configVersion(0),
               membersVersion(0),
-              storeLost(0) {
+              storeLost(0),
+              storeSteady(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -115,6 +117,11 @@
    * itself, cannot read beside the output.
    */
   std::vector<int32_t>  servicesApart;
+  /**
+   * The sender's reads of upstreams have gone on without a failure for as long
+   * as rows that lapsed take to be back.
+   */
+  bool storeSteady;
 
   _Heartbeat__isset __isset;
 
@@ -158,6 +165,8 @@
 
   void __set_servicesApart(const std::vector<int32_t> & val);
 
+  void __set_storeSteady(const bool val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -226,6 +235,10 @@
       return false;
     else if (__isset.servicesApart && !(servicesApart == rhs.servicesApart))
       return false;
+    if (__isset.storeSteady != rhs.__isset.storeSteady)
+      return false;
+    else if (__isset.storeSteady && !(storeSteady == rhs.storeSteady))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -44,6 +44,9 @@
   /** Hashes of the services whose generating engines, as the sender has measured
    * itself, cannot read beside the output. */
   20: optional list<i32> servicesApart;
+  /** The sender's reads of upstreams have gone on without a failure for as long
+   * as rows that lapsed take to be back. */
+  21: optional bool storeSteady;
 }
 
 /** Asks a peer for the changes after a revision. */
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -126,6 +126,7 @@
     out.__set_configVersion(static_cast<std::int64_t>(store.m_configVersion));
     out.__set_membersVersion(static_cast<std::int64_t>(store.m_membersVersion));
     out.__set_storeLost(store.m_lost);
+    out.__set_storeSteady(store.m_steady);
   }
   return Write(out);
 }
@@ -208,7 +209,8 @@
   if (in->__isset.configVersion && in->__isset.membersVersion) {
     out.m_store = { static_cast<std::uint64_t>(in->configVersion),
                     static_cast<std::uint64_t>(in->membersVersion),
-                    in->storeLost };
+                    in->storeLost,
+                    in->storeSteady };
   }
   return out;
 }
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -36,6 +36,7 @@
   if (*rc::gen::arbitrary<bool>()) {
     out.m_store = { *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62U),
                     *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62U),
+                    *rc::gen::arbitrary<bool>(),
                     *rc::gen::arbitrary<bool>() };
   }
   return out;
--- /dev/null
+++ b/packages/relay/include/ridgeferry/relay/LapseGrace.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <optional>
+#include <ridgeferry/base/Time.h>
+
+namespace ridgeferry::relay {
+
+/**
+ * Whether a row that was removed from the list of upstreams may only have
+ * lapsed there, and for how long its upstream stays in use.
+ *
+ * Rows lapse while the store is away for all, as their owners cannot renew
+ * them: without a grace, an outage of some seconds would empty the list of
+ * sound upstreams. Without a bound to it, one that has left would get calls for
+ * seconds. So an outage counts only if no other instance has read on through
+ * it: one that the store turned away, or that was cut off, by itself grants
+ * none.
+ *
+ * Decisions only; not thread-safe.
+ */
+class LapseGrace
+{
+public:
+  /**
+   * How long after the first answer behind an outage a removed row may only
+   * have lapsed. Rows of sound upstreams are back two seconds after the store's
+   * own return; a follower notices the return up to 0.6 s late and reads with
+   * 0.3 s of patience. So all graces have ended three seconds after it, when
+   * what is gone binds again.
+   */
+  static constexpr Duration kLapseTime{ 2300 };
+  /** The same after the last word of a peer's outage, which comes up to a
+   * second after that peer's first answer. */
+  static constexpr Duration kPeerLapseTime{ 1400 };
+  /** Age of the last answer up to which reads count as going on: a read that
+   * the store holds is answered after two seconds. */
+  static constexpr Duration kAnswerAge{ 2200 };
+  /**
+   * For how long a peer's word of its steady reads holds. With the age of the
+   * answer behind it that is 3.2 s: rows lapse after three missed renewals,
+   * 3.6 s at least, so no row can have lapsed since that answer.
+   */
+  static constexpr Duration kSteadyFor{ 1000 };
+
+  void NoteFailure();
+  /** True: it is the first one behind an outage. */
+  bool NoteAnswer(Instant aNow);
+  /** A peer's reads fail, and nobody's are heard to succeed. */
+  void NotePeerLost(Instant aNow);
+  /** A peer says that its reads are steady: see `IsSteady`. */
+  void NotePeerSteady(Instant aNow);
+
+  /** Own reads fail. */
+  bool IsLost() const { return m_lost; }
+  /** Own reads have gone on for `kLapseTime` without a failure: whatever lapsed
+   * before is back or gone. For the peers. */
+  bool IsSteady(Instant aNow) const;
+  /** Until when a row whose removal is read now may only have lapsed; nothing:
+   * it is gone. */
+  std::optional<Instant> Until(Instant aNow) const;
+
+private:
+  bool HearsOfSteady(Instant aNow) const;
+
+  bool m_lost = false;
+  std::optional<Instant> m_answersSince; ///< Without a failure; nothing: none.
+  Instant m_lastAnswer;
+  std::optional<Instant> m_peerSteadyAt;
+  std::optional<Instant> m_until;
+};
+
+} // namespace ridgeferry::relay
--- a/packages/relay/include/ridgeferry/relay/TableFollower.h
+++ b/packages/relay/include/ridgeferry/relay/TableFollower.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <ridgeferry/base/Time.h>
+#include <ridgeferry/relay/LapseGrace.h>
 #include <span>
 #include <string>
 #include <variant>
@@ -55,6 +56,12 @@
  * succeed. */
 struct PeerLostStore
 {};
+/** Another instance's reads are steady (`LapseGrace::IsSteady`), and it has
+ * read changes up to that version. */
+struct PeerReadsSteadily
+{
+  std::uint64_t m_version = 0;
+};
 /** Whether this instance is one of those that keep an eye on the store. */
 struct DutyChanged
 {
@@ -69,6 +76,7 @@
                                  RetryDue,
                                  PeerIsAhead,
                                  PeerLostStore,
+                                 PeerReadsSteadily,
                                  DutyChanged>;
 
 // ---- actions ----
@@ -97,6 +105,10 @@
    * only have lapsed, and come back. Nothing: removed is gone. */
   std::optional<Instant> m_lapsesUntil;
 };
+/** What was removed within a grace is gone: nothing had lapsed, or all that had
+ * is back. */
+struct EndLapses
+{};
 struct StoreLost
 {
   std::string m_cause;
@@ -109,6 +121,7 @@
                                   DropRead,
                                   RetryLater,
                                   ApplyRows,
+                                  EndLapses,
                                   StoreLost,
                                   StoreBack>;
 
@@ -151,17 +164,6 @@
   /** First and longest pause after a failed read. */
   static constexpr Duration kFirstRetry{ 150 };
   static constexpr Duration kLongestRetry{ 600 };
-  /**
-   * How long after the first answer behind an outage a removed row may only
-   * have lapsed. Rows of sound upstreams are back two seconds after the store's
-   * own return, and are read with `kSettle`; the first answer comes up to
-   * `kLongestRetry` after that return. So all graces have ended three seconds
-   * after it, when what is gone binds again.
-   */
-  static constexpr Duration kLapseTime{ 2300 };
-  /** The same after the last word of a peer's outage, which comes up to a
-   * second after that peer's first answer. */
-  static constexpr Duration kPeerLapseTime{ 1400 };
 
   std::vector<FollowAction> Handle(const FollowEvent& aEvent, Instant aNow);
 
@@ -169,7 +171,9 @@
   std::uint64_t Version() const { return m_version; }
   /** Highest version of a row that was read. */
   std::uint64_t ChangedVersion() const { return m_changedVersion; }
-  bool IsLost() const { return m_lost; }
+  bool IsLost() const { return m_grace.IsLost(); }
+  /** See `LapseGrace::IsSteady`. */
+  bool IsSteady(Instant aNow) const { return m_grace.IsSteady(aNow); }
 
 private:
   using Actions = std::vector<FollowAction>;
@@ -182,6 +186,7 @@
   void On(const RetryDue& aEvent, Instant aNow, Actions& aActions);
   void On(const PeerIsAhead& aEvent, Instant aNow, Actions& aActions);
   void On(const PeerLostStore& aEvent, Instant aNow, Actions& aActions);
+  void On(const PeerReadsSteadily& aEvent, Instant aNow, Actions& aActions);
   void On(const DutyChanged& aEvent, Instant aNow, Actions& aActions);
 
   void Ask(Actions& aActions);
@@ -190,13 +195,11 @@
   void AskAnew(Actions& aActions);
   void NoteVersions(std::span<const FollowedRow> aRows);
   void NoteAnswer(Instant aNow, Actions& aActions);
-  std::optional<Instant> LapsesUntil(Instant aNow) const;
 
   bool m_hasRead = false;
   bool m_needsTable = true;
-  bool m_lost = false;
-  /** After an outage; empty: none yet. */
-  std::optional<Instant> m_lapsesUntil;
+  LapseGrace m_grace;
+  bool m_mayHaveLapsed = false; ///< Something was removed within a grace.
   bool m_onDuty = true;
   bool m_asking = false;  ///< A read is under way.
   bool m_resting = false; ///< None is, and none is due soon.
--- /dev/null
+++ b/packages/relay/src/LapseGrace.cpp
@@ -0,0 +1,69 @@
+#include "ridgeferry/relay/LapseGrace.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ridgeferry::relay {
+
+void
+LapseGrace::NoteFailure()
+{
+  m_lost = true;
+  m_answersSince.reset();
+}
+
+bool
+LapseGrace::NoteAnswer(Instant aNow)
+{
+  // Nothing is known of the time between two answers that lie far apart.
+  if (!m_answersSince || aNow - m_lastAnswer > kAnswerAge) {
+    m_answersSince = aNow;
+  }
+  m_lastAnswer = aNow;
+  if (!std::exchange(m_lost, false)) {
+    return false;
+  }
+  if (!HearsOfSteady(aNow)) {
+    m_until = aNow + kLapseTime;
+  }
+  return true;
+}
+
+void
+LapseGrace::NotePeerLost(Instant aNow)
+{
+  if (IsSteady(aNow)) {
+    return; // It is the peer that is cut off.
+  }
+  m_peerSteadyAt.reset();
+  const Instant until = aNow + kPeerLapseTime;
+  m_until = std::max(m_until.value_or(until), until);
+}
+
+void
+LapseGrace::NotePeerSteady(Instant aNow)
+{
+  m_peerSteadyAt = aNow;
+  m_until.reset();
+}
+
+bool
+LapseGrace::IsSteady(Instant aNow) const
+{
+  return m_answersSince && aNow - m_lastAnswer <= kAnswerAge &&
+         m_lastAnswer - *m_answersSince >= kLapseTime;
+}
+
+bool
+LapseGrace::HearsOfSteady(Instant aNow) const
+{
+  return m_peerSteadyAt && aNow - *m_peerSteadyAt < kSteadyFor;
+}
+
+std::optional<Instant>
+LapseGrace::Until(Instant aNow) const
+{
+  return m_until && aNow < *m_until ? m_until : std::nullopt;
+}
+
+} // namespace ridgeferry::relay
--- a/packages/relay/src/TableFollower.cpp
+++ b/packages/relay/src/TableFollower.cpp
@@ -56,21 +56,13 @@
   Ask(aActions);
 }
 
-std::optional<Instant>
-TableFollower::LapsesUntil(Instant aNow) const
-{
-  return m_lapsesUntil && aNow < *m_lapsesUntil ? m_lapsesUntil : std::nullopt;
-}
-
 void
 TableFollower::NoteAnswer(Instant aNow, Actions& aActions)
 {
   m_asking = false;
   m_behindSince.reset();
   m_retry = kFirstRetry;
-  if (m_lost) {
-    m_lost = false;
-    m_lapsesUntil = aNow + kLapseTime;
+  if (m_grace.NoteAnswer(aNow)) {
     aActions.emplace_back(StoreBack{});
   }
 }
@@ -90,7 +82,8 @@
     aActions.emplace_back(RetryLater{ kFirstRetry });
     return;
   }
-  ApplyRows apply{ {}, LapsesUntil(aNow) };
+  ApplyRows apply{ {}, m_grace.Until(aNow) };
+  m_mayHaveLapsed = m_mayHaveLapsed || apply.m_lapsesUntil.has_value();
   std::set<std::string> present;
   for (const FollowedRow& row : aEvent.m_rows) {
     present.insert(row.m_key);
@@ -136,7 +129,9 @@
     return;
   }
   NoteVersions(aEvent.m_rows);
-  aActions.emplace_back(ApplyRows{ aEvent.m_rows, LapsesUntil(aNow) });
+  const ApplyRows apply{ aEvent.m_rows, m_grace.Until(aNow) };
+  m_mayHaveLapsed = m_mayHaveLapsed || apply.m_lapsesUntil.has_value();
+  aActions.emplace_back(apply);
   if (m_onDuty) {
     aActions.emplace_back(RetryLater{ kSettle });
   } else {
@@ -156,10 +151,10 @@
 TableFollower::On(const ReadFailed& aEvent, Instant, Actions& aActions)
 {
   m_asking = false;
-  if (!m_lost) {
-    m_lost = true;
+  if (!m_grace.IsLost()) {
     aActions.emplace_back(StoreLost{ aEvent.m_cause });
   }
+  m_grace.NoteFailure();
   aActions.emplace_back(RetryLater{ m_retry });
   m_retry = std::min(m_retry * 2, kLongestRetry);
 }
@@ -198,8 +193,20 @@
 TableFollower::On(const PeerLostStore&, Instant aNow, Actions&)
 {
   // What is removed after this may only have lapsed, as after an own failure.
-  const Instant until = aNow + kPeerLapseTime;
-  m_lapsesUntil = std::max(m_lapsesUntil.value_or(until), until);
+  m_grace.NotePeerLost(aNow);
+}
+
+void
+TableFollower::On(const PeerReadsSteadily& aEvent,
+                  Instant aNow,
+                  Actions& aActions)
+{
+  m_grace.NotePeerSteady(aNow);
+  // What is back by that version must have been read here too.
+  if (m_mayHaveLapsed && aEvent.m_version <= m_changedVersion) {
+    m_mayHaveLapsed = false;
+    aActions.emplace_back(EndLapses{});
+  }
 }
 
 void
