--- a/packages/authority/include/ridgeferry/authority/Lease.h
+++ b/packages/authority/include/ridgeferry/authority/Lease.h
@@ -90,7 +90,8 @@
   Duration m_renewEvery{ 2000 };
   Duration m_pollEvery{ 1000 };
   /** How many times more seldom a process reads that does not contend: with
-   * 45 instances a hall the reads would be most of the table's. */
+   * 45 instances a hall the reads would be most of the table's. 0: it does not
+   * read until it contends. */
   int m_seldom = 10;
 };
 
--- a/packages/authority/src/Lease.cpp
+++ b/packages/authority/src/Lease.cpp
@@ -99,6 +99,12 @@
     Write({ m_process, m_seen.m_fencing + 1, 0, false }, true, aNow, aActions);
     return;
   }
+  if (!aTick.m_contends && m_times.m_seldom == 0) {
+    // What was seen before may be long out of date once it contends.
+    m_unchangedSince.reset();
+    m_nextRead.reset();
+    return;
+  }
   if (aNow >= m_nextRead.value_or(aNow)) {
     m_nextRead =
       aNow + m_times.m_pollEvery * (aTick.m_contends ? 1 : m_times.m_seldom);
--- a/packages/authority/tests/LeaseTest.cpp
+++ b/packages/authority/tests/LeaseTest.cpp
@@ -60,6 +60,23 @@
   Instant m_now{ Duration{ 1'000'000 } };
 };
 
+// With hundreds of instances the reads of those that never take it would be
+// most of the store's calls.
+TEST(LeaseTest, OneThatNeverContendsNeedNotRead)
+{
+  LeaseTimes times;
+  times.m_seldom = 0;
+  Lease lease("hall", "p", times);
+  Instant now{ Duration{ 1'000'000 } };
+  for (int i = 0; i < 100; ++i) {
+    now += kTick;
+    EXPECT_TRUE(lease.Handle(LeaseTick{ false }, now).empty());
+  }
+  const auto actions = lease.Handle(LeaseTick{ true }, now);
+  ASSERT_EQ(actions.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<ReadLease>(actions.front()));
+}
+
 TEST(LeaseTest, TakesAFreeLeaseAndKeepsIt)
 {
   support::MemoryTable table;
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -1,6 +1,7 @@
 #include "ridgeferry/entry/Entry.h"
 
 #include "PartKeeper.h"
+#include "PeerRows.h"
 #include "Peers.h"
 #include "Relay.h"
 #include "StoreReader.h"
@@ -45,10 +46,11 @@
   EntryNode m_node;
   std::string m_file;
   std::optional<timespec> m_fileTime;
+  std::unique_ptr<Peers> m_peers;
+  std::unique_ptr<PeerRows> m_peerRows;
   std::unique_ptr<StoreReader> m_config;
   std::unique_ptr<StoreReader> m_members;
   std::unique_ptr<Relay> m_relay;
-  std::unique_ptr<Peers> m_peers;
   std::unique_ptr<PartKeeper> m_parts;
   std::unique_ptr<net::HttpServer> m_readiness;
   std::unique_ptr<net::HttpServer> m_metrics;
@@ -65,6 +67,8 @@
   bool IsReady() const;
   membership::StoreView StoreView() const;
   void Tick();
+  /** Rows of a table came: the others of this hall are to know. */
+  void TellRead();
   void NoteReadiness();
   /** What is only looked at when the metrics are asked for. */
   void NoteGauges();
@@ -119,6 +123,7 @@
                               m_node.m_routes->Config().m_routes.size()) } });
   }
   NoteReadiness();
+  TellRead();
 }
 
 void
@@ -128,6 +133,7 @@
     TakeMember(row, aRows.m_lapsesUntil);
   }
   NoteReadiness();
+  TellRead();
 }
 
 void
@@ -164,6 +170,16 @@
                         { "leaving", member->m_leaving } });
 }
 
+void
+Entry::Impl::TellRead()
+{
+  m_peers->SetStoreView(StoreView());
+  // Those that rest wait for this word; in their place it would be told twice.
+  if (m_peers->IsOnDuty()) {
+    m_peers->TellHall();
+  }
+}
+
 void
 Entry::Impl::NoteReadiness()
 {
@@ -275,12 +291,13 @@
 tl::expected<void, net::NetError>
 Entry::Impl::Start()
 {
-  m_config =
-    std::make_unique<StoreReader>(m_node, m_node.m_dialect.m_configTable);
-  m_members =
-    std::make_unique<StoreReader>(m_node, m_node.m_dialect.m_memberTable);
-  m_relay = std::make_unique<Relay>(m_node);
   m_peers = std::make_unique<Peers>(m_node);
+  m_peerRows = std::make_unique<PeerRows>(m_node, *m_peers);
+  m_config = std::make_unique<StoreReader>(
+    m_node, *m_peerRows, Peers::Table::Config, m_node.m_dialect.m_configTable);
+  m_members = std::make_unique<StoreReader>(
+    m_node, *m_peerRows, Peers::Table::Members, m_node.m_dialect.m_memberTable);
+  m_relay = std::make_unique<Relay>(m_node);
   m_parts = std::make_unique<PartKeeper>(m_node, *m_peers);
   if (auto started = m_relay->Start(); !started) {
     return started;
@@ -332,6 +349,13 @@
                       "started",
                       { { "callers", m_node.m_settings.m_callers.ToString() },
                         { "store", m_node.m_settings.m_store } });
+  if (auto started = m_peerRows->Start(); !started) {
+    return started;
+  }
+  m_peers->SignalListed().connect([this](bool aAny) {
+    m_config->NotePeersListed(aAny);
+    m_members->NotePeersListed(aAny);
+  });
   m_config->Start();
   m_members->Start();
   m_parts->Start();
--- a/packages/entry/src/PartKeeper.cpp
+++ b/packages/entry/src/PartKeeper.cpp
@@ -35,6 +35,7 @@
   out.m_margin = aTurn * 7 / 10;
   out.m_renewEvery = aTurn / 3;
   out.m_pollEvery = aTurn / 3;
+  out.m_seldom = 0; // With hundreds of instances it would be most of the calls.
   return out;
 }
 
--- /dev/null
+++ b/packages/entry/src/PeerRows.cpp
@@ -0,0 +1,121 @@
+#include "PeerRows.h"
+
+#include <ridgeferry/protocol/Messages.h>
+
+namespace ridgeferry::entry {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr const char* kPath = "/rows";
+/** A peer answers within milliseconds; one that is slow or gone is not waited
+ * for, as another one or the store has the same. A whole table of a hundred
+ * kilobytes takes 0.1 s at the smallest links. */
+constexpr Duration kTimeout{ 300 };
+/** Longest request that is read: a table's name and a version. */
+constexpr std::size_t kMostBody = 1024;
+
+std::string
+NameOf(Peers::Table aTable)
+{
+  return aTable == Peers::Table::Config ? "configuration" : "upstreams";
+}
+
+} // namespace
+
+PeerRows::PeerRows(EntryNode& aNode, const Peers& aPeers)
+  : m_node(aNode)
+  , m_peers(aPeers)
+{
+}
+
+tl::expected<void, net::NetError>
+PeerRows::Start()
+{
+  net::HttpServerLimits limits;
+  limits.m_maxBodyBytes = kMostBody;
+  auto server = net::HttpServer::Listen(
+    *m_node.m_loop,
+    m_node.m_settings.m_peers,
+    limits,
+    [this](const std::shared_ptr<net::HttpExchange>& aExchange) {
+      Answer(*aExchange);
+    });
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  m_server = std::move(*server);
+  return {};
+}
+
+void
+PeerRows::Serve(Table aTable, Source aSource)
+{
+  m_sources[NameOf(aTable)] = std::move(aSource);
+}
+
+void
+PeerRows::Answer(net::HttpExchange& aExchange)
+{
+  const auto request = protocol::DecodeRowsRequest(aExchange.Body());
+  if (aExchange.Path() != kPath || !request) {
+    aExchange.Reply(kBadRequest, {}, {});
+    return;
+  }
+  const auto source = m_sources.find(request->m_table);
+  if (source == m_sources.end()) {
+    aExchange.Reply(kNotFound, {}, {});
+    return;
+  }
+  m_node.m_metrics.Count("ridgeferry_peer_rows_served_total");
+  aExchange.Reply(kOk, {}, protocol::Encode(source->second(request->m_after)));
+}
+
+std::optional<relay::TableSlice>
+PeerRows::Decode(const net::HttpResponse& aResponse)
+{
+  if (aResponse.m_end != net::HttpEnd::Complete ||
+      aResponse.m_head.m_status != kOk) {
+    m_node.m_metrics.Count("ridgeferry_peer_rows_failed_total");
+    return std::nullopt;
+  }
+  auto slice = protocol::DecodeTableSlice(aResponse.m_body);
+  if (!slice) {
+    m_node.m_metrics.Count("ridgeferry_peer_rows_failed_total");
+    m_node.m_log->Write(observe::LogLevel::Warning,
+                        "peer-rows-rejected",
+                        { { "cause", slice.error().m_cause } });
+    return std::nullopt;
+  }
+  return std::move(*slice);
+}
+
+void
+PeerRows::Ask(Table aTable, std::uint64_t aAfter, Answered aAnswered)
+{
+  const auto peer = m_peers.PickAhead(aTable, aAfter);
+  if (!peer) {
+    m_node.m_loop->Defer([aAnswered] { aAnswered(std::nullopt); });
+    return;
+  }
+  net::HttpRequest request;
+  request.m_method = "POST";
+  request.m_address = *peer;
+  request.m_target = kPath;
+  request.m_body =
+    protocol::Encode(protocol::RowsRequest{ NameOf(aTable), aAfter });
+  request.m_timeout = kTimeout;
+  request.m_connectTimeout = kTimeout;
+  request.m_fresh = true;
+  request.m_keepIdle = 0; // The next one is asked of another.
+  m_node.m_metrics.Count("ridgeferry_peer_rows_asked_total");
+  net::HttpCallbacks callbacks;
+  callbacks.m_done = [this, aAnswered](const net::HttpResponse& aResponse) {
+    aAnswered(Decode(aResponse));
+  };
+  m_node.m_http->Send(request, std::move(callbacks));
+}
+
+} // namespace ridgeferry::entry
--- /dev/null
+++ b/packages/entry/src/PeerRows.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Peers.h"
+
+#include <map>
+#include <ridgeferry/net/HttpServer.h>
+#include <ridgeferry/relay/FollowedTable.h>
+
+namespace ridgeferry::entry {
+
+/**
+ * Passes the rows of followed tables on between instances: answers those of
+ * others, and asks others for this one. Not thread-safe.
+ */
+class PeerRows
+{
+public:
+  using Table = Peers::Table;
+  /** What this instance has read of a table after a version. */
+  using Source = sigc::slot<relay::TableSlice(std::uint64_t)>;
+  /** What the peer answered; nothing: none did, or it was of no use. */
+  using Answered = sigc::slot<void(std::optional<relay::TableSlice>)>;
+
+  /** Precondition: `aPeers` outlives it. */
+  PeerRows(EntryNode& aNode, const Peers& aPeers);
+
+  /** Listens at the address of the datagrams, by TCP. */
+  tl::expected<void, net::NetError> Start();
+  void Serve(Table aTable, Source aSource);
+  /** Asks one that has read changes after a version; `aAnswered` comes later,
+   * once. */
+  void Ask(Table aTable, std::uint64_t aAfter, Answered aAnswered);
+
+private:
+  void Answer(net::HttpExchange& aExchange);
+  std::optional<relay::TableSlice> Decode(const net::HttpResponse& aResponse);
+
+  EntryNode& m_node;
+  const Peers& m_peers;
+  std::map<std::string, Source, std::less<>> m_sources; ///< By table's name.
+  std::unique_ptr<net::HttpServer> m_server;
+};
+
+} // namespace ridgeferry::entry
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -112,7 +112,7 @@
   out.m_revision = m_node.m_routes == nullptr ? 0 : m_node.m_routes->Version();
   out.m_leavingUpstreams.assign(m_news.Told().begin(), m_news.Told().end());
   out.m_store = m_storeView;
-  out.m_apart = m_node.m_fleet.OwnApart();
+  out.m_apart = m_node.m_fleet.ToldApart();
   for (const relay::PartNews& news : m_partNews) {
     out.m_parts.push_back(
       { relay::Fleet::ShortHash(news.m_engine), DigestOf(news.m_part) });
@@ -164,6 +164,43 @@
   return Duty().IsOnDuty(m_node.Now());
 }
 
+std::optional<std::string>
+Peers::PickAhead(Table aTable, std::uint64_t aAfter) const
+{
+  std::vector<std::string> near;
+  std::vector<std::string> far;
+  for (const auto& [name, peer] : m_roster.Peers()) {
+    const auto& view = peer.m_last.m_store;
+    if (!peer.m_alive || peer.m_last.m_leaving || !view) {
+      continue;
+    }
+    const std::uint64_t version =
+      aTable == Table::Config ? view->m_configVersion : view->m_membersVersion;
+    if (version > aAfter) {
+      const bool isNear = peer.m_last.m_hall == m_node.m_settings.m_hall;
+      (isNear ? near : far).push_back(peer.m_last.m_peerAddress);
+    }
+  }
+  const auto& heard = near.empty() ? far : near;
+  const auto& from = heard.empty() && aAfter == 0 ? m_listedAddresses : heard;
+  if (from.empty()) {
+    return std::nullopt;
+  }
+  return from[m_node.m_random() % from.size()];
+}
+
+void
+Peers::TellHall()
+{
+  std::set<std::string> addresses;
+  for (const auto& [name, peer] : m_roster.Peers()) {
+    if (peer.m_alive && peer.m_last.m_hall == m_node.m_settings.m_hall) {
+      addresses.insert(peer.m_last.m_peerAddress);
+    }
+  }
+  SendTo(addresses);
+}
+
 void
 Peers::TellAll()
 {
@@ -338,9 +375,11 @@
 Peers::TakeRows(const StorePage& aPage)
 {
   membership::InstancesListed listed;
+  m_listedAddresses.clear();
   for (const relay::FollowedRow& row : aPage.m_rows) {
     if (row.m_key != m_node.m_settings.m_instance) {
       listed.m_instances.push_back({ row.m_key, row.m_value });
+      m_listedAddresses.push_back(row.m_value);
     }
   }
   m_node.m_log->Write(
@@ -348,6 +387,7 @@
     "peers-listed",
     { { "count", static_cast<std::int64_t>(listed.m_instances.size()) } });
   Handle(listed);
+  m_listed.emit(!m_listedAddresses.empty());
 }
 
 } // namespace ridgeferry::entry
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -20,6 +20,13 @@
 class Peers
 {
 public:
+  /** A followed table of the store. */
+  enum class Table : std::uint8_t
+  {
+    Config,
+    Members,
+  };
+
   explicit Peers(EntryNode& aNode);
 
   tl::expected<void, net::NetError> Start();
@@ -44,6 +51,16 @@
    * the store; always so if it hears of none whose reads succeed.
    */
   bool IsOnDuty() const;
+  /** Tells the live instances of this hall at once what this one says of
+   * itself. */
+  void TellHall();
+  /** IP:PORT of an instance that has read changes of a table after a version:
+   * one of this hall, if there is any. Before any was heard, one of those that
+   * the store lists. */
+  std::optional<std::string> PickAhead(Table aTable,
+                                       std::uint64_t aAfter) const;
+  /** The store's rows of instances were read; whether there are others. */
+  sigc::signal<void(bool)>& SignalListed() { return m_listed; }
 
   /** How far another instance has read the store; lost: for all that is heard,
    * the store is away. */
@@ -80,6 +97,8 @@
   std::unique_ptr<net::UdpSocket> m_socket;
   net::Watch m_tick;
   net::Watch m_retry;
+  std::vector<std::string> m_listedAddresses;
+  sigc::signal<void(bool)> m_listed;
   sigc::signal<void(const std::string&)> m_leaves;
   sigc::signal<void(const membership::StoreView&)> m_storeViews;
 };
--- a/packages/entry/src/StoreReader.cpp
+++ b/packages/entry/src/StoreReader.cpp
@@ -19,10 +19,17 @@
 
 } // namespace
 
-StoreReader::StoreReader(EntryNode& aNode, std::string aTable)
+StoreReader::StoreReader(EntryNode& aNode,
+                         PeerRows& aPeers,
+                         PeerRows::Table aKind,
+                         std::string aTable)
   : m_node(aNode)
+  , m_peers(aPeers)
+  , m_kind(aKind)
   , m_table(std::move(aTable))
 {
+  m_peers.Serve(
+    m_kind, [this](std::uint64_t aAfter) { return m_follower.Since(aAfter); });
 }
 
 void
@@ -114,6 +121,29 @@
   Handle(relay::DutyChanged{ aOnDuty });
 }
 
+void
+StoreReader::NotePeersListed(bool aAny)
+{
+  Handle(relay::PeersListed{ aAny });
+}
+
+void
+StoreReader::Do(const relay::AskPeer& aAction)
+{
+  std::uniform_int_distribution<Duration::rep> within(0,
+                                                      aAction.m_within.count());
+  const Duration delay(within(m_node.m_random));
+  m_ask = m_node.m_loop->After(delay, [this, after = aAction.m_after] {
+    m_peers.Ask(m_kind, after, [this](std::optional<relay::TableSlice> aSlice) {
+      if (aSlice) {
+        Handle(relay::PeerAnswered{ std::move(*aSlice) });
+      } else {
+        Handle(relay::PeerFailed{});
+      }
+    });
+  });
+}
+
 void
 StoreReader::Do(const relay::DropRead&)
 {
--- a/packages/entry/src/StoreReader.h
+++ b/packages/entry/src/StoreReader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "EntryNode.h"
+#include "PeerRows.h"
 
 #include <ridgeferry/membership/Roster.h>
 #include <ridgeferry/relay/TableFollower.h>
@@ -16,7 +16,11 @@
 class StoreReader
 {
 public:
-  StoreReader(EntryNode& aNode, std::string aTable);
+  /** Precondition: `aPeers` outlives it. */
+  StoreReader(EntryNode& aNode,
+              PeerRows& aPeers,
+              PeerRows::Table aKind,
+              std::string aTable);
 
   void Start();
   bool HasRead() const { return m_follower.HasRead(); }
@@ -25,6 +29,8 @@
    * read this table. */
   void NotePeer(std::uint64_t aVersion, const membership::StoreView& aView);
   void SetDuty(bool aOnDuty);
+  /** Other instances are known by now, or that there are none. */
+  void NotePeersListed(bool aAny);
   sigc::signal<void(const relay::ApplyRows&)>& SignalRows() { return m_rows; }
   sigc::signal<void()>& SignalLapsesEnd() { return m_lapsesEnd; }
 
@@ -32,6 +38,7 @@
   void Handle(const relay::FollowEvent& aEvent);
   void Do(const relay::ReadTable& aAction);
   void Do(const relay::ReadChanges& aAction);
+  void Do(const relay::AskPeer& aAction);
   void Do(const relay::DropRead& aAction);
   void Do(const relay::RetryLater& aAction);
   void Do(const relay::ApplyRows& aAction);
@@ -45,6 +52,8 @@
   void TakePage(const StoreRead& aRead, StorePage aPage);
 
   EntryNode& m_node;
+  PeerRows& m_peers;
+  PeerRows::Table m_kind;
   std::string m_table;
   relay::TableFollower m_follower;
   /** Pages of a whole read that goes on; after a failure it is gone on with
@@ -57,6 +66,7 @@
    * silent too. */
   bool m_distrustsKept = false;
   net::Watch m_retry;
+  net::Watch m_ask; ///< Until a peer is asked.
   sigc::signal<void(const relay::ApplyRows&)> m_rows;
   sigc::signal<void()> m_lapsesEnd;
 };
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -755,6 +755,440 @@
 }
 
 
+RowsRequest::~RowsRequest() noexcept {
+}
+
+
+void RowsRequest::__set_table(const std::string& val) {
+  this->table = val;
+}
+
+void RowsRequest::__set_after(const int64_t val) {
+  this->after = val;
+}
+std::ostream& operator<<(std::ostream& out, const RowsRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RowsRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_table = false;
+  bool isset_after = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->table);
+          isset_table = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->after);
+          isset_after = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_table)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_after)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RowsRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RowsRequest");
+
+  xfer += oprot->writeFieldBegin("table", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->table);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("after", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->after);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RowsRequest &a, RowsRequest &b) {
+  using ::std::swap;
+  swap(a.table, b.table);
+  swap(a.after, b.after);
+}
+
+RowsRequest::RowsRequest(const RowsRequest& other62) {
+  table = other62.table;
+  after = other62.after;
+}
+RowsRequest& RowsRequest::operator=(const RowsRequest& other63) {
+  table = other63.table;
+  after = other63.after;
+  return *this;
+}
+void RowsRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RowsRequest(";
+  out << "table=" << to_string(table);
+  out << ", " << "after=" << to_string(after);
+  out << ")";
+}
+
+
+Row::~Row() noexcept {
+}
+
+
+void Row::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void Row::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void Row::__set_removed(const bool val) {
+  this->removed = val;
+}
+
+void Row::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const Row& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Row::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_key = false;
+  bool isset_value = false;
+  bool isset_removed = false;
+  bool isset_version = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          isset_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          isset_value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->removed);
+          isset_removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          isset_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_key)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_value)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_removed)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Row::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Row");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->removed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Row &a, Row &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.removed, b.removed);
+  swap(a.version, b.version);
+}
+
+Row::Row(const Row& other64) {
+  key = other64.key;
+  value = other64.value;
+  removed = other64.removed;
+  version = other64.version;
+}
+Row& Row::operator=(const Row& other65) {
+  key = other65.key;
+  value = other65.value;
+  removed = other65.removed;
+  version = other65.version;
+  return *this;
+}
+void Row::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Row(";
+  out << "key=" << to_string(key);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "removed=" << to_string(removed);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+RowsReply::~RowsReply() noexcept {
+}
+
+
+void RowsReply::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void RowsReply::__set_whole(const bool val) {
+  this->whole = val;
+}
+
+void RowsReply::__set_rows(const std::vector<Row> & val) {
+  this->rows = val;
+}
+std::ostream& operator<<(std::ostream& out, const RowsReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RowsReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_version = false;
+  bool isset_whole = false;
+  bool isset_rows = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          isset_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          isset_whole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->rows.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
+            {
+              xfer += this->rows[_i70].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_whole)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_rows)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RowsReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RowsReply");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->whole);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<Row> ::const_iterator _iter71;
+    for (_iter71 = this->rows.begin(); _iter71 != this->rows.end(); ++_iter71)
+    {
+      xfer += (*_iter71).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RowsReply &a, RowsReply &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.whole, b.whole);
+  swap(a.rows, b.rows);
+}
+
+RowsReply::RowsReply(const RowsReply& other72) {
+  version = other72.version;
+  whole = other72.whole;
+  rows = other72.rows;
+}
+RowsReply& RowsReply::operator=(const RowsReply& other73) {
+  version = other73.version;
+  whole = other73.whole;
+  rows = other73.rows;
+  return *this;
+}
+void RowsReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RowsReply(";
+  out << "version=" << to_string(version);
+  out << ", " << "whole=" << to_string(whole);
+  out << ", " << "rows=" << to_string(rows);
+  out << ")";
+}
+
+
 ChangesRequest::~ChangesRequest() noexcept {
 }
 
@@ -832,11 +1266,11 @@
   swap(a.after, b.after);
 }
 
-ChangesRequest::ChangesRequest(const ChangesRequest& other62) noexcept {
-  after = other62.after;
+ChangesRequest::ChangesRequest(const ChangesRequest& other74) noexcept {
+  after = other74.after;
 }
-ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other63) noexcept {
-  after = other63.after;
+ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other75) noexcept {
+  after = other75.after;
   return *this;
 }
 void ChangesRequest::printTo(std::ostream& out) const {
@@ -944,13 +1378,13 @@
   swap(a.json, b.json);
 }
 
-ConfigObject::ConfigObject(const ConfigObject& other64) {
-  key = other64.key;
-  json = other64.json;
+ConfigObject::ConfigObject(const ConfigObject& other76) {
+  key = other76.key;
+  json = other76.json;
 }
-ConfigObject& ConfigObject::operator=(const ConfigObject& other65) {
-  key = other65.key;
-  json = other65.json;
+ConfigObject& ConfigObject::operator=(const ConfigObject& other77) {
+  key = other77.key;
+  json = other77.json;
   return *this;
 }
 void ConfigObject::printTo(std::ostream& out) const {
@@ -1020,14 +1454,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->changes.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->changes.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += iprot->readString(this->changes[_i70]);
+              xfer += iprot->readString(this->changes[_i82]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1040,14 +1474,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->snapshot.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->snapshot.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->snapshot.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
             {
-              xfer += this->snapshot[_i75].read(iprot);
+              xfer += this->snapshot[_i87].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1084,10 +1518,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->changes.size()));
-    std::vector<std::string> ::const_iterator _iter76;
-    for (_iter76 = this->changes.begin(); _iter76 != this->changes.end(); ++_iter76)
+    std::vector<std::string> ::const_iterator _iter88;
+    for (_iter88 = this->changes.begin(); _iter88 != this->changes.end(); ++_iter88)
     {
-      xfer += oprot->writeString((*_iter76));
+      xfer += oprot->writeString((*_iter88));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1097,10 +1531,10 @@
     xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->snapshot.size()));
-      std::vector<ConfigObject> ::const_iterator _iter77;
-      for (_iter77 = this->snapshot.begin(); _iter77 != this->snapshot.end(); ++_iter77)
+      std::vector<ConfigObject> ::const_iterator _iter89;
+      for (_iter89 = this->snapshot.begin(); _iter89 != this->snapshot.end(); ++_iter89)
       {
-        xfer += (*_iter77).write(oprot);
+        xfer += (*_iter89).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1119,17 +1553,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangesReply::ChangesReply(const ChangesReply& other78) {
-  revision = other78.revision;
-  changes = other78.changes;
-  snapshot = other78.snapshot;
-  __isset = other78.__isset;
+ChangesReply::ChangesReply(const ChangesReply& other90) {
+  revision = other90.revision;
+  changes = other90.changes;
+  snapshot = other90.snapshot;
+  __isset = other90.__isset;
 }
-ChangesReply& ChangesReply::operator=(const ChangesReply& other79) {
-  revision = other79.revision;
-  changes = other79.changes;
-  snapshot = other79.snapshot;
-  __isset = other79.__isset;
+ChangesReply& ChangesReply::operator=(const ChangesReply& other91) {
+  revision = other91.revision;
+  changes = other91.changes;
+  snapshot = other91.snapshot;
+  __isset = other91.__isset;
   return *this;
 }
 void ChangesReply::printTo(std::ostream& out) const {
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -23,6 +23,12 @@
 
 class Heartbeat;
 
+class RowsRequest;
+
+class Row;
+
+class RowsReply;
+
 class ChangesRequest;
 
 class ConfigObject;
@@ -258,6 +264,162 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 
+/**
+ * Asks a peer for what it has read of a table of the store.
+ */
+class RowsRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  RowsRequest(const RowsRequest&);
+  RowsRequest& operator=(const RowsRequest&);
+  RowsRequest() noexcept
+              : table(),
+                after(0) {
+  }
+
+  virtual ~RowsRequest() noexcept;
+  std::string table;
+  /**
+   * Only what changed after this version; 0: all.
+   */
+  int64_t after;
+
+  void __set_table(const std::string& val);
+
+  void __set_after(const int64_t val);
+
+  bool operator == (const RowsRequest & rhs) const
+  {
+    if (!(table == rhs.table))
+      return false;
+    if (!(after == rhs.after))
+      return false;
+    return true;
+  }
+  bool operator != (const RowsRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RowsRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RowsRequest &a, RowsRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const RowsRequest& obj);
+
+
+class Row : public virtual ::apache::thrift::TBase {
+ public:
+
+  Row(const Row&);
+  Row& operator=(const Row&);
+  Row() noexcept
+      : key(),
+        value(),
+        removed(0),
+        version(0) {
+  }
+
+  virtual ~Row() noexcept;
+  std::string key;
+  std::string value;
+  bool removed;
+  int64_t version;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_removed(const bool val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const Row & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const Row &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Row & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Row &a, Row &b);
+
+std::ostream& operator<<(std::ostream& out, const Row& obj);
+
+
+/**
+ * Rows as of a version: those that changed after the version asked for, or,
+ * where the peer does not know these any more, all.
+ */
+class RowsReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  RowsReply(const RowsReply&);
+  RowsReply& operator=(const RowsReply&);
+  RowsReply() noexcept
+            : version(0),
+              whole(0) {
+  }
+
+  virtual ~RowsReply() noexcept;
+  int64_t version;
+  bool whole;
+  std::vector<Row>  rows;
+
+  void __set_version(const int64_t val);
+
+  void __set_whole(const bool val);
+
+  void __set_rows(const std::vector<Row> & val);
+
+  bool operator == (const RowsReply & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(whole == rhs.whole))
+      return false;
+    if (!(rows == rhs.rows))
+      return false;
+    return true;
+  }
+  bool operator != (const RowsReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RowsReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RowsReply &a, RowsReply &b);
+
+std::ostream& operator<<(std::ostream& out, const RowsReply& obj);
+
+
 /**
  * Asks a peer for the changes after a revision.
  */
--- a/packages/protocol/include/ridgeferry/protocol/Messages.h
+++ b/packages/protocol/include/ridgeferry/protocol/Messages.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <ridgeferry/config/Change.h>
 #include <ridgeferry/membership/Roster.h>
+#include <ridgeferry/relay/FollowedTable.h>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -33,6 +34,14 @@
   bool operator==(const ChangesReply&) const = default;
 };
 
+/** Asks for what a peer has read of a table of the store. */
+struct RowsRequest
+{
+  std::string m_table;
+  std::uint64_t m_after = 0; ///< Changes after this version; 0: all.
+  bool operator==(const RowsRequest&) const = default;
+};
+
 /** All thread-safe. Encoding: Thrift's compact protocol. */
 std::string
 Encode(const membership::Heartbeat& aMessage);
@@ -41,6 +50,11 @@
 std::string
 Encode(const ChangesReply& aMessage);
 
+std::string
+Encode(const RowsRequest& aMessage);
+std::string
+Encode(const relay::TableSlice& aMessage);
+
 tl::expected<membership::Heartbeat, DecodeError>
 DecodeHeartbeat(std::string_view aBytes);
 tl::expected<ChangesRequest, DecodeError>
@@ -48,4 +62,9 @@
 tl::expected<ChangesReply, DecodeError>
 DecodeChangesReply(std::string_view aBytes);
 
+tl::expected<RowsRequest, DecodeError>
+DecodeRowsRequest(std::string_view aBytes);
+tl::expected<relay::TableSlice, DecodeError>
+DecodeTableSlice(std::string_view aBytes);
+
 } // namespace ridgeferry::protocol
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -49,6 +49,28 @@
   21: optional bool storeSteady;
 }
 
+/** Asks a peer for what it has read of a table of the store. */
+struct RowsRequest {
+  1: required string table;
+  /** Only what changed after this version; 0: all. */
+  2: required i64 after;
+}
+
+struct Row {
+  1: required string key;
+  2: required binary value;
+  3: required bool removed;
+  4: required i64 version;
+}
+
+/** Rows as of a version: those that changed after the version asked for, or,
+ * where the peer does not know these any more, all. */
+struct RowsReply {
+  1: required i64 version;
+  2: required bool whole;
+  3: required list<Row> rows;
+}
+
 /** Asks a peer for the changes after a revision. */
 struct ChangesRequest {
   1: required i64 after;
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -160,6 +160,32 @@
   return Write(out);
 }
 
+std::string
+Encode(const RowsRequest& aMessage)
+{
+  wire::RowsRequest out;
+  out.table = aMessage.m_table;
+  out.after = static_cast<std::int64_t>(aMessage.m_after);
+  return Write(out);
+}
+
+std::string
+Encode(const relay::TableSlice& aMessage)
+{
+  wire::RowsReply out;
+  out.version = static_cast<std::int64_t>(aMessage.m_version);
+  out.whole = aMessage.m_whole;
+  for (const relay::FollowedRow& row : aMessage.m_rows) {
+    wire::Row item;
+    item.key = row.m_key;
+    item.value = row.m_value;
+    item.removed = row.m_removed;
+    item.version = static_cast<std::int64_t>(row.m_version);
+    out.rows.push_back(std::move(item));
+  }
+  return Write(out);
+}
+
 tl::expected<membership::Heartbeat, DecodeError>
 DecodeHeartbeat(std::string_view aBytes)
 {
@@ -250,4 +276,33 @@
   return out;
 }
 
+tl::expected<RowsRequest, DecodeError>
+DecodeRowsRequest(std::string_view aBytes)
+{
+  auto in = Read<wire::RowsRequest>(aBytes);
+  if (!in) {
+    return tl::unexpected(in.error());
+  }
+  return RowsRequest{ in->table, static_cast<std::uint64_t>(in->after) };
+}
+
+tl::expected<relay::TableSlice, DecodeError>
+DecodeTableSlice(std::string_view aBytes)
+{
+  auto in = Read<wire::RowsReply>(aBytes);
+  if (!in) {
+    return tl::unexpected(in.error());
+  }
+  relay::TableSlice out{ static_cast<std::uint64_t>(in->version),
+                         in->whole,
+                         {} };
+  for (wire::Row& row : in->rows) {
+    out.m_rows.push_back({ std::move(row.key),
+                           std::move(row.value),
+                           row.removed,
+                           static_cast<std::uint64_t>(row.version) });
+  }
+  return out;
+}
+
 } // namespace ridgeferry::protocol
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -64,9 +64,26 @@
     (void)DecodeHeartbeat(bytes);
     (void)DecodeChangesRequest(bytes);
     (void)DecodeChangesReply(bytes);
+    (void)DecodeRowsRequest(bytes);
+    (void)DecodeTableSlice(bytes);
   }));
 }
 
+TEST(MessagesTest, RowsSurviveTheirEncoding)
+{
+  const RowsRequest request{ "upstreams", 1ULL << 62U };
+  const auto asked = DecodeRowsRequest(Encode(request));
+  ASSERT_TRUE(asked.has_value());
+  EXPECT_EQ(*asked, request);
+  const relay::TableSlice slice{ 7,
+                                 true,
+                                 { { "a", std::string("\0\xff", 2), false, 6 },
+                                   { "b", {}, true, 7 } } };
+  const auto answered = DecodeTableSlice(Encode(slice));
+  ASSERT_TRUE(answered.has_value());
+  EXPECT_EQ(*answered, slice);
+}
+
 struct ReplyCase
 {
   const char* m_name;
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -217,6 +217,9 @@
   /** `ShortHash` of the services that this instance has itself found unable to.
    */
   std::vector<std::uint32_t> OwnApart() const;
+  /** The same with what was recalled, for the others: most of them do not read
+   * it themselves. */
+  std::vector<std::uint32_t> ToldApart() const;
   /** Replaces what another instance has found; empty: nothing, or it has ended.
    */
   void SetApart(const std::string& aInstance,
--- a/packages/relay/include/ridgeferry/relay/TableFollower.h
+++ b/packages/relay/include/ridgeferry/relay/TableFollower.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <ridgeferry/base/Time.h>
+#include <ridgeferry/relay/FollowedTable.h>
 #include <ridgeferry/relay/LapseGrace.h>
 #include <span>
 #include <string>
@@ -12,19 +12,15 @@
 
 namespace ridgeferry::relay {
 
-/** A row of a followed table, or word of its removal. */
-struct FollowedRow
-{
-  std::string m_key;
-  std::string m_value; ///< Empty if removed.
-  bool m_removed = false;
-  std::uint64_t m_version = 0; ///< Of the row's own last change; 0: not told.
-};
-
 // ---- events ----
 
 struct FollowBegan
 {};
+/** Other instances are known by now, or that there are none. */
+struct PeersListed
+{
+  bool m_any = false;
+};
 /** All rows of the table as of one version. */
 struct TableRead
 {
@@ -47,6 +43,14 @@
 };
 struct RetryDue
 {};
+/** Another instance answered `AskPeer`. */
+struct PeerAnswered
+{
+  TableSlice m_slice;
+};
+/** None did, or none that knows more. */
+struct PeerFailed
+{};
 /** Another instance has read a change of that version. */
 struct PeerIsAhead
 {
@@ -69,6 +73,9 @@
 };
 
 using FollowEvent = std::variant<FollowBegan,
+                                 PeersListed,
+                                 PeerAnswered,
+                                 PeerFailed,
                                  TableRead,
                                  ChangesRead,
                                  HistoryGone,
@@ -89,6 +96,15 @@
   std::uint64_t m_after = 0;
   Duration m_wait{};
 };
+/** Ask one of the instances that have read further, or any if none is known to,
+ * for the changes after a version; 0: for all. */
+struct AskPeer
+{
+  std::uint64_t m_after = 0;
+  /** Ask at some moment within this time: those that ask later find more
+   * instances that know. */
+  Duration m_within{};
+};
 /** Give up the read that is under way. */
 struct DropRead
 {};
@@ -118,6 +134,7 @@
 
 using FollowAction = std::variant<ReadTable,
                                   ReadChanges,
+                                  AskPeer,
                                   DropRead,
                                   RetryLater,
                                   ApplyRows,
@@ -133,10 +150,12 @@
  * Every call of the store has its price, and a change answers every read that
  * the store holds. So few instances (those on duty) leave a read with it, short
  * enough to notice by themselves that the store has fallen silent. The others
- * rest: they read when a peer has read further, once for changes that come
- * together. An instance that hears of nobody on duty is on duty itself. On
- * duty, a read is given up and made again when a peer's news show that it must
- * have been lost. A pure state machine; not thread-safe.
+ * rest: when a peer has read further they ask such a peer, and the store only
+ * if that does not help; one that starts asks its peers first. So the store is
+ * asked by a number of instances that does not grow with the deployment. An
+ * instance that hears of nobody on duty is on duty itself. On duty, a read is
+ * given up and made again when a peer's news show that it must have been lost.
+ * A pure state machine; not thread-safe.
  */
 class TableFollower
 {
@@ -147,14 +166,24 @@
    * change may take to be in force: half a call a second a table.
    */
   static constexpr Duration kDutyWait{ 2000 };
-  /** How long one that rests waits after a peer's first word of a change, so
-   * that changes which come together are read together. With what the news take
-   * on their way, and with a lapse's time, it stays below the shortest time
-   * that a change may take to be in force, two seconds. */
-  static constexpr Duration kRestPatience{ 500 };
-  /** Longest rest without a read: below the history that stores keep, 20 s, or
-   * the table would have to be read whole. */
-  static constexpr Duration kLongestRest{ 18'000 };
+  /**
+   * How long one that starts tries its peers before it reads the store: a peer
+   * answers within some milliseconds, and after a loss of all instances those
+   * on duty find themselves in that time. One that is not on duty waits once
+   * more, until those have read.
+   */
+  static constexpr Duration kStartPatience{ 500 };
+  /** Peers that one that starts asks in a row. */
+  static constexpr int kStartTries = 3;
+  /** Within which those that rest ask a peer after the first word of a change,
+   * so that not all ask the first ones that know. */
+  static constexpr Duration kAskWithin{ 250 };
+  /** How long after that word a peer must have told it; else the store is read.
+   * With the reading on duty and the way of the news that is below the shortest
+   * time that a change may take to be in force, two seconds. */
+  static constexpr Duration kAskPatience{ 800 };
+  /** Longest rest without a read, should all words of changes be lost. */
+  static constexpr Duration kLongestRest{ 60'000 };
   /** Pause after changes, so that those that come together are read together;
    * a sixth of the time that a change may take to be in force. */
   static constexpr Duration kSettle{ 300 };
@@ -168,9 +197,12 @@
   std::vector<FollowAction> Handle(const FollowEvent& aEvent, Instant aNow);
 
   bool HasRead() const { return m_hasRead; }
-  std::uint64_t Version() const { return m_version; }
+  std::uint64_t Version() const { return m_table.Version(); }
   /** Highest version of a row that was read. */
-  std::uint64_t ChangedVersion() const { return m_changedVersion; }
+  std::uint64_t ChangedVersion() const { return m_table.ChangedVersion(); }
+  /** For a peer: what changed after a version. Nothing was read yet: version 0.
+   */
+  TableSlice Since(std::uint64_t aAfter) const { return m_table.Since(aAfter); }
   bool IsLost() const { return m_grace.IsLost(); }
   /** See `LapseGrace::IsSteady`. */
   bool IsSteady(Instant aNow) const { return m_grace.IsSteady(aNow); }
@@ -179,6 +211,9 @@
   using Actions = std::vector<FollowAction>;
 
   void On(const FollowBegan& aEvent, Instant aNow, Actions& aActions);
+  void On(const PeersListed& aEvent, Instant aNow, Actions& aActions);
+  void On(const PeerAnswered& aEvent, Instant aNow, Actions& aActions);
+  void On(const PeerFailed& aEvent, Instant aNow, Actions& aActions);
   void On(const TableRead& aEvent, Instant aNow, Actions& aActions);
   void On(const ChangesRead& aEvent, Instant aNow, Actions& aActions);
   void On(const HistoryGone& aEvent, Instant aNow, Actions& aActions);
@@ -190,10 +225,19 @@
   void On(const DutyChanged& aEvent, Instant aNow, Actions& aActions);
 
   void Ask(Actions& aActions);
+  void AskAPeer(Duration aWithin, Actions& aActions);
+  void TakeTable(std::span<const FollowedRow> aRows,
+                 std::uint64_t aVersion,
+                 Instant aNow,
+                 Actions& aActions);
+  void TakeChanges(std::span<const FollowedRow> aRows,
+                   std::uint64_t aVersion,
+                   Instant aNow,
+                   Actions& aActions);
   /** After an answer: what comes next, the next read or a rest. */
   void GoOn(Actions& aActions);
   void AskAnew(Actions& aActions);
-  void NoteVersions(std::span<const FollowedRow> aRows);
+  void Tell(std::vector<FollowedRow> aRows, Instant aNow, Actions& aActions);
   void NoteAnswer(Instant aNow, Actions& aActions);
 
   bool m_hasRead = false;
@@ -201,15 +245,16 @@
   LapseGrace m_grace;
   bool m_mayHaveLapsed = false; ///< Something was removed within a grace.
   bool m_onDuty = true;
-  bool m_asking = false;  ///< A read is under way.
-  bool m_resting = false; ///< None is, and none is due soon.
+  bool m_asking = false;     ///< A read of the store is under way.
+  bool m_askingPeer = false; ///< A peer is asked.
+  int m_startTries = 0;      ///< Peers asked since the start.
+  bool m_hasWaited = false;  ///< Its first patience at the start is over.
+  bool m_resting = false;    ///< Neither is, and none is due soon.
   std::optional<Instant> m_behindSince;
   std::uint64_t m_askedAnewFor =
     0; ///< Version that the last `DropRead` was for.
   Duration m_retry = kFirstRetry;
-  std::uint64_t m_version = 0;
-  std::uint64_t m_changedVersion = 0;
-  std::map<std::string, std::string> m_rows;
+  FollowedTable m_table;
 };
 
 } // namespace ridgeferry::relay
--- a/packages/relay/src/FleetParts.cpp
+++ b/packages/relay/src/FleetParts.cpp
@@ -132,6 +132,18 @@
   return out;
 }
 
+std::vector<std::uint32_t>
+Fleet::ToldApart() const
+{
+  std::vector<std::uint32_t> out = OwnApart();
+  for (const std::uint32_t service : m_recalledApart) {
+    if (std::find(out.begin(), out.end(), service) == out.end()) {
+      out.push_back(service);
+    }
+  }
+  return out;
+}
+
 void
 Fleet::SetApart(const std::string& aInstance,
                 std::vector<std::uint32_t> aServices)
--- a/packages/relay/src/TableFollower.cpp
+++ b/packages/relay/src/TableFollower.cpp
@@ -1,7 +1,7 @@
 #include "ridgeferry/relay/TableFollower.h"
 
 #include <algorithm>
-#include <set>
+#include <utility>
 
 namespace ridgeferry::relay {
 
@@ -22,10 +22,18 @@
     aActions.emplace_back(ReadTable{});
   } else {
     aActions.emplace_back(
-      ReadChanges{ m_version, m_onDuty ? kDutyWait : Duration{} });
+      ReadChanges{ m_table.Version(), m_onDuty ? kDutyWait : Duration{} });
   }
 }
 
+void
+TableFollower::AskAPeer(Duration aWithin, Actions& aActions)
+{
+  m_askingPeer = true;
+  aActions.emplace_back(
+    AskPeer{ m_needsTable ? 0 : m_table.Version(), aWithin });
+}
+
 void
 TableFollower::GoOn(Actions& aActions)
 {
@@ -37,17 +45,6 @@
   aActions.emplace_back(RetryLater{ kLongestRest });
 }
 
-void
-TableFollower::NoteVersions(std::span<const FollowedRow> aRows)
-{
-  for (const FollowedRow& row : aRows) {
-    // The answer's own version is no lower than that of any row in it.
-    const std::uint64_t version =
-      row.m_version == 0 ? m_version : row.m_version;
-    m_changedVersion = std::max(m_changedVersion, version);
-  }
-}
-
 void
 TableFollower::AskAnew(Actions& aActions)
 {
@@ -67,45 +64,102 @@
   }
 }
 
+void
+TableFollower::TakeTable(std::span<const FollowedRow> aRows,
+                         std::uint64_t aVersion,
+                         Instant aNow,
+                         Actions& aActions)
+{
+  m_hasRead = true;
+  m_needsTable = false;
+  Tell(m_table.Replace(aRows, aVersion), aNow, aActions);
+}
+
+void
+TableFollower::TakeChanges(std::span<const FollowedRow> aRows,
+                           std::uint64_t aVersion,
+                           Instant aNow,
+                           Actions& aActions)
+{
+  m_table.Apply(aRows, aVersion);
+  if (!aRows.empty()) {
+    Tell({ aRows.begin(), aRows.end() }, aNow, aActions);
+  }
+}
+
+void
+TableFollower::Tell(std::vector<FollowedRow> aRows,
+                    Instant aNow,
+                    Actions& aActions)
+{
+  const auto until = m_grace.Until(aNow);
+  m_mayHaveLapsed = m_mayHaveLapsed || until.has_value();
+  aActions.emplace_back(ApplyRows{ std::move(aRows), until });
+}
+
 void
 TableFollower::On(const FollowBegan&, Instant, Actions& aActions)
 {
-  Ask(aActions);
+  aActions.emplace_back(RetryLater{ kStartPatience });
+}
+
+void
+TableFollower::On(const PeersListed& aEvent, Instant, Actions& aActions)
+{
+  if (!m_needsTable || m_asking || m_askingPeer) {
+    return;
+  }
+  if (aEvent.m_any) {
+    AskAPeer({}, aActions);
+  } else {
+    Ask(aActions);
+  }
+}
+
+void
+TableFollower::On(const PeerAnswered& aEvent, Instant aNow, Actions& aActions)
+{
+  const TableSlice& slice = aEvent.m_slice;
+  const bool isNewer = slice.m_version > m_table.Version();
+  if (!m_askingPeer || !isNewer || (m_needsTable && !slice.m_whole)) {
+    On(PeerFailed{}, aNow, aActions);
+    return;
+  }
+  m_askingPeer = false;
+  m_behindSince.reset();
+  if (slice.m_whole) {
+    TakeTable(slice.m_rows, slice.m_version, aNow, aActions);
+  } else {
+    TakeChanges(slice.m_rows, slice.m_version, aNow, aActions);
+  }
+  if (!m_asking) {
+    GoOn(aActions);
+  }
+}
+
+void
+TableFollower::On(const PeerFailed&, Instant, Actions& aActions)
+{
+  if (!std::exchange(m_askingPeer, false) || m_asking) {
+    return;
+  }
+  if (!m_needsTable) {
+    AskAPeer(kAskWithin, aActions); // Until the patience is over.
+  } else if (++m_startTries < kStartTries) {
+    AskAPeer({}, aActions);
+  }
 }
 
 void
 TableFollower::On(const TableRead& aEvent, Instant aNow, Actions& aActions)
 {
   NoteAnswer(aNow, aActions);
-  if (m_hasRead && aEvent.m_version < m_version) {
+  if (m_hasRead && aEvent.m_version < m_table.Version()) {
     // An answer from before what was already told: ask again a little later.
     aActions.emplace_back(RetryLater{ kFirstRetry });
     return;
   }
-  ApplyRows apply{ {}, m_grace.Until(aNow) };
-  m_mayHaveLapsed = m_mayHaveLapsed || apply.m_lapsesUntil.has_value();
-  std::set<std::string> present;
-  for (const FollowedRow& row : aEvent.m_rows) {
-    present.insert(row.m_key);
-    const auto known = m_rows.find(row.m_key);
-    if (known == m_rows.end() || known->second != row.m_value) {
-      apply.m_rows.push_back(row);
-    }
-  }
-  for (const auto& [key, value] : m_rows) {
-    if (!present.contains(key)) {
-      apply.m_rows.push_back({ key, {}, true });
-    }
-  }
-  m_rows.clear();
-  for (const FollowedRow& row : aEvent.m_rows) {
-    m_rows[row.m_key] = row.m_value;
-  }
-  m_hasRead = true;
-  m_needsTable = false;
-  m_version = aEvent.m_version;
-  NoteVersions(aEvent.m_rows);
-  aActions.emplace_back(std::move(apply));
+  TakeTable(aEvent.m_rows, aEvent.m_version, aNow, aActions);
   GoOn(aActions);
 }
 
@@ -113,25 +167,15 @@
 TableFollower::On(const ChangesRead& aEvent, Instant aNow, Actions& aActions)
 {
   NoteAnswer(aNow, aActions);
-  const bool isNew = aEvent.m_version >= m_version && !aEvent.m_rows.empty();
-  if (aEvent.m_version >= m_version) {
-    m_version = aEvent.m_version;
-    for (const FollowedRow& row : aEvent.m_rows) {
-      if (row.m_removed) {
-        m_rows.erase(row.m_key);
-      } else {
-        m_rows[row.m_key] = row.m_value;
-      }
+  const bool isOld = aEvent.m_version < m_table.Version();
+  if (isOld || aEvent.m_rows.empty()) {
+    if (!isOld) {
+      TakeChanges({}, aEvent.m_version, aNow, aActions);
     }
-  }
-  if (!isNew) {
     GoOn(aActions);
     return;
   }
-  NoteVersions(aEvent.m_rows);
-  const ApplyRows apply{ aEvent.m_rows, m_grace.Until(aNow) };
-  m_mayHaveLapsed = m_mayHaveLapsed || apply.m_lapsesUntil.has_value();
-  aActions.emplace_back(apply);
+  TakeChanges(aEvent.m_rows, aEvent.m_version, aNow, aActions);
   if (m_onDuty) {
     aActions.emplace_back(RetryLater{ kSettle });
   } else {
@@ -163,9 +207,15 @@
 TableFollower::On(const RetryDue&, Instant, Actions& aActions)
 {
   // A timer of a rest that has ended otherwise may still come.
-  if (!m_asking) {
-    Ask(aActions);
+  if (m_asking) {
+    return;
   }
+  const bool mayWait = !m_hasRead && !m_onDuty && !m_grace.IsLost();
+  if (mayWait && !std::exchange(m_hasWaited, true)) {
+    aActions.emplace_back(RetryLater{ kStartPatience });
+    return;
+  }
+  Ask(aActions);
 }
 
 void
@@ -173,17 +223,29 @@
 {
   // Once for each version: what the store does not tell now it will not tell.
   const bool isNew =
-    aEvent.m_version > m_version && aEvent.m_version > m_askedAnewFor;
-  // A whole read takes its time, the longer the more instances make one.
-  if ((!m_asking && !m_resting) || m_needsTable || !isNew) {
+    aEvent.m_version > m_table.Version() && aEvent.m_version > m_askedAnewFor;
+  if (!isNew || m_askingPeer) {
+    return;
+  }
+  if (m_needsTable) {
+    // A whole read takes its time, the longer the more instances make one.
+    if (!m_asking) {
+      AskAPeer({}, aActions);
+    }
+    return;
+  }
+  if (std::exchange(m_resting, false)) {
+    m_behindSince = aNow;
+    aActions.emplace_back(RetryLater{ kAskPatience });
+    AskAPeer(kAskWithin, aActions);
+    return;
+  }
+  if (!m_asking) {
     return;
   }
   if (!m_behindSince) {
     m_behindSince = aNow;
-    if (m_resting) {
-      aActions.emplace_back(RetryLater{ kRestPatience });
-    }
-  } else if (m_asking && aNow - *m_behindSince >= kBehindPatience) {
+  } else if (aNow - *m_behindSince >= kBehindPatience) {
     m_askedAnewFor = aEvent.m_version;
     AskAnew(aActions);
   }
@@ -203,7 +265,7 @@
 {
   m_grace.NotePeerSteady(aNow);
   // What is back by that version must have been read here too.
-  if (m_mayHaveLapsed && aEvent.m_version <= m_changedVersion) {
+  if (m_mayHaveLapsed && aEvent.m_version <= m_table.ChangedVersion()) {
     m_mayHaveLapsed = false;
     aActions.emplace_back(EndLapses{});
   }
--- /dev/null
+++ b/packages/relay/tests/FollowedTableTest.cpp
@@ -0,0 +1,99 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <ridgeferry/relay/FollowedTable.h>
+
+namespace ridgeferry::relay {
+namespace {
+
+/** What somebody gets who holds the table as of a version. */
+struct SinceCase
+{
+  const char* m_name;
+  std::uint64_t m_after;
+  bool m_whole;
+  std::vector<FollowedRow> m_rows;
+};
+
+class FollowedTableTest : public ::testing::TestWithParam<SinceCase>
+{};
+
+TEST_P(FollowedTableTest, TellsWhatChanged)
+{
+  FollowedTable table;
+  const std::vector<FollowedRow> rows{ { "a", "1", false, 3 },
+                                       { "b", "1", false, 4 } };
+  EXPECT_EQ(table.Replace(rows, 10).size(), 2U);
+  const std::vector<FollowedRow> changes{ { "a", {}, true, 12 },
+                                          { "b", "2", false, 14 } };
+  table.Apply(changes, 15);
+  EXPECT_EQ(table.ChangedVersion(), 14U);
+  const TableSlice slice = table.Since(GetParam().m_after);
+  EXPECT_EQ(slice.m_version, 15U);
+  EXPECT_EQ(slice.m_whole, GetParam().m_whole);
+  EXPECT_EQ(slice.m_rows, GetParam().m_rows);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Versions,
+  FollowedTableTest,
+  ::testing::Values(
+    SinceCase{ "All", 0, true, { { "b", "2", false, 14 } } },
+    SinceCase{ "FromBeforeIt", 9, true, { { "b", "2", false, 14 } } },
+    SinceCase{ "FromItsBegin",
+               10,
+               false,
+               { { "b", "2", false, 14 }, { "a", {}, true, 12 } } },
+    SinceCase{ "FromBetween", 12, false, { { "b", "2", false, 14 } } },
+    SinceCase{ "NothingNew", 15, false, {} }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+TEST(FollowedTableLimitTest, ForgottenRemovalsMakeItWhole)
+{
+  FollowedTable table;
+  table.Replace(std::vector<FollowedRow>{ { "stays", "1", false, 1 } }, 1);
+  std::uint64_t version = 1;
+  for (std::size_t i = 0; i <= FollowedTable::kMostRemovals; ++i) {
+    const std::string key = std::to_string(i);
+    const std::uint64_t at = ++version;
+    table.Apply(std::vector<FollowedRow>{ { key, "1", false, at } }, at);
+    const std::uint64_t gone = ++version;
+    table.Apply(std::vector<FollowedRow>{ { key, {}, true, gone } }, gone);
+  }
+  EXPECT_TRUE(table.Since(1).m_whole);
+  EXPECT_EQ(table.Since(1).m_rows.size(), 1U);
+  EXPECT_FALSE(table.Since(version - 2).m_whole);
+}
+
+// Whoever takes slices, at whatever moments, ends with the same rows.
+TEST(FollowedTableWorldTest, SlicesBringACopyUpToDate)
+{
+  EXPECT_TRUE(rc::check("slices", [] {
+    FollowedTable table;
+    FollowedTable copy;
+    std::uint64_t version = 1;
+    table.Replace({}, version);
+    for (int i = 0; i < 60; ++i) {
+      const std::string key(1,
+                            static_cast<char>('a' + *rc::gen::inRange(0, 5)));
+      const bool removed = *rc::gen::inRange(0, 3) == 0;
+      ++version;
+      const FollowedRow row{
+        key, removed ? "" : std::to_string(version), removed, version
+      };
+      table.Apply(std::vector<FollowedRow>{ row }, version);
+      if (*rc::gen::inRange(0, 4) != 0) {
+        continue;
+      }
+      const TableSlice slice = table.Since(copy.Version());
+      if (slice.m_whole) {
+        copy.Replace(slice.m_rows, slice.m_version);
+      } else {
+        copy.Apply(slice.m_rows, slice.m_version);
+      }
+      RC_ASSERT(copy.Since(0).m_rows == table.Since(0).m_rows);
+    }
+  }));
+}
+
+} // namespace
+} // namespace ridgeferry::relay
--- /dev/null
+++ b/packages/relay/tests/TableFollowerPeersTest.cpp
@@ -0,0 +1,337 @@
+// Followers that pass rows on to each other, so that the store is asked by few:
+// with hundreds of instances each change cost hundreds of its calls.
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <ridgeferry/relay/TableFollower.h>
+
+namespace ridgeferry::relay {
+namespace {
+
+template<typename Action>
+const Action*
+Find(const std::vector<FollowAction>& aActions)
+{
+  for (const FollowAction& action : aActions) {
+    if (const auto* found = std::get_if<Action>(&action)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+TableSlice
+Slice(std::uint64_t aVersion, bool aWhole, const std::string& aValue)
+{
+  return { aVersion, aWhole, { { "a", aValue, false, aVersion } } };
+}
+
+class RestingTest : public ::testing::Test
+{
+protected:
+  RestingTest()
+  {
+    Handle(DutyChanged{ false });
+    Handle(TableRead{ {}, 9 });
+  }
+
+  std::vector<FollowAction> Handle(const FollowEvent& aEvent, int aAtMs = 0)
+  {
+    return m_follower.Handle(aEvent, Instant{ Duration{ aAtMs } });
+  }
+
+  TableFollower m_follower;
+};
+
+TEST_F(RestingTest, AsksAPeerForWhatItHasReadFurther)
+{
+  EXPECT_TRUE(Handle(PeerIsAhead{ 9 }, 100).empty());
+  const auto first = Handle(PeerIsAhead{ 12 }, 200);
+  ASSERT_NE(Find<AskPeer>(first), nullptr);
+  EXPECT_EQ(Find<AskPeer>(first)->m_after, 9U);
+  EXPECT_EQ(Find<AskPeer>(first)->m_within, TableFollower::kAskWithin);
+  ASSERT_NE(Find<RetryLater>(first), nullptr);
+  EXPECT_EQ(Find<RetryLater>(first)->m_delay, TableFollower::kAskPatience);
+  EXPECT_TRUE(Handle(PeerIsAhead{ 13 }, 300).empty()); // It is asked already.
+  const auto rest = Handle(PeerAnswered{ Slice(13, false, "1") }, 350);
+  EXPECT_NE(Find<ApplyRows>(rest), nullptr);
+  EXPECT_EQ(Find<ReadChanges>(rest), nullptr);
+  EXPECT_EQ(m_follower.Version(), 13U);
+  // The next change counts from its own first word.
+  EXPECT_NE(Find<AskPeer>(Handle(PeerIsAhead{ 14 }, 2000)), nullptr);
+}
+
+TEST_F(RestingTest, ReadsTheStoreIfNoPeerHelps)
+{
+  Handle(PeerIsAhead{ 12 }, 200);
+  EXPECT_NE(Find<AskPeer>(Handle(PeerFailed{}, 500)), nullptr); // Another one.
+  const auto due = Handle(RetryDue{}, 1000);
+  ASSERT_NE(Find<ReadChanges>(due), nullptr);
+  EXPECT_EQ(Find<ReadChanges>(due)->m_after, 9U);
+  EXPECT_EQ(Find<ReadChanges>(due)->m_wait, Duration{}); // Not held.
+  EXPECT_TRUE(Handle(PeerFailed{}, 1010).empty());
+}
+
+/** A peer's answer that is of no use. */
+struct BadSliceCase
+{
+  const char* m_name;
+  TableSlice m_slice;
+};
+
+class BadSliceTest
+  : public RestingTest
+  , public ::testing::WithParamInterface<BadSliceCase>
+{};
+
+TEST_P(BadSliceTest, IsNotTaken)
+{
+  Handle(PeerIsAhead{ 12 }, 200);
+  const auto actions = Handle(PeerAnswered{ GetParam().m_slice }, 300);
+  EXPECT_EQ(Find<ApplyRows>(actions), nullptr);
+  EXPECT_NE(Find<AskPeer>(actions), nullptr);
+  EXPECT_EQ(m_follower.Version(), 9U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Slices,
+  BadSliceTest,
+  ::testing::Values(BadSliceCase{ "OfOneThatHasReadNothing", {} },
+                    BadSliceCase{ "Older", Slice(8, true, "0") },
+                    BadSliceCase{ "NoNewer", Slice(9, false, "0") }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+/** One that starts: what it does first, and after its peers have failed. */
+struct StartCase
+{
+  const char* m_name;
+  bool m_anyPeers;
+  bool m_onDuty;
+  int m_readsAtDue; ///< Which end of its patience makes it read the store.
+};
+
+class StartTest : public ::testing::TestWithParam<StartCase>
+{};
+
+TEST_P(StartTest, AsksPeersFirstAndThenTheStore)
+{
+  TableFollower follower;
+  const auto handle = [&](const FollowEvent& aEvent) {
+    return follower.Handle(aEvent, Instant{});
+  };
+  EXPECT_NE(Find<RetryLater>(handle(FollowBegan{})), nullptr);
+  handle(DutyChanged{ GetParam().m_onDuty });
+  auto actions = handle(PeersListed{ GetParam().m_anyPeers });
+  EXPECT_EQ(Find<AskPeer>(actions) != nullptr, GetParam().m_anyPeers);
+  for (int i = 1; i <= TableFollower::kStartTries; ++i) {
+    const bool more = GetParam().m_anyPeers && i < TableFollower::kStartTries;
+    EXPECT_EQ(Find<AskPeer>(handle(PeerFailed{})) != nullptr, more);
+  }
+  for (int due = 1; due <= GetParam().m_readsAtDue; ++due) {
+    actions = handle(RetryDue{});
+    EXPECT_EQ(Find<ReadTable>(actions) != nullptr,
+              due == GetParam().m_readsAtDue);
+  }
+  if (GetParam().m_readsAtDue == 0) {
+    EXPECT_NE(Find<ReadTable>(actions), nullptr);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Starts,
+  StartTest,
+  ::testing::Values(StartCase{ "Alone", false, true, 0 },
+                    StartCase{ "OnDuty", true, true, 1 },
+                    StartCase{ "Another", true, false, 2 }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+TEST(TableFollowerStartTest, TakesTheTableOfAPeerWhileTheStoreIsAway)
+{
+  TableFollower follower;
+  follower.Handle(FollowBegan{}, Instant{});
+  follower.Handle(DutyChanged{ false }, Instant{});
+  const auto ask = follower.Handle(PeerIsAhead{ 7 }, Instant{});
+  ASSERT_NE(Find<AskPeer>(ask), nullptr);
+  EXPECT_EQ(Find<AskPeer>(ask)->m_after, 0U);
+  const auto rest =
+    follower.Handle(PeerAnswered{ Slice(7, true, "1") }, Instant{});
+  EXPECT_NE(Find<ApplyRows>(rest), nullptr);
+  EXPECT_TRUE(follower.HasRead());
+}
+
+/** Followers before one store. Two are on duty, the rest ask them and each
+ * other; words and answers are lost. */
+class World
+{
+public:
+  static constexpr std::size_t kOnDuty = 2;
+
+  explicit World(std::size_t aCount)
+    : m_followers(aCount)
+    , m_pending(aCount)
+    , m_dueAt(aCount, Instant::max())
+  {
+    m_store.Replace({}, 1);
+    for (std::size_t i = 0; i < aCount; ++i) {
+      Take(i, FollowBegan{});
+      Take(i, DutyChanged{ i < kOnDuty });
+      Take(i, PeersListed{ true });
+    }
+  }
+
+  void Change(std::uint64_t aVersion)
+  {
+    const std::string key(1, static_cast<char>('a' + aVersion % 3));
+    const bool removed = aVersion % 5 == 0;
+    const FollowedRow row{
+      key, removed ? "" : std::to_string(aVersion), removed, aVersion
+    };
+    m_store.Apply(std::vector<FollowedRow>{ row }, aVersion);
+  }
+
+  /** One round: each carries out what it is to do, and tells the others. */
+  void Round(bool aLossy)
+  {
+    m_now += Duration{ 300 };
+    for (std::size_t i = 0; i < m_followers.size(); ++i) {
+      if (m_now >= m_dueAt[i]) {
+        m_dueAt[i] = Instant::max();
+        Take(i, RetryDue{});
+      }
+      std::vector<FollowAction> actions;
+      actions.swap(m_pending[i]);
+      for (const FollowAction& action : actions) {
+        const bool lost = aLossy && *rc::gen::inRange(0, 4) == 0;
+        std::visit([&](const auto& aTyped) { Do(i, aTyped, lost); }, action);
+      }
+      for (std::size_t to = 0; to < m_followers.size(); ++to) {
+        const bool lost = aLossy && *rc::gen::inRange(0, 3) == 0;
+        if (to != i && !lost) {
+          Take(to, PeerIsAhead{ m_followers[i].ChangedVersion() });
+        }
+      }
+    }
+  }
+
+  bool AllHaveTheStoresRows() const
+  {
+    const auto wanted = m_store.Since(0).m_rows;
+    return m_isOrderly &&
+           std::all_of(m_followers.begin(),
+                       m_followers.end(),
+                       [&](const auto& aFollower) {
+                         return aFollower.Since(0).m_rows == wanted;
+                       });
+  }
+
+  std::size_t ReadsAtRest() const { return m_readsAtRest; }
+
+private:
+  void Take(std::size_t aWho, const FollowEvent& aEvent)
+  {
+    for (FollowAction& action : m_followers[aWho].Handle(aEvent, m_now)) {
+      if (const auto* apply = std::get_if<ApplyRows>(&action)) {
+        for (const FollowedRow& row : apply->m_rows) {
+          m_isOrderly =
+            m_isOrderly && row.m_version <= m_followers[aWho].Version();
+        }
+      }
+      m_pending[aWho].push_back(std::move(action));
+    }
+  }
+
+  void Do(std::size_t aWho, const ReadTable&, bool aLost)
+  {
+    NoteRead(aWho);
+    if (aLost) {
+      Take(aWho, ReadFailed{ "lost" });
+    } else {
+      Take(aWho, TableRead{ m_store.Since(0).m_rows, m_store.Version() });
+    }
+  }
+  void Do(std::size_t aWho, const ReadChanges& aRead, bool aLost)
+  {
+    NoteRead(aWho);
+    if (aLost) {
+      Take(aWho, ReadFailed{ "lost" });
+      return;
+    }
+    const TableSlice slice = m_store.Since(aRead.m_after);
+    Take(aWho, ChangesRead{ slice.m_rows, slice.m_version });
+  }
+  void Do(std::size_t aWho, const AskPeer& aAsk, bool aLost)
+  {
+    const std::size_t other = PickAhead(aWho, aAsk.m_after);
+    if (aLost || other == aWho) {
+      Take(aWho, PeerFailed{});
+    } else {
+      Take(aWho, PeerAnswered{ m_followers[other].Since(aAsk.m_after) });
+    }
+  }
+  void Do(std::size_t aWho, const RetryLater& aLater, bool)
+  {
+    m_dueAt[aWho] = m_now + aLater.m_delay;
+  }
+  template<typename Told>
+  void Do(std::size_t, const Told&, bool)
+  {
+  }
+
+  /** One that has read further; itself: nobody. */
+  std::size_t PickAhead(std::size_t aWho, std::uint64_t aAfter)
+  {
+    const std::size_t count = m_followers.size();
+    ++m_picked;
+    for (std::size_t i = 0; i < count; ++i) {
+      const std::size_t other = (m_picked + i) % count;
+      if (m_followers[other].ChangedVersion() > aAfter) {
+        return other;
+      }
+    }
+    return aWho;
+  }
+
+  void NoteRead(std::size_t aWho) { m_readsAtRest += aWho < kOnDuty ? 0 : 1; }
+
+  FollowedTable m_store;
+  std::vector<TableFollower> m_followers;
+  std::vector<std::vector<FollowAction>> m_pending;
+  std::vector<Instant> m_dueAt;
+  std::size_t m_picked = 0;
+  std::size_t m_readsAtRest = 0;
+  bool m_isOrderly = true; ///< No row was told ahead of its table's version.
+  Instant m_now{};
+};
+
+TEST(TableFollowerPeersWorldTest, AllEndWithTheRowsOfTheStore)
+{
+  EXPECT_TRUE(rc::check("peers", [] {
+    World world(6);
+    for (std::uint64_t version = 2; version < 30; ++version) {
+      world.Change(version);
+      world.Round(true);
+    }
+    for (int i = 0; i < 40; ++i) {
+      world.Round(false);
+    }
+    RC_ASSERT(world.AllHaveTheStoresRows());
+  }));
+}
+
+// The calls of a change must not grow with the deployment.
+TEST(TableFollowerPeersWorldTest, ThoseAtRestDoNotAskTheStore)
+{
+  World world(60);
+  for (std::uint64_t version = 2; version < 12; ++version) {
+    world.Change(version);
+    for (int i = 0; i < 8; ++i) {
+      world.Round(false);
+    }
+  }
+  EXPECT_TRUE(world.AllHaveTheStoresRows());
+  EXPECT_EQ(world.ReadsAtRest(), 0U);
+}
+
+} // namespace
+} // namespace ridgeferry::relay
