Membership: at size the instances of a hall tell other halls together

Cause: each instance told each other what it has under way, every 4 ms times peers: 1.2 s at 295, of calls that last 0.1 s, so placement went by loads that were 0.6 s old on average.

Change: above 0.3 s for all, each tells its own hall as often as that hall's size allows (0.24 s at 60), and other halls get the hall's sum: every heartbeat it goes to one instance of each, in turn, so each instance hears of each hall every 0.24 s on average. Who lives is told to other halls every 2.4 s, without loads. A hall whose sums do not come for 2.5 s counts no more.

Tests: RosterHallsTest (age in virtual time, losses, datagrams an instance), HallLoadsTest.

--- a/packages/daemon/src/PeerService.cpp
+++ b/packages/daemon/src/PeerService.cpp
@@ -176,6 +176,7 @@
       Overloaded{ [&](const membership::SendHeartbeat& aSend) {
                    addresses.push_back(aSend.m_peerAddress);
                  },
+                  [](const membership::SendHallLoads&) {}, // It tells all.
                   [&](const membership::IncarnationEnded& aEnded) {
                     m_processEnded.emit(
                       ProcessId(aEnded.m_instance, aEnded.m_incarnation));
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -22,8 +22,20 @@
 /** The store's rows are asked for again after a failure in this time. */
 constexpr Duration kRetry{ 500 };
 constexpr Duration kStoreTimeout{ 1000 };
-/** Most loads of one talk: its datagram stays below a network's packet. */
-constexpr std::size_t kMostLoads = 100;
+/**
+ * Longest time in which each instance tells each other; above, the instances of
+ * a hall tell each other and, together, the other halls. An engine's queue of
+ * 0.3 s is more than callers wait for.
+ */
+constexpr Duration kMostToAll{ 300 };
+/** Most loads of one talk, ten bytes each: its datagram stays below a network's
+ * packet. */
+constexpr std::size_t kMostLoads = 120;
+/** Another hall's loads count no more after this time without a word: some ten
+ * of its instances' words are lost, so it is cut off. */
+constexpr Duration kHallLoadsFor{ 2500 };
+/** Before a hall's name, among the names of instances. */
+constexpr const char* kHallPrefix = "hall/";
 /** Most reads of one talk, and how often each is told: datagrams are lost now
  * and then. */
 constexpr std::size_t kMostReads = 30;
@@ -36,6 +48,7 @@
   out.m_heartbeatEvery = kTalkEvery;
   out.m_heartbeatEachPeer = kTalkEachPeer;
   out.m_deadAfterMissed = kDeadAfterMissed;
+  out.m_mostToAll = kMostToAll;
   return out;
 }
 
@@ -67,7 +80,7 @@
 
 Peers::Peers(EntryNode& aNode)
   : m_node(aNode)
-  , m_roster(aNode.m_settings.m_instance, Times())
+  , m_roster(aNode.m_settings.m_instance, Times(), aNode.m_settings.m_hall)
   , m_incarnation(static_cast<std::uint64_t>(
       net::EventLoop::WallNow().time_since_epoch().count()))
 {
@@ -86,6 +99,7 @@
   m_socket = std::move(*socket);
   m_tick = m_node.m_loop->Every(kTalkEvery, [this] {
     ForgetDead();
+    ForgetHalls();
     Handle(membership::RosterTick{});
     m_node.m_instances = m_roster.LiveCount();
   });
@@ -117,15 +131,6 @@
     out.m_parts.push_back(
       { relay::Fleet::ShortHash(news.m_engine), DigestOf(news.m_part) });
   }
-  for (const relay::OtherLoad& load : m_node.m_fleet.OwnLoads()) {
-    if (out.m_engines.size() == kMostLoads) {
-      break;
-    }
-    out.m_engines.push_back({ load.m_member,
-                              0,
-                              static_cast<std::int32_t>(load.m_running),
-                              static_cast<std::int32_t>(load.m_tokens) });
-  }
   const Duration since = m_roster.HeartbeatInterval() * kTellReadsTimes;
   for (const relay::KeptPart& kept :
        m_node.m_fleet.OwnReads(m_node.Now(), since)) {
@@ -137,13 +142,60 @@
   return out;
 }
 
+membership::Heartbeat
+Peers::WithLoads(std::span<const relay::OtherLoad> aLoads) const
+{
+  membership::Heartbeat out = Own();
+  for (const relay::OtherLoad& load : aLoads) {
+    if (out.m_engines.size() == kMostLoads) {
+      break;
+    }
+    out.m_engines.push_back({ load.m_member,
+                              0,
+                              static_cast<std::int32_t>(load.m_running),
+                              static_cast<std::int32_t>(load.m_tokens) });
+  }
+  return out;
+}
+
 void
 Peers::SendTo(const std::set<std::string>& aAddresses)
 {
   if (aAddresses.empty()) {
     return;
   }
-  const std::string bytes = protocol::Encode(Own());
+  const membership::Heartbeat whole = WithLoads(m_node.m_fleet.OwnLoads());
+  if (!m_roster.TellsByHall()) {
+    Send(whole, aAddresses);
+    return;
+  }
+  const std::set<std::string> hall = m_roster.NearAddresses();
+  std::set<std::string> near;
+  std::set<std::string> far;
+  for (const std::string& address : aAddresses) {
+    (hall.contains(address) ? near : far).insert(address);
+  }
+  Send(whole, near);
+  Send(Own(), far); // They get the loads as a sum.
+}
+
+void
+Peers::SendHallLoads(const std::set<std::string>& aAddresses)
+{
+  if (aAddresses.empty()) {
+    return;
+  }
+  membership::Heartbeat heartbeat =
+    WithLoads(m_hallLoads.Sum(m_node.m_fleet.OwnLoads(), kMostLoads));
+  heartbeat.m_tellsHall = true;
+  Send(heartbeat, aAddresses);
+}
+
+void
+Peers::Send(const membership::Heartbeat& aHeartbeat,
+            const std::set<std::string>& aAddresses)
+{
+  const std::string bytes = protocol::Encode(aHeartbeat);
   for (const std::string& text : aAddresses) {
     if (const auto address = net::Address::Parse(text)) {
       m_socket->Send(*address, bytes);
@@ -192,13 +244,7 @@
 void
 Peers::TellHall()
 {
-  std::set<std::string> addresses;
-  for (const auto& [name, peer] : m_roster.Peers()) {
-    if (peer.m_alive && peer.m_last.m_hall == m_node.m_settings.m_hall) {
-      addresses.insert(peer.m_last.m_peerAddress);
-    }
-  }
-  SendTo(addresses);
+  SendTo(m_roster.NearAddresses());
 }
 
 void
@@ -247,10 +293,6 @@
   if (heartbeat->m_instance == m_node.m_settings.m_instance) {
     return;
   }
-  std::vector<relay::OtherLoad> loads;
-  for (const membership::EngineDigest& digest : heartbeat->m_engines) {
-    loads.push_back({ digest.m_engine, digest.m_running, digest.m_work });
-  }
   std::vector<relay::PartNewsOf> news;
   for (const membership::PartDigest& digest : heartbeat->m_parts) {
     news.push_back({ digest.m_engine, PartOf(digest.m_part) });
@@ -262,12 +304,44 @@
     TellStoreView(*heartbeat->m_store);
   }
   m_counted.insert(heartbeat->m_instance);
-  m_node.m_fleet.SetOther(heartbeat->m_instance, std::move(loads));
+  TakeLoads(*heartbeat);
   m_node.m_fleet.SetNews(heartbeat->m_instance, std::move(news));
   m_node.m_fleet.SetApart(heartbeat->m_instance, heartbeat->m_apart);
   Handle(membership::HeartbeatArrived{ std::move(*heartbeat) });
 }
 
+void
+Peers::TakeLoads(const membership::Heartbeat& aHeartbeat)
+{
+  std::vector<relay::OtherLoad> loads;
+  for (const membership::EngineDigest& digest : aHeartbeat.m_engines) {
+    loads.push_back({ digest.m_engine, digest.m_running, digest.m_work });
+  }
+  if (aHeartbeat.m_tellsHall) {
+    m_node.m_fleet.SetOther(kHallPrefix + aHeartbeat.m_hall, std::move(loads));
+    m_countedHalls[aHeartbeat.m_hall] = m_node.Now();
+    return;
+  }
+  if (aHeartbeat.m_hall == m_node.m_settings.m_hall) {
+    m_hallLoads.Set(aHeartbeat.m_instance, loads);
+  } else if (m_countedHalls.contains(aHeartbeat.m_hall)) {
+    loads.clear(); // Its calls are in the sum of its hall.
+  }
+  m_node.m_fleet.SetOther(aHeartbeat.m_instance, std::move(loads));
+}
+
+void
+Peers::ForgetHalls()
+{
+  std::erase_if(m_countedHalls, [this](const auto& aHall) {
+    const bool old = m_node.Now() - aHall.second >= kHallLoadsFor;
+    if (old) {
+      m_node.m_fleet.SetOther(kHallPrefix + aHall.first, {});
+    }
+    return old;
+  });
+}
+
 void
 Peers::TellStoreView(membership::StoreView aView)
 {
@@ -285,6 +359,7 @@
     const auto found = peers.find(aInstance);
     const bool alive = found != peers.end() && found->second.m_alive;
     if (!alive) {
+      m_hallLoads.Set(aInstance, {});
       m_node.m_fleet.SetOther(aInstance, {});
       m_node.m_fleet.SetNews(aInstance, {});
       m_node.m_fleet.SetApart(aInstance, {});
@@ -299,12 +374,16 @@
 Peers::Handle(const membership::RosterEvent& aEvent)
 {
   std::set<std::string> addresses;
+  std::set<std::string> others;
   for (const membership::RosterAction& action :
        m_roster.Handle(aEvent, m_node.Now())) {
     std::visit(Overloaded{
                  [&](const membership::SendHeartbeat& aSend) {
                    addresses.insert(aSend.m_peerAddress);
                  },
+                 [&](const membership::SendHallLoads& aSend) {
+                   others.insert(aSend.m_peerAddress);
+                 },
                  [&](const membership::IncarnationEnded&) {},
                  [&](const membership::UpstreamLeaving& aLeaving) {
                    const std::string& id = aLeaving.m_upstream;
@@ -317,6 +396,7 @@
                action);
   }
   SendTo(addresses);
+  SendHallLoads(others);
 }
 
 void
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -5,6 +5,7 @@
 #include <ridgeferry/membership/Roster.h>
 #include <ridgeferry/membership/StoreDuty.h>
 #include <ridgeferry/net/UdpSocket.h>
+#include <ridgeferry/relay/HallLoads.h>
 #include <ridgeferry/relay/LeavingNews.h>
 #include <set>
 #include <sigc++/sigc++.h>
@@ -78,7 +79,15 @@
   void OnDatagram(std::string_view aBytes);
   void TellAll();
   void SendTo(const std::set<std::string>& aAddresses);
+  /** What this instance says of itself, without loads. */
   membership::Heartbeat Own() const;
+  membership::Heartbeat WithLoads(
+    std::span<const relay::OtherLoad> aLoads) const;
+  void Send(const membership::Heartbeat& aHeartbeat,
+            const std::set<std::string>& aAddresses);
+  void SendHallLoads(const std::set<std::string>& aAddresses);
+  void TakeLoads(const membership::Heartbeat& aHeartbeat);
+  void ForgetHalls();
   void ForgetDead();
   void WriteOwnRow();
   void ReadRows();
@@ -94,6 +103,9 @@
   membership::StoreView m_storeView;
   std::vector<relay::PartNews> m_partNews;
   std::set<std::string> m_counted; ///< Instances whose loads are counted.
+  relay::HallLoads m_hallLoads;    ///< Of this hall.
+  /** Other halls whose sums are counted, and when they came last. */
+  std::map<std::string, Instant> m_countedHalls;
   std::unique_ptr<net::UdpSocket> m_socket;
   net::Watch m_tick;
   net::Watch m_retry;
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -82,8 +82,10 @@
    * platform's list learns of them. */
   std::vector<std::string> m_leavingUpstreams;
   std::vector<EngineDigest> m_engines; ///< Those that it observes.
-  std::vector<PartDigest> m_parts;     ///< Engines whose part it changes.
-  std::vector<ReadDigest> m_reads;     ///< That it ordered lately.
+  /** `m_engines` is what all instances of its hall have under way together. */
+  bool m_tellsHall = false;
+  std::vector<PartDigest> m_parts; ///< Engines whose part it changes.
+  std::vector<ReadDigest> m_reads; ///< That it ordered lately.
   /** Hashes of services whose engines it found unable to read prompts beside
    * the output. */
   std::vector<std::uint32_t> m_apart;
@@ -114,6 +116,11 @@
 {
   std::string m_peerAddress;
 };
+/** To one instance of another hall: what all of this hall have under way. */
+struct SendHallLoads
+{
+  std::string m_peerAddress;
+};
 /** An earlier life of this instance has ended for sure: a later one bound its
  * address. */
 struct IncarnationEnded
@@ -126,10 +133,8 @@
 {
   std::string m_upstream;
 };
-using RosterAction = std::variant<SendHeartbeat,
-
-                                  IncarnationEnded,
-                                  UpstreamLeaving>;
+using RosterAction =
+  std::variant<SendHeartbeat, SendHallLoads, IncarnationEnded, UpstreamLeaving>;
 
 struct RosterTimes
 {
@@ -138,9 +143,19 @@
   /** Time that each peer adds to it, so that the bytes of a large hall stay
    * within their budget: 45 peers hear of each other every 2 s. */
   Duration m_heartbeatEachPeer{ 45 };
+  /**
+   * Longest time between two heartbeats to all peers. Where they would take
+   * longer, those of the own hall are told as often as the hall's size allows,
+   * those of other halls every `m_farEvery`, and what a hall has under way goes
+   * to one instance of each other hall a heartbeat: all instances of a hall
+   * together keep each instance elsewhere up to date.
+   */
+  Duration m_mostToAll = Duration::max();
+  Duration m_farEvery{ 2400 };
   /** Missed heartbeats after which a peer counts as dead for sharing limits
-   * and rank. */
+   * and rank; of another hall that is told seldom, `m_farDeadAfterMissed`. */
   int m_deadAfterMissed = 4;
+  int m_farDeadAfterMissed = 4;
   /** Silence after which an unlisted peer is forgotten. */
   Duration m_forgetAfter{ 60'000 };
 };
@@ -160,7 +175,10 @@
 class Roster
 {
 public:
-  Roster(std::string aInstance, RosterTimes aTimes = {});
+  /** `aHall`: of this instance. */
+  Roster(std::string aInstance,
+         RosterTimes aTimes = {},
+         std::string aHall = {});
 
   std::vector<RosterAction> Handle(const RosterEvent& aEvent, Instant aNow);
 
@@ -176,8 +194,15 @@
    * `aTopic`; 0 is first. Live peers that agree on who lives agree on it.
    */
   std::size_t Rank(std::string_view aTopic) const;
-  /** Time between two heartbeats in a hall of today's size. */
+  /** Time between two heartbeats to the peers that are told most often. */
   Duration HeartbeatInterval() const;
+  /** Time between two heartbeats of that peer. */
+  Duration IntervalOf(const PeerView& aPeer) const;
+  /** Whether other halls are told as sums: see `RosterTimes::m_mostToAll`. */
+  bool TellsByHall() const;
+  bool IsNear(const PeerView& aPeer) const;
+  /** Addresses of all peers of this hall that were heard. */
+  std::set<std::string> NearAddresses() const;
   /** Addresses of live peers that are not leaving. */
   std::vector<std::string> LiveAddresses() const;
 
@@ -188,12 +213,22 @@
                    Instant aNow,
                    Actions& aActions);
   void OnTick(Instant aNow, Actions& aActions);
+  void ForgetSilent(Instant aNow);
+  void TellAll(Actions& aActions);
+  void TellByHall(Instant aNow, Actions& aActions);
+  void TellOtherHalls(Actions& aActions);
+  void CountNear();
+  Duration TimeForAll() const;
 
+  std::string m_hall;
   std::string m_instance;
   RosterTimes m_times;
   std::map<std::string, PeerView, std::less<>> m_peers;
   std::map<std::string, std::string, std::less<>> m_listed;
   std::optional<Instant> m_nextHeartbeat;
+  std::optional<Instant> m_nextFar;
+  std::ptrdiff_t m_near = 0; ///< Peers of this hall.
+  std::size_t m_turn = 0;    ///< Whose turn it is in the other halls.
 };
 
 } // namespace ridgeferry::membership
--- a/packages/membership/src/Roster.cpp
+++ b/packages/membership/src/Roster.cpp
@@ -6,9 +6,11 @@
 
 namespace ridgeferry::membership {
 
-Roster::Roster(std::string aInstance, RosterTimes aTimes)
-  : m_instance(std::move(aInstance))
+Roster::Roster(std::string aInstance, RosterTimes aTimes, std::string aHall)
+  : m_hall(std::move(aHall))
+  , m_instance(std::move(aInstance))
   , m_times(aTimes)
+  , m_turn(Hash64(m_instance))
 {
 }
 
@@ -41,6 +43,7 @@
   }
   PeerView& peer = m_peers[aHeartbeat.m_instance];
   const std::uint64_t known = peer.m_last.m_incarnation;
+  const bool moved = peer.m_last.m_hall != aHeartbeat.m_hall;
   if (aHeartbeat.m_incarnation < known && peer.m_alive) {
     return; // Late news of an earlier life.
   }
@@ -50,6 +53,9 @@
   }
   peer.m_last = aHeartbeat;
   peer.m_heardAt = aNow;
+  if (moved || known == 0) {
+    CountNear();
+  }
   peer.m_alive = true;
   for (const std::string& upstream : aHeartbeat.m_leavingUpstreams) {
     aActions.emplace_back(UpstreamLeaving{ upstream });
@@ -59,20 +65,40 @@
 void
 Roster::OnTick(Instant aNow, Actions& aActions)
 {
+  ForgetSilent(aNow);
+  if (aNow < m_nextHeartbeat.value_or(aNow)) {
+    return;
+  }
+  m_nextHeartbeat = aNow + HeartbeatInterval();
+  if (TellsByHall()) {
+    TellByHall(aNow, aActions);
+  } else {
+    TellAll(aActions);
+  }
+}
+
+void
+Roster::ForgetSilent(Instant aNow)
+{
+  const bool byHall = TellsByHall();
   for (auto it = m_peers.begin(); it != m_peers.end();) {
     PeerView& peer = it->second;
     const Duration silence = aNow - peer.m_heardAt;
-    if (silence >= HeartbeatInterval() * m_times.m_deadAfterMissed) {
+    const int missed = byHall && !IsNear(peer) ? m_times.m_farDeadAfterMissed
+                                               : m_times.m_deadAfterMissed;
+    if (silence >= IntervalOf(peer) * missed) {
       peer.m_alive = false;
     }
     const bool forget =
       silence >= m_times.m_forgetAfter && !m_listed.contains(it->first);
     it = forget ? m_peers.erase(it) : std::next(it);
   }
-  if (aNow < m_nextHeartbeat.value_or(aNow)) {
-    return;
-  }
-  m_nextHeartbeat = aNow + HeartbeatInterval();
+  CountNear();
+}
+
+void
+Roster::TellAll(Actions& aActions)
+{
   std::set<std::string> addresses;
   for (const auto& [name, address] : m_listed) {
     addresses.insert(address);
@@ -85,13 +111,81 @@
   }
 }
 
+void
+Roster::TellByHall(Instant aNow, Actions& aActions)
+{
+  if (aNow >= m_nextFar.value_or(aNow)) {
+    m_nextFar = aNow + m_times.m_farEvery;
+    TellAll(aActions);
+  } else {
+    for (const auto& [name, peer] : m_peers) {
+      if (IsNear(peer)) {
+        aActions.emplace_back(SendHeartbeat{ peer.m_last.m_peerAddress });
+      }
+    }
+  }
+  TellOtherHalls(aActions);
+}
+
+void
+Roster::TellOtherHalls(Actions& aActions)
+{
+  std::map<std::string_view, std::vector<const PeerView*>> halls;
+  for (const auto& [name, peer] : m_peers) {
+    if (peer.m_alive && !IsNear(peer)) {
+      halls[peer.m_last.m_hall].push_back(&peer);
+    }
+  }
+  // Instances begin at different places, so that their turns spread.
+  ++m_turn;
+  for (const auto& [hall, peers] : halls) {
+    const PeerView& peer = *peers[m_turn % peers.size()];
+    aActions.emplace_back(SendHallLoads{ peer.m_last.m_peerAddress });
+  }
+}
+
+bool
+Roster::IsNear(const PeerView& aPeer) const
+{
+  return aPeer.m_last.m_hall == m_hall;
+}
+
+void
+Roster::CountNear()
+{
+  m_near =
+    std::count_if(m_peers.begin(), m_peers.end(), [this](const auto& aEntry) {
+      return IsNear(aEntry.second);
+    });
+}
+
 Duration
-Roster::HeartbeatInterval() const
+Roster::TimeForAll() const
 {
   const auto peers =
     static_cast<Duration::rep>(std::max(m_peers.size(), m_listed.size()));
+  return m_times.m_heartbeatEachPeer * peers;
+}
+
+bool
+Roster::TellsByHall() const
+{
+  return TimeForAll() > m_times.m_mostToAll;
+}
+
+Duration
+Roster::IntervalOf(const PeerView& aPeer) const
+{
+  return TellsByHall() && !IsNear(aPeer) ? m_times.m_farEvery
+                                         : HeartbeatInterval();
+}
+
+Duration
+Roster::HeartbeatInterval() const
+{
   return std::max(m_times.m_heartbeatEvery,
-                  m_times.m_heartbeatEachPeer * peers);
+                  TellsByHall() ? m_times.m_heartbeatEachPeer * m_near
+                                : TimeForAll());
 }
 
 std::size_t
@@ -119,6 +213,18 @@
   return rank;
 }
 
+std::set<std::string>
+Roster::NearAddresses() const
+{
+  std::set<std::string> out;
+  for (const auto& [name, peer] : m_peers) {
+    if (IsNear(peer)) {
+      out.insert(peer.m_last.m_peerAddress);
+    }
+  }
+  return out;
+}
+
 std::vector<std::string>
 Roster::LiveAddresses() const
 {
--- a/packages/membership/src/StoreDuty.cpp
+++ b/packages/membership/src/StoreDuty.cpp
@@ -33,10 +33,10 @@
 bool
 StoreDuty::HearsOfStore(Instant aNow) const
 {
-  const Duration fresh = m_roster.HeartbeatInterval() * kFreshTalks;
   const auto& peers = m_roster.Peers();
   return std::any_of(peers.begin(), peers.end(), [&](const auto& aEntry) {
     const PeerView& peer = aEntry.second;
+    const Duration fresh = m_roster.IntervalOf(peer) * kFreshTalks;
     return !peer.m_last.m_leaving && peer.m_last.m_store &&
            !peer.m_last.m_store->m_lost && aNow - peer.m_heardAt <= fresh &&
            IsFirst(aEntry.first, peer.m_last.m_hall);
--- a/packages/membership/tests/RosterTest.cpp
+++ b/packages/membership/tests/RosterTest.cpp
@@ -125,5 +125,165 @@
                                            IntervalCase{ 44, 1980 },
                                            IntervalCase{ 90, 4050 }));
 
+/** Instances of some halls that tell each other in virtual time. */
+class HallsWorld
+{
+public:
+  HallsWorld(int aHalls, int aInHall)
+    : m_halls(aHalls)
+  {
+    for (int i = 0; i < aHalls * aInHall; ++i) {
+      m_rosters.emplace_back(Name(i), Times(), HallOf(i));
+      m_heardOf.emplace_back(static_cast<std::size_t>(aHalls), kStart);
+    }
+    InstancesListed listed;
+    for (int i = 0; i < aHalls * aInHall; ++i) {
+      listed.m_instances.push_back({ Name(i), Name(i) });
+    }
+    for (std::size_t i = 0; i < m_rosters.size(); ++i) {
+      InstancesListed others = listed;
+      others.m_instances.erase(others.m_instances.begin() +
+                               static_cast<std::ptrdiff_t>(i));
+      m_rosters[i].Handle(others, kStart);
+    }
+  }
+
+  static RosterTimes Times()
+  {
+    RosterTimes out;
+    out.m_heartbeatEvery = Duration{ 40 };
+    out.m_heartbeatEachPeer = Duration{ 4 };
+    out.m_deadAfterMissed = 10;
+    out.m_mostToAll = Duration{ 300 };
+    return out;
+  }
+
+  /** One tick of all. One word of `aLostOneIn` is lost; 0: none is. */
+  void Step(int aLostOneIn)
+  {
+    m_now += Duration{ 40 };
+    for (std::size_t i = 0; i < m_rosters.size(); ++i) {
+      for (const RosterAction& action :
+           m_rosters[i].Handle(RosterTick{}, m_now)) {
+        ++m_sent;
+        if (aLostOneIn > 0 && m_sent % aLostOneIn == 0) {
+          continue;
+        }
+        if (const auto* send = std::get_if<SendHeartbeat>(&action)) {
+          Deliver(i, send->m_peerAddress, false);
+        }
+        if (const auto* send = std::get_if<SendHallLoads>(&action)) {
+          Deliver(i, send->m_peerAddress, true);
+        }
+      }
+    }
+  }
+
+  /** Ages of what each instance knows of each hall, rising. */
+  std::vector<Duration> Ages() const
+  {
+    std::vector<Duration> out;
+    for (std::size_t i = 0; i < m_rosters.size(); ++i) {
+      for (int hall = 0; hall < m_halls; ++hall) {
+        if (hall != static_cast<int>(i) % m_halls) {
+          out.push_back(m_now - m_heardOf[i][static_cast<std::size_t>(hall)]);
+        }
+      }
+    }
+    std::sort(out.begin(), out.end());
+    return out;
+  }
+
+  std::size_t Sent() const { return m_sent; }
+  const Roster& Of(std::size_t aIndex) const { return m_rosters[aIndex]; }
+
+private:
+  static std::string Name(int aIndex) { return "i" + std::to_string(aIndex); }
+  std::string HallOf(int aIndex) const
+  {
+    return "hall" + std::to_string(aIndex % m_halls);
+  }
+
+  void Deliver(std::size_t aFrom, const std::string& aTo, bool aOfHall)
+  {
+    const auto to = static_cast<std::size_t>(std::stoi(aTo.substr(1)));
+    if (aOfHall) {
+      m_heardOf[to][aFrom % static_cast<std::size_t>(m_halls)] = m_now;
+      return;
+    }
+    Heartbeat heartbeat = From(Name(static_cast<int>(aFrom)));
+    heartbeat.m_peerAddress = heartbeat.m_instance;
+    heartbeat.m_hall = HallOf(static_cast<int>(aFrom));
+    m_rosters[to].Handle(HeartbeatArrived{ heartbeat }, m_now);
+  }
+
+  int m_halls;
+  std::vector<Roster> m_rosters;
+  std::vector<std::vector<Instant>> m_heardOf; ///< By instance and hall.
+  std::size_t m_sent = 0;
+  Instant m_now = kStart;
+};
+
+struct HallsCase
+{
+  const char* m_name;
+  int m_halls;
+  int m_inHall;
+  int m_lostOneIn;
+};
+
+class RosterHallsTest : public ::testing::TestWithParam<HallsCase>
+{};
+
+// A word of a hall holds loads that are a quarter of a second old at most, half
+// of that in the middle: with it what is known of an engine is 0.4 s old in the
+// middle, where told to all it was 0.6 s and more.
+TEST_P(RosterHallsTest, EachInstanceHearsOfEachHallOften)
+{
+  const HallsCase& that = GetParam();
+  HallsWorld world(that.m_halls, that.m_inHall);
+  for (int i = 0; i < 60; ++i) {
+    world.Step(that.m_lostOneIn);
+  }
+  const std::size_t before = world.Sent();
+  constexpr int kSteps = 50; // Two seconds.
+  std::vector<Duration> ages;
+  for (int i = 0; i < kSteps; ++i) {
+    world.Step(that.m_lostOneIn);
+    const std::vector<Duration> now = world.Ages();
+    ages.insert(ages.end(), now.begin(), now.end());
+  }
+  std::sort(ages.begin(), ages.end());
+  EXPECT_LE(ages[ages.size() / 2], Duration{ 300 });
+  EXPECT_LE(ages[ages.size() * 95 / 100], Duration{ 1000 });
+  // Told to all each 4 ms times peers it was 250 a second for each instance.
+  const double each = static_cast<double>(world.Sent() - before) /
+                      (that.m_halls * that.m_inHall) / 2.0;
+  EXPECT_LE(each, 450);
+  const auto all = static_cast<std::size_t>(that.m_halls * that.m_inHall);
+  // Who is told seldom may be missed for a moment where words are lost.
+  EXPECT_GE(world.Of(0).LiveCount(),
+            that.m_lostOneIn == 0 ? all : all * 9 / 10);
+  EXPECT_TRUE(world.Of(0).TellsByHall());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Sizes,
+  RosterHallsTest,
+  ::testing::Values(HallsCase{ "FiveHallsOfTwenty", 5, 20, 0 },
+                    HallsCase{ "FiveHallsOfThirtyWithLosses", 5, 30, 10 },
+                    HallsCase{ "EightHallsOfTwenty", 8, 20, 0 }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+TEST(RosterHallsSmallTest, FewInstancesTellAll)
+{
+  HallsWorld world(3, 20);
+  for (int i = 0; i < 50; ++i) {
+    world.Step(0);
+  }
+  EXPECT_FALSE(world.Of(0).TellsByHall());
+  EXPECT_EQ(world.Of(0).LiveCount(), 60U);
+}
+
 } // namespace
 } // namespace ridgeferry::membership
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -115,6 +115,11 @@
   this->storeSteady = val;
 __isset.storeSteady = true;
 }
+
+void Heartbeat::__set_tellsHall(const bool val) {
+  this->tellsHall = val;
+__isset.tellsHall = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -438,6 +443,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->tellsHall);
+          this->__isset.tellsHall = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -647,6 +660,11 @@
     xfer += oprot->writeBool(this->storeSteady);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.tellsHall) {
+    xfer += oprot->writeFieldBegin("tellsHall", ::apache::thrift::protocol::T_BOOL, 22);
+    xfer += oprot->writeBool(this->tellsHall);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -675,6 +693,7 @@
   swap(a.readEngines, b.readEngines);
   swap(a.servicesApart, b.servicesApart);
   swap(a.storeSteady, b.storeSteady);
+  swap(a.tellsHall, b.tellsHall);
   swap(a.__isset, b.__isset);
 }
 
@@ -700,6 +719,7 @@
   readEngines = other60.readEngines;
   servicesApart = other60.servicesApart;
   storeSteady = other60.storeSteady;
+  tellsHall = other60.tellsHall;
   __isset = other60.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other61) {
@@ -724,6 +744,7 @@
   readEngines = other61.readEngines;
   servicesApart = other61.servicesApart;
   storeSteady = other61.storeSteady;
+  tellsHall = other61.tellsHall;
   __isset = other61.__isset;
   return *this;
 }
@@ -751,6 +772,7 @@
   out << ", " << "readEngines="; (__isset.readEngines ? (out << to_string(readEngines)) : (out << "<null>"));
   out << ", " << "servicesApart="; (__isset.servicesApart ? (out << to_string(servicesApart)) : (out << "<null>"));
   out << ", " << "storeSteady="; (__isset.storeSteady ? (out << to_string(storeSteady)) : (out << "<null>"));
+  out << ", " << "tellsHall="; (__isset.tellsHall ? (out << to_string(tellsHall)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -36,7 +36,7 @@
 class ChangesReply;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false) {}
+  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false) {}
   bool leavingUpstreams :1;
   bool engines :1;
   bool states :1;
@@ -51,6 +51,7 @@
   bool readEngines :1;
   bool servicesApart :1;
   bool storeSteady :1;
+  bool tellsHall :1;
 } _Heartbeat__isset;
 
 /**
@@ -72,7 +73,8 @@
               configVersion(0),
               membersVersion(0),
               storeLost(0),
-              storeSteady(0) {
+              storeSteady(0),
+              tellsHall(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -128,6 +130,10 @@
    * as rows that lapsed take to be back.
    */
   bool storeSteady;
+  /**
+   * The loads and the work are those of all instances of the sender's hall.
+   */
+  bool tellsHall;
 
   _Heartbeat__isset __isset;
 
@@ -173,6 +179,8 @@
 
   void __set_storeSteady(const bool val);
 
+  void __set_tellsHall(const bool val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -245,6 +253,10 @@
       return false;
     else if (__isset.storeSteady && !(storeSteady == rhs.storeSteady))
       return false;
+    if (__isset.tellsHall != rhs.__isset.tellsHall)
+      return false;
+    else if (__isset.tellsHall && !(tellsHall == rhs.tellsHall))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -47,6 +47,8 @@
   /** The sender's reads of upstreams have gone on without a failure for as long
    * as rows that lapsed take to be back. */
   21: optional bool storeSteady;
+  /** The loads and the work are those of all instances of the sender's hall. */
+  22: optional bool tellsHall;
 }
 
 /** Asks a peer for what it has read of a table of the store. */
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -97,6 +97,9 @@
       out.__set_work(work);
     }
   }
+  if (aMessage.m_tellsHall) {
+    out.__set_tellsHall(true);
+  }
   if (!aMessage.m_parts.empty()) {
     std::vector<std::int32_t> engines;
     std::vector<std::int32_t> parts;
@@ -213,6 +216,7 @@
                               in->loads[i],
                               in->work.empty() ? 0 : in->work[i] });
   }
+  out.m_tellsHall = in->tellsHall;
   if (in->changedParts.size() != in->changedEngines.size()) {
     return tl::unexpected(DecodeError{ "parts of different lengths" });
   }
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -32,6 +32,7 @@
   for (std::uint32_t part : *rc::gen::arbitrary<std::vector<std::uint32_t>>()) {
     out.m_reads.push_back({ part, part ^ 5U });
   }
+  out.m_tellsHall = *rc::gen::arbitrary<bool>();
   out.m_apart = *rc::gen::arbitrary<std::vector<std::uint32_t>>();
   if (*rc::gen::arbitrary<bool>()) {
     out.m_store = { *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62U),
--- /dev/null
+++ b/packages/relay/tests/HallLoadsTest.cpp
@@ -0,0 +1,50 @@
+#include <gtest/gtest.h>
+#include <ridgeferry/relay/HallLoads.h>
+
+namespace ridgeferry::relay {
+namespace {
+
+constexpr std::size_t kAll = 100;
+
+struct SumCase
+{
+  const char* m_name;
+  std::vector<OtherLoad> m_own;
+  std::vector<OtherLoad> m_first;  ///< Of a peer.
+  std::vector<OtherLoad> m_second; ///< Of another.
+  std::size_t m_most;
+  std::vector<OtherLoad> m_sum;
+};
+
+class HallLoadsTest : public ::testing::TestWithParam<SumCase>
+{};
+
+TEST_P(HallLoadsTest, AddsUpWhatTheHallHasUnderWay)
+{
+  HallLoads loads;
+  loads.Set("first", GetParam().m_first);
+  loads.Set("second", { { 9, 9, 9 } });
+  loads.Set("second", GetParam().m_second); // Replaces what it said before.
+  EXPECT_EQ(loads.Sum(GetParam().m_own, GetParam().m_most), GetParam().m_sum);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Sums,
+  HallLoadsTest,
+  ::testing::Values(SumCase{ "Nothing", {}, {}, {}, kAll, {} },
+                    SumCase{ "OneEngine",
+                             { { 1, 1, 10 } },
+                             { { 1, 2, 20 } },
+                             { { 1, 3, 0 } },
+                             kAll,
+                             { { 1, 6, 30 } } },
+                    SumCase{ "MostToReadFirst",
+                             { { 1, 1, 10 }, { 2, 4, 0 } },
+                             { { 3, 1, 50 } },
+                             { { 4, 1, 0 } },
+                             3,
+                             { { 3, 1, 50 }, { 1, 1, 10 }, { 2, 4, 0 } } }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+} // namespace
+} // namespace ridgeferry::relay
