Placement: outputs and short prompts go to the better of two drawn engines

Cause: engines of short prompts, and those that give the output of a prompt that was read elsewhere, were the least loaded by estimate. With 295 instances that see the same old loads, all took the same one, of twelve slots.

Tests: FleetHerdTest (600 calls by one view).

--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -332,7 +332,7 @@
   /** Adds who gives the output. Precondition: some sound one generates. */
   static Place WithTaker(const State& aReader,
                          std::span<const State* const> aSound,
-                         const Prompt& aPrompt);
+                         const PlaceRequest& aRequest);
   static double PaceOf(const State& aState);
   /** `aPace`: `MetPaceOf` where engines read beside their output, else
    * `PaceOf`. */
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -1,10 +1,12 @@
 // Where a call goes: the part of `Fleet` that chooses.
 
+#include "DrawnChoice.h"
 #include "EnginePace.h"
 #include "HomeScore.h"
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <limits>
 #include <ridgeferry/base/Hash.h>
 
@@ -47,6 +49,9 @@
 constexpr double kAttentionTokens = 24'000;
 /** Paces of an engine of its own that count more than those of its kind. */
 constexpr std::size_t kLeastOwnPaces = 4;
+/** What a random number is divided by for its second use: a prime above the
+ * square of the engines of a service. */
+constexpr std::uint64_t kNextDraw = 1'000'003;
 /** Below this a prompt is not worth a home: reading it takes a millisecond. */
 constexpr std::int64_t kLeastSharedTokens = 512;
 
@@ -295,12 +300,8 @@
   if (home != aCandidates.end() && home->m_ms <= aBest.m_ms + kHomeSlackMs) {
     return &*home;
   }
-  // Several instances see the same loads, some of them old: if all took the
-  // least loaded one, it would be the most loaded one next.
-  const std::size_t count = aCandidates.size();
-  const Candidate& one = aCandidates[aRequest.m_random % count];
-  const Candidate& other = aCandidates[aRequest.m_random / count % count];
-  const Candidate& better = one.m_ms <= other.m_ms ? one : other;
+  const Candidate& better =
+    BetterOfTwo(aCandidates, aRequest.m_random, std::less<Candidate>());
   // Not one that comes too late where the best one would not.
   const bool isFar = better.m_ms > aBest.m_ms + kMostDrawnMs;
   return isFar ? &aBest : &better;
@@ -309,22 +310,29 @@
 Place
 Fleet::WithTaker(const State& aReader,
                  std::span<const State* const> aSound,
-                 const Prompt& aPrompt)
+                 const PlaceRequest& aRequest)
 {
   // The memory moves faster inside a hall; any of its generators will do.
-  const auto taking = [&](const State* aState) {
-    const bool away = aState->m_member.m_hall != aReader.m_member.m_hall;
-    return FirstTokenMs(
-             *aState, WorkToRead(aPrompt, false), MetPaceOf(*aState)) +
-           (away ? kHandOverMs : 0);
-  };
-  const State* taker = nullptr;
+  std::vector<const State*> near;
+  std::vector<const State*> all;
   for (const State* state : aSound) {
-    if (state->m_member.m_part == Part::Generate &&
-        (taker == nullptr || taking(state) < taking(taker))) {
-      taker = state;
+    if (state->m_member.m_part != Part::Generate) {
+      continue;
+    }
+    all.push_back(state);
+    if (state->m_member.m_hall == aReader.m_member.m_hall) {
+      near.push_back(state);
     }
   }
+  const std::int64_t work = WorkToRead(*aRequest.m_prompt, false);
+  const auto takes = [&](const State* aState) {
+    return FirstTokenMs(*aState, work, MetPaceOf(*aState));
+  };
+  const auto sooner = [&](const State* aLeft, const State* aRight) {
+    return takes(aLeft) < takes(aRight);
+  };
+  const State* taker = BetterOfTwo<const State*>(
+    near.empty() ? all : near, aRequest.m_random / kNextDraw, sooner);
   return Place{ taker->m_member.m_id, aReader.m_member.m_id };
 }
 
@@ -375,12 +383,11 @@
   if (wait > aRequest.m_patience) {
     return PlaceFault{ true, wait - aRequest.m_patience };
   }
-  const Candidate& chosen =
-    longPrompt ? *PickReader(candidates, best, aRequest) : best;
+  const Candidate& chosen = *PickReader(candidates, best, aRequest);
   const State& state = *chosen.m_state;
   Place place = state.m_member.m_part == Part::Generate
                   ? Place{ state.m_member.m_id, {} }
-                  : WithTaker(state, aSound, prompt);
+                  : WithTaker(state, aSound, aRequest);
   place.m_expectedMs = chosen.m_ms;
   return place;
 }
--- a/packages/relay/src/FleetReaders.cpp
+++ b/packages/relay/src/FleetReaders.cpp
@@ -3,6 +3,7 @@
 
 #include "ridgeferry/relay/Fleet.h"
 
+#include "DrawnChoice.h"
 #include "EnginePace.h"
 #include "HomeScore.h"
 
@@ -164,12 +165,7 @@
   };
   const Candidate& best =
     *std::min_element(aReaders.begin(), aReaders.end(), less);
-  // Several instances see the same loads, some of them old: if all took the
-  // least loaded one, it would be the most loaded one next.
-  const std::size_t count = aReaders.size();
-  const Candidate& one = aReaders[aRequest.m_random % count];
-  const Candidate& other = aReaders[aRequest.m_random / count % count];
-  const Candidate& better = less(other, one) ? other : one;
+  const Candidate& better = BetterOfTwo(aReaders, aRequest.m_random, less);
   return cost(better) > cost(best) + kMostDrawnMs ? best : better;
 }
 
