Roles: a process contends for the lease once it has heard of the others

Ruled out: the jitter of reads (they are few once the rank is known). Change: a process younger than 1.5 s does not contend.

--- a/packages/entry/src/PartKeeper.cpp
+++ b/packages/entry/src/PartKeeper.cpp
@@ -18,6 +18,9 @@
 constexpr Duration kTick{ 50 };
 /** Instances that try for a free lease; the others read it seldom. */
 constexpr std::size_t kContenders = 2;
+/** Age of a process below which it does not try: it has not heard of the others
+ * yet, and with hundreds that start at once each would. */
+constexpr Duration kHearOthers{ 1500 };
 constexpr Duration kStoreTimeout{ 1000 };
 /** An engine answers within milliseconds; what is later counts as lost. */
 constexpr Duration kEngineTimeout{ 600 };
@@ -55,6 +58,7 @@
 void
 PartKeeper::Start()
 {
+  m_began = m_node.Now();
   m_tick = m_node.m_loop->Every(kTick, [this] { Tick(); });
 }
 
@@ -78,7 +82,8 @@
     return;
   }
   const bool contends =
-    !m_node.m_stop.HasBegun() && m_peers.Rank(kScope) < kContenders;
+    !m_node.m_stop.HasBegun() && m_node.Now() - m_began >= kHearOthers &&
+    m_peers.Rank(kScope) < kContenders;
   HandleLease(authority::LeaseTick{ contends });
   const bool mayOrder =
     !m_node.m_stop.HasBegun() && m_lease.HasAuthority(m_node.Now());
--- a/packages/entry/src/PartKeeper.h
+++ b/packages/entry/src/PartKeeper.h
@@ -63,6 +63,7 @@
   std::string m_written; ///< Of what is found, as the store has it.
   bool m_writing = false;
   bool m_newsChanged = false;
+  Instant m_began;
   net::Watch m_tick;
 };
 
