Lapses: only a peer that was heard through the whole outage speaks against a grace

A hall that was cut off by itself, its engines with it, heard steady peers as it came back: its graces ended, and it took its own engines, whose rows were not back yet, for gone.

Change: words of steady peers count only if they were heard ever since own reads began to fail.

--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -331,7 +331,6 @@
     [this](const relay::ApplyRows& aRows) { TakeConfig(aRows); });
   m_members->SignalRows().connect(
     [this](const relay::ApplyRows& aRows) { TakeMembers(aRows); });
-  m_members->SignalLapsesEnd().connect([this] { m_node.m_fleet.EndLapses(); });
   m_peers->SignalLeaving().connect([this](const std::string& aUpstream) {
     m_node.m_fleet.MarkLeaving(aUpstream);
     m_node.m_log->Write(observe::LogLevel::Info,
--- a/packages/entry/src/PartKeeper.cpp
+++ b/packages/entry/src/PartKeeper.cpp
@@ -81,9 +81,9 @@
   if (!hasEngines) {
     return;
   }
-  const bool contends =
-    !m_node.m_stop.HasBegun() && m_node.Now() - m_began >= kHearOthers &&
-    m_peers.Rank(kScope) < kContenders;
+  const bool contends = !m_node.m_stop.HasBegun() &&
+                        m_node.Now() - m_began >= kHearOthers &&
+                        m_peers.Rank(kScope) < kContenders;
   HandleLease(authority::LeaseTick{ contends });
   const bool mayOrder =
     !m_node.m_stop.HasBegun() && m_lease.HasAuthority(m_node.Now());
--- a/packages/entry/src/StoreReader.cpp
+++ b/packages/entry/src/StoreReader.cpp
@@ -110,7 +110,7 @@
     Handle(relay::PeerLostStore{});
   }
   if (aView.m_steady) {
-    Handle(relay::PeerReadsSteadily{ aVersion });
+    Handle(relay::PeerReadsSteadily{});
   }
   Handle(relay::PeerIsAhead{ aVersion });
 }
@@ -210,17 +210,6 @@
   m_rows.emit(aAction);
 }
 
-void
-StoreReader::Do(const relay::EndLapses&)
-{
-  m_node.m_log->Write(
-    observe::LogLevel::Info,
-    "lapses-ended",
-    { { "table", m_table },
-      { "version", static_cast<std::int64_t>(m_follower.Version()) } });
-  m_lapsesEnd.emit();
-}
-
 void
 StoreReader::Do(const relay::StoreLost& aAction)
 {
--- a/packages/entry/src/StoreReader.h
+++ b/packages/entry/src/StoreReader.h
@@ -32,7 +32,6 @@
   /** Other instances are known by now, or that there are none. */
   void NotePeersListed(bool aAny);
   sigc::signal<void(const relay::ApplyRows&)>& SignalRows() { return m_rows; }
-  sigc::signal<void()>& SignalLapsesEnd() { return m_lapsesEnd; }
 
 private:
   void Handle(const relay::FollowEvent& aEvent);
@@ -42,7 +41,6 @@
   void Do(const relay::DropRead& aAction);
   void Do(const relay::RetryLater& aAction);
   void Do(const relay::ApplyRows& aAction);
-  void Do(const relay::EndLapses& aAction);
   void Do(const relay::StoreLost& aAction);
   void Do(const relay::StoreBack& aAction);
   void Send(const StoreRead& aRead);
@@ -68,7 +66,6 @@
   net::Watch m_retry;
   net::Watch m_ask; ///< Until a peer is asked.
   sigc::signal<void(const relay::ApplyRows&)> m_rows;
-  sigc::signal<void()> m_lapsesEnd;
 };
 
 } // namespace ridgeferry::entry
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -154,8 +154,6 @@
   void Drop(std::string_view aId, std::optional<Instant> aLapsesUntil);
   /** Another instance says that it leaves: it gets no new work. */
   void MarkLeaving(std::string_view aId);
-  /** What was dropped and might have lapsed is gone. */
-  void EndLapses();
   /** Ends the graces that have passed. */
   void Tick(Instant aNow);
 
--- a/packages/relay/include/ridgeferry/relay/LapseGrace.h
+++ b/packages/relay/include/ridgeferry/relay/LapseGrace.h
@@ -12,9 +12,10 @@
  * Rows lapse while the store is away for all, as their owners cannot renew
  * them: without a grace, an outage of some seconds would empty the list of
  * sound upstreams. Without a bound to it, one that has left would get calls for
- * seconds. So an outage counts only if no other instance has read on through
- * it: one that the store turned away, or that was cut off, by itself grants
- * none.
+ * seconds. So an outage counts only if no other instance was heard to read on
+ * through all of it: one that the store alone turned away grants none. One that
+ * was cut off with its hall heard nobody, and the rows of that hall's upstreams
+ * did lapse: it grants some.
  *
  * Decisions only; not thread-safe.
  */
@@ -42,7 +43,7 @@
    */
   static constexpr Duration kSteadyFor{ 1000 };
 
-  void NoteFailure();
+  void NoteFailure(Instant aNow);
   /** True: it is the first one behind an outage. */
   bool NoteAnswer(Instant aNow);
   /** A peer's reads fail, and nobody's are heard to succeed. */
@@ -63,6 +64,8 @@
   bool HearsOfSteady(Instant aNow) const;
 
   bool m_lost = false;
+  /** Steady peers were heard ever since own reads began to fail. */
+  bool m_heardThrough = false;
   std::optional<Instant> m_answersSince; ///< Without a failure; nothing: none.
   Instant m_lastAnswer;
   std::optional<Instant> m_peerSteadyAt;
--- a/packages/relay/include/ridgeferry/relay/TableFollower.h
+++ b/packages/relay/include/ridgeferry/relay/TableFollower.h
@@ -60,12 +60,9 @@
  * succeed. */
 struct PeerLostStore
 {};
-/** Another instance's reads are steady (`LapseGrace::IsSteady`), and it has
- * read changes up to that version. */
+/** Another instance's reads are steady: see `LapseGrace::IsSteady`. */
 struct PeerReadsSteadily
-{
-  std::uint64_t m_version = 0;
-};
+{};
 /** Whether this instance is one of those that keep an eye on the store. */
 struct DutyChanged
 {
@@ -121,10 +118,6 @@
    * only have lapsed, and come back. Nothing: removed is gone. */
   std::optional<Instant> m_lapsesUntil;
 };
-/** What was removed within a grace is gone: nothing had lapsed, or all that had
- * is back. */
-struct EndLapses
-{};
 struct StoreLost
 {
   std::string m_cause;
@@ -138,7 +131,6 @@
                                   DropRead,
                                   RetryLater,
                                   ApplyRows,
-                                  EndLapses,
                                   StoreLost,
                                   StoreBack>;
 
@@ -243,7 +235,6 @@
   bool m_hasRead = false;
   bool m_needsTable = true;
   LapseGrace m_grace;
-  bool m_mayHaveLapsed = false; ///< Something was removed within a grace.
   bool m_onDuty = true;
   bool m_asking = false;     ///< A read of the store is under way.
   bool m_askingPeer = false; ///< A peer is asked.
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -88,14 +88,6 @@
   }
 }
 
-void
-Fleet::EndLapses()
-{
-  std::erase_if(m_members, [](const auto& aEntry) {
-    return aEntry.second.m_goneAt.has_value();
-  });
-}
-
 void
 Fleet::Tick(Instant aNow)
 {
--- a/packages/relay/src/LapseGrace.cpp
+++ b/packages/relay/src/LapseGrace.cpp
@@ -6,9 +6,11 @@
 namespace ridgeferry::relay {
 
 void
-LapseGrace::NoteFailure()
+LapseGrace::NoteFailure(Instant aNow)
 {
-  m_lost = true;
+  if (!std::exchange(m_lost, true)) {
+    m_heardThrough = HearsOfSteady(aNow);
+  }
   m_answersSince.reset();
 }
 
@@ -23,7 +25,7 @@
   if (!std::exchange(m_lost, false)) {
     return false;
   }
-  if (!HearsOfSteady(aNow)) {
+  if (!m_heardThrough || !HearsOfSteady(aNow)) {
     m_until = aNow + kLapseTime;
   }
   return true;
@@ -43,8 +45,8 @@
 void
 LapseGrace::NotePeerSteady(Instant aNow)
 {
+  m_heardThrough = m_heardThrough && HearsOfSteady(aNow);
   m_peerSteadyAt = aNow;
-  m_until.reset();
 }
 
 bool
--- a/packages/relay/src/TableFollower.cpp
+++ b/packages/relay/src/TableFollower.cpp
@@ -92,9 +92,7 @@
                     Instant aNow,
                     Actions& aActions)
 {
-  const auto until = m_grace.Until(aNow);
-  m_mayHaveLapsed = m_mayHaveLapsed || until.has_value();
-  aActions.emplace_back(ApplyRows{ std::move(aRows), until });
+  aActions.emplace_back(ApplyRows{ std::move(aRows), m_grace.Until(aNow) });
 }
 
 void
@@ -192,13 +190,13 @@
 }
 
 void
-TableFollower::On(const ReadFailed& aEvent, Instant, Actions& aActions)
+TableFollower::On(const ReadFailed& aEvent, Instant aNow, Actions& aActions)
 {
   m_asking = false;
   if (!m_grace.IsLost()) {
     aActions.emplace_back(StoreLost{ aEvent.m_cause });
   }
-  m_grace.NoteFailure();
+  m_grace.NoteFailure(aNow);
   aActions.emplace_back(RetryLater{ m_retry });
   m_retry = std::min(m_retry * 2, kLongestRetry);
 }
@@ -259,16 +257,9 @@
 }
 
 void
-TableFollower::On(const PeerReadsSteadily& aEvent,
-                  Instant aNow,
-                  Actions& aActions)
+TableFollower::On(const PeerReadsSteadily&, Instant aNow, Actions&)
 {
   m_grace.NotePeerSteady(aNow);
-  // What is back by that version must have been read here too.
-  if (m_mayHaveLapsed && aEvent.m_version <= m_table.ChangedVersion()) {
-    m_mayHaveLapsed = false;
-    aActions.emplace_back(EndLapses{});
-  }
 }
 
 void
