Store: who has read the store asks no peer any more

Cause: found on reading: a peer that was asked before the store answered had nothing new, which counted as a failure, and the next peer was asked, without an end. Test: RestingTest.AsksNobodyOnceTheStoreHasAnswered (failed first by reading: the repeated ask was unconditional).

--- a/packages/relay/src/TableFollower.cpp
+++ b/packages/relay/src/TableFollower.cpp
@@ -142,7 +142,9 @@
     return;
   }
   if (!m_needsTable) {
-    AskAPeer(kAskWithin, aActions); // Until the patience is over.
+    if (m_behindSince) {
+      AskAPeer(kAskWithin, aActions); // Until the patience is over.
+    }
   } else if (++m_startTries < kStartTries) {
     AskAPeer({}, aActions);
   }
--- a/packages/relay/tests/TableFollowerPeersTest.cpp
+++ b/packages/relay/tests/TableFollowerPeersTest.cpp
@@ -73,6 +73,16 @@
   EXPECT_TRUE(Handle(PeerFailed{}, 1010).empty());
 }
 
+// A peer that was asked before the store answered has nothing new any more.
+TEST_F(RestingTest, AsksNobodyOnceTheStoreHasAnswered)
+{
+  Handle(PeerIsAhead{ 12 }, 200);
+  Handle(RetryDue{}, 1000);
+  Handle(ChangesRead{ { { "a", "1", false, 12 } }, 12 }, 1010);
+  EXPECT_TRUE(Handle(PeerAnswered{ Slice(12, false, "1") }, 1020).empty());
+  EXPECT_TRUE(Handle(PeerFailed{}, 1030).empty());
+}
+
 /** A peer's answer that is of no use. */
 struct BadSliceCase
 {
