--- a/packages/entry/src/PeerRows.h
+++ b/packages/entry/src/PeerRows.h
@@ -29,7 +29,7 @@
   void Serve(Table aTable, Source aSource);
   /** Asks one that has read changes after a version; `aAnswered` comes later,
    * once. */
-  void Ask(Table aTable, std::uint64_t aAfter, Answered aAnswered);
+  void Ask(Table aTable, std::uint64_t aAfter, const Answered& aAnswered);
 
 private:
   void Answer(net::HttpExchange& aExchange);
--- a/packages/membership/tests/RosterTest.cpp
+++ b/packages/membership/tests/RosterTest.cpp
@@ -260,7 +260,8 @@
   const double each = static_cast<double>(world.Sent() - before) /
                       (that.m_halls * that.m_inHall) / 2.0;
   EXPECT_LE(each, 450);
-  const auto all = static_cast<std::size_t>(that.m_halls * that.m_inHall);
+  const std::size_t all = static_cast<std::size_t>(that.m_halls) *
+                          static_cast<std::size_t>(that.m_inHall);
   // Who is told seldom may be missed for a moment where words are lost.
   EXPECT_GE(world.Of(0).LiveCount(),
             that.m_lostOneIn == 0 ? all : all * 9 / 10);
--- a/packages/relay/tests/LapseGraceTest.cpp
+++ b/packages/relay/tests/LapseGraceTest.cpp
@@ -226,6 +226,7 @@
                                 : std::nullopt,
                          *rc::gen::inRange(0, kBackMs));
     std::vector<Follower> all;
+    all.reserve(kInstances);
     for (int i = 0; i < kInstances; ++i) {
       all.emplace_back(AnySpan(9000), i == 0 ? cut : Span{}, AnySpan(6000));
     }
@@ -263,6 +264,7 @@
     const int leavesAt = *rc::gen::inRange(from, kEndMs);
     const StoreRow store({}, {}, leavesAt, 0);
     std::vector<Follower> all;
+    all.reserve(kInstances);
     for (int i = 0; i < kInstances; ++i) {
       all.emplace_back(i == 0 ? away : Span{}, Span{}, Span{});
     }
