Lease: each process reads it once at its start

Ruled out: lapses (the same before they were narrowed), drawn engines and the first seconds (equal windows).

Change: one read at the start, tried until it is answered; contending 0.5 s after the start once the others are listed.

--- a/packages/authority/include/ridgeferry/authority/Lease.h
+++ b/packages/authority/include/ridgeferry/authority/Lease.h
@@ -90,8 +90,8 @@
   Duration m_renewEvery{ 2000 };
   Duration m_pollEvery{ 1000 };
   /** How many times more seldom a process reads that does not contend: with
-   * 45 instances a hall the reads would be most of the table's. 0: it does not
-   * read until it contends. */
+   * 45 instances a hall the reads would be most of the table's. 0: it reads
+   * once, at its start, and then not until it contends. */
   int m_seldom = 10;
 };
 
@@ -154,6 +154,7 @@
   table::Version m_seenVersion = 0;
   table::Version m_seenFenceVersion = 0;
   std::optional<Instant> m_unchangedSince; ///< Empty: never read.
+  bool m_hasRead = false;
 
   std::optional<OpenWrite> m_open;
   std::uint64_t m_lastAttempt = 0;
--- a/packages/authority/src/Lease.cpp
+++ b/packages/authority/src/Lease.cpp
@@ -1,5 +1,6 @@
 #include "ridgeferry/authority/Lease.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <ridgeferry/base/Overloaded.h>
 
@@ -99,7 +100,7 @@
     Write({ m_process, m_seen.m_fencing + 1, 0, false }, true, aNow, aActions);
     return;
   }
-  if (!aTick.m_contends && m_times.m_seldom == 0) {
+  if (!aTick.m_contends && m_times.m_seldom == 0 && m_hasRead) {
     // What was seen before may be long out of date once it contends.
     m_unchangedSince.reset();
     m_nextRead.reset();
@@ -107,7 +108,8 @@
   }
   if (aNow >= m_nextRead.value_or(aNow)) {
     m_nextRead =
-      aNow + m_times.m_pollEvery * (aTick.m_contends ? 1 : m_times.m_seldom);
+      aNow + m_times.m_pollEvery *
+               (aTick.m_contends ? 1 : std::max(1, m_times.m_seldom));
     aActions.emplace_back(ReadLease{});
   }
 }
@@ -133,6 +135,7 @@
   if (!row) {
     return;
   }
+  m_hasRead = true;
   m_seenFenceVersion = aRead.m_fence.m_row.m_version;
   NoteRow(aRead.m_lease.m_row, *row, aNow);
   if (m_open && m_open->m_row == *row) {
--- a/packages/entry/src/PartKeeper.cpp
+++ b/packages/entry/src/PartKeeper.cpp
@@ -19,8 +19,9 @@
 /** Instances that try for a free lease; the others read it seldom. */
 constexpr std::size_t kContenders = 2;
 /** Age of a process below which it does not try: it has not heard of the others
- * yet, and with hundreds that start at once each would. */
-constexpr Duration kHearOthers{ 1500 };
+ * yet, and with hundreds that start at once each would. Twice the longest time
+ * between two words of a peer of its hall. */
+constexpr Duration kHearOthers{ 500 };
 constexpr Duration kStoreTimeout{ 1000 };
 /** An engine answers within milliseconds; what is later counts as lost. */
 constexpr Duration kEngineTimeout{ 600 };
@@ -81,7 +82,7 @@
   if (!hasEngines) {
     return;
   }
-  const bool contends = !m_node.m_stop.HasBegun() &&
+  const bool contends = !m_node.m_stop.HasBegun() && m_peers.HasListed() &&
                         m_node.Now() - m_began >= kHearOthers &&
                         m_peers.Rank(kScope) < kContenders;
   HandleLease(authority::LeaseTick{ contends });
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -456,6 +456,7 @@
 {
   membership::InstancesListed listed;
   m_listedAddresses.clear();
+  m_hasListed = true;
   for (const relay::FollowedRow& row : aPage.m_rows) {
     if (row.m_key != m_node.m_settings.m_instance) {
       listed.m_instances.push_back({ row.m_key, row.m_value });
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -60,7 +60,9 @@
    * the store lists. */
   std::optional<std::string> PickAhead(Table aTable,
                                        std::uint64_t aAfter) const;
-  /** The store's rows of instances were read; whether there are others. */
+  /** The store's rows of instances were read. */
+  bool HasListed() const { return m_hasListed; }
+  /** The same, when it happens; whether there are others. */
   sigc::signal<void(bool)>& SignalListed() { return m_listed; }
 
   /** How far another instance has read the store; lost: for all that is heard,
@@ -110,6 +112,7 @@
   net::Watch m_tick;
   net::Watch m_retry;
   std::vector<std::string> m_listedAddresses;
+  bool m_hasListed = false;
   sigc::signal<void(bool)> m_listed;
   sigc::signal<void(const std::string&)> m_leaves;
   sigc::signal<void(const membership::StoreView&)> m_storeViews;
