--- a/packages/relay/include/ridgeferry/relay/HallLoads.h
+++ b/packages/relay/include/ridgeferry/relay/HallLoads.h
@@ -11,9 +11,10 @@
 /**
  * What the instances of one hall have under way together, for those of other
  * halls: with hundreds of instances each cannot tell each other often enough.
- * Told to all, 295 instances knew of each other's calls, which last a tenth of
- * a second, 0.6 s late on average; as sums it is a quarter of that, for fewer
- * bytes. Decisions only; not thread-safe.
+ * Told
+ * to all, 295 instances knew of each other's calls, which last a tenth of a
+ * second, 0.6 s late on average (computed from the time between two words).
+ * Decisions only; not thread-safe.
  */
 class HallLoads
 {
