Lapses: the instances of an upstream's data centre say whether its row can have lapsed

Cause: an instance whose reads had failed took each missing row for one that may have lapsed, for 2.3 s from its first answer on, wherever the upstream stood. Mended: instances tell each other for how long their reads have gone on without a failure. Since an upstream shares its data centre's way to the store, a grace for its row ends 2.1 s after the first of its data centre's instances began to read, as rows are back two seconds after the store is; where they read on all the while there is none. Own outages without such a word keep the time, now 2.1 s instead of 2.3: a read that met the outage ends 0.8 s after it, so all graces end within 3 s. Ruled out: late reading alone (first answers came 0.6 to 0.8 s after the cut).

--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -64,6 +64,10 @@
   void TakeMembers(const relay::ApplyRows& aRows);
   void TakeMember(const relay::FollowedRow& aRow,
                   std::optional<Instant> aLapsesUntil);
+  void TakeRemoval(const std::string& aUpstream,
+                   std::optional<Instant> aLapsesUntil);
+  /** Peers may have told since that upstreams of their hall have not lapsed. */
+  void BoundGraces();
   bool IsReady() const;
   membership::StoreView StoreView() const;
   void Tick();
@@ -141,16 +145,7 @@
                         std::optional<Instant> aLapsesUntil)
 {
   if (aRow.m_removed) {
-    m_node.m_fleet.Drop(aRow.m_key, aLapsesUntil);
-    m_peers->NoteGone(aRow.m_key);
-    m_parts->NoteGone(aRow.m_key);
-    const Instant now = m_node.Now();
-    const Duration lapse = aLapsesUntil.value_or(now) - now;
-    m_node.m_log->Write(observe::LogLevel::Info,
-                        "upstream-gone",
-                        { { "upstream", aRow.m_key },
-                          { "mayHaveLapsed", aLapsesUntil.has_value() },
-                          { "lapsesForMs", lapse.count() } });
+    TakeRemoval(aRow.m_key, aLapsesUntil);
     return;
   }
   const auto member = m_node.m_dialect.m_readMember(aRow.m_key, aRow.m_value);
@@ -173,6 +168,41 @@
                         { "leaving", member->m_leaving } });
 }
 
+void
+Entry::Impl::TakeRemoval(const std::string& aUpstream,
+                         std::optional<Instant> aLapsesUntil)
+{
+  const Instant now = m_node.Now();
+  const relay::Member* member = m_node.m_fleet.Find(aUpstream);
+  const auto reads =
+    member == nullptr ? std::nullopt : m_peers->HallReadsSince(member->m_hall);
+  const auto until = relay::LapseGrace::Bounded(aLapsesUntil, reads, now);
+  m_node.m_fleet.Drop(aUpstream, until);
+  m_peers->NoteGone(aUpstream);
+  m_parts->NoteGone(aUpstream);
+  const Duration lapse = until.value_or(now) - now;
+  const Duration readsFor = now - reads.value_or(now);
+  m_node.m_log->Write(observe::LogLevel::Info,
+                      "upstream-gone",
+                      { { "upstream", aUpstream },
+                        { "mayHaveLapsed", until.has_value() },
+                        { "lapsesForMs", lapse.count() },
+                        { "itsHallReadsForMs", readsFor.count() } });
+}
+
+void
+Entry::Impl::BoundGraces()
+{
+  if (!m_node.m_fleet.HasLapsed()) {
+    return;
+  }
+  for (const std::string& hall : m_peers->Halls()) {
+    if (const auto since = m_peers->HallReadsSince(hall)) {
+      m_node.m_fleet.BoundGraces(hall, *since + relay::LapseGrace::kLapseTime);
+    }
+  }
+}
+
 void
 Entry::Impl::TellRead()
 {
@@ -203,7 +233,8 @@
   return { config.ChangedVersion(),
            members.ChangedVersion(),
            config.IsLost() || members.IsLost(),
-           members.IsSteady(m_node.Now()) };
+           members.IsSteady(m_node.Now()),
+           members.ReadsFor(m_node.Now()) };
 }
 
 void
@@ -219,6 +250,7 @@
 void
 Entry::Impl::Tick()
 {
+  BoundGraces();
   m_node.m_fleet.Tick(m_node.Now());
   const bool onDuty = m_peers->IsOnDuty();
   const bool byPlace = m_peers->IsOnDutyByPlace();
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -222,6 +222,22 @@
   return Duty().IsOnDutyByPlace();
 }
 
+std::optional<Instant>
+Peers::HallReadsSince(std::string_view aHall) const
+{
+  return Duty().ReadsSince(aHall, m_node.Now());
+}
+
+std::set<std::string>
+Peers::Halls() const
+{
+  std::set<std::string> out;
+  for (const auto& [name, peer] : m_roster.Peers()) {
+    out.insert(peer.m_last.m_hall);
+  }
+  return out;
+}
+
 std::optional<std::string>
 Peers::PickAhead(Table aTable, std::uint64_t aAfter) const
 {
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -63,6 +63,9 @@
   /** Its reads of upstreams have gone on for so long that whatever had lapsed
    * before is back or gone. */
   bool m_steady = false;
+  /** For how long its reads of upstreams have gone on without a failure;
+   * nothing: they fail, or it makes none. */
+  std::optional<Duration> m_readsFor = {};
   bool operator==(const StoreView&) const = default;
 };
 
--- a/packages/membership/include/ridgeferry/membership/StoreDuty.h
+++ b/packages/membership/include/ridgeferry/membership/StoreDuty.h
@@ -34,6 +34,11 @@
 
   /** Whether any other instance on duty is heard whose reads succeed. */
   bool HearsOfStore(Instant aNow) const;
+  /**
+   * Since when some instance of a hall has read the store without a failure,
+   * of those that are heard now; nothing: none is.
+   */
+  std::optional<Instant> ReadsSince(std::string_view aHall, Instant aNow) const;
   /** Whether the asker is on duty: by its place, or as it hears of nobody whose
    * reads succeed. */
   bool IsOnDuty(Instant aNow) const;
@@ -41,6 +46,7 @@
   bool IsOnDutyByPlace() const;
 
 private:
+  bool IsFresh(const PeerView& aPeer, Instant aNow) const;
   bool IsFirst(const std::string& aInstance, const std::string& aHall) const;
 
   const Roster& m_roster;
--- a/packages/membership/src/StoreDuty.cpp
+++ b/packages/membership/src/StoreDuty.cpp
@@ -36,13 +36,34 @@
   const auto& peers = m_roster.Peers();
   return std::any_of(peers.begin(), peers.end(), [&](const auto& aEntry) {
     const PeerView& peer = aEntry.second;
-    const Duration fresh = m_roster.IntervalOf(peer) * kFreshTalks;
     return !peer.m_last.m_leaving && peer.m_last.m_store &&
-           !peer.m_last.m_store->m_lost && aNow - peer.m_heardAt <= fresh &&
+           !peer.m_last.m_store->m_lost && IsFresh(peer, aNow) &&
            IsFirst(aEntry.first, peer.m_last.m_hall);
   });
 }
 
+bool
+StoreDuty::IsFresh(const PeerView& aPeer, Instant aNow) const
+{
+  return aNow - aPeer.m_heardAt <= m_roster.IntervalOf(aPeer) * kFreshTalks;
+}
+
+std::optional<Instant>
+StoreDuty::ReadsSince(std::string_view aHall, Instant aNow) const
+{
+  std::optional<Instant> since;
+  for (const auto& [name, peer] : m_roster.Peers()) {
+    const auto& view = peer.m_last.m_store;
+    const bool reads = view && view->m_readsFor && !view->m_lost;
+    if (!reads || peer.m_last.m_hall != aHall || !IsFresh(peer, aNow)) {
+      continue;
+    }
+    const Instant began = peer.m_heardAt - *view->m_readsFor;
+    since = std::min(since.value_or(began), began);
+  }
+  return since;
+}
+
 bool
 StoreDuty::IsOnDuty(Instant aNow) const
 {
--- a/packages/membership/tests/StoreDutyTest.cpp
+++ b/packages/membership/tests/StoreDutyTest.cpp
@@ -120,5 +120,64 @@
   EXPECT_TRUE(duty.IsOnDuty(kStart));
 }
 
+/** What one instance of a hall says of its reads, and since when that hall then
+ * counts as reading, seen half a second after the start. */
+struct ReadsCase
+{
+  const char* m_name;
+  const char* m_hall;
+  std::optional<int> m_readsForMs;
+  bool m_lost;
+  int m_heardBeforeMs;
+  std::optional<int> m_sinceMs; ///< From the start; negative: before it.
+};
+
+class HallReadsTest : public ::testing::TestWithParam<ReadsCase>
+{};
+
+TEST_P(HallReadsTest, AHallReadsAsLongAsOneOfItsInstancesDoes)
+{
+  const ReadsCase& that = GetParam();
+  const Instant now = kStart + Duration{ 500 };
+  Heartbeat heartbeat = From("a", that.m_hall, that.m_lost);
+  if (that.m_readsForMs) {
+    heartbeat.m_store->m_readsFor = Duration{ *that.m_readsForMs };
+  }
+  Roster roster("self");
+  roster.Handle(HeartbeatArrived{ heartbeat },
+                now - Duration{ that.m_heardBeforeMs });
+  const StoreDuty duty(roster, { "self", "here", false });
+  const auto since = duty.ReadsSince("hall", now);
+  ASSERT_EQ(since.has_value(), that.m_sinceMs.has_value());
+  if (since) {
+    EXPECT_EQ(*since, kStart + Duration{ *that.m_sinceMs });
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Words,
+  HallReadsTest,
+  ::testing::Values(
+    ReadsCase{ "Reads", "hall", 900, false, 0, -400 },
+    ReadsCase{ "HeardALittleBefore", "hall", 900, false, 100, -500 },
+    ReadsCase{ "OfAnotherHall", "other", 900, false, 0, {} },
+    ReadsCase{ "MakesNoReads", "hall", {}, false, 0, {} },
+    ReadsCase{ "Fails", "hall", 900, true, 0, {} },
+    ReadsCase{ "SilentSince", "hall", 900, false, 9000, {} }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+TEST(HallReadsTwoTest, TheLongestReaderSpeaksForTheHall)
+{
+  Roster roster("self");
+  for (const int readsForMs : { 300, 5000, 40 }) {
+    Heartbeat heartbeat =
+      From("i-" + std::to_string(readsForMs), "hall", false);
+    heartbeat.m_store->m_readsFor = Duration{ readsForMs };
+    roster.Handle(HeartbeatArrived{ heartbeat }, kStart);
+  }
+  const StoreDuty duty(roster, { "self", "here", false });
+  EXPECT_EQ(duty.ReadsSince("hall", kStart), kStart - Duration{ 5000 });
+}
+
 } // namespace
 } // namespace ridgeferry::membership
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -120,6 +120,11 @@
   this->tellsHall = val;
 __isset.tellsHall = true;
 }
+
+void Heartbeat::__set_storeReadsForMs(const int64_t val) {
+  this->storeReadsForMs = val;
+__isset.storeReadsForMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -451,6 +456,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeReadsForMs);
+          this->__isset.storeReadsForMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -665,6 +678,11 @@
     xfer += oprot->writeBool(this->tellsHall);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.storeReadsForMs) {
+    xfer += oprot->writeFieldBegin("storeReadsForMs", ::apache::thrift::protocol::T_I64, 23);
+    xfer += oprot->writeI64(this->storeReadsForMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -694,6 +712,7 @@
   swap(a.servicesApart, b.servicesApart);
   swap(a.storeSteady, b.storeSteady);
   swap(a.tellsHall, b.tellsHall);
+  swap(a.storeReadsForMs, b.storeReadsForMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -720,6 +739,7 @@
   servicesApart = other60.servicesApart;
   storeSteady = other60.storeSteady;
   tellsHall = other60.tellsHall;
+  storeReadsForMs = other60.storeReadsForMs;
   __isset = other60.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other61) {
@@ -745,6 +765,7 @@
   servicesApart = other61.servicesApart;
   storeSteady = other61.storeSteady;
   tellsHall = other61.tellsHall;
+  storeReadsForMs = other61.storeReadsForMs;
   __isset = other61.__isset;
   return *this;
 }
@@ -773,6 +794,7 @@
   out << ", " << "servicesApart="; (__isset.servicesApart ? (out << to_string(servicesApart)) : (out << "<null>"));
   out << ", " << "storeSteady="; (__isset.storeSteady ? (out << to_string(storeSteady)) : (out << "<null>"));
   out << ", " << "tellsHall="; (__isset.tellsHall ? (out << to_string(tellsHall)) : (out << "<null>"));
+  out << ", " << "storeReadsForMs="; (__isset.storeReadsForMs ? (out << to_string(storeReadsForMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -36,7 +36,7 @@
 class ChangesReply;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false) {}
+  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false) {}
   bool leavingUpstreams :1;
   bool engines :1;
   bool states :1;
@@ -52,6 +52,7 @@
   bool servicesApart :1;
   bool storeSteady :1;
   bool tellsHall :1;
+  bool storeReadsForMs :1;
 } _Heartbeat__isset;
 
 /**
@@ -74,7 +75,8 @@
               membersVersion(0),
               storeLost(0),
               storeSteady(0),
-              tellsHall(0) {
+              tellsHall(0),
+              storeReadsForMs(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -134,6 +136,11 @@
    * The loads and the work are those of all instances of the sender's hall.
    */
   bool tellsHall;
+  /**
+   * For how long the sender's reads of upstreams have gone on without a
+   * failure, in milliseconds; not set: they fail, or it makes none.
+   */
+  int64_t storeReadsForMs;
 
   _Heartbeat__isset __isset;
 
@@ -181,6 +188,8 @@
 
   void __set_tellsHall(const bool val);
 
+  void __set_storeReadsForMs(const int64_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -257,6 +266,10 @@
       return false;
     else if (__isset.tellsHall && !(tellsHall == rhs.tellsHall))
       return false;
+    if (__isset.storeReadsForMs != rhs.__isset.storeReadsForMs)
+      return false;
+    else if (__isset.storeReadsForMs && !(storeReadsForMs == rhs.storeReadsForMs))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -49,6 +49,9 @@
   21: optional bool storeSteady;
   /** The loads and the work are those of all instances of the sender's hall. */
   22: optional bool tellsHall;
+  /** For how long the sender's reads of upstreams have gone on without a
+   * failure, in milliseconds; not set: they fail, or it makes none. */
+  23: optional i64 storeReadsForMs;
 }
 
 /** Asks a peer for what it has read of a table of the store. */
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -130,6 +130,9 @@
     out.__set_membersVersion(static_cast<std::int64_t>(store.m_membersVersion));
     out.__set_storeLost(store.m_lost);
     out.__set_storeSteady(store.m_steady);
+    if (store.m_readsFor) {
+      out.__set_storeReadsForMs(store.m_readsFor->count());
+    }
   }
   return Write(out);
 }
@@ -240,7 +243,10 @@
     out.m_store = { static_cast<std::uint64_t>(in->configVersion),
                     static_cast<std::uint64_t>(in->membersVersion),
                     in->storeLost,
-                    in->storeSteady };
+                    in->storeSteady,
+                    in->__isset.storeReadsForMs
+                      ? std::optional(Duration{ in->storeReadsForMs })
+                      : std::nullopt };
   }
   return out;
 }
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -38,7 +38,11 @@
     out.m_store = { *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62U),
                     *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62U),
                     *rc::gen::arbitrary<bool>(),
-                    *rc::gen::arbitrary<bool>() };
+                    *rc::gen::arbitrary<bool>(),
+                    std::nullopt };
+    if (*rc::gen::arbitrary<bool>()) {
+      out.m_store->m_readsFor = Duration{ *rc::gen::inRange(0, 1 << 30) };
+    }
   }
   return out;
 }
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -152,6 +152,8 @@
   /** `aLapsesUntil`: the list was out of reach not long ago, and a member that
    * has vanished may only have lapsed there; it stays until then. */
   void Drop(std::string_view aId, std::optional<Instant> aLapsesUntil);
+  /** The grace of members of a hall that have vanished ends no later. */
+  void BoundGraces(std::string_view aHall, Instant aUntil);
   /** Another instance says that it leaves: it gets no new work. */
   void MarkLeaving(std::string_view aId);
   /** Ends the graces that have passed. */
--- a/packages/relay/include/ridgeferry/relay/LapseGrace.h
+++ b/packages/relay/include/ridgeferry/relay/LapseGrace.h
@@ -14,8 +14,8 @@
  * sound upstreams. Without a bound to it, one that has left would get calls for
  * seconds. So an outage counts only if no other instance was heard to read on
  * through all of it: one that the store alone turned away grants none. One that
- * was cut off with its hall heard nobody, and the rows of that hall's upstreams
- * did lapse: it grants some.
+ * was cut off with its hall heard nobody: the rows of that hall's upstreams did
+ * lapse, those of other halls did not, as their instances say (`Bounded`).
  *
  * Decisions only; not thread-safe.
  */
@@ -25,11 +25,10 @@
   /**
    * How long after the first answer behind an outage a removed row may only
    * have lapsed. Rows of sound upstreams are back two seconds after the store's
-   * own return; a follower notices the return up to 0.6 s late and reads with
-   * 0.3 s of patience. So all graces have ended three seconds after it, when
-   * what is gone binds again.
+   * own return; a follower notices the return up to 0.8 s late. So all graces
+   * have ended three seconds after it, when what is gone binds again.
    */
-  static constexpr Duration kLapseTime{ 2300 };
+  static constexpr Duration kLapseTime{ 2100 };
   /** The same after the last word of a peer's outage, which comes up to a
    * second after that peer's first answer. */
   static constexpr Duration kPeerLapseTime{ 1400 };
@@ -59,6 +58,18 @@
   /** Until when a row whose removal is read now may only have lapsed; nothing:
    * it is gone. */
   std::optional<Instant> Until(Instant aNow) const;
+  /** For how long own reads have gone on without a failure. For the peers. */
+  std::optional<Duration> ReadsFor(Instant aNow) const;
+  /**
+   * The end of a grace for a row, by what is known of its upstream's hall:
+   * `aHallReadsSince`, since when some instance there has read the store
+   * without a failure. Its upstreams have reached the store for as long, so a
+   * row that lapsed before is back by then, and one that is missing is gone.
+   * Nothing: there is no grace.
+   */
+  static std::optional<Instant> Bounded(std::optional<Instant> aUntil,
+                                        std::optional<Instant> aHallReadsSince,
+                                        Instant aNow);
 
 private:
   bool HearsOfSteady(Instant aNow) const;
--- a/packages/relay/include/ridgeferry/relay/TableFollower.h
+++ b/packages/relay/include/ridgeferry/relay/TableFollower.h
@@ -234,6 +234,11 @@
   bool IsLost() const { return m_grace.IsLost(); }
   /** See `LapseGrace::IsSteady`. */
   bool IsSteady(Instant aNow) const { return m_grace.IsSteady(aNow); }
+  /** See `LapseGrace::ReadsFor`. */
+  std::optional<Duration> ReadsFor(Instant aNow) const
+  {
+    return m_grace.ReadsFor(aNow);
+  }
 
 private:
   using Actions = std::vector<FollowAction>;
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -79,6 +79,16 @@
   m_members.erase(found);
 }
 
+void
+Fleet::BoundGraces(std::string_view aHall, Instant aUntil)
+{
+  for (auto& [id, state] : m_members) {
+    if (state.m_goneAt && state.m_member.m_hall == aHall) {
+      state.m_goneAt = std::min(*state.m_goneAt, aUntil);
+    }
+  }
+}
+
 void
 Fleet::MarkLeaving(std::string_view aId)
 {
--- a/packages/relay/src/LapseGrace.cpp
+++ b/packages/relay/src/LapseGrace.cpp
@@ -56,6 +56,26 @@
          m_lastAnswer - *m_answersSince >= kLapseTime;
 }
 
+std::optional<Duration>
+LapseGrace::ReadsFor(Instant aNow) const
+{
+  if (!m_answersSince || aNow - m_lastAnswer > kAnswerAge) {
+    return std::nullopt;
+  }
+  return aNow - *m_answersSince;
+}
+
+std::optional<Instant>
+LapseGrace::Bounded(std::optional<Instant> aUntil,
+                    std::optional<Instant> aHallReadsSince,
+                    Instant aNow)
+{
+  if (aUntil && aHallReadsSince) {
+    aUntil = std::min(*aUntil, *aHallReadsSince + kLapseTime);
+  }
+  return aUntil && aNow < *aUntil ? aUntil : std::nullopt;
+}
+
 bool
 LapseGrace::HearsOfSteady(Instant aNow) const
 {
--- a/packages/relay/src/TableFollower.cpp
+++ b/packages/relay/src/TableFollower.cpp
@@ -249,12 +249,12 @@
   // Once for each version: what the store does not tell now it will not tell.
   const bool isNew =
     aEvent.m_version > m_table.Version() && aEvent.m_version > m_askedAnewFor;
-  if (!isNew || m_askingPeer) {
+  if (!isNew) {
     return;
   }
   if (m_needsTable) {
     // A whole read takes its time, the longer the more instances make one.
-    if (!m_asking) {
+    if (!m_asking && !m_askingPeer) {
       AskAPeer({}, aActions);
     }
     return;
@@ -268,7 +268,9 @@
   if (m_grace.IsLost()) {
     // That peer is served, or was before this one's outage: it can pass on what
     // the store may withhold from this one for long.
-    AskAPeer(kAskWithin, aActions);
+    if (!m_askingPeer) {
+      AskAPeer(kAskWithin, aActions);
+    }
     return;
   }
   if (!m_asking) {
--- a/packages/relay/tests/FleetTest.cpp
+++ b/packages/relay/tests/FleetTest.cpp
@@ -121,6 +121,22 @@
     std::holds_alternative<Place>(m_fleet.FindPlace(request, kNow + kGrace)));
 }
 
+// Instances of its hall have said that its rows cannot have lapsed; a bound
+// ends a grace, and never makes or lengthens one.
+TEST_F(FleetTest, AGraceIsBoundedForTheMembersOfOneHall)
+{
+  const std::string hall = m_fleet.Find("b")->m_hall;
+  m_fleet.Drop("b", kNow + kGrace);
+  m_fleet.BoundGraces("another", kNow);
+  m_fleet.BoundGraces(hall, kNow + kGrace * 2);
+  m_fleet.Tick(kNow + kGrace - Duration{ 1 });
+  EXPECT_NE(m_fleet.Find("b"), nullptr);
+  m_fleet.BoundGraces(hall, kNow);
+  m_fleet.Tick(kNow);
+  EXPECT_EQ(m_fleet.Find("b"), nullptr);
+  EXPECT_NE(m_fleet.Find("a"), nullptr);
+}
+
 TEST_F(FleetTest, AMemberThatVanishesInACalmStoreIsGone)
 {
   m_fleet.Drop("b", std::nullopt);
