Logs: a line when a grace ends

A removal that was first taken for a lapse and then bounded by peers' words left no trace of when the upstream fell out of use.

--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -251,7 +251,11 @@
 Entry::Impl::Tick()
 {
   BoundGraces();
-  m_node.m_fleet.Tick(m_node.Now());
+  for (const std::string& upstream : m_node.m_fleet.Tick(m_node.Now())) {
+    m_node.m_log->Write(observe::LogLevel::Info,
+                        "upstream-grace-ended",
+                        { { "upstream", upstream } });
+  }
   const bool onDuty = m_peers->IsOnDuty();
   const bool byPlace = m_peers->IsOnDutyByPlace();
   m_config->SetDuty(onDuty, byPlace);
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -156,8 +156,8 @@
   void BoundGraces(std::string_view aHall, Instant aUntil);
   /** Another instance says that it leaves: it gets no new work. */
   void MarkLeaving(std::string_view aId);
-  /** Ends the graces that have passed. */
-  void Tick(Instant aNow);
+  /** Ends the graces that have passed; tells whose. */
+  std::vector<std::string> Tick(Instant aNow);
 
   PlaceResult FindPlace(const PlaceRequest& aRequest, Instant aNow) const;
 
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -98,12 +98,18 @@
   }
 }
 
-void
+std::vector<std::string>
 Fleet::Tick(Instant aNow)
 {
-  std::erase_if(m_members, [aNow](const auto& aEntry) {
-    return aEntry.second.m_goneAt && aNow >= *aEntry.second.m_goneAt;
+  std::vector<std::string> ended;
+  std::erase_if(m_members, [&](const auto& aEntry) {
+    const bool ends = aEntry.second.m_goneAt && aNow >= *aEntry.second.m_goneAt;
+    if (ends) {
+      ended.push_back(aEntry.first);
+    }
+    return ends;
   });
+  return ended;
 }
 
 std::uint32_t
