Rows of other writers: one that cannot be read names nobody and hides nobody

Now a row must have all fields that workers write, of their types; else it is out of use at once, with a line that names each fault, and a count.

--- a/packages/base/include/ridgeferry/base/FieldReader.h
+++ b/packages/base/include/ridgeferry/base/FieldReader.h
@@ -52,6 +52,7 @@
                            std::int64_t aFallback,
                            std::int64_t aLow,
                            std::int64_t aHigh);
+  double RequiredNumber(std::string_view aField, double aLow, double aHigh);
   double OptionalNumber(std::string_view aField,
                         double aFallback,
                         double aLow,
--- a/packages/base/src/FieldReader.cpp
+++ b/packages/base/src/FieldReader.cpp
@@ -8,6 +8,21 @@
 namespace {
 
 constexpr std::size_t kMaxShownValue = 60;
+/** Nesting down to which a value is shown: writing it out takes a call a level,
+ * and 60,000 levels in a document of 64 KB ended the process. */
+constexpr int kMaxShownDepth = 4;
+
+bool
+IsDeeperThan(const nlohmann::json& aValue, int aLevels)
+{
+  if (!aValue.is_structured()) {
+    return false;
+  }
+  return aLevels == 0 ||
+         std::any_of(aValue.begin(), aValue.end(), [&](const auto& aItem) {
+           return IsDeeperThan(aItem, aLevels - 1);
+         });
+}
 
 std::string
 Shown(const nlohmann::json* aValue)
@@ -15,6 +30,9 @@
   if (aValue == nullptr) {
     return "nothing";
   }
+  if (IsDeeperThan(*aValue, kMaxShownDepth)) {
+    return "a nested value";
+  }
   std::string text =
     aValue->dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   if (text.size() > kMaxShownValue) {
@@ -181,6 +199,16 @@
   return value->get<std::int64_t>();
 }
 
+double
+FieldReader::RequiredNumber(std::string_view aField, double aLow, double aHigh)
+{
+  if (!Has(aField)) {
+    FailValue(aField, nullptr, RangeText("a number", aLow, aHigh));
+    return aLow;
+  }
+  return OptionalNumber(aField, aLow, aLow, aHigh);
+}
+
 double
 FieldReader::OptionalNumber(std::string_view aField,
                             double aFallback,
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -6,6 +6,7 @@
 #include "Relay.h"
 #include "StoreReader.h"
 
+#include <algorithm>
 #include <csignal>
 #include <sys/stat.h>
 
@@ -39,6 +40,20 @@
                      aLeft->tv_nsec == aRight->tv_nsec));
 }
 
+/** Of a document's faults, the first ones: a line of the log stays short. */
+std::string
+FaultsText(std::span<const FieldError> aFaults)
+{
+  constexpr std::size_t kMost = 5;
+  std::string out;
+  for (std::size_t i = 0; i < std::min(kMost, aFaults.size()); ++i) {
+    out += FormatFieldError(aFaults[i]) + "; ";
+  }
+  return aFaults.size() > kMost
+           ? out + std::to_string(aFaults.size() - kMost) + " more"
+           : out;
+}
+
 } // namespace
 
 struct Entry::Impl
@@ -97,13 +112,11 @@
     }
     auto config = m_node.m_dialect.m_readConfig(row.m_value);
     if (!config) {
-      std::string faults;
-      for (const FieldError& fault : config.error()) {
-        faults += FormatFieldError(fault) + "; ";
-      }
-      m_node.m_log->Write(observe::LogLevel::Error,
-                          "configuration-rejected",
-                          { { "faults", faults } });
+      m_node.m_log->Write(
+        observe::LogLevel::Error,
+        "configuration-rejected",
+        { { "version", static_cast<std::int64_t>(row.m_version) },
+          { "faults", FaultsText(config.error()) } });
       continue;
     }
     const std::uint64_t held =
@@ -150,9 +163,15 @@
   }
   const auto member = m_node.m_dialect.m_readMember(aRow.m_key, aRow.m_value);
   if (!member) {
-    m_node.m_log->Write(observe::LogLevel::Error,
-                        "upstream-rejected",
-                        { { "upstream", aRow.m_key } });
+    m_node.m_metrics.Count("ridgeferry_upstreams_rejected_total");
+    m_node.m_log->Write(
+      observe::LogLevel::Error,
+      "upstream-rejected",
+      { { "upstream", aRow.m_key },
+        { "version", static_cast<std::int64_t>(aRow.m_version) },
+        { "faults", FaultsText(member.error()) } });
+    // Another writer's row has taken the place of the upstream's own.
+    TakeRemoval(aRow.m_key, std::nullopt);
     return;
   }
   m_node.m_fleet.Put(*member);
--- a/packages/relay/include/ridgeferry/relay/Member.h
+++ b/packages/relay/include/ridgeferry/relay/Member.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,6 +29,9 @@
   std::int64_t m_slots = 1;
   Part m_part = Part::Whole;
   bool m_leaving = false;
+  /** When its process started, in Unix milliseconds by its own clock: tells
+   * lives under one id apart. Nothing: it does not say. */
+  std::optional<std::int64_t> m_born = {};
   bool operator==(const Member&) const = default;
 };
 
--- a/tests/soak/SoakUpstream.cpp
+++ b/tests/soak/SoakUpstream.cpp
@@ -78,8 +78,11 @@
                         m_part == UpstreamPart::Plain ? "desk" : "llm" },
                       { "address", m_link->Bound().ToString() },
                       { "zone", "hall" },
+                      { "version", "v1" },
                       { "slots", kSlots },
-                      { "state", aLeaving ? "draining" : "ready" } };
+                      { "state", aLeaving ? "draining" : "ready" },
+                      { "cold_remaining_ms", 0 },
+                      { "seq", 0 } };
   if (m_part != UpstreamPart::Plain) {
     row["phase"] = m_part == UpstreamPart::Reader ? "prefill" : "decode";
   }
