--- a/packages/daemon/src/PeerService.cpp
+++ b/packages/daemon/src/PeerService.cpp
@@ -68,8 +68,9 @@
   out.m_ready = m_ready;
   out.m_leaving = m_leaving;
   out.m_revision = m_config.InForce();
-  out.m_leavingUpstreams.assign(m_leavingUpstreams.begin(),
-                                m_leavingUpstreams.end());
+  for (const std::string& upstream : m_leavingUpstreams) {
+    out.m_leavingUpstreams.push_back({ upstream });
+  }
   if (m_digestSource) {
     out.m_engines = m_digestSource();
   }
@@ -182,8 +183,9 @@
                       ProcessId(aEnded.m_instance, aEnded.m_incarnation));
                   },
                   [&](const membership::UpstreamLeaving& aLeaving) {
-                    if (m_leavingUpstreams.insert(aLeaving.m_upstream).second) {
-                      m_upstreamLeaving.emit(aLeaving.m_upstream);
+                    const std::string& id = aLeaving.m_upstream.m_id;
+                    if (m_leavingUpstreams.insert(id).second) {
+                      m_upstreamLeaving.emit(id);
                     }
                   } },
       action);
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -79,6 +79,8 @@
   void TakeMembers(const relay::ApplyRows& aRows);
   void TakeMember(const relay::FollowedRow& aRow,
                   std::optional<Instant> aLapsesUntil);
+  /** The list has another life of an upstream than was held. */
+  void NoteOtherLife(const relay::Member& aMember, LifeOrder aOrder);
   void TakeRemoval(const std::string& aUpstream,
                    std::optional<Instant> aLapsesUntil);
   /** Peers may have told since that upstreams of their hall have not lapsed. */
@@ -174,9 +176,15 @@
     TakeRemoval(aRow.m_key, std::nullopt);
     return;
   }
-  m_node.m_fleet.Put(*member);
+  const LifeOrder order = m_node.m_fleet.Put(*member);
+  if (order != LifeOrder::Same) {
+    NoteOtherLife(*member, order);
+  }
+  if (order == LifeOrder::Earlier) {
+    return;
+  }
   if (member->m_leaving) {
-    m_peers->NoteLeaving(member->m_id);
+    m_peers->NoteLeaving(member->Life());
   }
   m_node.m_log->Write(observe::LogLevel::Info,
                       "upstream-listed",
@@ -184,7 +192,24 @@
                         { "service", member->m_service },
                         { "address", member->m_address },
                         { "part", std::string(relay::NameOf(member->m_part)) },
-                        { "leaving", member->m_leaving } });
+                        { "leaving", member->m_leaving },
+                        { "born", member->m_born.value_or(0) } });
+}
+
+void
+Entry::Impl::NoteOtherLife(const relay::Member& aMember, LifeOrder aOrder)
+{
+  const bool isLater = aOrder == LifeOrder::Later;
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    isLater ? "upstream-born-again" : "upstream-row-is-old",
+    { { "upstream", aMember.m_id }, { "born", aMember.m_born.value_or(0) } });
+  if (isLater) {
+    m_node.m_metrics.Count("ridgeferry_upstreams_born_again_total");
+    // What was told and ordered was meant for the earlier life.
+    m_peers->NoteGone(aMember.m_id);
+    m_parts->NoteGone(aMember.m_id);
+  }
 }
 
 void
@@ -390,11 +415,12 @@
     [this](const relay::ApplyRows& aRows) { TakeConfig(aRows); });
   m_members->SignalRows().connect(
     [this](const relay::ApplyRows& aRows) { TakeMembers(aRows); });
-  m_peers->SignalLeaving().connect([this](const std::string& aUpstream) {
+  m_peers->SignalLeaving().connect([this](const UpstreamLife& aUpstream) {
     m_node.m_fleet.MarkLeaving(aUpstream);
-    m_node.m_log->Write(observe::LogLevel::Info,
-                        "upstream-leaves",
-                        { { "upstream", aUpstream }, { "from", "a peer" } });
+    m_node.m_log->Write(
+      observe::LogLevel::Info,
+      "upstream-leaves",
+      { { "upstream", aUpstream.m_id }, { "from", "a peer" } });
   });
   m_peers->SignalStoreView().connect(
     [this](const membership::StoreView& aView) {
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -124,7 +124,9 @@
   out.m_ready = m_ready;
   out.m_leaving = m_leaving;
   out.m_revision = m_node.m_routes == nullptr ? 0 : m_node.m_routes->Version();
-  out.m_leavingUpstreams.assign(m_news.Told().begin(), m_news.Told().end());
+  for (const auto& [id, upstream] : m_news.Told()) {
+    out.m_leavingUpstreams.push_back(upstream);
+  }
   out.m_store = m_storeView;
   out.m_apart = m_node.m_fleet.ToldApart();
   for (const relay::PartNews& news : m_partNews) {
@@ -291,7 +293,7 @@
 }
 
 void
-Peers::NoteLeaving(const std::string& aUpstream)
+Peers::NoteLeaving(const UpstreamLife& aUpstream)
 {
   if (m_news.NoteListed(aUpstream)) {
     TellAll();
@@ -408,11 +410,7 @@
                  },
                  [&](const membership::IncarnationEnded&) {},
                  [&](const membership::UpstreamLeaving& aLeaving) {
-                   const std::string& id = aLeaving.m_upstream;
-                   const bool listed = m_node.m_fleet.Find(id) != nullptr;
-                   if (m_news.NoteFromPeer(id, listed)) {
-                     m_leaves.emit(id);
-                   }
+                   TakeLeaving(aLeaving.m_upstream);
                  },
                },
                action);
@@ -421,6 +419,19 @@
   SendHallLoads(others);
 }
 
+void
+Peers::TakeLeaving(const UpstreamLife& aUpstream)
+{
+  const relay::Member* member = m_node.m_fleet.Find(aUpstream.m_id);
+  if (member == nullptr) {
+    return;
+  }
+  const UpstreamLife listed = member->Life();
+  if (m_news.NoteFromPeer(aUpstream, &listed)) {
+    m_leaves.emit(aUpstream);
+  }
+}
+
 void
 Peers::RetryLater(sigc::slot<void()> aWhat)
 {
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -32,7 +32,7 @@
 
   tl::expected<void, net::NetError> Start();
   /** This instance learned that an upstream leaves: tell the others. */
-  void NoteLeaving(const std::string& aUpstream);
+  void NoteLeaving(const UpstreamLife& aUpstream);
   /** It has gone from the list: there is nothing left to tell. */
   void NoteGone(const std::string& aUpstream);
   void SetState(bool aReady, bool aLeaving);
@@ -78,7 +78,7 @@
     return m_storeViews;
   }
   /** Another instance says that an upstream leaves. */
-  sigc::signal<void(const std::string&)>& SignalLeaving() { return m_leaves; }
+  sigc::signal<void(const UpstreamLife&)>& SignalLeaving() { return m_leaves; }
 
 private:
   membership::StoreDuty Duty() const;
@@ -100,6 +100,8 @@
   void WriteOwnRow();
   void ReadRows();
   void TakeRows(const StorePage& aPage);
+  /** Another instance says so. */
+  void TakeLeaving(const UpstreamLife& aUpstream);
   void RetryLater(sigc::slot<void()> aWhat);
 
   EntryNode& m_node;
@@ -120,7 +122,7 @@
   std::vector<std::string> m_listedAddresses;
   bool m_hasListed = false;
   sigc::signal<void(bool)> m_listed;
-  sigc::signal<void(const std::string&)> m_leaves;
+  sigc::signal<void(const UpstreamLife&)> m_leaves;
   sigc::signal<void(const membership::StoreView&)> m_storeViews;
 };
 
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <ridgeferry/base/Time.h>
+#include <ridgeferry/base/UpstreamLife.h>
 #include <set>
 #include <span>
 #include <string>
@@ -83,7 +84,7 @@
   std::uint64_t m_revision = 0; ///< Configuration in force.
   /** Upstreams known to be leaving; spread so that a process cut off from the
    * platform's list learns of them. */
-  std::vector<std::string> m_leavingUpstreams;
+  std::vector<UpstreamLife> m_leavingUpstreams;
   std::vector<EngineDigest> m_engines; ///< Those that it observes.
   /** `m_engines` is what all instances of its hall have under way together. */
   bool m_tellsHall = false;
@@ -134,7 +135,7 @@
 /** An upstream is leaving, as a peer says. */
 struct UpstreamLeaving
 {
-  std::string m_upstream;
+  UpstreamLife m_upstream;
 };
 using RosterAction =
   std::variant<SendHeartbeat, SendHallLoads, IncarnationEnded, UpstreamLeaving>;
--- a/packages/membership/src/Roster.cpp
+++ b/packages/membership/src/Roster.cpp
@@ -57,7 +57,7 @@
     CountNear();
   }
   peer.m_alive = true;
-  for (const std::string& upstream : aHeartbeat.m_leavingUpstreams) {
+  for (const UpstreamLife& upstream : aHeartbeat.m_leavingUpstreams) {
     aActions.emplace_back(UpstreamLeaving{ upstream });
   }
 }
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -125,6 +125,11 @@
   this->storeReadsForMs = val;
 __isset.storeReadsForMs = true;
 }
+
+void Heartbeat::__set_leavingBorn(const std::vector<int64_t> & val) {
+  this->leavingBorn = val;
+__isset.leavingBorn = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -464,6 +469,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leavingBorn.clear();
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->leavingBorn.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
+            {
+              xfer += iprot->readI64(this->leavingBorn[_i54]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leavingBorn = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -527,10 +552,10 @@
     xfer += oprot->writeFieldBegin("leavingUpstreams", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leavingUpstreams.size()));
-      std::vector<std::string> ::const_iterator _iter50;
-      for (_iter50 = this->leavingUpstreams.begin(); _iter50 != this->leavingUpstreams.end(); ++_iter50)
+      std::vector<std::string> ::const_iterator _iter55;
+      for (_iter55 = this->leavingUpstreams.begin(); _iter55 != this->leavingUpstreams.end(); ++_iter55)
       {
-        xfer += oprot->writeString((*_iter50));
+        xfer += oprot->writeString((*_iter55));
       }
       xfer += oprot->writeListEnd();
     }
@@ -540,10 +565,10 @@
     xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->engines.size()));
-      std::vector<int32_t> ::const_iterator _iter51;
-      for (_iter51 = this->engines.begin(); _iter51 != this->engines.end(); ++_iter51)
+      std::vector<int32_t> ::const_iterator _iter56;
+      for (_iter56 = this->engines.begin(); _iter56 != this->engines.end(); ++_iter56)
       {
-        xfer += oprot->writeI32((*_iter51));
+        xfer += oprot->writeI32((*_iter56));
       }
       xfer += oprot->writeListEnd();
     }
@@ -553,10 +578,10 @@
     xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->states.size()));
-      std::vector<int32_t> ::const_iterator _iter52;
-      for (_iter52 = this->states.begin(); _iter52 != this->states.end(); ++_iter52)
+      std::vector<int32_t> ::const_iterator _iter57;
+      for (_iter57 = this->states.begin(); _iter57 != this->states.end(); ++_iter57)
       {
-        xfer += oprot->writeI32((*_iter52));
+        xfer += oprot->writeI32((*_iter57));
       }
       xfer += oprot->writeListEnd();
     }
@@ -566,10 +591,10 @@
     xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->loads.size()));
-      std::vector<int32_t> ::const_iterator _iter53;
-      for (_iter53 = this->loads.begin(); _iter53 != this->loads.end(); ++_iter53)
+      std::vector<int32_t> ::const_iterator _iter58;
+      for (_iter58 = this->loads.begin(); _iter58 != this->loads.end(); ++_iter58)
       {
-        xfer += oprot->writeI32((*_iter53));
+        xfer += oprot->writeI32((*_iter58));
       }
       xfer += oprot->writeListEnd();
     }
@@ -579,10 +604,10 @@
     xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->work.size()));
-      std::vector<int32_t> ::const_iterator _iter54;
-      for (_iter54 = this->work.begin(); _iter54 != this->work.end(); ++_iter54)
+      std::vector<int32_t> ::const_iterator _iter59;
+      for (_iter59 = this->work.begin(); _iter59 != this->work.end(); ++_iter59)
       {
-        xfer += oprot->writeI32((*_iter54));
+        xfer += oprot->writeI32((*_iter59));
       }
       xfer += oprot->writeListEnd();
     }
@@ -607,10 +632,10 @@
     xfer += oprot->writeFieldBegin("changedEngines", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->changedEngines.size()));
-      std::vector<int32_t> ::const_iterator _iter55;
-      for (_iter55 = this->changedEngines.begin(); _iter55 != this->changedEngines.end(); ++_iter55)
+      std::vector<int32_t> ::const_iterator _iter60;
+      for (_iter60 = this->changedEngines.begin(); _iter60 != this->changedEngines.end(); ++_iter60)
       {
-        xfer += oprot->writeI32((*_iter55));
+        xfer += oprot->writeI32((*_iter60));
       }
       xfer += oprot->writeListEnd();
     }
@@ -620,10 +645,10 @@
     xfer += oprot->writeFieldBegin("changedParts", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->changedParts.size()));
-      std::vector<int32_t> ::const_iterator _iter56;
-      for (_iter56 = this->changedParts.begin(); _iter56 != this->changedParts.end(); ++_iter56)
+      std::vector<int32_t> ::const_iterator _iter61;
+      for (_iter61 = this->changedParts.begin(); _iter61 != this->changedParts.end(); ++_iter61)
       {
-        xfer += oprot->writeI32((*_iter56));
+        xfer += oprot->writeI32((*_iter61));
       }
       xfer += oprot->writeListEnd();
     }
@@ -633,10 +658,10 @@
     xfer += oprot->writeFieldBegin("readParts", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->readParts.size()));
-      std::vector<int32_t> ::const_iterator _iter57;
-      for (_iter57 = this->readParts.begin(); _iter57 != this->readParts.end(); ++_iter57)
+      std::vector<int32_t> ::const_iterator _iter62;
+      for (_iter62 = this->readParts.begin(); _iter62 != this->readParts.end(); ++_iter62)
       {
-        xfer += oprot->writeI32((*_iter57));
+        xfer += oprot->writeI32((*_iter62));
       }
       xfer += oprot->writeListEnd();
     }
@@ -646,10 +671,10 @@
     xfer += oprot->writeFieldBegin("readEngines", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->readEngines.size()));
-      std::vector<int32_t> ::const_iterator _iter58;
-      for (_iter58 = this->readEngines.begin(); _iter58 != this->readEngines.end(); ++_iter58)
+      std::vector<int32_t> ::const_iterator _iter63;
+      for (_iter63 = this->readEngines.begin(); _iter63 != this->readEngines.end(); ++_iter63)
       {
-        xfer += oprot->writeI32((*_iter58));
+        xfer += oprot->writeI32((*_iter63));
       }
       xfer += oprot->writeListEnd();
     }
@@ -659,10 +684,10 @@
     xfer += oprot->writeFieldBegin("servicesApart", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->servicesApart.size()));
-      std::vector<int32_t> ::const_iterator _iter59;
-      for (_iter59 = this->servicesApart.begin(); _iter59 != this->servicesApart.end(); ++_iter59)
+      std::vector<int32_t> ::const_iterator _iter64;
+      for (_iter64 = this->servicesApart.begin(); _iter64 != this->servicesApart.end(); ++_iter64)
       {
-        xfer += oprot->writeI32((*_iter59));
+        xfer += oprot->writeI32((*_iter64));
       }
       xfer += oprot->writeListEnd();
     }
@@ -683,6 +708,19 @@
     xfer += oprot->writeI64(this->storeReadsForMs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.leavingBorn) {
+    xfer += oprot->writeFieldBegin("leavingBorn", ::apache::thrift::protocol::T_LIST, 24);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leavingBorn.size()));
+      std::vector<int64_t> ::const_iterator _iter65;
+      for (_iter65 = this->leavingBorn.begin(); _iter65 != this->leavingBorn.end(); ++_iter65)
+      {
+        xfer += oprot->writeI64((*_iter65));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -713,60 +751,63 @@
   swap(a.storeSteady, b.storeSteady);
   swap(a.tellsHall, b.tellsHall);
   swap(a.storeReadsForMs, b.storeReadsForMs);
+  swap(a.leavingBorn, b.leavingBorn);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other60) {
-  instance = other60.instance;
-  incarnation = other60.incarnation;
-  hall = other60.hall;
-  peerAddress = other60.peerAddress;
-  ready = other60.ready;
-  leaving = other60.leaving;
-  revision = other60.revision;
-  leavingUpstreams = other60.leavingUpstreams;
-  engines = other60.engines;
-  states = other60.states;
-  loads = other60.loads;
-  work = other60.work;
-  configVersion = other60.configVersion;
-  membersVersion = other60.membersVersion;
-  storeLost = other60.storeLost;
-  changedEngines = other60.changedEngines;
-  changedParts = other60.changedParts;
-  readParts = other60.readParts;
-  readEngines = other60.readEngines;
-  servicesApart = other60.servicesApart;
-  storeSteady = other60.storeSteady;
-  tellsHall = other60.tellsHall;
-  storeReadsForMs = other60.storeReadsForMs;
-  __isset = other60.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other61) {
-  instance = other61.instance;
-  incarnation = other61.incarnation;
-  hall = other61.hall;
-  peerAddress = other61.peerAddress;
-  ready = other61.ready;
-  leaving = other61.leaving;
-  revision = other61.revision;
-  leavingUpstreams = other61.leavingUpstreams;
-  engines = other61.engines;
-  states = other61.states;
-  loads = other61.loads;
-  work = other61.work;
-  configVersion = other61.configVersion;
-  membersVersion = other61.membersVersion;
-  storeLost = other61.storeLost;
-  changedEngines = other61.changedEngines;
-  changedParts = other61.changedParts;
-  readParts = other61.readParts;
-  readEngines = other61.readEngines;
-  servicesApart = other61.servicesApart;
-  storeSteady = other61.storeSteady;
-  tellsHall = other61.tellsHall;
-  storeReadsForMs = other61.storeReadsForMs;
-  __isset = other61.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other66) {
+  instance = other66.instance;
+  incarnation = other66.incarnation;
+  hall = other66.hall;
+  peerAddress = other66.peerAddress;
+  ready = other66.ready;
+  leaving = other66.leaving;
+  revision = other66.revision;
+  leavingUpstreams = other66.leavingUpstreams;
+  engines = other66.engines;
+  states = other66.states;
+  loads = other66.loads;
+  work = other66.work;
+  configVersion = other66.configVersion;
+  membersVersion = other66.membersVersion;
+  storeLost = other66.storeLost;
+  changedEngines = other66.changedEngines;
+  changedParts = other66.changedParts;
+  readParts = other66.readParts;
+  readEngines = other66.readEngines;
+  servicesApart = other66.servicesApart;
+  storeSteady = other66.storeSteady;
+  tellsHall = other66.tellsHall;
+  storeReadsForMs = other66.storeReadsForMs;
+  leavingBorn = other66.leavingBorn;
+  __isset = other66.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other67) {
+  instance = other67.instance;
+  incarnation = other67.incarnation;
+  hall = other67.hall;
+  peerAddress = other67.peerAddress;
+  ready = other67.ready;
+  leaving = other67.leaving;
+  revision = other67.revision;
+  leavingUpstreams = other67.leavingUpstreams;
+  engines = other67.engines;
+  states = other67.states;
+  loads = other67.loads;
+  work = other67.work;
+  configVersion = other67.configVersion;
+  membersVersion = other67.membersVersion;
+  storeLost = other67.storeLost;
+  changedEngines = other67.changedEngines;
+  changedParts = other67.changedParts;
+  readParts = other67.readParts;
+  readEngines = other67.readEngines;
+  servicesApart = other67.servicesApart;
+  storeSteady = other67.storeSteady;
+  tellsHall = other67.tellsHall;
+  storeReadsForMs = other67.storeReadsForMs;
+  leavingBorn = other67.leavingBorn;
+  __isset = other67.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -795,6 +836,7 @@
   out << ", " << "storeSteady="; (__isset.storeSteady ? (out << to_string(storeSteady)) : (out << "<null>"));
   out << ", " << "tellsHall="; (__isset.tellsHall ? (out << to_string(tellsHall)) : (out << "<null>"));
   out << ", " << "storeReadsForMs="; (__isset.storeReadsForMs ? (out << to_string(storeReadsForMs)) : (out << "<null>"));
+  out << ", " << "leavingBorn="; (__isset.leavingBorn ? (out << to_string(leavingBorn)) : (out << "<null>"));
   out << ")";
 }
 
@@ -896,13 +938,13 @@
   swap(a.after, b.after);
 }
 
-RowsRequest::RowsRequest(const RowsRequest& other62) {
-  table = other62.table;
-  after = other62.after;
+RowsRequest::RowsRequest(const RowsRequest& other68) {
+  table = other68.table;
+  after = other68.after;
 }
-RowsRequest& RowsRequest::operator=(const RowsRequest& other63) {
-  table = other63.table;
-  after = other63.after;
+RowsRequest& RowsRequest::operator=(const RowsRequest& other69) {
+  table = other69.table;
+  after = other69.after;
   return *this;
 }
 void RowsRequest::printTo(std::ostream& out) const {
@@ -1051,17 +1093,17 @@
   swap(a.version, b.version);
 }
 
-Row::Row(const Row& other64) {
-  key = other64.key;
-  value = other64.value;
-  removed = other64.removed;
-  version = other64.version;
+Row::Row(const Row& other70) {
+  key = other70.key;
+  value = other70.value;
+  removed = other70.removed;
+  version = other70.version;
 }
-Row& Row::operator=(const Row& other65) {
-  key = other65.key;
-  value = other65.value;
-  removed = other65.removed;
-  version = other65.version;
+Row& Row::operator=(const Row& other71) {
+  key = other71.key;
+  value = other71.value;
+  removed = other71.removed;
+  version = other71.version;
   return *this;
 }
 void Row::printTo(std::ostream& out) const {
@@ -1141,14 +1183,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->rows.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->rows.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->rows[_i70].read(iprot);
+              xfer += this->rows[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1191,10 +1233,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter71;
-    for (_iter71 = this->rows.begin(); _iter71 != this->rows.end(); ++_iter71)
+    std::vector<Row> ::const_iterator _iter77;
+    for (_iter77 = this->rows.begin(); _iter77 != this->rows.end(); ++_iter77)
     {
-      xfer += (*_iter71).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1212,15 +1254,15 @@
   swap(a.rows, b.rows);
 }
 
-RowsReply::RowsReply(const RowsReply& other72) {
-  version = other72.version;
-  whole = other72.whole;
-  rows = other72.rows;
+RowsReply::RowsReply(const RowsReply& other78) {
+  version = other78.version;
+  whole = other78.whole;
+  rows = other78.rows;
 }
-RowsReply& RowsReply::operator=(const RowsReply& other73) {
-  version = other73.version;
-  whole = other73.whole;
-  rows = other73.rows;
+RowsReply& RowsReply::operator=(const RowsReply& other79) {
+  version = other79.version;
+  whole = other79.whole;
+  rows = other79.rows;
   return *this;
 }
 void RowsReply::printTo(std::ostream& out) const {
@@ -1310,11 +1352,11 @@
   swap(a.after, b.after);
 }
 
-ChangesRequest::ChangesRequest(const ChangesRequest& other74) noexcept {
-  after = other74.after;
+ChangesRequest::ChangesRequest(const ChangesRequest& other80) noexcept {
+  after = other80.after;
 }
-ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other75) noexcept {
-  after = other75.after;
+ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other81) noexcept {
+  after = other81.after;
   return *this;
 }
 void ChangesRequest::printTo(std::ostream& out) const {
@@ -1422,13 +1464,13 @@
   swap(a.json, b.json);
 }
 
-ConfigObject::ConfigObject(const ConfigObject& other76) {
-  key = other76.key;
-  json = other76.json;
+ConfigObject::ConfigObject(const ConfigObject& other82) {
+  key = other82.key;
+  json = other82.json;
 }
-ConfigObject& ConfigObject::operator=(const ConfigObject& other77) {
-  key = other77.key;
-  json = other77.json;
+ConfigObject& ConfigObject::operator=(const ConfigObject& other83) {
+  key = other83.key;
+  json = other83.json;
   return *this;
 }
 void ConfigObject::printTo(std::ostream& out) const {
@@ -1498,14 +1540,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->changes.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->changes.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += iprot->readString(this->changes[_i82]);
+              xfer += iprot->readString(this->changes[_i88]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1518,14 +1560,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->snapshot.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->snapshot.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->snapshot.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += this->snapshot[_i87].read(iprot);
+              xfer += this->snapshot[_i93].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1562,10 +1604,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->changes.size()));
-    std::vector<std::string> ::const_iterator _iter88;
-    for (_iter88 = this->changes.begin(); _iter88 != this->changes.end(); ++_iter88)
+    std::vector<std::string> ::const_iterator _iter94;
+    for (_iter94 = this->changes.begin(); _iter94 != this->changes.end(); ++_iter94)
     {
-      xfer += oprot->writeString((*_iter88));
+      xfer += oprot->writeString((*_iter94));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1575,10 +1617,10 @@
     xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->snapshot.size()));
-      std::vector<ConfigObject> ::const_iterator _iter89;
-      for (_iter89 = this->snapshot.begin(); _iter89 != this->snapshot.end(); ++_iter89)
+      std::vector<ConfigObject> ::const_iterator _iter95;
+      for (_iter95 = this->snapshot.begin(); _iter95 != this->snapshot.end(); ++_iter95)
       {
-        xfer += (*_iter89).write(oprot);
+        xfer += (*_iter95).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1597,17 +1639,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangesReply::ChangesReply(const ChangesReply& other90) {
-  revision = other90.revision;
-  changes = other90.changes;
-  snapshot = other90.snapshot;
-  __isset = other90.__isset;
+ChangesReply::ChangesReply(const ChangesReply& other96) {
+  revision = other96.revision;
+  changes = other96.changes;
+  snapshot = other96.snapshot;
+  __isset = other96.__isset;
 }
-ChangesReply& ChangesReply::operator=(const ChangesReply& other91) {
-  revision = other91.revision;
-  changes = other91.changes;
-  snapshot = other91.snapshot;
-  __isset = other91.__isset;
+ChangesReply& ChangesReply::operator=(const ChangesReply& other97) {
+  revision = other97.revision;
+  changes = other97.changes;
+  snapshot = other97.snapshot;
+  __isset = other97.__isset;
   return *this;
 }
 void ChangesReply::printTo(std::ostream& out) const {
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -36,7 +36,7 @@
 class ChangesReply;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false) {}
+  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false), leavingBorn(false) {}
   bool leavingUpstreams :1;
   bool engines :1;
   bool states :1;
@@ -53,6 +53,7 @@
   bool storeSteady :1;
   bool tellsHall :1;
   bool storeReadsForMs :1;
+  bool leavingBorn :1;
 } _Heartbeat__isset;
 
 /**
@@ -141,6 +142,11 @@
    * failure, in milliseconds; not set: they fail, or it makes none.
    */
   int64_t storeReadsForMs;
+  /**
+   * Of the same length as `leavingUpstreams`, if set: when each started, in
+   * Unix milliseconds by its own clock; negative: it does not say.
+   */
+  std::vector<int64_t>  leavingBorn;
 
   _Heartbeat__isset __isset;
 
@@ -190,6 +196,8 @@
 
   void __set_storeReadsForMs(const int64_t val);
 
+  void __set_leavingBorn(const std::vector<int64_t> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -270,6 +278,10 @@
       return false;
     else if (__isset.storeReadsForMs && !(storeReadsForMs == rhs.storeReadsForMs))
       return false;
+    if (__isset.leavingBorn != rhs.__isset.leavingBorn)
+      return false;
+    else if (__isset.leavingBorn && !(leavingBorn == rhs.leavingBorn))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -52,6 +52,9 @@
   /** For how long the sender's reads of upstreams have gone on without a
    * failure, in milliseconds; not set: they fail, or it makes none. */
   23: optional i64 storeReadsForMs;
+  /** Of the same length as `leavingUpstreams`, if set: when each started, in
+   * Unix milliseconds by its own clock; negative: it does not say. */
+  24: optional list<i64> leavingBorn;
 }
 
 /** Asks a peer for what it has read of a table of the store. */
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -61,6 +61,8 @@
   return static_cast<membership::EnginePart>(aValue);
 }
 
+constexpr std::int64_t kBornNotSaid = -1;
+
 } // namespace
 
 std::string
@@ -75,7 +77,14 @@
   out.leaving = aMessage.m_leaving;
   out.revision = static_cast<std::int64_t>(aMessage.m_revision);
   if (!aMessage.m_leavingUpstreams.empty()) {
-    out.__set_leavingUpstreams(aMessage.m_leavingUpstreams);
+    std::vector<std::string> ids;
+    std::vector<std::int64_t> born;
+    for (const UpstreamLife& upstream : aMessage.m_leavingUpstreams) {
+      ids.push_back(upstream.m_id);
+      born.push_back(upstream.m_born.value_or(kBornNotSaid));
+    }
+    out.__set_leavingUpstreams(ids);
+    out.__set_leavingBorn(born);
   }
   if (!aMessage.m_engines.empty()) {
     std::vector<std::int32_t> engines;
@@ -207,7 +216,17 @@
   out.m_ready = in->ready;
   out.m_leaving = in->leaving;
   out.m_revision = static_cast<std::uint64_t>(in->revision);
-  out.m_leavingUpstreams = in->leavingUpstreams;
+  if (!in->leavingBorn.empty() &&
+      in->leavingBorn.size() != in->leavingUpstreams.size()) {
+    return tl::unexpected(DecodeError{ "births of a different length" });
+  }
+  for (std::size_t i = 0; i < in->leavingUpstreams.size(); ++i) {
+    UpstreamLife upstream{ in->leavingUpstreams[i] };
+    if (!in->leavingBorn.empty() && in->leavingBorn[i] >= 0) {
+      upstream.m_born = in->leavingBorn[i];
+    }
+    out.m_leavingUpstreams.push_back(std::move(upstream));
+  }
   if (in->states.size() != in->engines.size() ||
       in->loads.size() != in->engines.size() ||
       (!in->work.empty() && in->work.size() != in->engines.size())) {
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -16,7 +16,13 @@
   out.m_ready = *rc::gen::arbitrary<bool>();
   out.m_leaving = *rc::gen::arbitrary<bool>();
   out.m_revision = *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62U);
-  out.m_leavingUpstreams = *rc::gen::arbitrary<std::vector<std::string>>();
+  for (auto& id : *rc::gen::arbitrary<std::vector<std::string>>()) {
+    UpstreamLife upstream{ std::move(id) };
+    if (*rc::gen::arbitrary<bool>()) {
+      upstream.m_born = *rc::gen::inRange<std::int64_t>(0, 1LL << 62U);
+    }
+    out.m_leavingUpstreams.push_back(std::move(upstream));
+  }
   for (std::uint32_t engine :
        *rc::gen::arbitrary<std::vector<std::uint32_t>>()) {
     out.m_engines.push_back({ engine,
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -139,6 +139,9 @@
   static constexpr double kSilenceOfWork = 1.5;
   /** Bound of that: callers give up after two seconds. */
   static constexpr Duration kMostSilence{ 1500 };
+  /** Ids of gone members whose birth is remembered, so that a late row of an
+   * earlier life brings none back: some days of replacements, 100 KB. */
+  static constexpr std::size_t kMostPastLives = 1000;
   /** Longest rest: it doubles each time that a member is asked again in vain,
    * so that those behind a cut do not cost each caller of this side a try. */
   static constexpr Duration kLongestRest{ 4000 };
@@ -147,15 +150,20 @@
   static constexpr int kDeclinesToRest = 2;
   static constexpr Duration kDeclinedRest{ 300 };
 
-  /** A member that leaves stays leaving: its id is used for one life only. */
-  void Put(const Member& aMember);
+  /**
+   * Takes a member as the list has it. In one life a member that leaves stays
+   * leaving. With a later life all that was found of the earlier one ends: what
+   * it keeps, loads, paces, rests, its part and its leaving. A row of an
+   * earlier life is not taken, also after the member has gone.
+   */
+  LifeOrder Put(const Member& aMember);
   /** `aLapsesUntil`: the list was out of reach not long ago, and a member that
    * has vanished may only have lapsed there; it stays until then. */
   void Drop(std::string_view aId, std::optional<Instant> aLapsesUntil);
   /** The grace of members of a hall that have vanished ends no later. */
   void BoundGraces(std::string_view aHall, Instant aUntil);
   /** Another instance says that it leaves: it gets no new work. */
-  void MarkLeaving(std::string_view aId);
+  void MarkLeaving(const UpstreamLife& aUpstream);
   /** Ends the graces that have passed; tells whose. */
   std::vector<std::string> Tick(Instant aNow);
 
@@ -399,6 +407,9 @@
   /** Whether it is worth a home, and is kept from quiet engines. */
   static bool IsLong(const Prompt& aPrompt);
 
+  LifeOrder NoteLife(const Member& aMember);
+  void ForgetLife(const std::string& aId);
+  void Update(const Member& aMember);
   void AddOther(std::span<const OtherLoad> aLoads, std::int64_t aSign);
   void UseNews(State& aState);
   /** What is believed of an engine of which no pace was seen yet. */
@@ -406,6 +417,9 @@
   const PartNewsOf* NewsOf(std::uint32_t aMember) const;
 
   std::map<std::string, State, std::less<>> m_members;
+  /** When the latest life of each id was born, also of members that have gone.
+   */
+  std::unordered_map<std::string, std::int64_t> m_born;
   std::unordered_map<std::uint32_t, std::string> m_byShortHash;
   std::map<std::string, std::vector<OtherLoad>, std::less<>> m_others;
   std::map<std::string, std::vector<PartNewsOf>, std::less<>> m_news;
--- a/packages/relay/include/ridgeferry/relay/KeptParts.h
+++ b/packages/relay/include/ridgeferry/relay/KeptParts.h
@@ -44,6 +44,9 @@
   /** `aLife`: one of the two above. */
   bool IsKept(const KeptPart& aPart, Duration aLife, Instant aNow) const;
 
+  /** The engine has started again, and keeps nothing. */
+  void ForgetMember(std::uint32_t aMember);
+
 private:
   void Forget(Instant aNow);
 
--- a/packages/relay/include/ridgeferry/relay/LeavingNews.h
+++ b/packages/relay/include/ridgeferry/relay/LeavingNews.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <set>
+#include <map>
+#include <ridgeferry/base/UpstreamLife.h>
 #include <string>
 #include <string_view>
 
@@ -19,19 +20,25 @@
 {
 public:
   /** The list says that it leaves. Returns whether that is new. */
-  bool NoteListed(std::string_view aUpstream);
+  bool NoteListed(const UpstreamLife& aUpstream);
   /**
-   * Another instance says that it leaves; `aIsListed`: in the list as held
-   * here. Returns whether it is to be acted on.
+   * Another instance says that it leaves; `aListed`: the life that the list as
+   * held here has under that id, null if it has none. Returns whether it is to
+   * be acted on.
    */
-  bool NoteFromPeer(std::string_view aUpstream, bool aIsListed);
-  /** It is no longer listed: there is nothing left to tell. */
+  bool NoteFromPeer(const UpstreamLife& aUpstream, const UpstreamLife* aListed);
+  /** It, or this life of it, is no longer listed: there is nothing left to
+   * tell. */
   void NoteGone(std::string_view aUpstream);
 
-  const std::set<std::string, std::less<>>& Told() const { return m_told; }
+  /** By id. */
+  const std::map<std::string, UpstreamLife, std::less<>>& Told() const
+  {
+    return m_told;
+  }
 
 private:
-  std::set<std::string, std::less<>> m_told;
+  std::map<std::string, UpstreamLife, std::less<>> m_told;
 };
 
 } // namespace ridgeferry::relay
--- a/packages/relay/include/ridgeferry/relay/Member.h
+++ b/packages/relay/include/ridgeferry/relay/Member.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <ridgeferry/base/UpstreamLife.h>
 #include <string>
 #include <string_view>
 
@@ -29,9 +30,9 @@
   std::int64_t m_slots = 1;
   Part m_part = Part::Whole;
   bool m_leaving = false;
-  /** When its process started, in Unix milliseconds by its own clock: tells
-   * lives under one id apart. Nothing: it does not say. */
+  /** See `UpstreamLife::m_born`. */
   std::optional<std::int64_t> m_born = {};
+  UpstreamLife Life() const { return { m_id, m_born }; }
   bool operator==(const Member&) const = default;
 };
 
--- a/packages/relay/include/ridgeferry/relay/PartDesk.h
+++ b/packages/relay/include/ridgeferry/relay/PartDesk.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <ridgeferry/base/Time.h>
+#include <ridgeferry/base/UpstreamLife.h>
 #include <ridgeferry/relay/PartPlan.h>
 #include <string>
 #include <variant>
@@ -17,6 +18,8 @@
   Part m_part = Part::Generate;
   bool m_changing = false;        ///< An order is under way.
   std::int64_t m_ordersTaken = 0; ///< Since its start.
+  /** See `UpstreamLife::m_born`. */
+  std::optional<std::int64_t> m_born = {};
 };
 
 /** How an engine answered an order. */
@@ -94,6 +97,9 @@
  * was taken; if not, the next one names the same count, so one of the two is
  * void. At last the news of the new part go on until the list has it.
  *
+ * An engine that starts again under its id counts its orders anew, and nothing
+ * that was ordered of the life before it is under way there: the change ends.
+ *
  * Orders leave only while `DeskTick` says that this instance may order. What
  * was ordered before is watched to its end. A pure state machine; not
  * thread-safe.
@@ -152,6 +158,8 @@
     Step m_step = Step::Announced;
     Instant m_since; ///< In this step.
     Instant m_asked; ///< Last report asked for.
+    /** Of the life that the first report was of. */
+    std::optional<std::int64_t> m_born;
   };
 
   void On(const DeskTick& aEvent, Instant aNow, Actions& aActions);
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -37,8 +37,50 @@
 
 } // namespace
 
+LifeOrder
+Fleet::NoteLife(const Member& aMember)
+{
+  if (!aMember.m_born) {
+    return LifeOrder::Same;
+  }
+  if (m_born.size() > m_members.size() + kMostPastLives) {
+    std::erase_if(m_born, [this](const auto& aEntry) {
+      return !m_members.contains(aEntry.first);
+    });
+  }
+  const auto [known, isFirst] = m_born.emplace(aMember.m_id, *aMember.m_born);
+  const LifeOrder order = Compare(known->second, aMember.m_born);
+  known->second = std::max(known->second, *aMember.m_born);
+  return order;
+}
+
 void
+Fleet::ForgetLife(const std::string& aId)
+{
+  const std::uint32_t hash = ShortHash(aId);
+  m_members.erase(aId);
+  m_kept.ForgetMember(hash);
+  std::erase_if(m_ownReads, [hash](const auto& aRead) {
+    return aRead.second.m_member == hash;
+  });
+}
+
+LifeOrder
 Fleet::Put(const Member& aMember)
+{
+  const LifeOrder order = NoteLife(aMember);
+  if (order == LifeOrder::Earlier) {
+    return order;
+  }
+  if (order == LifeOrder::Later) {
+    ForgetLife(aMember.m_id);
+  }
+  Update(aMember);
+  return order;
+}
+
+void
+Fleet::Update(const Member& aMember)
 {
   const bool isNew = !m_members.contains(aMember.m_id);
   State& state = m_members[aMember.m_id];
@@ -90,10 +132,14 @@
 }
 
 void
-Fleet::MarkLeaving(std::string_view aId)
+Fleet::MarkLeaving(const UpstreamLife& aUpstream)
 {
-  const auto found = m_members.find(aId);
-  if (found != m_members.end()) {
+  const auto found = m_members.find(aUpstream.m_id);
+  if (found == m_members.end()) {
+    return;
+  }
+  const auto& held = found->second.m_member.m_born;
+  if (Compare(held, aUpstream.m_born) == LifeOrder::Same) {
     found->second.m_member.m_leaving = true;
   }
 }
--- a/packages/relay/src/KeptParts.cpp
+++ b/packages/relay/src/KeptParts.cpp
@@ -30,6 +30,14 @@
   return found != m_usedAt.end() && aNow - found->second < aLife;
 }
 
+void
+KeptParts::ForgetMember(std::uint32_t aMember)
+{
+  std::erase_if(m_usedAt, [aMember](const auto& aItem) {
+    return static_cast<std::uint32_t>(aItem.first) == aMember;
+  });
+}
+
 void
 KeptParts::Forget(Instant aNow)
 {
--- a/packages/relay/src/LeavingNews.cpp
+++ b/packages/relay/src/LeavingNews.cpp
@@ -3,15 +3,18 @@
 namespace ridgeferry::relay {
 
 bool
-LeavingNews::NoteListed(std::string_view aUpstream)
+LeavingNews::NoteListed(const UpstreamLife& aUpstream)
 {
-  return m_told.emplace(aUpstream).second;
+  return m_told.emplace(aUpstream.m_id, aUpstream).second;
 }
 
 bool
-LeavingNews::NoteFromPeer(std::string_view aUpstream, bool aIsListed)
+LeavingNews::NoteFromPeer(const UpstreamLife& aUpstream,
+                          const UpstreamLife* aListed)
 {
-  return aIsListed && m_told.emplace(aUpstream).second;
+  return aListed != nullptr &&
+         Compare(aListed->m_born, aUpstream.m_born) == LifeOrder::Same &&
+         m_told.emplace(aUpstream.m_id, aUpstream).second;
 }
 
 void
--- a/packages/relay/src/PartDesk.cpp
+++ b/packages/relay/src/PartDesk.cpp
@@ -111,6 +111,7 @@
     }
     Change& change = m_changes[wanted.m_engine];
     change.m_to = wanted.m_to;
+    change.m_born.reset();
     GoTo(change, Step::Announced, aNow);
   }
 }
@@ -124,6 +125,14 @@
   }
   Change& change = found->second;
   const auto& report = aEvent.m_report;
+  if (report && !change.m_born) {
+    change.m_born = report->m_born;
+  }
+  if (report && Compare(change.m_born, report->m_born) != LifeOrder::Same) {
+    m_changes.erase(found);
+    m_newsChanged = true;
+    return;
+  }
   if (change.m_step == Step::Asking) {
     if (!report || !m_mayOrder) {
       GoTo(change, Step::Paused, aNow);
--- a/packages/relay/tests/FleetReadersTest.cpp
+++ b/packages/relay/tests/FleetReadersTest.cpp
@@ -317,7 +317,7 @@
     for (const char* id : { "ar0", "ar1", "ar2", "br0", "ag", "bg" }) {
       fleet.NoteSent(id, *rc::gen::inRange<std::int64_t>(0, 90'000), kNow);
     }
-    fleet.MarkLeaving("br1");
+    fleet.MarkLeaving({ "br1" });
     fleet.SetNews("peer", { { Fleet::ShortHash("br2"), std::nullopt } });
     PlaceRequest request = *rc::gen::arbitrary<bool>() ? Short() : Long(3);
     request.m_random = *rc::gen::arbitrary<std::uint64_t>();
--- a/packages/relay/tests/FleetTest.cpp
+++ b/packages/relay/tests/FleetTest.cpp
@@ -31,7 +31,7 @@
 // Another instance has read the list further than this one.
 TEST_F(FleetTest, AnOlderRowDoesNotTakeLeavingBack)
 {
-  m_fleet.MarkLeaving("a");
+  m_fleet.MarkLeaving({ "a" });
   m_fleet.Put(MakeMember("a", "desk"));
   EXPECT_TRUE(m_fleet.Find("a")->m_leaving);
 }
@@ -351,5 +351,122 @@
   }));
 }
 
+/** What is said of one id after its life born at 1,000 had said that it leaves,
+ * and whether it then takes calls. */
+struct LifeCase
+{
+  const char* m_name;
+  std::optional<std::int64_t> m_born;
+  bool m_droppedBefore;
+  LifeOrder m_order;
+  bool m_isUsed;
+};
+
+class FleetLifeTest
+  : public FleetTest
+  , public ::testing::WithParamInterface<LifeCase>
+{};
+
+TEST_P(FleetLifeTest, ALaterLifeIsNewAndAnEarlierOneStaysGone)
+{
+  Member member = MakeMember("c", "alone");
+  member.m_born = 1000;
+  member.m_leaving = true;
+  m_fleet.Put(member);
+  if (GetParam().m_droppedBefore) {
+    m_fleet.Drop("c", std::nullopt);
+  }
+  member.m_born = GetParam().m_born;
+  member.m_leaving = false;
+  EXPECT_EQ(m_fleet.Put(member), GetParam().m_order);
+  PlaceRequest request = PlainRequest();
+  request.m_service = "alone";
+  EXPECT_EQ(std::holds_alternative<Place>(m_fleet.FindPlace(request, kNow)),
+            GetParam().m_isUsed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Lives,
+  FleetLifeTest,
+  ::testing::Values(
+    LifeCase{ "Later", 2000, false, LifeOrder::Later, true },
+    LifeCase{ "LaterAfterItHadGone", 2000, true, LifeOrder::Later, true },
+    LifeCase{ "Same", 1000, false, LifeOrder::Same, false },
+    LifeCase{ "SameAfterALapse", 1000, true, LifeOrder::Same, true },
+    LifeCase{ "Earlier", 900, false, LifeOrder::Earlier, false },
+    LifeCase{ "EarlierAfterItHadGone", 900, true, LifeOrder::Earlier, false },
+    LifeCase{ "NotSaid", {}, false, LifeOrder::Same, false }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+// Calls and failures of the earlier life say nothing of the later one.
+TEST_F(FleetTest, ALaterLifeHasNoneOfWhatWasFoundOfTheEarlierOne)
+{
+  Member member = MakeMember("c", "alone");
+  member.m_born = 1000;
+  m_fleet.Put(member);
+  PlaceRequest request = PlainRequest();
+  request.m_service = "alone";
+  m_fleet.NoteSent("c", 0, kNow);
+  m_fleet.NoteOutOfReach("c", kNow);
+  EXPECT_FALSE(std::holds_alternative<Place>(m_fleet.FindPlace(request, kNow)));
+  member.m_born = 2000;
+  m_fleet.Put(member);
+  EXPECT_TRUE(std::holds_alternative<Place>(m_fleet.FindPlace(request, kNow)));
+  EXPECT_TRUE(m_fleet.OwnLoads().empty());
+}
+
+TEST_F(FleetTest, APeersWordOfLeavingIsOfOneLife)
+{
+  Member member = MakeMember("c", "alone");
+  member.m_born = 2000;
+  m_fleet.Put(member);
+  m_fleet.MarkLeaving({ "c", 1000 });
+  EXPECT_FALSE(m_fleet.Find("c")->m_leaving);
+  m_fleet.MarkLeaving({ "c", 2000 });
+  EXPECT_TRUE(m_fleet.Find("c")->m_leaving);
+}
+
+// Rows, removals and peers' words of four lives in any order: what is held is
+// always the latest life that was told, and only its own leaving counts.
+TEST(FleetLifeWorldTest, TheLatestLifeIsHeldInAnyOrderOfWords)
+{
+  EXPECT_TRUE(rc::check("lives", [] {
+    Fleet fleet;
+    std::int64_t latest = 0;
+    bool isListed = false;
+    bool leaves = false;
+    const int count = *rc::gen::inRange(0, 40);
+    for (int i = 0; i < count; ++i) {
+      const std::int64_t born = *rc::gen::inRange(1, 5);
+      switch (*rc::gen::inRange(0, 4)) {
+        case 0:
+          fleet.Drop("e", std::nullopt);
+          isListed = false;
+          leaves = false;
+          break;
+        case 1:
+          fleet.MarkLeaving({ "e", born });
+          leaves = leaves || (isListed && born == latest);
+          break;
+        default:
+          Member member = MakeMember("e", "alone");
+          member.m_born = born;
+          member.m_leaving = *rc::gen::arbitrary<bool>();
+          fleet.Put(member);
+          if (born < latest) {
+            break;
+          }
+          leaves = member.m_leaving || (leaves && born == latest);
+          latest = born;
+          isListed = true;
+      }
+      const Member* held = fleet.Find("e");
+      RC_ASSERT((held != nullptr) == isListed);
+      RC_ASSERT(held == nullptr || held->m_born == latest);
+      RC_ASSERT(held == nullptr || held->m_leaving == leaves);
+    }
+  }));
+}
+
 } // namespace
 } // namespace ridgeferry::relay
--- a/packages/relay/tests/KeptPartsTest.cpp
+++ b/packages/relay/tests/KeptPartsTest.cpp
@@ -74,5 +74,17 @@
   EXPECT_EQ(pace.Median(), 20);
 }
 
+TEST(KeptPartsLifeTest, AnEngineThatStartedAgainKeepsNothing)
+{
+  KeptParts kept;
+  kept.Note({ 7, 70 }, kNow);
+  kept.Note({ 8, 70 }, kNow);
+  kept.Note({ 7, 71 }, kNow);
+  kept.ForgetMember(70);
+  EXPECT_FALSE(kept.IsKept({ 7, 70 }, KeptParts::kLife, kNow));
+  EXPECT_FALSE(kept.IsKept({ 8, 70 }, KeptParts::kLife, kNow));
+  EXPECT_TRUE(kept.IsKept({ 7, 71 }, KeptParts::kLife, kNow));
+}
+
 } // namespace
 } // namespace ridgeferry::relay
--- a/packages/relay/tests/LeavingNewsTest.cpp
+++ b/packages/relay/tests/LeavingNewsTest.cpp
@@ -8,11 +8,15 @@
 enum class Said
 {
   ByList,
-  ByPeer,         ///< Of an upstream that is listed here.
+  ByPeer, ///< Of an upstream that is listed here.
+  ByPeerWithoutBirth,
+  ByPeerOfAnotherLife,
   ByPeerUnlisted, ///< Of one that is not, or no longer.
   Gone,
 };
 
+const UpstreamLife kListed{ "engine-1", 1000 };
+
 struct NewsCase
 {
   const char* m_name;
@@ -29,11 +33,15 @@
 {
   switch (aSaid) {
     case Said::ByList:
-      return aNews.NoteListed("engine-1");
+      return aNews.NoteListed(kListed);
     case Said::ByPeer:
-      return aNews.NoteFromPeer("engine-1", true);
+      return aNews.NoteFromPeer(kListed, &kListed);
+    case Said::ByPeerWithoutBirth:
+      return aNews.NoteFromPeer({ kListed.m_id }, &kListed);
+    case Said::ByPeerOfAnotherLife:
+      return aNews.NoteFromPeer({ kListed.m_id, 5 }, &kListed);
     case Said::ByPeerUnlisted:
-      return aNews.NoteFromPeer("engine-1", false);
+      return aNews.NoteFromPeer(kListed, nullptr);
     case Said::Gone:
       aNews.NoteGone("engine-1");
       break;
@@ -64,6 +72,14 @@
               { Said::ByList, Said::Gone, Said::ByPeerUnlisted },
               false,
               0 },
+    NewsCase{ "OneThatSaysNoBirthIsBelieved",
+              { Said::ByPeerWithoutBirth },
+              true,
+              1 },
+    NewsCase{ "AnotherLifeDoesNotLeave",
+              { Said::ByPeerOfAnotherLife },
+              false,
+              0 },
     NewsCase{ "ALatePeerIsNotBelieved", { Said::ByPeerUnlisted }, false, 0 }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
--- a/packages/relay/tests/PartDeskTest.cpp
+++ b/packages/relay/tests/PartDeskTest.cpp
@@ -265,5 +265,35 @@
   }));
 }
 
+// The engine started again while its order had no answer: its counts begin
+// anew, and that it does what was wanted is no sign of the order.
+TEST_F(PartDeskTest, AnOrderToAnEarlierLifeIsNotCountedForALaterOne)
+{
+  const auto report = [&](std::int64_t aBorn, std::int64_t aOrders) {
+    return m_desk.Handle(
+      ReportCame{ "e", EngineReport{ Part::Generate, false, aOrders, aBorn } },
+      m_now);
+  };
+  Want("e");
+  m_now += PartDesk::kAnnounce;
+  Tick();
+  ASSERT_NE(Find<SendPartOrder>(report(1000, 4)), nullptr);
+  Answer("e", OrderAnswer::Lost);
+  m_now += PartDesk::kAskEvery;
+  Tick();
+  EXPECT_NE(Find<TellNews>(report(2000, 0)), nullptr);
+  EXPECT_EQ(m_desk.TargetOf("e"), std::nullopt);
+  EXPECT_TRUE(m_desk.News().empty());
+  // Nothing is sent to the later life until it is wanted anew, with its count.
+  m_now += PartDesk::kOrderAgain;
+  EXPECT_EQ(Find<AskReport>(Tick()), nullptr);
+  Want("e");
+  m_now += PartDesk::kAnnounce;
+  Tick();
+  const auto again = report(2000, 0);
+  ASSERT_NE(Find<SendPartOrder>(again), nullptr);
+  EXPECT_EQ(Find<SendPartOrder>(again)->m_expectedOrders, 0);
+}
+
 } // namespace
 } // namespace ridgeferry::relay
