Store duty: one look at the peers for the duty of all data centres

Cause: whether anybody is heard whose reads succeed was found by a look at all peers for each peer, asked for each word of a peer whose own reads fail: a square, 0.83 ms at 300 peers, so a quarter of a core at some 300 such words a second where instances have an eighth to a half. Now the bounds of duty of all data centres come from one look, with the hashes of names kept in the roster. membership_bench, 30, 100 and 300 peers of which only those on duty have lost the store: 4.6, 82, 829 us before, 2.2, 6.2, 18 us after.

--- /dev/null
+++ b/packages/membership/bench/StoreDutyBench.cpp
@@ -0,0 +1,57 @@
+// What the question whether anybody is heard whose reads succeed costs, asked
+// for each word of a peer whose reads fail: it must grow with the peers, not
+// with their square.
+
+#include <algorithm>
+#include <benchmark/benchmark.h>
+#include <map>
+#include <ridgeferry/base/Hash.h>
+#include <ridgeferry/membership/StoreDuty.h>
+
+namespace ridgeferry::membership {
+namespace {
+
+constexpr Instant kNow{ Duration{ 1'000'000 } };
+constexpr int kHalls = 5;
+
+/** Only those on duty have lost the store: each of the others is looked at. */
+Roster
+DutyLost(std::int64_t aPeers)
+{
+  Roster roster("self");
+  std::map<std::string, std::vector<std::uint64_t>> hashes;
+  for (std::int64_t i = 0; i < aPeers; ++i) {
+    hashes["hall-" + std::to_string(i % kHalls)].push_back(
+      Hash64("edge-" + std::to_string(i)));
+  }
+  for (auto& [hall, ofHall] : hashes) {
+    std::sort(ofHall.begin(), ofHall.end());
+  }
+  for (std::int64_t i = 0; i < aPeers; ++i) {
+    Heartbeat heartbeat;
+    heartbeat.m_instance = "edge-" + std::to_string(i);
+    heartbeat.m_incarnation = 1;
+    heartbeat.m_hall = "hall-" + std::to_string(i % kHalls);
+    const std::vector<std::uint64_t>& ofHall = hashes[heartbeat.m_hall];
+    const bool lost =
+      Hash64(heartbeat.m_instance) <= ofHall[StoreDuty::kInHall];
+    heartbeat.m_store = StoreView{ 1, 1, lost };
+    roster.Handle(HeartbeatArrived{ heartbeat }, kNow);
+  }
+  return roster;
+}
+
+void
+HearsOfStore(benchmark::State& aState)
+{
+  const Roster roster = DutyLost(aState.range(0));
+  const StoreDuty duty(roster, { "self", "hall-0", false });
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(duty.HearsOfStore(kNow));
+  }
+  aState.SetComplexityN(aState.range(0));
+}
+BENCHMARK(HearsOfStore)->Arg(30)->Arg(100)->Arg(300)->Complexity();
+
+} // namespace
+} // namespace ridgeferry::membership
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -169,6 +169,7 @@
   Heartbeat m_last;
   Instant m_heardAt;
   bool m_alive = false;
+  std::uint64_t m_hash = 0; ///< Of its name: its place in the order of duty.
 };
 
 /**
--- a/packages/membership/include/ridgeferry/membership/StoreDuty.h
+++ b/packages/membership/include/ridgeferry/membership/StoreDuty.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <map>
 #include <ridgeferry/membership/Roster.h>
 #include <string>
+#include <string_view>
 
 namespace ridgeferry::membership {
 
@@ -24,7 +26,7 @@
 class StoreDuty
 {
 public:
-  static constexpr std::ptrdiff_t kInHall = 2;
+  static constexpr std::size_t kInHall = 2;
   /** Talks within which somebody on duty must have been heard: one that is lost
    * is chance, three in a row are not. */
   static constexpr int kFreshTalks = 3;
@@ -47,10 +49,17 @@
 
 private:
   bool IsFresh(const PeerView& aPeer, Instant aNow) const;
-  bool IsFirst(const std::string& aInstance, const std::string& aHall) const;
+  /** By hall: the highest hash of a name that is on duty there. */
+  using Bounds = std::map<std::string_view, std::uint64_t>;
+  /** Of all halls in one look at the peers. A look for each peer took 0.83 ms
+   * at 300 of them, this takes 0.018 ms (`membership_bench`), for each word of
+   * a peer whose reads fail: some 300 a second behind a loss of all instances.
+   */
+  Bounds DutyBounds() const;
 
   const Roster& m_roster;
   DutyAsker m_asker;
+  std::uint64_t m_hash; ///< Of the asker's name.
 };
 
 } // namespace ridgeferry::membership
--- a/packages/membership/src/Roster.cpp
+++ b/packages/membership/src/Roster.cpp
@@ -53,6 +53,9 @@
   }
   peer.m_last = aHeartbeat;
   peer.m_heardAt = aNow;
+  if (known == 0) {
+    peer.m_hash = Hash64(aHeartbeat.m_instance);
+  }
   if (moved || known == 0) {
     CountNear();
   }
--- a/packages/membership/src/StoreDuty.cpp
+++ b/packages/membership/src/StoreDuty.cpp
@@ -1,44 +1,68 @@
 #include "ridgeferry/membership/StoreDuty.h"
 
 #include <algorithm>
+#include <limits>
 #include <ridgeferry/base/Hash.h>
+#include <vector>
 
 namespace ridgeferry::membership {
 
+namespace {
+
+constexpr std::uint64_t kAnyHash = std::numeric_limits<std::uint64_t>::max();
+
+std::uint64_t
+BoundOf(const std::map<std::string_view, std::uint64_t>& aBounds,
+        std::string_view aHall)
+{
+  const auto found = aBounds.find(aHall);
+  return found == aBounds.end() ? kAnyHash : found->second;
+}
+
+} // namespace
+
 StoreDuty::StoreDuty(const Roster& aRoster, DutyAsker aAsker)
   : m_roster(aRoster)
   , m_asker(std::move(aAsker))
+  , m_hash(Hash64(m_asker.m_instance))
 {
 }
 
-bool
-StoreDuty::IsFirst(const std::string& aInstance, const std::string& aHall) const
+StoreDuty::Bounds
+StoreDuty::DutyBounds() const
 {
-  const std::uint64_t own = Hash64(aInstance);
-  const auto isBefore = [&](const std::string& aOther,
-                            const std::string& aOtherHall) {
-    return aOtherHall == aHall && Hash64(aOther) < own;
+  std::map<std::string_view, std::vector<std::uint64_t>> lowest;
+  const auto note = [&](std::string_view aHall, std::uint64_t aHash) {
+    std::vector<std::uint64_t>& ofHall = lowest[aHall];
+    ofHall.insert(std::upper_bound(ofHall.begin(), ofHall.end(), aHash), aHash);
+    ofHall.resize(std::min(ofHall.size(), kInHall));
   };
-  std::ptrdiff_t before =
-    !m_asker.m_leaving && isBefore(m_asker.m_instance, m_asker.m_hall) ? 1 : 0;
+  if (!m_asker.m_leaving) {
+    note(m_asker.m_hall, m_hash);
+  }
   for (const auto& [name, peer] : m_roster.Peers()) {
-    if (peer.m_alive && !peer.m_last.m_leaving &&
-        isBefore(name, peer.m_last.m_hall)) {
-      ++before;
+    if (peer.m_alive && !peer.m_last.m_leaving) {
+      note(peer.m_last.m_hall, peer.m_hash);
     }
   }
-  return before < kInHall;
+  Bounds out;
+  for (const auto& [hall, hashes] : lowest) {
+    const bool isFull = hashes.size() == kInHall;
+    out[hall] = isFull ? hashes.back() : kAnyHash;
+  }
+  return out;
 }
 
 bool
 StoreDuty::HearsOfStore(Instant aNow) const
 {
   const auto& peers = m_roster.Peers();
+  const Bounds bounds = DutyBounds();
   return std::any_of(peers.begin(), peers.end(), [&](const auto& aEntry) {
     const PeerView& peer = aEntry.second;
     return !peer.m_last.m_leaving && peer.m_last.m_store &&
            !peer.m_last.m_store->m_lost && IsFresh(peer, aNow) &&
-           IsFirst(aEntry.first, peer.m_last.m_hall);
+           peer.m_hash <= BoundOf(bounds, peer.m_last.m_hall);
   });
 }
 
@@ -73,7 +97,7 @@
 bool
 StoreDuty::IsOnDutyByPlace() const
 {
-  return IsFirst(m_asker.m_instance, m_asker.m_hall);
+  return m_hash <= BoundOf(DutyBounds(), m_asker.m_hall);
 }
 
 } // namespace ridgeferry::membership
