--- a/packages/relay/include/ridgeferry/relay/TableFollower.h
+++ b/packages/relay/include/ridgeferry/relay/TableFollower.h
@@ -164,10 +164,10 @@
  * While reads fail, the store is not asked to hold any: each is a question
  * whether it is back, and the next one follows as soon as the last has failed.
  * Those on duty by their place ask so; the others ask seldom and go by what
- * peers have read. So a change that is accepted as the store returns is in force
- * within 1.5 s (drawn outages in virtual time; 2.7 s in one that was seen, with
- * reads that are held), and instances at rest ask a lost store each 3 s only.
- * A pure state machine; not thread-safe.
+ * peers have read. So a change that is accepted as the store returns is in
+ * force within 1.5 s (drawn outages in virtual time; 2.7 s in one that was
+ * seen, with reads that are held), and instances at rest ask a lost store each
+ * 3 s only. A pure state machine; not thread-safe.
  */
 class TableFollower
 {
