--- a/packages/entry/src/StoreReader.cpp
+++ b/packages/entry/src/StoreReader.cpp
@@ -210,6 +210,18 @@
   m_rows.emit(aAction);
 }
 
+void
+StoreReader::Do(const relay::AnswerIsOld& aAction)
+{
+  m_node.m_metrics.Count("ridgeferry_store_old_answers_total");
+  m_node.m_log->Write(
+    observe::LogLevel::Warning,
+    "store-answer-old",
+    { { "table", m_table },
+      { "version", static_cast<std::int64_t>(aAction.m_version) },
+      { "held", static_cast<std::int64_t>(m_follower.Version()) } });
+}
+
 void
 StoreReader::Do(const relay::StoreLost& aAction)
 {
--- a/packages/entry/src/StoreReader.h
+++ b/packages/entry/src/StoreReader.h
@@ -42,6 +42,7 @@
   void Do(const relay::DropRead& aAction);
   void Do(const relay::RetryLater& aAction);
   void Do(const relay::ApplyRows& aAction);
+  void Do(const relay::AnswerIsOld& aAction);
   void Do(const relay::StoreLost& aAction);
   void Do(const relay::StoreBack& aAction);
   /** Some time up to the given one, drawn anew each time. */
--- a/packages/relay/include/ridgeferry/relay/TableFollower.h
+++ b/packages/relay/include/ridgeferry/relay/TableFollower.h
@@ -129,6 +129,12 @@
    * only have lapsed, and come back. Nothing: removed is gone. */
   std::optional<Instant> m_lapsesUntil;
 };
+/** A whole table was not taken: it is of an older version than what is held.
+ * Told once until an answer is taken again. */
+struct AnswerIsOld
+{
+  std::uint64_t m_version = 0; ///< Of the answer.
+};
 struct StoreLost
 {
   std::string m_cause;
@@ -144,6 +150,7 @@
                                   DropRead,
                                   RetryLater,
                                   ApplyRows,
+                                  AnswerIsOld,
                                   StoreLost,
                                   StoreBack>;
 
@@ -290,7 +297,8 @@
   bool m_resting = false;    ///< Neither is, and none is due soon.
   std::optional<Instant> m_behindSince;
   std::uint64_t m_askedAnewFor =
-    0; ///< Version that the last `DropRead` was for.
+    0;                    ///< Version that the last `DropRead` was for.
+  bool m_toldOld = false; ///< `AnswerIsOld`, since an answer was taken.
   Duration m_retry = kFirstRetry;
   Instant m_lostAt; ///< The first read that failed; meaningful while lost.
   FollowedTable m_table;
--- a/packages/relay/src/TableFollower.cpp
+++ b/packages/relay/src/TableFollower.cpp
@@ -95,6 +95,7 @@
 {
   m_hasRead = true;
   m_needsTable = false;
+  m_toldOld = false;
   Tell(m_table.Replace(aRows, aVersion), aNow, aActions);
 }
 
@@ -180,6 +181,9 @@
   NoteAnswer(aNow, aActions);
   if (m_hasRead && aEvent.m_version < m_table.Version()) {
     // An answer from before what was already told: ask again a little later.
+    if (!std::exchange(m_toldOld, true)) {
+      aActions.emplace_back(AnswerIsOld{ aEvent.m_version });
+    }
     aActions.emplace_back(RetryLater{ kFirstRetry });
     return;
   }
