--- a/packages/authority/include/ridgeferry/authority/Lease.h
+++ b/packages/authority/include/ridgeferry/authority/Lease.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <ridgeferry/base/StorePosition.h>
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/table/Table.h>
 #include <string>
@@ -12,9 +14,26 @@
 
 namespace ridgeferry::authority {
 
-/** Rises by one with each taking of a hall's lease. */
+/**
+ * Rises with each taking of a hall's lease: by one within one generation of the
+ * store, whose number is the high part. So it rises also where the store has
+ * come back from a copy that lacks the last takings.
+ */
 using FencingNumber = std::uint64_t;
 
+/** Bits of a fencing number below the generation: more takings than there can
+ * be in one, while the whole number stays exact where only 53 bits are. */
+constexpr int kFencingBits = 32;
+
+/** Number of the next taking; `aSeen`: that of the last one as the store has
+ * it.
+ */
+constexpr FencingNumber
+NextFencing(FencingNumber aSeen, StoreGeneration aGeneration)
+{
+  return std::max(aSeen, aGeneration << kFencingBits) + 1;
+}
+
 /** The lease row of a hall. It changes with every renewal. */
 struct LeaseRow
 {
@@ -50,6 +69,7 @@
 {
   table::ReadResult m_lease;
   table::ReadResult m_fence;
+  StoreGeneration m_generation = 0; ///< Of the store that answered.
 };
 /** Answer to `WriteLease`. */
 struct LeaseWritten
@@ -57,11 +77,16 @@
   std::uint64_t m_attempt = 0;
   table::CommitResult m_result = table::CommitResult::Unknown;
 };
+/** The store was seen to be in that generation. */
+struct LeaseGeneration
+{
+  StoreGeneration m_generation = 0;
+};
 /** Planned stop: give the lease back. */
 struct LeaseResign
 {};
-using LeaseEvent =
-  std::variant<LeaseTick, LeaseRead, LeaseWritten, LeaseResign>;
+using LeaseEvent = std::
+  variant<LeaseTick, LeaseRead, LeaseWritten, LeaseGeneration, LeaseResign>;
 
 /** Read the lease row, then the fence row, in that order. */
 struct ReadLease
@@ -102,6 +127,13 @@
  * sent the write that committed; a taker waits until it has seen the same row
  * for a whole term on its own clock. So a holder's authority ends before a
  * taker's begins, if both clocks run at the same rate within margin/term.
+ *
+ * A store that came back from an older copy may lack the last taking: whoever
+ * holds by the history that is lost believes so for the rest of its term. So at
+ * the first sight of a later generation a holder's authority ends, and nobody
+ * takes the lease for a whole term and margin from then on, whatever the copy
+ * says. What was read and written before counts no more: the versions of two
+ * generations say nothing of each other.
  * A pure state machine; not thread-safe.
  */
 class Lease
@@ -133,6 +165,9 @@
   void OnTick(const LeaseTick& aTick, Instant aNow, Actions& aActions);
   void OnRead(const LeaseRead& aRead, Instant aNow, Actions& aActions);
   void OnWritten(const LeaseWritten& aWritten, Instant aNow, Actions& aActions);
+  void OnGeneration(StoreGeneration aGeneration,
+                    Instant aNow,
+                    Actions& aActions);
   void OnResign(Instant aNow, Actions& aActions);
   void NoteRow(const table::Row& aLease, const LeaseRow& aRow, Instant aNow);
   void Confirm(const OpenWrite& aWrite, Actions& aActions);
@@ -156,6 +191,11 @@
   std::optional<Instant> m_unchangedSince; ///< Empty: never read.
   bool m_hasRead = false;
 
+  /** Of the store, as far as seen; nothing: never. */
+  std::optional<StoreGeneration> m_generation;
+  /** A holder by a lost history may believe in its authority until then. */
+  std::optional<Instant> m_nobodyTakesUntil;
+
   std::optional<OpenWrite> m_open;
   std::uint64_t m_lastAttempt = 0;
   std::optional<Instant> m_nextRead;
--- a/packages/authority/src/Lease.cpp
+++ b/packages/authority/src/Lease.cpp
@@ -71,6 +71,9 @@
       [&](const LeaseTick& aTick) { OnTick(aTick, aNow, actions); },
       [&](const LeaseRead& aRead) { OnRead(aRead, aNow, actions); },
       [&](const LeaseWritten& aWritten) { OnWritten(aWritten, aNow, actions); },
+      [&](const LeaseGeneration& aSeen) {
+        OnGeneration(aSeen.m_generation, aNow, actions);
+      },
       [&](const LeaseResign&) { OnResign(aNow, actions); } },
     aEvent);
   return actions;
@@ -97,7 +100,9 @@
     return;
   }
   if (aTick.m_contends && MayTake(aNow)) {
-    Write({ m_process, m_seen.m_fencing + 1, 0, false }, true, aNow, aActions);
+    const FencingNumber next =
+      NextFencing(m_seen.m_fencing, m_generation.value_or(0));
+    Write({ m_process, next, 0, false }, true, aNow, aActions);
     return;
   }
   if (!aTick.m_contends && m_times.m_seldom == 0 && m_hasRead) {
@@ -117,13 +122,33 @@
 bool
 Lease::MayTake(Instant aNow) const
 {
-  if (!m_unchangedSince) {
+  if (!m_unchangedSince || aNow < m_nobodyTakesUntil.value_or(aNow)) {
     return false;
   }
   const bool free = m_seen.m_holder.empty() || m_seen.m_released;
   return free || aNow - *m_unchangedSince >= m_times.m_term + m_times.m_margin;
 }
 
+void
+Lease::OnGeneration(StoreGeneration aGeneration,
+                    Instant aNow,
+                    Actions& aActions)
+{
+  if (m_generation && aGeneration <= *m_generation) {
+    return;
+  }
+  m_generation = aGeneration;
+  if (aGeneration == 0) {
+    return; // A store that never came back older.
+  }
+  m_nobodyTakesUntil = aNow + m_times.m_term + m_times.m_margin;
+  m_open.reset();
+  m_unchangedSince.reset();
+  m_nextRead.reset();
+  m_hasRead = false;
+  Drop(aActions);
+}
+
 void
 Lease::OnRead(const LeaseRead& aRead, Instant aNow, Actions& aActions)
 {
@@ -131,6 +156,10 @@
       aRead.m_fence.m_status != table::ReadStatus::Ok) {
     return;
   }
+  OnGeneration(aRead.m_generation, aNow, aActions);
+  if (aRead.m_generation < m_generation.value_or(0)) {
+    return; // It says nothing of what holds now.
+  }
   const auto row = DecodeLease(aRead.m_lease.m_row.m_value);
   if (!row) {
     return;
--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <ridgeferry/base/FieldReader.h>
+#include <ridgeferry/base/StorePosition.h>
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/net/Http.h>
 #include <ridgeferry/net/HttpServer.h>
@@ -47,7 +48,7 @@
 {
   std::string m_table;
   std::string m_fromKey; ///< Of a whole read: the first key of the page.
-  std::optional<std::uint64_t> m_after; ///< Changes after this version.
+  std::optional<StorePosition> m_after; ///< Changes after this position.
   Duration m_wait{};                    ///< How long changes may be awaited.
 };
 
@@ -55,7 +56,7 @@
 struct StorePage
 {
   std::vector<relay::FollowedRow> m_rows;
-  std::uint64_t m_version = 0;
+  std::uint64_t m_version = 0; ///< In the generation that the answer tells.
   bool m_hasMore = false;
 };
 
@@ -77,9 +78,17 @@
   std::uint64_t m_fencing = 0;
 };
 
+/** The store does not know the changes that were asked for. */
+struct StoreForgot
+{};
+
 /** What the answer to a store read means. */
-using StoreAnswer =
-  std::variant<StorePage, relay::HistoryGone, relay::ReadFailed>;
+using StoreAnswer = std::variant<StorePage, StoreForgot, relay::ReadFailed>;
+
+/** What an answer of the store says of its generation: one, nothing, or what is
+ * no number. */
+using ToldGeneration =
+  tl::expected<std::optional<StoreGeneration>, std::string>;
 
 /**
  * How a platform spells what this package decides. Each member only
@@ -99,6 +108,8 @@
     m_writeFreeHandle;
   sigc::slot<net::HttpRequest(const StoreRead&)> m_writeStoreRead;
   sigc::slot<StoreAnswer(const net::HttpResponse&)> m_readStoreAnswer;
+  /** Of any answer of the store. */
+  sigc::slot<ToldGeneration(const net::HttpHead&)> m_readGeneration;
   sigc::slot<net::HttpRequest(const StoreCommit&)> m_writeStoreCommit;
   /** What is known of a commit by its answer, or by the lack of one. */
   sigc::slot<table::CommitResult(const net::HttpResponse&)> m_readStoreCommit;
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -4,10 +4,12 @@
 #include "PeerRows.h"
 #include "Peers.h"
 #include "Relay.h"
+#include "StoreGenerations.h"
 #include "StoreReader.h"
 
 #include <algorithm>
 #include <csignal>
+#include <ridgeferry/relay/GoneUpstreams.h>
 #include <sys/stat.h>
 
 namespace ridgeferry::entry {
@@ -61,6 +63,12 @@
   EntryNode m_node;
   std::string m_file;
   std::optional<timespec> m_fileTime;
+  StoreGenerations m_generations{ m_node };
+  relay::GoneUpstreams m_gone;
+  /** Text of the configuration in force, and the generation of the store that
+   * was last seen to have it. */
+  std::string m_configText;
+  StoreGeneration m_configGeneration = 0;
   std::unique_ptr<Peers> m_peers;
   std::unique_ptr<PeerRows> m_peerRows;
   std::unique_ptr<StoreReader> m_config;
@@ -76,9 +84,17 @@
   tl::expected<void, net::NetError> Start();
   void WatchSignals();
   void TakeConfig(const relay::ApplyRows& aRows);
+  void TakeConfigRow(const relay::FollowedRow& aRow);
+  /** See `relay::KeepsKnown`: never an older configuration. */
+  bool KeepsConfig(std::string_view aKey,
+                   std::string_view aKnown,
+                   const std::string* aTold);
   void TakeMembers(const relay::ApplyRows& aRows);
   void TakeMember(const relay::FollowedRow& aRow,
-                  std::optional<Instant> aLapsesUntil);
+                  std::optional<Instant> aLapsesUntil,
+                  bool aIsCopy);
+  void PutMember(const relay::Member& aMember);
+  void ReleaseHeld();
   /** The list has another life of an upstream than was held. */
   void NoteOtherLife(const relay::Member& aMember, LifeOrder aOrder);
   void TakeRemoval(const std::string& aUpstream,
@@ -105,51 +121,91 @@
          m_members->HasRead();
 }
 
+bool
+Entry::Impl::KeepsConfig(std::string_view aKey,
+                         std::string_view aKnown,
+                         const std::string* aTold)
+{
+  if (aKey != m_node.m_dialect.m_configKey) {
+    return false;
+  }
+  const auto known = m_node.m_dialect.m_readConfig(aKnown);
+  if (!known) {
+    return false; // It never was in force.
+  }
+  const auto told = aTold == nullptr ? tl::unexpected(std::vector<FieldError>{})
+                                     : m_node.m_dialect.m_readConfig(*aTold);
+  const bool keeps = !told || told->m_version < known->m_version;
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "configuration-in-a-copy",
+    { { "version", told ? static_cast<std::int64_t>(told->m_version) : 0 },
+      { "known", static_cast<std::int64_t>(known->m_version) },
+      { "keeps", keeps } });
+  return keeps;
+}
+
 void
 Entry::Impl::TakeConfig(const relay::ApplyRows& aRows)
 {
   for (const relay::FollowedRow& row : aRows.m_rows) {
-    if (row.m_key != m_node.m_dialect.m_configKey || row.m_removed) {
-      continue;
-    }
-    auto config = m_node.m_dialect.m_readConfig(row.m_value);
-    if (!config) {
-      m_node.m_log->Write(
-        observe::LogLevel::Error,
-        "configuration-rejected",
-        { { "version", static_cast<std::int64_t>(row.m_version) },
-          { "faults", FaultsText(config.error()) } });
-      continue;
-    }
-    const std::uint64_t held =
-      m_node.m_routes == nullptr ? 0 : m_node.m_routes->Version();
-    const auto version = static_cast<std::int64_t>(config->m_version);
-    if (config->m_version <= held && m_node.m_routes != nullptr) {
-      m_node.m_log->Write(observe::LogLevel::Info,
-                          "configuration-is-old",
-                          { { "version", version },
-                            { "inForce", static_cast<std::int64_t>(held) } });
-      continue;
+    if (row.m_key == m_node.m_dialect.m_configKey && !row.m_removed) {
+      TakeConfigRow(row);
     }
-    m_node.m_routes =
-      std::make_shared<const relay::RouteTable>(std::move(*config));
-    m_relay->UseLimits();
-    m_node.m_log->Write(observe::LogLevel::Info,
-                        "configuration-in-force",
-                        { { "version", version },
-                          { "routes",
-                            static_cast<std::int64_t>(
-                              m_node.m_routes->Config().m_routes.size()) } });
   }
   NoteReadiness();
   TellRead();
 }
 
+void
+Entry::Impl::TakeConfigRow(const relay::FollowedRow& aRow)
+{
+  auto config = m_node.m_dialect.m_readConfig(aRow.m_value);
+  if (!config) {
+    m_node.m_log->Write(
+      observe::LogLevel::Error,
+      "configuration-rejected",
+      { { "version", static_cast<std::int64_t>(aRow.m_version) },
+        { "faults", FaultsText(config.error()) } });
+    return;
+  }
+  const bool isFirst = m_node.m_routes == nullptr;
+  const std::uint64_t held = isFirst ? 0 : m_node.m_routes->Version();
+  const auto version = static_cast<std::int64_t>(config->m_version);
+  const StoreGeneration generation =
+    m_config->Follower().Position().m_generation;
+  // Of one number, the text that the standing history of the store has: all
+  // instances read that one sooner or later.
+  const bool isOther = config->m_version == held &&
+                       generation > m_configGeneration &&
+                       aRow.m_value != m_configText;
+  if (config->m_version >= held) {
+    m_configGeneration = generation;
+  }
+  if (!isFirst && config->m_version <= held && !isOther) {
+    m_node.m_log->Write(observe::LogLevel::Info,
+                        "configuration-is-old",
+                        { { "version", version },
+                          { "inForce", static_cast<std::int64_t>(held) } });
+    return;
+  }
+  m_configText = aRow.m_value;
+  m_node.m_routes =
+    std::make_shared<const relay::RouteTable>(std::move(*config));
+  m_relay->UseLimits();
+  m_node.m_log->Write(observe::LogLevel::Info,
+                      "configuration-in-force",
+                      { { "version", version },
+                        { "routes",
+                          static_cast<std::int64_t>(
+                            m_node.m_routes->Config().m_routes.size()) } });
+}
+
 void
 Entry::Impl::TakeMembers(const relay::ApplyRows& aRows)
 {
   for (const relay::FollowedRow& row : aRows.m_rows) {
-    TakeMember(row, aRows.m_lapsesUntil);
+    TakeMember(row, aRows.m_lapsesUntil, aRows.m_copyAfter.has_value());
   }
   NoteReadiness();
   TellRead();
@@ -157,8 +213,12 @@
 
 void
 Entry::Impl::TakeMember(const relay::FollowedRow& aRow,
-                        std::optional<Instant> aLapsesUntil)
+                        std::optional<Instant> aLapsesUntil,
+                        bool aIsCopy)
 {
+  if (!aIsCopy) {
+    m_gone.NoteChange(aRow.m_key);
+  }
   if (aRow.m_removed) {
     TakeRemoval(aRow.m_key, aLapsesUntil);
     return;
@@ -176,24 +236,45 @@
     TakeRemoval(aRow.m_key, std::nullopt);
     return;
   }
-  const LifeOrder order = m_node.m_fleet.Put(*member);
+  if (aIsCopy && m_gone.HoldBack(*member, m_node.Now())) {
+    m_node.m_log->Write(observe::LogLevel::Info,
+                        "upstream-held-back",
+                        { { "upstream", member->m_id },
+                          { "forMs", relay::GoneUpstreams::kHold.count() } });
+    return;
+  }
+  PutMember(*member);
+}
+
+void
+Entry::Impl::PutMember(const relay::Member& aMember)
+{
+  const LifeOrder order = m_node.m_fleet.Put(aMember);
   if (order != LifeOrder::Same) {
-    NoteOtherLife(*member, order);
+    NoteOtherLife(aMember, order);
   }
   if (order == LifeOrder::Earlier) {
     return;
   }
-  if (member->m_leaving) {
-    m_peers->NoteLeaving(member->Life());
+  if (aMember.m_leaving) {
+    m_peers->NoteLeaving(aMember.Life());
   }
   m_node.m_log->Write(observe::LogLevel::Info,
                       "upstream-listed",
-                      { { "upstream", member->m_id },
-                        { "service", member->m_service },
-                        { "address", member->m_address },
-                        { "part", std::string(relay::NameOf(member->m_part)) },
-                        { "leaving", member->m_leaving },
-                        { "born", member->m_born.value_or(0) } });
+                      { { "upstream", aMember.m_id },
+                        { "service", aMember.m_service },
+                        { "address", aMember.m_address },
+                        { "part", std::string(relay::NameOf(aMember.m_part)) },
+                        { "leaving", aMember.m_leaving },
+                        { "born", aMember.m_born.value_or(0) } });
+}
+
+void
+Entry::Impl::ReleaseHeld()
+{
+  for (const relay::Member& member : m_gone.Tick(m_node.Now())) {
+    PutMember(member);
+  }
 }
 
 void
@@ -218,6 +299,9 @@
 {
   const Instant now = m_node.Now();
   const relay::Member* member = m_node.m_fleet.Find(aUpstream);
+  if (member != nullptr) {
+    m_gone.NoteGone(member->Life(), now);
+  }
   const auto reads =
     member == nullptr ? std::nullopt : m_peers->HallReadsSince(member->m_hall);
   const auto until = relay::LapseGrace::Bounded(aLapsesUntil, reads, now);
@@ -274,8 +358,8 @@
 {
   const relay::TableFollower& config = m_config->Follower();
   const relay::TableFollower& members = m_members->Follower();
-  return { config.ChangedVersion(),
-           members.ChangedVersion(),
+  return { config.ChangedPosition(),
+           members.ChangedPosition(),
            config.IsLost() || members.IsLost(),
            members.IsSteady(m_node.Now()),
            members.ReadsFor(m_node.Now()) };
@@ -288,6 +372,10 @@
                        static_cast<double>(m_node.m_log->Dropped()));
   m_node.m_metrics.Set("ridgeferry_instances_alive",
                        static_cast<double>(m_node.m_instances));
+  m_node.m_metrics.Set("ridgeferry_store_generation",
+                       static_cast<double>(m_generations.Latest()));
+  m_node.m_metrics.Set("ridgeferry_upstreams_held_back",
+                       static_cast<double>(m_gone.Held()));
   m_node.m_metrics.Set("ridgeferry_store_on_duty", m_peers->IsOnDuty() ? 1 : 0);
 }
 
@@ -300,6 +388,7 @@
                         "upstream-grace-ended",
                         { { "upstream", upstream } });
   }
+  ReleaseHeld();
   const bool onDuty = m_peers->IsOnDuty();
   const bool byPlace = m_peers->IsOnDutyByPlace();
   m_config->SetDuty(onDuty, byPlace);
@@ -375,14 +464,26 @@
 tl::expected<void, net::NetError>
 Entry::Impl::Start()
 {
-  m_peers = std::make_unique<Peers>(m_node);
+  m_peers = std::make_unique<Peers>(m_node, m_generations);
   m_peerRows = std::make_unique<PeerRows>(m_node, *m_peers);
-  m_config = std::make_unique<StoreReader>(
-    m_node, *m_peerRows, Peers::Table::Config, m_node.m_dialect.m_configTable);
-  m_members = std::make_unique<StoreReader>(
-    m_node, *m_peerRows, Peers::Table::Members, m_node.m_dialect.m_memberTable);
+  m_config =
+    std::make_unique<StoreReader>(m_node,
+                                  m_generations,
+                                  *m_peerRows,
+                                  Peers::Table::Config,
+                                  m_node.m_dialect.m_configTable,
+                                  [this](std::string_view aKey,
+                                         std::string_view aKnown,
+                                         const std::string* aTold) {
+                                    return KeepsConfig(aKey, aKnown, aTold);
+                                  });
+  m_members = std::make_unique<StoreReader>(m_node,
+                                            m_generations,
+                                            *m_peerRows,
+                                            Peers::Table::Members,
+                                            m_node.m_dialect.m_memberTable);
   m_relay = std::make_unique<Relay>(m_node);
-  m_parts = std::make_unique<PartKeeper>(m_node, *m_peers);
+  m_parts = std::make_unique<PartKeeper>(m_node, m_generations, *m_peers);
   if (auto started = m_relay->Start(); !started) {
     return started;
   }
@@ -424,8 +525,8 @@
   });
   m_peers->SignalStoreView().connect(
     [this](const membership::StoreView& aView) {
-      m_config->NotePeer(aView.m_configVersion, aView);
-      m_members->NotePeer(aView.m_membersVersion, aView);
+      m_config->NotePeer(aView.m_config, aView);
+      m_members->NotePeer(aView.m_members, aView);
     });
   WatchSignals();
   m_tick = m_node.m_loop->Every(kTick, [this] { Tick(); });
--- a/packages/entry/src/PartKeeper.cpp
+++ b/packages/entry/src/PartKeeper.cpp
@@ -45,8 +45,11 @@
 
 } // namespace
 
-PartKeeper::PartKeeper(EntryNode& aNode, Peers& aPeers)
+PartKeeper::PartKeeper(EntryNode& aNode,
+                       StoreGenerations& aGenerations,
+                       Peers& aPeers)
   : m_node(aNode)
+  , m_generations(aGenerations)
   , m_peers(aPeers)
   , m_lease(
       kScope,
@@ -60,6 +63,10 @@
 PartKeeper::Start()
 {
   m_began = m_node.Now();
+  m_generations.SignalRisen().connect([this](StoreGeneration aGeneration) {
+    HandleLease(authority::LeaseGeneration{ aGeneration });
+    m_written.clear(); // It may be lost: the next holder writes it again.
+  });
   m_tick = m_node.m_loop->Every(kTick, [this] { Tick(); });
 }
 
@@ -185,6 +192,8 @@
   net::HttpCallbacks callbacks;
   callbacks.m_done = [this](const net::HttpResponse& aResponse) {
     authority::LeaseRead event;
+    event.m_generation = m_generations.Of(aResponse);
+    m_generations.Note(event.m_generation, "the lease");
     const bool whole = aResponse.m_end == net::HttpEnd::Complete;
     const StoreAnswer answer =
       whole ? m_node.m_dialect.m_readStoreAnswer(aResponse)
@@ -251,6 +260,7 @@
   m_writing = true;
   callbacks.m_done = [this, found](const net::HttpResponse& aResponse) {
     m_writing = false;
+    m_generations.Note(m_generations.Of(aResponse), "what is found");
     if (m_node.m_dialect.m_readStoreCommit(aResponse) ==
         table::CommitResult::Committed) {
       m_written = found;
@@ -269,6 +279,7 @@
   net::HttpCallbacks callbacks;
   callbacks.m_done =
     [this, attempt = aAction.m_attempt](const net::HttpResponse& aResponse) {
+      m_generations.Note(m_generations.Of(aResponse), "the lease");
       HandleLease(authority::LeaseWritten{
         attempt, m_node.m_dialect.m_readStoreCommit(aResponse) });
     };
--- a/packages/entry/src/PartKeeper.h
+++ b/packages/entry/src/PartKeeper.h
@@ -2,6 +2,7 @@
 
 #include "EntryNode.h"
 #include "Peers.h"
+#include "StoreGenerations.h"
 
 #include <map>
 #include <ridgeferry/authority/Lease.h>
@@ -17,8 +18,8 @@
 class PartKeeper
 {
 public:
-  /** Precondition: both outlive it. */
-  PartKeeper(EntryNode& aNode, Peers& aPeers);
+  /** Precondition: all outlive it. */
+  PartKeeper(EntryNode& aNode, StoreGenerations& aGenerations, Peers& aPeers);
 
   void Start();
   /** An engine has left the list. */
@@ -56,6 +57,7 @@
   double NeededNow(const relay::Service& aService, ServicePlan& aPlan);
 
   EntryNode& m_node;
+  StoreGenerations& m_generations;
   Peers& m_peers;
   authority::Lease m_lease;
   relay::PartDesk m_desk;
--- a/packages/entry/src/PeerRows.cpp
+++ b/packages/entry/src/PeerRows.cpp
@@ -93,7 +93,7 @@
 }
 
 void
-PeerRows::Ask(Table aTable, std::uint64_t aAfter, const Answered& aAnswered)
+PeerRows::Ask(Table aTable, StorePosition aAfter, const Answered& aAnswered)
 {
   const auto peer = m_peers.PickAhead(aTable, aAfter);
   if (!peer) {
--- a/packages/entry/src/PeerRows.h
+++ b/packages/entry/src/PeerRows.h
@@ -16,8 +16,8 @@
 {
 public:
   using Table = Peers::Table;
-  /** What this instance has read of a table after a version. */
-  using Source = sigc::slot<relay::TableSlice(std::uint64_t)>;
+  /** What this instance has read of a table after a position. */
+  using Source = sigc::slot<relay::TableSlice(StorePosition)>;
   /** What the peer answered; nothing: none did, or it was of no use. */
   using Answered = sigc::slot<void(std::optional<relay::TableSlice>)>;
 
@@ -27,9 +27,9 @@
   /** Listens at the address of the datagrams, by TCP. */
   tl::expected<void, net::NetError> Start();
   void Serve(Table aTable, Source aSource);
-  /** Asks one that has read changes after a version; `aAnswered` comes later,
+  /** Asks one that has read changes after a position; `aAnswered` comes later,
    * once. */
-  void Ask(Table aTable, std::uint64_t aAfter, const Answered& aAnswered);
+  void Ask(Table aTable, StorePosition aAfter, const Answered& aAnswered);
 
 private:
   void Answer(net::HttpExchange& aExchange);
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -22,6 +22,12 @@
 /** The store's rows are asked for again after a failure in this time. */
 constexpr Duration kRetry{ 500 };
 constexpr Duration kStoreTimeout{ 1000 };
+/** Behind a copy of the store that may lack rows of instances they are written
+ * again after this time: all have heard of it by then. Who starts meanwhile
+ * finds the others by the seeds, or half a second later. */
+constexpr Duration kRewriteAfter{ 500 };
+/** Rows that the store takes in one transaction. */
+constexpr std::size_t kMostRowsAtOnce = 100;
 /**
  * Longest time in which each instance tells each other; above, the instances of
  * a hall tell each other and, together, the other halls. An engine's queue of
@@ -78,8 +84,9 @@
 
 } // namespace
 
-Peers::Peers(EntryNode& aNode)
+Peers::Peers(EntryNode& aNode, StoreGenerations& aGenerations)
   : m_node(aNode)
+  , m_generations(aGenerations)
   , m_roster(aNode.m_settings.m_instance, Times(), aNode.m_settings.m_hall)
   , m_incarnation(static_cast<std::uint64_t>(
       net::EventLoop::WallNow().time_since_epoch().count()))
@@ -103,6 +110,8 @@
     Handle(membership::RosterTick{});
     m_node.m_instances = m_roster.LiveCount();
   });
+  m_generations.SignalRisen().connect(
+    [this](StoreGeneration) { NoteGeneration(); });
   std::set<std::string> seeds;
   for (const net::Address& seed : m_node.m_settings.m_seeds) {
     seeds.insert(
@@ -227,7 +236,9 @@
 std::optional<Instant>
 Peers::HallReadsSince(std::string_view aHall) const
 {
-  return Duty().ReadsSince(aHall, m_node.Now());
+  // Reads of a generation that has ended say nothing of the present rows.
+  return Duty().ReadsSince(
+    aHall, m_storeView.m_members.m_generation, m_node.Now());
 }
 
 std::set<std::string>
@@ -241,7 +252,7 @@
 }
 
 std::optional<std::string>
-Peers::PickAhead(Table aTable, std::uint64_t aAfter) const
+Peers::PickAhead(Table aTable, StorePosition aAfter) const
 {
   std::vector<std::string> near;
   std::vector<std::string> far;
@@ -250,15 +261,16 @@
     if (!peer.m_alive || peer.m_last.m_leaving || !view) {
       continue;
     }
-    const std::uint64_t version =
-      aTable == Table::Config ? view->m_configVersion : view->m_membersVersion;
-    if (version > aAfter) {
+    const StorePosition read =
+      aTable == Table::Config ? view->m_config : view->m_members;
+    if (read > aAfter) {
       const bool isNear = peer.m_last.m_hall == m_node.m_settings.m_hall;
       (isNear ? near : far).push_back(peer.m_last.m_peerAddress);
     }
   }
   const auto& heard = near.empty() ? far : near;
-  const auto& from = heard.empty() && aAfter == 0 ? m_listedAddresses : heard;
+  const auto& from =
+    heard.empty() && aAfter.m_version == 0 ? m_listedAddresses : heard;
   if (from.empty()) {
     return std::nullopt;
   }
@@ -373,6 +385,8 @@
   // off, and what is removed from the list has not lapsed.
   aView.m_lost = aView.m_lost && !Duty().HearsOfStore(m_node.Now());
   m_storeViews.emit(aView);
+  m_generations.Note(std::max(aView.m_config, aView.m_members).m_generation,
+                     "a peer");
 }
 
 void
@@ -450,6 +464,7 @@
   request.m_timeout = kStoreTimeout;
   net::HttpCallbacks callbacks;
   callbacks.m_done = [this](const net::HttpResponse& aResponse) {
+    m_generations.Note(m_generations.Of(aResponse), "the own row");
     if (m_node.m_dialect.m_readStoreCommit(aResponse) ==
         table::CommitResult::Committed) {
       ReadRows();
@@ -461,6 +476,65 @@
   m_node.m_http->Send(request, std::move(callbacks));
 }
 
+void
+Peers::NoteGeneration()
+{
+  if (!m_hasListed) {
+    return; // The own row is being written in any case.
+  }
+  m_rewrite = m_node.m_loop->After(kRewriteAfter, [this] { WriteAllRows(); });
+}
+
+void
+Peers::WriteAllRows()
+{
+  if (m_roster.Rank(m_node.m_dialect.m_instanceTable) != 0) {
+    return; // The first one of those that hear each other does.
+  }
+  StoreCommit commit;
+  commit.m_table = m_node.m_dialect.m_instanceTable;
+  std::vector<table::Put>& puts = commit.m_transaction.m_puts;
+  puts.push_back(
+    { m_node.m_settings.m_instance, m_node.m_settings.m_peers.ToString() });
+  for (const auto& [name, peer] : m_roster.Peers()) {
+    if (!peer.m_alive || peer.m_last.m_leaving) {
+      continue;
+    }
+    puts.push_back({ name, peer.m_last.m_peerAddress });
+    if (puts.size() == kMostRowsAtOnce) {
+      WriteRows(commit);
+      puts.clear();
+    }
+  }
+  if (!puts.empty()) {
+    WriteRows(std::move(commit));
+  }
+}
+
+void
+Peers::WriteRows(StoreCommit aCommit)
+{
+  net::HttpRequest request = m_node.m_dialect.m_writeStoreCommit(aCommit);
+  request.m_address = m_node.m_settings.m_store;
+  request.m_timeout = kStoreTimeout;
+  net::HttpCallbacks callbacks;
+  callbacks.m_done = [this, count = aCommit.m_transaction.m_puts.size()](
+                       const net::HttpResponse& aResponse) {
+    m_generations.Note(m_generations.Of(aResponse), "rows of instances");
+    const bool written = m_node.m_dialect.m_readStoreCommit(aResponse) ==
+                         table::CommitResult::Committed;
+    m_node.m_log->Write(observe::LogLevel::Info,
+                        "peers-written-again",
+                        { { "count", static_cast<std::int64_t>(count) },
+                          { "written", written } });
+    if (!written) {
+      // All of them: writing one twice is harmless, and it is rare.
+      m_rewrite = m_node.m_loop->After(kRetry, [this] { WriteAllRows(); });
+    }
+  };
+  m_node.m_http->Send(request, std::move(callbacks));
+}
+
 void
 Peers::ReadRows()
 {
@@ -475,6 +549,7 @@
     const StoreAnswer answer =
       whole ? m_node.m_dialect.m_readStoreAnswer(aResponse)
             : StoreAnswer(relay::ReadFailed{ "no whole answer" });
+    m_generations.Note(m_generations.Of(aResponse), "rows of instances");
     if (const auto* page = std::get_if<StorePage>(&answer)) {
       TakeRows(*page);
     } else {
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "EntryNode.h"
+#include "StoreGenerations.h"
 
 #include <ridgeferry/membership/Roster.h>
 #include <ridgeferry/membership/StoreDuty.h>
@@ -28,7 +29,8 @@
     Members,
   };
 
-  explicit Peers(EntryNode& aNode);
+  /** Precondition: both outlive it. */
+  Peers(EntryNode& aNode, StoreGenerations& aGenerations);
 
   tl::expected<void, net::NetError> Start();
   /** This instance learned that an upstream leaves: tell the others. */
@@ -61,11 +63,11 @@
   /** Tells the live instances of this hall at once what this one says of
    * itself. */
   void TellHall();
-  /** IP:PORT of an instance that has read changes of a table after a version:
+  /** IP:PORT of an instance that has read changes of a table after a position:
    * one of this hall, if there is any. Before any was heard, one of those that
    * the store lists. */
   std::optional<std::string> PickAhead(Table aTable,
-                                       std::uint64_t aAfter) const;
+                                       StorePosition aAfter) const;
   /** The store's rows of instances were read. */
   bool HasListed() const { return m_hasListed; }
   /** The same, when it happens; whether there are others. */
@@ -103,8 +105,15 @@
   /** Another instance says so. */
   void TakeLeaving(const UpstreamLife& aUpstream);
   void RetryLater(sigc::slot<void()> aWhat);
+  void NoteGeneration();
+
+  /** The rows of all instances that are heard, where one suffices to write
+   * them: behind a copy of the store that lacks some. */
+  void WriteAllRows();
+  void WriteRows(StoreCommit aCommit);
 
   EntryNode& m_node;
+  StoreGenerations& m_generations;
   membership::Roster m_roster;
   std::uint64_t m_incarnation;
   bool m_ready = false;
@@ -119,6 +128,7 @@
   std::unique_ptr<net::UdpSocket> m_socket;
   net::Watch m_tick;
   net::Watch m_retry;
+  net::Watch m_rewrite;
   std::vector<std::string> m_listedAddresses;
   bool m_hasListed = false;
   sigc::signal<void(bool)> m_listed;
--- /dev/null
+++ b/packages/entry/src/StoreGenerations.cpp
@@ -0,0 +1,67 @@
+#include "StoreGenerations.h"
+
+#include <utility>
+
+namespace ridgeferry::entry {
+
+namespace {
+
+/** A store that tells no number does so in each answer: a line a minute says
+ * enough, and the counter has the rest. */
+constexpr Duration kTellUnreadableEvery{ 60'000 };
+/** Of what was told in place of a number, so much is logged. */
+constexpr std::size_t kMostLogged = 40;
+
+} // namespace
+
+StoreGenerations::StoreGenerations(EntryNode& aNode)
+  : m_node(aNode)
+{
+}
+
+StoreGeneration
+StoreGenerations::Of(const net::HttpResponse& aAnswer)
+{
+  if (aAnswer.m_end != net::HttpEnd::Complete) {
+    return m_latest;
+  }
+  const ToldGeneration told = m_node.m_dialect.m_readGeneration(aAnswer.m_head);
+  if (!told) {
+    NoteUnreadable(told.error());
+    return m_latest;
+  }
+  return told->value_or(m_latest);
+}
+
+void
+StoreGenerations::NoteUnreadable(const std::string& aTold)
+{
+  m_node.m_metrics.Count("ridgeferry_store_generation_unreadable_total");
+  const Instant now = m_node.Now();
+  if (m_toldUnreadableAt && now - *m_toldUnreadableAt < kTellUnreadableEvery) {
+    return;
+  }
+  m_toldUnreadableAt = now;
+  m_node.m_log->Write(observe::LogLevel::Warning,
+                      "store-generation-unreadable",
+                      { { "told", aTold.substr(0, kMostLogged) },
+                        { "takenFor", static_cast<std::int64_t>(m_latest) } });
+}
+
+void
+StoreGenerations::Note(StoreGeneration aGeneration, std::string_view aFrom)
+{
+  if (aGeneration <= m_latest) {
+    return;
+  }
+  const StoreGeneration before = std::exchange(m_latest, aGeneration);
+  m_node.m_log->Write(
+    observe::LogLevel::Warning,
+    "store-generation",
+    { { "generation", static_cast<std::int64_t>(aGeneration) },
+      { "before", static_cast<std::int64_t>(before) },
+      { "from", std::string(aFrom) } });
+  m_risen.emit(aGeneration);
+}
+
+} // namespace ridgeferry::entry
--- a/packages/entry/src/StoreReader.cpp
+++ b/packages/entry/src/StoreReader.cpp
@@ -1,5 +1,6 @@
 #include "StoreReader.h"
 
+#include <algorithm>
 #include <ridgeferry/base/Overloaded.h>
 
 namespace ridgeferry::entry {
@@ -13,16 +14,23 @@
 } // namespace
 
 StoreReader::StoreReader(EntryNode& aNode,
+                         StoreGenerations& aGenerations,
                          PeerRows& aPeers,
                          PeerRows::Table aKind,
-                         std::string aTable)
+                         std::string aTable,
+                         relay::KeepsKnown aKeeps)
   : m_node(aNode)
+  , m_generations(aGenerations)
   , m_peers(aPeers)
   , m_kind(aKind)
   , m_table(std::move(aTable))
+  , m_follower(std::move(aKeeps))
 {
   m_peers.Serve(
-    m_kind, [this](std::uint64_t aAfter) { return m_follower.Since(aAfter); });
+    m_kind, [this](StorePosition aAfter) { return m_follower.Since(aAfter); });
+  m_generations.SignalRisen().connect([this](StoreGeneration aGeneration) {
+    Handle(relay::GenerationSeen{ aGeneration });
+  });
 }
 
 void
@@ -104,16 +112,19 @@
 }
 
 void
-StoreReader::NotePeer(std::uint64_t aVersion,
+StoreReader::NotePeer(StorePosition aPosition,
                       const membership::StoreView& aView)
 {
   if (aView.m_lost) {
     Handle(relay::PeerLostStore{});
   }
-  if (aView.m_steady) {
+  // Steady reads of a generation that has ended say nothing of the present one.
+  const bool isCurrent =
+    aView.m_members.m_generation >= m_follower.Generation();
+  if (aView.m_steady && isCurrent) {
     Handle(relay::PeerReadsSteadily{});
   }
-  Handle(relay::PeerIsAhead{ aVersion });
+  Handle(relay::PeerIsAhead{ aPosition });
 }
 
 void
@@ -153,7 +164,8 @@
     observe::LogLevel::Info,
     "store-read-made-again",
     { { "table", m_table },
-      { "version", static_cast<std::int64_t>(m_follower.Version()) } });
+      { "version",
+        static_cast<std::int64_t>(m_follower.Position().m_version) } });
 }
 
 void
@@ -166,25 +178,36 @@
     Handle(relay::ReadFailed{ unsent ? "no connection" : "no whole answer" });
     return;
   }
+  const StoreGeneration generation = m_generations.Of(aResponse);
   StoreAnswer answer = m_node.m_dialect.m_readStoreAnswer(aResponse);
-  std::visit(Overloaded{
-               [&](StorePage& aPage) { TakePage(aRead, std::move(aPage)); },
-               [&](const relay::HistoryGone& aGone) { Handle(aGone); },
-               [&](const relay::ReadFailed& aFailed) { Handle(aFailed); },
-             },
-             answer);
+  std::visit(
+    Overloaded{
+      [&](StorePage& aPage) { TakePage(aRead, std::move(aPage), generation); },
+      [&](const StoreForgot&) { Handle(relay::HistoryGone{ generation }); },
+      [&](const relay::ReadFailed& aFailed) { Handle(aFailed); },
+    },
+    answer);
+  m_generations.Note(generation, "a read of " + m_table);
 }
 
 void
-StoreReader::TakePage(const StoreRead& aRead, StorePage aPage)
+StoreReader::TakePage(const StoreRead& aRead,
+                      StorePage aPage,
+                      StoreGeneration aGeneration)
 {
+  const StorePosition position{ aGeneration, aPage.m_version };
   if (aRead.m_after) {
-    Handle(relay::ChangesRead{ std::move(aPage.m_rows), aPage.m_version });
+    Handle(relay::ChangesRead{ std::move(aPage.m_rows), position });
     return;
   }
   if (aRead.m_fromKey.empty()) {
     // Later pages are newer; what changed since the first is read again.
-    m_pagesVersion = aPage.m_version;
+    m_pagesPosition = position;
+  } else if (aGeneration != m_pagesPosition.m_generation) {
+    // The pages before are of another history: from the first one again.
+    m_pages.clear();
+    ReadPage({});
+    return;
   }
   for (relay::FollowedRow& row : aPage.m_rows) {
     m_pages.push_back(std::move(row));
@@ -193,7 +216,7 @@
     ReadNextPage();
     return;
   }
-  Handle(relay::TableRead{ std::move(m_pages), m_pagesVersion });
+  Handle(relay::TableRead{ std::move(m_pages), m_pagesPosition });
   m_pages.clear();
 }
 
@@ -207,9 +230,35 @@
 void
 StoreReader::Do(const relay::ApplyRows& aAction)
 {
+  if (aAction.m_copyAfter) {
+    TellCopy(aAction);
+  }
   m_rows.emit(aAction);
 }
 
+void
+StoreReader::TellCopy(const relay::ApplyRows& aRows)
+{
+  const StorePosition before = *aRows.m_copyAfter;
+  const StorePosition now = m_follower.Position();
+  const auto missing = std::count_if(
+    aRows.m_rows.begin(),
+    aRows.m_rows.end(),
+    [](const relay::FollowedRow& aRow) { return aRow.m_removed; });
+  const auto others = static_cast<std::int64_t>(aRows.m_rows.size()) - missing;
+  m_node.m_metrics.Count("ridgeferry_store_copies_read_total");
+  m_node.m_log->Write(
+    observe::LogLevel::Warning,
+    "store-copy-read",
+    { { "table", m_table },
+      { "generation", static_cast<std::int64_t>(now.m_generation) },
+      { "version", static_cast<std::int64_t>(now.m_version) },
+      { "generationBefore", static_cast<std::int64_t>(before.m_generation) },
+      { "versionBefore", static_cast<std::int64_t>(before.m_version) },
+      { "rowsThatDiffer", others },
+      { "rowsMissing", static_cast<std::int64_t>(missing) } });
+}
+
 void
 StoreReader::Do(const relay::AnswerIsOld& aAction)
 {
@@ -218,8 +267,12 @@
     observe::LogLevel::Warning,
     "store-answer-old",
     { { "table", m_table },
-      { "version", static_cast<std::int64_t>(aAction.m_version) },
-      { "held", static_cast<std::int64_t>(m_follower.Version()) } });
+      { "generation",
+        static_cast<std::int64_t>(aAction.m_position.m_generation) },
+      { "version", static_cast<std::int64_t>(aAction.m_position.m_version) },
+      { "held", static_cast<std::int64_t>(m_follower.Position().m_version) },
+      { "heldGeneration",
+        static_cast<std::int64_t>(m_follower.Generation()) } });
 }
 
 void
@@ -231,7 +284,8 @@
     "store-lost",
     { { "table", m_table },
       { "cause", aAction.m_cause },
-      { "version", static_cast<std::int64_t>(m_follower.Version()) } });
+      { "version",
+        static_cast<std::int64_t>(m_follower.Position().m_version) } });
 }
 
 void
@@ -242,7 +296,8 @@
     "store-back",
     { { "table", m_table },
       { "awayMs", aAction.m_away.count() },
-      { "version", static_cast<std::int64_t>(m_follower.Version()) } });
+      { "version",
+        static_cast<std::int64_t>(m_follower.Position().m_version) } });
 }
 
 } // namespace ridgeferry::entry
--- a/packages/entry/src/StoreReader.h
+++ b/packages/entry/src/StoreReader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "PeerRows.h"
+#include "StoreGenerations.h"
 
 #include <ridgeferry/membership/Roster.h>
 #include <ridgeferry/relay/TableFollower.h>
@@ -16,18 +17,21 @@
 class StoreReader
 {
 public:
-  /** Precondition: `aPeers` outlives it. */
+  /** `aKeeps`: see `relay::FollowedTable`. Precondition: `aGenerations` and
+   * `aPeers` outlive it. */
   StoreReader(EntryNode& aNode,
+              StoreGenerations& aGenerations,
               PeerRows& aPeers,
               PeerRows::Table aKind,
-              std::string aTable);
+              std::string aTable,
+              relay::KeepsKnown aKeeps = {});
 
   void Start();
   bool HasRead() const { return m_follower.HasRead(); }
   const relay::TableFollower& Follower() const { return m_follower; }
-  /** What another instance says of its reads; `aVersion`: up to where it has
+  /** What another instance says of its reads; `aPosition`: up to where it has
    * read this table. */
-  void NotePeer(std::uint64_t aVersion, const membership::StoreView& aView);
+  void NotePeer(StorePosition aPosition, const membership::StoreView& aView);
   /** See `relay::DutyChanged`. */
   void SetDuty(bool aOnDuty, bool aByPlace);
   /** Other instances are known by now, or that there are none. */
@@ -51,9 +55,13 @@
   void ReadPage(std::string aFromKey);
   void ReadNextPage();
   void TakeAnswer(const StoreRead& aRead, const net::HttpResponse& aResponse);
-  void TakePage(const StoreRead& aRead, StorePage aPage);
+  void TakePage(const StoreRead& aRead,
+                StorePage aPage,
+                StoreGeneration aGeneration);
+  void TellCopy(const relay::ApplyRows& aRows);
 
   EntryNode& m_node;
+  StoreGenerations& m_generations;
   PeerRows& m_peers;
   PeerRows::Table m_kind;
   std::string m_table;
@@ -62,9 +70,9 @@
    * where it stopped. */
   std::vector<relay::FollowedRow> m_pages;
   Instant m_pagesSince;
-  std::uint64_t m_pagesVersion = 0;
-  Duration m_pagePatience{};  ///< For each page of it.
-  net::HttpCallId m_call = 0; ///< The read under way.
+  StorePosition m_pagesPosition; ///< Of the first of them.
+  Duration m_pagePatience{};     ///< For each page of it.
+  net::HttpCallId m_call = 0;    ///< The read under way.
   /** The last read got no answer: connections kept from before may have fallen
    * silent too. */
   bool m_distrustsKept = false;
--- a/packages/membership/bench/StoreDutyBench.cpp
+++ b/packages/membership/bench/StoreDutyBench.cpp
@@ -35,7 +35,7 @@
     const std::vector<std::uint64_t>& ofHall = hashes[heartbeat.m_hall];
     const bool lost =
       Hash64(heartbeat.m_instance) <= ofHall[StoreDuty::kInHall];
-    heartbeat.m_store = StoreView{ 1, 1, lost };
+    heartbeat.m_store = StoreView{ { 1, 1 }, { 1, 1 }, lost };
     roster.Handle(HeartbeatArrived{ heartbeat }, kNow);
   }
   return roster;
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <ridgeferry/base/StorePosition.h>
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/base/UpstreamLife.h>
 #include <set>
@@ -58,9 +59,9 @@
  */
 struct StoreView
 {
-  std::uint64_t m_configVersion = 0;  ///< At the last change that it read.
-  std::uint64_t m_membersVersion = 0; ///< The same, of the upstreams.
-  bool m_lost = false;                ///< Its reads fail.
+  StorePosition m_config;  ///< At the last change that it read.
+  StorePosition m_members; ///< The same, of the upstreams.
+  bool m_lost = false;     ///< Its reads fail.
   /** Its reads of upstreams have gone on for so long that whatever had lapsed
    * before is back or gone. */
   bool m_steady = false;
--- a/packages/membership/include/ridgeferry/membership/StoreDuty.h
+++ b/packages/membership/include/ridgeferry/membership/StoreDuty.h
@@ -38,9 +38,12 @@
   bool HearsOfStore(Instant aNow) const;
   /**
    * Since when some instance of a hall has read the store without a failure,
-   * of those that are heard now; nothing: none is.
+   * of those that are heard now and read that generation of it or a later one;
+   * nothing: none is.
    */
-  std::optional<Instant> ReadsSince(std::string_view aHall, Instant aNow) const;
+  std::optional<Instant> ReadsSince(std::string_view aHall,
+                                    StoreGeneration aGeneration,
+                                    Instant aNow) const;
   /** Whether the asker is on duty: by its place, or as it hears of nobody whose
    * reads succeed. */
   bool IsOnDuty(Instant aNow) const;
--- a/packages/membership/src/StoreDuty.cpp
+++ b/packages/membership/src/StoreDuty.cpp
@@ -73,12 +73,15 @@
 }
 
 std::optional<Instant>
-StoreDuty::ReadsSince(std::string_view aHall, Instant aNow) const
+StoreDuty::ReadsSince(std::string_view aHall,
+                      StoreGeneration aGeneration,
+                      Instant aNow) const
 {
   std::optional<Instant> since;
   for (const auto& [name, peer] : m_roster.Peers()) {
     const auto& view = peer.m_last.m_store;
-    const bool reads = view && view->m_readsFor && !view->m_lost;
+    const bool reads = view && view->m_readsFor && !view->m_lost &&
+                       view->m_members.m_generation >= aGeneration;
     if (!reads || peer.m_last.m_hall != aHall || !IsFresh(peer, aNow)) {
       continue;
     }
--- a/packages/membership/tests/StoreDutyTest.cpp
+++ b/packages/membership/tests/StoreDutyTest.cpp
@@ -30,7 +30,7 @@
   out.m_incarnation = 1;
   out.m_hall = aHall;
   out.m_peerAddress = aInstance + ":1";
-  out.m_store = StoreView{ 1, 1, aLost };
+  out.m_store = StoreView{ { 1, 1 }, { 1, 1 }, aLost };
   return out;
 }
 
@@ -147,7 +147,7 @@
   roster.Handle(HeartbeatArrived{ heartbeat },
                 now - Duration{ that.m_heardBeforeMs });
   const StoreDuty duty(roster, { "self", "here", false });
-  const auto since = duty.ReadsSince("hall", now);
+  const auto since = duty.ReadsSince("hall", 1, now);
   ASSERT_EQ(since.has_value(), that.m_sinceMs.has_value());
   if (since) {
     EXPECT_EQ(*since, kStart + Duration{ *that.m_sinceMs });
@@ -176,7 +176,7 @@
     roster.Handle(HeartbeatArrived{ heartbeat }, kStart);
   }
   const StoreDuty duty(roster, { "self", "here", false });
-  EXPECT_EQ(duty.ReadsSince("hall", kStart), kStart - Duration{ 5000 });
+  EXPECT_EQ(duty.ReadsSince("hall", 1, kStart), kStart - Duration{ 5000 });
 }
 
 } // namespace
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -130,6 +130,16 @@
   this->leavingBorn = val;
 __isset.leavingBorn = true;
 }
+
+void Heartbeat::__set_configGeneration(const int64_t val) {
+  this->configGeneration = val;
+__isset.configGeneration = true;
+}
+
+void Heartbeat::__set_membersGeneration(const int64_t val) {
+  this->membersGeneration = val;
+__isset.membersGeneration = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -489,6 +499,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configGeneration);
+          this->__isset.configGeneration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->membersGeneration);
+          this->__isset.membersGeneration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -721,6 +747,16 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.configGeneration) {
+    xfer += oprot->writeFieldBegin("configGeneration", ::apache::thrift::protocol::T_I64, 25);
+    xfer += oprot->writeI64(this->configGeneration);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.membersGeneration) {
+    xfer += oprot->writeFieldBegin("membersGeneration", ::apache::thrift::protocol::T_I64, 26);
+    xfer += oprot->writeI64(this->membersGeneration);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -752,6 +788,8 @@
   swap(a.tellsHall, b.tellsHall);
   swap(a.storeReadsForMs, b.storeReadsForMs);
   swap(a.leavingBorn, b.leavingBorn);
+  swap(a.configGeneration, b.configGeneration);
+  swap(a.membersGeneration, b.membersGeneration);
   swap(a.__isset, b.__isset);
 }
 
@@ -780,6 +818,8 @@
   tellsHall = other66.tellsHall;
   storeReadsForMs = other66.storeReadsForMs;
   leavingBorn = other66.leavingBorn;
+  configGeneration = other66.configGeneration;
+  membersGeneration = other66.membersGeneration;
   __isset = other66.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other67) {
@@ -807,6 +847,8 @@
   tellsHall = other67.tellsHall;
   storeReadsForMs = other67.storeReadsForMs;
   leavingBorn = other67.leavingBorn;
+  configGeneration = other67.configGeneration;
+  membersGeneration = other67.membersGeneration;
   __isset = other67.__isset;
   return *this;
 }
@@ -837,6 +879,8 @@
   out << ", " << "tellsHall="; (__isset.tellsHall ? (out << to_string(tellsHall)) : (out << "<null>"));
   out << ", " << "storeReadsForMs="; (__isset.storeReadsForMs ? (out << to_string(storeReadsForMs)) : (out << "<null>"));
   out << ", " << "leavingBorn="; (__isset.leavingBorn ? (out << to_string(leavingBorn)) : (out << "<null>"));
+  out << ", " << "configGeneration="; (__isset.configGeneration ? (out << to_string(configGeneration)) : (out << "<null>"));
+  out << ", " << "membersGeneration="; (__isset.membersGeneration ? (out << to_string(membersGeneration)) : (out << "<null>"));
   out << ")";
 }
 
@@ -852,6 +896,11 @@
 void RowsRequest::__set_after(const int64_t val) {
   this->after = val;
 }
+
+void RowsRequest::__set_generation(const int64_t val) {
+  this->generation = val;
+__isset.generation = true;
+}
 std::ostream& operator<<(std::ostream& out, const RowsRequest& obj)
 {
   obj.printTo(out);
@@ -898,6 +947,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -927,6 +984,11 @@
   xfer += oprot->writeI64(this->after);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.generation) {
+    xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->generation);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -936,15 +998,21 @@
   using ::std::swap;
   swap(a.table, b.table);
   swap(a.after, b.after);
+  swap(a.generation, b.generation);
+  swap(a.__isset, b.__isset);
 }
 
 RowsRequest::RowsRequest(const RowsRequest& other68) {
   table = other68.table;
   after = other68.after;
+  generation = other68.generation;
+  __isset = other68.__isset;
 }
 RowsRequest& RowsRequest::operator=(const RowsRequest& other69) {
   table = other69.table;
   after = other69.after;
+  generation = other69.generation;
+  __isset = other69.__isset;
   return *this;
 }
 void RowsRequest::printTo(std::ostream& out) const {
@@ -952,6 +1020,7 @@
   out << "RowsRequest(";
   out << "table=" << to_string(table);
   out << ", " << "after=" << to_string(after);
+  out << ", " << "generation="; (__isset.generation ? (out << to_string(generation)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1132,6 +1201,11 @@
 void RowsReply::__set_rows(const std::vector<Row> & val) {
   this->rows = val;
 }
+
+void RowsReply::__set_generation(const int64_t val) {
+  this->generation = val;
+__isset.generation = true;
+}
 std::ostream& operator<<(std::ostream& out, const RowsReply& obj)
 {
   obj.printTo(out);
@@ -1199,6 +1273,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1242,6 +1324,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.generation) {
+    xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->generation);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1252,17 +1339,23 @@
   swap(a.version, b.version);
   swap(a.whole, b.whole);
   swap(a.rows, b.rows);
+  swap(a.generation, b.generation);
+  swap(a.__isset, b.__isset);
 }
 
 RowsReply::RowsReply(const RowsReply& other78) {
   version = other78.version;
   whole = other78.whole;
   rows = other78.rows;
+  generation = other78.generation;
+  __isset = other78.__isset;
 }
 RowsReply& RowsReply::operator=(const RowsReply& other79) {
   version = other79.version;
   whole = other79.whole;
   rows = other79.rows;
+  generation = other79.generation;
+  __isset = other79.__isset;
   return *this;
 }
 void RowsReply::printTo(std::ostream& out) const {
@@ -1271,6 +1364,7 @@
   out << "version=" << to_string(version);
   out << ", " << "whole=" << to_string(whole);
   out << ", " << "rows=" << to_string(rows);
+  out << ", " << "generation="; (__isset.generation ? (out << to_string(generation)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -36,7 +36,7 @@
 class ChangesReply;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false), leavingBorn(false) {}
+  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false), leavingBorn(false), configGeneration(false), membersGeneration(false) {}
   bool leavingUpstreams :1;
   bool engines :1;
   bool states :1;
@@ -54,6 +54,8 @@
   bool tellsHall :1;
   bool storeReadsForMs :1;
   bool leavingBorn :1;
+  bool configGeneration :1;
+  bool membersGeneration :1;
 } _Heartbeat__isset;
 
 /**
@@ -77,7 +79,9 @@
               storeLost(0),
               storeSteady(0),
               tellsHall(0),
-              storeReadsForMs(0) {
+              storeReadsForMs(0),
+              configGeneration(0),
+              membersGeneration(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -147,6 +151,12 @@
    * Unix milliseconds by its own clock; negative: it does not say.
    */
   std::vector<int64_t>  leavingBorn;
+  /**
+   * Generations of the store that `configVersion` and `membersVersion` belong
+   * to; not set: 0.
+   */
+  int64_t configGeneration;
+  int64_t membersGeneration;
 
   _Heartbeat__isset __isset;
 
@@ -198,6 +208,10 @@
 
   void __set_leavingBorn(const std::vector<int64_t> & val);
 
+  void __set_configGeneration(const int64_t val);
+
+  void __set_membersGeneration(const int64_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -282,6 +296,14 @@
       return false;
     else if (__isset.leavingBorn && !(leavingBorn == rhs.leavingBorn))
       return false;
+    if (__isset.configGeneration != rhs.__isset.configGeneration)
+      return false;
+    else if (__isset.configGeneration && !(configGeneration == rhs.configGeneration))
+      return false;
+    if (__isset.membersGeneration != rhs.__isset.membersGeneration)
+      return false;
+    else if (__isset.membersGeneration && !(membersGeneration == rhs.membersGeneration))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -300,6 +322,10 @@
 
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
+typedef struct _RowsRequest__isset {
+  _RowsRequest__isset() : generation(false) {}
+  bool generation :1;
+} _RowsRequest__isset;
 
 /**
  * Asks a peer for what it has read of a table of the store.
@@ -311,7 +337,8 @@
   RowsRequest& operator=(const RowsRequest&);
   RowsRequest() noexcept
               : table(),
-                after(0) {
+                after(0),
+                generation(0) {
   }
 
   virtual ~RowsRequest() noexcept;
@@ -320,17 +347,29 @@
    * Only what changed after this version; 0: all.
    */
   int64_t after;
+  /**
+   * Generation of the store that `after` belongs to; not set: 0.
+   */
+  int64_t generation;
+
+  _RowsRequest__isset __isset;
 
   void __set_table(const std::string& val);
 
   void __set_after(const int64_t val);
 
+  void __set_generation(const int64_t val);
+
   bool operator == (const RowsRequest & rhs) const
   {
     if (!(table == rhs.table))
       return false;
     if (!(after == rhs.after))
       return false;
+    if (__isset.generation != rhs.__isset.generation)
+      return false;
+    else if (__isset.generation && !(generation == rhs.generation))
+      return false;
     return true;
   }
   bool operator != (const RowsRequest &rhs) const {
@@ -404,6 +443,10 @@
 
 std::ostream& operator<<(std::ostream& out, const Row& obj);
 
+typedef struct _RowsReply__isset {
+  _RowsReply__isset() : generation(false) {}
+  bool generation :1;
+} _RowsReply__isset;
 
 /**
  * Rows as of a version: those that changed after the version asked for, or,
@@ -416,13 +459,20 @@
   RowsReply& operator=(const RowsReply&);
   RowsReply() noexcept
             : version(0),
-              whole(0) {
+              whole(0),
+              generation(0) {
   }
 
   virtual ~RowsReply() noexcept;
   int64_t version;
   bool whole;
   std::vector<Row>  rows;
+  /**
+   * Generation of the store that all versions here belong to; not set: 0.
+   */
+  int64_t generation;
+
+  _RowsReply__isset __isset;
 
   void __set_version(const int64_t val);
 
@@ -430,6 +480,8 @@
 
   void __set_rows(const std::vector<Row> & val);
 
+  void __set_generation(const int64_t val);
+
   bool operator == (const RowsReply & rhs) const
   {
     if (!(version == rhs.version))
@@ -438,6 +490,10 @@
       return false;
     if (!(rows == rhs.rows))
       return false;
+    if (__isset.generation != rhs.__isset.generation)
+      return false;
+    else if (__isset.generation && !(generation == rhs.generation))
+      return false;
     return true;
   }
   bool operator != (const RowsReply &rhs) const {
--- a/packages/protocol/include/ridgeferry/protocol/Messages.h
+++ b/packages/protocol/include/ridgeferry/protocol/Messages.h
@@ -38,7 +38,7 @@
 struct RowsRequest
 {
   std::string m_table;
-  std::uint64_t m_after = 0; ///< Changes after this version; 0: all.
+  StorePosition m_after; ///< Changes after this position; version 0: all.
   bool operator==(const RowsRequest&) const = default;
 };
 
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -55,6 +55,10 @@
   /** Of the same length as `leavingUpstreams`, if set: when each started, in
    * Unix milliseconds by its own clock; negative: it does not say. */
   24: optional list<i64> leavingBorn;
+  /** Generations of the store that `configVersion` and `membersVersion` belong
+   * to; not set: 0. */
+  25: optional i64 configGeneration;
+  26: optional i64 membersGeneration;
 }
 
 /** Asks a peer for what it has read of a table of the store. */
@@ -62,6 +66,8 @@
   1: required string table;
   /** Only what changed after this version; 0: all. */
   2: required i64 after;
+  /** Generation of the store that `after` belongs to; not set: 0. */
+  3: optional i64 generation;
 }
 
 struct Row {
@@ -77,6 +83,8 @@
   1: required i64 version;
   2: required bool whole;
   3: required list<Row> rows;
+  /** Generation of the store that all versions here belong to; not set: 0. */
+  4: optional i64 generation;
 }
 
 /** Asks a peer for the changes after a revision. */
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -50,6 +50,17 @@
   return message;
 }
 
+/** A negative number is none that a store counts: the position of no answer. */
+StorePosition
+PositionOf(std::int64_t aGeneration, std::int64_t aVersion)
+{
+  if (aGeneration < 0 || aVersion < 0) {
+    return {};
+  }
+  return { static_cast<StoreGeneration>(aGeneration),
+           static_cast<std::uint64_t>(aVersion) };
+}
+
 std::optional<membership::EnginePart>
 PartFrom(std::int32_t aValue)
 {
@@ -135,8 +146,13 @@
   }
   if (aMessage.m_store) {
     const membership::StoreView& store = *aMessage.m_store;
-    out.__set_configVersion(static_cast<std::int64_t>(store.m_configVersion));
-    out.__set_membersVersion(static_cast<std::int64_t>(store.m_membersVersion));
+    const auto number = [](std::uint64_t aNumber) {
+      return static_cast<std::int64_t>(aNumber);
+    };
+    out.__set_configVersion(number(store.m_config.m_version));
+    out.__set_configGeneration(number(store.m_config.m_generation));
+    out.__set_membersVersion(number(store.m_members.m_version));
+    out.__set_membersGeneration(number(store.m_members.m_generation));
     out.__set_storeLost(store.m_lost);
     out.__set_storeSteady(store.m_steady);
     if (store.m_readsFor) {
@@ -180,7 +196,9 @@
 {
   wire::RowsRequest out;
   out.table = aMessage.m_table;
-  out.after = static_cast<std::int64_t>(aMessage.m_after);
+  out.after = static_cast<std::int64_t>(aMessage.m_after.m_version);
+  out.__set_generation(
+    static_cast<std::int64_t>(aMessage.m_after.m_generation));
   return Write(out);
 }
 
@@ -188,7 +206,9 @@
 Encode(const relay::TableSlice& aMessage)
 {
   wire::RowsReply out;
-  out.version = static_cast<std::int64_t>(aMessage.m_version);
+  out.version = static_cast<std::int64_t>(aMessage.m_position.m_version);
+  out.__set_generation(
+    static_cast<std::int64_t>(aMessage.m_position.m_generation));
   out.whole = aMessage.m_whole;
   for (const relay::FollowedRow& row : aMessage.m_rows) {
     wire::Row item;
@@ -259,8 +279,8 @@
   }
   out.m_apart = { in->servicesApart.begin(), in->servicesApart.end() };
   if (in->__isset.configVersion && in->__isset.membersVersion) {
-    out.m_store = { static_cast<std::uint64_t>(in->configVersion),
-                    static_cast<std::uint64_t>(in->membersVersion),
+    out.m_store = { PositionOf(in->configGeneration, in->configVersion),
+                    PositionOf(in->membersGeneration, in->membersVersion),
                     in->storeLost,
                     in->storeSteady,
                     in->__isset.storeReadsForMs
@@ -312,7 +332,7 @@
   if (!in) {
     return tl::unexpected(in.error());
   }
-  return RowsRequest{ in->table, static_cast<std::uint64_t>(in->after) };
+  return RowsRequest{ in->table, PositionOf(in->generation, in->after) };
 }
 
 tl::expected<relay::TableSlice, DecodeError>
@@ -322,7 +342,7 @@
   if (!in) {
     return tl::unexpected(in.error());
   }
-  relay::TableSlice out{ static_cast<std::uint64_t>(in->version),
+  relay::TableSlice out{ PositionOf(in->generation, in->version),
                          in->whole,
                          {} };
   for (wire::Row& row : in->rows) {
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -41,8 +41,11 @@
   out.m_tellsHall = *rc::gen::arbitrary<bool>();
   out.m_apart = *rc::gen::arbitrary<std::vector<std::uint32_t>>();
   if (*rc::gen::arbitrary<bool>()) {
-    out.m_store = { *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62U),
-                    *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62U),
+    const auto number = [] {
+      return *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62U);
+    };
+    out.m_store = { { number(), number() },
+                    { number(), number() },
                     *rc::gen::arbitrary<bool>(),
                     *rc::gen::arbitrary<bool>(),
                     std::nullopt };
@@ -82,11 +85,11 @@
 
 TEST(MessagesTest, RowsSurviveTheirEncoding)
 {
-  const RowsRequest request{ "upstreams", 1ULL << 62U };
+  const RowsRequest request{ "upstreams", { 3, 1ULL << 62U } };
   const auto asked = DecodeRowsRequest(Encode(request));
   ASSERT_TRUE(asked.has_value());
   EXPECT_EQ(*asked, request);
-  const relay::TableSlice slice{ 7,
+  const relay::TableSlice slice{ { 2, 7 },
                                  true,
                                  { { "a", std::string("\0\xff", 2), false, 6 },
                                    { "b", {}, true, 7 } } };
--- a/packages/relay/include/ridgeferry/relay/FollowedTable.h
+++ b/packages/relay/include/ridgeferry/relay/FollowedTable.h
@@ -2,7 +2,9 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
+#include <ridgeferry/base/StorePosition.h>
 #include <span>
 #include <string>
 #include <vector>
@@ -15,14 +17,16 @@
   std::string m_key;
   std::string m_value; ///< Empty if removed.
   bool m_removed = false;
-  std::uint64_t m_version = 0; ///< Of the row's own last change; 0: not told.
+  /** Of the row's own last change, in the generation of the table that it
+   * belongs to; 0: not told. */
+  std::uint64_t m_version = 0;
   bool operator==(const FollowedRow&) const = default;
 };
 
 /** What one instance tells another of a table. */
 struct TableSlice
 {
-  std::uint64_t m_version = 0; ///< Up to which it holds.
+  StorePosition m_position; ///< Up to which it holds.
   /** All rows there are; else only those that changed after what was asked. */
   bool m_whole = false;
   std::vector<FollowedRow> m_rows;
@@ -30,7 +34,15 @@
 };
 
 /**
- * The rows of a table as of one version, and what was removed lately, so that
+ * Whether a known row stays, as the store came back from an older copy: `aTold`
+ * is the copy's value, null if it has none. Called with rows that differ only.
+ */
+using KeepsKnown = std::function<bool(std::string_view aKey,
+                                      std::string_view aKnown,
+                                      const std::string* aTold)>;
+
+/**
+ * The rows of a table as of one position, and what was removed lately, so that
  * instances can pass changes on to each other: a call of the store has its
  * price, and with hundreds of instances each change would cost hundreds.
  * Not thread-safe.
@@ -42,18 +54,27 @@
    * table. A release of a hundred upstreams removes each of them once. */
   static constexpr std::size_t kMostRemovals = 500;
 
-  /** Takes all rows as of a version; returns what differs. */
+  /** `aKeeps`: which rows outlast a copy that is older; null: none. */
+  explicit FollowedTable(KeepsKnown aKeeps = {});
+
+  /** Takes all rows as of a position; returns what differs. Precondition: it is
+   * of no earlier generation than what is held. */
   std::vector<FollowedRow> Replace(std::span<const FollowedRow> aRows,
-                                   std::uint64_t aVersion);
-  /** Takes changes up to a version. */
-  void Apply(std::span<const FollowedRow> aRows, std::uint64_t aVersion);
+                                   StorePosition aPosition);
+  /** Takes changes up to a position. Precondition: it is of the generation that
+   * is held. */
+  void Apply(std::span<const FollowedRow> aRows, StorePosition aPosition);
 
-  /** What changed after a version, or all if that is not known any more. */
-  TableSlice Since(std::uint64_t aAfter) const;
+  /** What changed after a position, or all if that is not known any more, as
+   * it is not of a position of another generation. */
+  TableSlice Since(StorePosition aAfter) const;
 
-  std::uint64_t Version() const { return m_version; }
-  /** Highest version of a row or a removal. */
-  std::uint64_t ChangedVersion() const { return m_changed; }
+  StorePosition Position() const { return m_position; }
+  /** That of the last change of a row. */
+  StorePosition ChangedPosition() const
+  {
+    return { m_position.m_generation, m_changed };
+  }
 
 private:
   struct Kept
@@ -69,12 +90,20 @@
 
   /** `aVersion`: of the answer that brought the row. */
   void Take(const FollowedRow& aRow, std::uint64_t aVersion);
+  /** The rows of an answer behind a change of generation, with those that are
+   * known and stay in their place. */
+  std::vector<FollowedRow> WithKept(std::span<const FollowedRow> aRows,
+                                    std::uint64_t aVersion) const;
+  /** Which of them differ from what is held, and what they lack. */
+  std::vector<FollowedRow> Differences(
+    std::span<const FollowedRow> aRows) const;
 
+  KeepsKnown m_keeps;
   std::map<std::string, Kept, std::less<>> m_rows;
   std::deque<Removal> m_removals; ///< By rising version.
   std::uint64_t m_knowsAfter = 0; ///< Changes before are not known one by one.
-  std::uint64_t m_version = 0;
-  std::uint64_t m_changed = 0;
+  StorePosition m_position;
+  std::uint64_t m_changed = 0; ///< In the generation of `m_position`.
 };
 
 } // namespace ridgeferry::relay
--- a/packages/relay/include/ridgeferry/relay/LapseGrace.h
+++ b/packages/relay/include/ridgeferry/relay/LapseGrace.h
@@ -45,6 +45,12 @@
   void NoteFailure(Instant aNow);
   /** True: it is the first one behind an outage. */
   bool NoteAnswer(Instant aNow);
+  /**
+   * The store came back from an older copy, which lacks the rows of upstreams
+   * that were listed since it was made, until they write them again: for that
+   * time a missing row may only have lapsed, whoever read the store before.
+   */
+  void NoteCopy(Instant aNow);
   /** A peer's reads fail, and nobody's are heard to succeed. */
   void NotePeerLost(Instant aNow);
   /** A peer says that its reads are steady: see `IsSteady`. */
--- a/packages/relay/include/ridgeferry/relay/TableFollower.h
+++ b/packages/relay/include/ridgeferry/relay/TableFollower.h
@@ -21,21 +21,30 @@
 {
   bool m_any = false;
 };
-/** All rows of the table as of one version. */
+/** All rows of the table as of one position. */
 struct TableRead
 {
   std::vector<FollowedRow> m_rows;
-  std::uint64_t m_version = 0;
+  StorePosition m_position;
 };
-/** Changes after the version that was asked for; possibly none. */
+/** Changes after the position that was asked for; possibly none. */
 struct ChangesRead
 {
   std::vector<FollowedRow> m_rows;
-  std::uint64_t m_version = 0;
+  StorePosition m_position;
 };
-/** The store no longer knows the changes after that version. */
+/** The store does not know the changes after that position: it has forgotten
+ * them, or never had them in its present generation. */
 struct HistoryGone
-{};
+{
+  StoreGeneration m_generation = 0;
+};
+/** Something else shows that the store has that generation: any other answer
+ * of it, or a peer's word. */
+struct GenerationSeen
+{
+  StoreGeneration m_generation = 0;
+};
 /** No answer, or none that can be used. */
 struct ReadFailed
 {
@@ -51,10 +60,10 @@
 /** None did, or none that knows more. */
 struct PeerFailed
 {};
-/** Another instance has read a change of that version. */
+/** Another instance has read a change at that position. */
 struct PeerIsAhead
 {
-  std::uint64_t m_version = 0;
+  StorePosition m_position;
 };
 /** Another instance's reads of the store fail, and nobody's are heard to
  * succeed. */
@@ -78,6 +87,7 @@
                                  TableRead,
                                  ChangesRead,
                                  HistoryGone,
+                                 GenerationSeen,
                                  ReadFailed,
                                  RetryDue,
                                  PeerIsAhead,
@@ -95,17 +105,17 @@
 /** Ask for changes; the store holds the call until some exist. */
 struct ReadChanges
 {
-  std::uint64_t m_after = 0;
+  StorePosition m_after;
   Duration m_wait{};
   /** Without an answer by then, which is after `m_wait`, it counts as failed.
    */
   Duration m_patience{};
 };
 /** Ask one of the instances that have read further, or any if none is known to,
- * for the changes after a version; 0: for all. */
+ * for the changes after a position; version 0: for all. */
 struct AskPeer
 {
-  std::uint64_t m_after = 0;
+  StorePosition m_after;
   /** Ask at some moment within this time: those that ask later find more
    * instances that know. */
   Duration m_within{};
@@ -128,12 +138,17 @@
   /** The store was out of reach shortly before: until then, a removed row may
    * only have lapsed, and come back. Nothing: removed is gone. */
   std::optional<Instant> m_lapsesUntil;
+  /** Set on the first rows of a generation: where the table stood before. The
+   * store came back from an older copy, so what differs here is no change: a
+   * missing row is no removal yet, and one that is back may be an old one. */
+  std::optional<StorePosition> m_copyAfter = {};
 };
-/** A whole table was not taken: it is of an older version than what is held.
- * Told once until an answer is taken again. */
+/** An answer was not taken: it is of an older position than what is held, or
+ * of an older generation than what was seen. Told once until an answer is taken
+ * again. */
 struct AnswerIsOld
 {
-  std::uint64_t m_version = 0; ///< Of the answer.
+  StorePosition m_position; ///< Of the answer.
 };
 struct StoreLost
 {
@@ -157,7 +172,15 @@
 /**
  * Follows one table of the store: reads it whole, then its changes; whole
  * again when the history is gone. What it has told never goes back to an
- * older version.
+ * older version of one generation.
+ *
+ * A later generation is another history: its versions may be lower, and changes
+ * after a version of the earlier one may be missed for good or not known. So
+ * its first sight, by whatever answer or peer, starts a whole read at once;
+ * those that rest leave that to the others for a moment, and take it from them.
+ * Before that, changes below the old version were not taken for as long as the
+ * store's counter took to pass it: 12 s behind a copy some seconds old, now 0.5
+ * s.
  *
  * Every call of the store has its price, and a change answers every read that
  * the store holds. So few instances (those on duty) leave a read with it, short
@@ -229,15 +252,23 @@
   static constexpr Duration kLeastStandby{ 1000 };
   static constexpr Duration kMostStandby{ 4000 };
 
+  /** See `FollowedTable`. */
+  explicit TableFollower(KeepsKnown aKeeps = {});
+
   std::vector<FollowAction> Handle(const FollowEvent& aEvent, Instant aNow);
 
   bool HasRead() const { return m_hasRead; }
-  std::uint64_t Version() const { return m_table.Version(); }
-  /** Highest version of a row that was read. */
-  std::uint64_t ChangedVersion() const { return m_table.ChangedVersion(); }
-  /** For a peer: what changed after a version. Nothing was read yet: version 0.
+  /** Up to where the table was read. */
+  StorePosition Position() const { return m_table.Position(); }
+  /** Latest generation that was seen; the table may still be of an earlier one.
+   */
+  StoreGeneration Generation() const { return m_generation; }
+  /** That of the last change of a row that was read. */
+  StorePosition ChangedPosition() const { return m_table.ChangedPosition(); }
+  /** For a peer: what changed after a position. Nothing was read yet: version
+   * 0.
    */
-  TableSlice Since(std::uint64_t aAfter) const { return m_table.Since(aAfter); }
+  TableSlice Since(StorePosition aAfter) const { return m_table.Since(aAfter); }
   bool IsLost() const { return m_grace.IsLost(); }
   /** See `LapseGrace::IsSteady`. */
   bool IsSteady(Instant aNow) const { return m_grace.IsSteady(aNow); }
@@ -257,6 +288,7 @@
   void On(const TableRead& aEvent, Instant aNow, Actions& aActions);
   void On(const ChangesRead& aEvent, Instant aNow, Actions& aActions);
   void On(const HistoryGone& aEvent, Instant aNow, Actions& aActions);
+  void On(const GenerationSeen& aEvent, Instant aNow, Actions& aActions);
   void On(const ReadFailed& aEvent, Instant aNow, Actions& aActions);
   void On(const RetryDue& aEvent, Instant aNow, Actions& aActions);
   void On(const PeerIsAhead& aEvent, Instant aNow, Actions& aActions);
@@ -269,11 +301,11 @@
   void Ask(Instant aNow, Duration aWait, Actions& aActions);
   void AskAPeer(Duration aWithin, Actions& aActions);
   void TakeTable(std::span<const FollowedRow> aRows,
-                 std::uint64_t aVersion,
+                 StorePosition aPosition,
                  Instant aNow,
                  Actions& aActions);
   void TakeChanges(std::span<const FollowedRow> aRows,
-                   std::uint64_t aVersion,
+                   StorePosition aPosition,
                    Instant aNow,
                    Actions& aActions);
   /** After an answer: what comes next, the next read or a rest. */
@@ -281,7 +313,13 @@
   void AskAnew(Instant aNow, Actions& aActions);
   /** When to read again after a read that failed. */
   RetryLater NextTry(Instant aNow) const;
-  void Tell(std::vector<FollowedRow> aRows, Instant aNow, Actions& aActions);
+  void Refuse(StorePosition aPosition, Actions& aActions);
+  /** Whether a generation is later than any seen before; notes it. */
+  bool RaiseGeneration(StoreGeneration aGeneration, Instant aNow);
+  /** A later one was seen elsewhere: see to a whole read. */
+  void FollowGeneration(Instant aNow, Actions& aActions);
+  /** What a peer is asked for. */
+  StorePosition AskedOfPeers() const;
   void NoteAnswer(Instant aNow, Actions& aActions);
 
   bool m_hasRead = false;
@@ -296,11 +334,11 @@
   bool m_hasWaited = false;  ///< Its first patience at the start is over.
   bool m_resting = false;    ///< Neither is, and none is due soon.
   std::optional<Instant> m_behindSince;
-  std::uint64_t m_askedAnewFor =
-    0;                    ///< Version that the last `DropRead` was for.
-  bool m_toldOld = false; ///< `AnswerIsOld`, since an answer was taken.
+  StorePosition m_askedAnewFor; ///< That the last `DropRead` was for.
+  bool m_toldOld = false;       ///< `AnswerIsOld`, since an answer was taken.
   Duration m_retry = kFirstRetry;
   Instant m_lostAt; ///< The first read that failed; meaningful while lost.
+  StoreGeneration m_generation = 0; ///< Latest one seen.
   FollowedTable m_table;
 };
 
--- a/packages/relay/src/FollowedTable.cpp
+++ b/packages/relay/src/FollowedTable.cpp
@@ -1,10 +1,16 @@
 #include "ridgeferry/relay/FollowedTable.h"
 
 #include <algorithm>
+#include <cassert>
 #include <set>
 
 namespace ridgeferry::relay {
 
+FollowedTable::FollowedTable(KeepsKnown aKeeps)
+  : m_keeps(std::move(aKeeps))
+{
+}
+
 void
 FollowedTable::Take(const FollowedRow& aRow, std::uint64_t aVersion)
 {
@@ -24,8 +30,35 @@
 }
 
 std::vector<FollowedRow>
-FollowedTable::Replace(std::span<const FollowedRow> aRows,
-                       std::uint64_t aVersion)
+FollowedTable::WithKept(std::span<const FollowedRow> aRows,
+                        std::uint64_t aVersion) const
+{
+  std::map<std::string_view, const FollowedRow*> told;
+  for (const FollowedRow& row : aRows) {
+    told.emplace(row.m_key, &row);
+  }
+  std::set<std::string_view> stay;
+  std::vector<FollowedRow> out;
+  for (const auto& [key, kept] : m_rows) {
+    const auto found = told.find(key);
+    const std::string* value =
+      found == told.end() ? nullptr : &found->second->m_value;
+    const bool differs = value == nullptr || *value != kept.m_value;
+    if (differs && m_keeps && m_keeps(key, kept.m_value, value)) {
+      stay.insert(key);
+      out.push_back({ key, kept.m_value, false, aVersion });
+    }
+  }
+  for (const FollowedRow& row : aRows) {
+    if (!stay.contains(row.m_key)) {
+      out.push_back(row);
+    }
+  }
+  return out;
+}
+
+std::vector<FollowedRow>
+FollowedTable::Differences(std::span<const FollowedRow> aRows) const
 {
   std::vector<FollowedRow> out;
   std::set<std::string_view> present;
@@ -41,36 +74,52 @@
       out.push_back({ key, {}, true });
     }
   }
-  for (const FollowedRow& row : aRows) {
-    Take(row, aVersion);
+  return out;
+}
+
+std::vector<FollowedRow>
+FollowedTable::Replace(std::span<const FollowedRow> aRows,
+                       StorePosition aPosition)
+{
+  assert(aPosition.m_generation >= m_position.m_generation);
+  const std::uint64_t version = aPosition.m_version;
+  std::vector<FollowedRow> rows(aRows.begin(), aRows.end());
+  if (aPosition.m_generation > m_position.m_generation) {
+    rows = WithKept(aRows, version);
+    m_changed = 0; // Of the generation before.
   }
-  for (const FollowedRow& row : out) {
-    if (row.m_removed) {
-      m_rows.erase(row.m_key);
-    }
+  const std::vector<FollowedRow> out = Differences(rows);
+  m_rows.clear();
+  for (const FollowedRow& row : rows) {
+    Take(row, version);
   }
   // When the others were removed is not known, nor what came and went between.
   m_removals.clear();
-  m_knowsAfter = aVersion;
-  m_version = aVersion;
+  m_knowsAfter = version;
+  m_position = aPosition;
   return out;
 }
 
 void
-FollowedTable::Apply(std::span<const FollowedRow> aRows, std::uint64_t aVersion)
+FollowedTable::Apply(std::span<const FollowedRow> aRows,
+                     StorePosition aPosition)
 {
+  assert(aPosition.m_generation == m_position.m_generation);
   for (const FollowedRow& row : aRows) {
-    Take(row, aVersion);
+    Take(row, aPosition.m_version);
   }
-  m_version = std::max(m_version, aVersion);
+  m_position = std::max(m_position, aPosition);
 }
 
 TableSlice
-FollowedTable::Since(std::uint64_t aAfter) const
+FollowedTable::Since(StorePosition aAfter) const
 {
-  TableSlice out{ m_version, aAfter < m_knowsAfter || aAfter == 0, {} };
+  const std::uint64_t after = aAfter.m_version;
+  const bool isOfThis = aAfter.m_generation == m_position.m_generation;
+  const bool isWhole = !isOfThis || after < m_knowsAfter || after == 0;
+  TableSlice out{ m_position, isWhole, {} };
   for (const auto& [key, kept] : m_rows) {
-    if (out.m_whole || kept.m_version > aAfter) {
+    if (out.m_whole || kept.m_version > after) {
       out.m_rows.push_back({ key, kept.m_value, false, kept.m_version });
     }
   }
@@ -79,7 +128,7 @@
   }
   for (const Removal& removal : m_removals) {
     // One that came back since is told by its row.
-    if (removal.m_version > aAfter && !m_rows.contains(removal.m_key)) {
+    if (removal.m_version > after && !m_rows.contains(removal.m_key)) {
       out.m_rows.push_back({ removal.m_key, {}, true, removal.m_version });
     }
   }
--- a/packages/relay/src/LapseGrace.cpp
+++ b/packages/relay/src/LapseGrace.cpp
@@ -31,6 +31,16 @@
   return true;
 }
 
+void
+LapseGrace::NoteCopy(Instant aNow)
+{
+  m_answersSince.reset();
+  m_peerSteadyAt.reset();
+  m_heardThrough = false;
+  const Instant until = aNow + kLapseTime;
+  m_until = std::max(m_until.value_or(until), until);
+}
+
 void
 LapseGrace::NotePeerLost(Instant aNow)
 {
--- a/packages/relay/src/TableFollower.cpp
+++ b/packages/relay/src/TableFollower.cpp
@@ -5,6 +5,11 @@
 
 namespace ridgeferry::relay {
 
+TableFollower::TableFollower(KeepsKnown aKeeps)
+  : m_table(std::move(aKeeps))
+{
+}
+
 std::vector<FollowAction>
 TableFollower::Handle(const FollowEvent& aEvent, Instant aNow)
 {
@@ -27,11 +32,13 @@
   m_askedAt = aNow;
   m_resting = false;
   if (m_needsTable) {
-    aActions.emplace_back(ReadTable{ kPageSlack });
+    // One that serves already and meets silence asks again sooner.
+    const bool isProbe = m_hasRead && m_grace.IsLost();
+    aActions.emplace_back(ReadTable{ isProbe ? kStoreSlack : kPageSlack });
     return;
   }
   aActions.emplace_back(
-    ReadChanges{ m_table.Version(), aWait, aWait + kStoreSlack });
+    ReadChanges{ m_table.Position(), aWait, aWait + kStoreSlack });
 }
 
 RetryLater
@@ -48,8 +55,51 @@
 TableFollower::AskAPeer(Duration aWithin, Actions& aActions)
 {
   m_askingPeer = true;
-  aActions.emplace_back(
-    AskPeer{ m_needsTable ? 0 : m_table.Version(), aWithin });
+  aActions.emplace_back(AskPeer{ AskedOfPeers(), aWithin });
+}
+
+StorePosition
+TableFollower::AskedOfPeers() const
+{
+  return m_needsTable ? StorePosition{ m_generation, 0 } : m_table.Position();
+}
+
+bool
+TableFollower::RaiseGeneration(StoreGeneration aGeneration, Instant aNow)
+{
+  if (aGeneration <= m_generation) {
+    return false;
+  }
+  m_generation = aGeneration;
+  m_needsTable = true;
+  if (m_hasRead) {
+    m_grace.NoteCopy(aNow);
+  }
+  return true;
+}
+
+void
+TableFollower::FollowGeneration(Instant aNow, Actions& aActions)
+{
+  if (m_grace.IsLost()) {
+    if (!m_askingPeer) {
+      AskAPeer(kAskWithin, aActions); // The own read has its time already.
+    }
+    return;
+  }
+  if (m_onDuty) {
+    if (m_asking) {
+      aActions.emplace_back(DropRead{});
+    }
+    Ask(aNow, aActions);
+    return;
+  }
+  m_resting = false;
+  m_behindSince = aNow;
+  aActions.emplace_back(RetryLater{ kAskPatience });
+  if (!m_askingPeer) {
+    AskAPeer(kAskWithin, aActions);
+  }
 }
 
 void
@@ -89,34 +139,41 @@
 
 void
 TableFollower::TakeTable(std::span<const FollowedRow> aRows,
-                         std::uint64_t aVersion,
+                         StorePosition aPosition,
                          Instant aNow,
                          Actions& aActions)
 {
+  const StorePosition before = m_table.Position();
+  const bool isCopy = m_hasRead && aPosition.m_generation > before.m_generation;
   m_hasRead = true;
   m_needsTable = false;
   m_toldOld = false;
-  Tell(m_table.Replace(aRows, aVersion), aNow, aActions);
+  ApplyRows rows{ m_table.Replace(aRows, aPosition), m_grace.Until(aNow) };
+  if (isCopy) {
+    rows.m_copyAfter = before;
+  }
+  aActions.emplace_back(std::move(rows));
 }
 
 void
-TableFollower::TakeChanges(std::span<const FollowedRow> aRows,
-                           std::uint64_t aVersion,
-                           Instant aNow,
-                           Actions& aActions)
+TableFollower::Refuse(StorePosition aPosition, Actions& aActions)
 {
-  m_table.Apply(aRows, aVersion);
-  if (!aRows.empty()) {
-    Tell({ aRows.begin(), aRows.end() }, aNow, aActions);
+  if (!std::exchange(m_toldOld, true)) {
+    aActions.emplace_back(AnswerIsOld{ aPosition });
   }
 }
 
 void
-TableFollower::Tell(std::vector<FollowedRow> aRows,
-                    Instant aNow,
-                    Actions& aActions)
+TableFollower::TakeChanges(std::span<const FollowedRow> aRows,
+                           StorePosition aPosition,
+                           Instant aNow,
+                           Actions& aActions)
 {
-  aActions.emplace_back(ApplyRows{ std::move(aRows), m_grace.Until(aNow) });
+  m_table.Apply(aRows, aPosition);
+  if (!aRows.empty()) {
+    aActions.emplace_back(
+      ApplyRows{ { aRows.begin(), aRows.end() }, m_grace.Until(aNow) });
+  }
 }
 
 void
@@ -142,7 +199,9 @@
 TableFollower::On(const PeerAnswered& aEvent, Instant aNow, Actions& aActions)
 {
   const TableSlice& slice = aEvent.m_slice;
-  const bool isNewer = slice.m_version > m_table.Version();
+  RaiseGeneration(slice.m_position.m_generation, aNow);
+  const bool isNewer = slice.m_position > m_table.Position() &&
+                       slice.m_position.m_generation >= m_generation;
   if (!m_askingPeer || !isNewer || (m_needsTable && !slice.m_whole)) {
     On(PeerFailed{}, aNow, aActions);
     return;
@@ -150,9 +209,9 @@
   m_askingPeer = false;
   m_behindSince.reset();
   if (slice.m_whole) {
-    TakeTable(slice.m_rows, slice.m_version, aNow, aActions);
+    TakeTable(slice.m_rows, slice.m_position, aNow, aActions);
   } else {
-    TakeChanges(slice.m_rows, slice.m_version, aNow, aActions);
+    TakeChanges(slice.m_rows, slice.m_position, aNow, aActions);
   }
   // While own reads fail, the next one has its time already.
   if (!m_asking && !m_grace.IsLost()) {
@@ -166,7 +225,7 @@
   if (!std::exchange(m_askingPeer, false) || m_asking || m_grace.IsLost()) {
     return;
   }
-  if (!m_needsTable) {
+  if (!m_needsTable || m_hasRead) {
     if (m_behindSince) {
       AskAPeer(kAskWithin, aActions); // Until the patience is over.
     }
@@ -179,15 +238,16 @@
 TableFollower::On(const TableRead& aEvent, Instant aNow, Actions& aActions)
 {
   NoteAnswer(aNow, aActions);
-  if (m_hasRead && aEvent.m_version < m_table.Version()) {
+  RaiseGeneration(aEvent.m_position.m_generation, aNow);
+  const bool isOld = aEvent.m_position.m_generation < m_generation ||
+                     (m_hasRead && aEvent.m_position < m_table.Position());
+  if (isOld) {
     // An answer from before what was already told: ask again a little later.
-    if (!std::exchange(m_toldOld, true)) {
-      aActions.emplace_back(AnswerIsOld{ aEvent.m_version });
-    }
+    Refuse(aEvent.m_position, aActions);
     aActions.emplace_back(RetryLater{ kFirstRetry });
     return;
   }
-  TakeTable(aEvent.m_rows, aEvent.m_version, aNow, aActions);
+  TakeTable(aEvent.m_rows, aEvent.m_position, aNow, aActions);
   GoOn(aNow, aActions);
 }
 
@@ -195,15 +255,23 @@
 TableFollower::On(const ChangesRead& aEvent, Instant aNow, Actions& aActions)
 {
   NoteAnswer(aNow, aActions);
-  const bool isOld = aEvent.m_version < m_table.Version();
+  const StorePosition told = aEvent.m_position;
+  RaiseGeneration(told.m_generation, aNow);
+  if (told.m_generation < m_generation) {
+    Refuse(told, aActions);
+    aActions.emplace_back(RetryLater{ kFirstRetry });
+    return;
+  }
+  // Changes after a version of another generation are not all there are.
+  const bool isOld = m_needsTable || told < m_table.Position();
   if (isOld || aEvent.m_rows.empty()) {
     if (!isOld) {
-      TakeChanges({}, aEvent.m_version, aNow, aActions);
+      TakeChanges({}, told, aNow, aActions);
     }
     GoOn(aNow, aActions);
     return;
   }
-  TakeChanges(aEvent.m_rows, aEvent.m_version, aNow, aActions);
+  TakeChanges(aEvent.m_rows, told, aNow, aActions);
   if (m_onDuty) {
     aActions.emplace_back(RetryLater{ kSettle });
   } else {
@@ -212,13 +280,23 @@
 }
 
 void
-TableFollower::On(const HistoryGone&, Instant aNow, Actions& aActions)
+TableFollower::On(const HistoryGone& aEvent, Instant aNow, Actions& aActions)
 {
   NoteAnswer(aNow, aActions);
+  RaiseGeneration(aEvent.m_generation, aNow);
   m_needsTable = true;
   Ask(aNow, aActions);
 }
 
+void
+TableFollower::On(const GenerationSeen& aEvent, Instant aNow, Actions& aActions)
+{
+  // Before the first read a whole one is due in any case.
+  if (RaiseGeneration(aEvent.m_generation, aNow) && m_hasRead) {
+    FollowGeneration(aNow, aActions);
+  }
+}
+
 void
 TableFollower::On(const ReadFailed& aEvent, Instant aNow, Actions& aActions)
 {
@@ -251,9 +329,12 @@
 TableFollower::On(const PeerIsAhead& aEvent, Instant aNow, Actions& aActions)
 {
   // Once for each version: what the store does not tell now it will not tell.
-  const bool isNew =
-    aEvent.m_version > m_table.Version() && aEvent.m_version > m_askedAnewFor;
-  if (!isNew) {
+  const StorePosition told = aEvent.m_position;
+  if (RaiseGeneration(told.m_generation, aNow) && m_hasRead) {
+    FollowGeneration(aNow, aActions);
+    return;
+  }
+  if (told <= m_table.Position() || told <= m_askedAnewFor) {
     return;
   }
   if (m_needsTable) {
@@ -283,7 +364,7 @@
   if (!m_behindSince) {
     m_behindSince = aNow;
   } else if (aNow - *m_behindSince >= kBehindPatience) {
-    m_askedAnewFor = aEvent.m_version;
+    m_askedAnewFor = told;
     AskAnew(aNow, aActions);
   }
 }
--- a/packages/relay/tests/FollowedTableTest.cpp
+++ b/packages/relay/tests/FollowedTableTest.cpp
@@ -1,3 +1,5 @@
+#include "Positions.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 #include <ridgeferry/relay/FollowedTable.h>
@@ -9,7 +11,7 @@
 struct SinceCase
 {
   const char* m_name;
-  std::uint64_t m_after;
+  std::uint64_t m_after; ///< Version.
   bool m_whole;
   std::vector<FollowedRow> m_rows;
 };
@@ -22,13 +24,13 @@
   FollowedTable table;
   const std::vector<FollowedRow> rows{ { "a", "1", false, 3 },
                                        { "b", "1", false, 4 } };
-  EXPECT_EQ(table.Replace(rows, 10).size(), 2U);
+  EXPECT_EQ(table.Replace(rows, PositionAt(10)).size(), 2U);
   const std::vector<FollowedRow> changes{ { "a", {}, true, 12 },
                                           { "b", "2", false, 14 } };
-  table.Apply(changes, 15);
-  EXPECT_EQ(table.ChangedVersion(), 14U);
-  const TableSlice slice = table.Since(GetParam().m_after);
-  EXPECT_EQ(slice.m_version, 15U);
+  table.Apply(changes, PositionAt(15));
+  EXPECT_EQ(table.ChangedPosition(), PositionAt(14));
+  const TableSlice slice = table.Since(PositionAt(GetParam().m_after));
+  EXPECT_EQ(slice.m_position, PositionAt(15));
   EXPECT_EQ(slice.m_whole, GetParam().m_whole);
   EXPECT_EQ(slice.m_rows, GetParam().m_rows);
 }
@@ -50,18 +52,21 @@
 TEST(FollowedTableLimitTest, ForgottenRemovalsMakeItWhole)
 {
   FollowedTable table;
-  table.Replace(std::vector<FollowedRow>{ { "stays", "1", false, 1 } }, 1);
+  table.Replace(std::vector<FollowedRow>{ { "stays", "1", false, 1 } },
+                PositionAt(1));
   std::uint64_t version = 1;
   for (std::size_t i = 0; i <= FollowedTable::kMostRemovals; ++i) {
     const std::string key = std::to_string(i);
     const std::uint64_t at = ++version;
-    table.Apply(std::vector<FollowedRow>{ { key, "1", false, at } }, at);
+    table.Apply(std::vector<FollowedRow>{ { key, "1", false, at } },
+                PositionAt(at));
     const std::uint64_t gone = ++version;
-    table.Apply(std::vector<FollowedRow>{ { key, {}, true, gone } }, gone);
+    table.Apply(std::vector<FollowedRow>{ { key, {}, true, gone } },
+                PositionAt(gone));
   }
-  EXPECT_TRUE(table.Since(1).m_whole);
-  EXPECT_EQ(table.Since(1).m_rows.size(), 1U);
-  EXPECT_FALSE(table.Since(version - 2).m_whole);
+  EXPECT_TRUE(table.Since(PositionAt(1)).m_whole);
+  EXPECT_EQ(table.Since(PositionAt(1)).m_rows.size(), 1U);
+  EXPECT_FALSE(table.Since(PositionAt(version - 2)).m_whole);
 }
 
 // Whoever takes slices, at whatever moments, ends with the same rows.
@@ -71,7 +76,7 @@
     FollowedTable table;
     FollowedTable copy;
     std::uint64_t version = 1;
-    table.Replace({}, version);
+    table.Replace({}, PositionAt(version));
     for (int i = 0; i < 60; ++i) {
       const std::string key(1,
                             static_cast<char>('a' + *rc::gen::inRange(0, 5)));
@@ -80,17 +85,18 @@
       const FollowedRow row{
         key, removed ? "" : std::to_string(version), removed, version
       };
-      table.Apply(std::vector<FollowedRow>{ row }, version);
+      table.Apply(std::vector<FollowedRow>{ row }, PositionAt(version));
       if (*rc::gen::inRange(0, 4) != 0) {
         continue;
       }
-      const TableSlice slice = table.Since(copy.Version());
+      const TableSlice slice = table.Since(copy.Position());
       if (slice.m_whole) {
-        copy.Replace(slice.m_rows, slice.m_version);
+        copy.Replace(slice.m_rows, slice.m_position);
       } else {
-        copy.Apply(slice.m_rows, slice.m_version);
+        copy.Apply(slice.m_rows, slice.m_position);
       }
-      RC_ASSERT(copy.Since(0).m_rows == table.Since(0).m_rows);
+      RC_ASSERT(copy.Since(PositionAt(0)).m_rows ==
+                table.Since(PositionAt(0)).m_rows);
     }
   }));
 }
--- a/packages/relay/tests/StoreReturnTest.cpp
+++ b/packages/relay/tests/StoreReturnTest.cpp
@@ -7,6 +7,8 @@
 // Shown by: the instances' lines. All first answers lay whole periods of failed
 // reads apart, and 2.5 s after the first write that the store had answered.
 
+#include "Positions.h"
+
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -50,7 +52,7 @@
   {
     for (std::size_t i = 0; i < aCount; ++i) {
       Take(i, DutyChanged{ i < kOnDuty, i < kOnDuty });
-      Take(i, TableRead{ {}, 1 });
+      Take(i, TableRead{ {}, PositionAt(1) });
     }
   }
 
@@ -69,7 +71,7 @@
   bool AllHaveTheChange() const
   {
     return std::all_of(m_nodes.begin(), m_nodes.end(), [](const Node& aNode) {
-      return aNode.m_follower.Version() >= kChanged;
+      return aNode.m_follower.Position() >= PositionAt(kChanged);
     });
   }
   std::size_t Reads() const { return m_reads; }
@@ -86,7 +88,7 @@
     int m_sentAt = kNever;
     int m_failsAt = kNever;
     int m_heldUntil = kNever;
-    std::uint64_t m_after = 0;
+    StorePosition m_after;
     int m_peerAt = kNever; ///< When the peer that is asked answers.
     bool m_lost = false;
     bool m_onDuty = true;
@@ -168,8 +170,8 @@
   void AnswerAsPeer(std::size_t aWho)
   {
     for (const Node& other : m_nodes) {
-      if (other.m_follower.Version() > m_nodes[aWho].m_follower.Version()) {
-        const std::uint64_t after = m_nodes[aWho].m_follower.Version();
+      if (other.m_follower.Position() > m_nodes[aWho].m_follower.Position()) {
+        const StorePosition after = m_nodes[aWho].m_follower.Position();
         Take(aWho, PeerAnswered{ other.m_follower.Since(after) });
         return;
       }
@@ -192,8 +194,8 @@
       Take(aWho, ReadFailed{ "away" });
       return;
     }
-    const bool isNew =
-      m_changeAt != kNever && m_now >= m_changeAt && node.m_after < kChanged;
+    const bool isNew = m_changeAt != kNever && m_now >= m_changeAt &&
+                       node.m_after < PositionAt(kChanged);
     const bool due = node.m_heldUntil != kNever &&
                      m_now >= node.m_sentAt + kAnswerMs &&
                      (isNew || m_now >= node.m_heldUntil);
@@ -202,7 +204,9 @@
     }
     node.m_sentAt = kNever;
     if (isNew) {
-      Take(aWho, ChangesRead{ { { "a", "1", false, kChanged } }, kChanged });
+      Take(
+        aWho,
+        ChangesRead{ { { "a", "1", false, kChanged } }, PositionAt(kChanged) });
     } else {
       Take(aWho, ChangesRead{ {}, node.m_after });
     }
@@ -210,10 +214,10 @@
 
   void TellOthers(std::size_t aWho)
   {
-    const std::uint64_t version = m_nodes[aWho].m_follower.ChangedVersion();
+    const StorePosition position = m_nodes[aWho].m_follower.ChangedPosition();
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
       if (i != aWho) {
-        Take(i, PeerIsAhead{ version });
+        Take(i, PeerIsAhead{ position });
       }
     }
   }
--- a/packages/relay/tests/TableFollowerPeersTest.cpp
+++ b/packages/relay/tests/TableFollowerPeersTest.cpp
@@ -1,6 +1,8 @@
 // Followers that pass rows on to each other, so that the store is asked by few:
 // with hundreds of instances each change cost hundreds of its calls.
 
+#include "Positions.h"
+
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -24,7 +26,7 @@
 TableSlice
 Slice(std::uint64_t aVersion, bool aWhole, const std::string& aValue)
 {
-  return { aVersion, aWhole, { { "a", aValue, false, aVersion } } };
+  return { PositionAt(aVersion), aWhole, { { "a", aValue, false, aVersion } } };
 }
 
 class RestingTest : public ::testing::Test
@@ -33,7 +35,7 @@
   RestingTest()
   {
     Handle(DutyChanged{ false });
-    Handle(TableRead{ {}, 9 });
+    Handle(TableRead{ {}, PositionAt(9) });
   }
 
   std::vector<FollowAction> Handle(const FollowEvent& aEvent, int aAtMs = 0)
@@ -46,29 +48,31 @@
 
 TEST_F(RestingTest, AsksAPeerForWhatItHasReadFurther)
 {
-  EXPECT_TRUE(Handle(PeerIsAhead{ 9 }, 100).empty());
-  const auto first = Handle(PeerIsAhead{ 12 }, 200);
+  EXPECT_TRUE(Handle(PeerIsAhead{ PositionAt(9) }, 100).empty());
+  const auto first = Handle(PeerIsAhead{ PositionAt(12) }, 200);
   ASSERT_NE(Find<AskPeer>(first), nullptr);
-  EXPECT_EQ(Find<AskPeer>(first)->m_after, 9U);
+  EXPECT_EQ(Find<AskPeer>(first)->m_after, PositionAt(9));
   EXPECT_EQ(Find<AskPeer>(first)->m_within, TableFollower::kAskWithin);
   ASSERT_NE(Find<RetryLater>(first), nullptr);
   EXPECT_EQ(Find<RetryLater>(first)->m_delay, TableFollower::kAskPatience);
-  EXPECT_TRUE(Handle(PeerIsAhead{ 13 }, 300).empty()); // It is asked already.
+  EXPECT_TRUE(
+    Handle(PeerIsAhead{ PositionAt(13) }, 300).empty()); // It is asked already.
   const auto rest = Handle(PeerAnswered{ Slice(13, false, "1") }, 350);
   EXPECT_NE(Find<ApplyRows>(rest), nullptr);
   EXPECT_EQ(Find<ReadChanges>(rest), nullptr);
-  EXPECT_EQ(m_follower.Version(), 13U);
+  EXPECT_EQ(m_follower.Position(), PositionAt(13));
   // The next change counts from its own first word.
-  EXPECT_NE(Find<AskPeer>(Handle(PeerIsAhead{ 14 }, 2000)), nullptr);
+  EXPECT_NE(Find<AskPeer>(Handle(PeerIsAhead{ PositionAt(14) }, 2000)),
+            nullptr);
 }
 
 TEST_F(RestingTest, ReadsTheStoreIfNoPeerHelps)
 {
-  Handle(PeerIsAhead{ 12 }, 200);
+  Handle(PeerIsAhead{ PositionAt(12) }, 200);
   EXPECT_NE(Find<AskPeer>(Handle(PeerFailed{}, 500)), nullptr); // Another one.
   const auto due = Handle(RetryDue{}, 1000);
   ASSERT_NE(Find<ReadChanges>(due), nullptr);
-  EXPECT_EQ(Find<ReadChanges>(due)->m_after, 9U);
+  EXPECT_EQ(Find<ReadChanges>(due)->m_after, PositionAt(9));
   EXPECT_EQ(Find<ReadChanges>(due)->m_wait, Duration{}); // Not held.
   EXPECT_TRUE(Handle(PeerFailed{}, 1010).empty());
 }
@@ -76,9 +80,9 @@
 // A peer that was asked before the store answered has nothing new any more.
 TEST_F(RestingTest, AsksNobodyOnceTheStoreHasAnswered)
 {
-  Handle(PeerIsAhead{ 12 }, 200);
+  Handle(PeerIsAhead{ PositionAt(12) }, 200);
   Handle(RetryDue{}, 1000);
-  Handle(ChangesRead{ { { "a", "1", false, 12 } }, 12 }, 1010);
+  Handle(ChangesRead{ { { "a", "1", false, 12 } }, PositionAt(12) }, 1010);
   EXPECT_TRUE(Handle(PeerAnswered{ Slice(12, false, "1") }, 1020).empty());
   EXPECT_TRUE(Handle(PeerFailed{}, 1030).empty());
 }
@@ -97,11 +101,11 @@
 
 TEST_P(BadSliceTest, IsNotTaken)
 {
-  Handle(PeerIsAhead{ 12 }, 200);
+  Handle(PeerIsAhead{ PositionAt(12) }, 200);
   const auto actions = Handle(PeerAnswered{ GetParam().m_slice }, 300);
   EXPECT_EQ(Find<ApplyRows>(actions), nullptr);
   EXPECT_NE(Find<AskPeer>(actions), nullptr);
-  EXPECT_EQ(m_follower.Version(), 9U);
+  EXPECT_EQ(m_follower.Position(), PositionAt(9));
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -161,9 +165,9 @@
   TableFollower follower;
   follower.Handle(FollowBegan{}, Instant{});
   follower.Handle(DutyChanged{ false }, Instant{});
-  const auto ask = follower.Handle(PeerIsAhead{ 7 }, Instant{});
+  const auto ask = follower.Handle(PeerIsAhead{ PositionAt(7) }, Instant{});
   ASSERT_NE(Find<AskPeer>(ask), nullptr);
-  EXPECT_EQ(Find<AskPeer>(ask)->m_after, 0U);
+  EXPECT_EQ(Find<AskPeer>(ask)->m_after, PositionAt(0));
   const auto rest =
     follower.Handle(PeerAnswered{ Slice(7, true, "1") }, Instant{});
   EXPECT_NE(Find<ApplyRows>(rest), nullptr);
@@ -182,7 +186,7 @@
     , m_pending(aCount)
     , m_dueAt(aCount, Instant::max())
   {
-    m_store.Replace({}, 1);
+    m_store.Replace({}, PositionAt(1));
     for (std::size_t i = 0; i < aCount; ++i) {
       Take(i, FollowBegan{});
       Take(i, DutyChanged{ i < kOnDuty });
@@ -197,7 +201,7 @@
     const FollowedRow row{
       key, removed ? "" : std::to_string(aVersion), removed, aVersion
     };
-    m_store.Apply(std::vector<FollowedRow>{ row }, aVersion);
+    m_store.Apply(std::vector<FollowedRow>{ row }, PositionAt(aVersion));
   }
 
   /** One round: each carries out what it is to do, and tells the others. */
@@ -218,7 +222,7 @@
       for (std::size_t to = 0; to < m_followers.size(); ++to) {
         const bool lost = aLossy && *rc::gen::inRange(0, 3) == 0;
         if (to != i && !lost) {
-          Take(to, PeerIsAhead{ m_followers[i].ChangedVersion() });
+          Take(to, PeerIsAhead{ m_followers[i].ChangedPosition() });
         }
       }
     }
@@ -226,12 +230,12 @@
 
   bool AllHaveTheStoresRows() const
   {
-    const auto wanted = m_store.Since(0).m_rows;
+    const auto wanted = m_store.Since(PositionAt(0)).m_rows;
     return m_isOrderly &&
            std::all_of(m_followers.begin(),
                        m_followers.end(),
                        [&](const auto& aFollower) {
-                         return aFollower.Since(0).m_rows == wanted;
+                         return aFollower.Since(PositionAt(0)).m_rows == wanted;
                        });
   }
 
@@ -243,8 +247,8 @@
     for (FollowAction& action : m_followers[aWho].Handle(aEvent, m_now)) {
       if (const auto* apply = std::get_if<ApplyRows>(&action)) {
         for (const FollowedRow& row : apply->m_rows) {
-          m_isOrderly =
-            m_isOrderly && row.m_version <= m_followers[aWho].Version();
+          m_isOrderly = m_isOrderly &&
+                        row.m_version <= m_followers[aWho].Position().m_version;
         }
       }
       m_pending[aWho].push_back(std::move(action));
@@ -257,7 +261,9 @@
     if (aLost) {
       Take(aWho, ReadFailed{ "lost" });
     } else {
-      Take(aWho, TableRead{ m_store.Since(0).m_rows, m_store.Version() });
+      Take(
+        aWho,
+        TableRead{ m_store.Since(PositionAt(0)).m_rows, m_store.Position() });
     }
   }
   void Do(std::size_t aWho, const ReadChanges& aRead, bool aLost)
@@ -268,7 +274,7 @@
       return;
     }
     const TableSlice slice = m_store.Since(aRead.m_after);
-    Take(aWho, ChangesRead{ slice.m_rows, slice.m_version });
+    Take(aWho, ChangesRead{ slice.m_rows, slice.m_position });
   }
   void Do(std::size_t aWho, const AskPeer& aAsk, bool aLost)
   {
@@ -289,13 +295,13 @@
   }
 
   /** One that has read further; itself: nobody. */
-  std::size_t PickAhead(std::size_t aWho, std::uint64_t aAfter)
+  std::size_t PickAhead(std::size_t aWho, StorePosition aAfter)
   {
     const std::size_t count = m_followers.size();
     ++m_picked;
     for (std::size_t i = 0; i < count; ++i) {
       const std::size_t other = (m_picked + i) % count;
-      if (m_followers[other].ChangedVersion() > aAfter) {
+      if (m_followers[other].ChangedPosition() > aAfter) {
         return other;
       }
     }
--- a/packages/relay/tests/TableFollowerTest.cpp
+++ b/packages/relay/tests/TableFollowerTest.cpp
@@ -1,3 +1,5 @@
+#include "Positions.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 #include <ridgeferry/relay/TableFollower.h>
@@ -33,18 +35,20 @@
 {
   Handle(FollowBegan{});
   EXPECT_NE(Find<ReadTable>(Handle(PeersListed{ false })), nullptr);
-  const auto actions = Handle(TableRead{ { { "a", "1" } }, 5 });
+  const auto actions = Handle(TableRead{ { { "a", "1" } }, PositionAt(5) });
   ASSERT_NE(Find<ApplyRows>(actions), nullptr);
   EXPECT_EQ(Find<ApplyRows>(actions)->m_rows.size(), 1U);
   ASSERT_NE(Find<ReadChanges>(actions), nullptr);
-  EXPECT_EQ(Find<ReadChanges>(actions)->m_after, 5U);
+  EXPECT_EQ(Find<ReadChanges>(actions)->m_after, PositionAt(5));
 }
 
 TEST_F(TableFollowerTest, ATableReadAgainTellsOnlyWhatDiffers)
 {
-  Handle(TableRead{ { { "a", "1" }, { "b", "1" }, { "c", "1" } }, 5 });
+  Handle(
+    TableRead{ { { "a", "1" }, { "b", "1" }, { "c", "1" } }, PositionAt(5) });
   EXPECT_NE(Find<ReadTable>(Handle(HistoryGone{})), nullptr);
-  const auto actions = Handle(TableRead{ { { "a", "1" }, { "b", "2" } }, 9 });
+  const auto actions =
+    Handle(TableRead{ { { "a", "1" }, { "b", "2" } }, PositionAt(9) });
   const auto* apply = Find<ApplyRows>(actions);
   ASSERT_NE(apply, nullptr);
   ASSERT_EQ(apply->m_rows.size(), 2U);
@@ -56,21 +60,21 @@
 // A store may answer a read from before what it has already told.
 TEST_F(TableFollowerTest, AnOlderTableIsNotTaken)
 {
-  Handle(TableRead{ { { "a", "2" } }, 9 });
+  Handle(TableRead{ { { "a", "2" } }, PositionAt(9) });
   Handle(HistoryGone{});
-  const auto actions = Handle(TableRead{ { { "a", "1" } }, 5 });
+  const auto actions = Handle(TableRead{ { { "a", "1" } }, PositionAt(5) });
   EXPECT_EQ(Find<ApplyRows>(actions), nullptr);
   EXPECT_NE(Find<RetryLater>(actions), nullptr);
-  EXPECT_EQ(m_follower.Version(), 9U);
+  EXPECT_EQ(m_follower.Position(), PositionAt(9));
 }
 
 TEST_F(TableFollowerTest, OneLineForAnOutageAndOneForItsEnd)
 {
-  Handle(TableRead{ {}, 1 });
+  Handle(TableRead{ {}, PositionAt(1) });
   EXPECT_NE(Find<StoreLost>(Handle(ReadFailed{ "x" })), nullptr);
   EXPECT_EQ(Find<StoreLost>(Handle(ReadFailed{ "x" })), nullptr);
-  EXPECT_NE(Find<StoreBack>(Handle(ChangesRead{ {}, 1 })), nullptr);
-  EXPECT_EQ(Find<StoreBack>(Handle(ChangesRead{ {}, 1 })), nullptr);
+  EXPECT_NE(Find<StoreBack>(Handle(ChangesRead{ {}, PositionAt(1) })), nullptr);
+  EXPECT_EQ(Find<StoreBack>(Handle(ChangesRead{ {}, PositionAt(1) })), nullptr);
 }
 
 TEST_F(TableFollowerTest, RetriesSlowDownToTheirLongestPause)
@@ -104,11 +108,11 @@
 // return is up to one read that got no answer before the first answer.
 TEST_P(LapseTest, EndsAtOneMomentHoweverLateTheRemovalIsRead)
 {
-  Handle(TableRead{ { { "a", "1" } }, 1 });
+  Handle(TableRead{ { { "a", "1" } }, PositionAt(1) });
   Handle(ReadFailed{ "x" }, 1000);
-  Handle(ChangesRead{ {}, 1 }, 2000);
-  const auto actions =
-    Handle(ChangesRead{ { { "a", {}, true } }, 2 }, GetParam().m_readAtMs);
+  Handle(ChangesRead{ {}, PositionAt(1) }, 2000);
+  const auto actions = Handle(
+    ChangesRead{ { { "a", {}, true } }, PositionAt(2) }, GetParam().m_readAtMs);
   const auto* apply = Find<ApplyRows>(actions);
   ASSERT_NE(apply, nullptr);
   const auto until = apply->m_lapsesUntil.value_or(Instant{});
@@ -129,8 +133,9 @@
 // Releases and rolling changes write many rows within moments.
 TEST_F(TableFollowerTest, AfterAChangeItWaitsForMore)
 {
-  Handle(TableRead{ {}, 1 });
-  const auto actions = Handle(ChangesRead{ { { "a", "1", false, 2 } }, 2 });
+  Handle(TableRead{ {}, PositionAt(1) });
+  const auto actions =
+    Handle(ChangesRead{ { { "a", "1", false, 2 } }, PositionAt(2) });
   ASSERT_NE(Find<RetryLater>(actions), nullptr);
   EXPECT_EQ(Find<RetryLater>(actions)->m_delay, TableFollower::kSettle);
   EXPECT_EQ(Find<ReadChanges>(actions), nullptr);
@@ -139,11 +144,11 @@
 
 TEST_F(TableFollowerTest, OnDutyItAsksAllTheTimeElseItRests)
 {
-  const auto onDuty = Handle(TableRead{ {}, 1 });
+  const auto onDuty = Handle(TableRead{ {}, PositionAt(1) });
   ASSERT_NE(Find<ReadChanges>(onDuty), nullptr);
   EXPECT_EQ(Find<ReadChanges>(onDuty)->m_wait, TableFollower::kDutyWait);
   EXPECT_TRUE(Handle(DutyChanged{ false }).empty());
-  const auto rest = Handle(ChangesRead{ {}, 1 });
+  const auto rest = Handle(ChangesRead{ {}, PositionAt(1) });
   EXPECT_EQ(Find<ReadChanges>(rest), nullptr);
   ASSERT_NE(Find<RetryLater>(rest), nullptr);
   EXPECT_EQ(Find<RetryLater>(rest)->m_delay, TableFollower::kLongestRest);
@@ -170,15 +175,15 @@
 // A read that the store will never answer: its outage began after the call.
 TEST_P(PeerTest, AReadThatMustHaveBeenLostIsMadeAgain)
 {
-  Handle(TableRead{ { { "a", "1", false, 5 } }, 9 });
-  EXPECT_EQ(m_follower.ChangedVersion(), 5U);
+  Handle(TableRead{ { { "a", "1", false, 5 } }, PositionAt(9) });
+  EXPECT_EQ(m_follower.ChangedPosition(), PositionAt(5));
   std::size_t dropped = 0;
   for (const auto& [at, version] : GetParam().m_told) {
-    const auto actions = Handle(PeerIsAhead{ version }, at);
+    const auto actions = Handle(PeerIsAhead{ PositionAt(version) }, at);
     if (Find<DropRead>(actions) != nullptr) {
       ++dropped;
       ASSERT_NE(Find<ReadChanges>(actions), nullptr);
-      EXPECT_EQ(Find<ReadChanges>(actions)->m_after, 9U);
+      EXPECT_EQ(Find<ReadChanges>(actions)->m_after, PositionAt(9));
     }
   }
   EXPECT_EQ(dropped, GetParam().m_dropped);
@@ -202,16 +207,18 @@
 {
   Handle(FollowBegan{});
   EXPECT_NE(Find<ReadTable>(Handle(PeersListed{ false })), nullptr);
-  EXPECT_TRUE(Handle(PeerIsAhead{ 12 }, 0).empty());
-  EXPECT_TRUE(Handle(PeerIsAhead{ 12 }, 900).empty());
-  EXPECT_NE(Find<ApplyRows>(Handle(TableRead{ {}, 12 }, 1000)), nullptr);
+  EXPECT_TRUE(Handle(PeerIsAhead{ PositionAt(12) }, 0).empty());
+  EXPECT_TRUE(Handle(PeerIsAhead{ PositionAt(12) }, 900).empty());
+  EXPECT_NE(Find<ApplyRows>(Handle(TableRead{ {}, PositionAt(12) }, 1000)),
+            nullptr);
 }
 
 TEST_F(TableFollowerTest, APeersOutageCountsForRemovals)
 {
-  Handle(TableRead{ { { "a", "1", false, 1 } }, 1 });
+  Handle(TableRead{ { { "a", "1", false, 1 } }, PositionAt(1) });
   Handle(PeerLostStore{}, 1000);
-  const auto soon = Handle(ChangesRead{ { { "a", {}, true, 2 } }, 2 }, 2000);
+  const auto soon =
+    Handle(ChangesRead{ { { "a", {}, true, 2 } }, PositionAt(2) }, 2000);
   ASSERT_NE(Find<ApplyRows>(soon), nullptr);
   EXPECT_EQ(Find<ApplyRows>(soon)->m_lapsesUntil,
             Instant{ Duration{ 1000 } + LapseGrace::kPeerLapseTime });
@@ -237,7 +244,7 @@
 // a cut of a hall, though, that hall's upstreams have lapsed, and are sound.
 TEST_P(TurnedAwayTest, OnlyAnOutageOfAllMakesLapses)
 {
-  Handle(TableRead{ { { "a", "1" } }, 1 });
+  Handle(TableRead{ { { "a", "1" } }, PositionAt(1) });
   bool failed = false;
   for (int at = 0; at < 8000; at += 300) {
     if (at >= 1000 && !std::exchange(failed, true)) {
@@ -249,12 +256,14 @@
       }
     }
   }
-  const auto actions = Handle(ChangesRead{ { { "a", {}, true, 2 } }, 2 }, 8000);
+  const auto actions =
+    Handle(ChangesRead{ { { "a", {}, true, 2 } }, PositionAt(2) }, 8000);
   const auto* apply = Find<ApplyRows>(actions);
   ASSERT_NE(apply, nullptr);
   EXPECT_EQ(apply->m_lapsesUntil.has_value(), GetParam().m_lapses);
   Handle(PeerReadsSteadily{}, 8300); // A word that comes later ends no grace.
-  const auto later = Handle(ChangesRead{ { { "b", {}, true, 3 } }, 3 }, 8400);
+  const auto later =
+    Handle(ChangesRead{ { { "b", {}, true, 3 } }, PositionAt(3) }, 8400);
   ASSERT_NE(Find<ApplyRows>(later), nullptr);
   EXPECT_EQ(Find<ApplyRows>(later)->m_lapsesUntil.has_value(),
             GetParam().m_lapses);
@@ -311,7 +320,7 @@
           return;
         }
         if (std::holds_alternative<ReadTable>(action)) {
-          TableRead read{ {}, version };
+          TableRead read{ {}, PositionAt(version) };
           for (const auto& [key, value] : store) {
             read.m_rows.push_back({ key, value });
           }
@@ -319,13 +328,13 @@
           return;
         }
         if (const auto* changes = std::get_if<ReadChanges>(&action)) {
-          if (changes->m_after < forgotten) {
+          if (changes->m_after.m_version < forgotten) {
             take(follower.Handle(HistoryGone{}, now));
             return;
           }
-          ChangesRead read{ {}, version };
+          ChangesRead read{ {}, PositionAt(version) };
           for (const auto& [at, row] : history) {
-            if (at > changes->m_after) {
+            if (at > changes->m_after.m_version) {
               read.m_rows.push_back(row);
             }
           }
