Lease: a row confirms the write that it is of; one confirmed too late gains nothing

Change: each write's row has a number of its own; a confirmation behind the term is dropped. Ruled out: refusing reads of a lower version, which would shut the lease of a store that tells no generation and comes back older.

--- a/packages/authority/include/ridgeferry/authority/Lease.h
+++ b/packages/authority/include/ridgeferry/authority/Lease.h
@@ -39,8 +39,10 @@
 {
   std::string m_holder; ///< Process id of the holder, unique for ever.
   FencingNumber m_fencing = 0;
-  std::uint64_t m_beat = 0; ///< Counts the holder's renewals.
-  bool m_released = false;  ///< The holder resigned: no need to wait.
+  /** Of the holder's writes, each its own: a row that is read is that of one
+   * write, not of an earlier one that said the same. */
+  std::uint64_t m_beat = 0;
+  bool m_released = false; ///< The holder resigned: no need to wait.
   bool operator==(const LeaseRow&) const = default;
 };
 
@@ -170,7 +172,7 @@
                     Actions& aActions);
   void OnResign(Instant aNow, Actions& aActions);
   void NoteRow(const table::Row& aLease, const LeaseRow& aRow, Instant aNow);
-  void Confirm(const OpenWrite& aWrite, Actions& aActions);
+  void Confirm(const OpenWrite& aWrite, Instant aNow, Actions& aActions);
   void Drop(Actions& aActions);
   bool MayTake(Instant aNow) const;
   void Write(LeaseRow aRow, bool aTakes, Instant aNow, Actions& aActions);
--- a/packages/authority/src/Lease.cpp
+++ b/packages/authority/src/Lease.cpp
@@ -91,9 +91,7 @@
     return;
   }
   if (m_holds && aNow >= m_nextRenew.value_or(aNow)) {
-    LeaseRow row = m_seen;
-    ++row.m_beat;
-    Write(std::move(row), false, aNow, aActions);
+    Write(m_seen, false, aNow, aActions);
     return;
   }
   if (m_holds || m_resigned) {
@@ -170,7 +168,7 @@
   if (m_open && m_open->m_row == *row) {
     const OpenWrite confirmed = *m_open;
     m_open.reset();
-    Confirm(confirmed, aActions);
+    Confirm(confirmed, aNow, aActions);
     return;
   }
   m_open.reset();
@@ -212,9 +210,12 @@
 }
 
 void
-Lease::Confirm(const OpenWrite& aWrite, Actions& aActions)
+Lease::Confirm(const OpenWrite& aWrite, Instant aNow, Actions& aActions)
 {
-  if (aWrite.m_row.m_released) {
+  const Instant validUntil =
+    aWrite.m_sentAt + m_times.m_term - m_times.m_margin;
+  // Of one that is confirmed too late nothing is left to use.
+  if (aWrite.m_row.m_released || aNow >= validUntil) {
     Drop(aActions);
     return;
   }
@@ -222,7 +223,7 @@
   m_holds = true;
   m_fencing = aWrite.m_row.m_fencing;
   m_fenceVersion = m_seenFenceVersion;
-  m_validUntil = aWrite.m_sentAt + m_times.m_term - m_times.m_margin;
+  m_validUntil = validUntil;
   m_nextRenew = aWrite.m_sentAt + m_times.m_renewEvery;
   if (taken) {
     aActions.emplace_back(AuthorityGained{ m_fencing, m_fenceVersion });
@@ -249,7 +250,6 @@
   }
   LeaseRow row = m_seen;
   row.m_released = true;
-  ++row.m_beat;
   // Authority ends before the row is given back, not when the answer comes.
   Drop(aActions);
   Write(std::move(row), false, aNow, aActions);
@@ -258,6 +258,7 @@
 void
 Lease::Write(LeaseRow aRow, bool aTakes, Instant aNow, Actions& aActions)
 {
+  aRow.m_beat = ++m_lastAttempt;
   table::Transaction write;
   write.m_conditions.push_back({ LeaseKey(m_hall), m_seenVersion });
   write.m_puts.push_back({ LeaseKey(m_hall), EncodeLease(aRow) });
@@ -265,7 +266,7 @@
     write.m_conditions.push_back({ FenceKey(m_hall), m_seenFenceVersion });
     write.m_puts.push_back({ FenceKey(m_hall), EncodeLease(aRow) });
   }
-  m_open = OpenWrite{ ++m_lastAttempt, aNow, std::move(aRow), false };
+  m_open = OpenWrite{ m_lastAttempt, aNow, std::move(aRow), false };
   aActions.emplace_back(WriteLease{ m_lastAttempt, std::move(write) });
 }
 
--- a/packages/authority/tests/LeaseTest.cpp
+++ b/packages/authority/tests/LeaseTest.cpp
@@ -150,6 +150,70 @@
   EXPECT_EQ(second.Machine().Fencing(), 2U);
 }
 
+/** What the store has, as an answer to a read. */
+LeaseRead
+Answer(const support::MemoryTable& aTable)
+{
+  return { { table::ReadStatus::Ok, aTable.Read(LeaseKey("hall")) },
+           { table::ReadStatus::Ok, aTable.Read(FenceKey("hall")) } };
+}
+
+/** Ticks until the machine writes; nothing: it never did. */
+std::optional<WriteLease>
+NextWrite(Lease& aLease, Instant& aNow)
+{
+  constexpr int kMostTicks = 100;
+  for (int i = 0; i < kMostTicks; ++i) {
+    aNow += kTick;
+    for (const LeaseAction& action : aLease.Handle(LeaseTick{}, aNow)) {
+      if (const auto* write = std::get_if<WriteLease>(&action)) {
+        return *write;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+// Two reads overtook each other, so the holder took an older row for the newest
+// and, a term later, took the lease anew with the words of its first taking. A
+// read from before that second write then confirmed it, while another process
+// had seen the row stand for a whole term: two held.
+TEST(LeaseTest, ARowOfAnEarlierTakingConfirmsNoLaterOne)
+{
+  support::MemoryTable table;
+  Lease lease("hall", "first");
+  Instant now{ Duration{ 1'000'000 } };
+  const LeaseRead before = Answer(table);
+  lease.Handle(before, now);
+  const auto taking = NextWrite(lease, now);
+  ASSERT_TRUE(taking.has_value());
+  table.Commit(taking->m_transaction);
+  lease.Handle(
+    LeaseWritten{ taking->m_attempt, table::CommitResult::Committed }, now);
+  lease.Handle(Answer(table), now);
+  ASSERT_TRUE(lease.HasAuthority(now));
+  lease.Handle(before, now); // Overtaken on its way.
+  EXPECT_FALSE(lease.HasAuthority(now));
+  const auto again = NextWrite(lease, now);
+  ASSERT_TRUE(again.has_value());
+  lease.Handle(Answer(table), now); // From before that write.
+  EXPECT_FALSE(lease.HasAuthority(now));
+}
+
+TEST(LeaseTest, AWriteConfirmedAfterItsTermGainsNothing)
+{
+  support::MemoryTable table;
+  Lease lease("hall", "first");
+  Instant now{ Duration{ 1'000'000 } };
+  lease.Handle(Answer(table), now);
+  const auto taking = NextWrite(lease, now);
+  ASSERT_TRUE(taking.has_value());
+  table.Commit(taking->m_transaction);
+  now += LeaseTimes{}.m_term;
+  EXPECT_TRUE(lease.Handle(Answer(table), now).empty());
+  EXPECT_FALSE(lease.HasAuthority(now));
+}
+
 TEST(LeaseTest, IsFreeAtOnceAfterAResignation)
 {
   support::MemoryTable table;
