Tests: positions, followers and rows behind an older copy

Found: a word of a peer that still tells the generation before was acted on by one that had seen the next; it is passed over now.

--- a/packages/relay/src/TableFollower.cpp
+++ b/packages/relay/src/TableFollower.cpp
@@ -334,7 +334,8 @@
     FollowGeneration(aNow, aActions);
     return;
   }
-  if (told <= m_table.Position() || told <= m_askedAnewFor) {
+  const bool isOld = told.m_generation < m_generation;
+  if (isOld || told <= m_table.Position() || told <= m_askedAnewFor) {
     return;
   }
   if (m_needsTable) {
--- /dev/null
+++ b/packages/relay/tests/StoreGenerationTest.cpp
@@ -0,0 +1,267 @@
+// Followers of a store that comes back from an older copy.
+
+#include "Positions.h"
+
+#include <gtest/gtest.h>
+#include <ridgeferry/relay/TableFollower.h>
+#include <type_traits>
+
+namespace ridgeferry::relay {
+namespace {
+
+// A number is no position: what compares one with another does not compile.
+static_assert(!std::is_convertible_v<std::uint64_t, StorePosition>);
+
+template<typename Action>
+const Action*
+Find(const std::vector<FollowAction>& aActions)
+{
+  for (const FollowAction& action : aActions) {
+    if (const auto* found = std::get_if<Action>(&action)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+struct OrderCase
+{
+  const char* m_name;
+  StorePosition m_lower;
+  StorePosition m_higher;
+};
+
+class StorePositionTest : public ::testing::TestWithParam<OrderCase>
+{};
+
+TEST_P(StorePositionTest, TheGenerationGoesFirst)
+{
+  EXPECT_LT(GetParam().m_lower, GetParam().m_higher);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Orders,
+  StorePositionTest,
+  ::testing::Values(OrderCase{ "Version", { 1, 4 }, { 1, 5 } },
+                    OrderCase{ "Generation", { 1, 500 }, { 2, 3 } },
+                    OrderCase{ "NoneTold", { 0, 500 }, { 1, 0 } },
+                    OrderCase{ "SameVersion", { 1, 7 }, { 2, 7 } }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+constexpr StorePosition kHeld = PositionAt(54);
+constexpr StoreGeneration kNext = kOnlyGeneration + 1;
+constexpr StorePosition kOfCopy{ kNext, 30 };
+
+enum class State
+{
+  OnDuty,
+  Resting,
+  Lost, ///< Its reads fail.
+};
+
+/** How the next generation shows to a follower, and what it does first. */
+struct SightCase
+{
+  const char* m_name;
+  State m_state;
+  FollowEvent m_sight;
+  bool m_readsTable;
+  bool m_asksPeer;
+};
+
+class GenerationSightTest : public ::testing::TestWithParam<SightCase>
+{
+protected:
+  GenerationSightTest()
+  {
+    Handle(TableRead{ { { "a", "1", false, 50 } }, kHeld });
+    if (GetParam().m_state == State::Resting) {
+      Handle(DutyChanged{ false, false });
+      Handle(ChangesRead{ {}, kHeld }); // The read that was under way.
+    }
+    if (GetParam().m_state == State::Lost) {
+      Handle(ReadFailed{ "away" });
+    }
+  }
+
+  std::vector<FollowAction> Handle(const FollowEvent& aEvent, int aAtMs = 0)
+  {
+    return m_follower.Handle(aEvent, Instant{ Duration{ aAtMs } });
+  }
+
+  TableFollower m_follower;
+};
+
+TEST_P(GenerationSightTest, StartsAWholeReadAtOnce)
+{
+  const auto actions = Handle(GetParam().m_sight, 10);
+  EXPECT_EQ(Find<ReadTable>(actions) != nullptr, GetParam().m_readsTable);
+  EXPECT_EQ(Find<AskPeer>(actions) != nullptr, GetParam().m_asksPeer);
+  EXPECT_EQ(m_follower.Generation(), kNext);
+  // Nothing is known of it yet: what is told is what was read before.
+  EXPECT_EQ(m_follower.Position(), kHeld);
+  EXPECT_TRUE(Handle(GenerationSeen{ kNext }, 11).empty()); // Once.
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Sights,
+  GenerationSightTest,
+  ::testing::Values(
+    SightCase{ "Forgotten", State::OnDuty, HistoryGone{ kNext }, true, false },
+    SightCase{ "Changes",
+               State::OnDuty,
+               ChangesRead{ { { "b", "1", false, 60 } }, { kNext, 60 } },
+               true,
+               false },
+    SightCase{ "NoChanges",
+               State::OnDuty,
+               ChangesRead{ {}, { kNext, 54 } },
+               true,
+               false },
+    SightCase{ "OtherAnswer",
+               State::OnDuty,
+               GenerationSeen{ kNext },
+               true,
+               false },
+    SightCase{ "Peer", State::OnDuty, PeerIsAhead{ kOfCopy }, true, false },
+    SightCase{ "PeerOfOneAtRest",
+               State::Resting,
+               PeerIsAhead{ kOfCopy },
+               false,
+               true },
+    SightCase{ "OtherAnswerOfOneAtRest",
+               State::Resting,
+               GenerationSeen{ kNext },
+               false,
+               true },
+    SightCase{ "PeerOfOneTurnedAway",
+               State::Lost,
+               PeerIsAhead{ kOfCopy },
+               false,
+               true }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+class OlderCopyTest : public ::testing::Test
+{
+protected:
+  std::vector<FollowAction> Handle(const FollowEvent& aEvent, int aAtMs = 0)
+  {
+    return m_follower.Handle(aEvent, Instant{ Duration{ aAtMs } });
+  }
+
+  TableFollower m_follower;
+};
+
+TEST_F(OlderCopyTest, IsTakenAndSaidToBeOne)
+{
+  Handle(
+    TableRead{ { { "a", "2", false, 50 }, { "b", "1", false, 52 } }, kHeld });
+  Handle(HistoryGone{ kNext }, 10);
+  const auto actions =
+    Handle(TableRead{ { { "a", "1", false, 20 } }, kOfCopy }, 20);
+  const auto* apply = Find<ApplyRows>(actions);
+  ASSERT_NE(apply, nullptr);
+  EXPECT_EQ(apply->m_copyAfter, kHeld);
+  ASSERT_EQ(apply->m_rows.size(), 2U);
+  EXPECT_EQ(apply->m_rows[0].m_value, "1");
+  EXPECT_TRUE(apply->m_rows[1].m_removed);
+  // It may come back, though no read ever failed.
+  EXPECT_EQ(apply->m_lapsesUntil,
+            Instant{ Duration{ 10 } + LapseGrace::kLapseTime });
+  EXPECT_EQ(m_follower.Position(), kOfCopy);
+  EXPECT_EQ(m_follower.ChangedPosition(), (StorePosition{ kNext, 20 }));
+  // The next changes are changes.
+  const auto later =
+    Handle(ChangesRead{ { { "b", "1", false, 31 } }, { kNext, 31 } }, 30);
+  ASSERT_NE(Find<ApplyRows>(later), nullptr);
+  EXPECT_FALSE(Find<ApplyRows>(later)->m_copyAfter.has_value());
+}
+
+// Answers and slices that were made before the store went away arrive after.
+TEST_F(OlderCopyTest, NothingOfTheGenerationBeforeIsTaken)
+{
+  Handle(TableRead{ {}, kHeld });
+  Handle(HistoryGone{ kNext });
+  const StorePosition late = PositionAt(99);
+  const auto whole = Handle(TableRead{ { { "a", "1" } }, late });
+  EXPECT_EQ(Find<ApplyRows>(whole), nullptr);
+  ASSERT_NE(Find<AnswerIsOld>(whole), nullptr);
+  EXPECT_EQ(Find<AnswerIsOld>(whole)->m_position, late);
+  EXPECT_NE(Find<RetryLater>(whole), nullptr);
+  const auto changes = Handle(ChangesRead{ { { "a", "1", false, 98 } }, late });
+  EXPECT_EQ(Find<ApplyRows>(changes), nullptr);
+  const TableSlice slice{ late, true, { { "a", "1", false, 98 } } };
+  EXPECT_EQ(Find<ApplyRows>(Handle(PeerAnswered{ slice })), nullptr);
+  EXPECT_TRUE(Handle(PeerIsAhead{ late }).empty());
+}
+
+TEST_F(OlderCopyTest, OneAtRestTakesItFromAPeer)
+{
+  Handle(DutyChanged{ false, false });
+  Handle(TableRead{ { { "a", "2", false, 50 } }, kHeld });
+  const auto asks = Handle(PeerIsAhead{ kOfCopy }, 10);
+  ASSERT_NE(Find<AskPeer>(asks), nullptr);
+  EXPECT_EQ(Find<AskPeer>(asks)->m_after, (StorePosition{ kNext, 0 }));
+  const TableSlice slice{ kOfCopy, true, { { "a", "1", false, 20 } } };
+  const auto taken = Handle(PeerAnswered{ slice }, 20);
+  ASSERT_NE(Find<ApplyRows>(taken), nullptr);
+  EXPECT_EQ(Find<ApplyRows>(taken)->m_copyAfter, kHeld);
+  EXPECT_EQ(Find<ReadTable>(taken), nullptr); // It rests again.
+}
+
+TEST_F(OlderCopyTest, OneAtRestReadsItIfNoPeerHasIt)
+{
+  Handle(DutyChanged{ false, false });
+  Handle(TableRead{ {}, kHeld });
+  const auto asks = Handle(GenerationSeen{ kNext }, 10);
+  ASSERT_NE(Find<RetryLater>(asks), nullptr);
+  EXPECT_EQ(Find<RetryLater>(asks)->m_delay, TableFollower::kAskPatience);
+  EXPECT_NE(Find<AskPeer>(Handle(PeerFailed{}, 200)), nullptr); // Another one.
+  EXPECT_NE(Find<ReadTable>(Handle(RetryDue{}, 810)), nullptr);
+}
+
+/** A row that was known, what the copy says, and what is told then. */
+struct KeptCase
+{
+  const char* m_name;
+  std::optional<std::string> m_copy; ///< Nothing: it has none.
+  StorePosition m_position;
+  std::size_t m_told; ///< Rows that differ.
+  std::string m_kept; ///< What a peer is told of it afterwards; empty: nothing.
+};
+
+class KeptRowTest : public ::testing::TestWithParam<KeptCase>
+{};
+
+TEST_P(KeptRowTest, OutlastsAnOlderCopyOnly)
+{
+  FollowedTable table(
+    [](std::string_view, std::string_view aKnown, const std::string* aTold) {
+      return aTold == nullptr || *aTold < aKnown;
+    });
+  table.Replace(std::vector<FollowedRow>{ { "c", "5", false, 50 } }, kHeld);
+  std::vector<FollowedRow> copy;
+  if (GetParam().m_copy) {
+    copy.push_back({ "c", *GetParam().m_copy, false, 20 });
+  }
+  EXPECT_EQ(table.Replace(copy, GetParam().m_position).size(),
+            GetParam().m_told);
+  const TableSlice slice = table.Since({});
+  EXPECT_EQ(slice.m_rows.empty() ? "" : slice.m_rows[0].m_value,
+            GetParam().m_kept);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Copies,
+  KeptRowTest,
+  ::testing::Values(
+    KeptCase{ "Older", "4", kOfCopy, 0, "5" },
+    KeptCase{ "Missing", std::nullopt, kOfCopy, 0, "5" },
+    KeptCase{ "TheSame", "5", kOfCopy, 0, "5" },
+    KeptCase{ "Newer", "6", kOfCopy, 1, "6" },
+    // Within one generation what the store says is so.
+    KeptCase{ "RemovedSince", std::nullopt, PositionAt(60), 1, "" }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+} // namespace
+} // namespace ridgeferry::relay
