Graces behind a copy: reads of the generation before bound none

Cause: found by reading: the bound of a grace was asked for by what this instance had told last, which is of the generation before while the copy is being taken, so that a peer's long reads ended each grace at once and rows that the copy lacks were gone. Also an instance that was still listing its peers as the generation rose wrote no row again. Change: the caller names the generation. Figures: HallReadsGenerationTest; no other test changed.

--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -99,6 +99,9 @@
   void NoteOtherLife(const relay::Member& aMember, LifeOrder aOrder);
   void TakeRemoval(const std::string& aUpstream,
                    std::optional<Instant> aLapsesUntil);
+  /** Since when instances of a hall read the store as it is now: reads of a
+   * generation that has ended say nothing of the present rows. */
+  std::optional<Instant> HallReadsSince(std::string_view aHall) const;
   /** Peers may have told since that upstreams of their hall have not lapsed. */
   void BoundGraces();
   bool IsReady() const;
@@ -303,7 +306,7 @@
     m_gone.NoteGone(member->Life(), now);
   }
   const auto reads =
-    member == nullptr ? std::nullopt : m_peers->HallReadsSince(member->m_hall);
+    member == nullptr ? std::nullopt : HallReadsSince(member->m_hall);
   const auto until = relay::LapseGrace::Bounded(aLapsesUntil, reads, now);
   m_node.m_fleet.Drop(aUpstream, until);
   m_peers->NoteGone(aUpstream);
@@ -318,6 +321,12 @@
                         { "itsHallReadsForMs", readsFor.count() } });
 }
 
+std::optional<Instant>
+Entry::Impl::HallReadsSince(std::string_view aHall) const
+{
+  return m_peers->HallReadsSince(aHall, m_members->Follower().Generation());
+}
+
 void
 Entry::Impl::BoundGraces()
 {
@@ -325,7 +334,7 @@
     return;
   }
   for (const std::string& hall : m_peers->Halls()) {
-    if (const auto since = m_peers->HallReadsSince(hall)) {
+    if (const auto since = HallReadsSince(hall)) {
       m_node.m_fleet.BoundGraces(hall, *since + relay::LapseGrace::kLapseTime);
     }
   }
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -234,11 +234,9 @@
 }
 
 std::optional<Instant>
-Peers::HallReadsSince(std::string_view aHall) const
+Peers::HallReadsSince(std::string_view aHall, StoreGeneration aGeneration) const
 {
-  // Reads of a generation that has ended say nothing of the present rows.
-  return Duty().ReadsSince(
-    aHall, m_storeView.m_members.m_generation, m_node.Now());
+  return Duty().ReadsSince(aHall, aGeneration, m_node.Now());
 }
 
 std::set<std::string>
@@ -479,9 +477,6 @@
 void
 Peers::NoteGeneration()
 {
-  if (!m_hasListed) {
-    return; // The own row is being written in any case.
-  }
   m_rewrite = m_node.m_loop->After(kRewriteAfter, [this] { WriteAllRows(); });
 }
 
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -57,7 +57,8 @@
   /** The same by its place alone. */
   bool IsOnDutyByPlace() const;
   /** See `membership::StoreDuty::ReadsSince`. */
-  std::optional<Instant> HallReadsSince(std::string_view aHall) const;
+  std::optional<Instant> HallReadsSince(std::string_view aHall,
+                                        StoreGeneration aGeneration) const;
   /** Halls of which some instance was heard. */
   std::set<std::string> Halls() const;
   /** Tells the live instances of this hall at once what this one says of
--- a/packages/membership/tests/StoreDutyTest.cpp
+++ b/packages/membership/tests/StoreDutyTest.cpp
@@ -166,6 +166,19 @@
     ReadsCase{ "SilentSince", "hall", 900, false, 9000, {} }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+// The store came back from an older copy: who read it before says nothing of the
+// rows that it has now.
+TEST(HallReadsGenerationTest, ReadsOfAnEarlierGenerationDoNotCount)
+{
+  Roster roster("self");
+  Heartbeat heartbeat = From("a", "hall", false);
+  heartbeat.m_store->m_readsFor = Duration{ 900 };
+  roster.Handle(HeartbeatArrived{ heartbeat }, kStart);
+  const StoreDuty duty(roster, { "self", "here", false });
+  EXPECT_TRUE(duty.ReadsSince("hall", 1, kStart).has_value());
+  EXPECT_FALSE(duty.ReadsSince("hall", 2, kStart).has_value());
+}
+
 TEST(HallReadsTwoTest, TheLongestReaderSpeaksForTheHall)
 {
   Roster roster("self");
