Followers behind a copy: three faults that the property in virtual time found

Cause: (1) changes that were asked for after a version of the generation before, answered once a peer had told of the present one, were taken as all there are: what the copy has below that version was missing for good. (2) One off duty whose read was under way did not ask until that read had failed, 2.8 s later. (3) A peer that had read the copy only could take a newer configuration out of another's table by a whole slice within the generation (what is in force stayed, what is passed on to a starting process did not). Change: a read remembers the position that it was asked after; a later generation ends the read under way; kept rows outlast any whole table that is older in them.

--- a/packages/relay/include/ridgeferry/relay/FollowedTable.h
+++ b/packages/relay/include/ridgeferry/relay/FollowedTable.h
@@ -34,8 +34,10 @@
 };
 
 /**
- * Whether a known row stays, as the store came back from an older copy: `aTold`
- * is the copy's value, null if it has none. Called with rows that differ only.
+ * Whether a known row stays where a whole table differs in it: `aTold` is the
+ * value there, null if it has none. A store that came back from an older copy
+ * has an older row or none, and so has a peer that read that copy and nothing
+ * before.
  */
 using KeepsKnown = std::function<bool(std::string_view aKey,
                                       std::string_view aKnown,
@@ -54,7 +56,8 @@
    * table. A release of a hundred upstreams removes each of them once. */
   static constexpr std::size_t kMostRemovals = 500;
 
-  /** `aKeeps`: which rows outlast a copy that is older; null: none. */
+  /** `aKeeps`: which rows outlast a whole table that is older in them; null:
+   * none. */
   explicit FollowedTable(KeepsKnown aKeeps = {});
 
   /** Takes all rows as of a position; returns what differs. Precondition: it is
@@ -90,8 +93,8 @@
 
   /** `aVersion`: of the answer that brought the row. */
   void Take(const FollowedRow& aRow, std::uint64_t aVersion);
-  /** The rows of an answer behind a change of generation, with those that are
-   * known and stay in their place. */
+  /** The rows of a whole table, with those that are known and stay in their
+   * place. */
   std::vector<FollowedRow> WithKept(std::span<const FollowedRow> aRows,
                                     std::uint64_t aVersion) const;
   /** Which of them differ from what is held, and what they lack. */
--- a/packages/relay/include/ridgeferry/relay/TableFollower.h
+++ b/packages/relay/include/ridgeferry/relay/TableFollower.h
@@ -327,12 +327,13 @@
   LapseGrace m_grace;
   bool m_onDuty = true;
   bool m_onDutyByPlace = true;
-  bool m_asking = false;     ///< A read of the store is under way.
-  Instant m_askedAt;         ///< When the last one began.
-  bool m_askingPeer = false; ///< A peer is asked.
-  int m_startTries = 0;      ///< Peers asked since the start.
-  bool m_hasWaited = false;  ///< Its first patience at the start is over.
-  bool m_resting = false;    ///< Neither is, and none is due soon.
+  bool m_asking = false;      ///< A read of the store is under way.
+  StorePosition m_askedAfter; ///< Of the last read of changes.
+  Instant m_askedAt;          ///< When the last one began.
+  bool m_askingPeer = false;  ///< A peer is asked.
+  int m_startTries = 0;       ///< Peers asked since the start.
+  bool m_hasWaited = false;   ///< Its first patience at the start is over.
+  bool m_resting = false;     ///< Neither is, and none is due soon.
   std::optional<Instant> m_behindSince;
   StorePosition m_askedAnewFor; ///< That the last `DropRead` was for.
   bool m_toldOld = false;       ///< `AnswerIsOld`, since an answer was taken.
--- a/packages/relay/src/FollowedTable.cpp
+++ b/packages/relay/src/FollowedTable.cpp
@@ -33,6 +33,9 @@
 FollowedTable::WithKept(std::span<const FollowedRow> aRows,
                         std::uint64_t aVersion) const
 {
+  if (!m_keeps) {
+    return { aRows.begin(), aRows.end() };
+  }
   std::map<std::string_view, const FollowedRow*> told;
   for (const FollowedRow& row : aRows) {
     told.emplace(row.m_key, &row);
@@ -44,7 +47,7 @@
     const std::string* value =
       found == told.end() ? nullptr : &found->second->m_value;
     const bool differs = value == nullptr || *value != kept.m_value;
-    if (differs && m_keeps && m_keeps(key, kept.m_value, value)) {
+    if (differs && m_keeps(key, kept.m_value, value)) {
       stay.insert(key);
       out.push_back({ key, kept.m_value, false, aVersion });
     }
@@ -83,9 +86,8 @@
 {
   assert(aPosition.m_generation >= m_position.m_generation);
   const std::uint64_t version = aPosition.m_version;
-  std::vector<FollowedRow> rows(aRows.begin(), aRows.end());
+  const std::vector<FollowedRow> rows = WithKept(aRows, version);
   if (aPosition.m_generation > m_position.m_generation) {
-    rows = WithKept(aRows, version);
     m_changed = 0; // Of the generation before.
   }
   const std::vector<FollowedRow> out = Differences(rows);
--- a/packages/relay/src/TableFollower.cpp
+++ b/packages/relay/src/TableFollower.cpp
@@ -37,8 +37,9 @@
     aActions.emplace_back(ReadTable{ isProbe ? kStoreSlack : kPageSlack });
     return;
   }
+  m_askedAfter = m_table.Position();
   aActions.emplace_back(
-    ReadChanges{ m_table.Position(), aWait, aWait + kStoreSlack });
+    ReadChanges{ m_askedAfter, aWait, aWait + kStoreSlack });
 }
 
 RetryLater
@@ -87,10 +88,12 @@
     }
     return;
   }
+  // What is under way was asked of the generation before, and may have been
+  // lost with it.
+  if (std::exchange(m_asking, false)) {
+    aActions.emplace_back(DropRead{});
+  }
   if (m_onDuty) {
-    if (m_asking) {
-      aActions.emplace_back(DropRead{});
-    }
     Ask(aNow, aActions);
     return;
   }
@@ -262,8 +265,10 @@
     aActions.emplace_back(RetryLater{ kFirstRetry });
     return;
   }
-  // Changes after a version of another generation are not all there are.
-  const bool isOld = m_needsTable || told < m_table.Position();
+  // Changes after a version of another generation are not all there are, also
+  // where a peer has told of the present one since they were asked for.
+  const bool hasGap = m_askedAfter.m_generation != told.m_generation;
+  const bool isOld = m_needsTable || hasGap || told < m_table.Position();
   if (isOld || aEvent.m_rows.empty()) {
     if (!isOld) {
       TakeChanges({}, told, aNow, aActions);
