Metrics of an entry instance: the product's name stands in them once

What operators saw: names told with the prefix twice (ridgeferry_ridgeferry_calls_total), so no query after docs/OPERATIONS.md found any. Cause: the metrics add the prefix, and the entry package wrote it too.

--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -228,7 +228,7 @@
   }
   const auto member = m_node.m_dialect.m_readMember(aRow.m_key, aRow.m_value);
   if (!member) {
-    m_node.m_metrics.Count("ridgeferry_upstreams_rejected_total");
+    m_node.m_metrics.Count("upstreams_rejected_total");
     m_node.m_log->Write(
       observe::LogLevel::Error,
       "upstream-rejected",
@@ -289,7 +289,7 @@
     isLater ? "upstream-born-again" : "upstream-row-is-old",
     { { "upstream", aMember.m_id }, { "born", aMember.m_born.value_or(0) } });
   if (isLater) {
-    m_node.m_metrics.Count("ridgeferry_upstreams_born_again_total");
+    m_node.m_metrics.Count("upstreams_born_again_total");
     // What was told and ordered was meant for the earlier life.
     m_peers->NoteGone(aMember.m_id);
     m_parts->NoteGone(aMember.m_id);
@@ -377,15 +377,15 @@
 void
 Entry::Impl::NoteGauges()
 {
-  m_node.m_metrics.Set("ridgeferry_log_lines_dropped",
+  m_node.m_metrics.Set("log_lines_dropped",
                        static_cast<double>(m_node.m_log->Dropped()));
-  m_node.m_metrics.Set("ridgeferry_instances_alive",
+  m_node.m_metrics.Set("instances_alive",
                        static_cast<double>(m_node.m_instances));
-  m_node.m_metrics.Set("ridgeferry_store_generation",
+  m_node.m_metrics.Set("store_generation",
                        static_cast<double>(m_generations.Latest()));
-  m_node.m_metrics.Set("ridgeferry_upstreams_held_back",
+  m_node.m_metrics.Set("upstreams_held_back",
                        static_cast<double>(m_gone.Held()));
-  m_node.m_metrics.Set("ridgeferry_store_on_duty", m_peers->IsOnDuty() ? 1 : 0);
+  m_node.m_metrics.Set("store_on_duty", m_peers->IsOnDuty() ? 1 : 0);
 }
 
 void
--- a/packages/entry/src/PartKeeper.cpp
+++ b/packages/entry/src/PartKeeper.cpp
@@ -359,7 +359,7 @@
     HandleDesk(relay::OrderAnswered{
       engine, m_node.m_dialect.m_readOrderAnswer(aResponse) });
   };
-  m_node.m_metrics.Count("ridgeferry_orders_total");
+  m_node.m_metrics.Count("orders_total");
   m_node.m_log->Write(
     observe::LogLevel::Info,
     "order-sent",
--- a/packages/entry/src/PeerRows.cpp
+++ b/packages/entry/src/PeerRows.cpp
@@ -69,7 +69,7 @@
     aExchange.Reply(kNotFound, {}, {});
     return;
   }
-  m_node.m_metrics.Count("ridgeferry_peer_rows_served_total");
+  m_node.m_metrics.Count("peer_rows_served_total");
   aExchange.Reply(kOk, {}, protocol::Encode(source->second(request->m_after)));
 }
 
@@ -78,12 +78,12 @@
 {
   if (aResponse.m_end != net::HttpEnd::Complete ||
       aResponse.m_head.m_status != kOk) {
-    m_node.m_metrics.Count("ridgeferry_peer_rows_failed_total");
+    m_node.m_metrics.Count("peer_rows_failed_total");
     return std::nullopt;
   }
   auto slice = protocol::DecodeTableSlice(aResponse.m_body);
   if (!slice) {
-    m_node.m_metrics.Count("ridgeferry_peer_rows_failed_total");
+    m_node.m_metrics.Count("peer_rows_failed_total");
     m_node.m_log->Write(observe::LogLevel::Warning,
                         "peer-rows-rejected",
                         { { "cause", slice.error().m_cause } });
@@ -110,7 +110,7 @@
   request.m_connectTimeout = kTimeout;
   request.m_fresh = true;
   request.m_keepIdle = 0; // The next one is asked of another.
-  m_node.m_metrics.Count("ridgeferry_peer_rows_asked_total");
+  m_node.m_metrics.Count("peer_rows_asked_total");
   net::HttpCallbacks callbacks;
   callbacks.m_done = [this, aAnswered](const net::HttpResponse& aResponse) {
     aAnswered(Decode(aResponse));
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -321,7 +321,7 @@
 {
   auto heartbeat = protocol::DecodeHeartbeat(aBytes);
   if (!heartbeat) {
-    m_node.m_metrics.Count("ridgeferry_bad_datagrams_total");
+    m_node.m_metrics.Count("bad_datagrams_total");
     return;
   }
   if (heartbeat->m_instance == m_node.m_settings.m_instance) {
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -176,8 +176,7 @@
               int aStatus,
               std::string_view aCode)
 {
-  m_node.m_metrics.Count(
-    observe::WithLabel("ridgeferry_calls_total", "outcome", aCode));
+  m_node.m_metrics.Count(observe::WithLabel("calls_total", "outcome", aCode));
   m_node.m_log->Write(observe::LogLevel::Info,
                       "call-refused",
                       { { "id", aHead.m_id },
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -200,7 +200,7 @@
 RelayCall::NoteRepeat()
 {
   m_start.m_budget->NoteRepeat(m_node.Now());
-  m_node.m_metrics.Count("ridgeferry_repeats_total");
+  m_node.m_metrics.Count("repeats_total");
 }
 
 void
@@ -294,7 +294,7 @@
   request.m_fresh =
     m_node.m_fleet.NeedsOwnConnection(aMember.m_id, m_node.Now());
   m_node.m_fleet.NoteSent(aMember.m_id, m_attempt.m_tokens, m_node.Now());
-  m_node.m_metrics.Count("ridgeferry_sends_total");
+  m_node.m_metrics.Count("sends_total");
   net::HttpCallbacks callbacks;
   callbacks.m_head = [this](const net::HttpHead& aHead) { TakeHead(aHead); };
   callbacks.m_chunk = [this](std::string_view aBytes) { TakeBytes(aBytes); };
@@ -330,7 +330,7 @@
 void
 RelayCall::LogRest(std::string_view aCause)
 {
-  m_node.m_metrics.Count("ridgeferry_rests_total");
+  m_node.m_metrics.Count("rests_total");
   m_node.m_log->Write(
     observe::LogLevel::Info,
     "upstream-rests",
@@ -479,7 +479,7 @@
   callbacks.m_done = [&node = m_node](const net::HttpResponse& aResponse) {
     if (aResponse.m_end != net::HttpEnd::Complete) {
       // The reader drops it by itself when its time is over.
-      node.m_metrics.Count("ridgeferry_handles_not_freed_total");
+      node.m_metrics.Count("handles_not_freed_total");
     }
   };
   m_node.m_http->Send(request, std::move(callbacks));
--- a/packages/entry/src/RelayCallAnswer.cpp
+++ b/packages/entry/src/RelayCallAnswer.cpp
@@ -94,9 +94,8 @@
 {
   const Duration took = m_node.Now() - m_began;
   m_node.m_metrics.Count(
-    observe::WithLabel("ridgeferry_calls_total", "outcome", aOutcome));
-  m_node.m_metrics.Observe("ridgeferry_call_ms",
-                           static_cast<double>(took.count()));
+    observe::WithLabel("calls_total", "outcome", aOutcome));
+  m_node.m_metrics.Observe("call_ms", static_cast<double>(took.count()));
   m_node.m_log->Write(
     observe::LogLevel::Info,
     "call-ended",
--- a/packages/entry/src/StoreGenerations.cpp
+++ b/packages/entry/src/StoreGenerations.cpp
@@ -36,7 +36,7 @@
 void
 StoreGenerations::NoteUnreadable(const std::string& aTold)
 {
-  m_node.m_metrics.Count("ridgeferry_store_generation_unreadable_total");
+  m_node.m_metrics.Count("store_generation_unreadable_total");
   const Instant now = m_node.Now();
   if (m_toldUnreadableAt && now - *m_toldUnreadableAt < kTellUnreadableEvery) {
     return;
--- a/packages/entry/src/StoreReader.cpp
+++ b/packages/entry/src/StoreReader.cpp
@@ -98,7 +98,7 @@
 void
 StoreReader::Send(const StoreRead& aRead, Duration aPatience)
 {
-  m_node.m_metrics.Count("ridgeferry_store_reads_total");
+  m_node.m_metrics.Count("store_reads_total");
   net::HttpRequest request = m_node.m_dialect.m_writeStoreRead(aRead);
   request.m_address = m_node.m_settings.m_store;
   request.m_timeout = aPatience;
@@ -246,7 +246,7 @@
     aRows.m_rows.end(),
     [](const relay::FollowedRow& aRow) { return aRow.m_removed; });
   const auto others = static_cast<std::int64_t>(aRows.m_rows.size()) - missing;
-  m_node.m_metrics.Count("ridgeferry_store_copies_read_total");
+  m_node.m_metrics.Count("store_copies_read_total");
   m_node.m_log->Write(
     observe::LogLevel::Warning,
     "store-copy-read",
@@ -262,7 +262,7 @@
 void
 StoreReader::Do(const relay::AnswerIsOld& aAction)
 {
-  m_node.m_metrics.Count("ridgeferry_store_old_answers_total");
+  m_node.m_metrics.Count("store_old_answers_total");
   m_node.m_log->Write(
     observe::LogLevel::Warning,
     "store-answer-old",
@@ -278,7 +278,7 @@
 void
 StoreReader::Do(const relay::StoreLost& aAction)
 {
-  m_node.m_metrics.Count("ridgeferry_store_losses_total");
+  m_node.m_metrics.Count("store_losses_total");
   m_node.m_log->Write(
     observe::LogLevel::Warning,
     "store-lost",
