Sight: refusals tell wait, own reading and bound; prompts are counted by size and outcome

Cause sought: the lines could not tell a bound that counts the call itself from estimates that are off for large prompts. Now a refusal has its tokens, what waits, what it takes itself and the bound; a call's end has its tokens, what was expected and what came; prompts_total counts by service, band of size and outcome (nine bands). No logic changed; the types of a placement moved to a header of their own.

--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -1,6 +1,7 @@
 #include "RelayCall.h"
 
 #include <algorithm>
+#include <cmath>
 #include <ridgeferry/entry/PassableHeaders.h>
 #include <ridgeferry/relay/Patience.h>
 #include <utility>
@@ -173,20 +174,37 @@
     Handle(relay::PlaceFound{ place->m_upstream, place->m_reader });
   } else {
     const auto& fault = std::get<relay::PlaceFault>(result);
-    m_node.m_log->Write(
-      observe::LogLevel::Info,
-      "no-place",
-      { { "id", m_start.m_head.m_id },
-        { "service", m_start.m_service },
-        { "cause",
-          fault.m_full ? "all are busy for too long" : "no sound upstream" },
-        { "roomInMs", fault.m_roomIn.count() },
-        { "listed", static_cast<std::int64_t>(m_node.m_fleet.Size()) } });
+    LogNoPlace(fault);
     Handle(relay::NoPlace{ fault.m_full ? fault.m_roomIn
                                         : relay::RelayFlow::kRetryAfter });
   }
 }
 
+void
+RelayCall::LogNoPlace(const relay::PlaceFault& aFault) const
+{
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "no-place",
+    { { "id", m_start.m_head.m_id },
+      { "service", m_start.m_service },
+      { "cause",
+        aFault.m_full ? "all are busy for too long" : "no sound upstream" },
+      { "roomInMs", aFault.m_roomIn.count() },
+      { "promptTokens", PromptTokens() },
+      { "waitMs", std::llround(aFault.m_expected.m_waitMs) },
+      { "ownMs", std::llround(aFault.m_expected.m_ownMs) },
+      { "boundMs", std::llround(aFault.m_boundMs) },
+      { "listed", static_cast<std::int64_t>(m_node.m_fleet.Size()) } });
+}
+
+std::int64_t
+RelayCall::PromptTokens() const
+{
+  const auto& prompt = m_start.m_head.m_prompt;
+  return prompt ? prompt->m_sharedTokens + prompt->m_ownTokens : 0;
+}
+
 Duration
 RelayCall::PlaceAgainIn() const
 {
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "EntryNode.h"
+#include "PromptOutcome.h"
 
 #include <memory>
 #include <ridgeferry/net/HttpServer.h>
@@ -83,6 +84,9 @@
   void TakeBytes(std::string_view aBytes);
   void TakeEnd(const net::HttpResponse& aResponse);
   void NoteRepeat();
+  void LogNoPlace(const relay::PlaceFault& aFault) const;
+  /** Tokens of its prompt; 0: it has none. */
+  std::int64_t PromptTokens() const;
   Duration PlaceAgainIn() const;
   void NoteFirstToken();
   /** Some bytes of a stream came: was the pause before them too long? */
@@ -95,6 +99,9 @@
   /** Until its caller gives it up if nothing has come, or it cannot end. */
   Duration LeftToFirstToken() const;
   void LogEnd(std::string_view aOutcome, int aStatus);
+  void CountPrompt(std::string_view aOutcome);
+  /** What became of it for its caller. */
+  PromptOutcome OutcomeFor(std::string_view aOutcome) const;
 
   EntryNode& m_node;
   RelayCallStart m_start;
@@ -106,7 +113,8 @@
   Attempt m_attempt;
   double m_expectedMs = 0; ///< Of the first token, by the first place; 0: none.
   Instant m_placedAt;
-  relay::Place m_place;   ///< The one in use.
+  std::optional<Instant> m_answeredAt; ///< First bytes went to its caller.
+  relay::Place m_place;                ///< The one in use.
   bool m_paused = false;  ///< Its stream has had a pause that is too long.
   std::string m_readBody; ///< Of a reader's answer.
   std::string m_path;     ///< Members tried, in order, for the log.
--- a/packages/entry/src/RelayCallAnswer.cpp
+++ b/packages/entry/src/RelayCallAnswer.cpp
@@ -3,12 +3,15 @@
 #include "OwnAnswer.h"
 #include "RelayCall.h"
 
+#include <cmath>
 #include <ridgeferry/entry/PassableHeaders.h>
 
 namespace ridgeferry::entry {
 
 namespace {
 
+constexpr std::string_view kServed = "served";
+constexpr std::string_view kOverloaded = "overloaded";
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -22,7 +25,7 @@
   using Reason = relay::ReplyOwn::Reason;
   switch (aReply.m_reason) {
     case Reason::NoRoom:
-      return { kUnavailable, "overloaded", "not-run", aReply.m_retryAfter };
+      return { kUnavailable, kOverloaded, "not-run", aReply.m_retryAfter };
     case Reason::NoAnswer:
       return {
         kBadGateway, "answer-lost", "may-have-run", aReply.m_retryAfter
@@ -38,6 +41,7 @@
 void
 RelayCall::Do(const relay::ForwardHead&)
 {
+  m_answeredAt = m_node.Now();
   m_start.m_exchange->StartStream(m_attempt.m_head.m_status,
                                   PassableHeaders(m_attempt.m_head.m_headers));
 }
@@ -61,14 +65,15 @@
 void
 RelayCall::Do(const relay::ForwardEnd&)
 {
-  LogEnd("served", m_attempt.m_head.m_status);
+  LogEnd(kServed, m_attempt.m_head.m_status);
   m_start.m_exchange->EndStream();
 }
 
 void
 RelayCall::Do(const relay::ForwardWhole& aAction)
 {
-  LogEnd("served", m_attempt.m_head.m_status);
+  m_answeredAt = m_node.Now();
+  LogEnd(kServed, m_attempt.m_head.m_status);
   m_start.m_exchange->Reply(m_attempt.m_head.m_status,
                             PassableHeaders(m_attempt.m_head.m_headers),
                             aAction.m_body);
@@ -89,6 +94,30 @@
   SendOwnAnswer(*m_start.m_exchange, answer);
 }
 
+PromptOutcome
+RelayCall::OutcomeFor(std::string_view aOutcome) const
+{
+  if (aOutcome == kOverloaded) {
+    return PromptOutcome::Refused;
+  }
+  if (aOutcome != kServed || !m_answeredAt) {
+    return PromptOutcome::Failed;
+  }
+  const Duration took = *m_answeredAt - m_began + m_start.m_lost;
+  return took <= m_start.m_route->m_aim && !m_paused ? PromptOutcome::InAim
+                                                     : PromptOutcome::Late;
+}
+
+void
+RelayCall::CountPrompt(std::string_view aOutcome)
+{
+  m_node.m_metrics.Count(
+    observe::WithLabels("prompts_total",
+                        { { "service", m_start.m_service },
+                          { "tokens", SizeBandOf(PromptTokens()) },
+                          { "outcome", NameOf(OutcomeFor(aOutcome)) } }));
+}
+
 void
 RelayCall::LogEnd(std::string_view aOutcome, int aStatus)
 {
@@ -96,6 +125,9 @@
   m_node.m_metrics.Count(
     observe::WithLabel("calls_total", "outcome", aOutcome));
   m_node.m_metrics.Observe("call_ms", static_cast<double>(took.count()));
+  if (m_start.m_head.m_prompt) {
+    CountPrompt(aOutcome);
+  }
   m_node.m_log->Write(
     observe::LogLevel::Info,
     "call-ended",
@@ -107,6 +139,10 @@
       { "tried", m_path },
       { "runs", std::int64_t{ m_flow.Runs() } },
       { "lastEvent", m_flow.LastEventId() },
+      { "promptTokens", PromptTokens() },
+      { "expectedMs", std::llround(m_place.m_expectedMs) },
+      { "answeredMs",
+        m_answeredAt ? (*m_answeredAt - m_began).count() : std::int64_t{ -1 } },
       { "tookMs", took.count() },
       { "config", static_cast<std::int64_t>(m_start.m_routes->Version()) } });
 }
--- /dev/null
+++ b/packages/entry/tests/PromptOutcomeTest.cpp
@@ -0,0 +1,34 @@
+#include "PromptOutcome.h"
+
+#include <gtest/gtest.h>
+
+namespace ridgeferry::entry {
+namespace {
+
+struct BandCase
+{
+  std::int64_t m_tokens;
+  std::string_view m_band;
+};
+
+class SizeBandTest : public ::testing::TestWithParam<BandCase>
+{};
+
+TEST_P(SizeBandTest, BeginsAtTwiceTheOneBefore)
+{
+  EXPECT_EQ(SizeBandOf(GetParam().m_tokens), GetParam().m_band);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes,
+                         SizeBandTest,
+                         ::testing::Values(BandCase{ 0, "0-512" },
+                                           BandCase{ 511, "0-512" },
+                                           BandCase{ 512, "512-1k" },
+                                           BandCase{ 8191, "4k-8k" },
+                                           BandCase{ 8192, "8k-16k" },
+                                           BandCase{ 65'535, "32k-64k" },
+                                           BandCase{ 65'536, "64k-" },
+                                           BandCase{ 10'000'000, "64k-" }));
+
+} // namespace
+} // namespace ridgeferry::entry
--- a/packages/observe/include/ridgeferry/observe/Metrics.h
+++ b/packages/observe/include/ridgeferry/observe/Metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <string>
@@ -42,4 +43,16 @@
           std::string_view aLabel,
           std::string_view aValue);
 
+/** One label of a metric. */
+struct Label
+{
+  std::string_view m_name;
+  std::string_view m_value;
+};
+
+/** `NAME{LABEL="VALUE",...}` with the values escaped. Precondition: there is a
+ * label. */
+std::string
+WithLabels(std::string_view aName, std::initializer_list<Label> aLabels);
+
 } // namespace ridgeferry::observe
--- a/packages/observe/src/Metrics.cpp
+++ b/packages/observe/src/Metrics.cpp
@@ -126,19 +126,29 @@
 WithLabel(std::string_view aName,
           std::string_view aLabel,
           std::string_view aValue)
+{
+  return WithLabels(aName, { { aLabel, aValue } });
+}
+
+std::string
+WithLabels(std::string_view aName, std::initializer_list<Label> aLabels)
 {
   std::string out(aName);
-  out += '{';
-  out += aLabel;
-  out += "=\"";
-  for (char c : aValue) {
-    if (c == '"' || c == '\\') {
-      out += '\\';
+  char before = '{';
+  for (const Label& label : aLabels) {
+    out += before;
+    out += label.m_name;
+    out += "=\"";
+    for (char c : label.m_value) {
+      if (c == '"' || c == '\\') {
+        out += '\\';
+      }
+      out += c == '\n' ? ' ' : c;
     }
-    out += c == '\n' ? ' ' : c;
+    out += '"';
+    before = ',';
   }
-  out += "\"}";
-  return out;
+  return out + '}';
 }
 
 } // namespace ridgeferry::observe
--- a/packages/observe/tests/MetricsTest.cpp
+++ b/packages/observe/tests/MetricsTest.cpp
@@ -9,6 +9,8 @@
   Metrics metrics;
   metrics.Count("calls_total");
   metrics.Count(WithLabel("ends_total", "result", "a\"b"), 2);
+  metrics.Count(
+    WithLabels("prompts_total", { { "size", "1k-2k" }, { "end", "l\\ate" } }));
   metrics.Set("queued", 3);
   for (int i = 1; i <= 1000; ++i) {
     metrics.Observe(WithLabel("seconds", "class", "urgent"), i);
@@ -18,6 +20,7 @@
          "# TYPE ridgeferry_calls_total counter\n",
          "ridgeferry_calls_total 1\n",
          "ridgeferry_ends_total{result=\"a\\\"b\"} 2\n",
+         "ridgeferry_prompts_total{size=\"1k-2k\",end=\"l\\\\ate\"} 1\n",
          "# TYPE ridgeferry_queued gauge\n",
          "ridgeferry_queued 3\n",
          "# TYPE ridgeferry_seconds summary\n",
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <limits>
 #include <map>
 #include <optional>
 #include <ridgeferry/base/Time.h>
@@ -11,6 +10,7 @@
 #include <ridgeferry/relay/MedianPace.h>
 #include <ridgeferry/relay/Member.h>
 #include <ridgeferry/relay/PartDesk.h>
+#include <ridgeferry/relay/Placement.h>
 #include <ridgeferry/relay/Prompt.h>
 #include <ridgeferry/relay/ReadingBeside.h>
 #include <ridgeferry/relay/Routes.h>
@@ -18,52 +18,10 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <variant>
 #include <vector>
 
 namespace ridgeferry::relay {
 
-struct PlaceRequest
-{
-  std::string_view m_service;
-  std::string_view m_hall;        ///< Of this instance.
-  std::optional<Prompt> m_prompt; ///< Nothing: a plain call.
-  std::span<const std::string> m_excluded;
-  /** Most connections of this instance to one upstream. */
-  std::int64_t m_mostOpen = std::numeric_limits<std::int64_t>::max();
-  std::uint64_t m_random = 0; ///< Breaks ties.
-  /** A prompt whose first token would come later than this has no place. */
-  Duration m_patience = Duration::max();
-  /** Longest pause between two events that keeps the answer in time; 0: not
-   * known. */
-  Duration m_pause{};
-  /** The shortest aim of all prompts of the service; 0: not known. */
-  Duration m_shortestAim{};
-  /** Tokens of a prompt's memory that pass between two engines in a ms; 0: they
-   * do not fetch from each other. */
-  double m_movedPerMs = 0;
-  /** How long the caller will still wait for the first token. Where engines
-   * read apart, a prompt that misses its aim still has a place if it fits in
-   * this. */
-  Duration m_left{};
-};
-
-struct Place
-{
-  std::string m_upstream;
-  std::string m_reader; ///< Empty: the upstream reads the prompt itself.
-  /** Of a prompt: when its first token should come, by loads and paces alone,
-   * without what `NoteFirstToken` has taught. */
-  double m_expectedMs = 0;
-  /** The reader fetches from there what it does not keep itself; empty: it
-   * reads all of that. */
-  std::string m_fetchFrom = {};
-  /** Work that the reader has to do; see `Fleet::WorkOf`. */
-  std::int64_t m_work = 0;
-  /** It misses its aim: it is to stand behind those that still can meet it. */
-  bool m_late = false;
-};
-
 /** Between a send to an engine and its first byte. */
 struct PaceSample
 {
@@ -76,23 +34,6 @@
   bool m_isClean = false;
 };
 
-/** Why there is no place. */
-struct PlaceFault
-{
-  bool m_full = false; ///< Else: none is listed, or none is sound.
-  Duration m_roomIn{}; ///< If full: when there should be room.
-};
-
-/**
- * It misses its aim whatever happens, and there will be room for it in its
- * caller's time: it is to be placed later, so that it takes nothing from those
- * that can still meet theirs.
- */
-struct PlaceLater
-{};
-
-using PlaceResult = std::variant<Place, PlaceFault, PlaceLater>;
-
 /** What another instance has under way at a member. */
 struct OtherLoad
 {
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -360,9 +360,12 @@
   std::vector<Candidate> generators;
   for (const State* state : aSound) {
     const bool isHome = longPrompt && state->m_hash == home;
-    const double ms =
-      FirstTokenMs(*state, WorkToRead(prompt, isHome), MetPaceOf(*state));
-    const Candidate item{ state, ms, isHome };
+    const std::int64_t work = WorkToRead(prompt, isHome);
+    const double pace = MetPaceOf(*state);
+    const Candidate item{ state,
+                          FirstTokenMs(*state, work, pace),
+                          isHome,
+                          static_cast<double>(work) / pace };
     const bool reads = state->m_member.m_part == Part::Prefill;
     const bool quiet = IsQuiet(*state, quietBelow);
     if (longPrompt ? !quiet : !reads && (quiet || !quietHasRoom)) {
@@ -378,10 +381,14 @@
   const auto& candidates = fitting.empty() ? generators : fitting;
   const Candidate& best =
     *std::min_element(candidates.begin(), candidates.end());
-  const double expected = best.m_ms * StretchOf(aRequest.m_service, prompt);
-  const Duration wait(static_cast<std::int64_t>(expected));
+  const double stretch = StretchOf(aRequest.m_service, prompt);
+  const Duration wait(static_cast<std::int64_t>(best.m_ms * stretch));
   if (wait > aRequest.m_patience) {
-    return PlaceFault{ true, wait - aRequest.m_patience };
+    return PlaceFault{ true,
+                       wait - aRequest.m_patience,
+                       { (best.m_ms - best.m_readMs) * stretch,
+                         best.m_readMs * stretch },
+                       static_cast<double>(aRequest.m_patience.count()) };
   }
   const Candidate& chosen = *PickReader(candidates, best, aRequest);
   const State& state = *chosen.m_state;
--- a/packages/relay/src/FleetReaders.cpp
+++ b/packages/relay/src/FleetReaders.cpp
@@ -246,9 +246,13 @@
   if (ahead > MostAhead(aRequest, chosen.m_readMs, late)) {
     const auto left = static_cast<double>(aRequest.m_left.count());
     const double missing = expected + kLeastSpareMs - left;
-    return missing > 0
-             ? PlaceResult(PlaceFault{ true, Duration(std::llround(missing)) })
-             : PlaceResult(PlaceLater{});
+    if (missing <= 0) {
+      return PlaceLater{};
+    }
+    return PlaceFault{ true,
+                       Duration(std::llround(missing)),
+                       { ahead * stretch, chosen.m_readMs * stretch },
+                       left - kLeastSpareMs };
   }
   Place place{ taker->m_member.m_id, {} };
   if (!beside) {
