--- a/packages/experiment/include/ridgeferry/experiment/EngineModel.h
+++ b/packages/experiment/include/ridgeferry/experiment/EngineModel.h
@@ -27,6 +27,7 @@
   std::int64_t m_outTokens = 1;
   bool m_readOnly = false;   ///< Another engine will give the output.
   bool m_handedOver = false; ///< The prompt was read elsewhere.
+  bool m_late = false;       ///< Admitted behind all that are not.
 };
 
 /** The prompt of a job that only reads has been read. */
@@ -54,8 +55,8 @@
  * steps; a generator reads at half the pace and in quarter pieces. Shared parts
  * stay in memory until others need the room, those unused longest first.
  *
- * Simplified: no preemption, no priorities, parts are kept whole or not at all.
- * Pure; not thread-safe.
+ * Simplified: no preemption, two priorities, parts are kept whole or not at
+ * all. Pure; not thread-safe.
  */
 class EngineModel
 {
--- a/packages/experiment/include/ridgeferry/experiment/Experiment.h
+++ b/packages/experiment/include/ridgeferry/experiment/Experiment.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <ridgeferry/experiment/Scenario.h>
@@ -24,6 +26,23 @@
 std::optional<Policy>
 PolicyNamed(std::string_view aName);
 
+/** Calls of one kind in bands of size, by the tokens of the prompt: the
+ * smallest tenth first. */
+inline constexpr std::size_t kSizeBands = 10;
+
+/** What became of one such band. */
+struct SizeOutcome
+{
+  std::int64_t m_leastTokens = 0; ///< Of its smallest prompt.
+  std::int64_t m_offered = 0;
+  std::int64_t m_inAim = 0;
+  std::int64_t m_late = 0;
+  std::int64_t m_refused = 0;
+
+  /** Share that was served, in time or late; 1: none was asked for. */
+  double ServedShare() const;
+};
+
 /** What became of the calls of one kind. A call counts once, however often its
  * caller came back. */
 struct KindOutcome
@@ -36,6 +55,9 @@
   std::int64_t m_lost = 0;    ///< Not whole at its deadline.
   double m_firstTokenP50 = 0; ///< ms from the first attempt.
   double m_firstTokenP99 = 0;
+  std::array<SizeOutcome, kSizeBands> m_sizes = {};
+
+  double ServedShare() const;
 };
 
 /** One second of a run, all kinds together, by when calls first came. */
--- a/packages/experiment/include/ridgeferry/experiment/Scenario.h
+++ b/packages/experiment/include/ridgeferry/experiment/Scenario.h
@@ -68,6 +68,8 @@
   std::int64_t m_generators = 8; ///< Engines that give output.
   Duration m_length{ 30'000 };
   Duration m_talkEvery{ 40 }; ///< How often instances tell their loads.
+  /** Instances know from the start that prompts are to be read apart. */
+  bool m_readsApart = false;
   EngineTerms m_engine;
   std::vector<CallTerms> m_calls;
   std::vector<Peak> m_peaks;
--- a/packages/experiment/src/EngineModel.cpp
+++ b/packages/experiment/src/EngineModel.cpp
@@ -29,7 +29,11 @@
 void
 EngineModel::Add(const EngineJob& aJob, Moment aNow)
 {
-  m_waiting.push_back(aJob);
+  const auto isLate = [](const EngineJob& aItem) { return aItem.m_late; };
+  const auto behind =
+    aJob.m_late ? m_waiting.end()
+                : std::find_if(m_waiting.begin(), m_waiting.end(), isLate);
+  m_waiting.insert(behind, aJob);
   if (!m_stepEnds) {
     StartStep(aNow);
   }
--- a/packages/experiment/src/Experiment.cpp
+++ b/packages/experiment/src/Experiment.cpp
@@ -24,6 +24,14 @@
                                 PolicyName{ Policy::NoHomes, "no-homes" },
                                 PolicyName{ Policy::Random, "random" } };
 
+/** 1 of nothing. */
+double
+ShareOf(std::int64_t aPart, std::int64_t aWhole)
+{
+  return aWhole == 0 ? 1
+                     : static_cast<double>(aPart) / static_cast<double>(aWhole);
+}
+
 } // namespace
 
 std::string_view
@@ -48,6 +56,18 @@
   return std::nullopt;
 }
 
+double
+SizeOutcome::ServedShare() const
+{
+  return ShareOf(m_inAim + m_late, m_offered);
+}
+
+double
+KindOutcome::ServedShare() const
+{
+  return ShareOf(m_inAim + m_late, m_offered);
+}
+
 std::int64_t
 Outcome::Offered() const
 {
@@ -73,10 +93,7 @@
 double
 Outcome::Share() const
 {
-  const std::int64_t offered = Offered();
-  return offered == 0
-           ? 1
-           : static_cast<double>(InAim()) / static_cast<double>(offered);
+  return ShareOf(InAim(), Offered());
 }
 
 Outcome
--- a/packages/experiment/src/FleetModel.cpp
+++ b/packages/experiment/src/FleetModel.cpp
@@ -16,6 +16,13 @@
 constexpr Moment kUnreachedMs = 120;
 /** Callers heed a time to come back up to this share of what they have left. */
 constexpr double kHeeded = 1.0 / 3;
+/** Calls that are to be placed later are tried again after that, in ms. */
+constexpr Moment kLeastPlaceAgainMs = 20;
+constexpr Moment kMostPlaceAgainMs = 60;
+/** What is kept of a late call's time for its output. */
+constexpr Duration kOutputTime{ 1000 };
+/** Reads that are told to the other instances, each time that they talk. */
+constexpr Duration kTellReadsFor{ 2000 };
 /** Virtual time begins there, so that no moment is the clock's own zero. */
 constexpr Duration kOrigin{ 1'000'000 };
 
@@ -31,6 +38,16 @@
   , m_calls(DrawCalls(aScenario, aSeed))
   , m_fleets(static_cast<std::size_t>(aScenario.m_instances))
 {
+  for (const CallTerms& terms : aScenario.m_calls) {
+    m_shortestAim = m_shortestAim.count() == 0
+                      ? terms.m_aim
+                      : std::min(m_shortestAim, terms.m_aim);
+  }
+  if (aScenario.m_readsApart) {
+    for (relay::Fleet& fleet : m_fleets) {
+      fleet.RecallApart({ relay::Fleet::ShortHash(kService) });
+    }
+  }
   const std::int64_t all = aScenario.m_readers + aScenario.m_generators;
   for (std::int64_t i = 0; i < all; ++i) {
     Engine engine;
@@ -110,6 +127,14 @@
   }
   out.m_sharedKey = aCall.m_chain;
   out.m_sharedTokens = shared;
+  if (terms.m_commonTokens > 0) {
+    out.m_parts.push_back(
+      { static_cast<std::uint32_t>(aCall.m_kind + 1), terms.m_commonTokens });
+  }
+  if (terms.m_chainTokens > 0) {
+    out.m_parts.push_back(
+      { static_cast<std::uint32_t>(aCall.m_chain), terms.m_chainTokens });
+  }
   out.m_commonTokens = terms.m_commonTokens;
   out.m_ownTokens = aCall.m_ownTokens;
   return out;
@@ -134,14 +159,46 @@
 FleetModel::On(const CallComes& aEvent)
 {
   ModelCall& call = m_calls[aEvent.m_call];
+  if (call.m_done) {
+    return; // Its time was over on its way back.
+  }
   if (call.m_comebacks == 0) {
     Plan(call.m_firstAt + static_cast<Moment>(TermsOf(call).m_deadline.count()),
          TimeIsOver{ aEvent.m_call });
   }
   call.m_excluded.clear();
+  FleetOf(call).NotePrompt(kService, PromptOf(call), TermsOf(call).m_gapAim);
   Place(aEvent.m_call);
 }
 
+void
+FleetModel::On(const PlacesAgain& aEvent)
+{
+  if (!m_calls[aEvent.m_call].m_done) {
+    Place(aEvent.m_call);
+  }
+}
+
+relay::PlaceRequest
+FleetModel::RequestFor(const ModelCall& aCall)
+{
+  const CallTerms& terms = TermsOf(aCall);
+  const Duration spent(std::llround(m_now - aCall.m_firstAt));
+  relay::PlaceRequest out;
+  out.m_service = kService;
+  out.m_hall = kHall;
+  out.m_prompt = PromptOf(aCall);
+  out.m_excluded = aCall.m_excluded;
+  out.m_random = m_random();
+  out.m_pause = terms.m_gapAim;
+  out.m_shortestAim = m_shortestAim;
+  out.m_left = terms.m_deadline - spent - kOutputTime;
+  if (aCall.m_excluded.empty()) {
+    out.m_patience = relay::PatienceOf(terms.m_aim) - spent;
+  }
+  return out;
+}
+
 void
 FleetModel::Place(std::size_t aCall)
 {
@@ -150,16 +207,14 @@
     PlaceAnywhere(aCall);
     return;
   }
-  relay::PlaceRequest request;
-  request.m_service = kService;
-  request.m_hall = kHall;
-  request.m_prompt = PromptOf(call);
-  request.m_excluded = call.m_excluded;
-  request.m_random = m_random();
-  if (call.m_excluded.empty()) {
-    request.m_patience = relay::PatienceOf(TermsOf(call).m_aim);
+  const relay::PlaceResult result =
+    FleetOf(call).FindPlace(RequestFor(call), Now());
+  if (std::holds_alternative<relay::PlaceLater>(result)) {
+    std::uniform_real_distribution<Moment> wait(kLeastPlaceAgainMs,
+                                                kMostPlaceAgainMs);
+    Plan(m_now + wait(m_random), PlacesAgain{ aCall });
+    return;
   }
-  const relay::PlaceResult result = FleetOf(call).FindPlace(request, Now());
   if (const auto* fault = std::get_if<relay::PlaceFault>(&result)) {
     Refuse(aCall, fault->m_roomIn);
     return;
@@ -168,6 +223,7 @@
   call.m_reader = place.m_reader;
   call.m_generator = place.m_upstream;
   call.m_expectedMs = call.m_excluded.empty() ? place.m_expectedMs : 0;
+  call.m_late = place.m_late;
   call.m_placedAt = m_now;
   Send(aCall,
        call.m_reader.empty() ? call.m_generator : call.m_reader,
@@ -226,9 +282,10 @@
   call.m_sentAt = m_now;
   const bool reads = aReadOnly || call.m_reader.empty();
   const relay::Prompt prompt = PromptOf(call);
-  call.m_tokens =
-    reads ? relay::Fleet::TokensToRead(prompt, fleet.IsHome(prompt, aMember))
-          : 0;
+  call.m_tokens = reads ? fleet.WorkAt(prompt, aMember, Now()) : 0;
+  if (reads) {
+    fleet.NoteRead(prompt, aMember, Now());
+  }
   call.m_tokensAhead = fleet.TokensAt(aMember);
   fleet.NoteSent(aMember, call.m_tokens, Now());
   m_callOfJob[call.m_job] = aCall;
@@ -260,6 +317,7 @@
   job.m_ownTokens = call.m_ownTokens;
   job.m_outTokens = call.m_outTokens;
   job.m_readOnly = aEvent.m_readOnly;
+  job.m_late = call.m_late;
   job.m_handedOver = !aEvent.m_readOnly && !call.m_reader.empty();
   m_engines[found->second].m_model->Add(job, m_now);
   PlanStep(found->second);
@@ -377,9 +435,13 @@
 {
   const std::string name = "i-" + std::to_string(aEvent.m_instance);
   const auto loads = m_fleets[aEvent.m_instance].OwnLoads();
+  const auto reads = m_fleets[aEvent.m_instance].OwnReads(Now(), kTellReadsFor);
   for (std::size_t i = 0; i < m_fleets.size(); ++i) {
     if (i != aEvent.m_instance) {
       m_fleets[i].SetOther(name, loads);
+      for (const relay::KeptPart& part : reads) {
+        m_fleets[i].NoteKept(part, Now());
+      }
     }
   }
   const auto every = static_cast<Moment>(m_scenario.m_talkEvery.count());
@@ -392,7 +454,11 @@
 FleetModel::On(const TimeIsOver& aEvent)
 {
   ModelCall& call = m_calls[aEvent.m_call];
-  if (call.m_done || call.m_job == 0) {
+  if (call.m_done) {
+    return;
+  }
+  if (call.m_job == 0) {
+    call.m_done = true; // It waits at its instance, or is on its way back.
     return;
   }
   const auto found = m_byId.find(call.m_member);
--- a/packages/experiment/src/FleetModel.h
+++ b/packages/experiment/src/FleetModel.h
@@ -33,11 +33,21 @@
   double m_expectedMs = 0;
   Moment m_placedAt = 0;
   Moment m_sentAt = 0;
+  bool m_late = false; ///< It is to stand behind those that are not.
   std::optional<Moment> m_firstToken;
   Moment m_lastToken = 0;
   bool m_paused = false; ///< Between two tokens, for longer than its aim.
 };
 
+/** What became of a call. */
+enum class CallEnd : std::uint8_t
+{
+  InAim,
+  Late,
+  Refused, ///< Its last attempt was.
+  Lost,    ///< Not whole at its deadline.
+};
+
 /** The calls of a seed: the same for every policy. */
 std::deque<ModelCall>
 DrawCalls(const Scenario& aScenario, std::uint64_t aSeed);
@@ -59,6 +69,10 @@
   {
     std::size_t m_call = 0;
   };
+  struct PlacesAgain ///< A call that waits at its instance.
+  {
+    std::size_t m_call = 0;
+  };
   struct JobArrives
   {
     std::size_t m_call = 0;
@@ -95,6 +109,7 @@
     std::size_t m_loss = 0;
   };
   using What = std::variant<CallComes,
+                            PlacesAgain,
                             JobArrives,
                             JobUnreached,
                             StepEnds,
@@ -124,6 +139,7 @@
   };
 
   void On(const CallComes& aEvent);
+  void On(const PlacesAgain& aEvent);
   void On(const JobArrives& aEvent);
   void On(const JobUnreached& aEvent);
   void On(const StepEnds& aEvent);
@@ -140,6 +156,7 @@
   relay::Prompt PromptOf(const ModelCall& aCall) const;
   relay::Fleet& FleetOf(const ModelCall& aCall);
   void Place(std::size_t aCall);
+  relay::PlaceRequest RequestFor(const ModelCall& aCall);
   void PlaceAnywhere(std::size_t aCall);
   void Refuse(std::size_t aCall, Duration aRoomIn);
   void Send(std::size_t aCall, const std::string& aMember, bool aReadOnly);
@@ -150,6 +167,9 @@
   void EndAttempt(ModelCall& aCall, relay::AttemptEnd aEnd);
   void Put(const Engine& aEngine);
   std::size_t LostEngine(std::size_t aLoss, std::int64_t aNth) const;
+  CallEnd EndOf(const ModelCall& aCall) const;
+  std::int64_t TokensOf(const ModelCall& aCall) const;
+  void ReportSizes(std::size_t aKind, KindOutcome& aOut) const;
   Outcome Report() const;
   double Bound() const;
 
@@ -163,6 +183,7 @@
   std::priority_queue<Event> m_events;
   std::deque<ModelCall> m_calls;
   std::vector<relay::Fleet> m_fleets; ///< One an instance.
+  Duration m_shortestAim{};           ///< Of all kinds.
   std::vector<Engine> m_engines;
   std::unordered_map<std::string, std::size_t> m_byId;
   std::unordered_map<std::uint64_t, std::size_t> m_callOfJob;
--- a/packages/experiment/src/FleetReport.cpp
+++ b/packages/experiment/src/FleetReport.cpp
@@ -49,6 +49,51 @@
   return m_calls.empty() ? 1 : possible / static_cast<double>(m_calls.size());
 }
 
+CallEnd
+FleetModel::EndOf(const ModelCall& aCall) const
+{
+  if (!aCall.m_done || !aCall.m_firstToken) {
+    return aCall.m_done ? CallEnd::Refused : CallEnd::Lost;
+  }
+  const Moment took = *aCall.m_firstToken - aCall.m_firstAt;
+  const bool inAim = !aCall.m_paused &&
+                     took <= static_cast<Moment>(TermsOf(aCall).m_aim.count());
+  return inAim ? CallEnd::InAim : CallEnd::Late;
+}
+
+std::int64_t
+FleetModel::TokensOf(const ModelCall& aCall) const
+{
+  const CallTerms& terms = TermsOf(aCall);
+  return terms.m_commonTokens + terms.m_chainTokens + aCall.m_ownTokens;
+}
+
+void
+FleetModel::ReportSizes(std::size_t aKind, KindOutcome& aOut) const
+{
+  std::vector<const ModelCall*> calls;
+  for (const ModelCall& call : m_calls) {
+    if (call.m_kind == aKind) {
+      calls.push_back(&call);
+    }
+  }
+  std::stable_sort(calls.begin(),
+                   calls.end(),
+                   [this](const ModelCall* aLeft, const ModelCall* aRight) {
+                     return TokensOf(*aLeft) < TokensOf(*aRight);
+                   });
+  for (std::size_t i = 0; i < calls.size(); ++i) {
+    SizeOutcome& band = aOut.m_sizes.at(i * kSizeBands / calls.size());
+    if (band.m_offered++ == 0) {
+      band.m_leastTokens = TokensOf(*calls[i]);
+    }
+    const CallEnd end = EndOf(*calls[i]);
+    band.m_inAim += end == CallEnd::InAim ? 1 : 0;
+    band.m_late += end == CallEnd::Late ? 1 : 0;
+    band.m_refused += end == CallEnd::Refused ? 1 : 0;
+  }
+}
+
 Outcome
 FleetModel::Report() const
 {
@@ -73,22 +118,20 @@
       static_cast<std::size_t>(call.m_firstAt / kSecond))];
     ++kind.m_offered;
     ++second.m_offered;
-    const bool whole = call.m_done && call.m_firstToken;
-    if (whole) {
-      const Moment took = *call.m_firstToken - call.m_firstAt;
-      p50s[call.m_kind](took);
-      p99s[call.m_kind](took);
-      const bool inAim =
-        !call.m_paused &&
-        took <= static_cast<Moment>(TermsOf(call).m_aim.count());
-      ++(inAim ? kind.m_inAim : kind.m_late);
-      second.m_inAim += inAim ? 1 : 0;
-    } else {
-      ++(call.m_done ? kind.m_refused : kind.m_lost);
+    const CallEnd end = EndOf(call);
+    kind.m_inAim += end == CallEnd::InAim ? 1 : 0;
+    kind.m_late += end == CallEnd::Late ? 1 : 0;
+    kind.m_refused += end == CallEnd::Refused ? 1 : 0;
+    kind.m_lost += end == CallEnd::Lost ? 1 : 0;
+    second.m_inAim += end == CallEnd::InAim ? 1 : 0;
+    if (end == CallEnd::InAim || end == CallEnd::Late) {
+      p50s[call.m_kind](*call.m_firstToken - call.m_firstAt);
+      p99s[call.m_kind](*call.m_firstToken - call.m_firstAt);
     }
   }
   for (std::size_t i = 0; i < out.m_kinds.size(); ++i) {
     KindOutcome& kind = out.m_kinds[i];
+    ReportSizes(i, kind);
     if (kind.m_inAim + kind.m_late > 0) {
       kind.m_firstTokenP50 = acc::p_square_quantile(p50s[i]);
       kind.m_firstTokenP99 = acc::p_square_quantile(p99s[i]);
--- a/packages/experiment/src/Report.cpp
+++ b/packages/experiment/src/Report.cpp
@@ -77,6 +77,37 @@
        << ms(&KindOutcome::m_firstTokenP99) << "\n";
 }
 
+/** Served shares by size of a kind; the tokens are of the first run. */
+void
+WriteSizeRow(std::ostream& aOut,
+             std::span<const Outcome> aRuns,
+             std::size_t aKind)
+{
+  aOut << std::left << std::setw(10) << NameOf(aRuns[0].m_policy)
+       << std::setw(18) << aRuns[0].m_kinds[aKind].m_name << std::right
+       << std::fixed << std::setprecision(2);
+  for (std::size_t band = 0; band < kSizeBands; ++band) {
+    aOut << std::setw(6) << Mean(aRuns, [&](const Outcome& aRun) {
+      return aRun.m_kinds[aKind].m_sizes.at(band).ServedShare();
+    });
+  }
+  aOut << "\n";
+}
+
+nlohmann::json
+SizesOf(const KindOutcome& aKind)
+{
+  nlohmann::json out = nlohmann::json::array();
+  for (const SizeOutcome& band : aKind.m_sizes) {
+    out.push_back({ { "leastTokens", band.m_leastTokens },
+                    { "offered", band.m_offered },
+                    { "inAim", band.m_inAim },
+                    { "late", band.m_late },
+                    { "refused", band.m_refused } });
+  }
+  return out;
+}
+
 } // namespace
 
 std::string
@@ -91,7 +122,8 @@
                       { "refused", kind.m_refused },
                       { "lost", kind.m_lost },
                       { "firstTokenP50Ms", kind.m_firstTokenP50 },
-                      { "firstTokenP99Ms", kind.m_firstTokenP99 } });
+                      { "firstTokenP99Ms", kind.m_firstTokenP99 },
+                      { "sizes", SizesOf(kind) } });
   }
   return nlohmann::json{
     { "scenario", aScenario.m_name },
@@ -120,6 +152,12 @@
       WriteKindRow(out, runs, kind);
     }
   }
+  out << "\nserved, by tenths of the prompts' sizes, the smallest first\n";
+  for (const auto& runs : policies) {
+    for (std::size_t kind = 0; kind < runs[0].m_kinds.size(); ++kind) {
+      WriteSizeRow(out, runs, kind);
+    }
+  }
   out << "\npolicy    in aim   bound   kept   against " +
            (policies.empty() ? std::string()
                              : std::string(NameOf(policies[0][0].m_policy))) +
--- a/packages/experiment/src/Scenario.cpp
+++ b/packages/experiment/src/Scenario.cpp
@@ -149,6 +149,7 @@
     reader.OptionalInt("generators", out.m_generators, 1, kMostEngines);
   out.m_length = ReadMs(reader, "lengthMs", out.m_length);
   out.m_talkEvery = ReadMs(reader, "talkEveryMs", out.m_talkEvery);
+  out.m_readsApart = reader.OptionalBool("readsApart", out.m_readsApart);
   reader.Object("engine", [&](FieldReader& aEngine) {
     out.m_engine = ReadEngine(aEngine);
   });
