Placement: outputs of handed-over prompts go where no prompts are read

What callers saw: first events 60 ms (170 for one of ten) after the hand-over, in a peak. Cause: the output's engine was one of the reader's hall, the better of two drawn; in halls without an engine that reads none it waited behind prompts that are read there. Now all halls' engines are drawn from, another hall's counts for 5 ms more, and one that is 8 ms behind the best is not taken. FleetTakerTest failed first (169 of 400).

--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <iterator>
 #include <limits>
 #include <ridgeferry/base/Hash.h>
 
@@ -34,6 +35,13 @@
 constexpr double kHomeSlackMs = 100;
 /** How far a drawn reader may be behind the best one that is known. */
 constexpr double kMostDrawnMs = 60;
+/** How much sooner the output of a prompt that was read elsewhere must begin at
+ * another hall's engine, in ms: its memory takes twice as long to get there,
+ * over links that all halls share. */
+constexpr double kAwayTakerMs = 5;
+/** How far a drawn engine may be behind the best one for such an output: a step
+ * or two of it. */
+constexpr double kMostTakerMs = 8;
 /** Least expected time of a plain call before any was seen, in ms. */
 constexpr double kUnknownTookMs = 10;
 /** A member that fails all its calls looks this many times slower. */
@@ -319,28 +327,27 @@
                  std::span<const State* const> aSound,
                  const PlaceRequest& aRequest)
 {
-  // The memory moves faster inside a hall; any of its generators will do.
-  std::vector<const State*> near;
-  std::vector<const State*> all;
-  for (const State* state : aSound) {
-    if (state->m_member.m_part != Part::Generate) {
-      continue;
-    }
-    all.push_back(state);
-    if (state->m_member.m_hall == aReader.m_member.m_hall) {
-      near.push_back(state);
-    }
-  }
-  const std::int64_t work = WorkToRead(*aRequest.m_prompt, false);
+  // What was handed over waits behind the prompts that are read there.
   const auto takes = [&](const State* aState) {
-    return FirstTokenMs(*aState, work, MetPaceOf(*aState));
+    const bool away = aState->m_member.m_hall != aReader.m_member.m_hall;
+    return FirstTokenMs(*aState, 0, MetPaceOf(*aState)) +
+           (away ? kAwayTakerMs : 0);
   };
   const auto sooner = [&](const State* aLeft, const State* aRight) {
     return takes(aLeft) < takes(aRight);
   };
-  const State* taker = BetterOfTwo<const State*>(
-    near.empty() ? all : near, aRequest.m_random / kNextDraw, sooner);
-  return Place{ taker->m_member.m_id, aReader.m_member.m_id };
+  std::vector<const State*> takers;
+  std::copy_if(aSound.begin(),
+               aSound.end(),
+               std::back_inserter(takers),
+               [](const State* aState) {
+                 return aState->m_member.m_part == Part::Generate;
+               });
+  const State* best = *std::min_element(takers.begin(), takers.end(), sooner);
+  const State* drawn =
+    BetterOfTwo<const State*>(takers, aRequest.m_random / kNextDraw, sooner);
+  const bool isFar = takes(drawn) > takes(best) + kMostTakerMs;
+  return Place{ (isFar ? best : drawn)->m_member.m_id, aReader.m_member.m_id };
 }
 
 std::optional<PlaceFault>
--- /dev/null
+++ b/packages/relay/tests/FleetTakerTest.cpp
@@ -0,0 +1,79 @@
+// Who gives the output of a prompt that was read elsewhere. Seen: in a peak the
+// first events of such outputs came after 6 ms where nothing was read, and
+// after 60 ms (170 ms for one of ten) at engines that read prompts beside the
+// output; those of halls without an engine that reads none got twice as many.
+
+#include "FleetFixture.h"
+
+#include <map>
+
+namespace ridgeferry::relay {
+namespace {
+
+/** Two halls with two readers and three generating engines each. */
+class FleetTakerTest : public ::testing::Test
+{
+protected:
+  FleetTakerTest()
+  {
+    for (const char* hall : { "a", "b" }) {
+      for (int i = 0; i < 2; ++i) {
+        Put(std::string(hall) + "p" + std::to_string(i), hall, Part::Prefill);
+      }
+      for (int i = 0; i < 3; ++i) {
+        Put(std::string(hall) + "g" + std::to_string(i), hall, Part::Generate);
+      }
+    }
+  }
+
+  void Put(const std::string& aId, const std::string& aHall, Part aPart)
+  {
+    Member member = MakeMember(aId, "llm", aPart);
+    member.m_hall = aHall;
+    member.m_slots = 48;
+    m_fleet.Put(member);
+  }
+
+  /** By engine, of prompts that are read by the readers. */
+  std::map<std::string, int> TakersOf(int aCalls)
+  {
+    std::map<std::string, int> out;
+    std::uint64_t random = 1;
+    for (int i = 0; i < aCalls; ++i) {
+      random = random * 6364136223846793005U + 1442695040888963407U;
+      PlaceRequest request = LongRequest(random);
+      request.m_random = random >> 16U;
+      const Place place = MustFind(m_fleet, request);
+      if (!place.m_reader.empty()) {
+        ++out[place.m_upstream];
+      }
+    }
+    return out;
+  }
+
+  Fleet m_fleet;
+};
+
+TEST_F(FleetTakerTest, OutputsGoWhereNoPromptsAreRead)
+{
+  for (const char* busy : { "ag0", "ag1", "ag2", "bg0" }) {
+    m_fleet.NoteSent(busy, 10'000, kNow);
+  }
+  int others = 0;
+  for (const auto& [engine, count] : TakersOf(400)) {
+    others += engine == "bg1" || engine == "bg2" ? 0 : count;
+  }
+  EXPECT_EQ(others, 0);
+}
+
+TEST_F(FleetTakerTest, TheyAreSpreadOverThoseThatAreEquallyQuiet)
+{
+  const std::map<std::string, int> takers = TakersOf(600);
+  EXPECT_EQ(takers.size(), 6U);
+  for (const auto& [engine, count] : takers) {
+    EXPECT_LT(count, 200) << engine;
+  }
+}
+
+} // namespace
+} // namespace ridgeferry::relay
