Followers: a peer is asked for what it is ahead by, whatever was tried before

What callers would see: an accepted configuration not in force at an instance that the store goes on ignoring, though its peers have it. Cause: one mark stood for two questions. A read is made anew once for each version; the same mark kept the instance from asking any other peer for that version once its one question had been lost. Now the mark only guards the read.

--- a/packages/relay/src/TableFollower.cpp
+++ b/packages/relay/src/TableFollower.cpp
@@ -333,14 +333,13 @@
 void
 TableFollower::On(const PeerIsAhead& aEvent, Instant aNow, Actions& aActions)
 {
-  // Once for each version: what the store does not tell now it will not tell.
   const StorePosition told = aEvent.m_position;
   if (RaiseGeneration(told.m_generation, aNow) && m_hasRead) {
     FollowGeneration(aNow, aActions);
     return;
   }
   const bool isOld = told.m_generation < m_generation;
-  if (isOld || told <= m_table.Position() || told <= m_askedAnewFor) {
+  if (isOld || told <= m_table.Position()) {
     return;
   }
   if (m_needsTable) {
@@ -358,13 +357,15 @@
   }
   if (m_grace.IsLost()) {
     // That peer is served, or was before this one's outage: it can pass on what
-    // the store may withhold from this one for long.
+    // the store may withhold from this one for long, at whichever question.
     if (!m_askingPeer) {
       AskAPeer(kAskWithin, aActions);
     }
     return;
   }
-  if (!m_asking) {
+  // A read is made anew once for each version: what the store does not tell then
+  // it will not tell.
+  if (!m_asking || told <= m_askedAnewFor) {
     return;
   }
   if (!m_behindSince) {
--- a/packages/relay/tests/TableFollowerPeersTest.cpp
+++ b/packages/relay/tests/TableFollowerPeersTest.cpp
@@ -350,11 +350,13 @@
 }
 
 // Seen in a report: two instances refused calls by a configuration that had
-// been replaced 2.04 s before, behind an outage in which the store was silent;
-// the code of that report waited for such reads (see StoreReturnTest). Looked
-// for in what is left: an instance that the store goes on ignoring, whose one
+// been replaced 2.04 s before, behind an outage in which the store was silent.
+// How: the code of that report waited for the reads that the outage had
+// swallowed; see StoreReturnTest. Looked for in what was left, and found by
+// this sequence: an instance that the store goes on ignoring, whose one
 // question to a peer is lost, was deaf to every further word of the same
-// version, however many peers had it.
+// version, however many peers had it. Cause: the mark that keeps one version
+// from dropping a read twice also kept peers from being asked.
 TEST(IgnoredByTheStoreTest, APeerIsAskedAgainForTheSameVersion)
 {
   TableFollower follower;
