--- a/packages/relay/src/TableFollower.cpp
+++ b/packages/relay/src/TableFollower.cpp
@@ -363,8 +363,8 @@
     }
     return;
   }
-  // A read is made anew once for each version: what the store does not tell then
-  // it will not tell.
+  // A read is made anew once for each version: what the store does not tell
+  // then it will not tell.
   if (!m_asking || told <= m_askedAnewFor) {
     return;
   }
--- a/packages/relay/tests/FleetSizeTest.cpp
+++ b/packages/relay/tests/FleetSizeTest.cpp
@@ -83,7 +83,8 @@
     Fleet fleet = m_fleet;
     const int pace = *rc::gen::inRange(60, 400);
     for (int i = 0; i < 9; ++i) {
-      fleet.NotePace({ "p0", pace * 100, Duration{ 115 }, true });
+      fleet.NotePace(
+        { "p0", pace * std::int64_t{ 100 }, Duration{ 115 }, true });
     }
     LoadAll(fleet, *rc::gen::inRange(0, 60'000));
     const std::int64_t typical = *rc::gen::inRange(500, 8000);
