--- a/packages/membership/include/ridgeferry/membership/StoreDuty.h
+++ b/packages/membership/include/ridgeferry/membership/StoreDuty.h
@@ -18,8 +18,7 @@
 /**
  * Which instances keep an eye on the store for all: two of each hall, the first
  * ones by hash of those alive, so that the loss of one leaves one. Everybody
- * finds the same ones by what everybody hears. (One in place of two saved 3 in
- * 100 calls of the store, measured.)
+ * finds the same ones by what everybody hears.
  *
  * Reads the roster; pure, not thread-safe.
  */
--- a/packages/relay/include/ridgeferry/relay/FollowedTable.h
+++ b/packages/relay/include/ridgeferry/relay/FollowedTable.h
@@ -80,6 +80,7 @@
   }
 
 private:
+  friend class FollowerState; // Of the tests that enumerate states.
   struct Kept
   {
     std::string m_value;
--- a/packages/relay/include/ridgeferry/relay/KeptParts.h
+++ b/packages/relay/include/ridgeferry/relay/KeptParts.h
@@ -17,11 +17,11 @@
 /**
  * Which engines keep which shared parts, by what all instances had read there.
  *
- * It answers loads with few large shared parts (a hundred of 13,000 tokens) at
- * engines that read slowly: there a prompt that goes where its part is not kept
- * takes three times the reading of one that does, and in a peak there is no
- * such reading to spare. Homes by hash alone send it elsewhere as soon as the
- * home is busy, and forget it there.
+ * It answers loads with few large shared parts at engines that read slowly:
+ * there a prompt that goes where its part is not kept takes several times the
+ * reading of one that does, and in a peak there is no such reading to spare.
+ * Homes by hash alone send it elsewhere as soon as the home is busy, and forget
+ * it there.
  *
  * Engines give up what was unused longest, so what was used lately is kept.
  * Decisions only; not thread-safe.
--- a/packages/relay/include/ridgeferry/relay/LapseGrace.h
+++ b/packages/relay/include/ridgeferry/relay/LapseGrace.h
@@ -78,6 +78,7 @@
                                         Instant aNow);
 
 private:
+  friend class FollowerState; // Of the tests that enumerate states.
   bool HearsOfSteady(Instant aNow) const;
 
   bool m_lost = false;
--- a/packages/relay/include/ridgeferry/relay/MedianPace.h
+++ b/packages/relay/include/ridgeferry/relay/MedianPace.h
@@ -9,8 +9,7 @@
 /**
  * The pace of an engine by its last samples, in tokens a ms. A median: some
  * samples are far off either way, as others' prompts were ahead that this
- * instance did not know of, or as more was kept than it thought (a tenth of
- * those measured were below a third or above three times the rest). Not
+ * instance did not know of, or as more was kept than it thought. Not
  * thread-safe.
  */
 class MedianPace
--- a/packages/relay/include/ridgeferry/relay/Patience.h
+++ b/packages/relay/include/ridgeferry/relay/Patience.h
@@ -7,8 +7,7 @@
 /**
  * How long a prompt may wait for its first token: seven tenths of its aim.
  * The rest is the way there and back, the first event's other tokens, and what
- * other instances have sent meanwhile (measured: 0.9 gave 0.02 to 0.03 less
- * worth on calm and on overloaded days).
+ * other instances have sent meanwhile.
  */
 inline Duration
 PatienceOf(Duration aAim)
--- a/packages/relay/include/ridgeferry/relay/ReadingBeside.h
+++ b/packages/relay/include/ridgeferry/relay/ReadingBeside.h
@@ -12,8 +12,7 @@
  * of that engine. At engines that read a typical prompt in a small part of the
  * pause that callers allow nobody notices, and all engines may read. At slower
  * ones most streams come late though no first token does: there prompts have to
- * be read apart. (Measured on a model of 18 engines that read 64 tokens a ms:
- * half of all streams were late by their pauses alone.)
+ * be read apart.
  *
  * Both have to be seen: under overload prompts wait at engines of any kind, and
  * a crash pauses streams of any kind. Decisions only; not thread-safe.
--- a/packages/relay/include/ridgeferry/relay/TableFollower.h
+++ b/packages/relay/include/ridgeferry/relay/TableFollower.h
@@ -179,8 +179,8 @@
  * its first sight, by whatever answer or peer, starts a whole read at once;
  * those that rest leave that to the others for a moment, and take it from them.
  * Without it, changes below the old version are not taken for as long as the
- * store's counter takes to pass it, 12 s behind a copy some seconds old (seen);
- * with it they are in force within 2 s (`StoreCopyTest`).
+ * store's counter takes to pass it; with it they are in force within 2 s
+ * (`StoreCopyTest`).
  *
  * Every call of the store has its price, and a change answers every read that
  * the store holds. So few instances (those on duty) leave a read with it, short
@@ -195,9 +195,8 @@
  * whether it is back, and the next one follows as soon as the last has failed.
  * Those on duty by their place ask so; the others ask seldom and go by what
  * peers have read. So a change that is accepted as the store returns is in
- * force within 1.5 s (drawn outages in virtual time; 2.7 s in one that was
- * seen, with reads that are held), and instances at rest ask a lost store each
- * 3 s only. A pure state machine; not thread-safe.
+ * force within 1.5 s, and instances at rest ask a lost store each 3 s only.
+ * A pure state machine; not thread-safe.
  */
 class TableFollower
 {
@@ -279,6 +278,7 @@
   }
 
 private:
+  friend class FollowerState; // Of the tests that enumerate states.
   using Actions = std::vector<FollowAction>;
 
   void On(const FollowBegan& aEvent, Instant aNow, Actions& aActions);
--- a/packages/relay/src/DrawnChoice.h
+++ b/packages/relay/src/DrawnChoice.h
@@ -9,9 +9,7 @@
 /**
  * The better of two drawn items. Many instances see the same loads, all of them
  * a little old: if each took the least loaded engine, that one would be the
- * most loaded next. With 295 instances the short prompts of a second went to
- * one engine of twelve slots, and one in six of them had no first token in
- * time; drawn, one in twenty-four.
+ * most loaded next, by all short prompts of a second.
  *
  * Precondition: there is an item. `aLess`: whether the first one is better.
  */
--- a/packages/relay/src/EnginePace.h
+++ b/packages/relay/src/EnginePace.h
@@ -5,8 +5,7 @@
 namespace ridgeferry::relay {
 
 /** What a first token takes however short its prompt is, in ms: ways, steps and
- * the other calls of a step (measured: reads of 1,000 tokens at engines without
- * queues took 22 ms and more). */
+ * the other calls of a step. */
 inline constexpr double kFirstTokenMs = 15;
 /** Paces until one was seen, in tokens a ms: of engines of today's kind. */
 inline constexpr double kPrefillPace = 250;
--- a/packages/relay/src/ReadingBeside.cpp
+++ b/packages/relay/src/ReadingBeside.cpp
@@ -11,9 +11,7 @@
 /** Paces seen before anything is concluded: one may be chance. */
 constexpr int kLeastPaces = 3;
 /** Part of the allowed pause that the reading of a whole mean prompt may take:
- * the rest is the steps of the output and parts of a second prompt. Engines
- * that bear it stand at 0.15 to 0.3, those that do not at 0.7 to 2 (measured).
- */
+ * the rest is the steps of the output and parts of a second prompt. */
 constexpr double kMostOfPause = 0.6;
 /** A prompt must become so much shorter before engines read beside again. */
 constexpr double kAllowAgain = 0.4;
