Model of freshness: all states that two faults lead to; a test that fails

Three followers, the very class that serves, before one store, in virtual time: at each 0.2 s any one of change, silent or refusing store, return, return from an older copy, lost words, lost read, instance that the store ignores, failed question to a peer, start with nothing. States are hashed (what only graces hang on is left out), the two on duty count as alike until one of them is hit, rests last until a word. From every state: all hold what the store has within two seconds of the end of what disturbs, as it is and after one more change; what is held never goes back; nobody waits for nothing; who has learned nothing for 4 s on duty says so.

Found on the code as it is, by the 14th to 194,000th state: the store ignores an instance and comes back from an older copy; the instance, on duty, drops its held read, asks for the whole table, and waits 2.5 s for it without asking a peer, though its peers have it. Ruled out: the model (its trace replayed step by step shows the read, and no question to a peer until it fails).

--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -39,10 +39,11 @@
   endforeach()
   target_link_libraries(rf_${NAME} PUBLIC ${PKG_LIBS} PRIVATE rf_options)
   if(PKG_PURE AND RIDGEFERRY_SANITIZE)
-    # Properties in virtual time spend theirs here. Beside sanitizers the optimizer
-    # sees uninitialised values where there are none; the optimised build has that
-    # warning.
-    target_compile_options(rf_${NAME} PRIVATE -O1 -Wno-maybe-uninitialized)
+    # Properties in virtual time spend theirs here and in their tests. Beside
+    # sanitizers the optimizer sees uninitialised values where there are none; the
+    # optimised build has that warning.
+    set(OPTIMISED -O1 -Wno-maybe-uninitialized)
+    target_compile_options(rf_${NAME} PRIVATE ${OPTIMISED})
   endif()
 
   if(NOT RIDGEFERRY_TESTS)
@@ -55,6 +56,7 @@
       GTest::gtest_main rapidcheck)
     target_include_directories(${NAME}_tests PRIVATE ${DIR}/src
       ${CMAKE_SOURCE_DIR}/tests/support)
+    target_compile_options(${NAME}_tests PRIVATE ${OPTIMISED})
     set_target_properties(${NAME}_tests PROPERTIES
       RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/unit)
   endif()
--- /dev/null
+++ b/packages/relay/tests/FollowerState.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <ridgeferry/relay/TableFollower.h>
+#include <span>
+#include <string_view>
+#include <vector>
+#include <xxhash.h>
+
+namespace ridgeferry::relay {
+
+/** What a follower's next decisions on reading hang on, as numbers. */
+class FollowerState
+{
+public:
+  using Numbers = std::vector<std::int64_t>;
+
+  /** Appends them; times relative to `aNow`. What only the graces of removed
+   * rows hang on is left out. */
+  static void Write(const TableFollower& aFollower,
+                    Instant aNow,
+                    Numbers& aNumbers)
+  {
+    const auto flag = [&](bool aFlag) { aNumbers.push_back(aFlag ? 1 : 0); };
+    flag(aFollower.m_hasRead);
+    flag(aFollower.m_needsTable);
+    flag(aFollower.m_onDuty);
+    flag(aFollower.m_onDutyByPlace);
+    flag(aFollower.m_asking);
+    flag(aFollower.m_askingPeer);
+    flag(aFollower.m_hasWaited);
+    flag(aFollower.m_resting);
+    flag(aFollower.m_grace.m_lost);
+    aNumbers.push_back(
+      std::min(aFollower.m_startTries, TableFollower::kStartTries));
+    aNumbers.push_back(aFollower.m_retry.count());
+    // Older questions all leave no pause before the next one.
+    aNumbers.push_back(
+      std::min(aNow - aFollower.m_askedAt, TableFollower::kLongestRetry)
+        .count());
+    const bool isBehind = aFollower.m_behindSince.has_value();
+    aNumbers.push_back(isBehind ? std::min(aNow - *aFollower.m_behindSince,
+                                           TableFollower::kBehindPatience)
+                                    .count()
+                                : -1);
+    WritePosition(aFollower.m_askedAfter, aNumbers);
+    WritePosition(aFollower.m_askedAnewFor, aNumbers);
+    WritePosition(aFollower.m_table.Position(), aNumbers);
+    WritePosition(aFollower.m_table.ChangedPosition(), aNumbers);
+    aNumbers.push_back(static_cast<std::int64_t>(aFollower.m_generation));
+    aNumbers.push_back(
+      static_cast<std::int64_t>(aFollower.m_table.m_knowsAfter));
+    for (const auto& [key, kept] : aFollower.m_table.m_rows) {
+      aNumbers.push_back(NumberOf(kept.m_value));
+    }
+  }
+
+  /** It holds these values, and no others. */
+  static bool Holds(const TableFollower& aFollower,
+                    std::span<const FollowedRow> aRows)
+  {
+    const auto& held = aFollower.m_table.m_rows;
+    return held.size() == aRows.size() &&
+           std::all_of(
+             aRows.begin(), aRows.end(), [&](const FollowedRow& aRow) {
+               const auto found = held.find(aRow.m_key);
+               return found != held.end() &&
+                      found->second.m_value == aRow.m_value;
+             });
+  }
+
+  static std::int64_t NumberOf(std::string_view aValue)
+  {
+    return static_cast<std::int64_t>(XXH3_64bits(aValue.data(), aValue.size()));
+  }
+
+  static void WritePosition(StorePosition aPosition, Numbers& aNumbers)
+  {
+    aNumbers.push_back(static_cast<std::int64_t>(aPosition.m_generation));
+    aNumbers.push_back(static_cast<std::int64_t>(aPosition.m_version));
+  }
+};
+
+} // namespace ridgeferry::relay
--- /dev/null
+++ b/packages/relay/tests/FreshnessModel.cpp
@@ -0,0 +1,504 @@
+#include "FreshnessModel.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <xxhash.h>
+
+namespace ridgeferry::relay {
+
+namespace {
+
+constexpr int kStepMs = 100;
+constexpr int kAnswerMs = 100;
+/** Between two words of an instance to all others, and for how long they may be
+ * lost. */
+constexpr int kWordMs = 200;
+/** Between two looks at who is on duty. */
+constexpr int kLookMs = 200;
+constexpr int kWordsLostMs = 1000;
+
+int
+Ms(Duration aDuration)
+{
+  return static_cast<int>(aDuration.count());
+}
+
+/** On duty, an instance that has learned nothing for so long says that it has
+ * lost the store: a held read, and the one that was made in its place. */
+const int kSaysWithinMs = Ms(TableFollower::kSettle + TableFollower::kDutyWait +
+                             2 * TableFollower::kStoreSlack) +
+                          kAnswerMs + kStepMs;
+
+} // namespace
+
+void
+FreshnessModel::Store::Change()
+{
+  m_copy = m_rows;
+  const std::uint64_t version = ++m_position.m_version;
+  // Both rows in turn, so that whoever misses a change lacks it afterwards.
+  FollowedRow& row = m_rows[version % m_rows.size()];
+  row.m_version = version;
+  row.m_value =
+    std::to_string(m_position.m_generation) + "/" + std::to_string(version);
+}
+
+void
+FreshnessModel::Store::ComeBackOlder()
+{
+  m_state = There;
+  m_rows = m_copy;
+  ++m_position.m_generation;
+  m_position.m_version = 0;
+  for (const FollowedRow& row : m_rows) {
+    m_position.m_version = std::max(m_position.m_version, row.m_version);
+  }
+}
+
+std::vector<FollowedRow>
+FreshnessModel::Store::RowsAfter(std::uint64_t aVersion) const
+{
+  std::vector<FollowedRow> out;
+  std::copy_if(
+    m_rows.begin(),
+    m_rows.end(),
+    std::back_inserter(out),
+    [&](const FollowedRow& aRow) { return aRow.m_version > aVersion; });
+  return out;
+}
+
+FreshnessModel::FreshnessModel(Budget aBudget)
+  : m_budget(aBudget)
+{
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    const bool byPlace = i < kOnDuty;
+    m_instances[i].m_onDuty = byPlace;
+    Take(i, DutyChanged{ byPlace, byPlace });
+    Take(i, TableRead{ m_store.m_rows, m_store.m_position });
+  }
+}
+
+std::vector<Happening>
+FreshnessModel::Choices() const
+{
+  std::vector<Happening> out{ {} };
+  const bool there = IsStoreThere();
+  if (there && m_budget.m_changes > 0) {
+    out.push_back({ Happens::Change });
+  }
+  if (!there) {
+    out.push_back({ Happens::StoreBack });
+  }
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    if (m_instances[i].m_ignored) {
+      out.push_back({ Happens::Heeded, i });
+    }
+  }
+  if (m_budget.m_faults == 0) {
+    return out;
+  }
+  out.push_back({ Happens::StoreBackOlder });
+  if (there) {
+    out.push_back({ Happens::StoreSilent });
+    out.push_back({ Happens::StoreRefuses });
+  }
+  if (m_now >= m_wordsLostUntil) {
+    out.push_back({ Happens::WordsLost });
+  }
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    if (i == 1 && m_alike) {
+      continue;
+    }
+    for (const Happening& fault : FaultsOf(i)) {
+      out.push_back(fault);
+    }
+  }
+  return out;
+}
+
+std::vector<Happening>
+FreshnessModel::FaultsOf(std::size_t aWho) const
+{
+  const Instance& instance = m_instances[aWho];
+  std::vector<Happening> out{ { Happens::Restarts, aWho } };
+  if (instance.m_read && !instance.m_read->m_lost) {
+    out.push_back({ Happens::ReadLost, aWho });
+  }
+  if (!instance.m_ignored) {
+    out.push_back({ Happens::Ignored, aWho });
+  }
+  if (instance.m_askAt != kNever) {
+    out.push_back({ Happens::AskFails, aWho });
+  }
+  return out;
+}
+
+void
+FreshnessModel::Apply(const Happening& aHappening)
+{
+  Instance& instance = m_instances[aHappening.m_who];
+  bool isFault = true;
+  switch (aHappening.m_what) {
+    case Happens::Nothing:
+      isFault = false;
+      break;
+    case Happens::Change:
+      isFault = false;
+      --m_budget.m_changes;
+      m_store.Change();
+      break;
+    case Happens::StoreSilent:
+      m_store.m_state = Store::Silent;
+      LoseReads();
+      break;
+    case Happens::StoreRefuses:
+      m_store.m_state = Store::Refuses;
+      break;
+    case Happens::StoreBack:
+      isFault = false;
+      m_store.m_state = Store::There;
+      break;
+    case Happens::StoreBackOlder:
+      LoseReads();
+      m_store.ComeBackOlder();
+      break;
+    case Happens::WordsLost:
+      m_wordsLostUntil = m_now + kWordsLostMs;
+      break;
+    case Happens::ReadLost:
+      instance.m_read->m_lost = true;
+      break;
+    case Happens::Ignored:
+      instance.m_ignored = true;
+      break;
+    case Happens::Heeded:
+      isFault = false;
+      instance.m_ignored = false;
+      break;
+    case Happens::AskFails:
+      instance.m_askAt = kNever;
+      Take(aHappening.m_who, PeerFailed{});
+      break;
+    case Happens::Restarts:
+      Restart(aHappening.m_who);
+      break;
+  }
+  m_budget.m_faults -= isFault ? 1 : 0;
+  const bool isOfOne = aHappening.m_what >= Happens::ReadLost;
+  m_alike = m_alike && !(isOfOne && aHappening.m_who < kOnDuty);
+}
+
+void
+FreshnessModel::LoseReads()
+{
+  for (Instance& instance : m_instances) {
+    if (instance.m_read) {
+      instance.m_read->m_lost = true;
+    }
+  }
+}
+
+void
+FreshnessModel::Restart(std::size_t aWho)
+{
+  const bool ignored = m_instances[aWho].m_ignored;
+  m_instances[aWho] = Instance();
+  m_instances[aWho].m_ignored = ignored;
+  m_instances[aWho].m_hearsPeers = false;
+  m_instances[aWho].m_provenAt = m_now;
+  Take(aWho, FollowBegan{});
+}
+
+void
+FreshnessModel::PlayOn()
+{
+  for (int i = 0; i < kChoiceMs / kStepMs; ++i) {
+    Step();
+  }
+}
+
+void
+FreshnessModel::Take(std::size_t aWho, const FollowEvent& aEvent)
+{
+  Instance& instance = m_instances[aWho];
+  const StorePosition before = instance.m_follower.Position();
+  for (const FollowAction& action : instance.m_follower.Handle(aEvent, Now())) {
+    std::visit([&](const auto& aTyped) { Do(instance, aTyped); }, action);
+  }
+  if (instance.m_follower.Position() < before) {
+    m_fault = "what is held went back";
+  }
+}
+
+void
+FreshnessModel::Do(Instance& aInstance, const ReadTable& aRead)
+{
+  const int answersAt = m_now + kAnswerMs;
+  aInstance.m_read =
+    Read{ true, false, {}, answersAt, answersAt, m_now + Ms(aRead.m_patience) };
+}
+
+void
+FreshnessModel::Do(Instance& aInstance, const ReadChanges& aRead)
+{
+  const int answersAt = m_now + kAnswerMs;
+  aInstance.m_read = Read{ false,
+                           false,
+                           aRead.m_after,
+                           answersAt,
+                           std::max(answersAt, m_now + Ms(aRead.m_wait)),
+                           m_now + Ms(aRead.m_patience) };
+}
+
+void
+FreshnessModel::Do(Instance& aInstance, const RetryLater& aLater)
+{
+  // A rest ends by a word, or else as good as never.
+  const bool isRest = aLater.m_delay >= TableFollower::kLongestRest;
+  aInstance.m_rests = isRest;
+  aInstance.m_dueAt =
+    isRest ? kNever : m_now + Ms(aLater.m_delay + aLater.m_within);
+}
+
+void
+FreshnessModel::Do(Instance& aInstance, const AskPeer& aAsk)
+{
+  aInstance.m_askAt = m_now + Ms(aAsk.m_within) + kAnswerMs;
+}
+
+void
+FreshnessModel::Do(Instance& aInstance, const DropRead&)
+{
+  aInstance.m_read.reset();
+}
+
+void
+FreshnessModel::Step()
+{
+  m_now += kStepMs;
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    Instance& instance = m_instances[i];
+    if (m_now % kLookMs == 0) {
+      LookAtDuty(i);
+    }
+    if (instance.m_dueAt != kNever && m_now >= instance.m_dueAt) {
+      instance.m_dueAt = kNever;
+      Take(i, RetryDue{});
+    }
+    if (instance.m_askAt != kNever && m_now >= instance.m_askAt) {
+      instance.m_askAt = kNever;
+      AnswerAsPeer(i);
+    }
+    StepRead(i);
+    if (m_now % kWordMs == 0 && m_now >= m_wordsLostUntil) {
+      TellOthers(i);
+    }
+    if (!HasNext(instance)) {
+      m_fault = "instance " + std::to_string(i) + " waits for nothing";
+    }
+    CheckSaysWhenLost(i);
+  }
+}
+
+bool
+FreshnessModel::HasNext(const Instance& aInstance) const
+{
+  return aInstance.m_read || aInstance.m_dueAt != kNever || aInstance.m_rests;
+}
+
+void
+FreshnessModel::CheckSaysWhenLost(std::size_t aWho)
+{
+  const Instance& instance = m_instances[aWho];
+  const bool isLong = m_now - instance.m_provenAt > kSaysWithinMs;
+  const bool isOnDuty = aWho < kOnDuty && instance.m_follower.HasRead();
+  if (isOnDuty && isLong && !instance.m_follower.IsLost()) {
+    m_fault = "instance " + std::to_string(aWho) + " says nothing of its age";
+  }
+}
+
+void
+FreshnessModel::StepRead(std::size_t aWho)
+{
+  Instance& instance = m_instances[aWho];
+  if (!instance.m_read) {
+    return;
+  }
+  Read& read = *instance.m_read;
+  const bool refused =
+    m_store.m_state == Store::Refuses && m_now >= read.m_answersAt;
+  read.m_lost =
+    read.m_lost || instance.m_ignored || m_store.m_state == Store::Silent;
+  if (m_now >= read.m_failsAt || (refused && !read.m_lost)) {
+    instance.m_read.reset();
+    Take(aWho, ReadFailed{ "away" });
+    return;
+  }
+  // Of a generation that it holds at the very version asked for it tells by
+  // other calls, of the lease and the own row: here as if by this one.
+  const bool isNews = read.m_after != m_store.m_position;
+  const bool isDue =
+    m_now >= read.m_heldUntil || (isNews && m_now >= read.m_answersAt);
+  if (isDue && !read.m_lost && IsStoreThere()) {
+    const Read answered = read;
+    instance.m_read.reset();
+    instance.m_provenAt = m_now;
+    Answer(aWho, answered);
+  }
+}
+
+void
+FreshnessModel::Answer(std::size_t aWho, const Read& aRead)
+{
+  const StorePosition position = m_store.m_position;
+  const std::uint64_t after = aRead.m_after.m_version;
+  if (aRead.m_whole) {
+    Take(aWho, TableRead{ m_store.m_rows, position });
+  } else if (after > position.m_version) {
+    Take(aWho, HistoryGone{ position.m_generation });
+  } else {
+    Take(aWho, ChangesRead{ m_store.RowsAfter(after), position });
+  }
+}
+
+void
+FreshnessModel::AnswerAsPeer(std::size_t aWho)
+{
+  const StorePosition held = m_instances[aWho].m_follower.Position();
+  if (m_now >= m_wordsLostUntil) {
+    for (const Instance& other : m_instances) {
+      if (other.m_follower.Position() > held) {
+        m_instances[aWho].m_provenAt = m_now;
+        Take(aWho, PeerAnswered{ other.m_follower.Since(held) });
+        return;
+      }
+    }
+  }
+  Take(aWho, PeerFailed{});
+}
+
+void
+FreshnessModel::TellOthers(std::size_t aWho)
+{
+  const StorePosition told = m_instances[aWho].m_follower.ChangedPosition();
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    if (i == aWho) {
+      continue;
+    }
+    if (!m_instances[i].m_hearsPeers) {
+      m_instances[i].m_hearsPeers = true;
+      Take(i, PeersListed{ true });
+    }
+    Take(i, PeerIsAhead{ told });
+  }
+}
+
+void
+FreshnessModel::LookAtDuty(std::size_t aWho)
+{
+  bool hears = false;
+  for (std::size_t i = 0; i < kOnDuty; ++i) {
+    const TableFollower& other = m_instances[i].m_follower;
+    hears = hears || (i != aWho && other.HasRead() && !other.IsLost());
+  }
+  hears = hears && m_now >= m_wordsLostUntil;
+  const bool byPlace = aWho < kOnDuty;
+  m_instances[aWho].m_onDuty = byPlace || !hears;
+  Take(aWho, DutyChanged{ m_instances[aWho].m_onDuty, byPlace });
+}
+
+bool
+FreshnessModel::AllAreFresh() const
+{
+  return std::all_of(
+    m_instances.begin(), m_instances.end(), [&](const Instance& aInstance) {
+      const TableFollower& follower = aInstance.m_follower;
+      return follower.Position() == m_store.m_position &&
+             FollowerState::Holds(follower, m_store.m_rows);
+    });
+}
+
+int
+FreshnessModel::DisturbedForMs() const
+{
+  int firstServed = std::numeric_limits<int>::max();
+  int lastOnDuty = m_now;
+  int until = std::max(m_now, m_wordsLostUntil);
+  for (const Instance& instance : m_instances) {
+    const bool isLost =
+      instance.m_read && (instance.m_read->m_lost || instance.m_ignored);
+    const int noticed = isLost ? instance.m_read->m_failsAt : m_now;
+    if (!instance.m_follower.HasRead()) {
+      until = std::max(until, noticed); // It serves nobody yet.
+    }
+    if (instance.m_onDuty) {
+      lastOnDuty = std::max(lastOnDuty, noticed);
+      if (!instance.m_ignored) {
+        firstServed = std::min(firstServed, noticed);
+      }
+    }
+  }
+  const bool isServed = firstServed != std::numeric_limits<int>::max();
+  return std::max(until, isServed ? firstServed : lastOnDuty) - m_now;
+}
+
+std::uint64_t
+FreshnessModel::Digest() const
+{
+  FollowerState::Numbers numbers;
+  numbers.reserve(128);
+  const auto left = [&](int aAt) {
+    numbers.push_back(aAt == kNever ? kNever : std::max(0, aAt - m_now));
+  };
+  for (const Instance& instance : m_instances) {
+    FollowerState::Write(instance.m_follower, Now(), numbers);
+    numbers.push_back(instance.m_read ? 1 : 0);
+    if (instance.m_read) {
+      numbers.push_back(instance.m_read->m_whole ? 1 : 0);
+      numbers.push_back(instance.m_read->m_lost ? 1 : 0);
+      FollowerState::WritePosition(instance.m_read->m_after, numbers);
+      left(instance.m_read->m_answersAt);
+      left(instance.m_read->m_heldUntil);
+      left(instance.m_read->m_failsAt);
+    }
+    left(instance.m_dueAt);
+    left(instance.m_askAt);
+    numbers.push_back(instance.m_ignored ? 1 : 0);
+    numbers.push_back(instance.m_onDuty ? 1 : 0);
+    numbers.push_back(instance.m_rests ? 1 : 0);
+    numbers.push_back(instance.m_hearsPeers ? 1 : 0);
+    numbers.push_back(std::min(m_now - instance.m_provenAt, kSaysWithinMs));
+  }
+  numbers.push_back(m_store.m_state);
+  FollowerState::WritePosition(m_store.m_position, numbers);
+  for (const FollowedRow& row : m_store.m_rows) {
+    numbers.push_back(FollowerState::NumberOf(row.m_value));
+  }
+  for (const FollowedRow& row : m_store.m_copy) {
+    numbers.push_back(FollowerState::NumberOf(row.m_value));
+  }
+  numbers.push_back(m_budget.m_faults);
+  numbers.push_back(m_budget.m_changes);
+  left(m_wordsLostUntil);
+  numbers.push_back(m_alike ? 1 : 0);
+  return XXH3_64bits(numbers.data(), numbers.size() * sizeof(numbers[0]));
+}
+
+std::string
+FreshnessModel::Describe() const
+{
+  const auto text = [](StorePosition aPosition) {
+    return std::to_string(aPosition.m_generation) + "/" +
+           std::to_string(aPosition.m_version);
+  };
+  std::string out = "store " + text(m_store.m_position) +
+                    (IsStoreThere() ? "" : " (away)") + ", held";
+  for (const Instance& instance : m_instances) {
+    out += " " + text(instance.m_follower.Position()) +
+           (instance.m_follower.IsLost() ? " (lost)" : "");
+  }
+  return out;
+}
+
+} // namespace ridgeferry::relay
--- /dev/null
+++ b/packages/relay/tests/FreshnessModelTest.cpp
@@ -0,0 +1,175 @@
+// All states that a few faults bring three followers into, enumerated: from
+// each of them a change is in force everywhere within two seconds, once the
+// faults keep nobody from reading any more; what is held never goes back;
+// nobody waits for nothing; and who has lost the store says so.
+
+#include "FreshnessModel.h"
+
+#include <cstdlib>
+#include <gtest/gtest.h>
+#include <iostream>
+#include <unordered_set>
+
+namespace ridgeferry::relay {
+namespace {
+
+/** An accepted change is in force within two seconds. */
+constexpr int kInForceMs = 2000;
+
+/** A happening, and the one before it. */
+struct Link
+{
+  std::size_t m_before = 0;
+  Happening m_happening;
+};
+
+/** A state, and how it was reached, for the report of a fault. */
+struct Node
+{
+  FreshnessModel m_model;
+  std::size_t m_link = 0;
+};
+
+const char*
+NameOf(Happens aWhat)
+{
+  constexpr std::array kNames = {
+    "nothing",
+    "a change",
+    "store silent",
+    "store refuses",
+    "store back",
+    "store older",
+    "words lost",
+    "read lost",
+    "ignored",
+    "heeded",
+    "question to a peer fails",
+    "starts with nothing",
+  };
+  return kNames[static_cast<std::size_t>(aWhat)];
+}
+
+class Explorer
+{
+public:
+  explicit Explorer(Budget aBudget)
+    : m_links(1)
+    , m_open{ { FreshnessModel(aBudget), 0 } }
+  {
+  }
+
+  /** Visits all states; stops at the first fault. */
+  void Run()
+  {
+    while (!m_open.empty() && m_fault.empty()) {
+      const Node node = std::move(m_open.back());
+      m_open.pop_back();
+      for (const Happening& choice : node.m_model.Choices()) {
+        Visit(node, choice);
+      }
+    }
+  }
+
+  std::size_t States() const { return m_seen.size(); }
+  const std::string& Fault() const { return m_fault; }
+
+private:
+  void Visit(const Node& aFrom, const Happening& aChoice)
+  {
+    Node next = aFrom;
+    next.m_model.Apply(aChoice);
+    next.m_model.PlayOn();
+    if (!m_seen.insert(next.m_model.Digest()).second) {
+      return;
+    }
+    next.m_link = m_links.size();
+    m_links.push_back({ aFrom.m_link, aChoice });
+    Check(next, next.m_model, "as it is");
+    if (next.m_model.IsStoreThere()) {
+      FreshnessModel changed = next.m_model;
+      changed.Apply({ Happens::Change });
+      Check(next, changed, "after a change");
+    }
+    m_open.push_back(std::move(next));
+  }
+
+  /** Nothing more happens: all are fresh soon. */
+  void Check(const Node& aNode, const FreshnessModel& aModel, const char* aWhat)
+  {
+    if (!aModel.Fault().empty()) {
+      Note(aNode, aModel, aModel.Fault());
+    } else if (aModel.IsStoreThere() && !aModel.AllAreFresh()) {
+      PlayUntilFresh(aNode, aModel, aWhat);
+    }
+  }
+
+  void PlayUntilFresh(const Node& aNode,
+                      FreshnessModel aModel,
+                      const char* aWhat)
+  {
+    const int until = aModel.DisturbedForMs() + kInForceMs;
+    for (int at = 0; at < until && !aModel.AllAreFresh();
+         at += FreshnessModel::kChoiceMs) {
+      aModel.PlayOn();
+    }
+    if (!aModel.Fault().empty()) {
+      Note(aNode, aModel, aModel.Fault());
+    } else if (!aModel.AllAreFresh()) {
+      Note(aNode, aModel, std::string("not fresh in time ") + aWhat);
+    }
+  }
+
+  void Note(const Node& aNode,
+            const FreshnessModel& aModel,
+            const std::string& aFault)
+  {
+    if (m_fault.empty()) {
+      m_fault = aFault + ": " + PathTo(aNode.m_link) + "; " + aModel.Describe();
+    }
+  }
+
+  std::string PathTo(std::size_t aLink) const
+  {
+    std::vector<Happening> path;
+    for (; aLink != 0; aLink = m_links[aLink].m_before) {
+      path.push_back(m_links[aLink].m_happening);
+    }
+    std::string out;
+    int at = 0;
+    for (auto one = path.rbegin(); one != path.rend(); ++one) {
+      if (one->m_what != Happens::Nothing) {
+        out += std::to_string(at) + " ms: " + NameOf(one->m_what) + " (" +
+               std::to_string(one->m_who) + "), ";
+      }
+      at += FreshnessModel::kChoiceMs;
+    }
+    return out + std::to_string(at) + " ms";
+  }
+
+  std::vector<Link> m_links; ///< The first one is the beginning.
+  std::vector<Node> m_open;
+  std::unordered_set<std::uint64_t> m_seen;
+  std::string m_fault;
+};
+
+/** RIDGEFERRY_MODEL_FAULTS: of more than the usual number. */
+int
+MostFaults()
+{
+  constexpr int kUsual = 1;
+  const char* given = std::getenv("RIDGEFERRY_MODEL_FAULTS");
+  return given == nullptr ? kUsual : std::atoi(given);
+}
+
+TEST(FreshnessModelTest, AllAreFreshSoonFromEveryState)
+{
+  Explorer explorer({ MostFaults(), 1 });
+  explorer.Run();
+  std::cout << explorer.States() << " states\n";
+  EXPECT_EQ(explorer.Fault(), "");
+  EXPECT_GT(explorer.States(), 1000U);
+}
+
+} // namespace
+} // namespace ridgeferry::relay
