Followers: a peer is asked again while the read made anew is under way

What callers saw: an instance that the store ignored was a version behind for 2.2 s where words had been lost and the peer that it asked was behind itself (in the model; three faults at once). Cause: a read is made anew once for a version, and as long as it was under way (0.8 s) no further peer was asked for that version. Why this holds: each word of a peer that is ahead then asks one, as the words of an instance whose reads fail do; one question at a time.

--- a/packages/relay/src/TableFollower.cpp
+++ b/packages/relay/src/TableFollower.cpp
@@ -383,9 +383,15 @@
     }
     return;
   }
+  if (!m_asking) {
+    return;
+  }
   // A read is made anew once for each version: what the store does not tell
-  // then it will not tell.
-  if (!m_asking || told <= m_askedAnewFor) {
+  // then it will not tell, but a peer may.
+  if (told <= m_askedAnewFor) {
+    if (!m_askingPeer) {
+      AskAPeer(kAskWithin, aActions);
+    }
     return;
   }
   if (!m_behindSince) {
--- a/packages/relay/tests/TableFollowerPeersTest.cpp
+++ b/packages/relay/tests/TableFollowerPeersTest.cpp
@@ -374,5 +374,25 @@
             nullptr);
 }
 
+// Seen: an instance that the store ignored was a version behind for 2.2 s, as
+// the peer that it asked was behind itself, and no other one was asked before
+// its own read had failed. Shown by: all states that three faults lead to
+// (`FreshnessModelTest`, by hand).
+TEST(IgnoredByTheStoreTest, APeerIsAskedAgainWhileTheReadIsUnderWay)
+{
+  TableFollower follower;
+  const auto handle = [&](const FollowEvent& aEvent, int aAtMs) {
+    return follower.Handle(aEvent, Instant{ Duration{ aAtMs } });
+  };
+  handle(TableRead{ {}, PositionAt(9) }, 0);
+  handle(PeerIsAhead{ PositionAt(12) }, 100);
+  handle(PeerIsAhead{ PositionAt(12) }, 600);
+  EXPECT_TRUE(handle(PeerIsAhead{ PositionAt(12) }, 700).empty());
+  handle(PeerAnswered{ Slice(10, false, "1") }, 850);
+  const auto again = handle(PeerIsAhead{ PositionAt(12) }, 900);
+  EXPECT_NE(Find<AskPeer>(again), nullptr);
+  EXPECT_EQ(Find<ReadChanges>(again), nullptr);
+}
+
 } // namespace
 } // namespace ridgeferry::relay
