Model of freshness: when the instances on duty can notice that both are ignored

Traces of three faults showed two cases as allowed by the design that the model counted: an instance that has read nothing or is about to read again, ignored with the other one on duty, notices by its next read, which had not begun yet.

--- a/packages/relay/tests/FreshnessModel.h
+++ b/packages/relay/tests/FreshnessModel.h
@@ -149,6 +149,8 @@
   void Restart(std::size_t aWho);
   void CheckSaysWhenLost(std::size_t aWho);
   bool HasNext(const Instance& aInstance) const;
+  /** When an instance on duty finds out that the store does not answer it. */
+  int NoticesAt(const Instance& aInstance) const;
 
   std::array<Instance, kInstances> m_instances;
   Store m_store;
