Model of freshness: one that knows of its loss is not excused for a long read

Cause: excuses that were added for three faults let a read that was lost excuse its instance for as long as it was waited for, also where the instance knew that it had lost the store. Now an excuse of one that has lost the store ends with the slack of a short question; the check is stricter, nothing else changed.

--- a/packages/relay/tests/FreshnessModel.cpp
+++ b/packages/relay/tests/FreshnessModel.cpp
@@ -448,6 +448,12 @@
   if (aInstance.m_ignored && isSettling && aInstance.m_onDutyByPlace) {
     return m_now + Ms(TableFollower::kSettle) + kHeldReadMs;
   }
+  if (aInstance.m_onDutyByPlace && aInstance.m_follower.HasRead() &&
+      aInstance.m_follower.IsLost()) {
+    // It is to ask short questions, whatever it does ask.
+    const int latest = m_now + Ms(TableFollower::kStoreSlack);
+    return isLost ? std::min(aInstance.m_read->m_failsAt, latest) : m_now;
+  }
   if (aInstance.m_onDutyByPlace) {
     return isLost ? aInstance.m_read->m_failsAt : m_now;
   }
