Clock: time in which a machine was suspended counts, for leases, ages and timers

What callers would see: a lease believed behind its term, lists and loads taken for fresh, calls held past their deadline, by as much as the machine was suspended. Cause: EventLoop::Now was the steady clock, which stands still then; its comment said that the lease sees each pause, and of this one it did not. Now it is CLOCK_BOOTTIME, in one place, and timers that came due meanwhile fire within 100 ms of the return. Ruled out: the time of day (it is set back and forth); comparing clocks in each class (the decisions get their instants from the loop, so one source mends all of them). SuspensionTest with clocks of its own: 5 of 5 timers' cases fail with the steady clock, 3 of 5 without the correction of timers, none with both. net 115 of 115.

--- a/packages/net/include/ridgeferry/net/EventLoop.h
+++ b/packages/net/include/ridgeferry/net/EventLoop.h
@@ -11,6 +11,20 @@
 namespace ridgeferry::net {
 
 class EventLoop;
+struct TimerSet;
+
+/** The machine's clocks: both run steadily, from any beginning. */
+struct Clocks
+{
+  /** Counts all time, also that in which the machine was suspended. */
+  sigc::slot<Instant()> m_all;
+  /** Stands still while the machine is suspended, as the system's timers do. */
+  sigc::slot<Instant()> m_awake;
+};
+
+/** Those of the system. Thread-safe. */
+Clocks
+SystemClocks();
 
 /** A pending timer or signal watch; destroying it cancels it. */
 class Watch
@@ -32,13 +46,19 @@
 
 /**
  * The process's one event loop, on one thread. Everything of the I/O packages
- * runs in its callbacks; none of it is thread-safe.
+ * runs in its callbacks; none of it is thread-safe. Timers that came due while
+ * the machine was suspended fire within `kLookEvery` of its return.
  */
 class EventLoop
 {
 public:
+  /** How often the two clocks are compared. */
+  static constexpr Duration kLookEvery{ 100 };
+  /** They differ by less where the machine was not suspended. */
+  static constexpr Duration kSuspended{ 20 };
+
   /** Null if the system refuses. */
-  static std::unique_ptr<EventLoop> Make();
+  static std::unique_ptr<EventLoop> Make(Clocks aClocks = SystemClocks());
   ~EventLoop();
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
@@ -48,6 +68,8 @@
   /** Ends `Run` after the current callback. */
   void Stop();
 
+  /** Time in which the process was paused or the machine suspended counts:
+   * leases and ages rely on it. */
   Instant Now() const;
   static WallTime WallNow();
 
@@ -62,11 +84,19 @@
   event_base* Base() const { return m_base; }
 
 private:
-  explicit EventLoop(event_base* aBase);
+  EventLoop(event_base* aBase, Clocks aClocks);
   Watch AddTimer(Duration aDelay, bool aRepeats, sigc::slot<void()> aSlot);
   void RunDeferred();
+  /** Time that the machine has been suspended, from any beginning. */
+  Duration Suspended() const;
+  void LookForSuspension();
 
   event_base* m_base;
+  Clocks m_clocks;
+  /** Timers that are pending, by identity. */
+  std::shared_ptr<TimerSet> m_timers;
+  Duration m_suspended{}; ///< When it was last looked at.
+  Watch m_look;
   event* m_deferEvent = nullptr;
   std::vector<sigc::slot<void()>> m_deferred;
 };
--- a/packages/net/src/EventLoop.cpp
+++ b/packages/net/src/EventLoop.cpp
@@ -1,16 +1,35 @@
 #include "ridgeferry/net/EventLoop.h"
 
+#include <ctime>
 #include <event2/event.h>
+#include <set>
+#include <utility>
 
 namespace ridgeferry::net {
 
+struct TimerSet
+{
+  std::set<Watch::Impl*> m_timers;
+};
+
 struct Watch::Impl
 {
   event* m_event = nullptr;
   sigc::slot<void()> m_slot;
+  bool m_repeats = false;
+  Instant m_dueAt;                    ///< Of a timer.
+  std::shared_ptr<TimerSet> m_timers; ///< Null: it is no timer.
+
+  void LeaveTimers()
+  {
+    if (m_timers != nullptr) {
+      m_timers->m_timers.erase(this);
+    }
+  }
 
   ~Impl()
   {
+    LeaveTimers();
     if (m_event != nullptr) {
       event_free(m_event);
     }
@@ -25,8 +44,12 @@
 void
 CallSlot(evutil_socket_t, short, void* aContext)
 {
+  auto* watch = static_cast<Watch::Impl*>(aContext);
+  if (!watch->m_repeats) {
+    watch->LeaveTimers();
+  }
   // A copy: the callback may destroy its own watch.
-  const sigc::slot<void()> slot = static_cast<Watch::Impl*>(aContext)->m_slot;
+  const sigc::slot<void()> slot = watch->m_slot;
   slot();
 }
 
@@ -58,18 +81,35 @@
   return *this;
 }
 
+Clocks
+SystemClocks()
+{
+  const auto read = [](clockid_t aClock) {
+    timespec now{};
+    clock_gettime(aClock, &now);
+    return Instant(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
+  };
+  return { [read] { return read(CLOCK_BOOTTIME); },
+           [read] { return read(CLOCK_MONOTONIC); } };
+}
+
 std::unique_ptr<EventLoop>
-EventLoop::Make()
+EventLoop::Make(Clocks aClocks)
 {
   event_base* base = event_base_new();
   if (base == nullptr) {
     return nullptr;
   }
-  return std::unique_ptr<EventLoop>(new EventLoop(base));
+  return std::unique_ptr<EventLoop>(new EventLoop(base, std::move(aClocks)));
 }
 
-EventLoop::EventLoop(event_base* aBase)
+EventLoop::EventLoop(event_base* aBase, Clocks aClocks)
   : m_base(aBase)
+  , m_clocks(std::move(aClocks))
+  , m_timers(std::make_shared<TimerSet>())
+  , m_suspended(Suspended())
 {
   m_deferEvent = evtimer_new(
     m_base,
@@ -77,10 +117,12 @@
       static_cast<EventLoop*>(aContext)->RunDeferred();
     },
     this);
+  m_look = Every(kLookEvery, [this] { LookForSuspension(); });
 }
 
 EventLoop::~EventLoop()
 {
+  m_look = {};
   event_free(m_deferEvent);
   event_base_free(m_base);
 }
@@ -100,10 +142,34 @@
 Instant
 EventLoop::Now() const
 {
-  // CLOCK_MONOTONIC: a pause of the process is visible in it, which the lease
-  // relies on.
-  return Instant(std::chrono::duration_cast<Duration>(
-    std::chrono::steady_clock::now().time_since_epoch()));
+  return m_clocks.m_all();
+}
+
+Duration
+EventLoop::Suspended() const
+{
+  return m_clocks.m_all() - m_clocks.m_awake();
+}
+
+void
+EventLoop::LookForSuspension()
+{
+  const Duration suspended = Suspended();
+  const Duration risen = suspended - std::exchange(m_suspended, suspended);
+  if (risen < kSuspended) {
+    return;
+  }
+  // The system's timers have stood still meanwhile.
+  const Instant now = Now();
+  for (Watch::Impl* timer : m_timers->m_timers) {
+    const Duration left = timer->m_dueAt - now;
+    if (left <= Duration{}) {
+      event_active(timer->m_event, EV_TIMEOUT, 0);
+    } else if (!timer->m_repeats) {
+      const timeval delay = ToTimeval(left);
+      event_add(timer->m_event, &delay);
+    }
+  }
 }
 
 WallTime
@@ -118,6 +184,10 @@
 {
   auto impl = std::make_unique<Watch::Impl>();
   impl->m_slot = std::move(aSlot);
+  impl->m_repeats = aRepeats;
+  impl->m_dueAt = Now() + aDelay;
+  impl->m_timers = m_timers;
+  m_timers->m_timers.insert(impl.get());
   const auto flags = static_cast<short>(aRepeats ? EV_PERSIST : 0);
   impl->m_event = event_new(m_base, -1, flags, &CallSlot, impl.get());
   const timeval delay = ToTimeval(aDelay);
