--- a/packages/cli/src/Story.cpp
+++ b/packages/cli/src/Story.cpp
@@ -29,16 +29,31 @@
            : std::string();
 }
 
-/** Adds the upstreams that a line of the request names. */
-void
-NoteUpstreams(const Json& aFields, std::set<std::string>& aUpstreams)
+/** What the lines of a request name: its upstreams, and the call by its
+ * content, which is the same for all tries. */
+struct Named
 {
-  for (const char* name : { "upstream", "reader" }) {
-    if (std::string text = TextOf(aFields, name); !text.empty()) {
-      aUpstreams.insert(std::move(text));
+  std::set<std::string> m_upstreams;
+  std::set<std::string> m_calls;
+
+  void Add(const Json& aFields)
+  {
+    for (const char* name : { "upstream", "reader" }) {
+      if (std::string text = TextOf(aFields, name); !text.empty()) {
+        m_upstreams.insert(std::move(text));
+      }
+    }
+    if (std::string text = TextOf(aFields, "call"); !text.empty()) {
+      m_calls.insert(std::move(text));
     }
   }
-}
+
+  bool Concerns(const Json& aBelief) const
+  {
+    return m_upstreams.contains(TextOf(aBelief, "upstream")) ||
+           m_calls.contains(TextOf(aBelief, "call"));
+  }
+};
 
 StoryLine
 Format(const Entry& aEntry)
@@ -64,7 +79,7 @@
 {
   std::vector<Entry> own;
   std::vector<Entry> beliefs; // Lines that concern no single request.
-  std::set<std::string> upstreams;
+  Named named;
   std::string line;
   while (std::getline(aLog, line)) {
     const std::size_t brace = line.find('{');
@@ -78,7 +93,7 @@
     Entry entry{ TextOf(fields, "time"), std::move(fields) };
     const std::string id = TextOf(entry.m_fields, "id");
     if (id == aId) {
-      NoteUpstreams(entry.m_fields, upstreams);
+      named.Add(entry.m_fields);
       own.push_back(std::move(entry));
     } else if (id.empty()) {
       beliefs.push_back(std::move(entry));
@@ -97,8 +112,7 @@
   for (auto belief = beliefs.rbegin();
        belief != beliefs.rend() && kept < kMostBeliefs;
        ++belief) {
-    const std::string upstream = TextOf(belief->m_fields, "upstream");
-    if (belief->m_time <= last && upstreams.contains(upstream)) {
+    if (belief->m_time <= last && named.Concerns(belief->m_fields)) {
       own.push_back(*belief);
       ++kept;
     }
--- a/packages/cli/tests/StoryTest.cpp
+++ b/packages/cli/tests/StoryTest.cpp
@@ -14,6 +14,9 @@
 {"time":"T3","event":"attempt-sent","instance":"b","id":"y","upstream":"u1"}
 {"time":"T5","event":"call-ended","instance":"b","id":"x","outcome":"answer-lost","status":502}
 {"time":"T6","event":"upstream-gone","instance":"b","upstream":"u1"}
+{"time":"T1","event":"call-quarantined","instance":"c","call":"d1","ends":3}
+{"time":"T1","event":"call-quarantined","instance":"c","call":"d2","ends":3}
+{"time":"T2","event":"call-held","instance":"b","id":"h","call":"d1"}
 {"time":"T7"
 )";
 
@@ -51,6 +54,10 @@
                "y",
                { "T1 b upstream-listed upstream=u1 leaving=false",
                  "T3 b attempt-sent id=y upstream=u1" } },
+    StoryCase{ "Held",
+               "h",
+               { "T1 c call-quarantined call=d1 ends=3",
+                 "T2 b call-held id=h call=d1" } },
     StoryCase{ "Unknown", "z", {} }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
--- a/packages/entry/src/QuarantineService.cpp
+++ b/packages/entry/src/QuarantineService.cpp
@@ -12,6 +12,7 @@
 constexpr const char* kTopic = "quarantine";
 /** The only row of its table, and its name where peers ask each other. */
 constexpr const char* kKey = "endings";
+constexpr std::string_view kFromPeer = "a peer";
 constexpr Duration kTick{ 100 };
 /** A gap between two ticks above which this process stood still: connections
  * that broke meanwhile tell nothing of their upstreams. */
@@ -310,6 +311,10 @@
   if (held) {
     m_node.m_metrics.Count("calls_quarantined_total");
   }
+  if (change == quarantine::Change::Suspected && aFrom == kFromPeer &&
+      m_quarantine.Ends(aEnding.m_call) < quarantine::Quarantine::kEndsToCare) {
+    return; // Logged by who saw it: all that an upstream ran is told.
+  }
   m_node.m_log->Write(
     held ? observe::LogLevel::Warning : observe::LogLevel::Info,
     NameOf(change),
@@ -360,7 +365,7 @@
 QuarantineService::TakeTold(std::span<const membership::EndingDigest> aEndings)
 {
   for (const membership::EndingDigest& digest : aEndings) {
-    Take(EndingFrom(digest), {}, "a peer");
+    Take(EndingFrom(digest), {}, kFromPeer);
   }
 }
 
@@ -463,7 +468,7 @@
       for (const relay::FollowedRow& row : aSlice->m_rows) {
         TakeText(row.m_value, "a peer's whole");
       }
-      NoteKnown("a peer");
+      NoteKnown(kFromPeer);
     });
 }
 
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -158,39 +158,6 @@
   }
 }
 
-const quarantine::CallDigest&
-RelayCall::Digest()
-{
-  if (!m_digest) {
-    const net::ReceivedRequest& request = m_start.m_exchange->Request();
-    m_digest = quarantine::DigestOf({ m_start.m_head.m_caller,
-                                      request.m_method,
-                                      m_start.m_head.m_host,
-                                      request.m_target,
-                                      request.m_body });
-  }
-  return *m_digest;
-}
-
-std::optional<Duration>
-RelayCall::HeldFor()
-{
-  QuarantineService& quarantine = *m_start.m_quarantine;
-  if (m_tries || !quarantine.KnowsAny()) {
-    return std::nullopt;
-  }
-  const auto held = quarantine.HeldFor(Digest());
-  m_tries = held && quarantine.MayTry(Digest());
-  return m_tries ? std::nullopt : held;
-}
-
-bool
-RelayCall::MayRepeat()
-{
-  return !m_start.m_quarantine->KnowsAny() ||
-         m_start.m_quarantine->MayRepeat(Digest());
-}
-
 void
 RelayCall::Do(const relay::FindPlace& aAction)
 {
@@ -267,16 +234,6 @@
       { "listed", static_cast<std::int64_t>(m_node.m_fleet.Size()) } });
 }
 
-void
-RelayCall::LogQuarantined(Duration aFor)
-{
-  m_node.m_log->Write(observe::LogLevel::Info,
-                      "call-held",
-                      { { "id", m_start.m_head.m_id },
-                        { "call", quarantine::FormatDigest(Digest()) },
-                        { "forMs", aFor.count() } });
-}
-
 std::int64_t
 RelayCall::PromptTokens() const
 {
@@ -492,18 +449,6 @@
   }
 }
 
-void
-RelayCall::NoteConnection(const net::HttpResponse& aResponse)
-{
-  QuarantineService& quarantine = *m_start.m_quarantine;
-  if (aResponse.m_refused) {
-    quarantine.NoteRefused(m_attempt.m_upstream);
-  } else if (aResponse.m_end == net::HttpEnd::Broken && !aResponse.m_silent) {
-    quarantine.NoteBroken(
-      { Digest(), m_attempt.m_upstream, m_start.m_head.m_id });
-  }
-}
-
 void
 RelayCall::TakeEnd(const net::HttpResponse& aResponse)
 {
--- /dev/null
+++ b/packages/entry/src/RelayCallQuarantine.cpp
@@ -0,0 +1,63 @@
+// What a call has to do with the quarantine: its content, whether it is held,
+// and what its broken connections tell.
+
+#include "RelayCall.h"
+
+namespace ridgeferry::entry {
+
+const quarantine::CallDigest&
+RelayCall::Digest()
+{
+  if (!m_digest) {
+    const net::ReceivedRequest& request = m_start.m_exchange->Request();
+    m_digest = quarantine::DigestOf({ m_start.m_head.m_caller,
+                                      request.m_method,
+                                      m_start.m_head.m_host,
+                                      request.m_target,
+                                      request.m_body });
+  }
+  return *m_digest;
+}
+
+std::optional<Duration>
+RelayCall::HeldFor()
+{
+  QuarantineService& quarantine = *m_start.m_quarantine;
+  if (m_tries || !quarantine.KnowsAny()) {
+    return std::nullopt;
+  }
+  const auto held = quarantine.HeldFor(Digest());
+  m_tries = held && quarantine.MayTry(Digest());
+  return m_tries ? std::nullopt : held;
+}
+
+bool
+RelayCall::MayRepeat()
+{
+  return !m_start.m_quarantine->KnowsAny() ||
+         m_start.m_quarantine->MayRepeat(Digest());
+}
+
+void
+RelayCall::LogQuarantined(Duration aFor)
+{
+  m_node.m_log->Write(observe::LogLevel::Info,
+                      "call-held",
+                      { { "id", m_start.m_head.m_id },
+                        { "call", quarantine::FormatDigest(Digest()) },
+                        { "forMs", aFor.count() } });
+}
+
+void
+RelayCall::NoteConnection(const net::HttpResponse& aResponse)
+{
+  QuarantineService& quarantine = *m_start.m_quarantine;
+  if (aResponse.m_refused) {
+    quarantine.NoteRefused(m_attempt.m_upstream);
+  } else if (aResponse.m_end == net::HttpEnd::Broken && !aResponse.m_silent) {
+    quarantine.NoteBroken(
+      { Digest(), m_attempt.m_upstream, m_start.m_head.m_id });
+  }
+}
+
+} // namespace ridgeferry::entry
--- a/packages/quarantine/include/ridgeferry/quarantine/CallDigest.h
+++ b/packages/quarantine/include/ridgeferry/quarantine/CallDigest.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace ridgeferry::quarantine {
 
@@ -24,7 +24,11 @@
 {
   std::uint64_t m_high = 0;
   std::uint64_t m_low = 0;
-  auto operator<=>(const CallDigest&) const = default;
+  bool operator==(const CallDigest&) const = default;
+  bool operator<(const CallDigest& aOther) const
+  {
+    return std::tie(m_high, m_low) < std::tie(aOther.m_high, aOther.m_low);
+  }
 };
 
 /**
