--- a/packages/entry/src/QuarantineService.h
+++ b/packages/entry/src/QuarantineService.h
@@ -1,11 +1,8 @@
 #pragma once
 
 #include "EntryNode.h"
-#include "PeerRows.h"
-#include "Peers.h"
-#include "StoreGenerations.h"
+#include "QuarantineShare.h"
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <ridgeferry/net/ConnectProbe.h>
@@ -16,9 +13,8 @@
 
 /**
  * Keeps calls that end their upstreams from ending more: finds out which
- * upstreams ended under which calls, tells the other instances, and keeps what
- * is held in the store for a time when no instance is left to ask. With the
- * mechanism switched off nothing is ever held. Not thread-safe.
+ * upstreams ended under which calls, and decides with what the others tell.
+ * With the mechanism switched off nothing is ever held. Not thread-safe.
  */
 class QuarantineService
 {
@@ -67,11 +63,6 @@
   std::size_t Suspected() const { return m_quarantine.Suspected(); }
 
 private:
-  struct News
-  {
-    Instant m_at;
-    quarantine::Ending m_ending;
-  };
   struct ProbeOf
   {
     UpstreamLife m_upstream;
@@ -87,38 +78,14 @@
   void Take(const quarantine::Ending& aEnding,
             Duration aAge,
             std::string_view aFrom);
-  void Tell(std::vector<quarantine::Ending> aEndings);
-  void TellNews();
-  void TakeTold(std::span<const membership::EndingDigest> aEndings);
-  void TakeText(const std::string& aText, std::string_view aFrom);
-  void NoteKnown(std::string_view aFrom);
-  /** Asks a peer that holds other calls than this instance. */
-  void AskPeers();
-  void AskPeer(const std::string& aAddress);
-  void ReadStore();
-  void WriteStore();
-  /** What is known, as JSON. */
-  std::string Text(std::size_t aMost) const;
-  relay::TableSlice Slice() const;
 
   EntryNode& m_node;
-  StoreGenerations& m_generations;
   Peers& m_peers;
-  PeerRows& m_peerRows;
   quarantine::Quarantine m_quarantine;
   quarantine::BrokenRuns m_broken;
+  QuarantineShare m_share;
   std::map<quarantine::CallDigest, Instant> m_triedAt;
   std::map<std::string, ProbeOf> m_probes; ///< By upstream.
-  std::deque<News> m_news;                 ///< Of this instance.
-  bool m_known = false;                    ///< What the others hold.
-  bool m_listed = false; ///< Other instances, or that none is.
-  bool m_hasOthers = false;
-  bool m_asking = false; ///< A peer, or the store.
-  bool m_writing = false;
-  std::uint64_t m_written = 0; ///< Fingerprint of what the store has.
-  /** Of peers, at the last tick: one that has just changed may be about to. */
-  bool m_differed = false;
-  Instant m_storeAgainAt; ///< Behind a call of the store that failed.
   Instant m_began;
   Instant m_lastTick;
   net::Watch m_tick;
--- /dev/null
+++ b/packages/entry/src/QuarantineShare.cpp
@@ -0,0 +1,292 @@
+#include "QuarantineShare.h"
+
+#include <algorithm>
+#include <ridgeferry/quarantine/EndingsText.h>
+#include <utility>
+
+namespace ridgeferry::entry {
+
+namespace {
+
+constexpr const char* kTopic = "quarantine";
+/** The only row of its table, and its name where peers ask each other. */
+constexpr const char* kKey = "endings";
+/** An instance that starts waits so long for a peer that knows, before it reads
+ * the store; each further one in the order of the topic so much longer. */
+constexpr Duration kAskPeersFor{ 300 };
+constexpr std::size_t kMostTurns = 5;
+constexpr Duration kStoreTimeout{ 1000 };
+constexpr Duration kStoreAgain{ 500 };
+/** Most news of one talk, 30 bytes each: those of a few upstreams. */
+constexpr std::size_t kMostNews = 20;
+/** Most endings that are written, 110 bytes each: the row stays below the
+ * store's bound. */
+constexpr std::size_t kMostWritten = 400;
+/** The same for a peer that asks. */
+constexpr std::size_t kMostToPeer = 1000;
+
+membership::EndingDigest
+DigestFor(const quarantine::Ending& aEnding)
+{
+  return { aEnding.m_call.m_high,
+           aEnding.m_call.m_low,
+           aEnding.m_life,
+           aEnding.m_cleared };
+}
+
+quarantine::Ending
+EndingFrom(const membership::EndingDigest& aDigest)
+{
+  return { { aDigest.m_callHigh, aDigest.m_callLow },
+           aDigest.m_life,
+           aDigest.m_cleared };
+}
+
+} // namespace
+
+QuarantineShare::QuarantineShare(EntryNode& aNode,
+                                 StoreGenerations& aGenerations,
+                                 Peers& aPeers,
+                                 PeerRows& aPeerRows,
+                                 const quarantine::Quarantine& aQuarantine,
+                                 Take aTake)
+  : m_node(aNode)
+  , m_generations(aGenerations)
+  , m_peers(aPeers)
+  , m_peerRows(aPeerRows)
+  , m_quarantine(aQuarantine)
+  , m_take(std::move(aTake))
+{
+}
+
+void
+QuarantineShare::Start()
+{
+  m_began = m_node.Now();
+  m_peers.SignalEndings().connect(
+    [this](std::span<const membership::EndingDigest> aEndings) {
+      TakeTold(aEndings);
+    });
+  m_peers.SignalListed().connect([this](bool aAny) {
+    m_listed = true;
+    m_hasOthers = aAny;
+  });
+  m_generations.SignalRisen().connect(
+    [this](StoreGeneration) { m_written = 0; });
+  m_peerRows.Serve(kKey, [this](StorePosition) { return Slice(); });
+}
+
+void
+QuarantineShare::Tick()
+{
+  TellNews();
+  AskPeers();
+  WriteStore();
+}
+
+void
+QuarantineShare::Tell(std::vector<quarantine::Ending> aEndings)
+{
+  // Those that tell most come first: a talk has room for some of them.
+  std::stable_sort(aEndings.begin(),
+                   aEndings.end(),
+                   [this](const auto& aLeft, const auto& aRight) {
+                     return m_quarantine.Ends(aLeft.m_call) >
+                            m_quarantine.Ends(aRight.m_call);
+                   });
+  for (const quarantine::Ending& ending : aEndings) {
+    m_news.push_back({ m_node.Now(), ending });
+  }
+  TellNews();
+  m_peers.TellAll();
+}
+
+void
+QuarantineShare::TellNews()
+{
+  const Instant since = m_node.Now() - m_peers.NewsFor();
+  while (!m_news.empty() && m_news.front().m_at < since) {
+    m_news.pop_front();
+  }
+  std::vector<membership::EndingDigest> told;
+  for (const News& news : m_news) {
+    if (told.size() == kMostNews) {
+      break;
+    }
+    told.push_back(DigestFor(news.m_ending));
+  }
+  m_peers.SetEndings(std::move(told),
+                     m_known ? std::optional(m_quarantine.Fingerprint())
+                             : std::nullopt);
+}
+
+void
+QuarantineShare::TakeTold(std::span<const membership::EndingDigest> aEndings)
+{
+  for (const membership::EndingDigest& digest : aEndings) {
+    m_take(EndingFrom(digest), {}, kFromPeer);
+  }
+}
+
+void
+QuarantineShare::TakeText(const std::string& aText, std::string_view aFrom)
+{
+  const auto told = quarantine::ParseEndings(aText, net::EventLoop::WallNow());
+  if (!told) {
+    m_node.m_log->Write(
+      observe::LogLevel::Error,
+      "endings-rejected",
+      { { "from", std::string(aFrom) }, { "fault", told.error() } });
+    return;
+  }
+  for (const quarantine::ToldEnding& ending : *told) {
+    m_take(ending.m_ending, ending.m_age, aFrom);
+  }
+}
+
+void
+QuarantineShare::NoteKnown(std::string_view aFrom)
+{
+  if (std::exchange(m_known, true)) {
+    return;
+  }
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "quarantine-known",
+    { { "from", std::string(aFrom) },
+      { "held", static_cast<std::int64_t>(m_quarantine.Held()) },
+      { "tookMs", (m_node.Now() - m_began).count() } });
+}
+
+void
+QuarantineShare::AskPeers()
+{
+  if (m_asking) {
+    return;
+  }
+  const std::uint64_t own = m_quarantine.Fingerprint();
+  const auto peer =
+    m_known ? m_peers.PickHoldingOther(own) : m_peers.PickHoldingAny();
+  const bool differed = std::exchange(m_differed, peer.has_value());
+  if (peer && (!m_known || differed)) {
+    AskPeer(*peer);
+    return;
+  }
+  if (m_known || !m_listed || m_node.Now() < m_storeAgainAt) {
+    return;
+  }
+  const auto turn =
+    static_cast<Duration::rep>(std::min(m_peers.Rank(kTopic), kMostTurns));
+  const Duration patience =
+    m_hasOthers ? kAskPeersFor * (turn + 1) : Duration{};
+  if (m_node.Now() - m_began >= patience) {
+    ReadStore();
+  }
+}
+
+void
+QuarantineShare::AskPeer(const std::string& aAddress)
+{
+  m_asking = true;
+  m_peerRows.AskPeer(
+    aAddress, kKey, {}, [this](std::optional<relay::TableSlice> aSlice) {
+      m_asking = false;
+      if (!aSlice) {
+        return;
+      }
+      for (const relay::FollowedRow& row : aSlice->m_rows) {
+        TakeText(row.m_value, "a peer's whole");
+      }
+      NoteKnown(kFromPeer);
+    });
+}
+
+std::string
+QuarantineShare::Text(std::size_t aMost) const
+{
+  return quarantine::FormatEndings(m_quarantine.Snapshot(m_node.Now(), aMost),
+                                   net::EventLoop::WallNow());
+}
+
+relay::TableSlice
+QuarantineShare::Slice() const
+{
+  relay::TableSlice out;
+  out.m_whole = true;
+  relay::FollowedRow row;
+  row.m_key = kKey;
+  row.m_value = Text(kMostToPeer);
+  out.m_rows.push_back(std::move(row));
+  return out;
+}
+
+void
+QuarantineShare::ReadStore()
+{
+  StoreRead read;
+  read.m_table = m_node.m_dialect.m_quarantineTable;
+  net::HttpRequest request = m_node.m_dialect.m_writeStoreRead(read);
+  request.m_address = m_node.m_settings.m_store;
+  request.m_timeout = kStoreTimeout;
+  net::HttpCallbacks callbacks;
+  m_asking = true;
+  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
+    m_asking = false;
+    m_generations.Note(m_generations.Of(aResponse), "the quarantine");
+    const bool whole = aResponse.m_end == net::HttpEnd::Complete;
+    const StoreAnswer answer =
+      whole ? m_node.m_dialect.m_readStoreAnswer(aResponse)
+            : StoreAnswer(relay::ReadFailed{ "no whole answer" });
+    const auto* page = std::get_if<StorePage>(&answer);
+    if (page == nullptr) {
+      m_node.m_metrics.Count("quarantine_reads_failed_total");
+      m_storeAgainAt = m_node.Now() + kStoreAgain;
+      return;
+    }
+    for (const relay::FollowedRow& row : page->m_rows) {
+      TakeText(row.m_value, "the store");
+    }
+    m_written = m_quarantine.Fingerprint();
+    NoteKnown("the store");
+  };
+  m_node.m_http->Send(request, std::move(callbacks));
+}
+
+void
+QuarantineShare::WriteStore()
+{
+  const std::uint64_t held = m_quarantine.Fingerprint();
+  // One instance writes for all; where it ends first, the next in order does.
+  if (!m_known || m_writing || held == m_written ||
+      m_node.Now() < m_storeAgainAt || m_node.m_stop.HasBegun() ||
+      m_peers.Rank(kTopic) != 0) {
+    return;
+  }
+  StoreCommit commit;
+  commit.m_table = m_node.m_dialect.m_quarantineTable;
+  commit.m_transaction.m_puts.push_back({ kKey, Text(kMostWritten) });
+  net::HttpRequest request = m_node.m_dialect.m_writeStoreCommit(commit);
+  request.m_address = m_node.m_settings.m_store;
+  request.m_timeout = kStoreTimeout;
+  net::HttpCallbacks callbacks;
+  m_writing = true;
+  callbacks.m_done = [this, held](const net::HttpResponse& aResponse) {
+    m_writing = false;
+    m_generations.Note(m_generations.Of(aResponse), "the quarantine");
+    const bool written = m_node.m_dialect.m_readStoreCommit(aResponse) ==
+                         table::CommitResult::Committed;
+    m_node.m_log->Write(
+      observe::LogLevel::Info,
+      "quarantine-written",
+      { { "written", written },
+        { "held", static_cast<std::int64_t>(m_quarantine.Held()) } });
+    if (written) {
+      m_written = held;
+    } else {
+      m_storeAgainAt = m_node.Now() + kStoreAgain;
+    }
+  };
+  m_node.m_http->Send(request, std::move(callbacks));
+}
+
+} // namespace ridgeferry::entry
