--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -286,14 +286,14 @@
 {
   auto impl = std::make_unique<Impl>(aLoop, aLimits, std::move(aHandler));
   const sockaddr_in address = ToSystem(aAddress);
-  impl->m_listener =
-    evconnlistener_new_bind(aLoop.Base(),
-                            &OnAccepted,
-                            impl.get(),
-                            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-                            kBacklog,
-                            reinterpret_cast<const sockaddr*>(&address),
-                            sizeof(address));
+  impl->m_listener = evconnlistener_new_bind(
+    aLoop.Base(),
+    &OnAccepted,
+    impl.get(),
+    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+    kBacklog,
+    reinterpret_cast<const sockaddr*>(&address),
+    sizeof(address));
   if (impl->m_listener == nullptr) {
     return tl::unexpected(
       NetError{ "listen on " + aAddress.ToString(), std::strerror(errno) });
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -2,13 +2,7 @@
 // processes never take quite the same turns. Seeds that ever failed stay here.
 
 #include "Soak.h"
-#include "SoakInstances.h"
-
-#include "StandIn.h"
-
-#include <csignal>
-#include <fstream>
-#include <gtest/gtest.h>
+#include "InstancesFixture.h"
 
 namespace ridgeferry::soak {
 namespace {
@@ -50,57 +44,13 @@
   ::testing::Values(SeedCase{ 1, "the first one" },
                     SeedCase{ 2, "a read made again was lost as well" }));
 
-/** Two instances with what they need, and no traffic. */
-class SilentStoreTest : public ::testing::Test
+class SilentStoreTest : public InstancesFixture
 {
 protected:
   SilentStoreTest()
-    : m_files(std::filesystem::path(RIDGEFERRY_BUILD_FOLDER) / "soak/silent")
-    , m_loop(net::EventLoop::Make())
-    , m_store(*m_loop)
-    , m_instances(*m_loop,
-                  m_history,
-                  std::filesystem::path(RIDGEFERRY_BUILD_FOLDER) /
-                    "bin/ridgeferry-entry",
-                  m_files)
-  {
-    std::signal(SIGPIPE, SIG_IGN);
-    std::filesystem::remove_all(m_files);
-    std::filesystem::create_directories(m_files);
-  }
-
-  bool RunUntil(const std::function<bool()>& aHolds)
+    : InstancesFixture("silent")
   {
-    bool held = false;
-    const net::Watch poll = m_loop->Every(Duration{ 10 }, [&] {
-      held = aHolds();
-      if (held) {
-        m_loop->Stop();
-      }
-    });
-    const net::Watch guard =
-      m_loop->After(Duration{ 20'000 }, [this] { m_loop->Stop(); });
-    m_loop->Run();
-    return held;
   }
-
-  /** How often a line with that text stands in an instance's log. */
-  std::size_t CountInLog(const std::string& aInstance,
-                         std::string_view aText) const
-  {
-    std::ifstream log(m_files / (aInstance + ".log"));
-    std::size_t count = 0;
-    for (std::string line; std::getline(log, line);) {
-      count += line.find(aText) != std::string::npos ? 1 : 0;
-    }
-    return count;
-  }
-
-  std::filesystem::path m_files;
-  std::unique_ptr<net::EventLoop> m_loop;
-  SoakHistory m_history;
-  adapter::StandInStore m_store;
-  SoakInstances m_instances;
 };
 
 // Seed 2: the read that was made again went over another connection that had
