--- a/packages/entry/src/QuarantineService.cpp
+++ b/packages/entry/src/QuarantineService.cpp
@@ -244,7 +244,7 @@
 {
   m_broken.NoteServed(aSend.m_call);
   std::vector<quarantine::Ending> cleared =
-    m_quarantine.NoteServed(aSend.m_call, m_node.Now());
+    m_quarantine.NoteServed(aSend.m_call);
   if (cleared.empty()) {
     return;
   }
--- a/packages/quarantine/include/ridgeferry/quarantine/Quarantine.h
+++ b/packages/quarantine/include/ridgeferry/quarantine/Quarantine.h
@@ -79,14 +79,15 @@
    * first; calls that are held give way only to others that are. */
   static constexpr std::size_t kMostSuspects = 4096;
   static constexpr std::size_t kMostHeld = 1024;
-  /** Lives kept of one call: what is beyond tells nothing more. */
+  /** Lives kept of one call. One that was cleared gives way to a new end; what
+   * is beyond ends against it tells nothing more. */
   static constexpr std::size_t kMostLives = 8;
 
   /** Takes an ending that was seen here or told. */
   Change Note(const Ending& aEnding, Instant aNow, Duration aAge = {});
   /** The call ran well: its endings that were new to be told as cleared; empty:
    * it was not suspected. */
-  std::vector<Ending> NoteServed(const CallDigest& aCall, Instant aNow);
+  std::vector<Ending> NoteServed(const CallDigest& aCall);
 
   bool IsHeld(const CallDigest& aCall) const;
   /** It is held, and one run at a time of all instances may try it. */
@@ -135,6 +136,8 @@
   static void NoteEnd(Call& aCall, Instant aEndedAt);
   static Change Accuse(Call& aCall, std::uint64_t aLife, Instant aEndedAt);
   static Change Clear(Call& aCall, std::uint64_t aLife, Instant aEndedAt);
+  /** The oldest one that was cleared; false: none was. */
+  static bool ForgetCleared(Call& aCall);
   static Duration KeptFor(const Call& aCall);
   void MakeRoom();
   void ForgetOldest(bool aHeld);
--- a/packages/quarantine/src/Quarantine.cpp
+++ b/packages/quarantine/src/Quarantine.cpp
@@ -54,6 +54,24 @@
                            : Accuse(call, aEnding.m_life, aNow - aAge);
 }
 
+bool
+Quarantine::ForgetCleared(Call& aCall)
+{
+  auto oldest = aCall.m_lives.end();
+  for (auto it = aCall.m_lives.begin(); it != aCall.m_lives.end(); ++it) {
+    const bool older = oldest == aCall.m_lives.end() ||
+                       it->second.m_endedAt < oldest->second.m_endedAt;
+    if (it->second.m_cleared && older) {
+      oldest = it;
+    }
+  }
+  if (oldest == aCall.m_lives.end()) {
+    return false;
+  }
+  aCall.m_lives.erase(oldest);
+  return true;
+}
+
 Change
 Quarantine::Accuse(Call& aCall, std::uint64_t aLife, Instant aEndedAt)
 {
@@ -62,7 +80,7 @@
   }
   const bool held = IsHeld(aCall);
   NoteEnd(aCall, aEndedAt);
-  if (aCall.m_lives.size() >= kMostLives) {
+  if (aCall.m_lives.size() >= kMostLives && !ForgetCleared(aCall)) {
     return Change::None;
   }
   aCall.m_lives.emplace(aLife, Life{ false, aEndedAt });
@@ -86,7 +104,7 @@
 }
 
 std::vector<Ending>
-Quarantine::NoteServed(const CallDigest& aCall, Instant)
+Quarantine::NoteServed(const CallDigest& aCall)
 {
   std::vector<Ending> out;
   const auto found = m_calls.find(aCall);
--- a/packages/quarantine/tests/QuarantineTest.cpp
+++ b/packages/quarantine/tests/QuarantineTest.cpp
@@ -83,13 +83,26 @@
     here.Note({ kCall, life }, At(kMs));
     there.Note({ kCall, life }, At(kMs));
   }
-  for (const Ending& cleared : here.NoteServed(kCall, At(2 * kMs))) {
+  for (const Ending& cleared : here.NoteServed(kCall)) {
     there.Note(cleared, At(2 * kMs));
   }
   EXPECT_FALSE(there.IsHeld(kCall));
   EXPECT_EQ(there.Note({ kCall, 2 }, At(3 * kMs)), Change::None);
   EXPECT_EQ(there.Ends(kCall), 0U);
-  EXPECT_TRUE(here.NoteServed(kCall, At(3 * kMs)).empty());
+  EXPECT_TRUE(here.NoteServed(kCall).empty());
+}
+
+TEST(QuarantineTest, EndsThatWereClearedHideNoLaterOnes)
+{
+  Quarantine quarantine;
+  for (std::uint64_t life = 1; life <= Quarantine::kMostLives; ++life) {
+    quarantine.Note({ kCall, life }, At(kMs));
+    quarantine.NoteServed(kCall);
+  }
+  for (std::uint64_t life = 101; life <= 103; ++life) {
+    quarantine.Note({ kCall, life }, At(kApart * life));
+  }
+  EXPECT_TRUE(quarantine.IsHeld(kCall));
 }
 
 TEST(QuarantineTest, SuspicionsLapseSoonAndHoldsLate)
--- a/packages/quarantine/tests/QuarantineWorldTest.cpp
+++ b/packages/quarantine/tests/QuarantineWorldTest.cpp
@@ -413,7 +413,7 @@
         return false;
       }
       for (const Ending& cleared :
-           m_instances[aRun.m_instance].NoteServed(kDeadly, m_now)) {
+           m_instances[aRun.m_instance].NoteServed(kDeadly)) {
         m_words.push_back({ cleared, m_now + m_load.m_talk });
       }
       return true;
