Tests of a call's life know the reason quarantined

The list of names in RelayFlowTest is by the order of ReplyOwn::Reason, which has a new one in its middle: three cases read too-late for no-answer. Expectations unchanged, one case added.

--- a/packages/relay/tests/RelayFlowTest.cpp
+++ b/packages/relay/tests/RelayFlowTest.cpp
@@ -38,7 +38,7 @@
       [](const BreakOff&) { return std::string("break"); },
       [](const ReplyOwn& aReply) {
         static constexpr const char* kReasons[] = {
-          "no-room", "too-large", "no-answer", "too-late"
+          "no-room", "too-large", "quarantined", "no-answer", "too-late"
         };
         return std::string(kReasons[static_cast<std::size_t>(aReply.m_reason)]);
       },
@@ -100,6 +100,10 @@
               kUnsafe,
               { NoPlace{ {}, NoPlace::Cause::TooLarge } },
               "find too-large" },
+    FlowCase{ "Quarantined",
+              kUnsafe,
+              { NoPlace{ {}, NoPlace::Cause::Quarantined } },
+              "find quarantined" },
     FlowCase{ "NoPlaceIsNotRun",
               kUnsafe,
               { NoPlace{ Duration{ 50 } } },
