--- a/packages/entry/src/QuarantineService.cpp
+++ b/packages/entry/src/QuarantineService.cpp
@@ -19,7 +19,8 @@
 /** A broken send is probed again in this time if the first probe met nothing.
  */
 constexpr Duration kProbeAgain{ 500 };
-/** Longest time in which it takes no calls for want of that knowledge. */
+/** Longest time at a start in which no calls are taken as it is not known which
+ * ones the others hold. */
 constexpr Duration kLongestAsk{ 2000 };
 
 std::string_view
