--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -31,6 +31,8 @@
   std::optional<Duration> m_deadline;
   std::optional<relay::Prompt> m_prompt;
   std::string m_caller; ///< The caller's credentials; empty if it sent none.
+  /** The API key in the credentials; empty if they hold none. */
+  std::string m_key;
 };
 
 /** What one request to an upstream carries in addition to the caller's request.
@@ -41,6 +43,10 @@
   std::string m_upstream;
   Duration m_left{}; ///< Time left until the caller's deadline.
   int m_priority = 0;
+  /** Organisation on whose behalf the call runs; empty if there is none. */
+  std::string m_organisation;
+  /** The caller's credentials are not passed on. */
+  bool m_hidesCredentials = false;
   /** If true, the engine prefills the prompt and caches the result, but does
    * not decode. */
   bool m_readOnly = false;
@@ -76,6 +82,8 @@
   /** Version of the table within the generation that the answer names. */
   std::uint64_t m_version = 0;
   bool m_hasMore = false;
+  /** Reading of the store's steady clock when it made the answer. */
+  std::optional<Duration> m_clock = {};
 };
 
 /** A transaction on one table of the store: it changes all its rows or none. */
--- a/packages/entry/include/ridgeferry/entry/EntrySettings.h
+++ b/packages/entry/include/ridgeferry/entry/EntrySettings.h
@@ -2,6 +2,7 @@
 
 #include <ridgeferry/base/SettingsError.h>
 #include <ridgeferry/base/Time.h>
+#include <ridgeferry/keys/KeyCheck.h>
 #include <ridgeferry/net/Address.h>
 #include <string>
 #include <string_view>
@@ -44,6 +45,8 @@
    * and the first order of the instance that succeeds it as holder of the
    * lease that permits orders. */
   Duration m_orderTurn{ 3000 };
+  /** How old the configuration may be for decisions on callers' keys. */
+  keys::KeyRules m_keys;
   /** Whether calls during which upstreams crash are quarantined, that is, sent
    * to no further upstream. */
   bool m_quarantines = true;
--- /dev/null
+++ b/packages/entry/src/ConfigFreshness.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "EntryNode.h"
+#include "PeerRows.h"
+#include "StoreReader.h"
+
+#include <ridgeferry/freshness/ProvenAge.h>
+#include <ridgeferry/keys/KeyCheck.h>
+
+namespace ridgeferry::entry {
+
+/** Knows how old the configuration in force is proven to be, and decides with
+ * that age whether calls may run by their keys. The proofs come from this
+ * instance's reads of the store and from heartbeats of its peers. Not
+ * thread-safe. */
+class ConfigFreshness
+{
+public:
+  /** The arguments must outlive this object. */
+  ConfigFreshness(EntryNode& aNode,
+                  const Peers& aPeers,
+                  PeerRows& aRows,
+                  StoreReader& aConfig);
+
+  void Start();
+  /** Handles what a peer reports of its reads of the store. */
+  void NotePeer(const membership::StoreView& aView);
+  /** Returns the proof for peers; std::nullopt if there is none. */
+  std::optional<freshness::TableProof> Proof() const;
+  /** Returns the proven age of the configuration; std::nullopt if nothing is
+   * proven. */
+  std::optional<Duration> Age() const;
+  /** Returns whether calls may be sent to upstreams by their keys now. */
+  bool AllowsKeys() const;
+  /** Precondition: a configuration is in force. */
+  keys::KeyVerdict CheckKey(std::string_view aKey, bool aIsPublicRoute) const;
+  const freshness::StoreClock& Clock() const { return m_age.Clock(); }
+
+private:
+  void Tick();
+
+  EntryNode& m_node;
+  const Peers& m_peers;
+  PeerRows& m_rows;
+  StoreReader& m_config;
+  freshness::ProvenAge m_age;
+  net::Watch m_tick;
+};
+
+} // namespace ridgeferry::entry
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -1,5 +1,6 @@
 #include "ridgeferry/entry/Entry.h"
 
+#include "ConfigFreshness.h"
 #include "PeerRows.h"
 #include "Peers.h"
 #include "QuarantineService.h"
@@ -76,6 +77,7 @@
   std::unique_ptr<PeerRows> m_peerRows;
   std::unique_ptr<StoreReader> m_config;
   std::unique_ptr<StoreReader> m_members;
+  std::unique_ptr<ConfigFreshness> m_freshness;
   std::unique_ptr<QuarantineService> m_quarantine;
   std::unique_ptr<Relay> m_relay;
   std::unique_ptr<RoleReconciler> m_roleReconciler;
@@ -401,7 +403,8 @@
            members.ChangedPosition(),
            config.IsLost() || members.IsLost(),
            members.IsSteady(m_node.Now()),
-           members.ReadsFor(m_node.Now()) };
+           members.ReadsFor(m_node.Now()),
+           m_freshness->Proof() };
 }
 
 void
@@ -459,6 +462,7 @@
   m_node.m_settings.m_store = loaded->m_store;
   m_node.m_settings.m_stopGrace = loaded->m_stopGrace;
   m_node.m_settings.m_retries = loaded->m_retries;
+  m_node.m_settings.m_keys = loaded->m_keys;
   m_node.m_log->Write(observe::LogLevel::Info, "settings-reloaded");
 }
 
@@ -526,7 +530,9 @@
                                             m_node.m_dialect.m_memberTable);
   m_quarantine = std::make_unique<QuarantineService>(
     m_node, m_generations, *m_peers, *m_peerRows);
-  m_relay = std::make_unique<Relay>(m_node, *m_quarantine);
+  m_freshness =
+    std::make_unique<ConfigFreshness>(m_node, *m_peers, *m_peerRows, *m_config);
+  m_relay = std::make_unique<Relay>(m_node, *m_quarantine, *m_freshness);
   m_roleReconciler =
     std::make_unique<RoleReconciler>(m_node, m_generations, *m_peers);
   if (auto started = m_relay->Start(); !started) {
@@ -559,6 +565,11 @@
   m_metrics = std::move(*metrics);
   m_config->SignalRows().connect(
     [this](const relay::ApplyRows& aRows) { TakeConfig(aRows); });
+  m_freshness->Start();
+  m_config->SignalProved().connect(
+    [this](const freshness::StoreMoment&, Instant) {
+      m_peers->SetStoreView(StoreView());
+    });
   m_members->SignalRows().connect(
     [this](const relay::ApplyRows& aRows) { TakeMembers(aRows); });
   m_peers->SignalLeaving().connect(
@@ -573,6 +584,7 @@
     [this](const membership::StoreView& aView) {
       m_config->NotePeer(aView.m_config, aView);
       m_members->NotePeer(aView.m_members, aView);
+      m_freshness->NotePeer(aView);
     });
   WatchSignals();
   m_tick = m_node.m_loop->Every(kTick, [this] { Tick(); });
--- a/packages/entry/src/EntrySettings.cpp
+++ b/packages/entry/src/EntrySettings.cpp
@@ -14,6 +14,7 @@
 constexpr double kMostFloor = 1e6;
 constexpr double kLongestWindowS = 3600;
 constexpr std::int64_t kLongestTurnMs = 3'600'000;
+constexpr std::int64_t kLongestKeyBoundMs = 3'600'000;
 constexpr double kMsPerSecond = 1000;
 
 net::Address
@@ -72,6 +73,19 @@
   aRetries.RejectUnknown();
 }
 
+void
+ReadKeys(FieldReader& aKeys, EntrySettings& aSettings)
+{
+  keys::KeyRules& rules = aSettings.m_keys;
+  if (aKeys.Has("revocationMs")) {
+    rules.m_revocation =
+      Duration(aKeys.RequiredInt("revocationMs", 1, kLongestKeyBoundMs));
+  }
+  rules.m_configApply = Duration(aKeys.OptionalInt(
+    "configApplyMs", rules.m_configApply.count(), 1, kLongestKeyBoundMs));
+  aKeys.RejectUnknown();
+}
+
 } // namespace
 
 tl::expected<EntrySettings, SettingsError>
@@ -100,6 +114,7 @@
     "orderTurnMs", out.m_orderTurn.count(), 1, kLongestTurnMs));
   reader.Object("retries",
                 [&](FieldReader& aRetries) { ReadRetries(aRetries, out); });
+  reader.Object("keys", [&](FieldReader& aKeys) { ReadKeys(aKeys, out); });
   reader.Object("quarantine", [&](FieldReader& aQuarantine) {
     out.m_quarantines = aQuarantine.OptionalBool("enabled", out.m_quarantines);
     aQuarantine.RejectUnknown();
--- a/packages/entry/src/PeerRows.cpp
+++ b/packages/entry/src/PeerRows.cpp
@@ -1,5 +1,6 @@
 #include "PeerRows.h"
 
+#include <limits>
 #include <ridgeferry/protocol/Messages.h>
 
 namespace ridgeferry::entry {
@@ -78,26 +79,39 @@
     return;
   }
   m_node.m_metrics.Count("peer_rows_served_total");
-  aExchange.Reply(kOk, {}, protocol::Encode(source->second(request->m_after)));
+  aExchange.Reply(
+    kOk,
+    {},
+    protocol::Encode(protocol::RowsReply{
+      source->second(request->m_after), m_clock ? m_clock() : std::nullopt }));
 }
 
 std::optional<relay::TableSlice>
-PeerRows::Decode(const net::HttpResponse& aResponse)
+PeerRows::Decode(const net::HttpResponse& aResponse, Instant aAsked)
 {
   if (aResponse.m_end != net::HttpEnd::Complete ||
       aResponse.m_head.m_status != kOk) {
     m_node.m_metrics.Count("peer_rows_failed_total");
     return std::nullopt;
   }
-  auto slice = protocol::DecodeTableSlice(aResponse.m_body);
-  if (!slice) {
+  auto reply = protocol::DecodeRowsReply(aResponse.m_body);
+  if (!reply) {
     m_node.m_metrics.Count("peer_rows_failed_total");
     m_node.m_log->Write(observe::LogLevel::Warning,
                         "peer-rows-rejected",
-                        { { "cause", slice.error().m_cause } });
+                        { { "cause", reply.error().m_cause } });
     return std::nullopt;
   }
-  return std::move(*slice);
+  if (reply->m_latestClock) {
+    m_clockRead.emit(*reply->m_latestClock, aAsked);
+  }
+  return std::move(reply->m_slice);
+}
+
+void
+PeerRows::ServeClock(Clock aClock)
+{
+  m_clock = std::move(aClock);
 }
 
 void
@@ -111,6 +125,18 @@
   AskPeer(*peer, NameOf(aTable), aAfter, aAnswered);
 }
 
+void
+PeerRows::AskClock(const std::string& aPeer, StoreGeneration aGeneration)
+{
+  // No change lies behind the last version, so the answer has no rows.
+  const StorePosition last{ aGeneration,
+                            std::numeric_limits<std::int64_t>::max() };
+  AskPeer(aPeer,
+          NameOf(Table::Config),
+          last,
+          [](const std::optional<relay::TableSlice>&) {});
+}
+
 void
 PeerRows::AskPeer(const std::string& aPeer,
                   const std::string& aName,
@@ -130,8 +156,9 @@
   request.m_keepIdle = 0;
   m_node.m_metrics.Count("peer_rows_asked_total");
   net::HttpCallbacks callbacks;
-  callbacks.m_done = [this, aAnswered](const net::HttpResponse& aResponse) {
-    aAnswered(Decode(aResponse));
+  callbacks.m_done = [this, aAnswered, asked = m_node.Now()](
+                       const net::HttpResponse& aResponse) {
+    aAnswered(Decode(aResponse, asked));
   };
   m_node.m_http->Send(request, std::move(callbacks));
 }
--- a/packages/entry/src/PeerRows.h
+++ b/packages/entry/src/PeerRows.h
@@ -3,6 +3,7 @@
 #include "Peers.h"
 
 #include <map>
+#include <ridgeferry/freshness/StoreClock.h>
 #include <ridgeferry/net/HttpServer.h>
 #include <ridgeferry/relay/FollowedTable.h>
 
@@ -18,6 +19,9 @@
   /** Returns the rows of a table that this instance has read and that changed
    * after the given position, to answer the request of a peer. */
   using Source = sigc::slot<relay::TableSlice(StorePosition)>;
+  /** Returns the latest reading that the store's clock can show at present;
+   * std::nullopt if it is not known. */
+  using Clock = sigc::slot<std::optional<freshness::StoreMoment>()>;
   /** Receives the peer's answer; std::nullopt if no peer answered or the answer
    * was invalid. */
   using Answered = sigc::slot<void(std::optional<relay::TableSlice>)>;
@@ -35,6 +39,14 @@
    * data that instances exchange and that is not a table followed from the
    * store. */
   void Serve(const std::string& aName, Source aSource);
+  /** Sends what `aClock` returns with each answer to a peer. */
+  void ServeClock(Clock aClock);
+  /** Emitted with the reading of the store's clock that came with a peer's
+   * answer, and the instant at which the peer was asked. */
+  sigc::signal<void(const freshness::StoreMoment&, Instant)>& SignalClockRead()
+  {
+    return m_clockRead;
+  }
   /** Requests the changes of a table after the position `aAfter` from a peer
    * that has read such changes. Calls `aAnswered` exactly once, also on
    * failure, and never before this function returns. */
@@ -48,14 +60,22 @@
                StorePosition aAfter,
                const Answered& aAnswered);
 
+  /** Requests only a reading of the store's clock from the peer at `aPeer`,
+   * which arrives by `SignalClockRead`. `aGeneration` is the present generation
+   * of the store. */
+  void AskClock(const std::string& aPeer, StoreGeneration aGeneration);
+
 private:
   void Answer(net::HttpExchange& aExchange);
-  std::optional<relay::TableSlice> Decode(const net::HttpResponse& aResponse);
+  std::optional<relay::TableSlice> Decode(const net::HttpResponse& aResponse,
+                                          Instant aAsked);
 
   EntryNode& m_node;
   const Peers& m_peers;
   /** Sources by the name under which peers request them. */
   std::map<std::string, Source, std::less<>> m_sources;
+  Clock m_clock;
+  sigc::signal<void(const freshness::StoreMoment&, Instant)> m_clockRead;
   std::unique_ptr<net::HttpServer> m_server;
 };
 
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -55,6 +55,10 @@
   Duration AnnouncementTime() const;
   /** Sends a heartbeat of this instance to all live instances at once. */
   void SendToAll();
+  /** Returns IP:PORT of a random live instance for which `aIs` returns true;
+   * std::nullopt if there is none. */
+  std::optional<std::string> PickPeer(
+    const std::function<bool(const membership::Heartbeat&)>& aIs) const;
   /** Returns IP:PORT of a live instance whose fingerprint of quarantined calls
    * differs from `aHeldCalls`; std::nullopt if there is none. */
   std::optional<std::string> PickPeerWithOtherQuarantine(
@@ -125,10 +129,6 @@
   void TellStoreView(membership::StoreView aView);
   void Handle(const membership::RosterEvent& aEvent);
   void OnDatagram(std::string_view aBytes);
-  /** Returns IP:PORT of a random live instance for which `aIs` returns true;
-   * std::nullopt if there is none. */
-  std::optional<std::string> PickPeer(
-    const std::function<bool(const membership::Heartbeat&)>& aIs) const;
   void SendTo(const std::set<std::string>& aAddresses);
   /** Builds the heartbeat of this instance without loads. */
   membership::Heartbeat OwnHeartbeat() const;
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 /** Retry-After of the 503 answers that this instance gives while it starts or
@@ -24,6 +25,7 @@
  * window (see `RetryBounds::m_floor`). An instance that has just started
  * does not know yet how many instances share the floor. */
 constexpr double kMostFloor = 2;
+
 /** Smallest difference between two deadlines of a route that counts as time
  * spent in an earlier attempt. All callers of a route have the same time limit,
  * so a call that arrives with less time has been sent before. Differences below
@@ -32,9 +34,12 @@
 
 } // namespace
 
-Relay::Relay(EntryNode& aNode, QuarantineService& aQuarantine)
+Relay::Relay(EntryNode& aNode,
+             QuarantineService& aQuarantine,
+             const ConfigFreshness& aFreshness)
   : m_node(aNode)
   , m_quarantine(aQuarantine)
+  , m_freshness(aFreshness)
 {
 }
 
@@ -163,25 +168,37 @@
     Refuse(*aExchange, head, kNotFound, "no-route");
     return;
   }
+  const keys::KeyVerdict verdict =
+    m_freshness.CheckKey(head.m_key, route->m_isPublic);
+  const auto* accepted = std::get_if<keys::KeyAccepted>(&verdict);
+  if (accepted == nullptr) {
+    RefuseKey(*aExchange, head, verdict);
+    return;
+  }
+  const bool usesKeys = !m_node.m_routes->Organisations().IsEmpty();
   std::uniform_real_distribution<double> unit(0, 1);
   const std::string& service =
     relay::RouteTable::Draw(*route, unit(m_node.m_random));
   const Duration earlierWait = NoteDeadline(route->m_name, head.m_deadline);
   auto kind = KindOf(route->m_name, head.m_prompt);
   const std::uint64_t id = ++m_lastCall;
-  auto call =
-    std::make_unique<RelayCall>(m_node,
-                                RelayCallStart{ aExchange,
-                                                std::move(head),
-                                                m_node.m_routes,
-                                                route,
-                                                service,
-                                                std::move(kind),
-                                                earlierWait,
-                                                MovedTokensPerMs(service),
-                                                ConnectionsOf(service),
-                                                &BudgetOf(service),
-                                                &m_quarantine });
+  auto call = std::make_unique<RelayCall>(
+    m_node,
+    RelayCallStart{ aExchange,
+                    std::move(head),
+                    m_node.m_routes,
+                    route,
+                    service,
+                    std::move(kind),
+                    earlierWait,
+                    MovedTokensPerMs(service),
+                    ConnectionsOf(service),
+                    &BudgetOf(service),
+                    &m_quarantine,
+                    &m_freshness,
+                    accepted->m_organisation,
+                    usesKeys,
+                    usesKeys && !route->m_isPublic });
   RelayCall& started = *call;
   m_calls.emplace(id, std::move(call));
   started.SignalDone().connect([this, id] {
@@ -230,4 +247,26 @@
     { aStatus, aCode, "not-run", helpsLater ? kOtherRetryAfter : Duration{} });
 }
 
+void
+Relay::RefuseKey(net::HttpExchange& aExchange,
+                 const CallHead& aHead,
+                 const keys::KeyVerdict& aVerdict)
+{
+  const bool isUnknown = std::holds_alternative<keys::KeyUnknown>(aVerdict);
+  const std::optional<Duration> age = m_freshness.Age();
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "key-refused",
+    { { "id", aHead.m_id },
+      { "cause",
+        isUnknown ? "unknown key" : "configuration may be out of date" },
+      { "config", static_cast<std::int64_t>(m_node.m_routes->Version()) },
+      { "provenAgeMs", age ? age->count() : std::int64_t{ -1 } } });
+  if (isUnknown) {
+    Refuse(aExchange, aHead, kUnauthorized, "unknown-key");
+  } else {
+    Refuse(aExchange, aHead, kUnavailable, "configuration-not-fresh");
+  }
+}
+
 } // namespace ridgeferry::entry
--- a/packages/entry/src/Relay.h
+++ b/packages/entry/src/Relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ConfigFreshness.h"
 #include "EntryNode.h"
 #include "RelayCall.h"
 
@@ -19,8 +20,10 @@
 class Relay
 {
 public:
-  /** Precondition: both arguments outlive this object. */
-  Relay(EntryNode& aNode, QuarantineService& aQuarantine);
+  /** Precondition: the arguments outlive this object. */
+  Relay(EntryNode& aNode,
+        QuarantineService& aQuarantine,
+        const ConfigFreshness& aFreshness);
 
   tl::expected<void, net::NetError> Start();
   /** Applies the limits on callers' requests from the present configuration,
@@ -41,6 +44,10 @@
               const CallHead& aHead,
               int aStatus,
               std::string_view aCode);
+  /** Answers a call that may not run by its key. */
+  void RefuseKey(net::HttpExchange& aExchange,
+                 const CallHead& aHead,
+                 const keys::KeyVerdict& aVerdict);
   void Remove(std::uint64_t aCall);
   /** Returns how long the caller has waited in earlier attempts of the same
    * call: the longest deadline seen on the route less `aDeadline`. Returns 0 if
@@ -60,6 +67,7 @@
 
   EntryNode& m_node;
   QuarantineService& m_quarantine;
+  const ConfigFreshness& m_freshness;
   std::unique_ptr<net::HttpServer> m_server;
   std::uint64_t m_lastCall = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -176,6 +176,10 @@
     Handle(relay::NoPlace{ *held, relay::NoPlace::Cause::Quarantined });
     return;
   }
+  if (!MayRunByKey()) {
+    Handle(relay::NoPlace{ relay::RelayFlow::kRetryAfter });
+    return;
+  }
   relay::PlaceRequest request;
   request.m_service = m_start.m_service;
   request.m_dataCentre = m_node.m_settings.m_dataCentre;
@@ -230,6 +234,36 @@
   }
 }
 
+bool
+RelayCall::MayRunByKey() const
+{
+  if (!m_start.m_needsKey || m_start.m_freshness->AllowsKeys()) {
+    return true;
+  }
+  const std::optional<Duration> age = m_start.m_freshness->Age();
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "key-refused",
+    { { "id", m_start.m_head.m_id },
+      { "cause", "configuration may be out of date" },
+      { "organisation", m_start.m_organisation->m_name },
+      { "config", static_cast<std::int64_t>(m_start.m_routes->Version()) },
+      { "provenAgeMs", age ? age->count() : std::int64_t{ -1 } } });
+  return false;
+}
+
+int
+RelayCall::Priority() const
+{
+  if (m_place.m_late) {
+    return kLatePriority;
+  }
+  const keys::Organisation* organisation = m_start.m_organisation;
+  return organisation != nullptr && organisation->m_priority
+           ? *organisation->m_priority
+           : m_start.m_route->m_priority;
+}
+
 void
 RelayCall::LogNoPlace(const relay::PlaceFault& aFault) const
 {
@@ -293,10 +327,12 @@
     NoteRepeat();
   }
   const relay::Member* member = m_node.m_fleet.Find(aAction.m_upstream);
-  if (member == nullptr || member->m_leaving || QuarantineTimeLeft()) {
-    // While another engine prefilled the prompt, the upstream left, or the call
-    // was quarantined because upstreams crashed during it. Nothing has been
-    // sent to this upstream, so the attempt counts as unsent.
+  if (member == nullptr || member->m_leaving || QuarantineTimeLeft() ||
+      !MayRunByKey()) {
+    // While another engine prefilled the prompt, the upstream left, the call
+    // was quarantined because upstreams crashed during it, or the configuration
+    // became too old. Nothing has been sent to this upstream, so the attempt
+    // counts as unsent.
     m_attempt = {};
     m_attempt.m_id = aAction.m_attempt;
     m_attempt.m_upstream = aAction.m_upstream;
@@ -340,8 +376,11 @@
   aTerms.m_address = aMember.m_address;
   aTerms.m_upstream = aMember.m_id;
   aTerms.m_left = Left();
-  aTerms.m_priority =
-    m_place.m_late ? kLatePriority : m_start.m_route->m_priority;
+  aTerms.m_priority = Priority();
+  aTerms.m_hidesCredentials = m_start.m_hidesCredentials;
+  if (m_start.m_organisation != nullptr) {
+    aTerms.m_organisation = m_start.m_organisation->m_name;
+  }
   net::HttpRequest request =
     m_node.m_dialect.m_writeSend(m_start.m_exchange->Request(), aTerms);
   request.m_timeout = aTerms.m_left;
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ConfigFreshness.h"
 #include "EntryNode.h"
 #include "PromptOutcome.h"
 #include "QuarantineService.h"
@@ -39,6 +40,15 @@
   relay::RetryBudget* m_budget = nullptr;
   /** Must outlive the call. */
   QuarantineService* m_quarantine = nullptr;
+  /** Must outlive the call. */
+  const ConfigFreshness* m_freshness = nullptr;
+  /** Organisation on whose behalf the call runs, held by `m_routes`; null if
+   * there is none. */
+  const keys::Organisation* m_organisation = nullptr;
+  /** The caller's credentials are not passed on. */
+  bool m_hidesCredentials = false;
+  /** The call may only run by its key. */
+  bool m_needsKey = false;
 };
 
 /** Executes the actions that a `RelayFlow` decides for one call: placement,
@@ -118,6 +128,11 @@
    * refused connection, or one that broke before the answer was complete. */
   void NoteConnection(const net::HttpResponse& aResponse);
   void LogQuarantined(Duration aFor);
+  /** Returns whether the call may be sent to an upstream by its key. A call
+   * that may not is logged. */
+  bool MayRunByKey() const;
+  /** Returns the priority that the upstream is told. */
+  int Priority() const;
   void LogNoPlace(const relay::PlaceFault& aFault) const;
   /** Returns the number of tokens of the prompt, or 0 without a prompt. */
   std::int64_t PromptTokens() const;
--- a/packages/entry/src/RelayCallAnswer.cpp
+++ b/packages/entry/src/RelayCallAnswer.cpp
@@ -147,6 +147,9 @@
       { "status", std::int64_t{ aStatus } },
       { "route", m_start.m_route->m_name },
       { "service", m_start.m_service },
+      { "organisation",
+        m_start.m_organisation == nullptr ? std::string()
+                                          : m_start.m_organisation->m_name },
       { "tried", m_path },
       { "runs", std::int64_t{ m_flow.Runs() } },
       { "lastEvent", m_flow.LastEventId() },
--- a/packages/entry/src/StoreReader.cpp
+++ b/packages/entry/src/StoreReader.cpp
@@ -107,9 +107,10 @@
   request.m_connectTimeout = relay::TableFollower::kResponseMargin;
   request.m_fresh = m_needsFreshConnection;
   net::HttpCallbacks callbacks;
-  callbacks.m_done = [this, aRead](const net::HttpResponse& aResponse) {
-    TakeAnswer(aRead, aResponse);
-  };
+  callbacks.m_done =
+    [this, aRead, asked = m_node.Now()](const net::HttpResponse& aResponse) {
+      TakeAnswer(aRead, asked, aResponse);
+    };
   m_call = m_node.m_http->Send(request, std::move(callbacks));
 }
 
@@ -173,6 +174,7 @@
 
 void
 StoreReader::TakeAnswer(const StoreRead& aRead,
+                        Instant aAsked,
                         const net::HttpResponse& aResponse)
 {
   m_needsFreshConnection = aResponse.m_end != net::HttpEnd::Complete;
@@ -184,33 +186,37 @@
   }
   const StoreGeneration generation = m_generations.Of(aResponse);
   StoreAnswer answer = m_node.m_dialect.m_readStoreAnswer(aResponse);
-  std::visit(
-    Overloaded{
-      [&](StorePage& aPage) { TakePage(aRead, std::move(aPage), generation); },
-      [&](const StoreHistoryLost&) {
-        Handle(relay::HistoryLost{ generation });
-      },
-      [&](const relay::ReadFailed& aFailed) { Handle(aFailed); },
-    },
-    answer);
+  std::visit(Overloaded{
+               [&](StorePage& aPage) {
+                 TakePage(aRead, aAsked, std::move(aPage), generation);
+               },
+               [&](const StoreHistoryLost&) {
+                 Handle(relay::HistoryLost{ generation });
+               },
+               [&](const relay::ReadFailed& aFailed) { Handle(aFailed); },
+             },
+             answer);
   m_generations.Note(generation, "a read of " + m_table);
 }
 
 void
 StoreReader::TakePage(const StoreRead& aRead,
+                      Instant aAsked,
                       StorePage aPage,
                       StoreGeneration aGeneration)
 {
   const StorePosition position{ aGeneration, aPage.m_version };
+  const Evidence evidence{ position, aPage.m_clock, aAsked };
   if (aRead.m_after) {
     Handle(relay::ChangesRead{ std::move(aPage.m_rows), position });
+    NoteProof(evidence);
     return;
   }
   if (aRead.m_fromKey.empty()) {
     // The position of the first page counts: later pages may be newer, and the
     // changes since the first page are read again.
-    m_pagesPosition = position;
-  } else if (aGeneration != m_pagesPosition.m_generation) {
+    m_firstPage = evidence;
+  } else if (aGeneration != m_firstPage.m_position.m_generation) {
     // The earlier pages belong to another generation, so the read starts again
     // at the first page.
     m_pages.clear();
@@ -224,8 +230,19 @@
     ReadNextPage();
     return;
   }
-  Handle(relay::TableRead{ std::move(m_pages), m_pagesPosition });
+  Handle(relay::TableRead{ std::move(m_pages), m_firstPage.m_position });
   m_pages.clear();
+  NoteProof(m_firstPage);
+}
+
+void
+StoreReader::NoteProof(const Evidence& aEvidence)
+{
+  const StorePosition held = m_follower.Position();
+  if (aEvidence.m_clock && held >= aEvidence.m_position &&
+      held.m_generation == aEvidence.m_position.m_generation) {
+    m_proved.emit({ held.m_generation, *aEvidence.m_clock }, aEvidence.m_asked);
+  }
 }
 
 void
--- a/packages/entry/src/StoreReader.h
+++ b/packages/entry/src/StoreReader.h
@@ -3,6 +3,7 @@
 #include "PeerRows.h"
 #include "StoreGenerations.h"
 
+#include <ridgeferry/freshness/StoreClock.h>
 #include <ridgeferry/membership/Roster.h>
 #include <ridgeferry/relay/TableFollower.h>
 #include <sigc++/sigc++.h>
@@ -37,6 +38,14 @@
    * instances other than this one. */
   void NotePeersListed(bool aAny);
   sigc::signal<void(const relay::ApplyRows&)>& SignalRows() { return m_rows; }
+  /** Emitted after the rows of an answer were applied, so that the table holds
+   * all that the store had acknowledged when it made the answer: with the
+   * answer's reading of the store's clock, and the instant at which the read
+   * was sent. */
+  sigc::signal<void(const freshness::StoreMoment&, Instant)>& SignalProved()
+  {
+    return m_proved;
+  }
 
 private:
   void Handle(const relay::FollowEvent& aEvent);
@@ -54,10 +63,22 @@
   void Send(const StoreRead& aRead, Duration aTimeout);
   void ReadPage(std::string aFromKey);
   void ReadNextPage();
-  void TakeAnswer(const StoreRead& aRead, const net::HttpResponse& aResponse);
+  void TakeAnswer(const StoreRead& aRead,
+                  Instant aAsked,
+                  const net::HttpResponse& aResponse);
   void TakePage(const StoreRead& aRead,
+                Instant aAsked,
                 StorePage aPage,
                 StoreGeneration aGeneration);
+  /** What an answer can prove once its rows are applied. */
+  struct Evidence
+  {
+    StorePosition m_position;
+    std::optional<Duration> m_clock;
+    Instant m_asked;
+  };
+  /** Emits `SignalProved` if the table holds all that the answer told. */
+  void NoteProof(const Evidence& aEvidence);
   void LogCopyRead(const relay::ApplyRows& aRows);
 
   EntryNode& m_node;
@@ -70,15 +91,16 @@
    * where it stopped. */
   std::vector<relay::FollowedRow> m_pages;
   Instant m_pagesSince;
-  StorePosition m_pagesPosition; ///< Store position of the first page.
-  Duration m_pageTimeout{};      ///< Time-out for each page.
-  net::HttpCallId m_call = 0;    ///< Id of the HTTP call that reads the store.
+  Evidence m_firstPage;       ///< What the first page tells of the store.
+  Duration m_pageTimeout{};   ///< Time-out for each page.
+  net::HttpCallId m_call = 0; ///< Id of the HTTP call that reads the store.
   /** True if the last read got no answer: other idle connections may be
    * unresponsive too, so the next read uses a fresh one. */
   bool m_needsFreshConnection = false;
   net::Watch m_retry;
   net::Watch m_ask; ///< Timer until a peer is asked.
   sigc::signal<void(const relay::ApplyRows&)> m_rows;
+  sigc::signal<void(const freshness::StoreMoment&, Instant)> m_proved;
 };
 
 } // namespace ridgeferry::entry
--- /dev/null
+++ b/packages/keys/tests/KeyCheckTest.cpp
@@ -0,0 +1,131 @@
+#include <gtest/gtest.h>
+#include <ridgeferry/keys/KeyCheck.h>
+
+namespace ridgeferry::keys {
+namespace {
+
+constexpr KeyRules kStrict{ Duration{ 5000 }, Duration{ 3000 } };
+constexpr KeyRules kLoose{ std::nullopt, Duration{ 3000 } };
+constexpr Duration kFresh{ 1000 };
+constexpr Duration kRatherOld{ 4000 };
+constexpr Duration kTooOld{ 4900 };
+
+OrganisationDirectory
+Directory()
+{
+  return OrganisationDirectory(
+    { { "first", { DigestOf("a") }, 1 }, { "second", { DigestOf("b") }, {} } });
+}
+
+/** What is left of a verdict for a table of cases. */
+enum class Outcome
+{
+  First,
+  NoOrganisation,
+  Unknown,
+  Undecided,
+};
+
+Outcome
+OutcomeOf(const KeyVerdict& aVerdict)
+{
+  if (const auto* accepted = std::get_if<KeyAccepted>(&aVerdict)) {
+    const Organisation* holder = accepted->m_organisation;
+    EXPECT_TRUE(holder == nullptr || holder->m_name == "first");
+    return holder == nullptr ? Outcome::NoOrganisation : Outcome::First;
+  }
+  return std::holds_alternative<KeyUnknown>(aVerdict) ? Outcome::Unknown
+                                                      : Outcome::Undecided;
+}
+
+struct VerdictCase
+{
+  const char* m_name;
+  KeyRules m_rules;
+  KeyQuestion m_question;
+  Outcome m_outcome;
+};
+
+class KeyCheckTest : public ::testing::TestWithParam<VerdictCase>
+{};
+
+TEST_P(KeyCheckTest, DecidesByKeyRouteAndAge)
+{
+  const OrganisationDirectory directory = Directory();
+  EXPECT_EQ(
+    OutcomeOf(CheckKey(directory, GetParam().m_rules, GetParam().m_question)),
+    GetParam().m_outcome);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Verdicts,
+  KeyCheckTest,
+  ::testing::Values(
+    VerdictCase{ "Known", kStrict, { "a", false, kFresh }, Outcome::First },
+    VerdictCase{ "Other", kStrict, { "x", false, kFresh }, Outcome::Unknown },
+    VerdictCase{ "NoKey", kStrict, { "", false, kFresh }, Outcome::Unknown },
+    // A key that was taken away in the meantime would run here.
+    VerdictCase{ "KnownButOld",
+                 kStrict,
+                 { "a", false, kTooOld },
+                 Outcome::Undecided },
+    VerdictCase{ "KnownNothingProven",
+                 kStrict,
+                 { "a", false, std::nullopt },
+                 Outcome::Undecided },
+    // A key that was added in the meantime would be refused for good here.
+    VerdictCase{ "UnknownButRatherOld",
+                 kStrict,
+                 { "x", false, kRatherOld },
+                 Outcome::Undecided },
+    VerdictCase{ "KnownAndRatherOld",
+                 kStrict,
+                 { "a", false, kRatherOld },
+                 Outcome::First },
+    VerdictCase{ "LooseKnownButOld",
+                 kLoose,
+                 { "a", false, kTooOld },
+                 Outcome::First },
+    VerdictCase{ "LooseKnownNothingProven",
+                 kLoose,
+                 { "a", false, std::nullopt },
+                 Outcome::First },
+    VerdictCase{ "LooseUnknownButOld",
+                 kLoose,
+                 { "x", false, kTooOld },
+                 Outcome::Undecided },
+    VerdictCase{ "PublicWithKey",
+                 kStrict,
+                 { "a", true, kFresh },
+                 Outcome::First },
+    VerdictCase{ "PublicWithKeyButOld",
+                 kStrict,
+                 { "a", true, kTooOld },
+                 Outcome::NoOrganisation },
+    VerdictCase{ "PublicWithoutKey",
+                 kStrict,
+                 { "", true, std::nullopt },
+                 Outcome::NoOrganisation }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+TEST(KeyCheckWithoutOrganisationsTest, NeedsNoKey)
+{
+  const OrganisationDirectory none;
+  EXPECT_EQ(OutcomeOf(CheckKey(none, kStrict, { "", false, std::nullopt })),
+            Outcome::NoOrganisation);
+}
+
+TEST(OrganisationDirectoryTest, AKeyOfTwoBelongsToTheFirst)
+{
+  const OrganisationDirectory both(
+    { { "first", { DigestOf("a") }, {} },
+      { "second", { DigestOf("b"), DigestOf("a") }, {} } });
+  ASSERT_NE(both.FindByKey("a"), nullptr);
+  EXPECT_EQ(both.FindByKey("a")->m_name, "first");
+  EXPECT_EQ(both.FindByKey("b")->m_name, "second");
+  EXPECT_EQ(both.FindByKey("c"), nullptr);
+  EXPECT_EQ(both.FindByKey(""), nullptr);
+}
+
+} // namespace
+} // namespace ridgeferry::keys
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -6,6 +6,7 @@
 #include <ridgeferry/base/StorePosition.h>
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/base/UpstreamIncarnation.h>
+#include <ridgeferry/freshness/ProvenAge.h>
 #include <set>
 #include <span>
 #include <string>
@@ -94,6 +95,11 @@
    * failure; std::nullopt if they fail or if the instance makes no such reads.
    */
   std::optional<Duration> m_readsFor = {};
+  /**
+   * What the instance has proven of the freshness of its configuration;
+   * std::nullopt if nothing.
+   */
+  std::optional<freshness::TableProof> m_configProof = {};
   bool operator==(const StoreView&) const = default;
 };
 
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -165,6 +165,11 @@
   this->heldCalls = val;
 __isset.heldCalls = true;
 }
+
+void Heartbeat::__set_configProvenMs(const int64_t val) {
+  this->configProvenMs = val;
+__isset.configProvenMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -628,6 +633,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 32:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configProvenMs);
+          this->__isset.configProvenMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -927,6 +940,11 @@
     xfer += oprot->writeI64(this->heldCalls);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.configProvenMs) {
+    xfer += oprot->writeFieldBegin("configProvenMs", ::apache::thrift::protocol::T_I64, 32);
+    xfer += oprot->writeI64(this->configProvenMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -965,6 +983,7 @@
   swap(a.endedLives, b.endedLives);
   swap(a.endingsCleared, b.endingsCleared);
   swap(a.heldCalls, b.heldCalls);
+  swap(a.configProvenMs, b.configProvenMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1000,6 +1019,7 @@
   endedLives = other90.endedLives;
   endingsCleared = other90.endingsCleared;
   heldCalls = other90.heldCalls;
+  configProvenMs = other90.configProvenMs;
   __isset = other90.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other91) {
@@ -1034,6 +1054,7 @@
   endedLives = other91.endedLives;
   endingsCleared = other91.endingsCleared;
   heldCalls = other91.heldCalls;
+  configProvenMs = other91.configProvenMs;
   __isset = other91.__isset;
   return *this;
 }
@@ -1071,6 +1092,7 @@
   out << ", " << "endedLives="; (__isset.endedLives ? (out << to_string(endedLives)) : (out << "<null>"));
   out << ", " << "endingsCleared="; (__isset.endingsCleared ? (out << to_string(endingsCleared)) : (out << "<null>"));
   out << ", " << "heldCalls="; (__isset.heldCalls ? (out << to_string(heldCalls)) : (out << "<null>"));
+  out << ", " << "configProvenMs="; (__isset.configProvenMs ? (out << to_string(configProvenMs)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1396,6 +1418,16 @@
   this->generation = val;
 __isset.generation = true;
 }
+
+void RowsReply::__set_latestClockMs(const int64_t val) {
+  this->latestClockMs = val;
+__isset.latestClockMs = true;
+}
+
+void RowsReply::__set_clockGeneration(const int64_t val) {
+  this->clockGeneration = val;
+__isset.clockGeneration = true;
+}
 std::ostream& operator<<(std::ostream& out, const RowsReply& obj)
 {
   obj.printTo(out);
@@ -1471,6 +1503,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->latestClockMs);
+          this->__isset.latestClockMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clockGeneration);
+          this->__isset.clockGeneration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1519,6 +1567,16 @@
     xfer += oprot->writeI64(this->generation);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.latestClockMs) {
+    xfer += oprot->writeFieldBegin("latestClockMs", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->latestClockMs);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.clockGeneration) {
+    xfer += oprot->writeFieldBegin("clockGeneration", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->clockGeneration);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1530,6 +1588,8 @@
   swap(a.whole, b.whole);
   swap(a.rows, b.rows);
   swap(a.generation, b.generation);
+  swap(a.latestClockMs, b.latestClockMs);
+  swap(a.clockGeneration, b.clockGeneration);
   swap(a.__isset, b.__isset);
 }
 
@@ -1538,6 +1598,8 @@
   whole = other102.whole;
   rows = other102.rows;
   generation = other102.generation;
+  latestClockMs = other102.latestClockMs;
+  clockGeneration = other102.clockGeneration;
   __isset = other102.__isset;
 }
 RowsReply& RowsReply::operator=(const RowsReply& other103) {
@@ -1545,6 +1607,8 @@
   whole = other103.whole;
   rows = other103.rows;
   generation = other103.generation;
+  latestClockMs = other103.latestClockMs;
+  clockGeneration = other103.clockGeneration;
   __isset = other103.__isset;
   return *this;
 }
@@ -1555,6 +1619,8 @@
   out << ", " << "whole=" << to_string(whole);
   out << ", " << "rows=" << to_string(rows);
   out << ", " << "generation="; (__isset.generation ? (out << to_string(generation)) : (out << "<null>"));
+  out << ", " << "latestClockMs="; (__isset.latestClockMs ? (out << to_string(latestClockMs)) : (out << "<null>"));
+  out << ", " << "clockGeneration="; (__isset.clockGeneration ? (out << to_string(clockGeneration)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -36,7 +36,7 @@
 class ChangesReply;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false), leavingBorn(false), configGeneration(false), membersGeneration(false), endedCallsHigh(false), endedCallsLow(false), endedLives(false), endingsCleared(false), heldCalls(false) {}
+  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false), leavingBorn(false), configGeneration(false), membersGeneration(false), endedCallsHigh(false), endedCallsLow(false), endedLives(false), endingsCleared(false), heldCalls(false), configProvenMs(false) {}
   bool leavingUpstreams :1;
   bool engines :1;
   bool states :1;
@@ -61,6 +61,7 @@
   bool endedLives :1;
   bool endingsCleared :1;
   bool heldCalls :1;
+  bool configProvenMs :1;
 } _Heartbeat__isset;
 
 /**
@@ -87,7 +88,8 @@
               storeReadsForMs(0),
               configGeneration(0),
               membersGeneration(0),
-              heldCalls(0) {
+              heldCalls(0),
+              configProvenMs(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -177,6 +179,12 @@
    * not know yet.
    */
   int64_t heldCalls;
+  /**
+   * Reading of the store's steady clock, in milliseconds, up to which the
+   * sender's configuration holds all that the store had acknowledged. It belongs
+   * to `configVersion` and `configGeneration`; not set: nothing is proven.
+   */
+  int64_t configProvenMs;
 
   _Heartbeat__isset __isset;
 
@@ -242,6 +250,8 @@
 
   void __set_heldCalls(const int64_t val);
 
+  void __set_configProvenMs(const int64_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -354,6 +364,10 @@
       return false;
     else if (__isset.heldCalls && !(heldCalls == rhs.heldCalls))
       return false;
+    if (__isset.configProvenMs != rhs.__isset.configProvenMs)
+      return false;
+    else if (__isset.configProvenMs && !(configProvenMs == rhs.configProvenMs))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -494,8 +508,10 @@
 std::ostream& operator<<(std::ostream& out, const Row& obj);
 
 typedef struct _RowsReply__isset {
-  _RowsReply__isset() : generation(false) {}
+  _RowsReply__isset() : generation(false), latestClockMs(false), clockGeneration(false) {}
   bool generation :1;
+  bool latestClockMs :1;
+  bool clockGeneration :1;
 } _RowsReply__isset;
 
 /**
@@ -510,7 +526,9 @@
   RowsReply() noexcept
             : version(0),
               whole(0),
-              generation(0) {
+              generation(0),
+              latestClockMs(0),
+              clockGeneration(0) {
   }
 
   virtual ~RowsReply() noexcept;
@@ -521,6 +539,12 @@
    * Generation of the store that all versions here belong to; not set: 0.
    */
   int64_t generation;
+  /**
+   * Latest reading, in milliseconds, that the store's steady clock of generation
+   * `clockGeneration` can have shown when the reply was made; not set: unknown.
+   */
+  int64_t latestClockMs;
+  int64_t clockGeneration;
 
   _RowsReply__isset __isset;
 
@@ -532,6 +556,10 @@
 
   void __set_generation(const int64_t val);
 
+  void __set_latestClockMs(const int64_t val);
+
+  void __set_clockGeneration(const int64_t val);
+
   bool operator == (const RowsReply & rhs) const
   {
     if (!(version == rhs.version))
@@ -544,6 +572,14 @@
       return false;
     else if (__isset.generation && !(generation == rhs.generation))
       return false;
+    if (__isset.latestClockMs != rhs.__isset.latestClockMs)
+      return false;
+    else if (__isset.latestClockMs && !(latestClockMs == rhs.latestClockMs))
+      return false;
+    if (__isset.clockGeneration != rhs.__isset.clockGeneration)
+      return false;
+    else if (__isset.clockGeneration && !(clockGeneration == rhs.clockGeneration))
+      return false;
     return true;
   }
   bool operator != (const RowsReply &rhs) const {
--- a/packages/protocol/include/ridgeferry/protocol/Messages.h
+++ b/packages/protocol/include/ridgeferry/protocol/Messages.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <ridgeferry/config/Change.h>
+#include <ridgeferry/freshness/StoreClock.h>
 #include <ridgeferry/membership/Roster.h>
 #include <ridgeferry/relay/FollowedTable.h>
 #include <string>
@@ -42,6 +43,18 @@
   bool operator==(const RowsRequest&) const = default;
 };
 
+/** Answers a `RowsRequest`. */
+struct RowsReply
+{
+  relay::TableSlice m_slice;
+  /**
+   * Latest reading that the store's steady clock can have shown when the reply
+   * was made; std::nullopt if the peer does not know.
+   */
+  std::optional<freshness::StoreMoment> m_latestClock;
+  bool operator==(const RowsReply&) const = default;
+};
+
 /** All thread-safe. Encoding: Thrift's compact protocol. */
 std::string
 Encode(const membership::Heartbeat& aMessage);
@@ -53,7 +66,7 @@
 std::string
 Encode(const RowsRequest& aMessage);
 std::string
-Encode(const relay::TableSlice& aMessage);
+Encode(const RowsReply& aMessage);
 
 tl::expected<membership::Heartbeat, DecodeError>
 DecodeHeartbeat(std::string_view aBytes);
@@ -64,7 +77,7 @@
 
 tl::expected<RowsRequest, DecodeError>
 DecodeRowsRequest(std::string_view aBytes);
-tl::expected<relay::TableSlice, DecodeError>
-DecodeTableSlice(std::string_view aBytes);
+tl::expected<RowsReply, DecodeError>
+DecodeRowsReply(std::string_view aBytes);
 
 } // namespace ridgeferry::protocol
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -71,6 +71,10 @@
   /** Names the set of calls that the sender holds in quarantine; not set: it does
    * not know yet. */
   31: optional i64 heldCalls;
+  /** Reading of the store's steady clock, in milliseconds, up to which the
+   * sender's configuration holds all that the store had acknowledged. It belongs
+   * to `configVersion` and `configGeneration`; not set: nothing is proven. */
+  32: optional i64 configProvenMs;
 }
 
 /** Asks a peer for what it has read of a table of the store. */
@@ -97,6 +101,10 @@
   3: required list<Row> rows;
   /** Generation of the store that all versions here belong to; not set: 0. */
   4: optional i64 generation;
+  /** Latest reading, in milliseconds, that the store's steady clock of generation
+   * `clockGeneration` can have shown when the reply was made; not set: unknown. */
+  5: optional i64 latestClockMs;
+  6: optional i64 clockGeneration;
 }
 
 /** Asks a peer for the changes after a revision. */
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -197,6 +197,9 @@
     if (store.m_readsFor) {
       out.__set_storeReadsForMs(store.m_readsFor->count());
     }
+    if (store.m_configProof) {
+      out.__set_configProvenMs(store.m_configProof->m_until.m_clock.count());
+    }
   }
   if (!aMessage.m_crashes.empty()) {
     SetEndings(out, aMessage.m_crashes);
@@ -249,14 +252,19 @@
 }
 
 std::string
-Encode(const relay::TableSlice& aMessage)
+Encode(const RowsReply& aMessage)
 {
+  const relay::TableSlice& slice = aMessage.m_slice;
   wire::RowsReply out;
-  out.version = static_cast<std::int64_t>(aMessage.m_position.m_version);
+  out.version = static_cast<std::int64_t>(slice.m_position.m_version);
   out.__set_generation(
-    static_cast<std::int64_t>(aMessage.m_position.m_generation));
-  out.whole = aMessage.m_whole;
-  for (const relay::FollowedRow& row : aMessage.m_rows) {
+    static_cast<std::int64_t>(slice.m_position.m_generation));
+  out.whole = slice.m_whole;
+  if (const auto& clock = aMessage.m_latestClock) {
+    out.__set_latestClockMs(clock->m_clock.count());
+    out.__set_clockGeneration(static_cast<std::int64_t>(clock->m_generation));
+  }
+  for (const relay::FollowedRow& row : slice.m_rows) {
     wire::Row item;
     item.key = row.m_key;
     item.value = row.m_value;
@@ -334,6 +342,12 @@
                     in->__isset.storeReadsForMs
                       ? std::optional(Duration{ in->storeReadsForMs })
                       : std::nullopt };
+    if (in->__isset.configProvenMs) {
+      const StorePosition config = out.m_store->m_config;
+      out.m_store->m_configProof = freshness::TableProof{
+        config, { config.m_generation, Duration{ in->configProvenMs } }
+      };
+    }
   }
   auto endings = EndingsFrom(*in);
   if (!endings) {
@@ -391,21 +405,24 @@
   return RowsRequest{ in->table, PositionOf(in->generation, in->after) };
 }
 
-tl::expected<relay::TableSlice, DecodeError>
-DecodeTableSlice(std::string_view aBytes)
+tl::expected<RowsReply, DecodeError>
+DecodeRowsReply(std::string_view aBytes)
 {
   auto in = Read<wire::RowsReply>(aBytes);
   if (!in) {
     return tl::unexpected(in.error());
   }
-  relay::TableSlice out{ PositionOf(in->generation, in->version),
-                         in->whole,
-                         {} };
+  RowsReply out;
+  out.m_slice = { PositionOf(in->generation, in->version), in->whole, {} };
+  if (in->__isset.latestClockMs && in->clockGeneration >= 0) {
+    out.m_latestClock = { static_cast<StoreGeneration>(in->clockGeneration),
+                          Duration{ in->latestClockMs } };
+  }
   for (wire::Row& row : in->rows) {
-    out.m_rows.push_back({ std::move(row.key),
-                           std::move(row.value),
-                           row.removed,
-                           static_cast<std::uint64_t>(row.version) });
+    out.m_slice.m_rows.push_back({ std::move(row.key),
+                                   std::move(row.value),
+                                   row.removed,
+                                   static_cast<std::uint64_t>(row.version) });
   }
   return out;
 }
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -59,6 +59,13 @@
     if (*rc::gen::arbitrary<bool>()) {
       out.m_store->m_readsFor = Duration{ *rc::gen::inRange(0, 1 << 30) };
     }
+    if (*rc::gen::arbitrary<bool>()) {
+      const StorePosition config = out.m_store->m_config;
+      out.m_store->m_configProof = {
+        config,
+        { config.m_generation, Duration{ *rc::gen::inRange(0, 1 << 30) } }
+      };
+    }
   }
   return out;
 }
@@ -86,7 +93,7 @@
     (void)DecodeChangesRequest(bytes);
     (void)DecodeChangesReply(bytes);
     (void)DecodeRowsRequest(bytes);
-    (void)DecodeTableSlice(bytes);
+    (void)DecodeRowsReply(bytes);
   }));
 }
 
@@ -96,13 +103,16 @@
   const auto asked = DecodeRowsRequest(Encode(request));
   ASSERT_TRUE(asked.has_value());
   EXPECT_EQ(*asked, request);
-  const relay::TableSlice slice{ { 2, 7 },
-                                 true,
-                                 { { "a", std::string("\0\xff", 2), false, 6 },
-                                   { "b", {}, true, 7 } } };
-  const auto answered = DecodeTableSlice(Encode(slice));
+  const RowsReply reply{ { { 2, 7 },
+                           true,
+                           { { "a", std::string("\0\xff", 2), false, 6 },
+                             { "b", {}, true, 7 } } },
+                         freshness::StoreMoment{ 2, Duration{ 1234 } } };
+  const auto answered = DecodeRowsReply(Encode(reply));
   ASSERT_TRUE(answered.has_value());
-  EXPECT_EQ(*answered, slice);
+  EXPECT_EQ(*answered, reply);
+  const RowsReply withoutClock{ reply.m_slice, std::nullopt };
+  EXPECT_EQ(DecodeRowsReply(Encode(withoutClock)), withoutClock);
 }
 
 struct ReplyCase
--- a/packages/relay/include/ridgeferry/relay/Member.h
+++ b/packages/relay/include/ridgeferry/relay/Member.h
@@ -33,6 +33,8 @@
   bool m_leaving = false;
   /** See `UpstreamIncarnation::m_born`. */
   std::optional<std::int64_t> m_born = {};
+  /** The platform may take it away at short notice; it costs less. */
+  bool m_withdrawable = false;
   UpstreamIncarnation Incarnation() const { return { m_id, m_born }; }
   bool operator==(const Member&) const = default;
 };
--- a/packages/relay/include/ridgeferry/relay/Routes.h
+++ b/packages/relay/include/ridgeferry/relay/Routes.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <ridgeferry/base/Time.h>
+#include <ridgeferry/keys/Organisations.h>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -41,6 +42,8 @@
   bool m_resumable = false;
   int m_maxRuns = 1;  ///< Maximum number of runs of one call.
   int m_priority = 0; ///< 0 is the most urgent.
+  /** Calls need no key, also where organisations are declared. */
+  bool m_isPublic = false;
   /** Longest time between the arrival of a call and its final answer. */
   Duration m_maxDuration{};
   /** Target for the time between the arrival of a call and the first byte of
@@ -70,6 +73,20 @@
   Duration m_handleLifetime{};
 };
 
+/** Between which bounds the number of a service's upstreams may be ordered, and
+ * what they cost. */
+struct ScalingTraits
+{
+  std::int64_t m_least = 0; ///< In each data centre, of both kinds together.
+  std::int64_t m_most = 0;  ///< In each data centre, of both kinds together.
+  /** Time from an order until the new upstream serves. */
+  Duration m_bootTime{};
+  /** Price of an upstream that may be withdrawn, relative to another one. */
+  double m_withdrawablePrice = 1;
+  /** Relative price of an upstream by data centre; 1 where none is named. */
+  std::map<std::string, double, std::less<>> m_prices;
+};
+
 struct Service
 {
   std::string m_name;
@@ -77,6 +94,8 @@
   std::int64_t m_maxConnections = 1;
   /** Empty if the service is not an inference engine. */
   std::optional<EngineTraits> m_engine;
+  /** Empty if the number of upstreams cannot be ordered. */
+  std::optional<ScalingTraits> m_scaling = {};
 };
 
 /** Limits on the requests and connections of callers. */
@@ -95,6 +114,8 @@
   std::uint64_t m_version = 0;
   std::vector<Route> m_routes;
   std::vector<Service> m_services;
+  /** Empty if calls need no key. */
+  std::vector<keys::Organisation> m_organisations = {};
   CallerLimits m_limits;
 };
 
@@ -121,6 +142,10 @@
    * `aDraw` is a random number in [0, 1). */
   static const std::string& Draw(const Route& aRoute, double aDraw);
 
+  const keys::OrganisationDirectory& Organisations() const
+  {
+    return m_organisations;
+  }
   std::uint64_t Version() const { return m_config.m_version; }
   const RouteConfig& Config() const { return m_config; }
 
@@ -128,6 +153,7 @@
   void NoteFirstByteTarget(const Route& aRoute);
 
   RouteConfig m_config;
+  keys::OrganisationDirectory m_organisations;
   /** The key is the host followed by the path prefix. */
   std::unordered_map<std::string, const Route*> m_byHostAndPrefix;
   std::map<std::string, const Service*, std::less<>> m_byService;
--- a/packages/relay/src/Routes.cpp
+++ b/packages/relay/src/Routes.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace ridgeferry::relay {
 
@@ -21,6 +22,7 @@
 
 RouteTable::RouteTable(RouteConfig aConfig)
   : m_config(std::move(aConfig))
+  , m_organisations(std::exchange(m_config.m_organisations, {}))
 {
   for (const Route& route : m_config.m_routes) {
     m_byHostAndPrefix[LowerHost(route.m_host) + route.m_pathPrefix] = &route;
