Admission: earlier waits count only where callers' time limits are alike

Cause: the bound on the first token was taken less the time that a caller had waited in earlier attempts, and that time from the route's longest deadline.

Ruled out by the log of one instance: room for output, a full engine, the learned error of the estimate (waitMs and ownMs are right to some ms).

--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -26,12 +26,6 @@
  * does not know yet how many instances share the floor. */
 constexpr double kMostFloor = 2;
 
-/** Smallest difference between two deadlines of a route that counts as time
- * spent in an earlier attempt. All callers of a route have the same time limit,
- * so a call that arrives with less time has been sent before. Differences below
- * 50 ms come from the network and the clocks. */
-constexpr Duration kMinEarlierWait{ 50 };
-
 } // namespace
 
 Relay::Relay(EntryNode& aNode,
@@ -71,7 +65,7 @@
   out.m_idleTimeout = limits.m_idleTimeout;
   m_server->SetLimits(out);
   // Callers of a changed route may have another time limit.
-  m_deadlines.clear();
+  m_timeLimits.clear();
   ForgetOldRoutes();
 }
 
@@ -179,7 +173,9 @@
   std::uniform_real_distribution<double> unit(0, 1);
   const std::string& service =
     relay::RouteTable::Draw(*route, unit(m_node.m_random));
-  const Duration earlierWait = NoteDeadline(route->m_name, head.m_deadline);
+  const Duration earlierWait =
+    head.m_deadline ? m_timeLimits[route->m_name].Note(*head.m_deadline)
+                    : Duration{};
   auto kind = KindOf(route->m_name, head.m_prompt);
   const std::uint64_t id = ++m_lastCall;
   auto call = std::make_unique<RelayCall>(
@@ -208,19 +204,6 @@
   started.Begin();
 }
 
-Duration
-Relay::NoteDeadline(const std::string& aRoute,
-                    std::optional<Duration> aDeadline)
-{
-  if (!aDeadline) {
-    return Duration{};
-  }
-  Duration& most = m_deadlines[aRoute];
-  most = std::max(most, *aDeadline);
-  const Duration earlierWait = most - *aDeadline;
-  return earlierWait >= kMinEarlierWait ? earlierWait : Duration{};
-}
-
 void
 Relay::Remove(std::uint64_t aCall)
 {
--- a/packages/entry/src/Relay.h
+++ b/packages/entry/src/Relay.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <ridgeferry/net/HttpServer.h>
 #include <ridgeferry/relay/CallKind.h>
+#include <ridgeferry/relay/CallerTimeLimit.h>
 #include <unordered_map>
 
 namespace ridgeferry::entry {
@@ -49,11 +50,6 @@
                  const CallHead& aHead,
                  const keys::KeyVerdict& aVerdict);
   void Remove(std::uint64_t aCall);
-  /** Returns how long the caller has waited in earlier attempts of the same
-   * call: the longest deadline seen on the route less `aDeadline`. Returns 0 if
-   * the caller names no deadline or the difference is negligible. */
-  Duration NoteDeadline(const std::string& aRoute,
-                        std::optional<Duration> aDeadline);
   /** Records the prompt in the statistics of its route, and returns them.
    * Returns null if the call has no prompt. */
   std::shared_ptr<relay::CallKind> KindOf(
@@ -73,8 +69,8 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
   /** Retry budgets, by service. */
   std::map<std::string, relay::RetryBudget, std::less<>> m_budgets;
-  /** The longest deadline that callers have named, by route. */
-  std::map<std::string, Duration, std::less<>> m_deadlines;
+  /** What the deadlines of calls tell of their callers, by route. */
+  std::map<std::string, relay::CallerTimeLimit, std::less<>> m_timeLimits;
   /** Statistics of the prompts, by route. */
   std::map<std::string, std::shared_ptr<relay::CallKind>, std::less<>> m_kinds;
 };
