Usage reports: one body a window, by the holder of the lease

Instances count by organisation and window, in true time: the time of day of most instances, compared by the store's steady clock, so that a clock that steps by 2 s moves no call to another window. The holder of the lease asks all for their counts shortly after a window's end, writes the report to one row of the store, reads it back, and sends just that; each write names a later window and is conditional on the row, so a successor finds what may have been sent and sends that very report again. The lease moved out of RoleReconciler to OrderLease: one fencing number for orders and duties.

Ruled out: counts in heartbeats (some 60 KB/s an instance at 83); a row for each window (they would have to be removed, and a late write could bring one back).

--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -11,6 +11,7 @@
 #include <ridgeferry/relay/Routes.h>
 #include <ridgeferry/relay/TableFollower.h>
 #include <ridgeferry/table/Table.h>
+#include <ridgeferry/usage/UsageReporter.h>
 #include <sigc++/sigc++.h>
 #include <string>
 #include <string_view>
@@ -107,6 +108,17 @@
   std::uint64_t m_fencing = 0;
 };
 
+/** Calls of each organisation that upstreams began to run in one window, as
+ * they are reported to the platform. */
+struct UsageReportCall
+{
+  std::string m_address; ///< IP:PORT of the platform.
+  /** The instance that holds the lease which permits reports. */
+  std::string m_holder;
+  std::uint64_t m_fencing = 0;
+  usage::Report m_report;
+};
+
 /** The store no longer has the history that was asked for, so that the table
  * must be read whole. */
 struct StoreHistoryLost
@@ -154,6 +166,7 @@
     m_readReport;
   sigc::slot<net::HttpRequest(const EngineRoleOrder&)> m_writeRoleOrder;
   sigc::slot<relay::OrderAnswer(const net::HttpResponse&)> m_readOrderAnswer;
+  sigc::slot<net::HttpRequest(const UsageReportCall&)> m_writeUsageReport;
   sigc::slot<tl::expected<relay::RouteConfig, std::vector<FieldError>>(
     std::string_view)>
     m_readConfig;
@@ -169,6 +182,8 @@
   std::string m_instanceTable;
   /** Table of ridgeferry itself: the lease that permits orders to engines. */
   std::string m_leaseTable;
+  /** Table of ridgeferry itself: the latest usage report. */
+  std::string m_usageTable;
   /** Table of ridgeferry itself: calls during which upstreams crashed. */
   std::string m_quarantineTable;
 };
--- a/packages/entry/include/ridgeferry/entry/EntrySettings.h
+++ b/packages/entry/include/ridgeferry/entry/EntrySettings.h
@@ -22,6 +22,17 @@
   Duration m_window{ 10'000 };
 };
 
+/** Calls to the platform that one instance at a time makes for all. */
+struct DutySettings
+{
+  std::string m_address; ///< IP:PORT of the platform; empty: no such calls.
+  /** Length of the windows in which usage is reported; 0: no reports are due.
+   */
+  Duration m_reportWindow{};
+  /** Time after the end of a window at which its report is late. */
+  Duration m_reportLate{ 10'000 };
+};
+
 /** Settings of an instance that forwards calls; see docs/SETTINGS.md. */
 struct EntrySettings
 {
@@ -47,6 +58,7 @@
   Duration m_orderTurn{ 3000 };
   /** How old the configuration may be for decisions on callers' keys. */
   keys::KeyRules m_keys;
+  DutySettings m_duties;
   /** Whether calls during which upstreams crash are quarantined, that is, sent
    * to no further upstream. */
   bool m_quarantines = true;
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -8,6 +8,7 @@
 #include "RoleReconciler.h"
 #include "StoreGenerations.h"
 #include "StoreReader.h"
+#include "UsageService.h"
 
 #include <algorithm>
 #include <csignal>
@@ -79,6 +80,9 @@
   std::unique_ptr<StoreReader> m_members;
   std::unique_ptr<ConfigFreshness> m_freshness;
   std::unique_ptr<QuarantineService> m_quarantine;
+  std::unique_ptr<TrueTime> m_trueTime;
+  std::unique_ptr<OrderLease> m_lease;
+  std::unique_ptr<UsageService> m_usage;
   std::unique_ptr<Relay> m_relay;
   std::unique_ptr<RoleReconciler> m_roleReconciler;
   std::unique_ptr<net::HttpServer> m_readiness;
@@ -404,7 +408,8 @@
            config.IsLost() || members.IsLost(),
            members.IsSteady(m_node.Now()),
            members.ReadsFor(m_node.Now()),
-           m_freshness->Proof() };
+           m_freshness->Proof(),
+           m_trueTime->OwnOffset() };
 }
 
 void
@@ -532,9 +537,14 @@
     m_node, m_generations, *m_peers, *m_peerRows);
   m_freshness =
     std::make_unique<ConfigFreshness>(m_node, *m_peers, *m_peerRows, *m_config);
-  m_relay = std::make_unique<Relay>(m_node, *m_quarantine, *m_freshness);
+  m_trueTime = std::make_unique<TrueTime>(m_node, *m_peers, *m_freshness);
+  m_lease = std::make_unique<OrderLease>(m_node, m_generations, *m_peers);
+  m_usage = std::make_unique<UsageService>(
+    m_node, m_generations, *m_peers, *m_peerRows, *m_trueTime, *m_lease);
+  m_relay =
+    std::make_unique<Relay>(m_node, *m_quarantine, *m_freshness, *m_usage);
   m_roleReconciler =
-    std::make_unique<RoleReconciler>(m_node, m_generations, *m_peers);
+    std::make_unique<RoleReconciler>(m_node, m_generations, *m_peers, *m_lease);
   if (auto started = m_relay->Start(); !started) {
     return started;
   }
@@ -602,6 +612,9 @@
   m_quarantine->Start();
   m_config->Start();
   m_members->Start();
+  m_trueTime->Start();
+  m_lease->Start();
+  m_usage->Start();
   m_roleReconciler->Start();
   return m_peers->Start();
 }
--- a/packages/entry/src/EntrySettings.cpp
+++ b/packages/entry/src/EntrySettings.cpp
@@ -86,6 +86,18 @@
   aKeys.RejectUnknown();
 }
 
+void
+ReadDuties(FieldReader& aDuties, EntrySettings& aSettings)
+{
+  DutySettings& duties = aSettings.m_duties;
+  duties.m_address = ReadAddress(aDuties, "address").ToString();
+  duties.m_reportWindow = ReadSeconds(
+    aDuties, "reportWindowSeconds", duties.m_reportWindow, kLongestWindowS);
+  duties.m_reportLate = ReadSeconds(
+    aDuties, "reportLateSeconds", duties.m_reportLate, kLongestWindowS);
+  aDuties.RejectUnknown();
+}
+
 } // namespace
 
 tl::expected<EntrySettings, SettingsError>
@@ -115,6 +127,8 @@
   reader.Object("retries",
                 [&](FieldReader& aRetries) { ReadRetries(aRetries, out); });
   reader.Object("keys", [&](FieldReader& aKeys) { ReadKeys(aKeys, out); });
+  reader.Object("duties",
+                [&](FieldReader& aDuties) { ReadDuties(aDuties, out); });
   reader.Object("quarantine", [&](FieldReader& aQuarantine) {
     out.m_quarantines = aQuarantine.OptionalBool("enabled", out.m_quarantines);
     aQuarantine.RejectUnknown();
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -87,6 +87,11 @@
   std::optional<Instant> DataCentreReadsSince(
     std::string_view aDataCentre,
     StoreGeneration aGeneration) const;
+  /** Returns the peers from which heartbeats were received, by instance. */
+  const std::map<std::string, membership::PeerView, std::less<>>& Known() const
+  {
+    return m_roster.Peers();
+  }
   /** Returns the data centres from which heartbeats were received. */
   std::set<std::string> DataCentres() const;
   /** Sends a heartbeat of this instance to the live instances of its data
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -30,10 +30,12 @@
 
 Relay::Relay(EntryNode& aNode,
              QuarantineService& aQuarantine,
-             const ConfigFreshness& aFreshness)
+             const ConfigFreshness& aFreshness,
+             UsageService& aUsage)
   : m_node(aNode)
   , m_quarantine(aQuarantine)
   , m_freshness(aFreshness)
+  , m_usage(aUsage)
 {
 }
 
@@ -192,6 +194,7 @@
                     &BudgetOf(service),
                     &m_quarantine,
                     &m_freshness,
+                    &m_usage,
                     accepted->m_organisation,
                     usesKeys,
                     usesKeys && !route->m_isPublic });
--- a/packages/entry/src/Relay.h
+++ b/packages/entry/src/Relay.h
@@ -3,6 +3,7 @@
 #include "ConfigFreshness.h"
 #include "EntryNode.h"
 #include "RelayCall.h"
+#include "UsageService.h"
 
 #include <map>
 #include <memory>
@@ -24,7 +25,8 @@
   /** Precondition: the arguments outlive this object. */
   Relay(EntryNode& aNode,
         QuarantineService& aQuarantine,
-        const ConfigFreshness& aFreshness);
+        const ConfigFreshness& aFreshness,
+        UsageService& aUsage);
 
   tl::expected<void, net::NetError> Start();
   /** Applies the limits on callers' requests from the present configuration,
@@ -64,6 +66,7 @@
   EntryNode& m_node;
   QuarantineService& m_quarantine;
   const ConfigFreshness& m_freshness;
+  UsageService& m_usage;
   std::unique_ptr<net::HttpServer> m_server;
   std::uint64_t m_lastCall = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -425,6 +425,20 @@
   }
 }
 
+void
+RelayCall::NoteBegan()
+{
+  const keys::Organisation* organisation = m_start.m_organisation;
+  if (organisation == nullptr || std::exchange(m_countedAsBegun, true)) {
+    return;
+  }
+  // A plain service begins when it receives the call; an engine's answer begins
+  // with the first token.
+  const Duration ago =
+    m_start.m_head.m_prompt ? Duration{} : m_node.Now() - m_attempt.m_sentAt;
+  m_start.m_usage->NoteBegan(organisation->m_name, ago);
+}
+
 void
 RelayCall::NoteResponse()
 {
@@ -473,6 +487,7 @@
   m_attempt.m_saidNotRun = m_node.m_dialect.m_saysNotRun(aHead);
   m_prefillAnswer.clear();
   if (!m_attempt.m_saidNotRun && !m_attempt.m_readOnly) {
+    NoteBegan();
     Handle(relay::HeadArrived{ m_attempt.m_id, aHead.m_status });
   }
 }
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -4,6 +4,7 @@
 #include "EntryNode.h"
 #include "PromptOutcome.h"
 #include "QuarantineService.h"
+#include "UsageService.h"
 
 #include <memory>
 #include <ridgeferry/net/HttpServer.h>
@@ -42,6 +43,8 @@
   QuarantineService* m_quarantine = nullptr;
   /** Must outlive the call. */
   const ConfigFreshness* m_freshness = nullptr;
+  /** Must outlive the call. */
+  UsageService* m_usage = nullptr;
   /** Organisation on whose behalf the call runs, held by `m_routes`; null if
    * there is none. */
   const keys::Organisation* m_organisation = nullptr;
@@ -141,6 +144,9 @@
   /** Reports to the fleet, once, how long the first token took compared with
    * the estimate. */
   void NoteFirstToken();
+  /** Counts the call as begun for its organisation, once. Must be called when
+   * an answer shows that an upstream ran it. */
+  void NoteBegan();
   /** Must be called when bytes of a stream arrive. Records whether the pause
    * before them was longer than the route allows. */
   void NotePause();
@@ -188,7 +194,8 @@
   bool m_isTrialRun = false;
   std::string m_prefillAnswer; ///< Body of a prefill engine's answer.
   std::string m_path;          ///< Upstreams tried, in order, for the log.
-  bool m_doneEmitted = false;  ///< `SignalDone` was emitted.
+  bool m_countedAsBegun = false;
+  bool m_doneEmitted = false; ///< `SignalDone` was emitted.
   sigc::signal<void()> m_done;
 };
 
--- a/packages/entry/src/RoleReconciler.cpp
+++ b/packages/entry/src/RoleReconciler.cpp
@@ -10,24 +10,12 @@
 
 namespace {
 
-/** One lease covers the engines of all data centres, because a plan considers
- * them together. */
-constexpr const char* kScope = "engines";
 /** Row of the lease's table with the hashes of the services whose decode
  * engines cannot prefill without pausing their output streams for too long, so
  * that their prefill is disaggregated. Instances that start later read this
  * row. */
 constexpr const char* kDisaggregatedKey = "found/apart";
 constexpr Duration kTick{ 50 };
-/** Number of instances that try to acquire a free lease. To limit the load on
- * the store, every other instance reads the rows of the lease's table only once
- * after its start and once after each new generation of the store. */
-constexpr std::size_t kContenders = 2;
-/** A process younger than this does not try to acquire the lease: it has not
- * yet received heartbeats from other instances, so when hundreds start at once,
- * each would count itself among the contenders. The value is twice the longest
- * time between two heartbeats of a peer in the same data centre. */
-constexpr Duration kMinAgeToContend{ 500 };
 constexpr Duration kStoreTimeout{ 1000 };
 /** Engines answer within milliseconds; later answers count as lost. */
 constexpr Duration kEngineTimeout{ 600 };
@@ -37,51 +25,32 @@
  */
 constexpr double kNeedMemoryMs = 10'000;
 
-authority::LeaseTimes
-TimesFor(Duration aTurn)
-{
-  // The holder stops sending orders `m_margin` before the term of its lease
-  // ends, and a successor acquires the lease only `m_margin` after that end. So
-  // at least 1.4 * `aTurn` lies between the orders of two holders.
-  authority::LeaseTimes out;
-  out.m_term = aTurn * 5 / 3;
-  out.m_margin = aTurn * 7 / 10;
-  out.m_renewEvery = aTurn / 3;
-  out.m_pollEvery = aTurn / 3;
-  // Instances that do not try to acquire the lease read it once (see
-  // `kContenders`) and do not poll it: with hundreds of instances, their polls
-  // would be most of the requests that the store receives.
-  out.m_idlePollFactor = 0;
-  return out;
-}
-
 } // namespace
 
 RoleReconciler::RoleReconciler(EntryNode& aNode,
                                StoreGenerations& aGenerations,
-                               Peers& aPeers)
+                               Peers& aPeers,
+                               OrderLease& aLease)
   : m_node(aNode)
   , m_generations(aGenerations)
   , m_peers(aPeers)
-  , m_lease(
-      kScope,
-      aNode.m_settings.m_instance + "/" +
-        std::to_string(net::EventLoop::WallNow().time_since_epoch().count()),
-      TimesFor(aNode.m_settings.m_orderTurn))
+  , m_lease(aLease)
 {
 }
 
 void
 RoleReconciler::Start()
 {
-  m_began = m_node.Now();
-  m_generations.SignalNewGeneration().connect(
-    [this](StoreGeneration aGeneration) {
-      HandleLease(authority::LeaseGeneration{ aGeneration });
-      // The new generation of the store may lack the row `kDisaggregatedKey`,
-      // so the lease holder writes it again.
-      m_storedServices.clear();
-    });
+  m_lease.SignalRow().connect([this](const relay::FollowedRow& aRow) {
+    if (aRow.m_key == kDisaggregatedKey) {
+      LoadDisaggregatedServices(aRow.m_value);
+    }
+  });
+  m_generations.SignalNewGeneration().connect([this](StoreGeneration) {
+    // The new generation of the store may lack the row `kDisaggregatedKey`,
+    // so the lease holder writes it again.
+    m_storedServices.clear();
+  });
   m_tick = m_node.m_loop->Every(kTick, [this] { Tick(); });
 }
 
@@ -104,12 +73,7 @@
   if (!hasEngines) {
     return;
   }
-  const bool contends = !m_node.m_stop.HasBegun() && m_peers.HasListed() &&
-                        m_node.Now() - m_began >= kMinAgeToContend &&
-                        m_peers.Rank(kScope) < kContenders;
-  HandleLease(authority::LeaseTick{ contends });
-  const bool mayOrder =
-    !m_node.m_stop.HasBegun() && m_lease.HasAuthority(m_node.Now());
+  const bool mayOrder = m_lease.HasAuthority();
   HandleRoleChangeEvent(relay::RoleChangeTick{ mayOrder });
   // Does not plan while listed engines are in a grace period after their rows
   // expired: a plan would replace engines that may still be running.
@@ -182,15 +146,6 @@
   }
 }
 
-void
-RoleReconciler::HandleLease(const authority::LeaseEvent& aEvent)
-{
-  for (const authority::LeaseAction& action :
-       m_lease.Handle(aEvent, m_node.Now())) {
-    std::visit([this](const auto& aTyped) { Do(aTyped); }, action);
-  }
-}
-
 void
 RoleReconciler::HandleRoleChangeEvent(const relay::RoleChangeEvent& aEvent)
 {
@@ -200,45 +155,6 @@
   }
 }
 
-void
-RoleReconciler::Do(const authority::ReadLease&)
-{
-  StoreRead read;
-  read.m_table = m_node.m_dialect.m_leaseTable;
-  net::HttpRequest request = m_node.m_dialect.m_writeStoreRead(read);
-  request.m_address = m_node.m_settings.m_store;
-  request.m_timeout = kStoreTimeout;
-  net::HttpCallbacks callbacks;
-  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
-    authority::LeaseRead event;
-    event.m_generation = m_generations.Of(aResponse);
-    m_generations.Note(event.m_generation, "a call for the lease");
-    const bool whole = aResponse.m_end == net::HttpEnd::Complete;
-    const StoreAnswer answer =
-      whole ? m_node.m_dialect.m_readStoreAnswer(aResponse)
-            : StoreAnswer(relay::ReadFailed{ "no complete answer" });
-    if (const auto* page = std::get_if<StorePage>(&answer)) {
-      event.m_lease = { table::ReadStatus::Ok,
-                        { authority::LeaseKey(kScope), 0, {} } };
-      event.m_fence = { table::ReadStatus::Ok,
-                        { authority::FenceKey(kScope), 0, {} } };
-      for (const relay::FollowedRow& row : page->m_rows) {
-        if (row.m_key == kDisaggregatedKey) {
-          LoadDisaggregatedServices(row.m_value);
-        }
-        for (table::ReadResult* wanted : { &event.m_lease, &event.m_fence }) {
-          if (row.m_key == wanted->m_row.m_key) {
-            wanted->m_row.m_version = row.m_version;
-            wanted->m_row.m_value = row.m_value;
-          }
-        }
-      }
-    }
-    HandleLease(event);
-  };
-  m_node.m_http->Send(request, std::move(callbacks));
-}
-
 void
 RoleReconciler::LoadDisaggregatedServices(const std::string& aServices)
 {
@@ -289,41 +205,6 @@
   m_node.m_http->Send(request, std::move(callbacks));
 }
 
-void
-RoleReconciler::Do(const authority::WriteLease& aAction)
-{
-  net::HttpRequest request = m_node.m_dialect.m_writeStoreCommit(
-    { m_node.m_dialect.m_leaseTable, aAction.m_transaction });
-  request.m_address = m_node.m_settings.m_store;
-  request.m_timeout = kStoreTimeout;
-  net::HttpCallbacks callbacks;
-  callbacks.m_done =
-    [this, attempt = aAction.m_attempt](const net::HttpResponse& aResponse) {
-      m_generations.Note(m_generations.Of(aResponse), "a call for the lease");
-      HandleLease(authority::LeaseWritten{
-        attempt, m_node.m_dialect.m_readStoreCommit(aResponse) });
-    };
-  m_node.m_http->Send(request, std::move(callbacks));
-}
-
-void
-RoleReconciler::Do(const authority::AuthorityGained& aAction)
-{
-  m_node.m_log->Write(
-    observe::LogLevel::Info,
-    "lease-gained",
-    { { "scope", std::string(kScope) },
-      { "fencing", static_cast<std::int64_t>(aAction.m_fencing) } });
-}
-
-void
-RoleReconciler::Do(const authority::AuthorityLost&)
-{
-  m_node.m_log->Write(observe::LogLevel::Info,
-                      "lease-lost",
-                      { { "scope", std::string(kScope) } });
-}
-
 void
 RoleReconciler::Do(const relay::AskReport& aAction)
 {
@@ -351,7 +232,7 @@
 {
   const std::string engine = aAction.m_engine;
   const relay::Member* member = m_node.m_fleet.Find(engine);
-  if (member == nullptr || !m_lease.HasAuthority(m_node.Now())) {
+  if (member == nullptr || !m_lease.HasAuthority()) {
     m_node.m_loop->Defer([this, engine] {
       HandleRoleChangeEvent(
         relay::OrderAnswered{ engine, relay::OrderAnswer::Refused });
--- a/packages/entry/src/RoleReconciler.h
+++ b/packages/entry/src/RoleReconciler.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "EntryNode.h"
+#include "OrderLease.h"
 #include "Peers.h"
 #include "StoreGenerations.h"
 
 #include <map>
-#include <ridgeferry/authority/Lease.h>
 #include <ridgeferry/relay/RoleChangeController.h>
 
 namespace ridgeferry::entry {
@@ -20,7 +20,8 @@
   /** The arguments must outlive this object. */
   RoleReconciler(EntryNode& aNode,
                  StoreGenerations& aGenerations,
-                 Peers& aPeers);
+                 Peers& aPeers,
+                 OrderLease& aLease);
 
   void Start();
   /** Notes that an engine has been removed from the list of upstreams. */
@@ -41,12 +42,7 @@
   /** Sends the role updates to the other instances, if they have changed since
    * they were last sent. */
   void AnnounceRoleUpdates();
-  void HandleLease(const authority::LeaseEvent& aEvent);
   void HandleRoleChangeEvent(const relay::RoleChangeEvent& aEvent);
-  void Do(const authority::ReadLease& aAction);
-  void Do(const authority::WriteLease& aAction);
-  void Do(const authority::AuthorityGained& aAction);
-  void Do(const authority::AuthorityLost& aAction);
   void Do(const relay::AskReport& aAction);
   void Do(const relay::SendRoleOrder& aAction);
   void Do(const relay::AnnounceRoleUpdates& aAction);
@@ -66,7 +62,7 @@
   EntryNode& m_node;
   StoreGenerations& m_generations;
   Peers& m_peers;
-  authority::Lease m_lease;
+  OrderLease& m_lease;
   relay::RoleChangeController m_roleChanges;
   std::map<std::string, ServicePlan> m_plans; ///< Plans by name of service.
   /** Last known value of the store's row of services that need disaggregated
@@ -74,7 +70,6 @@
   std::string m_storedServices;
   bool m_writing = false;
   bool m_newsChanged = false;
-  Instant m_began;
   net::Watch m_tick;
 };
 
--- a/packages/freshness/include/ridgeferry/freshness/StoreClock.h
+++ b/packages/freshness/include/ridgeferry/freshness/StoreClock.h
@@ -18,6 +18,18 @@
   bool operator==(const StoreMoment&) const = default;
 };
 
+/**
+ * How far an instance's time of day is ahead of the store's steady clock. Equal
+ * for all instances whose time of day is right. A plain value.
+ */
+struct WallOffset
+{
+  StoreGeneration m_generation = 0;
+  Duration m_offset{};
+
+  bool operator==(const WallOffset&) const = default;
+};
+
 /**
  * Bounds the offset between this process's clock and the store's steady clock.
  *
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -100,6 +100,8 @@
    * std::nullopt if nothing.
    */
   std::optional<freshness::TableProof> m_configProof = {};
+  /** std::nullopt if the instance does not know the store's clock. */
+  std::optional<freshness::WallOffset> m_wallOffset = {};
   bool operator==(const StoreView&) const = default;
 };
 
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -170,6 +170,16 @@
   this->configProvenMs = val;
 __isset.configProvenMs = true;
 }
+
+void Heartbeat::__set_wallOffsetMs(const int64_t val) {
+  this->wallOffsetMs = val;
+__isset.wallOffsetMs = true;
+}
+
+void Heartbeat::__set_wallOffsetGeneration(const int64_t val) {
+  this->wallOffsetGeneration = val;
+__isset.wallOffsetGeneration = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -641,6 +651,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 33:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wallOffsetMs);
+          this->__isset.wallOffsetMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 34:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wallOffsetGeneration);
+          this->__isset.wallOffsetGeneration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -945,6 +971,16 @@
     xfer += oprot->writeI64(this->configProvenMs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.wallOffsetMs) {
+    xfer += oprot->writeFieldBegin("wallOffsetMs", ::apache::thrift::protocol::T_I64, 33);
+    xfer += oprot->writeI64(this->wallOffsetMs);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.wallOffsetGeneration) {
+    xfer += oprot->writeFieldBegin("wallOffsetGeneration", ::apache::thrift::protocol::T_I64, 34);
+    xfer += oprot->writeI64(this->wallOffsetGeneration);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -984,6 +1020,8 @@
   swap(a.endingsCleared, b.endingsCleared);
   swap(a.heldCalls, b.heldCalls);
   swap(a.configProvenMs, b.configProvenMs);
+  swap(a.wallOffsetMs, b.wallOffsetMs);
+  swap(a.wallOffsetGeneration, b.wallOffsetGeneration);
   swap(a.__isset, b.__isset);
 }
 
@@ -1020,6 +1058,8 @@
   endingsCleared = other90.endingsCleared;
   heldCalls = other90.heldCalls;
   configProvenMs = other90.configProvenMs;
+  wallOffsetMs = other90.wallOffsetMs;
+  wallOffsetGeneration = other90.wallOffsetGeneration;
   __isset = other90.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other91) {
@@ -1055,6 +1095,8 @@
   endingsCleared = other91.endingsCleared;
   heldCalls = other91.heldCalls;
   configProvenMs = other91.configProvenMs;
+  wallOffsetMs = other91.wallOffsetMs;
+  wallOffsetGeneration = other91.wallOffsetGeneration;
   __isset = other91.__isset;
   return *this;
 }
@@ -1093,6 +1135,8 @@
   out << ", " << "endingsCleared="; (__isset.endingsCleared ? (out << to_string(endingsCleared)) : (out << "<null>"));
   out << ", " << "heldCalls="; (__isset.heldCalls ? (out << to_string(heldCalls)) : (out << "<null>"));
   out << ", " << "configProvenMs="; (__isset.configProvenMs ? (out << to_string(configProvenMs)) : (out << "<null>"));
+  out << ", " << "wallOffsetMs="; (__isset.wallOffsetMs ? (out << to_string(wallOffsetMs)) : (out << "<null>"));
+  out << ", " << "wallOffsetGeneration="; (__isset.wallOffsetGeneration ? (out << to_string(wallOffsetGeneration)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -36,7 +36,7 @@
 class ChangesReply;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false), leavingBorn(false), configGeneration(false), membersGeneration(false), endedCallsHigh(false), endedCallsLow(false), endedLives(false), endingsCleared(false), heldCalls(false), configProvenMs(false) {}
+  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false), leavingBorn(false), configGeneration(false), membersGeneration(false), endedCallsHigh(false), endedCallsLow(false), endedLives(false), endingsCleared(false), heldCalls(false), configProvenMs(false), wallOffsetMs(false), wallOffsetGeneration(false) {}
   bool leavingUpstreams :1;
   bool engines :1;
   bool states :1;
@@ -62,6 +62,8 @@
   bool endingsCleared :1;
   bool heldCalls :1;
   bool configProvenMs :1;
+  bool wallOffsetMs :1;
+  bool wallOffsetGeneration :1;
 } _Heartbeat__isset;
 
 /**
@@ -89,7 +91,9 @@
               configGeneration(0),
               membersGeneration(0),
               heldCalls(0),
-              configProvenMs(0) {
+              configProvenMs(0),
+              wallOffsetMs(0),
+              wallOffsetGeneration(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -185,6 +189,12 @@
    * to `configVersion` and `configGeneration`; not set: nothing is proven.
    */
   int64_t configProvenMs;
+  /**
+   * The sender's time of day less the store's steady clock of a generation, in
+   * milliseconds; not set: the sender does not know the store's clock.
+   */
+  int64_t wallOffsetMs;
+  int64_t wallOffsetGeneration;
 
   _Heartbeat__isset __isset;
 
@@ -252,6 +262,10 @@
 
   void __set_configProvenMs(const int64_t val);
 
+  void __set_wallOffsetMs(const int64_t val);
+
+  void __set_wallOffsetGeneration(const int64_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -368,6 +382,14 @@
       return false;
     else if (__isset.configProvenMs && !(configProvenMs == rhs.configProvenMs))
       return false;
+    if (__isset.wallOffsetMs != rhs.__isset.wallOffsetMs)
+      return false;
+    else if (__isset.wallOffsetMs && !(wallOffsetMs == rhs.wallOffsetMs))
+      return false;
+    if (__isset.wallOffsetGeneration != rhs.__isset.wallOffsetGeneration)
+      return false;
+    else if (__isset.wallOffsetGeneration && !(wallOffsetGeneration == rhs.wallOffsetGeneration))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -75,6 +75,10 @@
    * sender's configuration holds all that the store had acknowledged. It belongs
    * to `configVersion` and `configGeneration`; not set: nothing is proven. */
   32: optional i64 configProvenMs;
+  /** The sender's time of day less the store's steady clock of a generation, in
+   * milliseconds; not set: the sender does not know the store's clock. */
+  33: optional i64 wallOffsetMs;
+  34: optional i64 wallOffsetGeneration;
 }
 
 /** Asks a peer for what it has read of a table of the store. */
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -200,6 +200,10 @@
     if (store.m_configProof) {
       out.__set_configProvenMs(store.m_configProof->m_until.m_clock.count());
     }
+    if (store.m_wallOffset) {
+      out.__set_wallOffsetMs(store.m_wallOffset->m_offset.count());
+      out.__set_wallOffsetGeneration(number(store.m_wallOffset->m_generation));
+    }
   }
   if (!aMessage.m_crashes.empty()) {
     SetEndings(out, aMessage.m_crashes);
@@ -342,6 +346,11 @@
                     in->__isset.storeReadsForMs
                       ? std::optional(Duration{ in->storeReadsForMs })
                       : std::nullopt };
+    if (in->__isset.wallOffsetMs && in->wallOffsetGeneration >= 0) {
+      out.m_store->m_wallOffset = { static_cast<StoreGeneration>(
+                                      in->wallOffsetGeneration),
+                                    Duration{ in->wallOffsetMs } };
+    }
     if (in->__isset.configProvenMs) {
       const StorePosition config = out.m_store->m_config;
       out.m_store->m_configProof = freshness::TableProof{
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -59,6 +59,10 @@
     if (*rc::gen::arbitrary<bool>()) {
       out.m_store->m_readsFor = Duration{ *rc::gen::inRange(0, 1 << 30) };
     }
+    if (*rc::gen::arbitrary<bool>()) {
+      out.m_store->m_wallOffset = { number(),
+                                    Duration{ *rc::gen::inRange(0, 1 << 30) } };
+    }
     if (*rc::gen::arbitrary<bool>()) {
       const StorePosition config = out.m_store->m_config;
       out.m_store->m_configProof = {
