Upstreams ordered by need and price, by the holder of the lease

packages/scaling decides by the load that instances tell each other, held for 30 s, and by the declared prices: withdrawable upstreams beyond the need, the more the less they cost; regular ones for a share of the need and for what withdrawable ones do not cover. Without a seen load nothing is ordered; none is given up before its replacement serves; both kinds together keep the limits, orders that are under way counted.

Tests: ScalePlannerTest (unknown load, replacement, steady load, a data centre withdrawn, equal prices, limits under any load), DutyWireTest.

--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -10,6 +10,7 @@
 #include <ridgeferry/relay/RoleChangeController.h>
 #include <ridgeferry/relay/Routes.h>
 #include <ridgeferry/relay/TableFollower.h>
+#include <ridgeferry/scaling/ScalePlanner.h>
 #include <ridgeferry/table/Table.h>
 #include <ridgeferry/usage/UsageReporter.h>
 #include <sigc++/sigc++.h>
@@ -119,6 +120,17 @@
   usage::Report m_report;
 };
 
+/** An order of upstreams, as it is sent to the platform. */
+struct ScaleCall
+{
+  std::string m_address; ///< IP:PORT of the platform.
+  /** The instance that holds the lease which permits orders. */
+  std::string m_holder;
+  std::uint64_t m_fencing = 0;
+  std::string m_service;
+  scaling::ScaleOrder m_order;
+};
+
 /** The store no longer has the history that was asked for, so that the table
  * must be read whole. */
 struct StoreHistoryLost
@@ -167,6 +179,10 @@
   sigc::slot<net::HttpRequest(const EngineRoleOrder&)> m_writeRoleOrder;
   sigc::slot<relay::OrderAnswer(const net::HttpResponse&)> m_readOrderAnswer;
   sigc::slot<net::HttpRequest(const UsageReportCall&)> m_writeUsageReport;
+  sigc::slot<net::HttpRequest(const ScaleCall&)> m_writeScaleOrder;
+  /** Returns what the answer to an order of upstreams, or the lack of an
+   * answer, shows about it. */
+  sigc::slot<scaling::ScaleAnswer(const net::HttpResponse&)> m_readScaleAnswer;
   sigc::slot<tl::expected<relay::RouteConfig, std::vector<FieldError>>(
     std::string_view)>
     m_readConfig;
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -6,6 +6,7 @@
 #include "QuarantineService.h"
 #include "Relay.h"
 #include "RoleReconciler.h"
+#include "ScaleService.h"
 #include "StoreGenerations.h"
 #include "StoreReader.h"
 #include "UsageService.h"
@@ -83,6 +84,7 @@
   std::unique_ptr<TrueTime> m_trueTime;
   std::unique_ptr<OrderLease> m_lease;
   std::unique_ptr<UsageService> m_usage;
+  std::unique_ptr<ScaleService> m_scale;
   std::unique_ptr<Relay> m_relay;
   std::unique_ptr<RoleReconciler> m_roleReconciler;
   std::unique_ptr<net::HttpServer> m_readiness;
@@ -295,6 +297,7 @@
                         { "address", aMember.m_address },
                         { "part", std::string(relay::NameOf(aMember.m_role)) },
                         { "leaving", aMember.m_leaving },
+                        { "withdrawable", aMember.m_withdrawable },
                         { "born", aMember.m_born.value_or(0) } });
 }
 
@@ -541,6 +544,7 @@
   m_lease = std::make_unique<OrderLease>(m_node, m_generations, *m_peers);
   m_usage = std::make_unique<UsageService>(
     m_node, m_generations, *m_peers, *m_peerRows, *m_trueTime, *m_lease);
+  m_scale = std::make_unique<ScaleService>(m_node, *m_lease);
   m_relay =
     std::make_unique<Relay>(m_node, *m_quarantine, *m_freshness, *m_usage);
   m_roleReconciler =
@@ -615,6 +619,7 @@
   m_trueTime->Start();
   m_lease->Start();
   m_usage->Start();
+  m_scale->Start();
   m_roleReconciler->Start();
   return m_peers->Start();
 }
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -287,6 +287,16 @@
    */
   double DecodeEnginesNeeded(std::string_view aService,
                              const EngineTraits& aTraits) const;
+  /**
+   * Returns the number of upstreams that the calls in flight at a service keep
+   * busy, whatever their role.
+   */
+  double UpstreamsNeeded(const Service& aService) const;
+  /**
+   * Returns the listed members of a service. The pointers are valid until the
+   * list of members changes.
+   */
+  std::vector<const Member*> MembersOf(std::string_view aService) const;
 
   /**
    * Replaces the calls that instance `aInstance` has in flight. An empty vector
--- a/packages/relay/src/FleetRoles.cpp
+++ b/packages/relay/src/FleetRoles.cpp
@@ -16,6 +16,9 @@
  * use. Bursts of a third more still fit.
  */
 constexpr double kSteadyShare = 0.75;
+/** Prefill work that waits at an engine in steady operation, in ms: about the
+ * prefill of one long prompt. */
+constexpr double kPrefillBacklogMs = 20;
 /**
  * Number of other instances that must have found engines unable to sustain
  * colocated prefill before this instance believes it. A single one may be wrong
@@ -198,6 +201,39 @@
   return std::max(bySlots, byMemory);
 }
 
+double
+Fleet::UpstreamsNeeded(const Service& aService) const
+{
+  double running = 0;
+  double prefillMs = 0;
+  std::int64_t slots = 1;
+  for (const auto& [id, state] : m_members) {
+    if (state.m_member.m_service != aService.m_name) {
+      continue;
+    }
+    running += static_cast<double>(state.m_inFlight + state.m_peerInFlight);
+    slots = std::max(slots, state.m_member.m_slots);
+    if (state.m_member.m_role != UpstreamRole::Plain) {
+      prefillMs += static_cast<double>(state.m_tokens + state.m_peerTokens) /
+                   ThroughputOf(state);
+    }
+  }
+  const double bySlots = running / (kSteadyShare * static_cast<double>(slots));
+  return bySlots + prefillMs / kPrefillBacklogMs;
+}
+
+std::vector<const Member*>
+Fleet::MembersOf(std::string_view aService) const
+{
+  std::vector<const Member*> out;
+  for (const auto& [id, state] : m_members) {
+    if (state.m_member.m_service == aService) {
+      out.push_back(&state.m_member);
+    }
+  }
+  return out;
+}
+
 void
 Fleet::NotePrefill(const Prompt& aPrompt, std::string_view aId, Instant aNow)
 {
--- a/packages/usage/include/ridgeferry/usage/UsageCollector.h
+++ b/packages/usage/include/ridgeferry/usage/UsageCollector.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <tuple>
 
 namespace ridgeferry::usage {
 
@@ -14,7 +15,11 @@
   std::string m_instance;
   std::uint64_t m_incarnation = 0;
 
-  auto operator<=>(const ProcessId&) const = default;
+  bool operator<(const ProcessId& aOther) const
+  {
+    return std::tie(m_instance, m_incarnation) <
+           std::tie(aOther.m_instance, aOther.m_incarnation);
+  }
 };
 
 /**
