--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -27,10 +27,6 @@
  * or more. If a send fails on such a connection, the sender cannot tell whether
  * the call ran. */
 constexpr Duration kMaxIdleTime{ 250 };
-/** Priority of calls that miss their target for the first byte in any case.
- * Engines serve them after calls that can still meet theirs: 0 is the most
- * urgent, and routes have priorities below ten. */
-constexpr int kLatePriority = 9;
 /** Mean interval at which placement of a postponed call is retried. Instances
  * report their loads to each other at the same interval. */
 constexpr Duration kPlaceAgain{ 40 };
@@ -234,36 +230,6 @@
   }
 }
 
-bool
-RelayCall::MayRunByKey() const
-{
-  if (!m_start.m_needsKey || m_start.m_freshness->AllowsKeys()) {
-    return true;
-  }
-  const std::optional<Duration> age = m_start.m_freshness->Age();
-  m_node.m_log->Write(
-    observe::LogLevel::Info,
-    "key-refused",
-    { { "id", m_start.m_head.m_id },
-      { "cause", "configuration may be out of date" },
-      { "organisation", m_start.m_organisation->m_name },
-      { "config", static_cast<std::int64_t>(m_start.m_routes->Version()) },
-      { "provenAgeMs", age ? age->count() : std::int64_t{ -1 } } });
-  return false;
-}
-
-int
-RelayCall::Priority() const
-{
-  if (m_place.m_late) {
-    return kLatePriority;
-  }
-  const keys::Organisation* organisation = m_start.m_organisation;
-  return organisation != nullptr && organisation->m_priority
-           ? *organisation->m_priority
-           : m_start.m_route->m_priority;
-}
-
 void
 RelayCall::LogNoPlace(const relay::PlaceFault& aFault) const
 {
@@ -425,20 +391,6 @@
   }
 }
 
-void
-RelayCall::NoteBegan()
-{
-  const keys::Organisation* organisation = m_start.m_organisation;
-  if (organisation == nullptr || std::exchange(m_countedAsBegun, true)) {
-    return;
-  }
-  // A plain service begins when it receives the call; an engine's answer begins
-  // with the first token.
-  const Duration ago =
-    m_start.m_head.m_prompt ? Duration{} : m_node.Now() - m_attempt.m_sentAt;
-  m_start.m_usage->NoteBegan(organisation->m_name, ago);
-}
-
 void
 RelayCall::NoteResponse()
 {
--- a/packages/entry/tests/EntrySettingsTest.cpp
+++ b/packages/entry/tests/EntrySettingsTest.cpp
@@ -22,6 +22,11 @@
            { "stopGraceSeconds", 8 },
            { "orderTurnMs", 4000 },
            { "quarantine", { { "enabled", false } } },
+           { "keys", { { "revocationMs", 5000 }, { "configApplyMs", 3000 } } },
+           { "duties",
+             { { "address", "10.0.0.4:6" },
+               { "reportWindowSeconds", 5 },
+               { "reportLateSeconds", 9 } } },
            { "retries",
              { { "ratio", 0.2 }, { "floor", 56 }, { "windowSeconds", 10 } } } };
 }
@@ -37,10 +42,27 @@
   EXPECT_EQ(settings->m_stopGrace, Duration{ 8000 });
   EXPECT_EQ(settings->m_orderTurn, Duration{ 4000 });
   EXPECT_FALSE(settings->m_quarantines);
+  EXPECT_EQ(settings->m_keys.m_revocation, Duration{ 5000 });
+  EXPECT_EQ(settings->m_keys.m_configApply, Duration{ 3000 });
+  EXPECT_EQ(settings->m_duties.m_address, "10.0.0.4:6");
+  EXPECT_EQ(settings->m_duties.m_reportWindow, Duration{ 5000 });
+  EXPECT_EQ(settings->m_duties.m_reportLate, Duration{ 9000 });
   EXPECT_EQ(settings->m_retries.m_floor, 56);
   EXPECT_EQ(settings->m_retries.m_window, Duration{ 10'000 });
 }
 
+TEST(EntrySettingsTest, WithoutKeysAndDutiesNothingOfThemApplies)
+{
+  Json document = GoodSettings();
+  document.erase("keys");
+  document.erase("duties");
+  const auto settings = ParseEntrySettings(document.dump(), "s.json");
+  ASSERT_TRUE(settings.has_value()) << FormatSettingsError(settings.error());
+  EXPECT_FALSE(settings->m_keys.m_revocation.has_value());
+  EXPECT_TRUE(settings->m_duties.m_address.empty());
+  EXPECT_EQ(settings->m_duties.m_reportWindow, Duration{});
+}
+
 struct BadSettingsCase
 {
   const char* m_name;
@@ -81,6 +103,11 @@
     BadSettingsCase{ "RatioAboveOne", "/retries/ratio", "2" },
     BadSettingsCase{ "FloorBelowZero", "/retries/floor", "-1" },
     BadSettingsCase{ "QuarantineIsText", "/quarantine/enabled", "\"on\"" },
+    BadSettingsCase{ "RevocationIsNothing", "/keys/revocationMs", "0" },
+    BadSettingsCase{ "ApplyIsText", "/keys/configApplyMs", "\"3\"" },
+    BadSettingsCase{ "UnknownRuleOfKeys", "/keys/strict", "true" },
+    BadSettingsCase{ "DutiesWithoutAddress", "/duties/address", "null" },
+    BadSettingsCase{ "WindowIsNegative", "/duties/reportWindowSeconds", "-5" },
     BadSettingsCase{ "UnknownField", "/colour", "1" }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
