Admission: the error of the estimate fades while no first token is measured

Cause: the learned ratio of measured to estimated first tokens changed only with prompts that were served. Callers whose time limits are alike had hidden it: spurious earlier waits refused others.

--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -508,14 +508,16 @@
    * empty.
    */
   std::optional<PlaceFault> RefusalOf(std::span<const Candidate> aCandidates,
-                                      const PlaceRequest& aRequest) const;
+                                      const PlaceRequest& aRequest,
+                                      Instant aNow) const;
   /**
    * Returns whether a prompt that `RefusalOf` refuses is admitted all the same,
    * because it is smaller than a typical one and its own first token is
    * expected within the admission bound at `aBest`.
    */
   bool PassesForItsSize(const Candidate& aBest,
-                        const PlaceRequest& aRequest) const;
+                        const PlaceRequest& aRequest,
+                        Instant aNow) const;
   /**
    * Returns a fault if no candidate could prefill the prompt before its caller
    * gives up, even when idle; std::nullopt otherwise. Precondition:
@@ -636,8 +638,14 @@
     MedianThroughput m_prefillThroughput;
     MedianThroughput m_decodeThroughput;
   };
+  /**
+   * Returns the estimate error that applies now. It fades while no first token
+   * is measured: if the error has all prompts refused, none is measured any
+   * more, and the error would stay for ever.
+   */
   double EstimateErrorOf(std::string_view aService,
-                         const Prompt& aPrompt) const;
+                         const Prompt& aPrompt,
+                         Instant aNow) const;
   /**
    * Returns whether the prompt's shared prefix is long enough for prefix
    * affinity. Long prompts are kept away from engines that are reserved for
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -30,6 +30,11 @@
  * its end should be noticed as quickly.
  */
 constexpr Duration kEstimateErrorMemory{ 500 };
+/**
+ * Time constant with which the estimate error fades while no first token is
+ * measured. Longer than the pauses between prompts under load.
+ */
+constexpr Duration kEstimateErrorFade{ 2000 };
 /**
  * Bounds of the estimate error, and the least expected time, in ms, that it is
  * computed from: network round trips alone take some milliseconds.
@@ -252,12 +257,20 @@
 }
 
 double
-Fleet::EstimateErrorOf(std::string_view aService, const Prompt& aPrompt) const
+Fleet::EstimateErrorOf(std::string_view aService,
+                       const Prompt& aPrompt,
+                       Instant aNow) const
 {
   const auto& stretches =
     IsLong(aPrompt) ? m_longPromptErrors : m_shortPromptErrors;
   const auto found = stretches.find(aService);
-  return found == stretches.end() ? 1 : found->second.m_factor;
+  if (found == stretches.end()) {
+    return 1;
+  }
+  const auto age = static_cast<double>((aNow - found->second.m_at).count());
+  const double kept =
+    std::exp(-age / static_cast<double>(kEstimateErrorFade.count()));
+  return 1 + (found->second.m_factor - 1) * kept;
 }
 
 void
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -409,7 +409,8 @@
 
 std::optional<PlaceFault>
 Fleet::RefusalOf(std::span<const Candidate> aCandidates,
-                 const PlaceRequest& aRequest) const
+                 const PlaceRequest& aRequest,
+                 Instant aNow) const
 {
   // Compares the admission bound with the queueing time and a typical prompt's
   // prefill time, not with the prefill of this prompt: otherwise a queue that
@@ -420,7 +421,8 @@
                       [](const Candidate& aLeft, const Candidate& aRight) {
                         return aLeft.TypicalFirstMs() < aRight.TypicalFirstMs();
                       });
-  const double factor = EstimateErrorOf(aRequest.m_service, *aRequest.m_prompt);
+  const double factor =
+    EstimateErrorOf(aRequest.m_service, *aRequest.m_prompt, aNow);
   const Expectation expected{ soonest.WaitMs() * factor, soonest.m_typicalMs };
   const Duration first(
     static_cast<std::int64_t>(expected.m_waitMs + expected.m_ownMs));
@@ -435,10 +437,11 @@
 
 bool
 Fleet::PassesForItsSize(const Candidate& aBest,
-                        const PlaceRequest& aRequest) const
+                        const PlaceRequest& aRequest,
+                        Instant aNow) const
 {
   const double first =
-    aBest.m_ms * EstimateErrorOf(aRequest.m_service, *aRequest.m_prompt);
+    aBest.m_ms * EstimateErrorOf(aRequest.m_service, *aRequest.m_prompt, aNow);
   return aRequest.m_mayPassForItsSize &&
          aBest.m_prefillMs < aBest.m_typicalMs &&
          first <= static_cast<double>(aRequest.m_admissionBound.count());
@@ -519,8 +522,8 @@
     if (auto fault = TooLarge(candidates, aRequest)) {
       return *fault;
     }
-    if (auto fault = RefusalOf(candidates, aRequest)) {
-      forItsSize = PassesForItsSize(best, aRequest);
+    if (auto fault = RefusalOf(candidates, aRequest, aNow)) {
+      forItsSize = PassesForItsSize(best, aRequest, aNow);
       if (!forItsSize) {
         return *fault;
       }
--- a/packages/relay/src/FleetPrefillEngines.cpp
+++ b/packages/relay/src/FleetPrefillEngines.cpp
@@ -348,7 +348,8 @@
       return *fault;
     }
   }
-  const double factor = EstimateErrorOf(aRequest.m_service, *aRequest.m_prompt);
+  const double factor =
+    EstimateErrorOf(aRequest.m_service, *aRequest.m_prompt, aNow);
   // Whether an engine has room does not depend on the prompt's own size; which
   // of the engines is best does.
   const auto full =
