Sight of limits that upstreams state: a line and a counter

Nothing told whether an answer named the rate that its upstream takes, so the hypotheses of the incident could not be told apart by an instance's lines. Dialect reads it (platform: Server-Limit, a number of 0 or more, else as if it were not there), StatedLimits keeps what was stated last and tells what changed, RelayCall logs and counts it. No decision uses it yet.

--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -419,6 +419,9 @@
 RelayCall::TakeHead(const net::HttpHead& aHead)
 {
   NoteResponse();
+  if (aHead.m_status != kMisdirected) {
+    NoteStatedLimit(aHead);
+  }
   m_start.m_quarantine->NoteAnswered(m_attempt.m_upstream, m_attempt.m_sentAt);
   const bool read =
     aHead.m_status == kOk && !m_node.m_dialect.m_saysNotRun(aHead);
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -131,6 +131,9 @@
    * refused connection, or one that broke before the answer was complete. */
   void NoteConnection(const net::HttpResponse& aResponse);
   void LogQuarantined(Duration aFor);
+  /** Records the limit that an answer of the present upstream states, and logs
+   * a change. */
+  void NoteStatedLimit(const net::HttpHead& aHead);
   /** Returns whether the call may be sent to an upstream by its key. A call
    * that may not is logged. */
   bool MayRunByKey() const;
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <ridgeferry/base/Time.h>
+#include <ridgeferry/limits/StatedLimits.h>
 #include <ridgeferry/relay/AttemptEnd.h>
 #include <ridgeferry/relay/ColocatedPrefill.h>
 #include <ridgeferry/relay/MedianThroughput.h>
@@ -229,6 +230,13 @@
                       double aExpectedMs,
                       Duration aTook,
                       Instant aNow);
+  /**
+   * Records the limit that an answer of a member states; see
+   * `limits::StatedLimits`. Returns what that changed.
+   */
+  limits::LimitChange NoteStatedLimit(std::string_view aId,
+                                      std::optional<double> aPerSecond,
+                                      Instant aNow);
   /**
    * Returns the prompt tokens that all instances together have waiting for
    * prefill at a member.
@@ -677,6 +685,7 @@
   std::map<std::string, std::vector<MemberRoleUpdate>, std::less<>>
     m_roleUpdates;
   PrefixCacheIndex m_prefixCaches;
+  limits::StatedLimits m_limits;
   std::map<std::string, std::vector<std::uint32_t>, std::less<>>
     m_peerDisaggregated;
   std::vector<std::uint32_t> m_restoredDisaggregated;
