--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -100,6 +100,7 @@
              aNode.m_settings.m_dataCentre)
   , m_incarnation(static_cast<std::uint64_t>(
       net::EventLoop::WallNow().time_since_epoch().count()))
+  , m_limits(aNode)
 {
 }
 
@@ -119,6 +120,7 @@
     ForgetDataCentres();
     Handle(membership::RosterTick{});
     m_node.m_instances = m_roster.LiveCount();
+    m_limits.Tick(m_node.m_instances);
   });
   m_generations.SignalNewGeneration().connect(
     [this](StoreGeneration) { NoteGeneration(); });
@@ -150,6 +152,7 @@
   out.m_disaggregatedServices = m_node.m_fleet.ReportedDisaggregatedServices();
   out.m_crashes = m_crashes;
   out.m_quarantineFingerprint = m_quarantineFingerprint;
+  m_limits.AddTo(out);
   for (const relay::RoleUpdate& news : m_ownRoleUpdates) {
     out.m_roles.push_back(
       { relay::Fleet::ShortHash(news.m_engine), DigestOf(news.m_role) });
@@ -403,6 +406,7 @@
   }
   m_counted.insert(heartbeat->m_instance);
   TakeLoads(*heartbeat);
+  m_limits.Take(*heartbeat);
   m_node.m_fleet.SetRoleUpdates(heartbeat->m_instance, std::move(news));
   m_node.m_fleet.SetDisaggregatedServices(heartbeat->m_instance,
                                           heartbeat->m_disaggregatedServices);
@@ -469,6 +473,7 @@
       m_node.m_fleet.SetPeerLoads(aInstance, {});
       m_node.m_fleet.SetRoleUpdates(aInstance, {});
       m_node.m_fleet.SetDisaggregatedServices(aInstance, {});
+      m_limits.ForgetPeer(aInstance);
       m_node.m_log->Write(
         observe::LogLevel::Info, "peer-silent", { { "peer", aInstance } });
     }
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "EntryNode.h"
+#include "LimitGossip.h"
 #include "StoreGenerations.h"
 
 #include <functional>
@@ -166,6 +167,7 @@
   bool m_ready = false;
   bool m_leaving = false;
   relay::LeavingUpstreams m_leavingAnnouncements;
+  LimitGossip m_limits;
   membership::StoreView m_storeView;
   std::vector<relay::RoleUpdate> m_ownRoleUpdates;
   std::vector<membership::CrashDigest> m_crashes;
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -60,6 +60,8 @@
       return "all upstreams are busy for too long";
     case relay::NoPlaceCause::TooLarge:
       return "prompt too large for the caller's time limit";
+    case relay::NoPlaceCause::Limited:
+      return "the limits that upstreams state are used up";
     case relay::NoPlaceCause::NoneSound:
       break;
   }
@@ -134,6 +136,8 @@
   m_timer =
     m_node.m_loop->After(Left(), [this] { Handle(relay::DeadlinePassed{}); });
   m_start.m_budget->NoteFirstSend(m_began);
+  m_node.m_fleet.Limits().NoteCall(relay::Fleet::ShortHash(m_start.m_service),
+                                   m_began);
   if (m_start.m_head.m_prompt) {
     m_node.m_fleet.NotePrompt(
       m_start.m_service, *m_start.m_head.m_prompt, m_start.m_route->m_pause);
@@ -186,6 +190,8 @@
   }
   request.m_excluded = aAction.m_excluded;
   request.m_mostOpen = m_start.m_connections.m_open;
+  request.m_yieldsToUrgent =
+    Priority() > m_start.m_routes->MostUrgentPriority(m_start.m_service);
   request.m_random = m_node.m_random();
   // The admission bound applies to the first placement only. A call that has
   // been sent to an upstream before is continued, even if it is late.
@@ -214,6 +220,7 @@
     m_expectedMs = isFirst && m_start.m_head.m_prompt ? place->m_expectedMs : 0;
     m_placedAt = m_node.Now();
     m_place = *place;
+    ReservePermits();
     if (isFirst && m_start.m_kind != nullptr) {
       m_start.m_kind->m_allowance.NoteAdmitted(place->m_forItsSize);
     }
@@ -221,12 +228,10 @@
   } else {
     const auto& fault = std::get<relay::PlaceFault>(result);
     LogNoPlace(fault);
-    const bool isFull = fault.m_cause == relay::NoPlaceCause::Full;
     const bool isTooLarge = fault.m_cause == relay::NoPlaceCause::TooLarge;
-    Handle(
-      relay::NoPlace{ isFull ? fault.m_roomIn : relay::RelayFlow::kRetryAfter,
-                      isTooLarge ? relay::NoPlace::Cause::TooLarge
-                                 : relay::NoPlace::Cause::NoRoom });
+    Handle(relay::NoPlace{ RoomIn(fault),
+                           isTooLarge ? relay::NoPlace::Cause::TooLarge
+                                      : relay::NoPlace::Cause::NoRoom });
   }
 }
 
@@ -366,6 +371,7 @@
                         { "tokens", m_attempt.m_tokens },
                         { "tokensAhead", m_attempt.m_tokensAhead },
                         { "leftMs", Left().count() } });
+  UsePermit(aMember.m_id);
   request.m_fresh =
     m_node.m_fleet.NeedsOwnConnection(aMember.m_id, m_node.Now());
   m_node.m_fleet.NoteSent(aMember.m_id, m_attempt.m_tokens, m_node.Now());
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -134,6 +134,15 @@
   /** Records the limit that an answer of the present upstream states, and logs
    * a change. */
   void NoteStatedLimit(const net::HttpHead& aHead);
+  /** Counts the sends of the present placement against the limits that its
+   * upstreams state, before other calls are placed. */
+  void ReservePermits();
+  /** Counts a send against the limit of its upstream, unless the placement has
+   * been counted for it. */
+  void UsePermit(const std::string& aUpstream);
+  /** Returns after which time the caller of a call without a place should come
+   * back. */
+  Duration RoomIn(const relay::PlaceFault& aFault);
   /** Returns whether the call may be sent to an upstream by its key. A call
    * that may not is logged. */
   bool MayRunByKey() const;
@@ -189,6 +198,8 @@
   /** When the first bytes of the answer went to the caller. */
   std::optional<Instant> m_answeredAt;
   relay::Place m_place; ///< The present placement.
+  /** Upstreams whose limits count a send of this call that is still to come. */
+  std::vector<std::string> m_reservedPermits;
   /** The stream had a pause that was longer than the route allows. */
   bool m_hadLongPause = false;
   std::optional<quarantine::CallDigest> m_digest;
--- a/packages/entry/src/RelayCallLimits.cpp
+++ b/packages/entry/src/RelayCallLimits.cpp
@@ -1,29 +1,12 @@
 // The part of `RelayCall` that deals with the limits that upstreams state in
 // their answers.
 
+#include "LimitLog.h"
 #include "RelayCall.h"
 
-namespace ridgeferry::entry {
-
-namespace {
-
-std::string_view
-NameOf(limits::LimitChange aChange)
-{
-  switch (aChange) {
-    case limits::LimitChange::Named:
-      return "named";
-    case limits::LimitChange::Changed:
-      return "changed";
-    case limits::LimitChange::Ended:
-      return "ended";
-    case limits::LimitChange::None:
-      break;
-  }
-  return "unchanged";
-}
+#include <algorithm>
 
-} // namespace
+namespace ridgeferry::entry {
 
 void
 RelayCall::NoteStatedLimit(const net::HttpHead& aHead)
@@ -31,17 +14,55 @@
   const auto limit = m_node.m_dialect.m_readStatedLimit(aHead);
   const limits::LimitChange change =
     m_node.m_fleet.NoteStatedLimit(m_attempt.m_upstream, limit, m_node.Now());
-  if (change == limits::LimitChange::None) {
+  LogLimitChange(m_node,
+                 { m_attempt.m_upstream, limit, change, m_start.m_head.m_id });
+}
+
+void
+RelayCall::ReservePermits()
+{
+  if (m_node.m_fleet.Limits().IsEmpty()) {
     return;
   }
-  m_node.m_metrics.Count(
-    observe::WithLabel("upstream_limits_total", "change", NameOf(change)));
-  m_node.m_log->Write(observe::LogLevel::Info,
-                      "upstream-limit",
-                      { { "upstream", m_attempt.m_upstream },
-                        { "id", m_start.m_head.m_id },
-                        { "change", std::string(NameOf(change)) },
-                        { "perSecond", limit.value_or(-1) } });
+  m_reservedPermits.clear();
+  for (const std::string& upstream :
+       { m_place.m_upstream, m_place.m_prefillEngine }) {
+    if (!upstream.empty()) {
+      m_node.m_fleet.TakePermit(upstream, m_node.Now());
+      m_reservedPermits.push_back(upstream);
+    }
+  }
+}
+
+void
+RelayCall::UsePermit(const std::string& aUpstream)
+{
+  const auto reserved =
+    std::find(m_reservedPermits.begin(), m_reservedPermits.end(), aUpstream);
+  if (reserved == m_reservedPermits.end()) {
+    m_node.m_fleet.TakePermit(aUpstream, m_node.Now());
+  } else {
+    m_reservedPermits.erase(reserved);
+  }
+}
+
+Duration
+RelayCall::RoomIn(const relay::PlaceFault& aFault)
+{
+  switch (aFault.m_cause) {
+    case relay::NoPlaceCause::Full:
+      return aFault.m_roomIn;
+    case relay::NoPlaceCause::Limited:
+      m_node.m_metrics.Count("limited_refusals_total");
+      return m_node.m_fleet.Limits().PromiseRoom(
+        relay::Fleet::ShortHash(m_start.m_service),
+        aFault.m_roomIn,
+        m_node.Now());
+    case relay::NoPlaceCause::NoneSound:
+    case relay::NoPlaceCause::TooLarge:
+      break;
+  }
+  return relay::RelayFlow::kRetryAfter;
 }
 
 } // namespace ridgeferry::entry
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -75,6 +75,26 @@
   bool operator==(const CrashDigest&) const = default;
 };
 
+/** The limit that an upstream stated in its latest answer to the sender, or to
+ * another instance. */
+struct LimitDigest
+{
+  std::uint32_t m_upstream = 0; ///< Hash of the upstream's id.
+  /** Thousandths of a request a second; std::nullopt if it states none any
+   * more. */
+  std::optional<std::int32_t> m_millisPerSecond;
+  std::int32_t m_ageMs = 0; ///< Time since the answer.
+  bool operator==(const LimitDigest&) const = default;
+};
+
+/** The calls that callers make to a service at the sender. */
+struct DemandDigest
+{
+  std::uint32_t m_service = 0;        ///< Hash of the service's name.
+  std::int32_t m_millisPerSecond = 0; ///< Thousandths of a call a second.
+  bool operator==(const DemandDigest&) const = default;
+};
+
 /**
  * How far an instance has read the tables that it follows. Instances gossip it,
  * so that an instance whose own read hangs learns that it is behind.
@@ -145,6 +165,10 @@
    * tables.
    */
   std::optional<StoreView> m_store;
+  /** Limits that upstreams state or stated until lately. */
+  std::vector<LimitDigest> m_limits;
+  /** Demand at the sender for each service with a limited upstream. */
+  std::vector<DemandDigest> m_demands;
   /** Crashes that the sender observed recently. */
   std::vector<CrashDigest> m_crashes;
   /**
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -180,6 +180,31 @@
   this->wallOffsetGeneration = val;
 __isset.wallOffsetGeneration = true;
 }
+
+void Heartbeat::__set_limitedUpstreams(const std::vector<int32_t> & val) {
+  this->limitedUpstreams = val;
+__isset.limitedUpstreams = true;
+}
+
+void Heartbeat::__set_limits(const std::vector<int32_t> & val) {
+  this->limits = val;
+__isset.limits = true;
+}
+
+void Heartbeat::__set_limitAges(const std::vector<int32_t> & val) {
+  this->limitAges = val;
+__isset.limitAges = true;
+}
+
+void Heartbeat::__set_demandedServices(const std::vector<int32_t> & val) {
+  this->demandedServices = val;
+__isset.demandedServices = true;
+}
+
+void Heartbeat::__set_demands(const std::vector<int32_t> & val) {
+  this->demands = val;
+__isset.demands = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -667,6 +692,106 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 35:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limitedUpstreams.clear();
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->limitedUpstreams.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
+            {
+              xfer += iprot->readI32(this->limitedUpstreams[_i79]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limitedUpstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 36:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->limits.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
+            {
+              xfer += iprot->readI32(this->limits[_i84]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 37:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limitAges.clear();
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->limitAges.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
+            {
+              xfer += iprot->readI32(this->limitAges[_i89]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limitAges = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 38:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demandedServices.clear();
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->demandedServices.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
+            {
+              xfer += iprot->readI32(this->demandedServices[_i94]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demandedServices = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 39:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demands.clear();
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->demands.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
+            {
+              xfer += iprot->readI32(this->demands[_i99]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demands = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -730,10 +855,10 @@
     xfer += oprot->writeFieldBegin("leavingUpstreams", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leavingUpstreams.size()));
-      std::vector<std::string> ::const_iterator _iter75;
-      for (_iter75 = this->leavingUpstreams.begin(); _iter75 != this->leavingUpstreams.end(); ++_iter75)
+      std::vector<std::string> ::const_iterator _iter100;
+      for (_iter100 = this->leavingUpstreams.begin(); _iter100 != this->leavingUpstreams.end(); ++_iter100)
       {
-        xfer += oprot->writeString((*_iter75));
+        xfer += oprot->writeString((*_iter100));
       }
       xfer += oprot->writeListEnd();
     }
@@ -743,10 +868,10 @@
     xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->engines.size()));
-      std::vector<int32_t> ::const_iterator _iter76;
-      for (_iter76 = this->engines.begin(); _iter76 != this->engines.end(); ++_iter76)
+      std::vector<int32_t> ::const_iterator _iter101;
+      for (_iter101 = this->engines.begin(); _iter101 != this->engines.end(); ++_iter101)
       {
-        xfer += oprot->writeI32((*_iter76));
+        xfer += oprot->writeI32((*_iter101));
       }
       xfer += oprot->writeListEnd();
     }
@@ -756,10 +881,10 @@
     xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->states.size()));
-      std::vector<int32_t> ::const_iterator _iter77;
-      for (_iter77 = this->states.begin(); _iter77 != this->states.end(); ++_iter77)
+      std::vector<int32_t> ::const_iterator _iter102;
+      for (_iter102 = this->states.begin(); _iter102 != this->states.end(); ++_iter102)
       {
-        xfer += oprot->writeI32((*_iter77));
+        xfer += oprot->writeI32((*_iter102));
       }
       xfer += oprot->writeListEnd();
     }
@@ -769,10 +894,10 @@
     xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->loads.size()));
-      std::vector<int32_t> ::const_iterator _iter78;
-      for (_iter78 = this->loads.begin(); _iter78 != this->loads.end(); ++_iter78)
+      std::vector<int32_t> ::const_iterator _iter103;
+      for (_iter103 = this->loads.begin(); _iter103 != this->loads.end(); ++_iter103)
       {
-        xfer += oprot->writeI32((*_iter78));
+        xfer += oprot->writeI32((*_iter103));
       }
       xfer += oprot->writeListEnd();
     }
@@ -782,10 +907,10 @@
     xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->work.size()));
-      std::vector<int32_t> ::const_iterator _iter79;
-      for (_iter79 = this->work.begin(); _iter79 != this->work.end(); ++_iter79)
+      std::vector<int32_t> ::const_iterator _iter104;
+      for (_iter104 = this->work.begin(); _iter104 != this->work.end(); ++_iter104)
       {
-        xfer += oprot->writeI32((*_iter79));
+        xfer += oprot->writeI32((*_iter104));
       }
       xfer += oprot->writeListEnd();
     }
@@ -810,10 +935,10 @@
     xfer += oprot->writeFieldBegin("changedEngines", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->changedEngines.size()));
-      std::vector<int32_t> ::const_iterator _iter80;
-      for (_iter80 = this->changedEngines.begin(); _iter80 != this->changedEngines.end(); ++_iter80)
+      std::vector<int32_t> ::const_iterator _iter105;
+      for (_iter105 = this->changedEngines.begin(); _iter105 != this->changedEngines.end(); ++_iter105)
       {
-        xfer += oprot->writeI32((*_iter80));
+        xfer += oprot->writeI32((*_iter105));
       }
       xfer += oprot->writeListEnd();
     }
@@ -823,10 +948,10 @@
     xfer += oprot->writeFieldBegin("changedParts", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->changedParts.size()));
-      std::vector<int32_t> ::const_iterator _iter81;
-      for (_iter81 = this->changedParts.begin(); _iter81 != this->changedParts.end(); ++_iter81)
+      std::vector<int32_t> ::const_iterator _iter106;
+      for (_iter106 = this->changedParts.begin(); _iter106 != this->changedParts.end(); ++_iter106)
       {
-        xfer += oprot->writeI32((*_iter81));
+        xfer += oprot->writeI32((*_iter106));
       }
       xfer += oprot->writeListEnd();
     }
@@ -836,10 +961,10 @@
     xfer += oprot->writeFieldBegin("readParts", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->readParts.size()));
-      std::vector<int32_t> ::const_iterator _iter82;
-      for (_iter82 = this->readParts.begin(); _iter82 != this->readParts.end(); ++_iter82)
+      std::vector<int32_t> ::const_iterator _iter107;
+      for (_iter107 = this->readParts.begin(); _iter107 != this->readParts.end(); ++_iter107)
       {
-        xfer += oprot->writeI32((*_iter82));
+        xfer += oprot->writeI32((*_iter107));
       }
       xfer += oprot->writeListEnd();
     }
@@ -849,10 +974,10 @@
     xfer += oprot->writeFieldBegin("readEngines", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->readEngines.size()));
-      std::vector<int32_t> ::const_iterator _iter83;
-      for (_iter83 = this->readEngines.begin(); _iter83 != this->readEngines.end(); ++_iter83)
+      std::vector<int32_t> ::const_iterator _iter108;
+      for (_iter108 = this->readEngines.begin(); _iter108 != this->readEngines.end(); ++_iter108)
       {
-        xfer += oprot->writeI32((*_iter83));
+        xfer += oprot->writeI32((*_iter108));
       }
       xfer += oprot->writeListEnd();
     }
@@ -862,10 +987,10 @@
     xfer += oprot->writeFieldBegin("servicesApart", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->servicesApart.size()));
-      std::vector<int32_t> ::const_iterator _iter84;
-      for (_iter84 = this->servicesApart.begin(); _iter84 != this->servicesApart.end(); ++_iter84)
+      std::vector<int32_t> ::const_iterator _iter109;
+      for (_iter109 = this->servicesApart.begin(); _iter109 != this->servicesApart.end(); ++_iter109)
       {
-        xfer += oprot->writeI32((*_iter84));
+        xfer += oprot->writeI32((*_iter109));
       }
       xfer += oprot->writeListEnd();
     }
@@ -890,10 +1015,10 @@
     xfer += oprot->writeFieldBegin("leavingBorn", ::apache::thrift::protocol::T_LIST, 24);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leavingBorn.size()));
-      std::vector<int64_t> ::const_iterator _iter85;
-      for (_iter85 = this->leavingBorn.begin(); _iter85 != this->leavingBorn.end(); ++_iter85)
+      std::vector<int64_t> ::const_iterator _iter110;
+      for (_iter110 = this->leavingBorn.begin(); _iter110 != this->leavingBorn.end(); ++_iter110)
       {
-        xfer += oprot->writeI64((*_iter85));
+        xfer += oprot->writeI64((*_iter110));
       }
       xfer += oprot->writeListEnd();
     }
@@ -913,10 +1038,10 @@
     xfer += oprot->writeFieldBegin("endedCallsHigh", ::apache::thrift::protocol::T_LIST, 27);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->endedCallsHigh.size()));
-      std::vector<int64_t> ::const_iterator _iter86;
-      for (_iter86 = this->endedCallsHigh.begin(); _iter86 != this->endedCallsHigh.end(); ++_iter86)
+      std::vector<int64_t> ::const_iterator _iter111;
+      for (_iter111 = this->endedCallsHigh.begin(); _iter111 != this->endedCallsHigh.end(); ++_iter111)
       {
-        xfer += oprot->writeI64((*_iter86));
+        xfer += oprot->writeI64((*_iter111));
       }
       xfer += oprot->writeListEnd();
     }
@@ -926,10 +1051,10 @@
     xfer += oprot->writeFieldBegin("endedCallsLow", ::apache::thrift::protocol::T_LIST, 28);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->endedCallsLow.size()));
-      std::vector<int64_t> ::const_iterator _iter87;
-      for (_iter87 = this->endedCallsLow.begin(); _iter87 != this->endedCallsLow.end(); ++_iter87)
+      std::vector<int64_t> ::const_iterator _iter112;
+      for (_iter112 = this->endedCallsLow.begin(); _iter112 != this->endedCallsLow.end(); ++_iter112)
       {
-        xfer += oprot->writeI64((*_iter87));
+        xfer += oprot->writeI64((*_iter112));
       }
       xfer += oprot->writeListEnd();
     }
@@ -939,10 +1064,10 @@
     xfer += oprot->writeFieldBegin("endedLives", ::apache::thrift::protocol::T_LIST, 29);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->endedLives.size()));
-      std::vector<int64_t> ::const_iterator _iter88;
-      for (_iter88 = this->endedLives.begin(); _iter88 != this->endedLives.end(); ++_iter88)
+      std::vector<int64_t> ::const_iterator _iter113;
+      for (_iter113 = this->endedLives.begin(); _iter113 != this->endedLives.end(); ++_iter113)
       {
-        xfer += oprot->writeI64((*_iter88));
+        xfer += oprot->writeI64((*_iter113));
       }
       xfer += oprot->writeListEnd();
     }
@@ -952,10 +1077,10 @@
     xfer += oprot->writeFieldBegin("endingsCleared", ::apache::thrift::protocol::T_LIST, 30);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_BOOL, static_cast<uint32_t>(this->endingsCleared.size()));
-      std::vector<bool> ::const_iterator _iter89;
-      for (_iter89 = this->endingsCleared.begin(); _iter89 != this->endingsCleared.end(); ++_iter89)
+      std::vector<bool> ::const_iterator _iter114;
+      for (_iter114 = this->endingsCleared.begin(); _iter114 != this->endingsCleared.end(); ++_iter114)
       {
-        xfer += oprot->writeBool((*_iter89));
+        xfer += oprot->writeBool((*_iter114));
       }
       xfer += oprot->writeListEnd();
     }
@@ -981,6 +1106,71 @@
     xfer += oprot->writeI64(this->wallOffsetGeneration);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.limitedUpstreams) {
+    xfer += oprot->writeFieldBegin("limitedUpstreams", ::apache::thrift::protocol::T_LIST, 35);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limitedUpstreams.size()));
+      std::vector<int32_t> ::const_iterator _iter115;
+      for (_iter115 = this->limitedUpstreams.begin(); _iter115 != this->limitedUpstreams.end(); ++_iter115)
+      {
+        xfer += oprot->writeI32((*_iter115));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.limits) {
+    xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 36);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limits.size()));
+      std::vector<int32_t> ::const_iterator _iter116;
+      for (_iter116 = this->limits.begin(); _iter116 != this->limits.end(); ++_iter116)
+      {
+        xfer += oprot->writeI32((*_iter116));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.limitAges) {
+    xfer += oprot->writeFieldBegin("limitAges", ::apache::thrift::protocol::T_LIST, 37);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limitAges.size()));
+      std::vector<int32_t> ::const_iterator _iter117;
+      for (_iter117 = this->limitAges.begin(); _iter117 != this->limitAges.end(); ++_iter117)
+      {
+        xfer += oprot->writeI32((*_iter117));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.demandedServices) {
+    xfer += oprot->writeFieldBegin("demandedServices", ::apache::thrift::protocol::T_LIST, 38);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->demandedServices.size()));
+      std::vector<int32_t> ::const_iterator _iter118;
+      for (_iter118 = this->demandedServices.begin(); _iter118 != this->demandedServices.end(); ++_iter118)
+      {
+        xfer += oprot->writeI32((*_iter118));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.demands) {
+    xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 39);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->demands.size()));
+      std::vector<int32_t> ::const_iterator _iter119;
+      for (_iter119 = this->demands.begin(); _iter119 != this->demands.end(); ++_iter119)
+      {
+        xfer += oprot->writeI32((*_iter119));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1022,82 +1212,97 @@
   swap(a.configProvenMs, b.configProvenMs);
   swap(a.wallOffsetMs, b.wallOffsetMs);
   swap(a.wallOffsetGeneration, b.wallOffsetGeneration);
+  swap(a.limitedUpstreams, b.limitedUpstreams);
+  swap(a.limits, b.limits);
+  swap(a.limitAges, b.limitAges);
+  swap(a.demandedServices, b.demandedServices);
+  swap(a.demands, b.demands);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other90) {
-  instance = other90.instance;
-  incarnation = other90.incarnation;
-  hall = other90.hall;
-  peerAddress = other90.peerAddress;
-  ready = other90.ready;
-  leaving = other90.leaving;
-  revision = other90.revision;
-  leavingUpstreams = other90.leavingUpstreams;
-  engines = other90.engines;
-  states = other90.states;
-  loads = other90.loads;
-  work = other90.work;
-  configVersion = other90.configVersion;
-  membersVersion = other90.membersVersion;
-  storeLost = other90.storeLost;
-  changedEngines = other90.changedEngines;
-  changedParts = other90.changedParts;
-  readParts = other90.readParts;
-  readEngines = other90.readEngines;
-  servicesApart = other90.servicesApart;
-  storeSteady = other90.storeSteady;
-  tellsHall = other90.tellsHall;
-  storeReadsForMs = other90.storeReadsForMs;
-  leavingBorn = other90.leavingBorn;
-  configGeneration = other90.configGeneration;
-  membersGeneration = other90.membersGeneration;
-  endedCallsHigh = other90.endedCallsHigh;
-  endedCallsLow = other90.endedCallsLow;
-  endedLives = other90.endedLives;
-  endingsCleared = other90.endingsCleared;
-  heldCalls = other90.heldCalls;
-  configProvenMs = other90.configProvenMs;
-  wallOffsetMs = other90.wallOffsetMs;
-  wallOffsetGeneration = other90.wallOffsetGeneration;
-  __isset = other90.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other91) {
-  instance = other91.instance;
-  incarnation = other91.incarnation;
-  hall = other91.hall;
-  peerAddress = other91.peerAddress;
-  ready = other91.ready;
-  leaving = other91.leaving;
-  revision = other91.revision;
-  leavingUpstreams = other91.leavingUpstreams;
-  engines = other91.engines;
-  states = other91.states;
-  loads = other91.loads;
-  work = other91.work;
-  configVersion = other91.configVersion;
-  membersVersion = other91.membersVersion;
-  storeLost = other91.storeLost;
-  changedEngines = other91.changedEngines;
-  changedParts = other91.changedParts;
-  readParts = other91.readParts;
-  readEngines = other91.readEngines;
-  servicesApart = other91.servicesApart;
-  storeSteady = other91.storeSteady;
-  tellsHall = other91.tellsHall;
-  storeReadsForMs = other91.storeReadsForMs;
-  leavingBorn = other91.leavingBorn;
-  configGeneration = other91.configGeneration;
-  membersGeneration = other91.membersGeneration;
-  endedCallsHigh = other91.endedCallsHigh;
-  endedCallsLow = other91.endedCallsLow;
-  endedLives = other91.endedLives;
-  endingsCleared = other91.endingsCleared;
-  heldCalls = other91.heldCalls;
-  configProvenMs = other91.configProvenMs;
-  wallOffsetMs = other91.wallOffsetMs;
-  wallOffsetGeneration = other91.wallOffsetGeneration;
-  __isset = other91.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other120) {
+  instance = other120.instance;
+  incarnation = other120.incarnation;
+  hall = other120.hall;
+  peerAddress = other120.peerAddress;
+  ready = other120.ready;
+  leaving = other120.leaving;
+  revision = other120.revision;
+  leavingUpstreams = other120.leavingUpstreams;
+  engines = other120.engines;
+  states = other120.states;
+  loads = other120.loads;
+  work = other120.work;
+  configVersion = other120.configVersion;
+  membersVersion = other120.membersVersion;
+  storeLost = other120.storeLost;
+  changedEngines = other120.changedEngines;
+  changedParts = other120.changedParts;
+  readParts = other120.readParts;
+  readEngines = other120.readEngines;
+  servicesApart = other120.servicesApart;
+  storeSteady = other120.storeSteady;
+  tellsHall = other120.tellsHall;
+  storeReadsForMs = other120.storeReadsForMs;
+  leavingBorn = other120.leavingBorn;
+  configGeneration = other120.configGeneration;
+  membersGeneration = other120.membersGeneration;
+  endedCallsHigh = other120.endedCallsHigh;
+  endedCallsLow = other120.endedCallsLow;
+  endedLives = other120.endedLives;
+  endingsCleared = other120.endingsCleared;
+  heldCalls = other120.heldCalls;
+  configProvenMs = other120.configProvenMs;
+  wallOffsetMs = other120.wallOffsetMs;
+  wallOffsetGeneration = other120.wallOffsetGeneration;
+  limitedUpstreams = other120.limitedUpstreams;
+  limits = other120.limits;
+  limitAges = other120.limitAges;
+  demandedServices = other120.demandedServices;
+  demands = other120.demands;
+  __isset = other120.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other121) {
+  instance = other121.instance;
+  incarnation = other121.incarnation;
+  hall = other121.hall;
+  peerAddress = other121.peerAddress;
+  ready = other121.ready;
+  leaving = other121.leaving;
+  revision = other121.revision;
+  leavingUpstreams = other121.leavingUpstreams;
+  engines = other121.engines;
+  states = other121.states;
+  loads = other121.loads;
+  work = other121.work;
+  configVersion = other121.configVersion;
+  membersVersion = other121.membersVersion;
+  storeLost = other121.storeLost;
+  changedEngines = other121.changedEngines;
+  changedParts = other121.changedParts;
+  readParts = other121.readParts;
+  readEngines = other121.readEngines;
+  servicesApart = other121.servicesApart;
+  storeSteady = other121.storeSteady;
+  tellsHall = other121.tellsHall;
+  storeReadsForMs = other121.storeReadsForMs;
+  leavingBorn = other121.leavingBorn;
+  configGeneration = other121.configGeneration;
+  membersGeneration = other121.membersGeneration;
+  endedCallsHigh = other121.endedCallsHigh;
+  endedCallsLow = other121.endedCallsLow;
+  endedLives = other121.endedLives;
+  endingsCleared = other121.endingsCleared;
+  heldCalls = other121.heldCalls;
+  configProvenMs = other121.configProvenMs;
+  wallOffsetMs = other121.wallOffsetMs;
+  wallOffsetGeneration = other121.wallOffsetGeneration;
+  limitedUpstreams = other121.limitedUpstreams;
+  limits = other121.limits;
+  limitAges = other121.limitAges;
+  demandedServices = other121.demandedServices;
+  demands = other121.demands;
+  __isset = other121.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -1137,6 +1342,11 @@
   out << ", " << "configProvenMs="; (__isset.configProvenMs ? (out << to_string(configProvenMs)) : (out << "<null>"));
   out << ", " << "wallOffsetMs="; (__isset.wallOffsetMs ? (out << to_string(wallOffsetMs)) : (out << "<null>"));
   out << ", " << "wallOffsetGeneration="; (__isset.wallOffsetGeneration ? (out << to_string(wallOffsetGeneration)) : (out << "<null>"));
+  out << ", " << "limitedUpstreams="; (__isset.limitedUpstreams ? (out << to_string(limitedUpstreams)) : (out << "<null>"));
+  out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
+  out << ", " << "limitAges="; (__isset.limitAges ? (out << to_string(limitAges)) : (out << "<null>"));
+  out << ", " << "demandedServices="; (__isset.demandedServices ? (out << to_string(demandedServices)) : (out << "<null>"));
+  out << ", " << "demands="; (__isset.demands ? (out << to_string(demands)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1258,17 +1468,17 @@
   swap(a.__isset, b.__isset);
 }
 
-RowsRequest::RowsRequest(const RowsRequest& other92) {
-  table = other92.table;
-  after = other92.after;
-  generation = other92.generation;
-  __isset = other92.__isset;
+RowsRequest::RowsRequest(const RowsRequest& other122) {
+  table = other122.table;
+  after = other122.after;
+  generation = other122.generation;
+  __isset = other122.__isset;
 }
-RowsRequest& RowsRequest::operator=(const RowsRequest& other93) {
-  table = other93.table;
-  after = other93.after;
-  generation = other93.generation;
-  __isset = other93.__isset;
+RowsRequest& RowsRequest::operator=(const RowsRequest& other123) {
+  table = other123.table;
+  after = other123.after;
+  generation = other123.generation;
+  __isset = other123.__isset;
   return *this;
 }
 void RowsRequest::printTo(std::ostream& out) const {
@@ -1418,17 +1628,17 @@
   swap(a.version, b.version);
 }
 
-Row::Row(const Row& other94) {
-  key = other94.key;
-  value = other94.value;
-  removed = other94.removed;
-  version = other94.version;
+Row::Row(const Row& other124) {
+  key = other124.key;
+  value = other124.value;
+  removed = other124.removed;
+  version = other124.version;
 }
-Row& Row::operator=(const Row& other95) {
-  key = other95.key;
-  value = other95.value;
-  removed = other95.removed;
-  version = other95.version;
+Row& Row::operator=(const Row& other125) {
+  key = other125.key;
+  value = other125.value;
+  removed = other125.removed;
+  version = other125.version;
   return *this;
 }
 void Row::printTo(std::ostream& out) const {
@@ -1523,14 +1733,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->rows.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _etype129;
+            xfer += iprot->readListBegin(_etype129, _size126);
+            this->rows.resize(_size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
             {
-              xfer += this->rows[_i100].read(iprot);
+              xfer += this->rows[_i130].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1597,10 +1807,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter101;
-    for (_iter101 = this->rows.begin(); _iter101 != this->rows.end(); ++_iter101)
+    std::vector<Row> ::const_iterator _iter131;
+    for (_iter131 = this->rows.begin(); _iter131 != this->rows.end(); ++_iter131)
     {
-      xfer += (*_iter101).write(oprot);
+      xfer += (*_iter131).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1637,23 +1847,23 @@
   swap(a.__isset, b.__isset);
 }
 
-RowsReply::RowsReply(const RowsReply& other102) {
-  version = other102.version;
-  whole = other102.whole;
-  rows = other102.rows;
-  generation = other102.generation;
-  latestClockMs = other102.latestClockMs;
-  clockGeneration = other102.clockGeneration;
-  __isset = other102.__isset;
-}
-RowsReply& RowsReply::operator=(const RowsReply& other103) {
-  version = other103.version;
-  whole = other103.whole;
-  rows = other103.rows;
-  generation = other103.generation;
-  latestClockMs = other103.latestClockMs;
-  clockGeneration = other103.clockGeneration;
-  __isset = other103.__isset;
+RowsReply::RowsReply(const RowsReply& other132) {
+  version = other132.version;
+  whole = other132.whole;
+  rows = other132.rows;
+  generation = other132.generation;
+  latestClockMs = other132.latestClockMs;
+  clockGeneration = other132.clockGeneration;
+  __isset = other132.__isset;
+}
+RowsReply& RowsReply::operator=(const RowsReply& other133) {
+  version = other133.version;
+  whole = other133.whole;
+  rows = other133.rows;
+  generation = other133.generation;
+  latestClockMs = other133.latestClockMs;
+  clockGeneration = other133.clockGeneration;
+  __isset = other133.__isset;
   return *this;
 }
 void RowsReply::printTo(std::ostream& out) const {
@@ -1746,11 +1956,11 @@
   swap(a.after, b.after);
 }
 
-ChangesRequest::ChangesRequest(const ChangesRequest& other104) noexcept {
-  after = other104.after;
+ChangesRequest::ChangesRequest(const ChangesRequest& other134) noexcept {
+  after = other134.after;
 }
-ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other105) noexcept {
-  after = other105.after;
+ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other135) noexcept {
+  after = other135.after;
   return *this;
 }
 void ChangesRequest::printTo(std::ostream& out) const {
@@ -1858,13 +2068,13 @@
   swap(a.json, b.json);
 }
 
-ConfigObject::ConfigObject(const ConfigObject& other106) {
-  key = other106.key;
-  json = other106.json;
+ConfigObject::ConfigObject(const ConfigObject& other136) {
+  key = other136.key;
+  json = other136.json;
 }
-ConfigObject& ConfigObject::operator=(const ConfigObject& other107) {
-  key = other107.key;
-  json = other107.json;
+ConfigObject& ConfigObject::operator=(const ConfigObject& other137) {
+  key = other137.key;
+  json = other137.json;
   return *this;
 }
 void ConfigObject::printTo(std::ostream& out) const {
@@ -1934,14 +2144,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->changes.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->changes.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += iprot->readString(this->changes[_i112]);
+              xfer += iprot->readString(this->changes[_i142]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1954,14 +2164,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->snapshot.clear();
-            uint32_t _size113;
-            ::apache::thrift::protocol::TType _etype116;
-            xfer += iprot->readListBegin(_etype116, _size113);
-            this->snapshot.resize(_size113);
-            uint32_t _i117;
-            for (_i117 = 0; _i117 < _size113; ++_i117)
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->snapshot.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
             {
-              xfer += this->snapshot[_i117].read(iprot);
+              xfer += this->snapshot[_i147].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1998,10 +2208,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->changes.size()));
-    std::vector<std::string> ::const_iterator _iter118;
-    for (_iter118 = this->changes.begin(); _iter118 != this->changes.end(); ++_iter118)
+    std::vector<std::string> ::const_iterator _iter148;
+    for (_iter148 = this->changes.begin(); _iter148 != this->changes.end(); ++_iter148)
     {
-      xfer += oprot->writeString((*_iter118));
+      xfer += oprot->writeString((*_iter148));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2011,10 +2221,10 @@
     xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->snapshot.size()));
-      std::vector<ConfigObject> ::const_iterator _iter119;
-      for (_iter119 = this->snapshot.begin(); _iter119 != this->snapshot.end(); ++_iter119)
+      std::vector<ConfigObject> ::const_iterator _iter149;
+      for (_iter149 = this->snapshot.begin(); _iter149 != this->snapshot.end(); ++_iter149)
       {
-        xfer += (*_iter119).write(oprot);
+        xfer += (*_iter149).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2033,17 +2243,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangesReply::ChangesReply(const ChangesReply& other120) {
-  revision = other120.revision;
-  changes = other120.changes;
-  snapshot = other120.snapshot;
-  __isset = other120.__isset;
+ChangesReply::ChangesReply(const ChangesReply& other150) {
+  revision = other150.revision;
+  changes = other150.changes;
+  snapshot = other150.snapshot;
+  __isset = other150.__isset;
 }
-ChangesReply& ChangesReply::operator=(const ChangesReply& other121) {
-  revision = other121.revision;
-  changes = other121.changes;
-  snapshot = other121.snapshot;
-  __isset = other121.__isset;
+ChangesReply& ChangesReply::operator=(const ChangesReply& other151) {
+  revision = other151.revision;
+  changes = other151.changes;
+  snapshot = other151.snapshot;
+  __isset = other151.__isset;
   return *this;
 }
 void ChangesReply::printTo(std::ostream& out) const {
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -36,7 +36,7 @@
 class ChangesReply;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false), leavingBorn(false), configGeneration(false), membersGeneration(false), endedCallsHigh(false), endedCallsLow(false), endedLives(false), endingsCleared(false), heldCalls(false), configProvenMs(false), wallOffsetMs(false), wallOffsetGeneration(false) {}
+  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false), leavingBorn(false), configGeneration(false), membersGeneration(false), endedCallsHigh(false), endedCallsLow(false), endedLives(false), endingsCleared(false), heldCalls(false), configProvenMs(false), wallOffsetMs(false), wallOffsetGeneration(false), limitedUpstreams(false), limits(false), limitAges(false), demandedServices(false), demands(false) {}
   bool leavingUpstreams :1;
   bool engines :1;
   bool states :1;
@@ -64,6 +64,11 @@
   bool configProvenMs :1;
   bool wallOffsetMs :1;
   bool wallOffsetGeneration :1;
+  bool limitedUpstreams :1;
+  bool limits :1;
+  bool limitAges :1;
+  bool demandedServices :1;
+  bool demands :1;
 } _Heartbeat__isset;
 
 /**
@@ -195,6 +200,20 @@
    */
   int64_t wallOffsetMs;
   int64_t wallOffsetGeneration;
+  /**
+   * Limits that upstreams state, as three lists of one length: hashes of their
+   * ids, thousandths of a request a second (negative: the upstream states none any
+   * more), and how many milliseconds ago an answer stated it.
+   */
+  std::vector<int32_t>  limitedUpstreams;
+  std::vector<int32_t>  limits;
+  std::vector<int32_t>  limitAges;
+  /**
+   * Calls that callers make at the sender, as two lists of one length: hashes of
+   * the services' names, and thousandths of a call a second.
+   */
+  std::vector<int32_t>  demandedServices;
+  std::vector<int32_t>  demands;
 
   _Heartbeat__isset __isset;
 
@@ -266,6 +285,16 @@
 
   void __set_wallOffsetGeneration(const int64_t val);
 
+  void __set_limitedUpstreams(const std::vector<int32_t> & val);
+
+  void __set_limits(const std::vector<int32_t> & val);
+
+  void __set_limitAges(const std::vector<int32_t> & val);
+
+  void __set_demandedServices(const std::vector<int32_t> & val);
+
+  void __set_demands(const std::vector<int32_t> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -390,6 +419,26 @@
       return false;
     else if (__isset.wallOffsetGeneration && !(wallOffsetGeneration == rhs.wallOffsetGeneration))
       return false;
+    if (__isset.limitedUpstreams != rhs.__isset.limitedUpstreams)
+      return false;
+    else if (__isset.limitedUpstreams && !(limitedUpstreams == rhs.limitedUpstreams))
+      return false;
+    if (__isset.limits != rhs.__isset.limits)
+      return false;
+    else if (__isset.limits && !(limits == rhs.limits))
+      return false;
+    if (__isset.limitAges != rhs.__isset.limitAges)
+      return false;
+    else if (__isset.limitAges && !(limitAges == rhs.limitAges))
+      return false;
+    if (__isset.demandedServices != rhs.__isset.demandedServices)
+      return false;
+    else if (__isset.demandedServices && !(demandedServices == rhs.demandedServices))
+      return false;
+    if (__isset.demands != rhs.__isset.demands)
+      return false;
+    else if (__isset.demands && !(demands == rhs.demands))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -79,6 +79,18 @@
    * milliseconds; not set: the sender does not know the store's clock. */
   33: optional i64 wallOffsetMs;
   34: optional i64 wallOffsetGeneration;
+  /**
+   * Limits that upstreams state, as three lists of one length: hashes of their
+   * ids, thousandths of a request a second (negative: the upstream states none any
+   * more), and how many milliseconds ago an answer stated it.
+   */
+  35: optional list<i32> limitedUpstreams;
+  36: optional list<i32> limits;
+  37: optional list<i32> limitAges;
+  /** Calls that callers make at the sender, as two lists of one length: hashes of
+   * the services' names, and thousandths of a call a second. */
+  38: optional list<i32> demandedServices;
+  39: optional list<i32> demands;
 }
 
 /** Asks a peer for what it has read of a table of the store. */
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -1,5 +1,6 @@
 #include "ridgeferry/protocol/Messages.h"
 
+#include "LimitDigests.h"
 #include "ridgeferry_types.h"
 
 #include <algorithm>
@@ -205,6 +206,7 @@
       out.__set_wallOffsetGeneration(number(store.m_wallOffset->m_generation));
     }
   }
+  SetLimits(out, aMessage);
   if (!aMessage.m_crashes.empty()) {
     SetEndings(out, aMessage.m_crashes);
   }
@@ -363,6 +365,9 @@
     return tl::unexpected(DecodeError{ "endings of different lengths" });
   }
   out.m_crashes = std::move(*endings);
+  if (!TakeLimits(*in, out)) {
+    return tl::unexpected(DecodeError{ "limits of different lengths" });
+  }
   if (in->__isset.heldCalls) {
     out.m_quarantineFingerprint = static_cast<std::uint64_t>(in->heldCalls);
   }
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -41,6 +41,17 @@
   for (std::uint32_t life : *rc::gen::arbitrary<std::vector<std::uint32_t>>()) {
     out.m_crashes.push_back({ life * 3ULL, life * 5ULL, life, life % 2 == 0 });
   }
+  for (std::uint32_t upstream :
+       *rc::gen::arbitrary<std::vector<std::uint32_t>>()) {
+    membership::LimitDigest digest;
+    digest.m_upstream = upstream;
+    if (*rc::gen::arbitrary<bool>()) {
+      digest.m_millisPerSecond = *rc::gen::inRange(0, 1 << 30);
+    }
+    digest.m_ageMs = *rc::gen::inRange(0, 1 << 30);
+    out.m_limits.push_back(digest);
+    out.m_demands.push_back({ upstream ^ 3U, *rc::gen::inRange(0, 1 << 30) });
+  }
   if (*rc::gen::arbitrary<bool>()) {
     out.m_quarantineFingerprint = *rc::gen::arbitrary<std::uint64_t>();
   }
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <optional>
 #include <ridgeferry/base/Time.h>
-#include <ridgeferry/limits/StatedLimits.h>
+#include <ridgeferry/limits/UpstreamLimits.h>
 #include <ridgeferry/relay/AttemptEnd.h>
 #include <ridgeferry/relay/ColocatedPrefill.h>
 #include <ridgeferry/relay/MedianThroughput.h>
@@ -232,11 +232,21 @@
                       Instant aNow);
   /**
    * Records the limit that an answer of a member states; see
-   * `limits::StatedLimits`. Returns what that changed.
+   * `limits::UpstreamLimits`. Returns what that changed.
    */
   limits::LimitChange NoteStatedLimit(std::string_view aId,
                                       std::optional<double> aPerSecond,
                                       Instant aNow);
+  /**
+   * Records the limit that a member stated to another instance. Has no effect
+   * if the member is not listed here. Returns what that changed.
+   */
+  limits::LimitChange NotePeerLimit(const limits::LimitReport& aReport,
+                                    Instant aNow);
+  /** Counts a send to a member against the limit that it states. */
+  void TakePermit(std::string_view aId, Instant aNow);
+  limits::UpstreamLimits& Limits() { return m_limits; }
+  const limits::UpstreamLimits& Limits() const { return m_limits; }
   /**
    * Returns the prompt tokens that all instances together have waiting for
    * prefill at a member.
@@ -329,6 +339,9 @@
    */
   std::vector<PeerLoad> OwnLoads() const;
   static std::uint32_t ShortHash(std::string_view aId);
+  /** Returns the id of the member with this `ShortHash`; empty if none is
+   * known. */
+  std::string_view IdOf(std::uint32_t aShortHash) const;
 
   /** Returns null if no such member is known. */
   const Member* Find(std::string_view aId) const;
@@ -441,10 +454,18 @@
   bool MayServe(const State& aState,
                 const PlaceRequest& aRequest,
                 Instant aNow) const;
+  /** Returns the time until the member may be sent the call under the limit
+   * that it states; 0 if it may be now. */
+  Duration RoomUnderLimit(const State& aState,
+                          const PlaceRequest& aRequest,
+                          Instant aNow) const;
   static Duration ResponseTimeoutOf(const State& aState);
   static bool IsUnresponsive(const State& aState, Instant aNow);
   static void Eject(State& aState, Instant aNow);
   static bool HasConnection(const State& aState, const PlaceRequest& aRequest);
+  /** Returns why no member may get a call. `aLimitedFor` is the time until the
+   * first limited member has room, std::nullopt if none is limited. */
+  static PlaceFault FaultOf(bool aAnyBusy, std::optional<Duration> aLimitedFor);
   /**
    * Chooses the upstream of a call to a plain service. Here and below, `aSound`
    * are the members that may get the call: those of the service that are not
@@ -685,7 +706,7 @@
   std::map<std::string, std::vector<MemberRoleUpdate>, std::less<>>
     m_roleUpdates;
   PrefixCacheIndex m_prefixCaches;
-  limits::StatedLimits m_limits;
+  limits::UpstreamLimits m_limits;
   std::map<std::string, std::vector<std::uint32_t>, std::less<>>
     m_peerDisaggregated;
   std::vector<std::uint32_t> m_restoredDisaggregated;
--- a/packages/relay/include/ridgeferry/relay/Placement.h
+++ b/packages/relay/include/ridgeferry/relay/Placement.h
@@ -22,6 +22,9 @@
   std::span<const std::string> m_excluded;
   /** Maximum number of connections from this instance to one upstream. */
   std::int64_t m_mostOpen = std::numeric_limits<std::int64_t>::max();
+  /** The service has calls more urgent than this one, which use the room that
+   * limited upstreams have first. */
+  bool m_yieldsToUrgent = false;
   std::uint64_t m_random = 0; ///< Breaks ties and draws candidates.
   /** The mean prompt of this kind of call; empty to use the prompt itself. */
   std::optional<Prompt> m_typical = {};
@@ -118,12 +121,17 @@
    * No engine, even an idle one, could prefill it before the caller gives up.
    */
   TooLarge,
+  /**
+   * Every upstream that may get the call states a limit, and this instance's
+   * share of all of them is used up.
+   */
+  Limited,
 };
 
 struct PlaceFault
 {
   NoPlaceCause m_cause = NoPlaceCause::NoneSound;
-  /** For `Full`, the time after which there should be room. */
+  /** For `Full` and `Limited`, the time after which there should be room. */
   Duration m_roomIn{};
   /**
    * For a prompt and any cause but `NoneSound`, the estimate that led to the
--- a/packages/relay/include/ridgeferry/relay/Routes.h
+++ b/packages/relay/include/ridgeferry/relay/Routes.h
@@ -138,6 +138,9 @@
   /** Returns the shortest target for the first byte among the streaming routes
    * of a service; 0 if none of them has a target. */
   Duration ShortestFirstByteTarget(std::string_view aService) const;
+  /** Returns the priority of the most urgent route of a service; 0 if it has no
+   * route. */
+  int MostUrgentPriority(std::string_view aService) const;
   /** Returns the service for one call, chosen in proportion to the weights.
    * `aDraw` is a random number in [0, 1). */
   static const std::string& Draw(const Route& aRoute, double aDraw);
@@ -151,6 +154,7 @@
 
 private:
   void NoteFirstByteTarget(const Route& aRoute);
+  void NotePriority(const Route& aRoute);
 
   RouteConfig m_config;
   keys::OrganisationDirectory m_organisations;
@@ -159,6 +163,8 @@
   std::map<std::string, const Service*, std::less<>> m_byService;
   /** The key is the name of the service. */
   std::map<std::string, Duration, std::less<>> m_shortestTargets;
+  /** The key is the name of the service. */
+  std::map<std::string, int, std::less<>> m_mostUrgent;
 };
 
 } // namespace ridgeferry::relay
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -77,6 +77,7 @@
 Fleet::ForgetIncarnation(const std::string& aId)
 {
   const std::uint32_t hash = ShortHash(aId);
+  m_limits.Forget(hash);
   m_members.erase(aId);
   m_prefixCaches.ForgetEngine(hash);
   std::erase_if(m_ownPrefills, [hash](const auto& aRead) {
@@ -183,6 +184,13 @@
   return static_cast<std::uint32_t>(Hash64(aId));
 }
 
+std::string_view
+Fleet::IdOf(std::uint32_t aShortHash) const
+{
+  const auto found = m_byShortHash.find(aShortHash);
+  return found == m_byShortHash.end() ? std::string_view{} : found->second;
+}
+
 void
 Fleet::AddPeerLoads(std::span<const PeerLoad> aLoads, std::int64_t aSign)
 {
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -182,7 +182,9 @@
   double best = -1;
   std::uint64_t home = 0;
   for (const auto& [id, state] : m_members) {
+    // A limited engine takes few calls, so it is no target either.
     if (state.m_member.m_service != aService || state.m_member.m_leaving ||
+        m_limits.HasLimit(static_cast<limits::UpstreamHash>(state.m_hash)) ||
         IsReservedForDecode(state, reservedBound)) {
       continue;
     }
@@ -217,17 +219,31 @@
   return aState.m_inFlight < aRequest.m_mostOpen;
 }
 
+PlaceFault
+Fleet::FaultOf(bool aAnyBusy, std::optional<Duration> aLimitedFor)
+{
+  if (aAnyBusy) {
+    return { NoPlaceCause::Full, kConnectionWait };
+  }
+  return aLimitedFor ? PlaceFault{ NoPlaceCause::Limited, *aLimitedFor }
+                     : PlaceFault{};
+}
+
 PlaceResult
 Fleet::FindPlace(const PlaceRequest& aRequest, Instant aNow) const
 {
   std::vector<const State*> sound;
   std::vector<const State*> silent;
   bool anyBusy = false;
+  std::optional<Duration> limitedFor;
   for (const auto& [id, state] : m_members) {
     if (!MayServe(state, aRequest, aNow)) {
       continue;
     }
-    if (!HasConnection(state, aRequest)) {
+    const Duration roomIn = RoomUnderLimit(state, aRequest, aNow);
+    if (roomIn.count() > 0) {
+      limitedFor = std::min(limitedFor.value_or(Duration::max()), roomIn);
+    } else if (!HasConnection(state, aRequest)) {
       anyBusy = true;
     } else if (IsUnresponsive(state, aNow)) {
       silent.push_back(&state);
@@ -235,14 +251,13 @@
       sound.push_back(&state);
     }
   }
-  if (sound.empty() && !anyBusy) {
+  if (sound.empty() && !anyBusy && !limitedFor) {
     // If all members are unresponsive at once, the cause is more likely in the
     // connections than in the members, so they are used all the same.
     sound = std::move(silent);
   }
   if (sound.empty()) {
-    return anyBusy ? PlaceFault{ NoPlaceCause::Full, kConnectionWait }
-                   : PlaceFault{};
+    return FaultOf(anyBusy, limitedFor);
   }
   // Equal estimates are common under low load. Rotating the members by a random
   // number keeps instances from all choosing the first one.
--- a/packages/relay/src/Routes.cpp
+++ b/packages/relay/src/Routes.cpp
@@ -29,6 +29,7 @@
   }
   for (const Route& route : m_config.m_routes) {
     NoteFirstByteTarget(route);
+    NotePriority(route);
   }
   for (const Service& service : m_config.m_services) {
     m_byService[service.m_name] = &service;
@@ -75,6 +76,23 @@
   return found == m_shortestTargets.end() ? Duration{} : found->second;
 }
 
+void
+RouteTable::NotePriority(const Route& aRoute)
+{
+  for (const ServiceShare& share : aRoute.m_services) {
+    const auto known =
+      m_mostUrgent.try_emplace(share.m_service, aRoute.m_priority).first;
+    known->second = std::min(known->second, aRoute.m_priority);
+  }
+}
+
+int
+RouteTable::MostUrgentPriority(std::string_view aService) const
+{
+  const auto found = m_mostUrgent.find(aService);
+  return found == m_mostUrgent.end() ? 0 : found->second;
+}
+
 const Service*
 RouteTable::FindService(std::string_view aName) const
 {
