Sight of services that an instance reaches no upstream of

An instance's lines told ejections one by one, not that none was left, nor for how long, so that a cut of this instance could not be told from a crash of all upstreams. ReachService tells when no upstream of a service that can run calls responds (`service-unreachable`) and when one does again, with a gauge; while there is none it opens connections to the upstreams in turn, and ends the ejections once one comes about. No call goes another way yet.

--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -4,6 +4,7 @@
 #include "PeerRows.h"
 #include "Peers.h"
 #include "QuarantineService.h"
+#include "ReachService.h"
 #include "Relay.h"
 #include "RoleReconciler.h"
 #include "ScaleService.h"
@@ -81,6 +82,7 @@
   std::unique_ptr<StoreReader> m_members;
   std::unique_ptr<ConfigFreshness> m_freshness;
   std::unique_ptr<QuarantineService> m_quarantine;
+  std::unique_ptr<ReachService> m_reach;
   std::unique_ptr<TrueTime> m_trueTime;
   std::unique_ptr<OrderLease> m_lease;
   std::unique_ptr<UsageService> m_usage;
@@ -539,6 +541,7 @@
                                             m_node.m_dialect.m_memberTable);
   m_quarantine = std::make_unique<QuarantineService>(
     m_node, m_generations, *m_peers, *m_peerRows);
+  m_reach = std::make_unique<ReachService>(m_node);
   m_freshness =
     std::make_unique<ConfigFreshness>(m_node, *m_peers, *m_peerRows, *m_config);
   m_trueTime = std::make_unique<TrueTime>(m_node, *m_peers, *m_freshness);
@@ -615,6 +618,7 @@
     m_members->NotePeersListed(aAny);
   });
   m_quarantine->Start();
+  m_reach->Start();
   m_config->Start();
   m_members->Start();
   m_trueTime->Start();
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -195,6 +195,16 @@
    * call is unanswered.
    */
   bool IsUnresponsive(std::string_view aId, Instant aNow) const;
+  /**
+   * Returns whether some member of the service that can run calls is neither
+   * unresponsive nor on probation. True if none is listed.
+   */
+  bool IsAnyResponsive(std::string_view aService, Instant aNow) const;
+  /**
+   * Ends the ejections of the service's members on probation: what failed was
+   * the way to them. They stay on probation.
+   */
+  void EndEjections(std::string_view aService);
   /**
    * Returns whether a call to the member should open a new connection, because
    * the pooled connections may be the ones that no longer respond.
@@ -461,6 +471,11 @@
                           Instant aNow) const;
   static Duration ResponseTimeoutOf(const State& aState);
   static bool IsUnresponsive(const State& aState, Instant aNow);
+  /** Returns whether the member belongs to the service and may run its calls.
+   */
+  static bool MayRunCalls(const State& aState,
+                          std::string_view aService,
+                          Instant aNow);
   static void Eject(State& aState, Instant aNow);
   static bool HasConnection(const State& aState, const PlaceRequest& aRequest);
   /** Returns why no member may get a call. `aLimitedFor` is the time until the
