A failing test: an instance cut off from all upstreams serves nobody

Three real instances, one of which reaches its workers by links that are cut for seven seconds, in three ways.

--- /dev/null
+++ b/tests/soak/CutOffTest.cpp
@@ -0,0 +1,223 @@
+// Guards against callers of an instance that is cut off from all upstreams
+// being refused while other instances reach them: three real instances.
+
+#include "InstancesFixture.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <ridgeferry/net/HttpClient.h>
+#include <set>
+
+namespace ridgeferry::soak {
+namespace {
+
+using Json = nlohmann::json;
+using ExchangePtr = std::shared_ptr<net::HttpExchange>;
+
+constexpr std::size_t kOthers = 2;
+constexpr std::size_t kWorkers = 4;
+constexpr Duration kCallEvery{ 40 };
+/** From the beginning of a cut until callers must be served again. */
+constexpr Duration kContact{ 3000 };
+constexpr Duration kMeasured{ 3000 };
+/** From the end of a cut until its instance goes the direct way again. */
+constexpr Duration kReturn{ 5000 };
+
+/** How the instance is cut off from its upstreams. */
+struct CutCase
+{
+  const char* m_name;
+  LinkMode m_mode;
+  bool m_resetsOpen;
+  /** Whether no call gets through, so that the instance must notice. */
+  bool m_isWhole;
+};
+
+class CutOffTest
+  : public InstancesFixture
+  , public ::testing::WithParamInterface<CutCase>
+{
+protected:
+  CutOffTest()
+    : InstancesFixture("cut-off")
+    , m_client(*m_loop)
+    , m_ownStore(*m_loop)
+  {
+  }
+
+  /** The first instance reads a store of its own, whose rows name a link in
+   * place of each worker. */
+  void StartAll()
+  {
+    const std::string config =
+      R"({"version":1,"routes":[{"host":"h","path_prefix":"/safe/",)"
+      R"("kind":"safe","timeout_ms":1000,"max_attempts":2,"service":"s"},)"
+      R"({"host":"h","path_prefix":"/unsafe/",)"
+      R"("kind":"unsafe","timeout_ms":1000,"max_attempts":2,"service":"s"}],)"
+      R"("services":[{"name":"s","max_connections":100}]})";
+    m_store.Put("op", "config", config);
+    m_ownStore.Put("op", "config", config);
+    for (std::size_t i = 0; i < kWorkers; ++i) {
+      AddWorker("i-" + std::to_string(i));
+    }
+    ASSERT_TRUE(m_instances.StartAll(kOthers, StoreAddress(m_store)));
+    ASSERT_TRUE(RunUntil([this] { return m_instances.AllReady(); }));
+    for (const auto& instance : m_instances.All()) {
+      m_ownStore.Put(
+        "ridgeferry-instances", instance->m_name, instance->m_peers);
+    }
+    ASSERT_TRUE(m_instances.StartAll(1, StoreAddress(m_ownStore), "cut-hall"));
+    ASSERT_TRUE(RunUntil([this] { return m_instances.AllReady(); }));
+    RunFor(Duration{ 500 }); // Until the instances have heard of each other.
+    // Rows that an instance took from a peer when it started give way to those
+    // of its own store.
+    for (std::size_t i = 0; i < kWorkers; ++i) {
+      PutRows(i);
+    }
+    // The last row may still pass from one side to the other: it is nobody's.
+    m_ownStore.Put("servers", "i-none", m_workers.front()->Row("none"));
+    m_store.Put("servers", "i-none", m_workers.front()->Row("none"));
+    RunFor(Duration{ 500 });
+    ASSERT_GE(CountInLog(m_instances.All().back()->m_name,
+                         m_links.back()->Bound().ToString()),
+              1U);
+  }
+
+  static net::Address StoreAddress(const adapter::StandInStore& aStore)
+  {
+    return *net::Address::Parse(aStore.Address());
+  }
+
+  void AddWorker(const std::string& aId)
+  {
+    const auto& worker =
+      m_workers.emplace_back(std::make_unique<adapter::StandInWorker>(
+        *m_loop, aId, [this](const ExchangePtr& aCall) { Answer(aCall); }));
+    const auto address = net::Address::Parse(
+      Json::parse(worker->Row("s"))["address"].get<std::string>());
+    m_links.push_back(FaultyLink::Make(*m_loop, *address));
+    PutRows(m_workers.size() - 1);
+  }
+
+  void PutRows(std::size_t aWorker)
+  {
+    const adapter::StandInWorker& worker = *m_workers[aWorker];
+    Json linked = Json::parse(worker.Row("s"));
+    linked["address"] = m_links[aWorker]->Bound().ToString();
+    m_ownStore.Put("servers", worker.Id(), linked.dump());
+    m_store.Put("servers", worker.Id(), worker.Row("s"));
+  }
+
+  void Answer(const ExchangePtr& aCall)
+  {
+    ++m_runs[std::string(*aCall->Headers().Find("X-Request-Id"))];
+    adapter::StandInWorker::Serve(aCall);
+  }
+
+  void SetLinks(LinkMode aMode, bool aResetsOpen)
+  {
+    for (const auto& link : m_links) {
+      link->SetMode(aMode);
+      if (aResetsOpen) {
+        link->ResetOpen();
+      }
+    }
+  }
+
+  /** Sends one first try to the instance that is cut off. */
+  void Call()
+  {
+    const bool isSafe = ++m_lastCall % 2 == 0;
+    const std::string id = std::to_string(m_lastCall);
+    if (!isSafe) {
+      m_unsafe.insert(id);
+    }
+    net::HttpRequest request;
+    request.m_method = "POST";
+    request.m_address = m_instances.All().back()->m_callers;
+    request.m_target = isSafe ? "/safe/x" : "/unsafe/x";
+    request.m_body = "body of " + id;
+    request.m_timeout = Duration{ 1500 };
+    request.m_headers.Add("Host", "h");
+    request.m_headers.Add("X-Request-Id", id);
+    request.m_headers.Add("X-Deadline-Ms", "1000");
+    net::HttpCallbacks callbacks;
+    callbacks.m_done = [this, id](const net::HttpResponse& aResponse) {
+      ++m_answered;
+      const bool isOk = aResponse.m_head.m_status == 200;
+      m_served += isOk ? 1 : 0;
+      if (aResponse.m_head.m_status == 503) {
+        m_refused.insert(id);
+      }
+    };
+    m_client.Send(request, std::move(callbacks));
+  }
+
+  void CallFor(Duration aTime)
+  {
+    const net::Watch calls = m_loop->Every(kCallEvery, [this] { Call(); });
+    RunFor(aTime);
+  }
+
+  void ExpectServed(const char* aWhen)
+  {
+    EXPECT_GT(m_answered, 50) << aWhen;
+    EXPECT_GE(m_served * 20, m_answered * 19)
+      << aWhen << ": " << m_served << " of " << m_answered;
+    m_served = 0;
+    m_answered = 0;
+  }
+
+  /** No call ran twice that may not, and none that was refused ran. */
+  void ExpectRuns()
+  {
+    for (const auto& [id, runs] : m_runs) {
+      EXPECT_LE(runs, m_unsafe.contains(id) ? 1 : 2) << id;
+      EXPECT_FALSE(m_refused.contains(id)) << id;
+    }
+  }
+
+  net::HttpClient m_client;
+  adapter::StandInStore m_ownStore;
+  std::vector<std::unique_ptr<adapter::StandInWorker>> m_workers;
+  std::vector<std::unique_ptr<FaultyLink>> m_links;
+  std::map<std::string, int> m_runs;
+  std::set<std::string> m_unsafe;
+  std::set<std::string> m_refused;
+  int m_lastCall = 0;
+  int m_answered = 0;
+  int m_served = 0;
+};
+
+TEST_P(CutOffTest, ItsCallersAreServedAllTheSame)
+{
+  StartAll();
+  CallFor(Duration{ 3000 });
+  ExpectServed("before the cut");
+  SetLinks(GetParam().m_mode, GetParam().m_resetsOpen);
+  CallFor(kContact);
+  m_served = 0;
+  m_answered = 0;
+  CallFor(kMeasured);
+  ExpectServed("while it is cut off");
+  SetLinks(LinkMode::Pass, GetParam().m_mode == LinkMode::Hold);
+  CallFor(kReturn);
+  ExpectServed("after the cut");
+  const std::string name = m_instances.All().back()->m_name;
+  EXPECT_EQ(CountInLog(name, "service-reached-again"),
+            GetParam().m_isWhole ? 1U : 0U);
+  ExpectRuns();
+  EXPECT_TRUE(m_instances.StopAll(Duration{ 9000 }));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Ways,
+  CutOffTest,
+  ::testing::Values(
+    CutCase{ "Silent", LinkMode::Hold, false, true },
+    CutCase{ "Reset", LinkMode::Refuse, true, true },
+    CutCase{ "OnlyNewOnesRefused", LinkMode::Refuse, false, false }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+} // namespace
+} // namespace ridgeferry::soak
--- a/tests/soak/SoakInstances.cpp
+++ b/tests/soak/SoakInstances.cpp
@@ -35,11 +35,15 @@
 }
 
 bool
-SoakInstances::StartAll(std::size_t aCount, const net::Address& aStore)
+SoakInstances::StartAll(std::size_t aCount,
+                        const net::Address& aStore,
+                        const std::string& aDataCentre)
 {
   for (std::size_t i = 0; i < aCount; ++i) {
+    const std::string name = "entry-" + std::to_string(m_instances.size());
     auto& instance = *m_instances.emplace_back(std::make_unique<Instance>());
-    instance.m_name = "entry-" + std::to_string(i);
+    instance.m_name = name;
+    instance.m_dataCentre = aDataCentre;
     instance.m_callers = m_ports.NewAddress();
     instance.m_readiness = m_ports.NewAddress();
     instance.m_metrics = m_ports.NewAddress();
@@ -66,7 +70,7 @@
 {
   const Json settings{
     { "instance", aInstance.m_name },
-    { "hall", "hall" },
+    { "hall", aInstance.m_dataCentre },
     { "listen",
       { { "callers", aInstance.m_callers },
         { "readiness", aInstance.m_readiness },
--- a/tests/soak/SoakInstances.h
+++ b/tests/soak/SoakInstances.h
@@ -22,6 +22,7 @@
   struct Instance
   {
     std::string m_name;
+    std::string m_dataCentre;
     std::string m_callers; ///< IP:PORT.
     std::string m_readiness;
     std::string m_metrics;
@@ -42,8 +43,11 @@
                 std::filesystem::path aProgram,
                 std::filesystem::path aFiles);
 
-  /** False: a process cannot be started. */
-  bool StartAll(std::size_t aCount, const net::Address& aStore);
+  /** Starts so many more instances before a store. False: a process cannot be
+   * started. */
+  bool StartAll(std::size_t aCount,
+                const net::Address& aStore,
+                const std::string& aDataCentre = "hall");
   std::vector<std::unique_ptr<Instance>>& All() { return m_instances; }
   /** Those that the balancer sends new connections to. */
   std::vector<Instance*> InBalance();
