--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -499,7 +499,8 @@
   if (m_node.m_stop.ClosesIdleConnections(now)) {
     m_relay->CloseResting();
   }
-  const std::size_t open = m_relay->Running() + m_relay->Unsent();
+  const std::size_t open =
+    m_relay->Running() + m_relay->Unsent() + m_peerRows->Unsent();
   if (!m_node.m_stop.MayEnd(open, now)) {
     return;
   }
@@ -549,8 +550,8 @@
   m_usage = std::make_unique<UsageService>(
     m_node, m_generations, *m_peers, *m_peerRows, *m_trueTime, *m_lease);
   m_scale = std::make_unique<ScaleService>(m_node, *m_lease);
-  m_relay =
-    std::make_unique<Relay>(m_node, *m_quarantine, *m_freshness, *m_usage);
+  m_relay = std::make_unique<Relay>(
+    m_node, *m_quarantine, *m_freshness, *m_usage, *m_reach, *m_peers);
   m_roleReconciler =
     std::make_unique<RoleReconciler>(m_node, m_generations, *m_peers, *m_lease);
   if (auto started = m_relay->Start(); !started) {
@@ -617,6 +618,13 @@
     m_config->NotePeersListed(aAny);
     m_members->NotePeersListed(aAny);
   });
+  m_peerRows->TakeForwarded(
+    [this](const std::shared_ptr<net::HttpExchange>& aExchange,
+           const ForwardedTerms& aTerms) {
+      m_relay->HandleForwarded(aExchange, aTerms);
+    });
+  m_reach->SignalChanged().connect(
+    [this] { m_peers->PublishUnreachable(m_reach->Unreachable()); });
   m_quarantine->Start();
   m_reach->Start();
   m_config->Start();
--- a/packages/entry/src/EntryNode.h
+++ b/packages/entry/src/EntryNode.h
@@ -27,6 +27,7 @@
   relay::Fleet m_fleet;
   /** Number of live instances, including this one; `Peers` updates it. */
   std::size_t m_instances = 1;
+  std::size_t m_runningCalls = 0; ///< Calls under way; `Relay` updates it.
   relay::PlannedStop m_stop;
   /** The routes in force; null until the first configuration has been read. */
   std::shared_ptr<const relay::RouteTable> m_routes;
--- /dev/null
+++ b/packages/entry/src/ForwardedCall.cpp
@@ -0,0 +1,78 @@
+#include "ForwardedCall.h"
+
+#include <charconv>
+#include <ridgeferry/entry/PassableHeaders.h>
+
+namespace ridgeferry::entry {
+
+namespace {
+
+constexpr std::string_view kLeft = "Ridgeferry-Left-Ms";
+constexpr std::string_view kWaited = "Ridgeferry-Waited-Ms";
+constexpr std::string_view kResumeAfter = "Ridgeferry-Resume-After";
+constexpr std::string_view kDeclined = "Ridgeferry-Declined";
+
+std::optional<Duration>
+ReadDuration(const net::HttpHeaders& aHeaders, std::string_view aName)
+{
+  const auto text = aHeaders.Find(aName);
+  if (!text) {
+    return std::nullopt;
+  }
+  Duration::rep out = 0;
+  const char* end = text->data() + text->size();
+  const auto read = std::from_chars(text->data(), end, out);
+  const bool isWhole = read.ec == std::errc{} && read.ptr == end;
+  return isWhole && out >= 0 ? std::optional(Duration(out)) : std::nullopt;
+}
+
+} // namespace
+
+net::HttpRequest
+WriteForwarded(const net::ReceivedRequest& aRequest,
+               const std::string& aAddress,
+               const ForwardedTerms& aTerms)
+{
+  net::HttpRequest out;
+  out.m_method = aRequest.m_method;
+  out.m_target = aRequest.m_target;
+  out.m_address = aAddress;
+  out.m_body = aRequest.m_body;
+  out.m_headers = PassableHeaders(aRequest.m_headers);
+  const auto set = [&](std::string_view aName, std::string aValue) {
+    out.m_headers.Add(std::string(aName), std::move(aValue));
+  };
+  set(kLeft, std::to_string(aTerms.m_left.count()));
+  set(kWaited, std::to_string(aTerms.m_waited.count()));
+  if (!aTerms.m_resumeAfter.empty()) {
+    set(kResumeAfter, aTerms.m_resumeAfter);
+  }
+  return out;
+}
+
+std::optional<ForwardedTerms>
+ReadForwarded(const net::HttpHeaders& aHeaders)
+{
+  const auto left = ReadDuration(aHeaders, kLeft);
+  const auto waited = ReadDuration(aHeaders, kWaited);
+  if (!left || !waited) {
+    return std::nullopt;
+  }
+  return ForwardedTerms{
+    *left, *waited, std::string(aHeaders.Find(kResumeAfter).value_or(""))
+  };
+}
+
+void
+MarkDeclined(net::HttpHeaders& aHeaders)
+{
+  aHeaders.Add(std::string(kDeclined), "1");
+}
+
+bool
+IsDeclined(const net::HttpHeaders& aHeaders)
+{
+  return aHeaders.Find(kDeclined).has_value();
+}
+
+} // namespace ridgeferry::entry
--- /dev/null
+++ b/packages/entry/src/ForwardedCall.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <optional>
+#include <ridgeferry/base/Time.h>
+#include <ridgeferry/net/Http.h>
+#include <ridgeferry/net/HttpServer.h>
+#include <string>
+#include <string_view>
+
+// How an instance passes a call on to another one: the caller's request as it
+// came, with some header fields of our own beside it.
+
+namespace ridgeferry::entry {
+
+/** Prefix of the header fields that only instances send to each other. */
+inline constexpr std::string_view kInstanceHeaderPrefix = "Ridgeferry-";
+
+/** What the instance that a caller reached tells the one that serves it. */
+struct ForwardedTerms
+{
+  Duration m_left{};   ///< Time left until the caller's deadline.
+  Duration m_waited{}; ///< How long the caller has waited so far.
+  /** Id of the event after which the stream resumes; empty to send what the
+   * caller asked for. */
+  std::string m_resumeAfter;
+};
+
+/** Writes the request that passes a call on to the instance at `aAddress`. */
+net::HttpRequest
+WriteForwarded(const net::ReceivedRequest& aRequest,
+               const std::string& aAddress,
+               const ForwardedTerms& aTerms);
+
+/** Returns the terms of a call that another instance passes on; std::nullopt if
+ * the request is none. */
+std::optional<ForwardedTerms>
+ReadForwarded(const net::HttpHeaders& aHeaders);
+
+/** Marks an answer: another instance may serve the call, which this one has
+ * given to no upstream. */
+void
+MarkDeclined(net::HttpHeaders& aHeaders);
+
+bool
+IsDeclined(const net::HttpHeaders& aHeaders);
+
+} // namespace ridgeferry::entry
--- a/packages/entry/src/OwnAnswer.cpp
+++ b/packages/entry/src/OwnAnswer.cpp
@@ -1,5 +1,7 @@
 #include "OwnAnswer.h"
 
+#include "ForwardedCall.h"
+
 #include <fmt/format.h>
 
 namespace ridgeferry::entry {
@@ -14,6 +16,9 @@
     const auto ms = static_cast<double>(aAnswer.m_retryAfter.count());
     headers.Add("Retry-After", fmt::format("{:.3f}", ms / kMsPerSecond));
   }
+  if (aAnswer.m_declined) {
+    MarkDeclined(headers);
+  }
   aExchange.Reply(aAnswer.m_status,
                   headers,
                   fmt::format(R"({{"code":"{}","outcome":"{}","status":{}}})",
--- a/packages/entry/src/OwnAnswer.h
+++ b/packages/entry/src/OwnAnswer.h
@@ -13,6 +13,8 @@
   std::string_view m_code;    ///< Stable error code for programs; also logged.
   std::string_view m_outcome; ///< Whether the call may have run.
   Duration m_retryAfter{};    ///< For Retry-After; 0 omits the header.
+  /** The call came from another instance, which may try a third one. */
+  bool m_declined = false;
 };
 
 /** Sends the answer as an `application/problem+json` body. Precondition: no
--- a/packages/entry/src/PassableHeaders.cpp
+++ b/packages/entry/src/PassableHeaders.cpp
@@ -1,5 +1,7 @@
 #include "ridgeferry/entry/PassableHeaders.h"
 
+#include "ForwardedCall.h"
+
 #include <algorithm>
 #include <array>
 
@@ -45,6 +47,14 @@
   return false;
 }
 
+/** Returns whether only instances send the field to each other. */
+bool
+IsOfInstances(std::string_view aName)
+{
+  return net::HttpHeaders::SameName(
+    aName.substr(0, kInstanceHeaderPrefix.size()), kInstanceHeaderPrefix);
+}
+
 } // namespace
 
 net::HttpHeaders
@@ -65,7 +75,7 @@
                                               aOther.first, "Connection") &&
                                             IsNamed(aOther.second, field);
                                    });
-    if (!ofConnection && !named) {
+    if (!ofConnection && !named && !IsOfInstances(name)) {
       out.Add(name, value);
     }
   }
--- a/packages/entry/src/PeerRows.cpp
+++ b/packages/entry/src/PeerRows.cpp
@@ -16,10 +16,6 @@
  * rows. A whole table of a hundred kilobytes takes 0.1 s on the slowest links.
  */
 constexpr Duration kTimeout{ 300 };
-/** Longest accepted request body, in bytes: it holds a table's name and a
- * position. */
-constexpr std::size_t kMostBody = 1024;
-
 std::string
 NameOf(Peers::Table aTable)
 {
@@ -37,14 +33,12 @@
 tl::expected<void, net::NetError>
 PeerRows::Start()
 {
-  net::HttpServerLimits limits;
-  limits.m_maxBodyBytes = kMostBody;
   auto server = net::HttpServer::Listen(
     *m_node.m_loop,
     m_node.m_settings.m_peers,
-    limits,
+    {},
     [this](const std::shared_ptr<net::HttpExchange>& aExchange) {
-      Answer(*aExchange);
+      Answer(aExchange);
     });
   if (!server) {
     return tl::unexpected(server.error());
@@ -66,7 +60,24 @@
 }
 
 void
-PeerRows::Answer(net::HttpExchange& aExchange)
+PeerRows::TakeForwarded(Forwarded aForwarded)
+{
+  m_forwarded = std::move(aForwarded);
+}
+
+void
+PeerRows::Answer(const std::shared_ptr<net::HttpExchange>& aExchange)
+{
+  const auto terms = ReadForwarded(aExchange->Headers());
+  if (terms && m_forwarded) {
+    m_forwarded(aExchange, *terms);
+  } else {
+    AnswerRows(*aExchange);
+  }
+}
+
+void
+PeerRows::AnswerRows(net::HttpExchange& aExchange)
 {
   const auto request = protocol::DecodeRowsRequest(aExchange.Body());
   if (aExchange.Path() != kPath || !request) {
--- a/packages/entry/src/PeerRows.h
+++ b/packages/entry/src/PeerRows.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ForwardedCall.h"
 #include "Peers.h"
 
 #include <map>
@@ -39,6 +40,12 @@
    * data that instances exchange and that is not a table followed from the
    * store. */
   void Serve(const std::string& aName, Source aSource);
+  /** Receives the calls that other instances pass on to this one. */
+  using Forwarded = sigc::slot<void(const std::shared_ptr<net::HttpExchange>&,
+                                    const ForwardedTerms&)>;
+  void TakeForwarded(Forwarded aForwarded);
+  /** Returns the number of connections of other instances with unsent bytes. */
+  std::size_t Unsent() const { return m_server->Unsent(); }
   /** Sends what `aClock` returns with each answer to a peer. */
   void ServeClock(Clock aClock);
   /** Emitted with the reading of the store's clock that came with a peer's
@@ -66,7 +73,8 @@
   void AskClock(const std::string& aPeer, StoreGeneration aGeneration);
 
 private:
-  void Answer(net::HttpExchange& aExchange);
+  void Answer(const std::shared_ptr<net::HttpExchange>& aExchange);
+  void AnswerRows(net::HttpExchange& aExchange);
   std::optional<relay::TableSlice> Decode(const net::HttpResponse& aResponse,
                                           Instant aAsked);
 
@@ -75,6 +83,7 @@
   /** Sources by the name under which peers request them. */
   std::map<std::string, Source, std::less<>> m_sources;
   Clock m_clock;
+  Forwarded m_forwarded;
   sigc::signal<void(const freshness::StoreMoment&, Instant)> m_clockRead;
   std::unique_ptr<net::HttpServer> m_server;
 };
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <ridgeferry/base/Hash.h>
 #include <ridgeferry/base/Overloaded.h>
+#include <ridgeferry/membership/ForwardTarget.h>
 #include <ridgeferry/protocol/Messages.h>
 
 namespace ridgeferry::entry {
@@ -153,6 +154,8 @@
   out.m_crashes = m_crashes;
   out.m_quarantineFingerprint = m_quarantineFingerprint;
   m_limits.AddTo(out);
+  out.m_unreachableServices = m_unreachableServices;
+  out.m_runningCalls = static_cast<std::int32_t>(m_node.m_runningCalls);
   for (const relay::RoleUpdate& news : m_ownRoleUpdates) {
     out.m_roles.push_back(
       { relay::Fleet::ShortHash(news.m_engine), DigestOf(news.m_role) });
@@ -319,6 +322,33 @@
   SendToAll();
 }
 
+void
+Peers::PublishUnreachable(std::vector<std::uint32_t> aServices)
+{
+  m_unreachableServices = std::move(aServices);
+  SendToAll();
+}
+
+std::optional<std::string>
+Peers::PickForwardTarget(std::string_view aService,
+                         std::span<const std::string> aExcluded) const
+{
+  return membership::PickForwardTarget(m_roster.Peers(),
+                                       { relay::Fleet::ShortHash(aService),
+                                         m_node.m_settings.m_dataCentre,
+                                         aExcluded,
+                                         m_node.m_random() });
+}
+
+std::optional<std::string>
+Peers::AddressOf(std::string_view aInstance) const
+{
+  const auto found = m_roster.Peers().find(aInstance);
+  const bool isLive = found != m_roster.Peers().end() && found->second.m_alive;
+  return isLive ? std::optional(found->second.m_last.m_peerAddress)
+                : std::nullopt;
+}
+
 void
 Peers::SetCrashes(std::vector<membership::CrashDigest> aEndings,
                   std::optional<std::uint64_t> aHeldCalls)
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -51,6 +51,16 @@
    * while it has not learned them). Both are sent with each heartbeat. */
   void SetCrashes(std::vector<membership::CrashDigest> aEndings,
                   std::optional<std::uint64_t> aHeldCalls);
+  /** Sets the services of which this instance reaches no upstream. Sends them
+   * at once and with each heartbeat. */
+  void PublishUnreachable(std::vector<std::uint32_t> aServices);
+  /** Returns the name of the instance that should take a call to the service;
+   * see `membership::PickForwardTarget`. */
+  std::optional<std::string> PickForwardTarget(
+    std::string_view aService,
+    std::span<const std::string> aExcluded) const;
+  /** Returns IP:PORT of a live instance; std::nullopt if it is not known. */
+  std::optional<std::string> AddressOf(std::string_view aInstance) const;
   /** Returns how long an update must be announced so that each peer of the own
    * data centre receives it several times. */
   Duration AnnouncementTime() const;
@@ -168,6 +178,7 @@
   bool m_leaving = false;
   relay::LeavingUpstreams m_leavingAnnouncements;
   LimitGossip m_limits;
+  std::vector<std::uint32_t> m_unreachableServices;
   membership::StoreView m_storeView;
   std::vector<relay::RoleUpdate> m_ownRoleUpdates;
   std::vector<membership::CrashDigest> m_crashes;
--- a/packages/entry/src/ReachService.cpp
+++ b/packages/entry/src/ReachService.cpp
@@ -41,6 +41,18 @@
          found->second.m_state.AllowTrial(m_node.Now());
 }
 
+std::vector<std::uint32_t>
+ReachService::Unreachable() const
+{
+  std::vector<std::uint32_t> out;
+  for (const auto& [service, reach] : m_services) {
+    if (reach.m_state.IsUnreachable()) {
+      out.push_back(relay::Fleet::ShortHash(service));
+    }
+  }
+  return out;
+}
+
 void
 ReachService::Tick()
 {
--- a/packages/entry/src/ReachService.h
+++ b/packages/entry/src/ReachService.h
@@ -23,6 +23,8 @@
   bool IsUnreachable(std::string_view aService) const;
   /** See `relay::ServiceReach::AllowTrial`. */
   bool AllowTrial(std::string_view aService);
+  /** Returns the `Fleet::ShortHash` of each unreachable service. */
+  std::vector<std::uint32_t> Unreachable() const;
   /** Emitted when a service becomes unreachable or reachable. */
   sigc::signal<void()>& SignalChanged() { return m_changed; }
 
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -31,11 +31,15 @@
 Relay::Relay(EntryNode& aNode,
              QuarantineService& aQuarantine,
              const ConfigFreshness& aFreshness,
-             UsageService& aUsage)
+             UsageService& aUsage,
+             ReachService& aReach,
+             const Peers& aPeers)
   : m_node(aNode)
   , m_quarantine(aQuarantine)
   , m_freshness(aFreshness)
   , m_usage(aUsage)
+  , m_reach(aReach)
+  , m_peers(aPeers)
 {
 }
 
@@ -47,7 +51,7 @@
     m_node.m_settings.m_callers,
     {},
     [this](const std::shared_ptr<net::HttpExchange>& aExchange) {
-      HandleRequest(aExchange);
+      HandleRequest(aExchange, std::nullopt);
     });
   if (!server) {
     return tl::unexpected(server.error());
@@ -148,9 +152,33 @@
 }
 
 void
-Relay::HandleRequest(const std::shared_ptr<net::HttpExchange>& aExchange)
+Relay::HandleForwarded(const std::shared_ptr<net::HttpExchange>& aExchange,
+                       const ForwardedTerms& aTerms)
+{
+  m_node.m_metrics.Count("calls_taken_over_total");
+  HandleRequest(aExchange, aTerms);
+}
+
+Duration
+Relay::EarlierWait(const CallHead& aHead,
+                   const relay::Route& aRoute,
+                   const std::optional<ForwardedTerms>& aForwarded)
+{
+  if (aForwarded) {
+    return aForwarded->m_waited;
+  }
+  return aHead.m_deadline ? m_timeLimits[aRoute.m_name].Note(*aHead.m_deadline)
+                          : Duration{};
+}
+
+void
+Relay::HandleRequest(const std::shared_ptr<net::HttpExchange>& aExchange,
+                     const std::optional<ForwardedTerms>& aForwarded)
 {
   CallHead head = m_node.m_dialect.m_readCall(aExchange->Request());
+  if (aForwarded) {
+    head.m_deadline = aForwarded->m_left;
+  }
   if (!m_node.m_stop.AcceptsCalls(m_node.Now())) {
     Refuse(*aExchange, head, kUnavailable, "stopping");
     return;
@@ -175,31 +203,33 @@
   std::uniform_real_distribution<double> unit(0, 1);
   const std::string& service =
     relay::RouteTable::Draw(*route, unit(m_node.m_random));
-  const Duration earlierWait =
-    head.m_deadline ? m_timeLimits[route->m_name].Note(*head.m_deadline)
-                    : Duration{};
+  const Duration earlierWait = EarlierWait(head, *route, aForwarded);
   auto kind = KindOf(route->m_name, head.m_prompt);
   const std::uint64_t id = ++m_lastCall;
-  auto call = std::make_unique<RelayCall>(
-    m_node,
-    RelayCallStart{ aExchange,
-                    std::move(head),
-                    m_node.m_routes,
-                    route,
-                    service,
-                    std::move(kind),
-                    earlierWait,
-                    MovedTokensPerMs(service),
-                    ConnectionsOf(service),
-                    &BudgetOf(service),
-                    &m_quarantine,
-                    &m_freshness,
-                    &m_usage,
-                    accepted->m_organisation,
-                    usesKeys,
-                    usesKeys && !route->m_isPublic });
+  auto call =
+    std::make_unique<RelayCall>(m_node,
+                                RelayCallStart{ aExchange,
+                                                std::move(head),
+                                                m_node.m_routes,
+                                                route,
+                                                service,
+                                                std::move(kind),
+                                                earlierWait,
+                                                MovedTokensPerMs(service),
+                                                ConnectionsOf(service),
+                                                &BudgetOf(service),
+                                                &m_quarantine,
+                                                &m_freshness,
+                                                &m_usage,
+                                                accepted->m_organisation,
+                                                usesKeys,
+                                                usesKeys && !route->m_isPublic,
+                                                &m_reach,
+                                                &m_peers,
+                                                aForwarded });
   RelayCall& started = *call;
   m_calls.emplace(id, std::move(call));
+  m_node.m_runningCalls = m_calls.size();
   started.SignalDone().connect([this, id] {
     // Deferred, since functions of the call are still on the stack.
     m_node.m_loop->Defer([this, id] { Remove(id); });
@@ -211,6 +241,7 @@
 Relay::Remove(std::uint64_t aCall)
 {
   m_calls.erase(aCall);
+  m_node.m_runningCalls = m_calls.size();
 }
 
 void
@@ -230,7 +261,11 @@
   const bool helpsLater = aStatus == kUnavailable;
   SendOwnAnswer(
     aExchange,
-    { aStatus, aCode, "not-run", helpsLater ? kOtherRetryAfter : Duration{} });
+    { aStatus,
+      aCode,
+      "not-run",
+      helpsLater ? kOtherRetryAfter : Duration{},
+      helpsLater && ReadForwarded(aExchange.Headers()).has_value() });
 }
 
 void
--- a/packages/entry/src/Relay.h
+++ b/packages/entry/src/Relay.h
@@ -26,7 +26,9 @@
   Relay(EntryNode& aNode,
         QuarantineService& aQuarantine,
         const ConfigFreshness& aFreshness,
-        UsageService& aUsage);
+        UsageService& aUsage,
+        ReachService& aReach,
+        const Peers& aPeers);
 
   tl::expected<void, net::NetError> Start();
   /** Applies the limits on callers' requests from the present configuration,
@@ -36,13 +38,18 @@
   void BeginStop();
   /** Closes callers' connections that are idle between two requests. */
   void CloseResting();
+  /** Takes a call that another instance passes on. It is not passed on again.
+   */
+  void HandleForwarded(const std::shared_ptr<net::HttpExchange>& aExchange,
+                       const ForwardedTerms& aTerms);
   /** Returns the number of calls under way. */
   std::size_t Running() const { return m_calls.size(); }
   /** Returns the number of callers' connections with unsent bytes. */
   std::size_t Unsent() const { return m_server->Unsent(); }
 
 private:
-  void HandleRequest(const std::shared_ptr<net::HttpExchange>& aExchange);
+  void HandleRequest(const std::shared_ptr<net::HttpExchange>& aExchange,
+                     const std::optional<ForwardedTerms>& aForwarded);
   void Refuse(net::HttpExchange& aExchange,
               const CallHead& aHead,
               int aStatus,
@@ -52,6 +59,10 @@
                  const CallHead& aHead,
                  const keys::KeyVerdict& aVerdict);
   void Remove(std::uint64_t aCall);
+  /** Returns how long the caller has waited before this call arrived here. */
+  Duration EarlierWait(const CallHead& aHead,
+                       const relay::Route& aRoute,
+                       const std::optional<ForwardedTerms>& aForwarded);
   /** Records the prompt in the statistics of its route, and returns them.
    * Returns null if the call has no prompt. */
   std::shared_ptr<relay::CallKind> KindOf(
@@ -67,6 +78,8 @@
   QuarantineService& m_quarantine;
   const ConfigFreshness& m_freshness;
   UsageService& m_usage;
+  ReachService& m_reach;
+  const Peers& m_peers;
   std::unique_ptr<net::HttpServer> m_server;
   std::uint64_t m_lastCall = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -45,11 +45,13 @@
 constexpr Duration kFreeTimeout{ 1000 };
 
 relay::RelayTraits
-TraitsOf(const relay::Route& aRoute)
+TraitsOf(const RelayCallStart& aStart)
 {
-  return {
-    aRoute.m_repeat, aRoute.m_stream, aRoute.m_resumable, aRoute.m_maxRuns
-  };
+  const relay::Route& route = *aStart.m_route;
+  // The instance that the caller reached counts a call that it passes on as one
+  // run.
+  const int maxRuns = aStart.m_forwarded ? 1 : route.m_maxRuns;
+  return { route.m_repeat, route.m_stream, route.m_resumable, maxRuns };
 }
 
 std::string_view
@@ -91,7 +93,7 @@
 RelayCall::RelayCall(EntryNode& aNode, RelayCallStart aStart)
   : m_node(aNode)
   , m_start(std::move(aStart))
-  , m_flow(TraitsOf(*m_start.m_route))
+  , m_flow(TraitsOf(m_start))
   , m_began(aNode.Now())
   , m_deadline(m_began + m_start.m_route->m_maxDuration)
 {
@@ -136,8 +138,10 @@
   m_timer =
     m_node.m_loop->After(Left(), [this] { Handle(relay::DeadlinePassed{}); });
   m_start.m_budget->NoteFirstSend(m_began);
-  m_node.m_fleet.Limits().NoteCall(relay::Fleet::ShortHash(m_start.m_service),
-                                   m_began);
+  if (!m_start.m_reach->IsUnreachable(m_start.m_service)) {
+    m_node.m_fleet.Limits().NoteCall(relay::Fleet::ShortHash(m_start.m_service),
+                                     m_began);
+  }
   if (m_start.m_head.m_prompt) {
     m_node.m_fleet.NotePrompt(
       m_start.m_service, *m_start.m_head.m_prompt, m_start.m_route->m_pause);
@@ -180,6 +184,11 @@
     Handle(relay::NoPlace{ relay::RelayFlow::kRetryAfter });
     return;
   }
+  const bool isTrial = aAction.m_excluded.empty() &&
+                       m_start.m_reach->AllowTrial(m_start.m_service);
+  if (!isTrial && PassOn(aAction.m_excluded)) {
+    return;
+  }
   relay::PlaceRequest request;
   request.m_service = m_start.m_service;
   request.m_dataCentre = m_node.m_settings.m_dataCentre;
@@ -227,6 +236,10 @@
     Handle(relay::PlaceFound{ place->m_upstream, place->m_prefillEngine });
   } else {
     const auto& fault = std::get<relay::PlaceFault>(result);
+    m_foundNoneSound = fault.m_cause == relay::NoPlaceCause::NoneSound;
+    if (PassOn(aAction.m_excluded)) {
+      return;
+    }
     LogNoPlace(fault);
     const bool isTooLarge = fault.m_cause == relay::NoPlaceCause::TooLarge;
     Handle(relay::NoPlace{ RoomIn(fault),
@@ -297,6 +310,10 @@
   if (aAction.m_repeat) {
     NoteRepeat();
   }
+  if (IsInstance(aAction.m_upstream)) {
+    SendToInstance(aAction);
+    return;
+  }
   const relay::Member* member = m_node.m_fleet.Find(aAction.m_upstream);
   if (member == nullptr || member->m_leaving || QuarantineTimeLeft() ||
       !MayRunByKey()) {
@@ -313,6 +330,9 @@
   }
   SendTerms terms;
   terms.m_resumeAfter = aAction.m_resumeAfter;
+  if (terms.m_resumeAfter.empty() && m_start.m_forwarded) {
+    terms.m_resumeAfter = m_start.m_forwarded->m_resumeAfter;
+  }
   if (!aAction.m_handle.empty()) {
     const relay::Member* reader = m_node.m_fleet.Find(aAction.m_prefillEngine);
     if (reader != nullptr) {
@@ -375,6 +395,12 @@
   request.m_fresh =
     m_node.m_fleet.NeedsOwnConnection(aMember.m_id, m_node.Now());
   m_node.m_fleet.NoteSent(aMember.m_id, m_attempt.m_tokens, m_node.Now());
+  Start(request);
+}
+
+void
+RelayCall::Start(const net::HttpRequest& aRequest)
+{
   m_node.m_metrics.Count("sends_total");
   net::HttpCallbacks callbacks;
   callbacks.m_head = [this](const net::HttpHead& aHead) { TakeHead(aHead); };
@@ -382,7 +408,7 @@
   callbacks.m_done = [this](const net::HttpResponse& aResponse) {
     TakeEnd(aResponse);
   };
-  m_attempt.m_http = m_node.m_http->Send(request, std::move(callbacks));
+  m_attempt.m_http = m_node.m_http->Send(aRequest, std::move(callbacks));
 }
 
 void
@@ -424,6 +450,10 @@
 void
 RelayCall::TakeHead(const net::HttpHead& aHead)
 {
+  if (m_attempt.m_isForwarded) {
+    TakeForwardedHead(aHead);
+    return;
+  }
   NoteResponse();
   if (aHead.m_status != kMisdirected) {
     NoteStatedLimit(aHead);
@@ -457,7 +487,8 @@
 RelayCall::NotePause()
 {
   const Duration most = m_start.m_route->m_pause;
-  if (!m_start.m_head.m_prompt || m_attempt.m_readOnly || most.count() == 0) {
+  if (!m_start.m_head.m_prompt || m_attempt.m_readOnly ||
+      m_attempt.m_isForwarded || most.count() == 0) {
     return;
   }
   const Instant now = m_node.Now();
@@ -480,14 +511,22 @@
 }
 
 void
-RelayCall::TakeEnd(const net::HttpResponse& aResponse)
+RelayCall::NoteReach(const net::HttpResponse& aResponse)
 {
-  m_attempt.m_http = 0;
-  NoteConnection(aResponse);
   if (aResponse.m_silent || aResponse.m_end == net::HttpEnd::NotSent) {
     m_node.m_fleet.NoteUnreachable(m_attempt.m_upstream, m_node.Now());
     LogEjection("upstream cannot be reached");
   }
+}
+
+void
+RelayCall::TakeEnd(const net::HttpResponse& aResponse)
+{
+  m_attempt.m_http = 0;
+  if (!m_attempt.m_isForwarded) {
+    NoteConnection(aResponse);
+    NoteReach(aResponse);
+  }
   const relay::AttemptId id = m_attempt.m_id;
   if (aResponse.m_end == net::HttpEnd::NotSent) {
     Handle(relay::AttemptNotSent{ id });
@@ -536,7 +575,7 @@
     m_node.m_fleet.NoteStream(m_start.m_service, false);
   }
   if (aAction.m_end == relay::AttemptEnd::Served && !m_attempt.m_readOnly &&
-      m_start.m_quarantine->KnowsAny()) {
+      !m_attempt.m_isForwarded && m_start.m_quarantine->KnowsAny()) {
     m_start.m_quarantine->NoteServed(
       { Digest(), m_attempt.m_upstream, m_start.m_head.m_id });
   }
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -2,8 +2,11 @@
 
 #include "ConfigFreshness.h"
 #include "EntryNode.h"
+#include "ForwardedCall.h"
+#include "Peers.h"
 #include "PromptOutcome.h"
 #include "QuarantineService.h"
+#include "ReachService.h"
 #include "UsageService.h"
 
 #include <memory>
@@ -52,6 +55,12 @@
   bool m_hidesCredentials = false;
   /** The call may only run by its key. */
   bool m_needsKey = false;
+  /** Must outlive the call. */
+  ReachService* m_reach = nullptr;
+  /** Must outlive the call. */
+  const Peers* m_peers = nullptr;
+  /** Set if another instance passed the call on to this one. */
+  std::optional<ForwardedTerms> m_forwarded = {};
 };
 
 /** Executes the actions that a `RelayFlow` decides for one call: placement,
@@ -90,8 +99,9 @@
      * that the prompt shares with no other prompt, so the upstream cannot have
      * cached so much of the prompt that `m_tokens` is far too high. */
     bool m_workIsSure = false;
-    bool m_readOnly = false;   ///< The upstream only prefills the prompt.
-    bool m_saidNotRun = false; ///< The upstream reports that it did not run.
+    bool m_readOnly = false;    ///< The upstream only prefills the prompt.
+    bool m_isForwarded = false; ///< Sent to another instance.
+    bool m_saidNotRun = false;  ///< The upstream reports that it did not run.
     bool m_hasHead = false;
     /** When the last bytes of a stream arrived. */
     std::optional<Instant> m_lastBytes;
@@ -115,6 +125,22 @@
   void Send(relay::AttemptId aId,
             const relay::Member& aMember,
             SendTerms aTerms);
+  /** Sends the request of the present attempt. */
+  void Start(const net::HttpRequest& aRequest);
+  /** Returns whether the name of an upstream in the flow stands for another
+   * instance. */
+  static bool IsInstance(std::string_view aUpstream);
+  /** Returns whether this instance reaches no upstream of the service. */
+  bool IsServiceUnreachable() const;
+  /** Returns the instance to pass the call on to; std::nullopt if the call is
+   * to be placed here. */
+  std::optional<std::string> PickInstance(
+    std::span<const std::string> aExcluded) const;
+  /** Passes the call on to another instance. Returns false if it is to be
+   * placed here. */
+  bool PassOn(std::span<const std::string> aExcluded);
+  void SendToInstance(const relay::SendRun& aAction);
+  void TakeForwardedHead(const net::HttpHead& aHead);
   void TakeHead(const net::HttpHead& aHead);
   void TakeBytes(std::string_view aBytes);
   void TakeEnd(const net::HttpResponse& aResponse);
@@ -131,6 +157,9 @@
    * refused connection, or one that broke before the answer was complete. */
   void NoteConnection(const net::HttpResponse& aResponse);
   void LogQuarantined(Duration aFor);
+  /** Tells the fleet if the end of the present send's connection shows that the
+   * upstream cannot be reached. */
+  void NoteReach(const net::HttpResponse& aResponse);
   /** Records the limit that an answer of the present upstream states, and logs
    * a change. */
   void NoteStatedLimit(const net::HttpHead& aHead);
@@ -200,6 +229,10 @@
   relay::Place m_place; ///< The present placement.
   /** Upstreams whose limits count a send of this call that is still to come. */
   std::vector<std::string> m_reservedPermits;
+  /** The latest placement found no upstream, busy or not, that may get the
+   * call.
+   */
+  bool m_foundNoneSound = false;
   /** The stream had a pause that was longer than the route allows. */
   bool m_hadLongPause = false;
   std::optional<quarantine::CallDigest> m_digest;
--- a/packages/entry/src/RelayCallAnswer.cpp
+++ b/packages/entry/src/RelayCallAnswer.cpp
@@ -98,7 +98,9 @@
 void
 RelayCall::Do(const relay::ReplyError& aAction)
 {
-  const OwnAnswer answer = AnswerOf(aAction);
+  OwnAnswer answer = AnswerOf(aAction);
+  answer.m_declined =
+    m_start.m_forwarded && m_foundNoneSound && answer.m_status == kUnavailable;
   LogEnd(answer.m_code, answer.m_status);
   SendOwnAnswer(*m_start.m_exchange, answer);
 }
--- /dev/null
+++ b/packages/entry/src/RelayCallForward.cpp
@@ -0,0 +1,114 @@
+// The part of `RelayCall` that passes the call on to another instance, because
+// this one reaches no upstream of its service.
+
+#include "ForwardedCall.h"
+#include "RelayCall.h"
+
+namespace ridgeferry::entry {
+
+namespace {
+
+/** Stands before an instance's name where the flow takes it for an upstream. */
+constexpr std::string_view kInstance = "instance/";
+/** Instances take connections within milliseconds. */
+constexpr Duration kConnectTimeout{ 250 };
+/** Idle connections that are kept to one instance. */
+constexpr std::size_t kMostIdle = 4;
+/** See `net::HttpRequest::m_longestRest`: instances keep idle connections for
+ * an hour, so that only a cut between them ends one. */
+constexpr Duration kLongestRest{ 1000 };
+
+} // namespace
+
+bool
+RelayCall::IsInstance(std::string_view aUpstream)
+{
+  return aUpstream.starts_with(kInstance);
+}
+
+bool
+RelayCall::IsServiceUnreachable() const
+{
+  return m_start.m_reach->IsUnreachable(m_start.m_service) ||
+         !m_node.m_fleet.IsAnyResponsive(m_start.m_service, m_node.Now());
+}
+
+std::optional<std::string>
+RelayCall::PickInstance(std::span<const std::string> aExcluded) const
+{
+  if (m_start.m_forwarded || !IsServiceUnreachable()) {
+    return std::nullopt;
+  }
+  std::vector<std::string> excluded;
+  for (const std::string& upstream : aExcluded) {
+    if (IsInstance(upstream)) {
+      excluded.push_back(upstream.substr(kInstance.size()));
+    }
+  }
+  const auto name =
+    m_start.m_peers->PickForwardTarget(m_start.m_service, excluded);
+  return name ? std::optional(std::string(kInstance) + *name) : std::nullopt;
+}
+
+bool
+RelayCall::PassOn(std::span<const std::string> aExcluded)
+{
+  const auto instance = PickInstance(aExcluded);
+  if (!instance) {
+    return false;
+  }
+  m_place = {};
+  m_expectedMs = 0;
+  m_placedAt = m_node.Now();
+  m_node.m_metrics.Count("calls_forwarded_total");
+  Handle(relay::PlaceFound{ *instance, {} });
+  return true;
+}
+
+void
+RelayCall::SendToInstance(const relay::SendRun& aAction)
+{
+  m_attempt = {};
+  m_attempt.m_id = aAction.m_attempt;
+  m_attempt.m_upstream = aAction.m_upstream;
+  m_attempt.m_sentAt = m_node.Now();
+  m_attempt.m_isForwarded = true;
+  m_path += (m_path.empty() ? "" : ",") + aAction.m_upstream;
+  const auto address = m_start.m_peers->AddressOf(
+    std::string_view(aAction.m_upstream).substr(kInstance.size()));
+  if (!address) {
+    Handle(relay::AttemptNotSent{ aAction.m_attempt });
+    return;
+  }
+  const Duration waited = m_node.Now() - m_began + m_start.m_earlierWait;
+  net::HttpRequest request =
+    WriteForwarded(m_start.m_exchange->Request(),
+                   *address,
+                   { Left(), waited, aAction.m_resumeAfter });
+  request.m_timeout = Left();
+  request.m_connectTimeout = kConnectTimeout;
+  request.m_keepIdle = kMostIdle;
+  request.m_longestRest = kLongestRest;
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "call-forwarded",
+    { { "id", m_start.m_head.m_id },
+      { "attempt", static_cast<std::int64_t>(aAction.m_attempt) },
+      { "to", aAction.m_upstream },
+      { "service", m_start.m_service },
+      { "leftMs", Left().count() } });
+  Start(request);
+}
+
+void
+RelayCall::TakeForwardedHead(const net::HttpHead& aHead)
+{
+  m_attempt.m_hasHead = true;
+  m_attempt.m_head = aHead;
+  m_attempt.m_saidNotRun = IsDeclined(aHead.m_headers);
+  if (!m_attempt.m_saidNotRun) {
+    Handle(relay::HeadArrived{ m_attempt.m_id, aHead.m_status, true });
+  }
+}
+
+} // namespace ridgeferry::entry
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -165,6 +165,12 @@
    * tables.
    */
   std::optional<StoreView> m_store;
+  /**
+   * Hashes of the services of which the sender reaches no upstream that can run
+   * calls.
+   */
+  std::vector<std::uint32_t> m_unreachableServices;
+  std::int32_t m_runningCalls = 0; ///< Calls under way at the sender.
   /** Limits that upstreams state or stated until lately. */
   std::vector<LimitDigest> m_limits;
   /** Demand at the sender for each service with a limited upstream. */
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -205,6 +205,16 @@
   this->demands = val;
 __isset.demands = true;
 }
+
+void Heartbeat::__set_unreachableServices(const std::vector<int32_t> & val) {
+  this->unreachableServices = val;
+__isset.unreachableServices = true;
+}
+
+void Heartbeat::__set_runningCalls(const int32_t val) {
+  this->runningCalls = val;
+__isset.runningCalls = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -792,6 +802,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 40:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unreachableServices.clear();
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->unreachableServices.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
+            {
+              xfer += iprot->readI32(this->unreachableServices[_i104]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unreachableServices = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 41:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->runningCalls);
+          this->__isset.runningCalls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -855,10 +893,10 @@
     xfer += oprot->writeFieldBegin("leavingUpstreams", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leavingUpstreams.size()));
-      std::vector<std::string> ::const_iterator _iter100;
-      for (_iter100 = this->leavingUpstreams.begin(); _iter100 != this->leavingUpstreams.end(); ++_iter100)
+      std::vector<std::string> ::const_iterator _iter105;
+      for (_iter105 = this->leavingUpstreams.begin(); _iter105 != this->leavingUpstreams.end(); ++_iter105)
       {
-        xfer += oprot->writeString((*_iter100));
+        xfer += oprot->writeString((*_iter105));
       }
       xfer += oprot->writeListEnd();
     }
@@ -868,10 +906,10 @@
     xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->engines.size()));
-      std::vector<int32_t> ::const_iterator _iter101;
-      for (_iter101 = this->engines.begin(); _iter101 != this->engines.end(); ++_iter101)
+      std::vector<int32_t> ::const_iterator _iter106;
+      for (_iter106 = this->engines.begin(); _iter106 != this->engines.end(); ++_iter106)
       {
-        xfer += oprot->writeI32((*_iter101));
+        xfer += oprot->writeI32((*_iter106));
       }
       xfer += oprot->writeListEnd();
     }
@@ -881,10 +919,10 @@
     xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->states.size()));
-      std::vector<int32_t> ::const_iterator _iter102;
-      for (_iter102 = this->states.begin(); _iter102 != this->states.end(); ++_iter102)
+      std::vector<int32_t> ::const_iterator _iter107;
+      for (_iter107 = this->states.begin(); _iter107 != this->states.end(); ++_iter107)
       {
-        xfer += oprot->writeI32((*_iter102));
+        xfer += oprot->writeI32((*_iter107));
       }
       xfer += oprot->writeListEnd();
     }
@@ -894,10 +932,10 @@
     xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->loads.size()));
-      std::vector<int32_t> ::const_iterator _iter103;
-      for (_iter103 = this->loads.begin(); _iter103 != this->loads.end(); ++_iter103)
+      std::vector<int32_t> ::const_iterator _iter108;
+      for (_iter108 = this->loads.begin(); _iter108 != this->loads.end(); ++_iter108)
       {
-        xfer += oprot->writeI32((*_iter103));
+        xfer += oprot->writeI32((*_iter108));
       }
       xfer += oprot->writeListEnd();
     }
@@ -907,10 +945,10 @@
     xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->work.size()));
-      std::vector<int32_t> ::const_iterator _iter104;
-      for (_iter104 = this->work.begin(); _iter104 != this->work.end(); ++_iter104)
+      std::vector<int32_t> ::const_iterator _iter109;
+      for (_iter109 = this->work.begin(); _iter109 != this->work.end(); ++_iter109)
       {
-        xfer += oprot->writeI32((*_iter104));
+        xfer += oprot->writeI32((*_iter109));
       }
       xfer += oprot->writeListEnd();
     }
@@ -935,10 +973,10 @@
     xfer += oprot->writeFieldBegin("changedEngines", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->changedEngines.size()));
-      std::vector<int32_t> ::const_iterator _iter105;
-      for (_iter105 = this->changedEngines.begin(); _iter105 != this->changedEngines.end(); ++_iter105)
+      std::vector<int32_t> ::const_iterator _iter110;
+      for (_iter110 = this->changedEngines.begin(); _iter110 != this->changedEngines.end(); ++_iter110)
       {
-        xfer += oprot->writeI32((*_iter105));
+        xfer += oprot->writeI32((*_iter110));
       }
       xfer += oprot->writeListEnd();
     }
@@ -948,10 +986,10 @@
     xfer += oprot->writeFieldBegin("changedParts", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->changedParts.size()));
-      std::vector<int32_t> ::const_iterator _iter106;
-      for (_iter106 = this->changedParts.begin(); _iter106 != this->changedParts.end(); ++_iter106)
+      std::vector<int32_t> ::const_iterator _iter111;
+      for (_iter111 = this->changedParts.begin(); _iter111 != this->changedParts.end(); ++_iter111)
       {
-        xfer += oprot->writeI32((*_iter106));
+        xfer += oprot->writeI32((*_iter111));
       }
       xfer += oprot->writeListEnd();
     }
@@ -961,10 +999,10 @@
     xfer += oprot->writeFieldBegin("readParts", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->readParts.size()));
-      std::vector<int32_t> ::const_iterator _iter107;
-      for (_iter107 = this->readParts.begin(); _iter107 != this->readParts.end(); ++_iter107)
+      std::vector<int32_t> ::const_iterator _iter112;
+      for (_iter112 = this->readParts.begin(); _iter112 != this->readParts.end(); ++_iter112)
       {
-        xfer += oprot->writeI32((*_iter107));
+        xfer += oprot->writeI32((*_iter112));
       }
       xfer += oprot->writeListEnd();
     }
@@ -974,10 +1012,10 @@
     xfer += oprot->writeFieldBegin("readEngines", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->readEngines.size()));
-      std::vector<int32_t> ::const_iterator _iter108;
-      for (_iter108 = this->readEngines.begin(); _iter108 != this->readEngines.end(); ++_iter108)
+      std::vector<int32_t> ::const_iterator _iter113;
+      for (_iter113 = this->readEngines.begin(); _iter113 != this->readEngines.end(); ++_iter113)
       {
-        xfer += oprot->writeI32((*_iter108));
+        xfer += oprot->writeI32((*_iter113));
       }
       xfer += oprot->writeListEnd();
     }
@@ -987,10 +1025,10 @@
     xfer += oprot->writeFieldBegin("servicesApart", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->servicesApart.size()));
-      std::vector<int32_t> ::const_iterator _iter109;
-      for (_iter109 = this->servicesApart.begin(); _iter109 != this->servicesApart.end(); ++_iter109)
+      std::vector<int32_t> ::const_iterator _iter114;
+      for (_iter114 = this->servicesApart.begin(); _iter114 != this->servicesApart.end(); ++_iter114)
       {
-        xfer += oprot->writeI32((*_iter109));
+        xfer += oprot->writeI32((*_iter114));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1015,10 +1053,10 @@
     xfer += oprot->writeFieldBegin("leavingBorn", ::apache::thrift::protocol::T_LIST, 24);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leavingBorn.size()));
-      std::vector<int64_t> ::const_iterator _iter110;
-      for (_iter110 = this->leavingBorn.begin(); _iter110 != this->leavingBorn.end(); ++_iter110)
+      std::vector<int64_t> ::const_iterator _iter115;
+      for (_iter115 = this->leavingBorn.begin(); _iter115 != this->leavingBorn.end(); ++_iter115)
       {
-        xfer += oprot->writeI64((*_iter110));
+        xfer += oprot->writeI64((*_iter115));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1038,10 +1076,10 @@
     xfer += oprot->writeFieldBegin("endedCallsHigh", ::apache::thrift::protocol::T_LIST, 27);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->endedCallsHigh.size()));
-      std::vector<int64_t> ::const_iterator _iter111;
-      for (_iter111 = this->endedCallsHigh.begin(); _iter111 != this->endedCallsHigh.end(); ++_iter111)
+      std::vector<int64_t> ::const_iterator _iter116;
+      for (_iter116 = this->endedCallsHigh.begin(); _iter116 != this->endedCallsHigh.end(); ++_iter116)
       {
-        xfer += oprot->writeI64((*_iter111));
+        xfer += oprot->writeI64((*_iter116));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1051,10 +1089,10 @@
     xfer += oprot->writeFieldBegin("endedCallsLow", ::apache::thrift::protocol::T_LIST, 28);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->endedCallsLow.size()));
-      std::vector<int64_t> ::const_iterator _iter112;
-      for (_iter112 = this->endedCallsLow.begin(); _iter112 != this->endedCallsLow.end(); ++_iter112)
+      std::vector<int64_t> ::const_iterator _iter117;
+      for (_iter117 = this->endedCallsLow.begin(); _iter117 != this->endedCallsLow.end(); ++_iter117)
       {
-        xfer += oprot->writeI64((*_iter112));
+        xfer += oprot->writeI64((*_iter117));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1064,10 +1102,10 @@
     xfer += oprot->writeFieldBegin("endedLives", ::apache::thrift::protocol::T_LIST, 29);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->endedLives.size()));
-      std::vector<int64_t> ::const_iterator _iter113;
-      for (_iter113 = this->endedLives.begin(); _iter113 != this->endedLives.end(); ++_iter113)
+      std::vector<int64_t> ::const_iterator _iter118;
+      for (_iter118 = this->endedLives.begin(); _iter118 != this->endedLives.end(); ++_iter118)
       {
-        xfer += oprot->writeI64((*_iter113));
+        xfer += oprot->writeI64((*_iter118));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1077,10 +1115,10 @@
     xfer += oprot->writeFieldBegin("endingsCleared", ::apache::thrift::protocol::T_LIST, 30);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_BOOL, static_cast<uint32_t>(this->endingsCleared.size()));
-      std::vector<bool> ::const_iterator _iter114;
-      for (_iter114 = this->endingsCleared.begin(); _iter114 != this->endingsCleared.end(); ++_iter114)
+      std::vector<bool> ::const_iterator _iter119;
+      for (_iter119 = this->endingsCleared.begin(); _iter119 != this->endingsCleared.end(); ++_iter119)
       {
-        xfer += oprot->writeBool((*_iter114));
+        xfer += oprot->writeBool((*_iter119));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1110,10 +1148,10 @@
     xfer += oprot->writeFieldBegin("limitedUpstreams", ::apache::thrift::protocol::T_LIST, 35);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limitedUpstreams.size()));
-      std::vector<int32_t> ::const_iterator _iter115;
-      for (_iter115 = this->limitedUpstreams.begin(); _iter115 != this->limitedUpstreams.end(); ++_iter115)
+      std::vector<int32_t> ::const_iterator _iter120;
+      for (_iter120 = this->limitedUpstreams.begin(); _iter120 != this->limitedUpstreams.end(); ++_iter120)
       {
-        xfer += oprot->writeI32((*_iter115));
+        xfer += oprot->writeI32((*_iter120));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1123,10 +1161,10 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 36);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limits.size()));
-      std::vector<int32_t> ::const_iterator _iter116;
-      for (_iter116 = this->limits.begin(); _iter116 != this->limits.end(); ++_iter116)
+      std::vector<int32_t> ::const_iterator _iter121;
+      for (_iter121 = this->limits.begin(); _iter121 != this->limits.end(); ++_iter121)
       {
-        xfer += oprot->writeI32((*_iter116));
+        xfer += oprot->writeI32((*_iter121));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1136,10 +1174,10 @@
     xfer += oprot->writeFieldBegin("limitAges", ::apache::thrift::protocol::T_LIST, 37);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limitAges.size()));
-      std::vector<int32_t> ::const_iterator _iter117;
-      for (_iter117 = this->limitAges.begin(); _iter117 != this->limitAges.end(); ++_iter117)
+      std::vector<int32_t> ::const_iterator _iter122;
+      for (_iter122 = this->limitAges.begin(); _iter122 != this->limitAges.end(); ++_iter122)
       {
-        xfer += oprot->writeI32((*_iter117));
+        xfer += oprot->writeI32((*_iter122));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1149,10 +1187,10 @@
     xfer += oprot->writeFieldBegin("demandedServices", ::apache::thrift::protocol::T_LIST, 38);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->demandedServices.size()));
-      std::vector<int32_t> ::const_iterator _iter118;
-      for (_iter118 = this->demandedServices.begin(); _iter118 != this->demandedServices.end(); ++_iter118)
+      std::vector<int32_t> ::const_iterator _iter123;
+      for (_iter123 = this->demandedServices.begin(); _iter123 != this->demandedServices.end(); ++_iter123)
       {
-        xfer += oprot->writeI32((*_iter118));
+        xfer += oprot->writeI32((*_iter123));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1162,15 +1200,33 @@
     xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 39);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->demands.size()));
-      std::vector<int32_t> ::const_iterator _iter119;
-      for (_iter119 = this->demands.begin(); _iter119 != this->demands.end(); ++_iter119)
+      std::vector<int32_t> ::const_iterator _iter124;
+      for (_iter124 = this->demands.begin(); _iter124 != this->demands.end(); ++_iter124)
+      {
+        xfer += oprot->writeI32((*_iter124));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.unreachableServices) {
+    xfer += oprot->writeFieldBegin("unreachableServices", ::apache::thrift::protocol::T_LIST, 40);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->unreachableServices.size()));
+      std::vector<int32_t> ::const_iterator _iter125;
+      for (_iter125 = this->unreachableServices.begin(); _iter125 != this->unreachableServices.end(); ++_iter125)
       {
-        xfer += oprot->writeI32((*_iter119));
+        xfer += oprot->writeI32((*_iter125));
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.runningCalls) {
+    xfer += oprot->writeFieldBegin("runningCalls", ::apache::thrift::protocol::T_I32, 41);
+    xfer += oprot->writeI32(this->runningCalls);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1217,92 +1273,98 @@
   swap(a.limitAges, b.limitAges);
   swap(a.demandedServices, b.demandedServices);
   swap(a.demands, b.demands);
+  swap(a.unreachableServices, b.unreachableServices);
+  swap(a.runningCalls, b.runningCalls);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other120) {
-  instance = other120.instance;
-  incarnation = other120.incarnation;
-  hall = other120.hall;
-  peerAddress = other120.peerAddress;
-  ready = other120.ready;
-  leaving = other120.leaving;
-  revision = other120.revision;
-  leavingUpstreams = other120.leavingUpstreams;
-  engines = other120.engines;
-  states = other120.states;
-  loads = other120.loads;
-  work = other120.work;
-  configVersion = other120.configVersion;
-  membersVersion = other120.membersVersion;
-  storeLost = other120.storeLost;
-  changedEngines = other120.changedEngines;
-  changedParts = other120.changedParts;
-  readParts = other120.readParts;
-  readEngines = other120.readEngines;
-  servicesApart = other120.servicesApart;
-  storeSteady = other120.storeSteady;
-  tellsHall = other120.tellsHall;
-  storeReadsForMs = other120.storeReadsForMs;
-  leavingBorn = other120.leavingBorn;
-  configGeneration = other120.configGeneration;
-  membersGeneration = other120.membersGeneration;
-  endedCallsHigh = other120.endedCallsHigh;
-  endedCallsLow = other120.endedCallsLow;
-  endedLives = other120.endedLives;
-  endingsCleared = other120.endingsCleared;
-  heldCalls = other120.heldCalls;
-  configProvenMs = other120.configProvenMs;
-  wallOffsetMs = other120.wallOffsetMs;
-  wallOffsetGeneration = other120.wallOffsetGeneration;
-  limitedUpstreams = other120.limitedUpstreams;
-  limits = other120.limits;
-  limitAges = other120.limitAges;
-  demandedServices = other120.demandedServices;
-  demands = other120.demands;
-  __isset = other120.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other121) {
-  instance = other121.instance;
-  incarnation = other121.incarnation;
-  hall = other121.hall;
-  peerAddress = other121.peerAddress;
-  ready = other121.ready;
-  leaving = other121.leaving;
-  revision = other121.revision;
-  leavingUpstreams = other121.leavingUpstreams;
-  engines = other121.engines;
-  states = other121.states;
-  loads = other121.loads;
-  work = other121.work;
-  configVersion = other121.configVersion;
-  membersVersion = other121.membersVersion;
-  storeLost = other121.storeLost;
-  changedEngines = other121.changedEngines;
-  changedParts = other121.changedParts;
-  readParts = other121.readParts;
-  readEngines = other121.readEngines;
-  servicesApart = other121.servicesApart;
-  storeSteady = other121.storeSteady;
-  tellsHall = other121.tellsHall;
-  storeReadsForMs = other121.storeReadsForMs;
-  leavingBorn = other121.leavingBorn;
-  configGeneration = other121.configGeneration;
-  membersGeneration = other121.membersGeneration;
-  endedCallsHigh = other121.endedCallsHigh;
-  endedCallsLow = other121.endedCallsLow;
-  endedLives = other121.endedLives;
-  endingsCleared = other121.endingsCleared;
-  heldCalls = other121.heldCalls;
-  configProvenMs = other121.configProvenMs;
-  wallOffsetMs = other121.wallOffsetMs;
-  wallOffsetGeneration = other121.wallOffsetGeneration;
-  limitedUpstreams = other121.limitedUpstreams;
-  limits = other121.limits;
-  limitAges = other121.limitAges;
-  demandedServices = other121.demandedServices;
-  demands = other121.demands;
-  __isset = other121.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other126) {
+  instance = other126.instance;
+  incarnation = other126.incarnation;
+  hall = other126.hall;
+  peerAddress = other126.peerAddress;
+  ready = other126.ready;
+  leaving = other126.leaving;
+  revision = other126.revision;
+  leavingUpstreams = other126.leavingUpstreams;
+  engines = other126.engines;
+  states = other126.states;
+  loads = other126.loads;
+  work = other126.work;
+  configVersion = other126.configVersion;
+  membersVersion = other126.membersVersion;
+  storeLost = other126.storeLost;
+  changedEngines = other126.changedEngines;
+  changedParts = other126.changedParts;
+  readParts = other126.readParts;
+  readEngines = other126.readEngines;
+  servicesApart = other126.servicesApart;
+  storeSteady = other126.storeSteady;
+  tellsHall = other126.tellsHall;
+  storeReadsForMs = other126.storeReadsForMs;
+  leavingBorn = other126.leavingBorn;
+  configGeneration = other126.configGeneration;
+  membersGeneration = other126.membersGeneration;
+  endedCallsHigh = other126.endedCallsHigh;
+  endedCallsLow = other126.endedCallsLow;
+  endedLives = other126.endedLives;
+  endingsCleared = other126.endingsCleared;
+  heldCalls = other126.heldCalls;
+  configProvenMs = other126.configProvenMs;
+  wallOffsetMs = other126.wallOffsetMs;
+  wallOffsetGeneration = other126.wallOffsetGeneration;
+  limitedUpstreams = other126.limitedUpstreams;
+  limits = other126.limits;
+  limitAges = other126.limitAges;
+  demandedServices = other126.demandedServices;
+  demands = other126.demands;
+  unreachableServices = other126.unreachableServices;
+  runningCalls = other126.runningCalls;
+  __isset = other126.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other127) {
+  instance = other127.instance;
+  incarnation = other127.incarnation;
+  hall = other127.hall;
+  peerAddress = other127.peerAddress;
+  ready = other127.ready;
+  leaving = other127.leaving;
+  revision = other127.revision;
+  leavingUpstreams = other127.leavingUpstreams;
+  engines = other127.engines;
+  states = other127.states;
+  loads = other127.loads;
+  work = other127.work;
+  configVersion = other127.configVersion;
+  membersVersion = other127.membersVersion;
+  storeLost = other127.storeLost;
+  changedEngines = other127.changedEngines;
+  changedParts = other127.changedParts;
+  readParts = other127.readParts;
+  readEngines = other127.readEngines;
+  servicesApart = other127.servicesApart;
+  storeSteady = other127.storeSteady;
+  tellsHall = other127.tellsHall;
+  storeReadsForMs = other127.storeReadsForMs;
+  leavingBorn = other127.leavingBorn;
+  configGeneration = other127.configGeneration;
+  membersGeneration = other127.membersGeneration;
+  endedCallsHigh = other127.endedCallsHigh;
+  endedCallsLow = other127.endedCallsLow;
+  endedLives = other127.endedLives;
+  endingsCleared = other127.endingsCleared;
+  heldCalls = other127.heldCalls;
+  configProvenMs = other127.configProvenMs;
+  wallOffsetMs = other127.wallOffsetMs;
+  wallOffsetGeneration = other127.wallOffsetGeneration;
+  limitedUpstreams = other127.limitedUpstreams;
+  limits = other127.limits;
+  limitAges = other127.limitAges;
+  demandedServices = other127.demandedServices;
+  demands = other127.demands;
+  unreachableServices = other127.unreachableServices;
+  runningCalls = other127.runningCalls;
+  __isset = other127.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -1347,6 +1409,8 @@
   out << ", " << "limitAges="; (__isset.limitAges ? (out << to_string(limitAges)) : (out << "<null>"));
   out << ", " << "demandedServices="; (__isset.demandedServices ? (out << to_string(demandedServices)) : (out << "<null>"));
   out << ", " << "demands="; (__isset.demands ? (out << to_string(demands)) : (out << "<null>"));
+  out << ", " << "unreachableServices="; (__isset.unreachableServices ? (out << to_string(unreachableServices)) : (out << "<null>"));
+  out << ", " << "runningCalls="; (__isset.runningCalls ? (out << to_string(runningCalls)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1468,17 +1532,17 @@
   swap(a.__isset, b.__isset);
 }
 
-RowsRequest::RowsRequest(const RowsRequest& other122) {
-  table = other122.table;
-  after = other122.after;
-  generation = other122.generation;
-  __isset = other122.__isset;
+RowsRequest::RowsRequest(const RowsRequest& other128) {
+  table = other128.table;
+  after = other128.after;
+  generation = other128.generation;
+  __isset = other128.__isset;
 }
-RowsRequest& RowsRequest::operator=(const RowsRequest& other123) {
-  table = other123.table;
-  after = other123.after;
-  generation = other123.generation;
-  __isset = other123.__isset;
+RowsRequest& RowsRequest::operator=(const RowsRequest& other129) {
+  table = other129.table;
+  after = other129.after;
+  generation = other129.generation;
+  __isset = other129.__isset;
   return *this;
 }
 void RowsRequest::printTo(std::ostream& out) const {
@@ -1628,17 +1692,17 @@
   swap(a.version, b.version);
 }
 
-Row::Row(const Row& other124) {
-  key = other124.key;
-  value = other124.value;
-  removed = other124.removed;
-  version = other124.version;
+Row::Row(const Row& other130) {
+  key = other130.key;
+  value = other130.value;
+  removed = other130.removed;
+  version = other130.version;
 }
-Row& Row::operator=(const Row& other125) {
-  key = other125.key;
-  value = other125.value;
-  removed = other125.removed;
-  version = other125.version;
+Row& Row::operator=(const Row& other131) {
+  key = other131.key;
+  value = other131.value;
+  removed = other131.removed;
+  version = other131.version;
   return *this;
 }
 void Row::printTo(std::ostream& out) const {
@@ -1733,14 +1797,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->rows.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->rows.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
             {
-              xfer += this->rows[_i130].read(iprot);
+              xfer += this->rows[_i136].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1807,10 +1871,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter131;
-    for (_iter131 = this->rows.begin(); _iter131 != this->rows.end(); ++_iter131)
+    std::vector<Row> ::const_iterator _iter137;
+    for (_iter137 = this->rows.begin(); _iter137 != this->rows.end(); ++_iter137)
     {
-      xfer += (*_iter131).write(oprot);
+      xfer += (*_iter137).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1847,23 +1911,23 @@
   swap(a.__isset, b.__isset);
 }
 
-RowsReply::RowsReply(const RowsReply& other132) {
-  version = other132.version;
-  whole = other132.whole;
-  rows = other132.rows;
-  generation = other132.generation;
-  latestClockMs = other132.latestClockMs;
-  clockGeneration = other132.clockGeneration;
-  __isset = other132.__isset;
-}
-RowsReply& RowsReply::operator=(const RowsReply& other133) {
-  version = other133.version;
-  whole = other133.whole;
-  rows = other133.rows;
-  generation = other133.generation;
-  latestClockMs = other133.latestClockMs;
-  clockGeneration = other133.clockGeneration;
-  __isset = other133.__isset;
+RowsReply::RowsReply(const RowsReply& other138) {
+  version = other138.version;
+  whole = other138.whole;
+  rows = other138.rows;
+  generation = other138.generation;
+  latestClockMs = other138.latestClockMs;
+  clockGeneration = other138.clockGeneration;
+  __isset = other138.__isset;
+}
+RowsReply& RowsReply::operator=(const RowsReply& other139) {
+  version = other139.version;
+  whole = other139.whole;
+  rows = other139.rows;
+  generation = other139.generation;
+  latestClockMs = other139.latestClockMs;
+  clockGeneration = other139.clockGeneration;
+  __isset = other139.__isset;
   return *this;
 }
 void RowsReply::printTo(std::ostream& out) const {
@@ -1956,11 +2020,11 @@
   swap(a.after, b.after);
 }
 
-ChangesRequest::ChangesRequest(const ChangesRequest& other134) noexcept {
-  after = other134.after;
+ChangesRequest::ChangesRequest(const ChangesRequest& other140) noexcept {
+  after = other140.after;
 }
-ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other135) noexcept {
-  after = other135.after;
+ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other141) noexcept {
+  after = other141.after;
   return *this;
 }
 void ChangesRequest::printTo(std::ostream& out) const {
@@ -2068,13 +2132,13 @@
   swap(a.json, b.json);
 }
 
-ConfigObject::ConfigObject(const ConfigObject& other136) {
-  key = other136.key;
-  json = other136.json;
+ConfigObject::ConfigObject(const ConfigObject& other142) {
+  key = other142.key;
+  json = other142.json;
 }
-ConfigObject& ConfigObject::operator=(const ConfigObject& other137) {
-  key = other137.key;
-  json = other137.json;
+ConfigObject& ConfigObject::operator=(const ConfigObject& other143) {
+  key = other143.key;
+  json = other143.json;
   return *this;
 }
 void ConfigObject::printTo(std::ostream& out) const {
@@ -2144,14 +2208,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->changes.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->changes.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += iprot->readString(this->changes[_i142]);
+              xfer += iprot->readString(this->changes[_i148]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2164,14 +2228,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->snapshot.clear();
-            uint32_t _size143;
-            ::apache::thrift::protocol::TType _etype146;
-            xfer += iprot->readListBegin(_etype146, _size143);
-            this->snapshot.resize(_size143);
-            uint32_t _i147;
-            for (_i147 = 0; _i147 < _size143; ++_i147)
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _etype152;
+            xfer += iprot->readListBegin(_etype152, _size149);
+            this->snapshot.resize(_size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
             {
-              xfer += this->snapshot[_i147].read(iprot);
+              xfer += this->snapshot[_i153].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2208,10 +2272,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->changes.size()));
-    std::vector<std::string> ::const_iterator _iter148;
-    for (_iter148 = this->changes.begin(); _iter148 != this->changes.end(); ++_iter148)
+    std::vector<std::string> ::const_iterator _iter154;
+    for (_iter154 = this->changes.begin(); _iter154 != this->changes.end(); ++_iter154)
     {
-      xfer += oprot->writeString((*_iter148));
+      xfer += oprot->writeString((*_iter154));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2221,10 +2285,10 @@
     xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->snapshot.size()));
-      std::vector<ConfigObject> ::const_iterator _iter149;
-      for (_iter149 = this->snapshot.begin(); _iter149 != this->snapshot.end(); ++_iter149)
+      std::vector<ConfigObject> ::const_iterator _iter155;
+      for (_iter155 = this->snapshot.begin(); _iter155 != this->snapshot.end(); ++_iter155)
       {
-        xfer += (*_iter149).write(oprot);
+        xfer += (*_iter155).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2243,17 +2307,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangesReply::ChangesReply(const ChangesReply& other150) {
-  revision = other150.revision;
-  changes = other150.changes;
-  snapshot = other150.snapshot;
-  __isset = other150.__isset;
+ChangesReply::ChangesReply(const ChangesReply& other156) {
+  revision = other156.revision;
+  changes = other156.changes;
+  snapshot = other156.snapshot;
+  __isset = other156.__isset;
 }
-ChangesReply& ChangesReply::operator=(const ChangesReply& other151) {
-  revision = other151.revision;
-  changes = other151.changes;
-  snapshot = other151.snapshot;
-  __isset = other151.__isset;
+ChangesReply& ChangesReply::operator=(const ChangesReply& other157) {
+  revision = other157.revision;
+  changes = other157.changes;
+  snapshot = other157.snapshot;
+  __isset = other157.__isset;
   return *this;
 }
 void ChangesReply::printTo(std::ostream& out) const {
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -36,7 +36,7 @@
 class ChangesReply;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false), leavingBorn(false), configGeneration(false), membersGeneration(false), endedCallsHigh(false), endedCallsLow(false), endedLives(false), endingsCleared(false), heldCalls(false), configProvenMs(false), wallOffsetMs(false), wallOffsetGeneration(false), limitedUpstreams(false), limits(false), limitAges(false), demandedServices(false), demands(false) {}
+  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false), leavingBorn(false), configGeneration(false), membersGeneration(false), endedCallsHigh(false), endedCallsLow(false), endedLives(false), endingsCleared(false), heldCalls(false), configProvenMs(false), wallOffsetMs(false), wallOffsetGeneration(false), limitedUpstreams(false), limits(false), limitAges(false), demandedServices(false), demands(false), unreachableServices(false), runningCalls(false) {}
   bool leavingUpstreams :1;
   bool engines :1;
   bool states :1;
@@ -69,6 +69,8 @@
   bool limitAges :1;
   bool demandedServices :1;
   bool demands :1;
+  bool unreachableServices :1;
+  bool runningCalls :1;
 } _Heartbeat__isset;
 
 /**
@@ -98,7 +100,8 @@
               heldCalls(0),
               configProvenMs(0),
               wallOffsetMs(0),
-              wallOffsetGeneration(0) {
+              wallOffsetGeneration(0),
+              runningCalls(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -214,6 +217,15 @@
    */
   std::vector<int32_t>  demandedServices;
   std::vector<int32_t>  demands;
+  /**
+   * Hashes of the names of the services of which the sender reaches no upstream
+   * that can run calls.
+   */
+  std::vector<int32_t>  unreachableServices;
+  /**
+   * Calls under way at the sender; not set: none.
+   */
+  int32_t runningCalls;
 
   _Heartbeat__isset __isset;
 
@@ -295,6 +307,10 @@
 
   void __set_demands(const std::vector<int32_t> & val);
 
+  void __set_unreachableServices(const std::vector<int32_t> & val);
+
+  void __set_runningCalls(const int32_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -439,6 +455,14 @@
       return false;
     else if (__isset.demands && !(demands == rhs.demands))
       return false;
+    if (__isset.unreachableServices != rhs.__isset.unreachableServices)
+      return false;
+    else if (__isset.unreachableServices && !(unreachableServices == rhs.unreachableServices))
+      return false;
+    if (__isset.runningCalls != rhs.__isset.runningCalls)
+      return false;
+    else if (__isset.runningCalls && !(runningCalls == rhs.runningCalls))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -91,6 +91,11 @@
    * the services' names, and thousandths of a call a second. */
   38: optional list<i32> demandedServices;
   39: optional list<i32> demands;
+  /** Hashes of the names of the services of which the sender reaches no upstream
+   * that can run calls. */
+  40: optional list<i32> unreachableServices;
+  /** Calls under way at the sender; not set: none. */
+  41: optional i32 runningCalls;
 }
 
 /** Asks a peer for what it has read of a table of the store. */
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -206,6 +206,13 @@
       out.__set_wallOffsetGeneration(number(store.m_wallOffset->m_generation));
     }
   }
+  if (!aMessage.m_unreachableServices.empty()) {
+    out.__set_unreachableServices({ aMessage.m_unreachableServices.begin(),
+                                    aMessage.m_unreachableServices.end() });
+  }
+  if (aMessage.m_runningCalls > 0) {
+    out.__set_runningCalls(aMessage.m_runningCalls);
+  }
   SetLimits(out, aMessage);
   if (!aMessage.m_crashes.empty()) {
     SetEndings(out, aMessage.m_crashes);
@@ -365,6 +372,9 @@
     return tl::unexpected(DecodeError{ "endings of different lengths" });
   }
   out.m_crashes = std::move(*endings);
+  out.m_unreachableServices = { in->unreachableServices.begin(),
+                                in->unreachableServices.end() };
+  out.m_runningCalls = std::max(0, in->runningCalls);
   if (!TakeLimits(*in, out)) {
     return tl::unexpected(DecodeError{ "limits of different lengths" });
   }
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -55,6 +55,8 @@
   if (*rc::gen::arbitrary<bool>()) {
     out.m_quarantineFingerprint = *rc::gen::arbitrary<std::uint64_t>();
   }
+  out.m_unreachableServices = *rc::gen::arbitrary<std::vector<std::uint32_t>>();
+  out.m_runningCalls = *rc::gen::inRange(0, 1 << 30);
   out.m_tellsDataCentre = *rc::gen::arbitrary<bool>();
   out.m_disaggregatedServices =
     *rc::gen::arbitrary<std::vector<std::uint32_t>>();
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -415,6 +415,8 @@
     double m_roleThroughput = 0;
     double m_failShare = 0; ///< Smoothed share of attempts that failed.
     int m_failuresInRow = 0;
+    /** Failures since the member last sent any byte. */
+    int m_failuresSinceResponse = 0;
     int m_declinesInRow = 0;
     /** Duration of the next ejection. */
     Duration m_nextEjectionTime = kEjectionTime;
--- a/packages/relay/include/ridgeferry/relay/RelayFlow.h
+++ b/packages/relay/include/ridgeferry/relay/RelayFlow.h
@@ -78,6 +78,9 @@
 {
   AttemptId m_attempt = 0;
   int m_status = 0;
+  /** Another instance of this system answers: if its status says that the call
+   * has not run, that is true. */
+  bool m_isFromInstance = false;
 };
 struct BytesArrived
 {
@@ -317,7 +320,7 @@
   bool MayRunAgain() const;
   /** Whether the kind of call allows a second run. */
   bool IsIdempotent() const;
-  AnswerHandling HandlingOf(int aStatus) const;
+  AnswerHandling HandlingOf(const HeadArrived& aHead) const;
   void StartRun(Actions& aActions);
   /** Sends the call to `m_upstream` without a prefill engine, so that
    * `m_upstream` prefills the prompt itself. */
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -377,6 +377,7 @@
     return false;
   }
   found->second.m_unansweredSince.reset();
+  found->second.m_failuresSinceResponse = 0;
   found->second.m_nextEjectionTime = kEjectionTime;
   return std::exchange(found->second.m_isOnProbation, false);
 }
@@ -504,9 +505,13 @@
     state.m_tookMs = Smooth(state.m_tookMs, static_cast<double>(aTook.count()));
     return isEjected;
   }
+  ++state.m_failuresSinceResponse;
   if (++state.m_failuresInRow < kFailuresToEject) {
     return isEjected;
   }
+  if (state.m_failuresSinceResponse >= kFailuresToEject) {
+    state.m_isOnProbation = true;
+  }
   state.m_ejectedUntil = aNow + kEjectionTime;
   state.m_failuresInRow = 0;
   return true;
--- a/packages/relay/src/RelayFlow.cpp
+++ b/packages/relay/src/RelayFlow.cpp
@@ -68,19 +68,24 @@
 }
 
 RelayFlow::AnswerHandling
-RelayFlow::HandlingOf(int aStatus) const
+RelayFlow::HandlingOf(const HeadArrived& aHead) const
 {
+  const int status = aHead.m_status;
+  const bool untouched = !m_forwarded && m_runs == 0;
+  if (aHead.m_isFromInstance && untouched && PromisesNotRun(status)) {
+    return AnswerHandling::Buffer;
+  }
   // `m_runs` does not include the current run until its answer is complete, so
   // the current run is added here.
-  if (aStatus >= kFirstServerError && !m_forwarded && IsIdempotent() &&
+  if (status >= kFirstServerError && !m_forwarded && IsIdempotent() &&
       m_repeatAllowed && m_runs + 1 < m_traits.m_maxRuns &&
       m_tries < kMaxSends) {
     return AnswerHandling::Repeat;
   }
-  if (PromisesNotRun(aStatus)) {
+  if (PromisesNotRun(status)) {
     return AnswerHandling::Discard;
   }
-  const bool success = aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
+  const bool success = status >= kFirstSuccess && status < kFirstRedirect;
   if (m_traits.m_stream && success) {
     return AnswerHandling::Stream;
   }
@@ -243,7 +248,7 @@
   if (!IsCurrent(aEvent.m_attempt) || m_step != Step::Running) {
     return;
   }
-  m_handling = HandlingOf(aEvent.m_status);
+  m_handling = HandlingOf(aEvent);
   if (m_handling == AnswerHandling::Stream && !m_forwarded) {
     m_forwarded = true;
     aActions.emplace_back(ForwardHead{});
--- a/packages/relay/tests/FleetUnresponsiveTest.cpp
+++ b/packages/relay/tests/FleetUnresponsiveTest.cpp
@@ -109,6 +109,15 @@
                          ::testing::Values(AttemptEnd::Failed,
                                            AttemptEnd::Abandoned));
 
+// Connections that come about and break without a byte are no sign of life.
+TEST_F(FleetTest, AMemberWhoseConnectionsOnlyBreakIsOnProbation)
+{
+  Fail(m_fleet, "a", Fleet::kFailuresToEject);
+  EXPECT_TRUE(m_fleet.NeedsOwnConnection("a", kNow));
+  EXPECT_TRUE(m_fleet.NoteResponse("a"));
+  EXPECT_FALSE(m_fleet.NeedsOwnConnection("a", kNow));
+}
+
 TEST_F(FleetTest, AnUnreachableMemberIsEjectedAtOnce)
 {
   m_fleet.NoteSent("a", 0, kNow);
