Open connections that live on hide a cut: calls without a connection are passed on

Cause: bytes on the open connections made every upstream count as reached, so nothing was passed on, while each new connection that failed ejected its upstream. A call to whose upstreams no connection came about twice in a row, or that finds none that is not ejected, goes to one other instance now, whatever the service's reach.

A call that another instance refused is logged as refused-elsewhere.

--- a/packages/entry/src/ReachService.cpp
+++ b/packages/entry/src/ReachService.cpp
@@ -34,11 +34,11 @@
 }
 
 bool
-ReachService::AllowTrial(std::string_view aService)
+ReachService::AllowTrial(std::string_view aService, bool aMayRepeat)
 {
   const auto found = m_services.find(aService);
   return found != m_services.end() &&
-         found->second.m_state.AllowTrial(m_node.Now());
+         found->second.m_state.AllowTrial(aMayRepeat, m_node.Now());
 }
 
 std::vector<std::uint32_t>
@@ -119,7 +119,7 @@
   }
   found->second.m_probe.reset();
   if (aResult == net::Reach::Taken && found->second.m_state.IsUnreachable()) {
-    found->second.m_state.NoteConnected();
+    found->second.m_state.NoteConnected(m_node.Now());
     m_node.m_fleet.EndEjections(aService);
   }
 }
--- a/packages/entry/src/ReachService.h
+++ b/packages/entry/src/ReachService.h
@@ -22,7 +22,7 @@
   void Start();
   bool IsUnreachable(std::string_view aService) const;
   /** See `relay::ServiceReach::AllowTrial`. */
-  bool AllowTrial(std::string_view aService);
+  bool AllowTrial(std::string_view aService, bool aMayRepeat);
   /** Returns the `Fleet::ShortHash` of each unreachable service. */
   std::vector<std::uint32_t> Unreachable() const;
   /** Emitted when a service becomes unreachable or reachable. */
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -109,6 +109,14 @@
   }
 }
 
+bool
+RelayCall::MayBeRepeated() const
+{
+  const relay::Route& route = *m_start.m_route;
+  return route.m_stream ? route.m_resumable
+                        : route.m_repeat == relay::Repeat::Freely;
+}
+
 Duration
 RelayCall::Left() const
 {
@@ -184,8 +192,9 @@
     Handle(relay::NoPlace{ relay::RelayFlow::kRetryAfter });
     return;
   }
-  const bool isTrial = aAction.m_excluded.empty() &&
-                       m_start.m_reach->AllowTrial(m_start.m_service);
+  const bool isTrial =
+    aAction.m_excluded.empty() &&
+    m_start.m_reach->AllowTrial(m_start.m_service, MayBeRepeated());
   if (!isTrial && PassOn(aAction.m_excluded)) {
     return;
   }
@@ -198,6 +207,7 @@
     request.m_mayPassForItsSize = m_start.m_kind->m_allowance.MayPass();
   }
   request.m_excluded = aAction.m_excluded;
+  request.m_mayProbe = MayBeRepeated();
   request.m_mostOpen = m_start.m_connections.m_open;
   request.m_yieldsToUrgent =
     Priority() > m_start.m_routes->MostUrgentPriority(m_start.m_service);
@@ -526,6 +536,8 @@
   if (!m_attempt.m_isForwarded) {
     NoteConnection(aResponse);
     NoteReach(aResponse);
+    m_unsentInRow =
+      aResponse.m_end == net::HttpEnd::NotSent ? m_unsentInRow + 1 : 0;
   }
   const relay::AttemptId id = m_attempt.m_id;
   if (aResponse.m_end == net::HttpEnd::NotSent) {
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -132,6 +132,9 @@
   static bool IsInstance(std::string_view aUpstream);
   /** Returns whether this instance reaches no upstream of the service. */
   bool IsServiceUnreachable() const;
+  /** Returns the names of the instances among the upstreams of the flow. */
+  static std::vector<std::string> InstancesOf(
+    std::span<const std::string> aUpstreams);
   /** Returns the instance to pass the call on to; std::nullopt if the call is
    * to be placed here. */
   std::optional<std::string> PickInstance(
@@ -197,6 +200,9 @@
   /** Logs and counts that the upstream of the present attempt is ejected:
    * it gets no calls for a while. `aCause` says why. */
   void LogEjection(std::string_view aCause);
+  /** Returns whether the call may run again after a run whose answer is lost.
+   */
+  bool MayBeRepeated() const;
   /** Returns the time until the deadline, at least 1 ms. */
   Duration Left() const;
   /** Returns the time until the caller abandons the call if no byte of the
@@ -233,6 +239,8 @@
    * call.
    */
   bool m_foundNoneSound = false;
+  /** The latest attempts at upstreams to which no connection came about. */
+  int m_unsentInRow = 0;
   /** The stream had a pause that was longer than the route allows. */
   bool m_hadLongPause = false;
   std::optional<quarantine::CallDigest> m_digest;
--- a/packages/entry/src/RelayCallAnswer.cpp
+++ b/packages/entry/src/RelayCallAnswer.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::string_view kServed = "served";
+/** The other instance, to which the call was passed on, refused it. */
+constexpr std::string_view kRefusedElsewhere = "refused-elsewhere";
 constexpr std::string_view kOverloaded = "overloaded";
 constexpr std::string_view kTooLarge = "too-large";
 constexpr std::string_view kQuarantined = "upstreams-end-under-it";
@@ -82,7 +84,9 @@
 RelayCall::Do(const relay::ForwardCompleteAnswer& aAction)
 {
   m_answeredAt = m_node.Now();
-  LogEnd(kServed, m_attempt.m_head.m_status);
+  const bool isRefusal =
+    m_attempt.m_isForwarded && m_attempt.m_head.m_status == kUnavailable;
+  LogEnd(isRefusal ? kRefusedElsewhere : kServed, m_attempt.m_head.m_status);
   m_start.m_exchange->Reply(m_attempt.m_head.m_status,
                             PassableHeaders(m_attempt.m_head.m_headers),
                             aAction.m_body);
@@ -109,7 +113,7 @@
 RelayCall::OutcomeFor(std::string_view aOutcome) const
 {
   if (aOutcome == kOverloaded || aOutcome == kTooLarge ||
-      aOutcome == kQuarantined) {
+      aOutcome == kQuarantined || aOutcome == kRefusedElsewhere) {
     return PromptOutcome::Refused;
   }
   if (aOutcome != kServed || !m_answeredAt) {
--- a/packages/entry/src/RelayCallForward.cpp
+++ b/packages/entry/src/RelayCallForward.cpp
@@ -10,6 +10,9 @@
 
 /** Stands before an instance's name where the flow takes it for an upstream. */
 constexpr std::string_view kInstance = "instance/";
+/** Attempts in a row to which no connection came about, after which a call is
+ * passed on: one upstream may have crashed. */
+constexpr int kUnsentToPassOn = 2;
 /** Instances take connections within milliseconds. */
 constexpr Duration kConnectTimeout{ 250 };
 /** Idle connections that are kept to one instance. */
@@ -33,20 +36,33 @@
          !m_node.m_fleet.IsAnyResponsive(m_start.m_service, m_node.Now());
 }
 
+std::vector<std::string>
+RelayCall::InstancesOf(std::span<const std::string> aUpstreams)
+{
+  std::vector<std::string> out;
+  for (const std::string& upstream : aUpstreams) {
+    if (IsInstance(upstream)) {
+      out.push_back(upstream.substr(kInstance.size()));
+    }
+  }
+  return out;
+}
+
 std::optional<std::string>
 RelayCall::PickInstance(std::span<const std::string> aExcluded) const
 {
-  if (m_start.m_forwarded || !IsServiceUnreachable()) {
+  const std::vector<std::string> tried = InstancesOf(aExcluded);
+  // Open connections may live on while no new one comes about. Whether that is
+  // so is not known, so only one instance is tried.
+  const bool lacksConnections =
+    m_unsentInRow >= kUnsentToPassOn || m_foundNoneSound;
+  const bool mayPassOn =
+    IsServiceUnreachable() || (lacksConnections && tried.empty());
+  if (m_start.m_forwarded || !mayPassOn) {
     return std::nullopt;
   }
-  std::vector<std::string> excluded;
-  for (const std::string& upstream : aExcluded) {
-    if (IsInstance(upstream)) {
-      excluded.push_back(upstream.substr(kInstance.size()));
-    }
-  }
   const auto name =
-    m_start.m_peers->PickForwardTarget(m_start.m_service, excluded);
+    m_start.m_peers->PickForwardTarget(m_start.m_service, tried);
   return name ? std::optional(std::string(kInstance) + *name) : std::nullopt;
 }
 
--- a/packages/relay/include/ridgeferry/relay/Placement.h
+++ b/packages/relay/include/ridgeferry/relay/Placement.h
@@ -25,6 +25,9 @@
   /** The service has calls more urgent than this one, which use the room that
    * limited upstreams have first. */
   bool m_yieldsToUrgent = false;
+  /** Whether the call may find out if a member on probation responds again. A
+   * call that may not be repeated would be lost if it does not. */
+  bool m_mayProbe = true;
   std::uint64_t m_random = 0; ///< Breaks ties and draws candidates.
   /** The mean prompt of this kind of call; empty to use the prompt itself. */
   std::optional<Prompt> m_typical = {};
--- a/packages/relay/include/ridgeferry/relay/ServiceReach.h
+++ b/packages/relay/include/ridgeferry/relay/ServiceReach.h
@@ -22,14 +22,17 @@
    * Returns true if that ends or begins a time in which none does. */
   bool NoteResponsive(bool aAny, Instant aNow);
   /** A connection to an upstream of the service has come about. */
-  void NoteConnected() { m_isConnectable = true; }
+  void NoteConnected(Instant aNow);
   bool IsUnreachable() const { return m_isUnreachable; }
   /** Returns when the service became unreachable. Precondition:
    * `IsUnreachable()`. */
   Instant UnreachableSince() const { return m_since; }
+  /** How long a trial waits for a call that may be repeated. */
+  static constexpr Duration kRepeatableFirst{ 1000 };
   /** Returns whether a call should try the direct way although the service is
-   * unreachable. If so, the trial counts as begun. */
-  bool AllowTrial(Instant aNow);
+   * unreachable. If so, the trial counts as begun. `aMayRepeat` is false for a
+   * call that would be lost with a trial that fails. */
+  bool AllowTrial(bool aMayRepeat, Instant aNow);
 
 private:
   bool m_isUnreachable = false;
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -245,7 +245,8 @@
       limitedFor = std::min(limitedFor.value_or(Duration::max()), roomIn);
     } else if (!HasConnection(state, aRequest)) {
       anyBusy = true;
-    } else if (IsUnresponsive(state, aNow)) {
+    } else if (IsUnresponsive(state, aNow) ||
+               (state.m_isOnProbation && !aRequest.m_mayProbe)) {
       silent.push_back(&state);
     } else {
       sound.push_back(&state);
--- a/packages/relay/src/ServiceReach.cpp
+++ b/packages/relay/src/ServiceReach.cpp
@@ -4,6 +4,15 @@
 
 namespace ridgeferry::relay {
 
+void
+ServiceReach::NoteConnected(Instant aNow)
+{
+  if (!m_isConnectable) {
+    m_nextTrialAt = aNow;
+  }
+  m_isConnectable = true;
+}
+
 bool
 ServiceReach::NoteResponsive(bool aAny, Instant aNow)
 {
@@ -19,9 +28,11 @@
 }
 
 bool
-ServiceReach::AllowTrial(Instant aNow)
+ServiceReach::AllowTrial(bool aMayRepeat, Instant aNow)
 {
-  if (!m_isUnreachable || !m_isConnectable || aNow < m_nextTrialAt) {
+  const Instant from =
+    aMayRepeat ? m_nextTrialAt : m_nextTrialAt + kRepeatableFirst;
+  if (!m_isUnreachable || !m_isConnectable || aNow < from) {
     return false;
   }
   m_nextTrialAt = aNow + m_trialInterval;
--- a/packages/relay/tests/FleetUnresponsiveTest.cpp
+++ b/packages/relay/tests/FleetUnresponsiveTest.cpp
@@ -118,6 +118,18 @@
   EXPECT_FALSE(m_fleet.NeedsOwnConnection("a", kNow));
 }
 
+// A call that may not be repeated would be lost.
+TEST_F(FleetTest, OnlyCallsThatMayBeRepeatedProbeAMember)
+{
+  m_fleet.NoteUnreachable("a", kNow);
+  m_fleet.EndEjections("desk");
+  m_fleet.NoteSent("b", 0, kNow); // Busier than the other.
+  PlaceRequest request = PlainRequest();
+  EXPECT_EQ(MustFind(m_fleet, request).m_upstream, "a");
+  request.m_mayProbe = false;
+  EXPECT_EQ(MustFind(m_fleet, request).m_upstream, "b");
+}
+
 TEST_F(FleetTest, AnUnreachableMemberIsEjectedAtOnce)
 {
   m_fleet.NoteSent("a", 0, kNow);
--- a/packages/relay/tests/ServiceReachTest.cpp
+++ b/packages/relay/tests/ServiceReachTest.cpp
@@ -19,11 +19,21 @@
 TEST(ServiceReachTest, NoCallTriesTheDirectWayBeforeAConnectionCameAbout)
 {
   ServiceReach reach;
-  EXPECT_FALSE(reach.AllowTrial(kNow));
+  EXPECT_FALSE(reach.AllowTrial(true, kNow));
   reach.NoteResponsive(false, kNow);
-  EXPECT_FALSE(reach.AllowTrial(kNow + Duration{ 10'000 }));
-  reach.NoteConnected();
-  EXPECT_TRUE(reach.AllowTrial(kNow + Duration{ 10'000 }));
+  EXPECT_FALSE(reach.AllowTrial(true, kNow + Duration{ 10'000 }));
+  reach.NoteConnected(kNow);
+  EXPECT_TRUE(reach.AllowTrial(true, kNow + Duration{ 10'000 }));
+}
+
+// A call that would be lost tries only if no other one comes.
+TEST(ServiceReachTest, CallsThatMayBeRepeatedTryFirst)
+{
+  ServiceReach reach;
+  reach.NoteResponsive(false, kNow);
+  reach.NoteConnected(kNow);
+  EXPECT_FALSE(reach.AllowTrial(false, kNow));
+  EXPECT_TRUE(reach.AllowTrial(false, kNow + ServiceReach::kRepeatableFirst));
 }
 
 // Where connections come about and nothing answers, few callers may find out.
@@ -31,10 +41,10 @@
 {
   ServiceReach reach;
   reach.NoteResponsive(false, kNow);
-  reach.NoteConnected();
+  reach.NoteConnected(kNow);
   int trials = 0;
   for (Duration at{}; at < Duration{ 12'000 }; at += Duration{ 10 }) {
-    trials += reach.AllowTrial(kNow + at) ? 1 : 0;
+    trials += reach.AllowTrial(true, kNow + at) ? 1 : 0;
   }
   EXPECT_EQ(trials, 6);
 }
--- a/tests/soak/CutOffTest.cpp
+++ b/tests/soak/CutOffTest.cpp
@@ -222,10 +222,15 @@
   CutOffTest,
   ::testing::Values(CutCase{ "Silent", LinkMode::Hold, false, true },
                     CutCase{ "Reset", LinkMode::Refuse, true, true },
-                    CutCase{ "OnlyNewOnesRefused",
+                    CutCase{ "OnlyNewOnesReset",
                              LinkMode::Refuse,
                              false,
                              false,
+                             kCallOftenEvery },
+                    CutCase{ "OnlyNewOnesRefused",
+                             LinkMode::Close,
+                             false,
+                             false,
                              kCallOftenEvery }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
--- a/tests/soak/FaultyLink.cpp
+++ b/tests/soak/FaultyLink.cpp
@@ -60,24 +60,30 @@
   bool m_isDelayed = false;
 };
 
-std::unique_ptr<FaultyLink>
-FaultyLink::Make(net::EventLoop& aLoop, net::Address aTarget)
+bool
+FaultyLink::Listen(const net::Address& aAddress)
 {
-  std::unique_ptr<FaultyLink> out(new FaultyLink(aLoop, std::move(aTarget)));
   const auto accepted =
     [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
       static_cast<FaultyLink*>(aSelf)->Accept(aSocket);
     };
-  const sockaddr_in any = ToSystem({ "127.0.0.1", 0 });
-  out->m_listener =
-    evconnlistener_new_bind(aLoop.Base(),
+  const sockaddr_in address = ToSystem(aAddress);
+  m_listener =
+    evconnlistener_new_bind(m_loop.Base(),
                             accepted,
-                            out.get(),
+                            this,
                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
                             kBacklog,
-                            reinterpret_cast<const sockaddr*>(&any),
-                            sizeof(any));
-  if (out->m_listener == nullptr) {
+                            reinterpret_cast<const sockaddr*>(&address),
+                            sizeof(address));
+  return m_listener != nullptr;
+}
+
+std::unique_ptr<FaultyLink>
+FaultyLink::Make(net::EventLoop& aLoop, net::Address aTarget)
+{
+  std::unique_ptr<FaultyLink> out(new FaultyLink(aLoop, std::move(aTarget)));
+  if (!out->Listen({ "127.0.0.1", 0 })) {
     return nullptr;
   }
   sockaddr_in bound{};
@@ -221,6 +227,12 @@
 FaultyLink::SetMode(LinkMode aMode)
 {
   m_mode = aMode;
+  const bool isClosed = aMode == LinkMode::Close;
+  if (isClosed && m_listener != nullptr) {
+    evconnlistener_free(std::exchange(m_listener, nullptr));
+  } else if (!isClosed && m_listener == nullptr) {
+    Listen(m_bound);
+  }
   std::vector<Pair*> pairs;
   for (const auto& pair : m_pairs) {
     pairs.push_back(pair.get());
--- a/tests/soak/FaultyLink.h
+++ b/tests/soak/FaultyLink.h
@@ -20,6 +20,7 @@
   HoldRequests, ///< Only towards the target nothing passes.
   HoldAnswers,  ///< Only back from the target nothing passes.
   Refuse,       ///< New connections are reset.
+  Close,        ///< Nobody listens any more; open connections live on.
 };
 
 /**
@@ -53,6 +54,8 @@
   struct Pair;
 
   FaultyLink(net::EventLoop& aLoop, net::Address aTarget);
+  /** False: the address cannot be had. */
+  bool Listen(const net::Address& aAddress);
   void Accept(int aSocket);
   void Pump(Pair& aPair);
   void PumpSide(Pair& aPair, bool aToTarget);
