Bytes of an older call do not show that new connections come about

A probation ends by a byte for a call that was sent after it began. Time that the detour took is not held against the call's admission any more.

--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -223,10 +223,13 @@
   request.m_movedPerMs = m_start.m_movedTokensPerMs;
   if (isFirst && m_start.m_head.m_prompt &&
       m_start.m_route->m_firstByteTarget.count() > 0) {
+    // What another instance needed to pass the call on is not held against it.
+    const Duration earlier =
+      m_start.m_forwarded ? Duration{} : m_start.m_earlierWait;
     const Duration spent = m_node.Now() - m_began;
     request.m_admissionBound =
       relay::AdmissionBoundOf(m_start.m_route->m_firstByteTarget) - spent -
-      m_start.m_earlierWait;
+      earlier;
   }
   const relay::PlaceResult result =
     m_node.m_fleet.FindPlace(request, m_node.Now());
@@ -436,7 +439,7 @@
 void
 RelayCall::NoteResponse()
 {
-  if (m_node.m_fleet.NoteResponse(m_attempt.m_upstream)) {
+  if (m_node.m_fleet.NoteResponse(m_attempt.m_upstream, m_attempt.m_sentAt)) {
     m_node.m_log->Write(
       observe::LogLevel::Info,
       "upstream-answers-again",
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -179,10 +179,12 @@
    */
   void NoteSent(std::string_view aId, std::int64_t aTokens, Instant aNow);
   /**
-   * Records that bytes arrived from the member, for any call. Returns true if
-   * the member was on probation, which these bytes end.
+   * Records that bytes arrived from the member, for a call that was sent at
+   * `aSentAt`. Returns true if the member was on probation, which these bytes
+   * end. Bytes for a call that was sent before the member failed end none: its
+   * connection may live on while no new one comes about.
    */
-  bool NoteResponse(std::string_view aId);
+  bool NoteResponse(std::string_view aId, Instant aSentAt = Instant::max());
   /**
    * Records that no connection to the member could be opened in time, or that
    * the member acknowledged none of the data sent on a connection. The member
@@ -431,6 +433,7 @@
      * and gets only one call at a time until it responds.
      */
     bool m_isOnProbation = false;
+    Instant m_failedAt; ///< When the probation began, or a probe last failed.
     /** When the grace period of a member that is no longer listed ends. */
     std::optional<Instant> m_goneAt;
   };
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -370,16 +370,20 @@
 }
 
 bool
-Fleet::NoteResponse(std::string_view aId)
+Fleet::NoteResponse(std::string_view aId, Instant aSentAt)
 {
   const auto found = m_members.find(aId);
   if (found == m_members.end()) {
     return false;
   }
-  found->second.m_unansweredSince.reset();
-  found->second.m_failuresSinceResponse = 0;
-  found->second.m_nextEjectionTime = kEjectionTime;
-  return std::exchange(found->second.m_isOnProbation, false);
+  State& state = found->second;
+  state.m_unansweredSince.reset();
+  if (state.m_isOnProbation && aSentAt < state.m_failedAt) {
+    return false;
+  }
+  state.m_failuresSinceResponse = 0;
+  state.m_nextEjectionTime = kEjectionTime;
+  return std::exchange(state.m_isOnProbation, false);
 }
 
 void
@@ -406,6 +410,7 @@
       std::min(aState.m_nextEjectionTime * 2, kMaxEjectionTime);
   }
   aState.m_isOnProbation = true;
+  aState.m_failedAt = aNow;
 }
 
 Duration
@@ -511,6 +516,7 @@
   }
   if (state.m_failuresSinceResponse >= kFailuresToEject) {
     state.m_isOnProbation = true;
+    state.m_failedAt = aNow;
   }
   state.m_ejectedUntil = aNow + kEjectionTime;
   state.m_failuresInRow = 0;
--- a/packages/relay/tests/FleetUnresponsiveTest.cpp
+++ b/packages/relay/tests/FleetUnresponsiveTest.cpp
@@ -118,6 +118,17 @@
   EXPECT_FALSE(m_fleet.NeedsOwnConnection("a", kNow));
 }
 
+// Streams that live on must not hide that no new connection comes about.
+TEST_F(FleetTest, BytesOfAnOlderCallEndNoProbation)
+{
+  m_fleet.NoteUnreachable("a", kNow);
+  EXPECT_FALSE(m_fleet.NoteResponse("a", kNow - Duration{ 1 }));
+  m_fleet.NoteUnreachable("b", kNow);
+  EXPECT_FALSE(m_fleet.IsAnyResponsive("desk", kNow));
+  EXPECT_TRUE(m_fleet.NoteResponse("a", kNow + Duration{ 1 }));
+  EXPECT_TRUE(m_fleet.IsAnyResponsive("desk", kNow));
+}
+
 // A call that may not be repeated would be lost.
 TEST_F(FleetTest, OnlyCallsThatMayBeRepeatedProbeAMember)
 {
--- a/tests/soak/CutOffTest.cpp
+++ b/tests/soak/CutOffTest.cpp
@@ -20,6 +20,8 @@
 /** So often that the connections that are open do not suffice. */
 constexpr Duration kCallOftenEvery{ 12 };
 constexpr Duration kRunsFor{ 80 };
+/** Answers that take longer come too late for most callers. */
+constexpr Duration kInTime{ 200 };
 /** From the beginning of a cut until callers must be served again. */
 constexpr Duration kContact{ 3000 };
 constexpr Duration kMeasured{ 3000 };
@@ -147,14 +149,16 @@
     request.m_headers.Add("X-Request-Id", id);
     request.m_headers.Add("X-Deadline-Ms", "1000");
     net::HttpCallbacks callbacks;
-    callbacks.m_done = [this, id](const net::HttpResponse& aResponse) {
-      ++m_answered;
-      const bool isOk = aResponse.m_head.m_status == 200;
-      m_served += isOk ? 1 : 0;
-      if (aResponse.m_head.m_status == 503) {
-        m_refused.insert(id);
-      }
-    };
+    callbacks.m_done =
+      [this, id, sentAt = m_loop->Now()](const net::HttpResponse& aResponse) {
+        ++m_answered;
+        const bool isOk = aResponse.m_head.m_status == 200;
+        m_served += isOk ? 1 : 0;
+        m_inTime += isOk && m_loop->Now() - sentAt <= kInTime ? 1 : 0;
+        if (aResponse.m_head.m_status == 503) {
+          m_refused.insert(id);
+        }
+      };
     m_client.Send(request, std::move(callbacks));
   }
 
@@ -169,7 +173,15 @@
     EXPECT_GT(m_answered, 50) << aWhen;
     EXPECT_GE(m_served * 20, m_answered * 19)
       << aWhen << ": " << m_served << " of " << m_answered;
+    EXPECT_GE(m_inTime * 10, m_answered * 9)
+      << aWhen << ": " << m_inTime << " of " << m_answered << " in time";
+    Forget();
+  }
+
+  void Forget()
+  {
     m_served = 0;
+    m_inTime = 0;
     m_answered = 0;
   }
 
@@ -193,6 +205,7 @@
   int m_lastCall = 0;
   int m_answered = 0;
   int m_served = 0;
+  int m_inTime = 0;
 };
 
 TEST_P(CutOffTest, ItsCallersAreServedAllTheSame)
@@ -202,8 +215,7 @@
   ExpectServed("before the cut");
   SetLinks(GetParam().m_mode, GetParam().m_resetsOpen);
   CallFor(kContact, GetParam().m_callEvery);
-  m_served = 0;
-  m_answered = 0;
+  Forget();
   CallFor(kMeasured, GetParam().m_callEvery);
   ExpectServed("while it is cut off");
   SetLinks(LinkMode::Pass, GetParam().m_mode == LinkMode::Hold);
@@ -227,6 +239,11 @@
                              false,
                              false,
                              kCallOftenEvery },
+                    CutCase{ "OnlyNewOnesHang",
+                             LinkMode::Stall,
+                             false,
+                             false,
+                             kCallOftenEvery },
                     CutCase{ "OnlyNewOnesRefused",
                              LinkMode::Close,
                              false,
--- a/tests/soak/FaultyLink.cpp
+++ b/tests/soak/FaultyLink.cpp
@@ -106,6 +106,9 @@
   if (m_listener != nullptr) {
     evconnlistener_free(m_listener);
   }
+  for (const int filler : m_queued) {
+    evutil_closesocket(filler);
+  }
 }
 
 void
@@ -223,10 +226,35 @@
   }
 }
 
+void
+FaultyLink::FillQueue()
+{
+  constexpr int kMoreThanFit = 4;
+  evconnlistener_disable(m_listener);
+  listen(evconnlistener_get_fd(m_listener), 0);
+  const sockaddr_in address = ToSystem(m_bound);
+  for (int i = 0; i < kMoreThanFit; ++i) {
+    const int filler =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    (void)connect(
+      filler, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    m_queued.push_back(filler);
+  }
+}
+
 void
 FaultyLink::SetMode(LinkMode aMode)
 {
   m_mode = aMode;
+  for (const int socket : std::exchange(m_queued, {})) {
+    evutil_closesocket(socket);
+  }
+  if (aMode == LinkMode::Stall) {
+    FillQueue();
+  } else if (m_listener != nullptr) {
+    listen(evconnlistener_get_fd(m_listener), kBacklog);
+    evconnlistener_enable(m_listener);
+  }
   const bool isClosed = aMode == LinkMode::Close;
   if (isClosed && m_listener != nullptr) {
     evconnlistener_free(std::exchange(m_listener, nullptr));
--- a/tests/soak/FaultyLink.h
+++ b/tests/soak/FaultyLink.h
@@ -5,6 +5,7 @@
 #include <ridgeferry/net/Address.h>
 #include <ridgeferry/net/EventLoop.h>
 #include <string>
+#include <vector>
 
 struct bufferevent;
 struct evconnlistener;
@@ -20,6 +21,7 @@
   HoldRequests, ///< Only towards the target nothing passes.
   HoldAnswers,  ///< Only back from the target nothing passes.
   Refuse,       ///< New connections are reset.
+  Stall,        ///< New connections do not come about; open ones live on.
   Close,        ///< Nobody listens any more; open connections live on.
 };
 
@@ -56,6 +58,8 @@
   FaultyLink(net::EventLoop& aLoop, net::Address aTarget);
   /** False: the address cannot be had. */
   bool Listen(const net::Address& aAddress);
+  /** Fills the queue of new connections, so that further ones hang. */
+  void FillQueue();
   void Accept(int aSocket);
   void Pump(Pair& aPair);
   void PumpSide(Pair& aPair, bool aToTarget);
@@ -67,6 +71,7 @@
   net::Address m_bound;
   evconnlistener* m_listener = nullptr;
   LinkMode m_mode = LinkMode::Pass;
+  std::vector<int> m_queued; ///< Sockets that fill the queue in mode `Stall`.
   std::list<std::unique_ptr<Pair>> m_pairs;
   std::list<std::unique_ptr<Pair>> m_ended; ///< Freed outside of callbacks.
 };
