explain shows whether a call's service was reached; a vector reserved

explain --id left out service-unreachable, as it names no upstream: lines of the instance about the call's service are shown now. StoryTest has the case.

--- a/packages/cli/src/Story.cpp
+++ b/packages/cli/src/Story.cpp
@@ -35,6 +35,15 @@
 {
   std::set<std::string> m_upstreams;
   std::set<std::string> m_calls;
+  /** Its service at each instance that had it. */
+  std::set<std::string> m_services;
+
+  static std::string ServiceOf(const Json& aFields)
+  {
+    const std::string service = TextOf(aFields, "service");
+    return service.empty() ? service
+                           : TextOf(aFields, "instance") + "/" + service;
+  }
 
   void Add(const Json& aFields)
   {
@@ -46,12 +55,17 @@
     if (std::string text = TextOf(aFields, "call"); !text.empty()) {
       m_calls.insert(std::move(text));
     }
+    if (std::string text = ServiceOf(aFields); !text.empty()) {
+      m_services.insert(std::move(text));
+    }
   }
 
   bool Concerns(const Json& aBelief) const
   {
     return m_upstreams.contains(TextOf(aBelief, "upstream")) ||
-           m_calls.contains(TextOf(aBelief, "call"));
+           m_calls.contains(TextOf(aBelief, "call")) ||
+           (!aBelief.contains("upstream") &&
+            m_services.contains(ServiceOf(aBelief)));
   }
 };
 
--- a/packages/cli/tests/StoryTest.cpp
+++ b/packages/cli/tests/StoryTest.cpp
@@ -17,6 +17,10 @@
 {"time":"T1","event":"call-quarantined","instance":"c","call":"d1","ends":3}
 {"time":"T1","event":"call-quarantined","instance":"c","call":"d2","ends":3}
 {"time":"T2","event":"call-held","instance":"b","id":"h","call":"d1"}
+{"time":"T1","event":"service-unreachable","instance":"b","service":"s"}
+{"time":"T1","event":"service-unreachable","instance":"c","service":"s"}
+{"time":"T1","event":"upstream-listed","instance":"b","upstream":"u3","service":"s"}
+{"time":"T2","event":"call-forwarded","instance":"b","id":"f","service":"s","to":"instance/c"}
 {"time":"T7"
 )";
 
@@ -58,6 +62,10 @@
                "h",
                { "T1 c call-quarantined call=d1 ends=3",
                  "T2 b call-held id=h call=d1" } },
+    StoryCase{ "PassedOn",
+               "f",
+               { "T1 b service-unreachable service=s",
+                 "T2 b call-forwarded id=f service=s to=instance/c" } },
     StoryCase{ "Unknown", "z", {} }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
--- a/packages/limits/src/UpstreamLimits.cpp
+++ b/packages/limits/src/UpstreamLimits.cpp
@@ -149,6 +149,7 @@
     services.insert(paced.m_service);
   }
   std::vector<ServiceDemand> out;
+  out.reserve(services.size());
   for (const ServiceHash service : services) {
     out.push_back({ service, m_shares.OwnDemand(service, aNow) });
   }
