--- a/tests/soak/CutOffTest.cpp
+++ b/tests/soak/CutOffTest.cpp
@@ -20,6 +20,9 @@
 /** So often that the connections that are open do not suffice. */
 constexpr Duration kCallOftenEvery{ 12 };
 constexpr Duration kRunsFor{ 80 };
+/** Streams that are open when the cut begins, some at each worker. */
+constexpr int kStreams = 16;
+constexpr Duration kEventEvery{ 50 };
 /** Answers that take longer come too late for most callers. */
 constexpr Duration kInTime{ 200 };
 /** From the beginning of a cut until callers must be served again. */
@@ -37,6 +40,7 @@
   /** Whether no call gets through, so that the instance must notice. */
   bool m_isWhole;
   Duration m_callEvery = kCallEvery; ///< While it is cut off.
+  bool m_hasStreams = false;         ///< Streams live on through the cut.
 };
 
 class CutOffTest
@@ -59,7 +63,9 @@
       R"({"version":1,"routes":[{"host":"h","path_prefix":"/safe/",)"
       R"("kind":"safe","timeout_ms":1000,"max_attempts":2,"service":"s"},)"
       R"({"host":"h","path_prefix":"/unsafe/",)"
-      R"("kind":"unsafe","timeout_ms":1000,"max_attempts":2,"service":"s"}],)"
+      R"("kind":"unsafe","timeout_ms":1000,"max_attempts":2,"service":"s"},)"
+      R"({"host":"h","path_prefix":"/stream/","kind":"streaming",)"
+      R"("timeout_ms":20000,"max_attempts":1,"service":"s"}],)"
       R"("services":[{"name":"s","max_connections":100}]})";
     m_store.Put("op", "config", config);
     m_ownStore.Put("op", "config", config);
@@ -117,10 +123,38 @@
   void Answer(const ExchangePtr& aCall)
   {
     ++m_runs[std::string(*aCall->Headers().Find("X-Request-Id"))];
+    if (aCall->Path() == "/stream/x") {
+      Stream(aCall);
+      return;
+    }
     m_answers.push_back(m_loop->After(
       kRunsFor, [aCall] { adapter::StandInWorker::Serve(aCall); }));
   }
 
+  /** Sends events as long as the test lasts. */
+  void Stream(const ExchangePtr& aCall)
+  {
+    net::HttpHeaders headers;
+    headers.Add("X-Request-Id",
+                std::string(*aCall->Headers().Find("X-Request-Id")));
+    headers.Add("Content-Type", "text/event-stream");
+    aCall->StartStream(200, headers);
+    m_answers.push_back(m_loop->Every(
+      kEventEvery, [aCall] { aCall->SendChunk("id: 1\ndata: x\n\n"); }));
+  }
+
+  void StartStreams()
+  {
+    for (int i = 0; i < kStreams; ++i) {
+      net::HttpRequest request =
+        MakeRequest("/stream/x", "stream-" + std::to_string(i));
+      request.m_timeout = Duration{ 20'000 };
+      m_client.Send(request,
+                    { {}, [](std::string_view) {}, [](const auto&) {} });
+    }
+    RunFor(Duration{ 200 });
+  }
+
   void SetLinks(LinkMode aMode, bool aResetsOpen)
   {
     for (const auto& link : m_links) {
@@ -131,6 +165,22 @@
     }
   }
 
+  net::HttpRequest MakeRequest(const std::string& aTarget,
+                               const std::string& aId)
+  {
+    net::HttpRequest out;
+    out.m_method = "POST";
+    out.m_address = m_instances.All().back()->m_callers;
+    out.m_target = aTarget;
+    out.m_body = "body of " + aId;
+    out.m_timeout = Duration{ 1500 };
+    out.m_headers.Add("Host", "h");
+    out.m_headers.Add("X-Request-Id", aId);
+    out.m_headers.Add("X-Deadline-Ms",
+                      aTarget == "/stream/x" ? "20000" : "1000");
+    return out;
+  }
+
   /** Sends one first try to the instance that is cut off. */
   void Call()
   {
@@ -139,15 +189,8 @@
     if (!isSafe) {
       m_unsafe.insert(id);
     }
-    net::HttpRequest request;
-    request.m_method = "POST";
-    request.m_address = m_instances.All().back()->m_callers;
-    request.m_target = isSafe ? "/safe/x" : "/unsafe/x";
-    request.m_body = "body of " + id;
-    request.m_timeout = Duration{ 1500 };
-    request.m_headers.Add("Host", "h");
-    request.m_headers.Add("X-Request-Id", id);
-    request.m_headers.Add("X-Deadline-Ms", "1000");
+    const net::HttpRequest request =
+      MakeRequest(isSafe ? "/safe/x" : "/unsafe/x", id);
     net::HttpCallbacks callbacks;
     callbacks.m_done =
       [this, id, sentAt = m_loop->Now()](const net::HttpResponse& aResponse) {
@@ -213,6 +256,9 @@
   StartAll();
   CallFor(Duration{ 3000 });
   ExpectServed("before the cut");
+  if (GetParam().m_hasStreams) {
+    StartStreams();
+  }
   SetLinks(GetParam().m_mode, GetParam().m_resetsOpen);
   CallFor(kContact, GetParam().m_callEvery);
   Forget();
@@ -226,6 +272,7 @@
     EXPECT_EQ(CountInLog(name, "service-reached-again"), 1U);
   }
   ExpectRuns();
+  m_answers.clear();
   EXPECT_TRUE(m_instances.StopAll(Duration{ 9000 }));
 }
 
@@ -244,6 +291,12 @@
                              false,
                              false,
                              kCallOftenEvery },
+                    CutCase{ "StreamsLiveOn",
+                             LinkMode::Stall,
+                             false,
+                             false,
+                             kCallOftenEvery,
+                             true },
                     CutCase{ "OnlyNewOnesRefused",
                              LinkMode::Close,
                              false,
