Calls that are passed on: the configured limits on heads and bodies hold

Found by reading the change once more: the address of the peers took heads up to 32 KiB and bodies up to 16 MiB whatever operators configure, so on a deployment with larger limits a call that the first instance had taken got 431 by the second, as an answer for its caller. The limits follow the configuration now, never below the earlier ones, with room for the fields that instances add.

--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -224,6 +224,7 @@
   m_node.m_routes =
     std::make_shared<const relay::RouteTable>(std::move(*config));
   m_relay->UseLimits();
+  m_peerRows->UseLimits(m_node.m_routes->Config().m_limits);
   m_node.m_log->Write(observe::LogLevel::Info,
                       "configuration-in-force",
                       { { "version", version },
--- a/packages/entry/src/PeerRows.cpp
+++ b/packages/entry/src/PeerRows.cpp
@@ -1,5 +1,6 @@
 #include "PeerRows.h"
 
+#include <algorithm>
 #include <limits>
 #include <ridgeferry/protocol/Messages.h>
 
@@ -16,6 +17,10 @@
  * rows. A whole table of a hundred kilobytes takes 0.1 s on the slowest links.
  */
 constexpr Duration kTimeout{ 300 };
+/** Room in a head for what instances add to a caller's, in bytes: three short
+ * fields, one of which may hold the id of an event. */
+constexpr std::size_t kInstanceHeaderBytes = 4096;
+
 std::string
 NameOf(Peers::Table aTable)
 {
@@ -65,6 +70,16 @@
   m_forwarded = std::move(aForwarded);
 }
 
+void
+PeerRows::UseLimits(const relay::CallerLimits& aLimits)
+{
+  net::HttpServerLimits out;
+  out.m_maxHeaderBytes =
+    std::max(out.m_maxHeaderBytes, aLimits.m_headBytes + kInstanceHeaderBytes);
+  out.m_maxBodyBytes = std::max(out.m_maxBodyBytes, aLimits.m_bodyBytes);
+  m_server->SetLimits(out);
+}
+
 void
 PeerRows::Answer(const std::shared_ptr<net::HttpExchange>& aExchange)
 {
