Only the peers' address decides whether a call was passed on

Found by reading the change once more: a refusal at start or stop took its mark for other instances from fields that any caller can send, so that callers got it. Test first: 503 with the mark from the callers' address; without it now. The 18 cases of EntryTest and ForwardedCallEntryTest pass.

--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -35,6 +35,8 @@
   std::string m_caller; ///< The caller's credentials; empty if it sent none.
   /** The API key in the credentials; empty if they hold none. */
   std::string m_key;
+  /** Another instance passed the call on. A dialect leaves it false. */
+  bool m_isForwarded = false;
 };
 
 /** What one request to an upstream carries in addition to the caller's request.
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -178,6 +178,7 @@
   CallHead head = m_node.m_dialect.m_readCall(aExchange->Request());
   if (aForwarded) {
     head.m_deadline = aForwarded->m_left;
+    head.m_isForwarded = true;
   }
   if (!m_node.m_stop.AcceptsCalls(m_node.Now())) {
     Refuse(*aExchange, head, kUnavailable, "stopping");
@@ -259,13 +260,12 @@
                         { "host", aHead.m_host },
                         { "path", aHead.m_path } });
   const bool helpsLater = aStatus == kUnavailable;
-  SendOwnAnswer(
-    aExchange,
-    { aStatus,
-      aCode,
-      "not-run",
-      helpsLater ? kOtherRetryAfter : Duration{},
-      helpsLater && ReadForwarded(aExchange.Headers()).has_value() });
+  SendOwnAnswer(aExchange,
+                { aStatus,
+                  aCode,
+                  "not-run",
+                  helpsLater ? kOtherRetryAfter : Duration{},
+                  helpsLater && aHead.m_isForwarded });
 }
 
 void
