--- a/packages/limits/include/ridgeferry/limits/StatedLimits.h
+++ b/packages/limits/include/ridgeferry/limits/StatedLimits.h
@@ -83,8 +83,8 @@
   /**
    * Returns the latest statements to this instance of all upstreams that have a
    * limit, or whose limit ended a short time ago. What peers told is not told
-   * on: its age does not include the time that messages take, so it would grow
-   * younger with each instance that passes it on.
+   * on: its age does not include the time that messages take, so each
+   * instance that told it on would report it as newer than it is.
    */
   std::vector<LimitReport> Reports(Instant aNow) const;
   bool IsEmpty() const { return m_entries.empty(); }
--- a/packages/limits/tests/StatedLimitsTest.cpp
+++ b/packages/limits/tests/StatedLimitsTest.cpp
@@ -129,7 +129,7 @@
     RateCase{ "BackFromNothing", { { 0.0, At(0) } }, At(20'500), 1.0 }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
-// What a peer told must not grow younger by being told on.
+// What a peer told would seem newer than it is if it were told on.
 TEST(StatedLimitsTest, OnlyWhatThisInstanceHeardIsTold)
 {
   StatedLimits limits;
--- a/tests/soak/CutOffTest.cpp
+++ b/tests/soak/CutOffTest.cpp
@@ -86,7 +86,8 @@
     for (std::size_t i = 0; i < kWorkers; ++i) {
       PutRows(i);
     }
-    // The last row may still pass from one side to the other: it is nobody's.
+    // Instances may pass the last row that changed on to each other, so that one
+    // belongs to a service without calls.
     m_ownStore.Put("servers", "i-none", m_workers.front()->Row("none"));
     m_store.Put("servers", "i-none", m_workers.front()->Row("none"));
     RunFor(Duration{ 500 });
