--- a/tests/soak/CutOffTest.cpp
+++ b/tests/soak/CutOffTest.cpp
@@ -86,8 +86,8 @@
     for (std::size_t i = 0; i < kWorkers; ++i) {
       PutRows(i);
     }
-    // Instances may pass the last row that changed on to each other, so that one
-    // belongs to a service without calls.
+    // Instances may pass the last row that changed on to each other, so that
+    // one belongs to a service without calls.
     m_ownStore.Put("servers", "i-none", m_workers.front()->Row("none"));
     m_store.Put("servers", "i-none", m_workers.front()->Row("none"));
     RunFor(Duration{ 500 });
