Sight of how answers are framed and of what they end with

The hypotheses of the incident were not told apart by an instance's lines: nothing said whether an answer had a length, chunks or neither, nor whether bytes of an incomplete event were left when it ended. The head of an answer names its framing now, call-ended logs it with the bytes left (framing, unfinishedBytes), and a counter tells answers by framing. No decision uses it yet.

--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -468,6 +468,8 @@
     return;
   }
   NoteResponse();
+  m_node.m_metrics.Count(observe::WithLabel(
+    "upstream_answers_total", "framing", NameOf(aHead.m_framing)));
   if (aHead.m_status != kMisdirected) {
     NoteStatedLimit(aHead);
   }
@@ -536,6 +538,7 @@
 RelayCall::TakeEnd(const net::HttpResponse& aResponse)
 {
   m_attempt.m_http = 0;
+  m_unfinishedBytes = m_flow.UnfinishedBytes();
   if (!m_attempt.m_isForwarded) {
     NoteConnection(aResponse);
     NoteReach(aResponse);
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -241,6 +241,8 @@
   bool m_foundNoneSound = false;
   /** The latest attempts at upstreams to which no connection came about. */
   int m_unsentInRow = 0;
+  /** Bytes of an incomplete event with which the latest attempt ended. */
+  std::size_t m_unfinishedBytes = 0;
   /** The stream had a pause that was longer than the route allows. */
   bool m_hadLongPause = false;
   std::optional<quarantine::CallDigest> m_digest;
--- a/packages/entry/src/RelayCallAnswer.cpp
+++ b/packages/entry/src/RelayCallAnswer.cpp
@@ -159,6 +159,8 @@
       { "tried", m_path },
       { "runs", std::int64_t{ m_flow.Runs() } },
       { "lastEvent", m_flow.LastEventId() },
+      { "framing", std::string(NameOf(m_attempt.m_head.m_framing)) },
+      { "unfinishedBytes", static_cast<std::int64_t>(m_unfinishedBytes) },
       { "promptTokens", PromptTokens() },
       { "expectedMs", std::llround(m_place.m_expectedMs) },
       { "answeredMs",
--- a/packages/net/include/ridgeferry/net/Http.h
+++ b/packages/net/include/ridgeferry/net/Http.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <ridgeferry/base/Time.h>
 #include <string>
@@ -55,10 +56,25 @@
   std::size_t m_keepIdle = 32;
 };
 
+/** What tells the end of a body. */
+enum class BodyFraming : std::uint8_t
+{
+  Length, ///< A length, or a status or method that allows no body.
+  Chunks,
+  /** Only the end of the connection does. It comes alike from a sender that has
+   * finished and from one that has died. */
+  Close,
+};
+
+/** Returns the name of a framing, for logs and metrics. */
+std::string_view
+NameOf(BodyFraming aFraming);
+
 struct HttpHead
 {
   int m_status = 0;
   HttpHeaders m_headers;
+  BodyFraming m_framing = BodyFraming::Length;
 };
 
 /** How a request ended. */
--- a/packages/net/src/ClientConnection.cpp
+++ b/packages/net/src/ClientConnection.cpp
@@ -246,7 +246,9 @@
   if (m_skipping) {
     return true;
   }
-  m_response.m_head = { m_parser->m_status, std::move(m_parser->m_headers) };
+  m_response.m_head = { m_parser->m_status,
+                        std::move(m_parser->m_headers),
+                        m_parser->Framing() };
   if (m_listener.m_head) {
     m_listener.m_head(m_response.m_head);
   }
--- a/packages/net/src/Http.cpp
+++ b/packages/net/src/Http.cpp
@@ -28,4 +28,18 @@
   return std::nullopt;
 }
 
+std::string_view
+NameOf(BodyFraming aFraming)
+{
+  switch (aFraming) {
+    case BodyFraming::Length:
+      return "length";
+    case BodyFraming::Chunks:
+      return "chunks";
+    case BodyFraming::Close:
+      break;
+  }
+  return "close";
+}
+
 } // namespace ridgeferry::net
--- a/packages/net/src/MessageParser.cpp
+++ b/packages/net/src/MessageParser.cpp
@@ -67,6 +67,16 @@
   return !error && this->is_done();
 }
 
+template<bool kIsRequest>
+BodyFraming
+MessageParser<kIsRequest>::Framing() const
+{
+  if (this->need_eof()) {
+    return BodyFraming::Close;
+  }
+  return this->chunked() ? BodyFraming::Chunks : BodyFraming::Length;
+}
+
 template<bool kIsRequest>
 void
 MessageParser<kIsRequest>::on_request_impl(boost::beast::http::verb,
--- a/packages/net/src/MessageParser.h
+++ b/packages/net/src/MessageParser.h
@@ -44,6 +44,8 @@
 
   bool HasHead() const { return this->is_header_done(); }
   bool KeepsAlive() const { return this->keep_alive(); }
+  /** Precondition: `HasHead`. */
+  BodyFraming Framing() const;
   const boost::system::error_code& Error() const { return m_error; }
 
   std::string m_method;     ///< Of a request.
--- a/packages/relay/include/ridgeferry/relay/EventSplitter.h
+++ b/packages/relay/include/ridgeferry/relay/EventSplitter.h
@@ -20,6 +20,8 @@
   /** Returns the bytes of the last, incomplete event and removes them from the
    * splitter. */
   std::string TakeRest();
+  /** Returns how many bytes belong to no complete event yet. */
+  std::size_t Unfinished() const { return m_pending.size(); }
   /** Returns the id of the last complete event that had one; empty if there has
    * been none. */
   const std::string& LastId() const { return m_lastId; }
--- a/packages/relay/include/ridgeferry/relay/RelayFlow.h
+++ b/packages/relay/include/ridgeferry/relay/RelayFlow.h
@@ -271,6 +271,8 @@
    * end on, and stops counting if its upstream is found to have crashed.
    */
   int Runs() const { return m_runs; }
+  /** Returns how many bytes of a stream wait for the rest of their event. */
+  std::size_t UnfinishedBytes() const { return m_events.Unfinished(); }
   /** Returns the id of the last forwarded event that had one; empty if none
    * had one. */
   const std::string& LastEventId() const { return m_events.LastId(); }
