--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -57,6 +57,9 @@
     target_include_directories(${NAME}_tests PRIVATE ${DIR}/src
       ${CMAKE_SOURCE_DIR}/tests/support)
     target_compile_options(${NAME}_tests PRIVATE ${OPTIMISED})
+    if(NOT PKG_PURE)
+      target_link_libraries(${NAME}_tests PRIVATE rf_test_support)
+    endif()
     set_target_properties(${NAME}_tests PROPERTIES
       RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/unit)
   endif()
--- a/packages/net/tests/RawPeer.cpp
+++ b/tests/support/RawPeer.cpp
@@ -57,6 +57,7 @@
       m_received.append(bytes.data(), static_cast<std::size_t>(got));
     } else {
       m_closed = got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+      m_reset = got < 0 && errno == ECONNRESET;
       return;
     }
   }
--- a/packages/net/tests/RawPeer.h
+++ b/tests/support/RawPeer.h
@@ -22,6 +22,7 @@
     : m_socket(std::exchange(aOther.m_socket, -1))
     , m_received(std::move(aOther.m_received))
     , m_closed(aOther.m_closed)
+    , m_reset(aOther.m_reset)
   {
   }
   RawPeer& operator=(RawPeer&& aOther) noexcept
@@ -29,6 +30,7 @@
     std::swap(m_socket, aOther.m_socket);
     std::swap(m_received, aOther.m_received);
     std::swap(m_closed, aOther.m_closed);
+    std::swap(m_reset, aOther.m_reset);
     return *this;
   }
   RawPeer(const RawPeer&) = delete;
@@ -41,6 +43,8 @@
   void Poll();
   const std::string& Received() const { return m_received; }
   bool IsClosed() const { return m_closed; }
+  /** Whether the other side ended it with a reset. */
+  bool IsReset() const { return m_reset; }
   bool IsOpen() const { return m_socket >= 0; }
   /** Ends it with a reset in place of an ordinary close. */
   void Reset();
@@ -50,6 +54,7 @@
   int m_socket = -1;
   std::string m_received;
   bool m_closed = false;
+  bool m_reset = false;
 };
 
 /** A plain listening socket of a test. */
