Answers that only their connection ends are not framed here: no broken one looks whole

Cause (hypothesis 1): ClientConnection took each good-order end of a connection for the end of a whole answer where neither a length nor chunks were given; RelayFlow forwarded what it held of an unfinished event and ended the stream, and the caller's side put chunks or a length around it: a proof that the upstream had never given. Now such an end is a kind of its own (HttpEnd::Closed, ConnectionClosed). A stream that ends inside an event, or before its first, has broken: it is resumed or aborted, and counts as broken for ejection, retry budget and quarantine. Between two events, and for bodies, nothing tells: the answer goes to its caller as it came, without a frame, through a second instance too; a caller that was promised chunks by an earlier run is left with a break. A broken one ends in a reset, also if this process is killed (SO_LINGER), as a clean close would look whole. Answers that prove themselves (JSON documents, bare statuses: the store, reports, orders, duties) are taken either way; objects of the store and rows of peers only if framed. Price: a caller's connection for each answer that came without a frame.

--- a/packages/cli/src/Run.cpp
+++ b/packages/cli/src/Run.cpp
@@ -30,7 +30,7 @@
        const net::HttpResponse& aResponse,
        Printer aPrint)
 {
-  if (aResponse.m_end != net::HttpEnd::Complete) {
+  if (!net::HasAnswer(aResponse)) {
     std::fprintf(
       stderr, "ridgeferry: no answer from %s\n", aCommon.m_server.c_str());
     return ExitCode::Unreachable;
@@ -115,7 +115,7 @@
   const net::HttpResponse response = Client(aCommon).Get("/admin/objects");
   const nlohmann::json body =
     nlohmann::json::parse(response.m_body, nullptr, false);
-  if (response.m_end != net::HttpEnd::Complete || !body.contains("objects")) {
+  if (!net::HasAnswer(response) || !body.contains("objects")) {
     return Finish(aCommon, response, &PrintObjects);
   }
   std::map<std::string, nlohmann::json> declared;
--- a/packages/entry/src/OrderLease.cpp
+++ b/packages/entry/src/OrderLease.cpp
@@ -125,7 +125,7 @@
     authority::LeaseRead event;
     const StoreGeneration generation = m_generations.Of(aResponse);
     m_generations.Note(generation, "a call for the lease");
-    const bool whole = aResponse.m_end == net::HttpEnd::Complete;
+    const bool whole = net::HasAnswer(aResponse);
     const StoreAnswer answer =
       whole ? m_node.m_dialect.m_readStoreAnswer(aResponse)
             : StoreAnswer(relay::ReadFailed{ "no complete answer" });
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -649,7 +649,7 @@
   request.m_timeout = kStoreTimeout;
   net::HttpCallbacks callbacks;
   callbacks.m_done = [this](const net::HttpResponse& aResponse) {
-    const bool whole = aResponse.m_end == net::HttpEnd::Complete;
+    const bool whole = net::HasAnswer(aResponse);
     const StoreAnswer answer =
       whole ? m_node.m_dialect.m_readStoreAnswer(aResponse)
             : StoreAnswer(relay::ReadFailed{ "no complete answer" });
--- a/packages/entry/src/QuarantineShare.cpp
+++ b/packages/entry/src/QuarantineShare.cpp
@@ -245,7 +245,7 @@
   callbacks.m_done = [this](const net::HttpResponse& aResponse) {
     m_asking = false;
     m_generations.Note(m_generations.Of(aResponse), "the quarantine");
-    const bool whole = aResponse.m_end == net::HttpEnd::Complete;
+    const bool whole = net::HasAnswer(aResponse);
     const StoreAnswer answer =
       whole
         ? m_node.m_dialect.m_readStoreAnswer(aResponse)
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -494,7 +494,8 @@
   m_prefillAnswer.clear();
   if (!m_attempt.m_saidNotRun && !m_attempt.m_readOnly) {
     NoteBegan();
-    Handle(relay::HeadArrived{ m_attempt.m_id, aHead.m_status });
+    Handle(relay::HeadArrived{
+      m_attempt.m_id, aHead.m_status, false, IsUnframed(aHead) });
   }
 }
 
@@ -534,6 +535,14 @@
   }
 }
 
+bool
+RelayCall::HasBroken(const net::HttpResponse& aResponse) const
+{
+  const bool closed = aResponse.m_end == net::HttpEnd::Closed;
+  return aResponse.m_end == net::HttpEnd::Broken ||
+         (closed && !m_attempt.m_saidNotRun && m_flow.IsBrokenByClose());
+}
+
 void
 RelayCall::TakeEnd(const net::HttpResponse& aResponse)
 {
@@ -546,6 +555,7 @@
       aResponse.m_end == net::HttpEnd::NotSent ? m_unsentInRow + 1 : 0;
   }
   const relay::AttemptId id = m_attempt.m_id;
+  const bool closed = aResponse.m_end == net::HttpEnd::Closed;
   if (aResponse.m_end == net::HttpEnd::NotSent) {
     Handle(relay::AttemptNotSent{ id });
   } else if (m_attempt.m_hasHead && m_attempt.m_saidNotRun) {
@@ -560,6 +570,8 @@
     } else {
       Handle(relay::PrefillCompleted{ id, std::move(handle) });
     }
+  } else if (closed) {
+    Handle(relay::ConnectionClosed{ id });
   } else {
     Handle(relay::AnswerEnded{ id });
   }
@@ -629,7 +641,7 @@
   request.m_timeout = kFreeTimeout;
   net::HttpCallbacks callbacks;
   callbacks.m_done = [&node = m_node](const net::HttpResponse& aResponse) {
-    if (aResponse.m_end != net::HttpEnd::Complete) {
+    if (!net::HasAnswer(aResponse)) {
       // The prefill engine frees the cache by itself when the lifetime of the
       // handle ends, so the failure is only counted.
       node.m_metrics.Count("handles_not_freed_total");
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -127,6 +127,13 @@
             SendTerms aTerms);
   /** Sends the request of the present attempt. */
   void Start(const net::HttpRequest& aRequest);
+  /** Returns whether only the end of its connection tells the answer's end. */
+  static bool IsUnframed(const net::HttpHead& aHead)
+  {
+    return aHead.m_framing == net::BodyFraming::Close;
+  }
+  /** Returns whether the present send's answer broke off. */
+  bool HasBroken(const net::HttpResponse& aResponse) const;
   /** Returns whether the name of an upstream in the flow stands for another
    * instance. */
   static bool IsInstance(std::string_view aUpstream);
@@ -147,6 +154,9 @@
   void TakeHead(const net::HttpHead& aHead);
   void TakeBytes(std::string_view aBytes);
   void TakeEnd(const net::HttpResponse& aResponse);
+  /** Sends the caller the head of the present answer; its body follows in
+   * pieces. */
+  void StartAnswer(bool aUnframed);
   void NoteRepeat();
   /** Returns the digest of the call's content. Hashes the body at the first
    * use only. */
--- a/packages/entry/src/RelayCallForward.cpp
+++ b/packages/entry/src/RelayCallForward.cpp
@@ -123,7 +123,8 @@
   m_attempt.m_head = aHead;
   m_attempt.m_saidNotRun = IsDeclined(aHead.m_headers);
   if (!m_attempt.m_saidNotRun) {
-    Handle(relay::HeadArrived{ m_attempt.m_id, aHead.m_status, true });
+    Handle(relay::HeadArrived{
+      m_attempt.m_id, aHead.m_status, true, IsUnframed(aHead) });
   }
 }
 
--- a/packages/entry/src/RelayCallQuarantine.cpp
+++ b/packages/entry/src/RelayCallQuarantine.cpp
@@ -55,7 +55,7 @@
   QuarantineService& quarantine = *m_start.m_quarantine;
   if (aResponse.m_refused) {
     quarantine.NoteRefused(m_attempt.m_upstream);
-  } else if (aResponse.m_end == net::HttpEnd::Broken && !aResponse.m_silent) {
+  } else if (HasBroken(aResponse) && !aResponse.m_silent) {
     quarantine.NoteBroken(
       { Digest(), m_attempt.m_upstream, m_start.m_head.m_id });
   }
--- a/packages/entry/src/StoreGenerations.cpp
+++ b/packages/entry/src/StoreGenerations.cpp
@@ -23,7 +23,7 @@
 StoreGeneration
 StoreGenerations::Of(const net::HttpResponse& aAnswer)
 {
-  if (aAnswer.m_end != net::HttpEnd::Complete) {
+  if (!net::HasAnswer(aAnswer)) {
     return m_latest;
   }
   const AnnouncedGeneration told =
--- a/packages/entry/src/StoreReader.cpp
+++ b/packages/entry/src/StoreReader.cpp
@@ -177,7 +177,7 @@
                         Instant aAsked,
                         const net::HttpResponse& aResponse)
 {
-  m_needsFreshConnection = aResponse.m_end != net::HttpEnd::Complete;
+  m_needsFreshConnection = !net::HasAnswer(aResponse);
   if (m_needsFreshConnection) {
     const bool unsent = aResponse.m_end == net::HttpEnd::NotSent;
     Handle(
--- a/packages/entry/src/UsageService.cpp
+++ b/packages/entry/src/UsageService.cpp
@@ -202,7 +202,7 @@
   callbacks.m_done = [this](const net::HttpResponse& aResponse) {
     usage::ReportRowRead event;
     event.m_generation = m_generations.Of(aResponse);
-    const bool whole = aResponse.m_end == net::HttpEnd::Complete;
+    const bool whole = net::HasAnswer(aResponse);
     const StoreAnswer answer =
       whole ? m_node.m_dialect.m_readStoreAnswer(aResponse)
             : StoreAnswer(relay::ReadFailed{ "no complete answer" });
@@ -258,8 +258,8 @@
   request.m_connectTimeout = kPlatformTimeout;
   net::HttpCallbacks callbacks;
   callbacks.m_done = [this, window](const net::HttpResponse& aResponse) {
-    const bool accepted = aResponse.m_end == net::HttpEnd::Complete &&
-                          aResponse.m_head.m_status == kOk;
+    const bool accepted =
+      net::HasAnswer(aResponse) && aResponse.m_head.m_status == kOk;
     m_node.m_metrics.Count(accepted ? "usage_reports_total"
                                     : "usage_reports_failed_total");
     m_node.m_log->Write(
--- a/packages/native/src/HttpInstanceList.cpp
+++ b/packages/native/src/HttpInstanceList.cpp
@@ -21,8 +21,7 @@
 std::optional<std::vector<ListedMember>>
 ParseList(const net::HttpResponse& aResponse)
 {
-  if (aResponse.m_end != net::HttpEnd::Complete ||
-      aResponse.m_head.m_status != kOk) {
+  if (!net::HasAnswer(aResponse) || aResponse.m_head.m_status != kOk) {
     return std::nullopt;
   }
   try {
--- a/packages/native/src/HttpObjectStore.cpp
+++ b/packages/native/src/HttpObjectStore.cpp
@@ -21,7 +21,9 @@
            sigc::slot<void(std::optional<std::string>)> aDone) override
   {
     Send("GET", aKey, {}, [aDone](net::HttpResponse aResponse) {
-      if (!IsGood(aResponse)) {
+      // An object proves nothing about its own length.
+      const bool whole = aResponse.m_end == net::HttpEnd::Complete;
+      if (!whole || aResponse.m_head.m_status != kOk) {
         aDone(std::nullopt);
         return;
       }
@@ -34,17 +36,11 @@
            sigc::slot<void(bool)> aDone) override
   {
     Send("PUT", aKey, aValue, [aDone](const net::HttpResponse& aResponse) {
-      aDone(IsGood(aResponse));
+      aDone(net::HasAnswer(aResponse) && aResponse.m_head.m_status == kOk);
     });
   }
 
 private:
-  static bool IsGood(const net::HttpResponse& aResponse)
-  {
-    return aResponse.m_end == net::HttpEnd::Complete &&
-           aResponse.m_head.m_status == kOk;
-  }
-
   void Send(const char* aMethod,
             const std::string& aKey,
             std::string aBody,
--- a/packages/native/src/HttpTable.cpp
+++ b/packages/native/src/HttpTable.cpp
@@ -23,7 +23,7 @@
 table::ReadResult
 ToReadResult(const net::HttpResponse& aResponse, const std::string& aKey)
 {
-  if (aResponse.m_end != net::HttpEnd::Complete) {
+  if (!net::HasAnswer(aResponse)) {
     return {};
   }
   if (aResponse.m_head.m_status == kNotFound) {
@@ -43,8 +43,7 @@
 table::ScanResult
 ToScanResult(const net::HttpResponse& aResponse)
 {
-  if (aResponse.m_end != net::HttpEnd::Complete ||
-      aResponse.m_head.m_status != kOk) {
+  if (!net::HasAnswer(aResponse) || aResponse.m_head.m_status != kOk) {
     return {};
   }
   try {
@@ -68,6 +67,7 @@
     case net::HttpEnd::Broken:
       return table::CommitResult::Unknown;
     case net::HttpEnd::Complete:
+    case net::HttpEnd::Closed:
       break;
   }
   switch (aResponse.m_head.m_status) {
--- a/packages/net/include/ridgeferry/net/Http.h
+++ b/packages/net/include/ridgeferry/net/Http.h
@@ -80,9 +80,12 @@
 /** How a request ended. */
 enum class HttpEnd
 {
-  Complete, ///< The whole answer came.
-  NotSent,  ///< No connection came about: no byte has left.
-  Broken,   ///< It ended after bytes may have left.
+  Complete, ///< The whole answer came: its framing proves it.
+  /** The connection ended in good order behind an answer that nothing else
+   * delimits. Whether the answer is whole is not known. */
+  Closed,
+  NotSent, ///< No connection came about: no byte has left.
+  Broken,  ///< It ended after bytes may have left.
 };
 
 struct HttpResponse
@@ -96,4 +99,17 @@
   std::string m_body; ///< Empty if the chunks were asked for.
 };
 
+/**
+ * Returns whether an answer came, as far as its connection tells. Only for
+ * answers that prove themselves to be whole: a JSON document, or a status with
+ * nothing behind it. Any other body is known to be whole only if
+ * `HttpEnd::Complete`.
+ */
+inline bool
+HasAnswer(const HttpResponse& aResponse)
+{
+  return aResponse.m_end == HttpEnd::Complete ||
+         aResponse.m_end == HttpEnd::Closed;
+}
+
 } // namespace ridgeferry::net
--- a/packages/net/include/ridgeferry/net/HttpServer.h
+++ b/packages/net/include/ridgeferry/net/HttpServer.h
@@ -48,11 +48,18 @@
 
   /** The whole answer. Precondition: nothing was sent yet. */
   void Reply(int aStatus, const HttpHeaders& aHeaders, std::string_view aBody);
-  /** Begins an answer in pieces. Precondition: nothing was sent yet. */
-  void StartStream(int aStatus, const HttpHeaders& aHeaders);
+  /**
+   * Begins an answer in pieces. With `BodyFraming::Close` nothing tells the
+   * caller that the answer is whole: it ends with its connection, by a reset
+   * if it is aborted or this process dies. Preconditions: nothing was sent yet;
+   * the framing is `Chunks` or `Close`.
+   */
+  void StartStream(int aStatus,
+                   const HttpHeaders& aHeaders,
+                   BodyFraming aFraming = BodyFraming::Chunks);
   void SendChunk(std::string_view aBytes);
   void EndStream();
-  /** Closes the connection, so that what was sent does not look whole. */
+  /** Ends the connection, so that what was sent does not look whole. */
   void Abort();
 
   /** Bytes that the caller has not read yet. */
--- a/packages/net/src/ClientConnection.cpp
+++ b/packages/net/src/ClientConnection.cpp
@@ -227,7 +227,7 @@
     }
     StartAnswer();
   }
-  FinishWhole(m_parser->KeepsAlive());
+  FinishWhole(HttpEnd::Complete, m_parser->KeepsAlive());
 }
 
 /** False: the listener has ended the request. */
@@ -274,13 +274,13 @@
 }
 
 void
-ClientConnection::FinishWhole(bool aKeepsAlive)
+ClientConnection::FinishWhole(HttpEnd aEnd, bool aKeepsAlive)
 {
   DeliverBody();
   if (!m_busy || m_closed) {
     return;
   }
-  m_response.m_end = HttpEnd::Complete;
+  m_response.m_end = aEnd;
   if (const auto seconds = IdleSeconds(m_response.m_head.m_headers)) {
     m_idleUntil = m_loop.Now() + *seconds - kIdleMargin;
   }
@@ -337,7 +337,7 @@
   const bool clean = (aEvents & BEV_EVENT_EOF) != 0;
   if (m_busy && clean && m_headTaken && !m_skipping &&
       m_parser->FinishAtClose()) {
-    FinishWhole(false);
+    FinishWhole(HttpEnd::Closed, false);
     return;
   }
   m_refused = m_refused || (!m_connected && WasRefused(aEvents));
--- a/packages/net/src/ClientConnection.h
+++ b/packages/net/src/ClientConnection.h
@@ -58,7 +58,9 @@
   void StartAnswer();
   bool TakeHead();
   void DeliverBody();
-  void FinishWhole(bool aKeepsAlive);
+  /** Precondition: the answer came to its end, by its framing (`Complete`) or
+   * with its connection (`Closed`). */
+  void FinishWhole(HttpEnd aEnd, bool aKeepsAlive);
   void FinishBroken(bool aSilent);
   void Report(const ClientEnd& aEnd);
   std::size_t Unread() const;
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -87,10 +87,12 @@
 }
 
 void
-HttpExchange::StartStream(int aStatus, const HttpHeaders& aHeaders)
+HttpExchange::StartStream(int aStatus,
+                          const HttpHeaders& aHeaders,
+                          BodyFraming aFraming)
 {
   if (m_connection != nullptr) {
-    m_connection->SendHead(aStatus, aHeaders);
+    m_connection->SendHead(aStatus, aHeaders, aFraming);
   }
 }
 
--- a/packages/net/src/MessageParser.h
+++ b/packages/net/src/MessageParser.h
@@ -37,7 +37,8 @@
 
   /** Takes what it can from the front of the buffer. */
   ParseState Feed(evbuffer* aBuffer);
-  /** The peer has closed its side; false: the message is not whole. */
+  /** The peer has closed its side; false: the message is not whole, or no
+   * message has begun. */
   bool FinishAtClose();
   /** The answer to a HEAD request: it has a length but no body. */
   void ExpectNoBody() { this->skip(true); }
--- a/packages/net/src/ServerConnection.cpp
+++ b/packages/net/src/ServerConnection.cpp
@@ -47,6 +47,16 @@
   static_cast<ServerConnection*>(aContext)->OnEvent(aEvents);
 }
 
+/** Whether closing the socket, also by the end of the process, resets the
+ * connection. */
+void
+SetResetOnClose(int aSocket, bool aResets)
+{
+  const linger value{ aResets ? 1 : 0, 0 };
+  // Failure leaves an ordinary close.
+  (void)setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &value, sizeof(value));
+}
+
 bool
 HasBody(int aStatus)
 {
@@ -236,16 +246,31 @@
 }
 
 void
-ServerConnection::SendHead(int aStatus, const HttpHeaders& aHeaders)
+ServerConnection::SendHead(int aStatus,
+                           const HttpHeaders& aHeaders,
+                           BodyFraming aFraming)
 {
-  const std::string out =
-    HeadText(aStatus, aHeaders) + "Transfer-Encoding: chunked\r\n\r\n";
+  m_framing = aFraming;
+  if (m_framing == BodyFraming::Close) {
+    m_keepAlive = false;
+    m_linger = true;
+    SetResetOnClose(bufferevent_getfd(m_events), true);
+  }
+  std::string out = HeadText(aStatus, aHeaders);
+  if (m_framing == BodyFraming::Chunks) {
+    out += "Transfer-Encoding: chunked\r\n";
+  }
+  out += "\r\n";
   bufferevent_write(m_events, out.data(), out.size());
 }
 
 void
 ServerConnection::SendChunk(std::string_view aBytes)
 {
+  if (m_framing == BodyFraming::Close) {
+    bufferevent_write(m_events, aBytes.data(), aBytes.size());
+    return;
+  }
   constexpr int kHex = 16;
   std::array<char, kHex + 2> size{};
   char* end =
@@ -263,8 +288,13 @@
 ServerConnection::SendEnd()
 {
   constexpr std::string_view kLastChunk = "0\r\n\r\n";
-  bufferevent_write(m_events, kLastChunk.data(), kLastChunk.size());
+  if (m_framing == BodyFraming::Chunks) {
+    bufferevent_write(m_events, kLastChunk.data(), kLastChunk.size());
+  }
   FinishAnswer();
+  if (m_state == State::Flushing) {
+    OnWritten(); // Nothing may be left to write that would call it.
+  }
 }
 
 void
@@ -293,6 +323,7 @@
     End();
     return;
   }
+  SetResetOnClose(bufferevent_getfd(m_events), false);
   shutdown(bufferevent_getfd(m_events), SHUT_WR);
   m_state = State::Lingering;
   m_since = m_shared.m_loop.Now();
--- a/packages/net/src/ServerConnection.h
+++ b/packages/net/src/ServerConnection.h
@@ -37,7 +37,7 @@
   void SendWhole(int aStatus,
                  const HttpHeaders& aHeaders,
                  std::string_view aBody);
-  void SendHead(int aStatus, const HttpHeaders& aHeaders);
+  void SendHead(int aStatus, const HttpHeaders& aHeaders, BodyFraming aFraming);
   void SendChunk(std::string_view aBytes);
   void SendEnd();
   void Abort();
@@ -79,7 +79,11 @@
   bool m_begun = false;
   bool m_keepAlive = true;
   bool m_headOnly = false; ///< The request was HEAD.
-  bool m_linger = false;   ///< The request was not read to its end.
+  /** Closes its own side first and waits for the caller's: bytes that the
+   * caller still sends must not turn the end of the answer into a reset. */
+  bool m_linger = false;
+  /** Of the answer under way, if it is sent in pieces. */
+  BodyFraming m_framing = BodyFraming::Chunks;
 };
 
 } // namespace ridgeferry::net
--- a/packages/relay/include/ridgeferry/relay/RelayFlow.h
+++ b/packages/relay/include/ridgeferry/relay/RelayFlow.h
@@ -81,16 +81,25 @@
   /** Another instance of this system answers: if its status says that the call
    * has not run, that is true. */
   bool m_isFromInstance = false;
+  /** Nothing but the end of its connection tells the end of the answer. */
+  bool m_unframed = false;
 };
 struct BytesArrived
 {
   AttemptId m_attempt = 0;
   std::string m_bytes;
 };
+/** The answer is whole: its framing says so. */
 struct AnswerEnded
 {
   AttemptId m_attempt = 0;
 };
+/** The connection of an unframed answer ended in good order: the answer may be
+ * whole, or may have been broken off. */
+struct ConnectionClosed
+{
+  AttemptId m_attempt = 0;
+};
 /** The attempt ended without a complete answer, after some of its bytes may
  * have been sent. The upstream may have run the call. */
 struct AttemptBroke
@@ -113,6 +122,7 @@
                                 HeadArrived,
                                 BytesArrived,
                                 AnswerEnded,
+                                ConnectionClosed,
                                 AttemptBroke,
                                 DeadlinePassed,
                                 CallerLeft>;
@@ -169,13 +179,17 @@
 };
 /** Forwards the head of the current attempt's answer to the caller. */
 struct ForwardHead
-{};
+{
+  /** The caller must be left without a proof that the answer is whole: none
+   * was given to the relay. */
+  bool m_unframed = false;
+};
 /** Forwards bytes of the body to the caller. */
 struct ForwardBytes
 {
   std::string m_bytes;
 };
-/** Ends the forwarded answer regularly. */
+/** Ends the forwarded answer regularly, as its head was framed. */
 struct ForwardEnd
 {};
 /** Forwards a complete answer: the head of the current attempt's answer and
@@ -183,6 +197,7 @@
 struct ForwardCompleteAnswer
 {
   std::string m_body;
+  bool m_unframed = false; ///< See `ForwardHead`.
 };
 /** Closes the connection to the caller, so that the caller can tell that the
  * forwarded answer is incomplete. */
@@ -235,7 +250,8 @@
  *    had been sent;
  *  - `NoRoom` is answered only if no attempt can have run;
  *  - a stream reaches the caller in complete events, in order, from one run or
- *    from runs that each resume after the last forwarded event.
+ *    from runs that each resume after the last forwarded event;
+ *  - the caller can prove an answer to be whole only if the relay could.
  *
  * The class performs no input or output: `Handle` takes events and returns the
  * actions that the driver must carry out. Not thread-safe.
@@ -271,6 +287,9 @@
    * end on, and stops counting if its upstream is found to have crashed.
    */
   int Runs() const { return m_runs; }
+  /** Returns whether the current answer is broken off if its connection ends
+   * now, although in good order. */
+  bool IsBrokenByClose() const;
   /** Returns how many bytes of a stream wait for the rest of their event. */
   std::size_t UnfinishedBytes() const { return m_events.Unfinished(); }
   /** Returns the id of the last forwarded event that had one; empty if none
@@ -312,6 +331,7 @@
   void On(const HeadArrived& aEvent, Actions& aActions);
   void On(const BytesArrived& aEvent, Actions& aActions);
   void On(const AnswerEnded& aEvent, Actions& aActions);
+  void On(const ConnectionClosed& aEvent, Actions& aActions);
   void On(const AttemptBroke& aEvent, Actions& aActions);
   void On(const DeadlinePassed& aEvent, Actions& aActions);
   void On(const CallerLeft& aEvent, Actions& aActions);
@@ -331,6 +351,12 @@
    * out whether that upstream has crashed. */
   bool MayProbeSameUpstream() const;
   void FindAnotherPlace(Actions& aActions);
+  /** Forwards the head of the current answer, framed no better than it is. */
+  void ForwardHeadTo(Actions& aActions);
+  /** Ends the call by the current answer, which has come to its end. */
+  void FinishAnswer(Actions& aActions);
+  /** Goes on behind a run whose answer is lost. */
+  void HandleBrokenRun(Actions& aActions);
   /** Reports the end of the current attempt. Excludes its upstream from further
    * placement unless the attempt was served or cancelled. */
   void FinishAttempt(AttemptEnd aEnd, Actions& aActions);
@@ -342,7 +368,11 @@
   Step m_step = Step::New;
   AnswerHandling m_handling = AnswerHandling::Unknown;
   bool m_repeatAllowed = true;
-  bool m_forwarded = false; ///< The head of an answer was forwarded.
+  bool m_forwarded = false;         ///< The head of an answer was forwarded.
+  bool m_forwardedUnframed = false; ///< See `ForwardHead`.
+  bool m_unframed = false;          ///< The current answer is unframed.
+  /** The current run brought an event that is complete. */
+  bool m_hasEvent = false;
   AttemptId m_attempt = 0;
   /** Sends that an upstream can have received: runs, and prefills that were
    * declined. Each send after the first counts against the retry budget. */
--- a/packages/relay/src/RelayFlow.cpp
+++ b/packages/relay/src/RelayFlow.cpp
@@ -125,6 +125,8 @@
 {
   m_step = Step::Running;
   m_handling = AnswerHandling::Unknown;
+  m_unframed = false;
+  m_hasEvent = false;
   m_bufferedBody.clear();
   ++m_tries;
   const bool repeat = m_sends > 0;
@@ -249,12 +251,20 @@
     return;
   }
   m_handling = HandlingOf(aEvent);
+  m_unframed = aEvent.m_unframed;
   if (m_handling == AnswerHandling::Stream && !m_forwarded) {
-    m_forwarded = true;
-    aActions.emplace_back(ForwardHead{});
+    ForwardHeadTo(aActions);
   }
 }
 
+void
+RelayFlow::ForwardHeadTo(Actions& aActions)
+{
+  m_forwarded = true;
+  m_forwardedUnframed = m_unframed;
+  aActions.emplace_back(ForwardHead{ m_unframed });
+}
+
 void
 RelayFlow::On(const BytesArrived& aEvent, Actions& aActions)
 {
@@ -263,6 +273,7 @@
   }
   if (m_handling == AnswerHandling::Stream) {
     if (std::string whole = m_events.Add(aEvent.m_bytes); !whole.empty()) {
+      m_hasEvent = true;
       aActions.emplace_back(ForwardBytes{ std::move(whole) });
     }
   } else if (m_handling == AnswerHandling::PassThrough) {
@@ -271,8 +282,7 @@
     m_bufferedBody += aEvent.m_bytes;
     if (m_bufferedBody.size() > kMaxBufferedBytes) {
       m_handling = AnswerHandling::PassThrough;
-      m_forwarded = true;
-      aActions.emplace_back(ForwardHead{});
+      ForwardHeadTo(aActions);
       aActions.emplace_back(ForwardBytes{ std::move(m_bufferedBody) });
     }
   }
@@ -291,6 +301,43 @@
     RunWithoutPrefillEngine(aActions);
     return;
   }
+  FinishAnswer(aActions);
+}
+
+bool
+RelayFlow::IsBrokenByClose() const
+{
+  return m_step == Step::Running && m_handling == AnswerHandling::Stream &&
+         (!m_hasEvent || m_events.Unfinished() > 0);
+}
+
+void
+RelayFlow::On(const ConnectionClosed& aEvent, Actions& aActions)
+{
+  if (!IsCurrent(aEvent.m_attempt)) {
+    return;
+  }
+  if (m_step == Step::Prefilling) {
+    On(AnswerEnded{ aEvent.m_attempt }, aActions);
+    return;
+  }
+  if (IsBrokenByClose()) {
+    HandleBrokenRun(aActions);
+    return;
+  }
+  const bool callerExpectsProof = m_forwarded && !m_forwardedUnframed;
+  if (m_handling == AnswerHandling::Stream && callerExpectsProof) {
+    ++m_runs;
+    FinishAttempt(AttemptEnd::Served, aActions);
+    Finish(aActions, AbortConnection{});
+    return;
+  }
+  FinishAnswer(aActions);
+}
+
+void
+RelayFlow::FinishAnswer(Actions& aActions)
+{
   ++m_runs;
   const bool failed = m_handling == AnswerHandling::Repeat ||
                       m_handling == AnswerHandling::Discard;
@@ -313,7 +360,8 @@
       Finish(aActions, ForwardEnd{});
       return;
     case AnswerHandling::Buffer:
-      Finish(aActions, ForwardCompleteAnswer{ std::move(m_bufferedBody) });
+      Finish(aActions,
+             ForwardCompleteAnswer{ std::move(m_bufferedBody), m_unframed });
       return;
   }
 }
@@ -324,11 +372,18 @@
   if (!IsCurrent(aEvent.m_attempt)) {
     return;
   }
-  FinishAttempt(AttemptEnd::Failed, aActions);
   if (m_step == Step::Prefilling) {
+    FinishAttempt(AttemptEnd::Failed, aActions);
     RunWithoutPrefillEngine(aActions);
     return;
   }
+  HandleBrokenRun(aActions);
+}
+
+void
+RelayFlow::HandleBrokenRun(Actions& aActions)
+{
+  FinishAttempt(AttemptEnd::Failed, aActions);
   ++m_runs;
   m_events.TakeRest();
   const bool mayGoOn = !m_forwarded || m_handling == AnswerHandling::Stream;
--- a/packages/upstream/src/Answers.cpp
+++ b/packages/upstream/src/Answers.cpp
@@ -11,6 +11,7 @@
     case net::HttpEnd::Broken:
       return Failure::Broken;
     case net::HttpEnd::Complete:
+    case net::HttpEnd::Closed:
       break;
   }
   const auto outcome = aResponse.m_head.m_headers.Find(kOutcomeHeader);
--- a/packages/upstream/src/EngineClient.cpp
+++ b/packages/upstream/src/EngineClient.cpp
@@ -148,8 +148,7 @@
 std::optional<EngineStatus>
 ToStatus(const net::HttpResponse& aResponse)
 {
-  if (aResponse.m_end != net::HttpEnd::Complete ||
-      aResponse.m_head.m_status != kOk) {
+  if (!net::HasAnswer(aResponse) || aResponse.m_head.m_status != kOk) {
     return std::nullopt;
   }
   try {
@@ -189,6 +188,7 @@
     case net::HttpEnd::Broken:
       return authority::SendResult::Lost;
     case net::HttpEnd::Complete:
+    case net::HttpEnd::Closed:
       break;
   }
   return aResponse.m_head.m_status == kOk ? authority::SendResult::Taken
--- a/tests/soak/SoakCallers.cpp
+++ b/tests/soak/SoakCallers.cpp
@@ -55,6 +55,7 @@
       return CallEnd::Whole;
     case net::HttpEnd::NotSent:
       return CallEnd::NotSent;
+    case net::HttpEnd::Closed: // Its upstreams frame all answers.
     case net::HttpEnd::Broken:
       break;
   }
