Events whose lines end in CR alone are whole events, comments are none

A CR that ends a blank line waits for its LF where the lines before ended otherwise, so that a cut between the two is a cut. Comments in whole lines are not inside an event, and a run that brought nothing else has brought no event.

--- a/packages/relay/include/ridgeferry/relay/RelayFlow.h
+++ b/packages/relay/include/ridgeferry/relay/RelayFlow.h
@@ -371,8 +371,7 @@
   bool m_forwarded = false;         ///< The head of an answer was forwarded.
   bool m_forwardedUnframed = false; ///< See `ForwardHead`.
   bool m_unframed = false;          ///< The current answer is unframed.
-  /** The current run brought an event that is complete. */
-  bool m_hasEvent = false;
+  std::uint64_t m_eventsBefore = 0; ///< Of the runs before the current one.
   AttemptId m_attempt = 0;
   /** Sends that an upstream can have received: runs, and prefills that were
    * declined. Each send after the first counts against the retry budget. */
--- a/packages/relay/src/EventSplitter.cpp
+++ b/packages/relay/src/EventSplitter.cpp
@@ -4,75 +4,107 @@
 
 namespace ridgeferry::relay {
 
-namespace {
+void
+EventSplitter::ParseLine(std::string_view aLine)
+{
+  constexpr std::string_view kId = "id:";
+  if (aLine.starts_with(':')) {
+    return; // A comment.
+  }
+  m_hasField = true;
+  if (!aLine.starts_with(kId)) {
+    return;
+  }
+  aLine.remove_prefix(kId.size());
+  if (aLine.starts_with(' ')) {
+    aLine.remove_prefix(1);
+  }
+  m_eventId = aLine;
+  m_hasEventId = true;
+}
 
-/** Returns the length of the first complete event, including the blank line
- * that ends it; 0 if no event is complete. */
-std::size_t
-EventLength(std::string_view aBytes)
+bool
+EventSplitter::EndLine(LineEnd aEnd)
 {
-  std::size_t lineStart = 0;
-  for (;;) {
-    const std::size_t lineEnd = aBytes.find('\n', lineStart);
-    if (lineEnd == std::string_view::npos) {
-      return 0;
-    }
-    const std::string_view line = aBytes.substr(lineStart, lineEnd - lineStart);
-    if (line.empty() || line == "\r") {
-      return lineEnd + 1;
-    }
-    lineStart = lineEnd + 1;
+  const std::string_view line =
+    std::string_view(m_pending).substr(m_lineStart, m_scanned - m_lineStart);
+  const bool isBlank = line.empty();
+  if (!isBlank) {
+    ParseLine(line);
   }
+  m_lineEnd = aEnd;
+  m_lineStart = m_scanned + 1;
+  return isBlank;
 }
 
-} // namespace
+bool
+EventSplitter::ScanByte()
+{
+  const char byte = m_pending[m_scanned];
+  if (byte == '\n' && m_lineEnd == LineEnd::Cr && m_lineStart == m_scanned) {
+    m_lineStart = m_scanned + 1;
+    m_lineEnd = LineEnd::Lf;
+    return std::exchange(m_awaitsLf, false);
+  }
+  if (byte == '\n') {
+    return EndLine(LineEnd::Lf);
+  }
+  if (byte != '\r') {
+    return false;
+  }
+  const bool linesEndInCr = m_lineEnd == LineEnd::Cr;
+  const bool isBlank = EndLine(LineEnd::Cr);
+  m_awaitsLf = isBlank && !linesEndInCr;
+  return isBlank && linesEndInCr;
+}
 
-void
-EventSplitter::ParseId(std::string_view aEvent)
+std::string
+EventSplitter::TakeEvent()
 {
-  constexpr std::string_view kId = "id:";
-  std::size_t start = 0;
-  while (start < aEvent.size()) {
-    std::size_t end = aEvent.find('\n', start);
-    end = end == std::string_view::npos ? aEvent.size() : end;
-    std::string_view line = aEvent.substr(start, end - start);
-    start = end + 1;
-    if (!line.starts_with(kId)) {
-      continue;
-    }
-    line.remove_prefix(kId.size());
-    if (line.starts_with(' ')) {
-      line.remove_prefix(1);
-    }
-    if (line.ends_with('\r')) {
-      line.remove_suffix(1);
-    }
-    m_lastId = line;
+  if (std::exchange(m_hasField, false)) {
+    ++m_events;
+  }
+  if (std::exchange(m_hasEventId, false)) {
+    m_lastId = std::exchange(m_eventId, {});
   }
+  std::string out = m_pending.substr(0, m_scanned);
+  m_pending.erase(0, m_scanned);
+  m_scanned = 0;
+  m_lineStart = 0;
+  return out;
 }
 
 std::string
 EventSplitter::Add(std::string_view aBytes)
 {
   m_pending.append(aBytes);
-  std::size_t whole = 0;
-  for (;;) {
-    const std::string_view rest = std::string_view(m_pending).substr(whole);
-    const std::size_t length = EventLength(rest);
-    if (length == 0) {
-      break;
+  std::string out;
+  while (m_scanned < m_pending.size()) {
+    const bool isLf = m_pending[m_scanned] == '\n';
+    if (m_awaitsLf && !isLf) {
+      // The blank line ended in CR alone after all.
+      m_awaitsLf = false;
+      out += TakeEvent();
+      continue;
+    }
+    const bool ends = ScanByte();
+    ++m_scanned;
+    if (ends) {
+      out += TakeEvent();
     }
-    ParseId(rest.substr(0, length));
-    whole += length;
   }
-  std::string out = m_pending.substr(0, whole);
-  m_pending.erase(0, whole);
   return out;
 }
 
 std::string
 EventSplitter::TakeRest()
 {
+  m_scanned = 0;
+  m_lineStart = 0;
+  m_lineEnd = LineEnd::None;
+  m_awaitsLf = false;
+  m_hasField = false;
+  m_hasEventId = false;
   return std::exchange(m_pending, {});
 }
 
--- a/packages/relay/src/RelayFlow.cpp
+++ b/packages/relay/src/RelayFlow.cpp
@@ -126,7 +126,7 @@
   m_step = Step::Running;
   m_handling = AnswerHandling::Unknown;
   m_unframed = false;
-  m_hasEvent = false;
+  m_eventsBefore = m_events.Events();
   m_bufferedBody.clear();
   ++m_tries;
   const bool repeat = m_sends > 0;
@@ -273,7 +273,6 @@
   }
   if (m_handling == AnswerHandling::Stream) {
     if (std::string whole = m_events.Add(aEvent.m_bytes); !whole.empty()) {
-      m_hasEvent = true;
       aActions.emplace_back(ForwardBytes{ std::move(whole) });
     }
   } else if (m_handling == AnswerHandling::PassThrough) {
@@ -308,7 +307,7 @@
 RelayFlow::IsBrokenByClose() const
 {
   return m_step == Step::Running && m_handling == AnswerHandling::Stream &&
-         (!m_hasEvent || m_events.Unfinished() > 0);
+         (m_events.Events() == m_eventsBefore || m_events.IsInsideEvent());
 }
 
 void
