The other way of serving: a service's answer that only its connection ends is not framed

The answer goes on unframed now, and its claim is closed as "may have run". Streams of engines were not hit: they end by an event of their own that tells their length.

--- a/packages/daemon/src/Call.cpp
+++ b/packages/daemon/src/Call.cpp
@@ -280,8 +280,12 @@
   upstream::ServiceCallbacks callbacks;
   callbacks.m_answered = [weak, attempt](const upstream::Answer& aAnswer) {
     if (const auto self = weak.lock()) {
-      self->Handle(routing::AnswerArrived{
-        attempt, aAnswer.m_status, aAnswer.m_contentType, aAnswer.m_body, {} });
+      self->Handle(routing::AnswerArrived{ attempt,
+                                           aAnswer.m_status,
+                                           aAnswer.m_contentType,
+                                           aAnswer.m_body,
+                                           {},
+                                           aAnswer.m_unframed });
     }
   };
   callbacks.m_failed = [weak, attempt](upstream::Failure aFailure) {
@@ -335,7 +339,8 @@
                                  aAnswer.m_status,
                                  aAnswer.m_contentType,
                                  aAnswer.m_body,
-                                 aAnswer.m_kvHandle });
+                                 aAnswer.m_kvHandle,
+                                 aAnswer.m_unframed });
   };
   out.m_failed = [weak, aAttempt](upstream::Failure aFailure) {
     if (const auto self = weak.lock()) {
@@ -440,7 +445,11 @@
   if (aAction.m_replayed) {
     headers.Add("X-Ridgeferry-Replayed", "true");
   }
-  m_exchange->Reply(aAction.m_status, headers, aAction.m_body);
+  if (aAction.m_unframed) {
+    m_exchange->ReplyUnframed(aAction.m_status, headers, aAction.m_body);
+  } else {
+    m_exchange->Reply(aAction.m_status, headers, aAction.m_body);
+  }
   Account("ran", aAction.m_status);
 }
 
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -154,9 +154,6 @@
   void TakeHead(const net::HttpHead& aHead);
   void TakeBytes(std::string_view aBytes);
   void TakeEnd(const net::HttpResponse& aResponse);
-  /** Sends the caller the head of the present answer; its body follows in
-   * pieces. */
-  void StartAnswer(bool aUnframed);
   void NoteRepeat();
   /** Returns the digest of the call's content. Hashes the body at the first
    * use only. */
--- a/packages/entry/src/RelayCallAnswer.cpp
+++ b/packages/entry/src/RelayCallAnswer.cpp
@@ -52,16 +52,10 @@
 RelayCall::Do(const relay::ForwardHead& aAction)
 {
   m_answeredAt = m_node.Now();
-  StartAnswer(aAction.m_unframed);
-}
-
-void
-RelayCall::StartAnswer(bool aUnframed)
-{
-  m_start.m_exchange->StartStream(m_attempt.m_head.m_status,
-                                  PassableHeaders(m_attempt.m_head.m_headers),
-                                  aUnframed ? net::BodyFraming::Close
-                                            : net::BodyFraming::Chunks);
+  m_start.m_exchange->StartStream(
+    m_attempt.m_head.m_status,
+    PassableHeaders(m_attempt.m_head.m_headers),
+    aAction.m_unframed ? net::BodyFraming::Close : net::BodyFraming::Chunks);
 }
 
 void
@@ -95,15 +89,14 @@
   const bool isRefusal =
     m_attempt.m_isForwarded && m_attempt.m_head.m_status == kUnavailable;
   LogEnd(isRefusal ? kRefusedElsewhere : kServed, m_attempt.m_head.m_status);
+  const net::HttpHeaders headers = PassableHeaders(m_attempt.m_head.m_headers);
   if (aAction.m_unframed) {
-    StartAnswer(true);
-    m_start.m_exchange->SendChunk(aAction.m_body);
-    m_start.m_exchange->EndStream();
-    return;
+    m_start.m_exchange->ReplyUnframed(
+      m_attempt.m_head.m_status, headers, aAction.m_body);
+  } else {
+    m_start.m_exchange->Reply(
+      m_attempt.m_head.m_status, headers, aAction.m_body);
   }
-  m_start.m_exchange->Reply(m_attempt.m_head.m_status,
-                            PassableHeaders(m_attempt.m_head.m_headers),
-                            aAction.m_body);
 }
 
 void
--- a/packages/net/include/ridgeferry/net/HttpServer.h
+++ b/packages/net/include/ridgeferry/net/HttpServer.h
@@ -48,6 +48,11 @@
 
   /** The whole answer. Precondition: nothing was sent yet. */
   void Reply(int aStatus, const HttpHeaders& aHeaders, std::string_view aBody);
+  /** The whole answer without its proof; see `StartStream`. Precondition: as
+   * for `Reply`. */
+  void ReplyUnframed(int aStatus,
+                     const HttpHeaders& aHeaders,
+                     std::string_view aBody);
   /**
    * Begins an answer in pieces. With `BodyFraming::Close` nothing tells the
    * caller that the answer is whole: it ends with its connection, by a reset
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -86,6 +86,16 @@
   }
 }
 
+void
+HttpExchange::ReplyUnframed(int aStatus,
+                            const HttpHeaders& aHeaders,
+                            std::string_view aBody)
+{
+  StartStream(aStatus, aHeaders, BodyFraming::Close);
+  SendChunk(aBody);
+  EndStream();
+}
+
 void
 HttpExchange::StartStream(int aStatus,
                           const HttpHeaders& aHeaders,
--- a/packages/routing/include/ridgeferry/routing/CallFlow.h
+++ b/packages/routing/include/ridgeferry/routing/CallFlow.h
@@ -120,7 +120,7 @@
   std::uint64_t m_tokens = 0; ///< Length of the whole output.
   std::string m_reason;       ///< Why the engine stopped.
 };
-/** A complete answer arrived, either from an upstream that is not an LLM engine
+/** An answer arrived, either from an upstream that is not an LLM engine
  * or from an engine that did only the prefill. */
 struct AnswerArrived
 {
@@ -131,6 +131,9 @@
   /** After a prefill, the handle by which a decode engine gets the KV cache;
    * empty otherwise. */
   std::string m_kvHandle;
+  /** Nothing but the end of its connection told its end: it may have been cut.
+   */
+  bool m_unframed = false;
 };
 /** The connection ended without a complete answer, after some bytes of the
  * attempt may have been sent. The upstream may have run the call. */
@@ -245,13 +248,15 @@
   std::string m_reason;
   std::uint64_t m_tokens = 0;
 };
-/** Sends the complete answer of a service to the caller. */
+/** Sends the answer of a service to the caller. */
 struct ReplyAnswer
 {
   int m_status = 0;
   std::string m_contentType;
   std::string m_body;
   bool m_replayed = false; ///< The answer of an earlier call with this key.
+  /** The caller must be left without a proof that the answer is whole. */
+  bool m_unframed = false;
 };
 /** Sends a problem as the final answer. In a stream that has begun, the problem
  * is the last event. */
--- a/packages/routing/src/CallFlow.cpp
+++ b/packages/routing/src/CallFlow.cpp
@@ -329,12 +329,19 @@
     return;
   }
   if (m_claimed) {
-    aActions.emplace_back(CloseClaim{
-      Outcome::Ran, aEvent.m_status, aEvent.m_contentType, aEvent.m_body });
-  }
-  Finish(
-    aActions,
-    ReplyAnswer{ aEvent.m_status, aEvent.m_contentType, aEvent.m_body, false });
+    // An answer that may have been cut is not kept for later callers.
+    aActions.emplace_back(aEvent.m_unframed ? CloseClaim{}
+                                            : CloseClaim{ Outcome::Ran,
+                                                          aEvent.m_status,
+                                                          aEvent.m_contentType,
+                                                          aEvent.m_body });
+  }
+  Finish(aActions,
+         ReplyAnswer{ aEvent.m_status,
+                      aEvent.m_contentType,
+                      aEvent.m_body,
+                      false,
+                      aEvent.m_unframed });
 }
 
 void
--- a/packages/routing/tests/CallFlowTest.cpp
+++ b/packages/routing/tests/CallFlowTest.cpp
@@ -338,6 +338,42 @@
                               AnswerArrived{ 1, 200, "text/plain", "x", {} } }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+struct ServiceAnswerCase
+{
+  const char* m_name;
+  bool m_unframed;
+  Outcome m_claim; ///< How the claim is closed.
+};
+
+class ServiceAnswerTest : public ::testing::TestWithParam<ServiceAnswerCase>
+{};
+
+// Guards against an answer that may have been cut and that looks whole, to its
+// caller or to a later one with the same key.
+TEST_P(ServiceAnswerTest, IsPassedOnWithNoMoreProofThanItHad)
+{
+  CallFlow flow({ false, false, false, 0 });
+  flow.Handle(CallBegan{});
+  flow.Handle(ClaimWon{});
+  flow.Handle(UpstreamGranted{ "a", "address", Phase::Whole });
+  const auto actions = flow.Handle(
+    AnswerArrived{ 1, 200, "text/plain", "answer", {}, GetParam().m_unframed });
+  EXPECT_TRUE(flow.IsDone());
+  const auto& reply = std::get<ReplyAnswer>(actions.back());
+  EXPECT_EQ(reply.m_unframed, GetParam().m_unframed);
+  EXPECT_EQ(reply.m_body, "answer");
+  const auto& claim = std::get<CloseClaim>(actions.at(actions.size() - 2));
+  EXPECT_EQ(claim.m_outcome, GetParam().m_claim);
+  EXPECT_EQ(claim.m_body, GetParam().m_unframed ? "" : "answer");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Framings,
+  ServiceAnswerTest,
+  ::testing::Values(ServiceAnswerCase{ "Framed", false, Outcome::Ran },
+                    ServiceAnswerCase{ "Unframed", true, Outcome::MayHaveRun }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 /** The text of a stream position, and whether it is valid. */
 struct PositionCase
 {
--- a/packages/upstream/include/ridgeferry/upstream/EngineClient.h
+++ b/packages/upstream/include/ridgeferry/upstream/EngineClient.h
@@ -20,12 +20,15 @@
   Broken,  ///< It may have run.
 };
 
-/** A whole answer that is no token stream. */
+/** An answer that is no token stream. */
 struct Answer
 {
   int m_status = 0;
   std::string m_contentType;
   std::string m_body;
+  /** Nothing but the end of its connection told its end: it may have been cut.
+   */
+  bool m_unframed = false;
   std::string m_kvHandle; ///< Of a prefill: handle of the exported KV cache.
 };
 
--- a/packages/upstream/include/ridgeferry/upstream/ServiceClient.h
+++ b/packages/upstream/include/ridgeferry/upstream/ServiceClient.h
@@ -18,7 +18,7 @@
   bool m_fresh = false;
 };
 
-/** Either a whole answer or a failure. */
+/** Either an answer or a failure. */
 struct ServiceCallbacks
 {
   sigc::slot<void(Answer)> m_answered;
--- a/packages/upstream/src/Answers.cpp
+++ b/packages/upstream/src/Answers.cpp
@@ -31,6 +31,7 @@
   answer.m_kvHandle =
     aResponse.m_head.m_headers.Find("X-KV-Handle").value_or("");
   answer.m_body = std::move(aResponse.m_body);
+  answer.m_unframed = aResponse.m_end == net::HttpEnd::Closed;
   return answer;
 }
 
