HTTP/1.0 callers get streams without chunks, which they cannot read

What callers saw: an HTTP/1.0 caller of a stream got an answer in chunks, whose sizes it takes for content. Such an answer ends with its connection now, by a reset if it breaks.

--- a/packages/net/include/ridgeferry/net/HttpServer.h
+++ b/packages/net/include/ridgeferry/net/HttpServer.h
@@ -54,7 +54,8 @@
                      const HttpHeaders& aHeaders,
                      std::string_view aBody);
   /**
-   * Begins an answer in pieces. With `BodyFraming::Close` nothing tells the
+   * Begins an answer in pieces. A caller that reads no chunks gets it without
+   * them. With `BodyFraming::Close` nothing tells the
    * caller that the answer is whole: it ends with its connection, by a reset
    * if it is aborted or this process dies. Preconditions: nothing was sent yet;
    * the framing is `Chunks` or `Close`.
--- a/packages/net/src/MessageParser.cpp
+++ b/packages/net/src/MessageParser.cpp
@@ -82,11 +82,13 @@
 MessageParser<kIsRequest>::on_request_impl(boost::beast::http::verb,
                                            BeastView aMethod,
                                            BeastView aTarget,
-                                           int,
+                                           int aVersion,
                                            ErrorCode&)
 {
   m_method = ToString(aMethod);
   m_target = ToString(aTarget);
+  constexpr int kChunksSince = 11; // HTTP/1.1, as the library counts.
+  m_readsChunks = aVersion >= kChunksSince;
 }
 
 template<bool kIsRequest>
--- a/packages/net/src/MessageParser.h
+++ b/packages/net/src/MessageParser.h
@@ -49,8 +49,10 @@
   BodyFraming Framing() const;
   const boost::system::error_code& Error() const { return m_error; }
 
-  std::string m_method;     ///< Of a request.
-  std::string m_target;     ///< Of a request, as sent.
+  std::string m_method; ///< Of a request.
+  std::string m_target; ///< Of a request, as sent.
+  /** Of a request: its caller reads answers in chunks (HTTP/1.1). */
+  bool m_readsChunks = false;
   int m_status = 0;         ///< Of an answer.
   HttpHeaders m_headers;    ///< Without those of a trailer.
   std::string m_body;       ///< Body bytes that nobody has taken yet.
--- a/packages/net/src/ServerConnection.cpp
+++ b/packages/net/src/ServerConnection.cpp
@@ -183,6 +183,7 @@
   m_state = State::Answering;
   m_keepAlive = m_parser->KeepsAlive();
   m_headOnly = m_parser->m_method == "HEAD";
+  m_readsChunks = m_parser->m_readsChunks;
   const auto exchange = std::make_shared<HttpExchange>(
     *this,
     ReceivedRequest{ std::move(m_parser->m_method),
@@ -250,7 +251,7 @@
                            const HttpHeaders& aHeaders,
                            BodyFraming aFraming)
 {
-  m_framing = aFraming;
+  m_framing = m_readsChunks ? aFraming : BodyFraming::Close;
   if (m_framing == BodyFraming::Close) {
     m_keepAlive = false;
     m_linger = true;
--- a/packages/net/src/ServerConnection.h
+++ b/packages/net/src/ServerConnection.h
@@ -78,7 +78,8 @@
   Instant m_since; ///< Of the state, or of the last byte of a body.
   bool m_begun = false;
   bool m_keepAlive = true;
-  bool m_headOnly = false; ///< The request was HEAD.
+  bool m_headOnly = false;   ///< The request was HEAD.
+  bool m_readsChunks = true; ///< See `MessageParser::m_readsChunks`.
   /** Closes its own side first and waits for the caller's: bytes that the
    * caller still sends must not turn the end of the answer into a reset. */
   bool m_linger = false;
--- a/packages/net/tests/UnframedAnswerTest.cpp
+++ b/packages/net/tests/UnframedAnswerTest.cpp
@@ -125,5 +125,77 @@
     UnframedCase{ "ServerGone", "answer", "", End::ServerGone, true }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+struct RequestCase
+{
+  const char* m_name;
+  const char* m_request;
+  const char* m_body; ///< All that follows the answer's head.
+  bool m_isFramed;
+  bool m_closes;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const RequestCase& aCase)
+{
+  return aOut << aCase.m_name;
+}
+
+class PiecesTest : public ::testing::TestWithParam<RequestCase>
+{};
+
+// Guards against an answer in pieces that its caller cannot read.
+TEST_P(PiecesTest, AreFramedAsTheRequestAllows)
+{
+  const auto loop = EventLoop::Make();
+  const auto server =
+    HttpServer::Listen(*loop,
+                       { "127.0.0.1", 0 },
+                       {},
+                       [](const std::shared_ptr<HttpExchange>& aCall) {
+                         aCall->StartStream(200, {});
+                         aCall->SendChunk("ab");
+                         aCall->EndStream();
+                       });
+  RawPeer caller = RawPeer::Connect((*server)->Bound());
+  caller.Send(GetParam().m_request);
+  const Watch poll = loop->Every(kPollEvery, [&] { caller.Poll(); });
+  const Watch end = loop->After(10 * kEndAfter, [&] { loop->Stop(); });
+  loop->Run();
+  const std::string& got = caller.Received();
+  const std::size_t head = got.find("\r\n\r\n");
+  ASSERT_NE(head, std::string::npos);
+  EXPECT_EQ(got.substr(head + 4), GetParam().m_body);
+  EXPECT_EQ(got.find("Transfer-Encoding: chunked") < head,
+            GetParam().m_isFramed);
+  EXPECT_EQ(caller.IsClosed(), GetParam().m_closes);
+  EXPECT_FALSE(caller.IsReset());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Requests,
+  PiecesTest,
+  ::testing::Values(RequestCase{ "Present",
+                                 "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                                 "2\r\nab\r\n0\r\n\r\n",
+                                 true,
+                                 false },
+                    RequestCase{ "OldProtocol",
+                                 "GET / HTTP/1.0\r\nHost: h\r\n\r\n",
+                                 "ab",
+                                 false,
+                                 true },
+                    RequestCase{ "OldProtocolThatKeepsItsConnection",
+                                 "GET / HTTP/1.0\r\nHost: h\r\n"
+                                 "Connection: keep-alive\r\n\r\n",
+                                 "ab",
+                                 false,
+                                 true },
+                    RequestCase{ "HeadOnly",
+                                 "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n",
+                                 "",
+                                 true,
+                                 false }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 } // namespace
 } // namespace ridgeferry::net
