An answer in pieces to HEAD has no body

What callers saw: chunks behind the head of an answer to HEAD, bytes that belong to no answer and spoil the next one on the connection. Found while the framing towards callers was mended.

--- a/packages/net/src/ServerConnection.cpp
+++ b/packages/net/src/ServerConnection.cpp
@@ -268,6 +268,9 @@
 void
 ServerConnection::SendChunk(std::string_view aBytes)
 {
+  if (m_headOnly) {
+    return;
+  }
   if (m_framing == BodyFraming::Close) {
     bufferevent_write(m_events, aBytes.data(), aBytes.size());
     return;
@@ -289,7 +292,7 @@
 ServerConnection::SendEnd()
 {
   constexpr std::string_view kLastChunk = "0\r\n\r\n";
-  if (m_framing == BodyFraming::Chunks) {
+  if (m_framing == BodyFraming::Chunks && !m_headOnly) {
     bufferevent_write(m_events, kLastChunk.data(), kLastChunk.size());
   }
   FinishAnswer();
