A broken answer still delivers what was forwarded before its break

What callers saw: nothing, not even the head, of a stream whose last pieces came in the same turn of the loop as its break: Abort dropped what had not been written yet. It is handed to the system first now. Seen when BrokenOffTest's upstreams closed at once behind their bytes. UnframedAnswerTest AbortedAtOnce failed before. HttpTest's row ClosedInTheMiddle expected the lost bytes to be lost; it expects them delivered now, its check of the end is unchanged.

--- a/packages/net/src/ServerConnection.cpp
+++ b/packages/net/src/ServerConnection.cpp
@@ -344,6 +344,11 @@
 void
 ServerConnection::Abort()
 {
+  // What was forwarded in this turn of the loop still goes out, as far as the
+  // system takes it at once.
+  evbuffer* output = bufferevent_get_output(m_events);
+  evbuffer_unfreeze(output, 1);
+  (void)evbuffer_write(output, bufferevent_getfd(m_events));
   End();
 }
 
--- a/packages/net/tests/HttpTest.cpp
+++ b/packages/net/tests/HttpTest.cpp
@@ -105,7 +105,7 @@
                aExchange->Abort();
              },
              HttpEnd::Broken,
-             "" },
+             "bo" },
     EndCase{ "Forgotten",
              [](const std::shared_ptr<HttpExchange>&) {},
              HttpEnd::Broken,
--- a/packages/net/tests/UnframedAnswerTest.cpp
+++ b/packages/net/tests/UnframedAnswerTest.cpp
@@ -17,6 +17,7 @@
 {
   Regular,
   Aborted,
+  AbortedAtOnce, ///< Before the loop has written anything.
   /** The process ends, as far as its sockets can tell. */
   ServerGone,
 };
@@ -56,6 +57,9 @@
     m_call = aCall;
     aCall->StartStream(200, {}, BodyFraming::Close);
     aCall->SendChunk(GetParam().m_body);
+    if (GetParam().m_end == End::AbortedAtOnce) {
+      m_call->Abort();
+    }
     m_ending = m_loop->After(kEndAfter, [this] { EndIt(); });
   }
 
@@ -65,7 +69,7 @@
       m_call->EndStream();
     } else if (GetParam().m_end == End::Aborted) {
       m_call->Abort();
-    } else {
+    } else if (GetParam().m_end == End::ServerGone) {
       m_server.reset();
     }
   }
@@ -122,6 +126,7 @@
                   End::Regular,
                   false },
     UnframedCase{ "Aborted", "answer", "", End::Aborted, true },
+    UnframedCase{ "AbortedAtOnce", "answer", "", End::AbortedAtOnce, true },
     UnframedCase{ "ServerGone", "answer", "", End::ServerGone, true }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
