--- a/tests/soak/CutOffTest.cpp
+++ b/tests/soak/CutOffTest.cpp
@@ -2,6 +2,7 @@
 // being refused while other instances reach them: three real instances.
 
 #include "InstancesFixture.h"
+#include "RawPeer.h"
 
 #include <map>
 #include <nlohmann/json.hpp>
@@ -43,12 +44,10 @@
   bool m_hasStreams = false;         ///< Streams live on through the cut.
 };
 
-class CutOffTest
-  : public InstancesFixture
-  , public ::testing::WithParamInterface<CutCase>
+class CutOffFixture : public InstancesFixture
 {
 protected:
-  CutOffTest()
+  CutOffFixture()
     : InstancesFixture("cut-off")
     , m_client(*m_loop)
     , m_ownStore(*m_loop)
@@ -128,6 +127,10 @@
       Stream(aCall);
       return;
     }
+    if (aCall->Path() == "/stream/unframed") {
+      AnswerUnframed(aCall);
+      return;
+    }
     m_answers.push_back(m_loop->After(
       kRunsFor, [aCall] { adapter::StandInWorker::Serve(aCall); }));
   }
@@ -144,6 +147,19 @@
       kEventEvery, [aCall] { aCall->SendChunk("id: 1\ndata: x\n\n"); }));
   }
 
+  /** Sends the call's body without a frame and then, in good order, the end of
+   * the connection. */
+  void AnswerUnframed(const ExchangePtr& aCall)
+  {
+    net::HttpHeaders headers;
+    headers.Add("X-Request-Id",
+                std::string(*aCall->Headers().Find("X-Request-Id")));
+    aCall->StartStream(200, headers, net::BodyFraming::Close);
+    aCall->SendChunk(aCall->Body());
+    m_answers.push_back(
+      m_loop->After(kRunsFor, [aCall] { aCall->EndStream(); }));
+  }
+
   void StartStreams()
   {
     for (int i = 0; i < kStreams; ++i) {
@@ -252,6 +268,11 @@
   int m_inTime = 0;
 };
 
+class CutOffTest
+  : public CutOffFixture
+  , public ::testing::WithParamInterface<CutCase>
+{};
+
 TEST_P(CutOffTest, ItsCallersAreServedAllTheSame)
 {
   StartAll();
@@ -305,5 +326,51 @@
                              kCallOftenEvery }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+/** What an upstream sends before it closes, and what becomes of it behind two
+ * instances. */
+struct UnframedCase
+{
+  const char* m_name;
+  const char* m_sent;
+  const char* m_arrives;
+  bool m_isReset;
+};
+
+constexpr UnframedCase kUnframed[] = {
+  { "BetweenTwoEvents", "id: 1\n\nid: 2\n\n", "id: 1\n\nid: 2\n\n", false },
+  { "InsideAnEvent", "id: 1\n\nid: 2", "id: 1\n\n", true },
+};
+
+// Guards against a broken answer that gets its frame on the way between two
+// instances.
+TEST_F(CutOffFixture, ABrokenAnswerLooksWholeBehindNoInstance)
+{
+  StartAll();
+  SetLinks(LinkMode::Refuse, true);
+  CallFor(kContact);
+  ASSERT_GT(m_served, 0);
+  for (const UnframedCase& given : kUnframed) {
+    net::RawPeer caller = net::RawPeer::Connect(
+      *net::Address::Parse(m_instances.All().back()->m_callers));
+    const std::string body = given.m_sent;
+    caller.Send("POST /stream/unframed HTTP/1.1\r\nHost: h\r\nX-Request-Id: " +
+                std::string(given.m_name) +
+                "\r\nX-Deadline-Ms: 5000\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body);
+    EXPECT_TRUE(RunUntil([&] {
+      caller.Poll();
+      return caller.IsClosed();
+    }));
+    EXPECT_EQ(caller.IsReset(), given.m_isReset) << given.m_name;
+    EXPECT_TRUE(
+      caller.Received().ends_with("\r\n\r\n" + std::string(given.m_arrives)))
+      << caller.Received();
+  }
+  EXPECT_GE(CountInLog(m_instances.All().back()->m_name, "call-forwarded"), 2U);
+  ExpectRuns();
+  m_answers.clear();
+  EXPECT_TRUE(m_instances.StopAll(Duration{ 9000 }));
+}
+
 } // namespace
 } // namespace ridgeferry::soak
