--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -21,6 +21,15 @@
 
 namespace ridgeferry::entry {
 
+/** A stream that a caller takes up again after it broke. */
+struct TakenUpStream
+{
+  /** The caller's id of the attempt that brought the stream's first event;
+   * empty if the caller does not say. */
+  std::string m_beganAs;
+  std::string m_afterEvent; ///< Id of the last event that the caller has.
+};
+
 /** The fields of a caller's request head that routing uses. */
 struct CallHead
 {
@@ -35,6 +44,7 @@
   std::string m_caller; ///< The caller's credentials; empty if it sent none.
   /** The API key in the credentials; empty if they hold none. */
   std::string m_key;
+  std::optional<TakenUpStream> m_takenUp;
   /** Another instance passed the call on. A dialect leaves it false. */
   bool m_isForwarded = false;
 };
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -299,6 +299,7 @@
                         { "service", aMember.m_service },
                         { "address", aMember.m_address },
                         { "part", std::string(relay::NameOf(aMember.m_role)) },
+                        { "softwareVersion", aMember.m_softwareVersion },
                         { "leaving", aMember.m_leaving },
                         { "withdrawable", aMember.m_withdrawable },
                         { "born", aMember.m_born.value_or(0) } });
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -145,6 +145,9 @@
     [this] { Handle(relay::CallerLeft{}); });
   m_timer =
     m_node.m_loop->After(Left(), [this] { Handle(relay::DeadlinePassed{}); });
+  if (IsTakenUp()) {
+    NoteTakenUp();
+  }
   m_start.m_budget->NoteFirstSend(m_began);
   if (!m_start.m_reach->IsUnreachable(m_start.m_service)) {
     m_node.m_fleet.Limits().NoteCall(relay::Fleet::ShortHash(m_start.m_service),
@@ -157,6 +160,26 @@
   Handle(relay::CallBegan{});
 }
 
+bool
+RelayCall::IsTakenUp() const
+{
+  return m_start.m_route->m_stream && m_start.m_head.m_takenUp;
+}
+
+void
+RelayCall::NoteTakenUp()
+{
+  const TakenUpStream& stream = *m_start.m_head.m_takenUp;
+  m_node.m_metrics.Count("streams_taken_up_total");
+  m_node.m_log->Write(observe::LogLevel::Info,
+                      "stream-taken-up",
+                      { { "id", m_start.m_head.m_id },
+                        { "beganAs", stream.m_beganAs },
+                        { "afterEvent", stream.m_afterEvent },
+                        { "service", m_start.m_service },
+                        { "leftMs", Left().count() } });
+}
+
 void
 RelayCall::Handle(const relay::RelayEvent& aEvent)
 {
@@ -399,6 +422,8 @@
                       { { "id", m_start.m_head.m_id },
                         { "attempt", static_cast<std::int64_t>(aId) },
                         { "upstream", aMember.m_id },
+                        { "softwareVersion", aMember.m_softwareVersion },
+                        { "resumeAfter", aTerms.m_resumeAfter },
                         { "readOnly", aTerms.m_readOnly },
                         { "handle", aTerms.m_handle },
                         { "tokens", m_attempt.m_tokens },
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -154,6 +154,10 @@
   void TakeHead(const net::HttpHead& aHead);
   void TakeBytes(std::string_view aBytes);
   void TakeEnd(const net::HttpResponse& aResponse);
+  /** Returns whether the caller takes up a stream that began earlier. */
+  bool IsTakenUp() const;
+  /** Precondition: `IsTakenUp`. */
+  void NoteTakenUp();
   void NoteRepeat();
   /** Returns the digest of the call's content. Hashes the body at the first
    * use only. */
--- a/packages/relay/include/ridgeferry/relay/Member.h
+++ b/packages/relay/include/ridgeferry/relay/Member.h
@@ -35,6 +35,8 @@
   std::optional<std::int64_t> m_born = {};
   /** The platform may take it away at short notice; it costs less. */
   bool m_withdrawable = false;
+  /** Version of the software that it runs, not of the model's weights. */
+  std::string m_softwareVersion = {};
   UpstreamIncarnation Incarnation() const { return { m_id, m_born }; }
   bool operator==(const Member&) const = default;
 };
