--- /dev/null
+++ b/tests/soak/SoftwareVersionTest.cpp
@@ -0,0 +1,323 @@
+// Guards against streams that go on at another version of their upstream's
+// software than the one that began them: three real instances before upstreams
+// of two versions, callers that take broken streams up wherever they can.
+
+#include "InstancesFixture.h"
+
+#include <list>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <ridgeferry/net/HttpClient.h>
+#include <set>
+
+namespace ridgeferry::soak {
+namespace {
+
+using Json = nlohmann::json;
+using ExchangePtr = std::shared_ptr<net::HttpExchange>;
+
+constexpr std::size_t kInstances = 3;
+constexpr int kStreams = 48;
+constexpr int kEvents = 60;
+constexpr Duration kEventEvery{ 25 };
+/** Streams are broken once all have begun and none has ended. */
+constexpr Duration kBreakAfter{ 500 };
+constexpr Duration kTakenUpAfter{ 20 };
+/** Tries of a caller to take its stream up. */
+constexpr int kTries = 4;
+constexpr Duration kLongestStream{ 6000 };
+
+std::string
+ValueOf(const net::HttpExchange& aCall, std::string_view aName)
+{
+  return std::string(aCall.Headers().Find(aName).value_or(""));
+}
+
+/** An upstream whose streams tell in each event which version wrote it. */
+class VersionedWorker
+{
+public:
+  VersionedWorker(net::EventLoop& aLoop, std::string aId, std::string aVersion)
+    : m_loop(aLoop)
+    , m_version(std::move(aVersion))
+    , m_worker(aLoop, std::move(aId), [this](const ExchangePtr& aCall) {
+      Stream(aCall);
+    })
+  {
+  }
+
+  const std::string& Id() const { return m_worker.Id(); }
+
+  std::string Row() const
+  {
+    Json row = Json::parse(m_worker.Row("s"));
+    row["version"] = m_version;
+    row["slots"] = kStreams;
+    return row.dump();
+  }
+
+  /** Breaks all streams that run here. */
+  void BreakAll()
+  {
+    for (const auto& run : std::exchange(m_runs, {})) {
+      run->m_call->Abort();
+    }
+  }
+
+private:
+  struct Run
+  {
+    ExchangePtr m_call;
+    int m_next = 1;
+    net::Watch m_timer;
+  };
+
+  void Stream(const ExchangePtr& aCall)
+  {
+    net::HttpHeaders headers;
+    headers.Add("X-Request-Id", ValueOf(*aCall, "X-Request-Id"));
+    headers.Add("Content-Type", "text/event-stream");
+    aCall->StartStream(200, headers);
+    const auto run = std::make_shared<Run>();
+    run->m_call = aCall;
+    const std::string after = ValueOf(*aCall, "Last-Event-Id");
+    run->m_next = after.empty() ? 1 : std::stoi(after) + 1;
+    run->m_timer =
+      m_loop.Every(kEventEvery, [this, raw = run.get()] { Write(*raw); });
+    m_runs.push_back(run);
+  }
+
+  void Write(Run& aRun)
+  {
+    if (aRun.m_next > kEvents) {
+      return;
+    }
+    aRun.m_call->SendChunk("id: " + std::to_string(aRun.m_next) +
+                           "\ndata: " + m_version + "\n\n");
+    if (++aRun.m_next > kEvents) {
+      aRun.m_call->EndStream();
+    }
+  }
+
+  net::EventLoop& m_loop;
+  std::string m_version;
+  std::list<std::shared_ptr<Run>> m_runs;
+  adapter::StandInWorker m_worker;
+};
+
+/** One stream as its caller has it, over all its tries. */
+struct CallersStream
+{
+  std::string m_name;
+  std::string m_beganAs;
+  std::string m_text; ///< Of the present try.
+  int m_lastEvent = 0;
+  int m_tries = 0;
+  std::set<std::string> m_versions;
+  bool m_isTakenUp = false;
+  bool m_goesOn = false;
+  bool m_isWhole = false;
+};
+
+enum class Break
+{
+  InstanceKilled,
+  TwoInstancesKilled,
+  UpstreamConnections,
+  VersionLeaves, ///< The first one: its rows go and its streams break.
+};
+
+struct BreakCase
+{
+  const char* m_name;
+  Break m_break;
+  /** Least share of the streams that are taken up which must go on, in
+   * percent. */
+  int m_leastGoOn;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const BreakCase& aCase)
+{
+  return aOut << aCase.m_name;
+}
+
+class SoftwareVersionTest
+  : public InstancesFixture
+  , public ::testing::WithParamInterface<BreakCase>
+{
+protected:
+  SoftwareVersionTest()
+    : InstancesFixture("versions")
+    , m_client(*m_loop)
+  {
+  }
+
+  void StartAll()
+  {
+    m_store.Put("op",
+                "config",
+                R"({"version":1,"routes":[{"host":"h","path_prefix":"/p/",)"
+                R"("kind":"streaming","resumable":true,"timeout_ms":20000,)"
+                R"("max_attempts":2,"service":"s"}],)"
+                R"("services":[{"name":"s","max_connections":300}]})");
+    // The old version has less room, so that chance would lead away from it.
+    for (const char* version : { "v1", "v1", "v2", "v2", "v2", "v2" }) {
+      const auto& worker =
+        m_workers.emplace_back(std::make_unique<VersionedWorker>(
+          *m_loop, "i-" + std::to_string(m_workers.size()), version));
+      m_store.Put("servers", worker->Id(), worker->Row());
+    }
+    ASSERT_TRUE(m_instances.StartAll(kInstances,
+                                     *net::Address::Parse(m_store.Address())));
+    ASSERT_TRUE(RunUntil([this] { return m_instances.AllReady(); }));
+    RunFor(Duration{ 500 }); // Until the instances have heard of each other.
+  }
+
+  void BeginStreams()
+  {
+    for (int i = 0; i < kStreams; ++i) {
+      CallersStream& stream = m_streams.emplace_back();
+      stream.m_name = "s" + std::to_string(i);
+      Try(stream, static_cast<std::size_t>(i));
+    }
+  }
+
+  void Try(CallersStream& aStream, std::size_t aInstance)
+  {
+    const std::string id =
+      aStream.m_name + "-" + std::to_string(++aStream.m_tries);
+    const auto& instance =
+      *m_instances.All()[aInstance % m_instances.All().size()];
+    net::HttpRequest request;
+    request.m_method = "POST";
+    request.m_address = instance.m_callers;
+    request.m_target = "/p/x";
+    request.m_timeout = kLongestStream;
+    request.m_fresh = true;
+    request.m_headers.Add("Host", "h");
+    request.m_headers.Add("X-Request-Id", id);
+    request.m_headers.Add("X-Deadline-Ms", "10000");
+    if (aStream.m_lastEvent > 0) {
+      request.m_headers.Add("Resumes", aStream.m_beganAs);
+      request.m_headers.Add("Last-Event-Id",
+                            std::to_string(aStream.m_lastEvent));
+      aStream.m_isTakenUp = true;
+    }
+    aStream.m_text.clear();
+    net::HttpCallbacks callbacks;
+    callbacks.m_head = [this](const net::HttpHead& aHead) {
+      ++m_statuses[aHead.m_status];
+    };
+    callbacks.m_chunk = [&aStream, id](std::string_view aBytes) {
+      aStream.m_text += aBytes;
+      TakeEvents(aStream, id);
+    };
+    callbacks.m_done =
+      [this, &aStream, aInstance](const net::HttpResponse& aResponse) {
+        aStream.m_isWhole = aStream.m_lastEvent == kEvents;
+        const int status = aResponse.m_head.m_status;
+        const bool isOver = aStream.m_isWhole || aStream.m_tries > kTries ||
+                            (status != 0 && status != 200 && status != 503);
+        if (!isOver) {
+          m_tries.push_back(
+            m_loop->After(kTakenUpAfter, [this, &aStream, aInstance] {
+              Try(aStream, aInstance + 1);
+            }));
+        }
+      };
+    m_client.Send(request, std::move(callbacks));
+  }
+
+  static void TakeEvents(CallersStream& aStream, const std::string& aTry)
+  {
+    constexpr std::string_view kEnd = "\n\n";
+    constexpr std::string_view kData = "data: ";
+    for (std::size_t end = aStream.m_text.find(kEnd); end != std::string::npos;
+         end = aStream.m_text.find(kEnd)) {
+      const std::string event = aStream.m_text.substr(0, end);
+      aStream.m_text.erase(0, end + kEnd.size());
+      const std::size_t data = event.find(kData);
+      if (data == std::string::npos) {
+        continue; // A refusal's body.
+      }
+      if (aStream.m_lastEvent == 0) {
+        aStream.m_beganAs = aTry;
+      }
+      EXPECT_EQ(event.substr(0, data),
+                "id: " + std::to_string(++aStream.m_lastEvent) + "\n");
+      aStream.m_versions.insert(event.substr(data + kData.size()));
+      aStream.m_goesOn = aStream.m_isTakenUp;
+    }
+  }
+
+  void BreakStreams()
+  {
+    auto& instances = m_instances.All();
+    switch (GetParam().m_break) {
+      case Break::TwoInstancesKilled:
+        m_instances.Kill(*instances[1], kLongestStream);
+        [[fallthrough]];
+      case Break::InstanceKilled:
+        m_instances.Kill(*instances[0], kLongestStream);
+        return;
+      case Break::VersionLeaves:
+        m_store.Remove("servers", m_workers[0]->Id());
+        m_store.Remove("servers", m_workers[1]->Id());
+        RunFor(Duration{ 300 });
+        [[fallthrough]];
+      case Break::UpstreamConnections:
+        m_workers[0]->BreakAll();
+        m_workers[1]->BreakAll();
+        return;
+    }
+  }
+
+  net::HttpClient m_client;
+  std::vector<std::unique_ptr<VersionedWorker>> m_workers;
+  std::list<CallersStream> m_streams;
+  std::vector<net::Watch> m_tries;
+  std::map<int, int> m_statuses;
+};
+
+TEST_P(SoftwareVersionTest, StreamsStayAtTheVersionThatBeganThem)
+{
+  StartAll();
+  BeginStreams();
+  RunFor(kBreakAfter);
+  for (const CallersStream& stream : m_streams) {
+    ASSERT_GT(stream.m_lastEvent, 0);
+    ASSERT_LT(stream.m_lastEvent, kEvents);
+  }
+  BreakStreams();
+  RunFor(kLongestStream);
+  int takenUp = 0;
+  int goesOn = 0;
+  int mixed = 0;
+  int whole = 0;
+  for (const CallersStream& stream : m_streams) {
+    takenUp += stream.m_isTakenUp ? 1 : 0;
+    goesOn += stream.m_goesOn ? 1 : 0;
+    mixed += stream.m_versions.size() > 1 ? 1 : 0;
+    whole += stream.m_isWhole ? 1 : 0;
+  }
+  EXPECT_EQ(mixed, 0) << "of " << kStreams;
+  EXPECT_GE(goesOn * 100, takenUp * GetParam().m_leastGoOn)
+    << goesOn << " of " << takenUp;
+  EXPECT_GE(whole, kStreams - takenUp + goesOn);
+  EXPECT_TRUE(m_instances.StopAll(Duration{ 12'000 }));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Breaks,
+  SoftwareVersionTest,
+  ::testing::Values(
+    BreakCase{ "InstanceKilled", Break::InstanceKilled, 90 },
+    BreakCase{ "TwoInstancesKilled", Break::TwoInstancesKilled, 90 },
+    BreakCase{ "UpstreamConnections", Break::UpstreamConnections, 90 },
+    BreakCase{ "VersionLeaves", Break::VersionLeaves, 0 }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+} // namespace
+} // namespace ridgeferry::soak
