Within one answer a stream goes on only at the software version that began it

What callers saw: a stream whose upstream's connection broke went on at an upstream of another software version. Cause (hypothesis 1, its first half): placement chose among all upstreams of the service. A call pins the version of the upstream that brought its first event; placement takes only that version from then on, and a send to an upstream that has come back with other software meanwhile counts as unsent. Where none is listed any more the answer breaks off. Tests: FleetVersionTest (6 fleets, one upstream of a new incarnation), RelayFlowTest (2).

--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -64,12 +64,30 @@
       return "prompt too large for the caller's time limit";
     case relay::NoPlaceCause::Limited:
       return "the limits that upstreams state are used up";
+    case relay::NoPlaceCause::VersionGone:
+      return "no upstream runs the software version that began the stream";
     case relay::NoPlaceCause::NoneSound:
       break;
   }
   return "no sound upstream is listed";
 }
 
+relay::NoPlace::Cause
+CauseOf(relay::NoPlaceCause aCause)
+{
+  switch (aCause) {
+    case relay::NoPlaceCause::TooLarge:
+      return relay::NoPlace::Cause::TooLarge;
+    case relay::NoPlaceCause::VersionGone:
+      return relay::NoPlace::Cause::VersionGone;
+    case relay::NoPlaceCause::NoneSound:
+    case relay::NoPlaceCause::Full:
+    case relay::NoPlaceCause::Limited:
+      break;
+  }
+  return relay::NoPlace::Cause::NoRoom;
+}
+
 std::string_view
 NameOf(relay::AttemptEnd aEnd)
 {
@@ -160,10 +178,16 @@
   Handle(relay::CallBegan{});
 }
 
+bool
+RelayCall::IsResumable() const
+{
+  return m_start.m_route->m_stream && m_start.m_route->m_resumable;
+}
+
 bool
 RelayCall::IsTakenUp() const
 {
-  return m_start.m_route->m_stream && m_start.m_head.m_takenUp;
+  return IsResumable() && m_start.m_head.m_takenUp;
 }
 
 void
@@ -230,6 +254,9 @@
     request.m_mayPassForItsSize = m_start.m_kind->m_allowance.MayPass();
   }
   request.m_excluded = aAction.m_excluded;
+  if (m_origin) {
+    request.m_softwareVersion = m_origin->m_softwareVersion;
+  }
   request.m_mayProbe = MayBeRepeated();
   request.m_mostOpen = m_start.m_connections.m_open;
   request.m_yieldsToUrgent =
@@ -277,10 +304,7 @@
       return;
     }
     LogNoPlace(fault);
-    const bool isTooLarge = fault.m_cause == relay::NoPlaceCause::TooLarge;
-    Handle(relay::NoPlace{ RoomIn(fault),
-                           isTooLarge ? relay::NoPlace::Cause::TooLarge
-                                      : relay::NoPlace::Cause::NoRoom });
+    Handle(relay::NoPlace{ RoomIn(fault), CauseOf(fault.m_cause) });
   }
 }
 
@@ -351,12 +375,12 @@
     return;
   }
   const relay::Member* member = m_node.m_fleet.Find(aAction.m_upstream);
-  if (member == nullptr || member->m_leaving || QuarantineTimeLeft() ||
-      !MayRunByKey()) {
-    // While another engine prefilled the prompt, the upstream left, the call
-    // was quarantined because upstreams crashed during it, or the configuration
-    // became too old. Nothing has been sent to this upstream, so the attempt
-    // counts as unsent.
+  if (member == nullptr || member->m_leaving || IsOfOtherVersion(*member) ||
+      QuarantineTimeLeft() || !MayRunByKey()) {
+    // While another engine prefilled the prompt, the upstream left or started
+    // again with other software, the call was quarantined because upstreams
+    // crashed during it, or the configuration became too old. Nothing has been
+    // sent to this upstream, so the attempt counts as unsent.
     m_attempt = {};
     m_attempt.m_id = aAction.m_attempt;
     m_attempt.m_upstream = aAction.m_upstream;
@@ -379,6 +403,12 @@
   Send(aAction.m_attempt, *member, std::move(terms));
 }
 
+bool
+RelayCall::IsOfOtherVersion(const relay::Member& aMember) const
+{
+  return m_origin && aMember.m_softwareVersion != m_origin->m_softwareVersion;
+}
+
 void
 RelayCall::Send(relay::AttemptId aId,
                 const relay::Member& aMember,
@@ -387,6 +417,7 @@
   m_attempt = {};
   m_attempt.m_id = aId;
   m_attempt.m_upstream = aMember.m_id;
+  m_attempt.m_softwareVersion = aMember.m_softwareVersion;
   m_attempt.m_sentAt = m_node.Now();
   m_attempt.m_readOnly = aTerms.m_readOnly;
   if (m_start.m_head.m_prompt && aTerms.m_handle.empty()) {
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -15,6 +15,7 @@
 #include <ridgeferry/relay/ConnectionShare.h>
 #include <ridgeferry/relay/RelayFlow.h>
 #include <ridgeferry/relay/RetryBudget.h>
+#include <ridgeferry/streams/StreamOrigin.h>
 #include <sigc++/sigc++.h>
 #include <string>
 
@@ -88,6 +89,7 @@
     relay::AttemptId m_id = 0;
     net::HttpCallId m_http = 0;
     std::string m_upstream;
+    std::string m_softwareVersion; ///< Of the upstream when it was sent to.
     /** Prefill work that remains until the first byte of the answer, in tokens
      * (see `Fleet::WorkOf`). */
     std::int64_t m_tokens = 0;
@@ -154,6 +156,12 @@
   void TakeHead(const net::HttpHead& aHead);
   void TakeBytes(std::string_view aBytes);
   void TakeEnd(const net::HttpResponse& aResponse);
+  /** Returns whether the member runs another software version than the one that
+   * began the stream. */
+  bool IsOfOtherVersion(const relay::Member& aMember) const;
+  /** Returns whether the answer is a stream that another upstream may resume.
+   */
+  bool IsResumable() const;
   /** Returns whether the caller takes up a stream that began earlier. */
   bool IsTakenUp() const;
   /** Precondition: `IsTakenUp`. */
@@ -252,6 +260,8 @@
   bool m_foundNoneSound = false;
   /** The latest attempts at upstreams to which no connection came about. */
   int m_unsentInRow = 0;
+  /** What began the stream; std::nullopt before its first event. */
+  std::optional<streams::StreamOrigin> m_origin;
   /** Bytes of an incomplete event with which the latest attempt ended. */
   std::size_t m_unfinishedBytes = 0;
   /** The stream had a pause that was longer than the route allows. */
--- a/packages/entry/src/RelayCallAnswer.cpp
+++ b/packages/entry/src/RelayCallAnswer.cpp
@@ -17,6 +17,7 @@
 constexpr std::string_view kOverloaded = "overloaded";
 constexpr std::string_view kTooLarge = "too-large";
 constexpr std::string_view kQuarantined = "upstreams-end-under-it";
+constexpr std::string_view kVersionGone = "software-version-gone";
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -36,6 +37,8 @@
       return { kUnavailable, kTooLarge, "not-run", {} };
     case Reason::Quarantined:
       return { kUnavailable, kQuarantined, "not-run", aReply.m_retryAfter };
+    case Reason::VersionGone:
+      return { kUnavailable, kVersionGone, "not-run", {} };
     case Reason::NoAnswer:
       return {
         kBadGateway, "answer-lost", "may-have-run", aReply.m_retryAfter
@@ -61,6 +64,9 @@
 void
 RelayCall::Do(const relay::ForwardBytes& aAction)
 {
+  if (!m_origin && IsResumable()) {
+    m_origin = { m_start.m_service, m_attempt.m_softwareVersion };
+  }
   const auto exchange = m_start.m_exchange;
   exchange->SendChunk(aAction.m_bytes);
   if (exchange->Backlog() > kMostUnread) {
@@ -120,7 +126,8 @@
 RelayCall::OutcomeFor(std::string_view aOutcome) const
 {
   if (aOutcome == kOverloaded || aOutcome == kTooLarge ||
-      aOutcome == kQuarantined || aOutcome == kRefusedElsewhere) {
+      aOutcome == kQuarantined || aOutcome == kVersionGone ||
+      aOutcome == kRefusedElsewhere) {
     return PromptOutcome::Refused;
   }
   if (aOutcome != kServed || !m_answeredAt) {
--- a/packages/entry/src/RelayCallLimits.cpp
+++ b/packages/entry/src/RelayCallLimits.cpp
@@ -60,6 +60,7 @@
         m_node.Now());
     case relay::NoPlaceCause::NoneSound:
     case relay::NoPlaceCause::TooLarge:
+    case relay::NoPlaceCause::VersionGone:
       break;
   }
   return relay::RelayFlow::kRetryAfter;
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -469,6 +469,12 @@
   bool MayServe(const State& aState,
                 const PlaceRequest& aRequest,
                 Instant aNow) const;
+  /** Returns whether the member runs the software version that the call needs.
+   */
+  static bool RunsVersion(const Member& aMember, const PlaceRequest& aRequest);
+  /** Returns whether a member of the service that is not leaving runs the
+   * software version that the call needs. */
+  bool IsVersionListed(const PlaceRequest& aRequest, Instant aNow) const;
   /** Returns the time until the member may be sent the call under the limit
    * that it states; 0 if it may be now. */
   Duration RoomUnderLimit(const State& aState,
--- a/packages/relay/include/ridgeferry/relay/Placement.h
+++ b/packages/relay/include/ridgeferry/relay/Placement.h
@@ -28,6 +28,12 @@
   /** Whether the call may find out if a member on probation responds again. A
    * call that may not be repeated would be lost if it does not. */
   bool m_mayProbe = true;
+  /**
+   * If set, only upstreams that run this version of their software may get the
+   * call: it goes on with a stream that this version began, and what two
+   * versions write does not fit together.
+   */
+  std::optional<std::string_view> m_softwareVersion = {};
   std::uint64_t m_random = 0; ///< Breaks ties and draws candidates.
   /** The mean prompt of this kind of call; empty to use the prompt itself. */
   std::optional<Prompt> m_typical = {};
@@ -129,6 +135,9 @@
    * share of all of them is used up.
    */
   Limited,
+  /** No upstream that is listed and not leaving runs the software version that
+   * the call needs. */
+  VersionGone,
 };
 
 struct PlaceFault
--- a/packages/relay/include/ridgeferry/relay/RelayFlow.h
+++ b/packages/relay/include/ridgeferry/relay/RelayFlow.h
@@ -49,6 +49,9 @@
     /** The call is quarantined, because upstreams crashed while they ran it.
      * It must not be sent to any upstream. */
     Quarantined,
+    /** No upstream runs the software version that began the stream, so the
+     * caller gains nothing by a retry. */
+    VersionGone,
   };
   Duration m_retryAfter{};
   Cause m_cause = Cause::NoRoom;
@@ -216,6 +219,9 @@
     /** The call has not run and is quarantined, because upstreams crashed while
      * they ran it. */
     Quarantined,
+    /** The call has not run: it takes up a stream that only another software
+     * version could go on with. */
+    VersionGone,
     NoAnswer, ///< The call may have run, but its answer is lost.
     TooLate,  ///< The call may have run, but its deadline has passed.
   };
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -210,7 +210,28 @@
   const bool isEjected = aState.m_ejectedUntil && aNow < *aState.m_ejectedUntil;
   const bool gone = aState.m_goneAt && aNow >= *aState.m_goneAt;
   return member.m_service == aRequest.m_service && !member.m_leaving &&
-         !excluded && !isEjected && !gone && !aState.m_changing;
+         !excluded && !isEjected && !gone && !aState.m_changing &&
+         RunsVersion(member, aRequest);
+}
+
+bool
+Fleet::RunsVersion(const Member& aMember, const PlaceRequest& aRequest)
+{
+  return !aRequest.m_softwareVersion ||
+         aMember.m_softwareVersion == *aRequest.m_softwareVersion;
+}
+
+bool
+Fleet::IsVersionListed(const PlaceRequest& aRequest, Instant aNow) const
+{
+  return std::any_of(
+    m_members.begin(), m_members.end(), [&](const auto& aEntry) {
+      const State& state = aEntry.second;
+      const bool gone = state.m_goneAt && aNow >= *state.m_goneAt;
+      return state.m_member.m_service == aRequest.m_service &&
+             !state.m_member.m_leaving && !gone &&
+             RunsVersion(state.m_member, aRequest);
+    });
 }
 
 bool
@@ -258,7 +279,10 @@
     sound = std::move(silent);
   }
   if (sound.empty()) {
-    return FaultOf(anyBusy, limitedFor);
+    const bool isVersionGone =
+      aRequest.m_softwareVersion && !IsVersionListed(aRequest, aNow);
+    return isVersionGone ? PlaceFault{ NoPlaceCause::VersionGone }
+                         : FaultOf(anyBusy, limitedFor);
   }
   // Equal estimates are common under low load. Rotating the members by a random
   // number keeps instances from all choosing the first one.
--- a/packages/relay/src/RelayFlow.cpp
+++ b/packages/relay/src/RelayFlow.cpp
@@ -158,6 +158,8 @@
   } else if (untouched && aEvent.m_cause == NoPlace::Cause::Quarantined) {
     Finish(aActions,
            ReplyError{ ReplyError::Reason::Quarantined, aEvent.m_retryAfter });
+  } else if (untouched && aEvent.m_cause == NoPlace::Cause::VersionGone) {
+    Finish(aActions, ReplyError{ ReplyError::Reason::VersionGone, {} });
   } else {
     GiveUp(aEvent.m_retryAfter, aActions);
   }
--- /dev/null
+++ b/packages/relay/tests/FleetVersionTest.cpp
@@ -0,0 +1,121 @@
+#include "FleetFixture.h"
+
+#include <algorithm>
+#include <ostream>
+
+namespace ridgeferry::relay {
+namespace {
+
+Member
+Versioned(std::string aId, std::string aVersion, bool aLeaving = false)
+{
+  Member out = MakeMember(std::move(aId), "llm", UpstreamRole::Decode);
+  out.m_softwareVersion = std::move(aVersion);
+  out.m_leaving = aLeaving;
+  return out;
+}
+
+struct VersionCase
+{
+  const char* m_name;
+  std::vector<Member> m_members;
+  const char* m_excluded; ///< An upstream that the call must not get.
+  /** Upstreams that may be chosen; empty: none. */
+  std::vector<std::string> m_may;
+  NoPlaceCause m_cause = NoPlaceCause::NoneSound;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const VersionCase& aCase)
+{
+  return aOut << aCase.m_name;
+}
+
+class FleetVersionTest : public ::testing::TestWithParam<VersionCase>
+{};
+
+// Guards against a stream that goes on at another software version than the one
+// that began it.
+TEST_P(FleetVersionTest, OnlyTheVersionThatBeganGoesOn)
+{
+  Fleet fleet;
+  for (const Member& member : GetParam().m_members) {
+    fleet.Put(member);
+  }
+  const std::vector<std::string> excluded{ GetParam().m_excluded };
+  PlaceRequest request = LongRequest(1);
+  request.m_softwareVersion = "v1";
+  request.m_excluded = excluded;
+  for (request.m_random = 0; request.m_random < 40; ++request.m_random) {
+    const PlaceResult result = fleet.FindPlace(request, kNow);
+    if (const auto* fault = std::get_if<PlaceFault>(&result)) {
+      EXPECT_TRUE(GetParam().m_may.empty());
+      EXPECT_EQ(fault->m_cause, GetParam().m_cause);
+      continue;
+    }
+    const std::string& chosen = std::get<Place>(result).m_upstream;
+    EXPECT_NE(
+      std::find(GetParam().m_may.begin(), GetParam().m_may.end(), chosen),
+      GetParam().m_may.end())
+      << chosen;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Fleets,
+  FleetVersionTest,
+  ::testing::Values(
+    VersionCase{ "Both",
+                 { Versioned("a", "v1"),
+                   Versioned("b", "v2"),
+                   Versioned("c", "v1"),
+                   Versioned("d", "v2") },
+                 "",
+                 { "a", "c" } },
+    VersionCase{
+      "TheOtherOneLeft",
+      { Versioned("a", "v1"), Versioned("b", "v2"), Versioned("c", "v1") },
+      "a",
+      { "c" } },
+    VersionCase{ "TheLastOneFailed",
+                 { Versioned("a", "v1"), Versioned("b", "v2") },
+                 "a",
+                 {},
+                 NoPlaceCause::NoneSound },
+    VersionCase{ "TheLastOneLeaves",
+                 { Versioned("a", "v1", true), Versioned("b", "v2") },
+                 "",
+                 {},
+                 NoPlaceCause::VersionGone },
+    VersionCase{ "Gone",
+                 { Versioned("b", "v2") },
+                 "",
+                 {},
+                 NoPlaceCause::VersionGone },
+    VersionCase{ "AlmostTheSame",
+                 { Versioned("a", "v1.1"), Versioned("b", "v") },
+                 "",
+                 {},
+                 NoPlaceCause::VersionGone }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+// An upstream that starts again under its id may come with other software.
+TEST(FleetNewVersionTest, AnIncarnationOfAnotherVersionGoesOnWithNothing)
+{
+  Fleet fleet;
+  Member member = Versioned("a", "v1");
+  member.m_born = 1000;
+  fleet.Put(member);
+  member.m_softwareVersion = "v2";
+  member.m_born = 2000;
+  fleet.Put(member);
+  PlaceRequest request = LongRequest(1);
+  request.m_softwareVersion = "v1";
+  const PlaceResult result = fleet.FindPlace(request, kNow);
+  const auto* fault = std::get_if<PlaceFault>(&result);
+  ASSERT_NE(fault, nullptr);
+  EXPECT_EQ(fault->m_cause, NoPlaceCause::VersionGone);
+}
+
+} // namespace
+} // namespace ridgeferry::relay
--- a/packages/relay/tests/RelayFlowTest.cpp
+++ b/packages/relay/tests/RelayFlowTest.cpp
@@ -44,7 +44,8 @@
       [](const AbortConnection&) { return std::string("break"); },
       [](const ReplyError& aReply) {
         static constexpr const char* kReasons[] = {
-          "no-room", "too-large", "quarantined", "no-answer", "too-late"
+          "no-room",      "too-large", "quarantined",
+          "version-gone", "no-answer", "too-late"
         };
         return std::string(kReasons[static_cast<std::size_t>(aReply.m_reason)]);
       },
@@ -112,6 +113,18 @@
               kUnsafe,
               { NoPlace{ {}, NoPlace::Cause::Quarantined } },
               "find quarantined" },
+    FlowCase{ "ItsVersionIsGone",
+              kResumable,
+              { NoPlace{ {}, NoPlace::Cause::VersionGone } },
+              "find version-gone" },
+    FlowCase{ "ItsVersionIsGoneInTheMiddle",
+              kResumable,
+              { PlaceFound{ "u", "" },
+                HeadArrived{ 1, 200 },
+                BytesArrived{ 1, "id: 1\n\n" },
+                AttemptBroke{ 1 },
+                NoPlace{ {}, NoPlace::Cause::VersionGone } },
+              "find run@u head bytes7 failed find break" },
     FlowCase{ "NoPlaceIsNotRun",
               kUnsafe,
               { NoPlace{ Duration{ 50 } } },
