--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -10,6 +10,7 @@
 #include "ScaleService.h"
 #include "StoreGenerations.h"
 #include "StoreReader.h"
+#include "StreamOriginService.h"
 #include "UsageService.h"
 
 #include <algorithm>
@@ -76,6 +77,7 @@
    * which it was seen. */
   std::string m_configText;
   StoreGeneration m_configGeneration = 0;
+  std::unique_ptr<PeerSocket> m_peerSocket;
   std::unique_ptr<Peers> m_peers;
   std::unique_ptr<PeerRows> m_peerRows;
   std::unique_ptr<StoreReader> m_config;
@@ -87,6 +89,7 @@
   std::unique_ptr<OrderLease> m_lease;
   std::unique_ptr<UsageService> m_usage;
   std::unique_ptr<ScaleService> m_scale;
+  std::unique_ptr<StreamOriginService> m_origins;
   std::unique_ptr<Relay> m_relay;
   std::unique_ptr<RoleReconciler> m_roleReconciler;
   std::unique_ptr<net::HttpServer> m_readiness;
@@ -224,6 +227,7 @@
   m_node.m_routes =
     std::make_shared<const relay::RouteTable>(std::move(*config));
   m_relay->UseLimits();
+  m_origins->UseRoutes();
   m_peerRows->UseLimits(m_node.m_routes->Config().m_limits);
   m_node.m_log->Write(observe::LogLevel::Info,
                       "configuration-in-force",
@@ -293,6 +297,7 @@
   if (aMember.m_leaving) {
     m_peers->NoteLeaving(aMember.Incarnation());
   }
+  m_origins->NoteListed(aMember);
   m_node.m_log->Write(observe::LogLevel::Info,
                       "upstream-listed",
                       { { "upstream", aMember.m_id },
@@ -448,6 +453,7 @@
   ReleaseHeld();
   const bool onDuty = m_peers->IsPoller();
   const bool byPlace = m_peers->IsPollerByHash();
+  m_origins->NoteList(m_members->HasRead() && !m_members->Follower().IsLost());
   m_config->SetPolling(onDuty, byPlace);
   m_members->SetPolling(onDuty, byPlace);
   m_peers->SetStoreView(StoreView());
@@ -487,6 +493,7 @@
   }
   m_node.m_stop.Begin(m_node.m_settings.m_stopGrace, m_node.Now());
   m_relay->BeginStop();
+  m_origins->HandOver();
   m_node.m_log->Write(
     observe::LogLevel::Info,
     "stopping",
@@ -524,7 +531,8 @@
 tl::expected<void, net::NetError>
 Entry::Impl::Start()
 {
-  m_peers = std::make_unique<Peers>(m_node, m_generations);
+  m_peerSocket = std::make_unique<PeerSocket>(m_node);
+  m_peers = std::make_unique<Peers>(m_node, m_generations, *m_peerSocket);
   m_peerRows = std::make_unique<PeerRows>(m_node, *m_peers);
   m_config =
     std::make_unique<StoreReader>(m_node,
@@ -552,8 +560,15 @@
   m_usage = std::make_unique<UsageService>(
     m_node, m_generations, *m_peers, *m_peerRows, *m_trueTime, *m_lease);
   m_scale = std::make_unique<ScaleService>(m_node, *m_lease);
-  m_relay = std::make_unique<Relay>(
-    m_node, *m_quarantine, *m_freshness, *m_usage, *m_reach, *m_peers);
+  m_origins =
+    std::make_unique<StreamOriginService>(m_node, *m_peers, *m_peerSocket);
+  m_relay = std::make_unique<Relay>(m_node,
+                                    *m_quarantine,
+                                    *m_freshness,
+                                    *m_usage,
+                                    *m_reach,
+                                    *m_peers,
+                                    *m_origins);
   m_roleReconciler =
     std::make_unique<RoleReconciler>(m_node, m_generations, *m_peers, *m_lease);
   if (auto started = m_relay->Start(); !started) {
@@ -636,7 +651,12 @@
   m_usage->Start();
   m_scale->Start();
   m_roleReconciler->Start();
-  return m_peers->Start();
+  if (auto started = m_peerSocket->Start(); !started) {
+    return started;
+  }
+  m_origins->Start();
+  m_peers->Start();
+  return {};
 }
 
 Entry::Entry(std::unique_ptr<Impl> aImpl)
--- a/packages/entry/src/ForwardedCall.cpp
+++ b/packages/entry/src/ForwardedCall.cpp
@@ -10,6 +10,8 @@
 constexpr std::string_view kLeft = "Ridgeferry-Left-Ms";
 constexpr std::string_view kWaited = "Ridgeferry-Waited-Ms";
 constexpr std::string_view kResumeAfter = "Ridgeferry-Resume-After";
+constexpr std::string_view kService = "Ridgeferry-Service";
+constexpr std::string_view kSoftwareVersion = "Ridgeferry-Software-Version";
 constexpr std::string_view kDeclined = "Ridgeferry-Declined";
 
 std::optional<Duration>
@@ -47,9 +49,30 @@
   if (!aTerms.m_resumeAfter.empty()) {
     set(kResumeAfter, aTerms.m_resumeAfter);
   }
+  if (aTerms.m_origin) {
+    AddOrigin(out.m_headers, *aTerms.m_origin);
+  }
   return out;
 }
 
+void
+AddOrigin(net::HttpHeaders& aHeaders, const streams::StreamOrigin& aOrigin)
+{
+  aHeaders.Add(std::string(kService), aOrigin.m_service);
+  aHeaders.Add(std::string(kSoftwareVersion), aOrigin.m_softwareVersion);
+}
+
+std::optional<streams::StreamOrigin>
+ReadOrigin(const net::HttpHeaders& aHeaders)
+{
+  const auto service = aHeaders.Find(kService);
+  const auto version = aHeaders.Find(kSoftwareVersion);
+  if (!service || !version) {
+    return std::nullopt;
+  }
+  return streams::StreamOrigin{ std::string(*service), std::string(*version) };
+}
+
 std::optional<ForwardedTerms>
 ReadForwarded(const net::HttpHeaders& aHeaders)
 {
@@ -58,9 +81,10 @@
   if (!left || !waited) {
     return std::nullopt;
   }
-  return ForwardedTerms{
-    *left, *waited, std::string(aHeaders.Find(kResumeAfter).value_or(""))
-  };
+  return ForwardedTerms{ *left,
+                         *waited,
+                         std::string(aHeaders.Find(kResumeAfter).value_or("")),
+                         ReadOrigin(aHeaders) };
 }
 
 void
--- a/packages/entry/src/ForwardedCall.h
+++ b/packages/entry/src/ForwardedCall.h
@@ -4,6 +4,7 @@
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/net/Http.h>
 #include <ridgeferry/net/HttpServer.h>
+#include <ridgeferry/streams/StreamOrigin.h>
 #include <string>
 #include <string_view>
 
@@ -23,6 +24,8 @@
   /** Id of the event after which the stream resumes; empty to send what the
    * caller asked for. */
   std::string m_resumeAfter;
+  /** What alone may go on with the stream; std::nullopt if none has begun. */
+  std::optional<streams::StreamOrigin> m_origin = {};
 };
 
 /** Writes the request that passes a call on to the instance at `aAddress`. */
@@ -36,6 +39,16 @@
 std::optional<ForwardedTerms>
 ReadForwarded(const net::HttpHeaders& aHeaders);
 
+/** Adds to an answer what began its stream, for the instance that passed the
+ * call on. */
+void
+AddOrigin(net::HttpHeaders& aHeaders, const streams::StreamOrigin& aOrigin);
+
+/** Returns what `AddOrigin` or `WriteForwarded` wrote; std::nullopt if nothing
+ * is there. */
+std::optional<streams::StreamOrigin>
+ReadOrigin(const net::HttpHeaders& aHeaders);
+
 /** Marks an answer: another instance may serve the call, which this one has
  * given to no upstream. */
 void
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -4,7 +4,6 @@
 #include <ridgeferry/base/Hash.h>
 #include <ridgeferry/base/Overloaded.h>
 #include <ridgeferry/membership/ForwardTarget.h>
-#include <ridgeferry/protocol/Messages.h>
 
 namespace ridgeferry::entry {
 
@@ -93,9 +92,12 @@
 
 } // namespace
 
-Peers::Peers(EntryNode& aNode, StoreGenerations& aGenerations)
+Peers::Peers(EntryNode& aNode,
+             StoreGenerations& aGenerations,
+             PeerSocket& aSocket)
   : m_node(aNode)
   , m_generations(aGenerations)
+  , m_socket(aSocket)
   , m_roster(aNode.m_settings.m_instance,
              Times(),
              aNode.m_settings.m_dataCentre)
@@ -105,17 +107,13 @@
 {
 }
 
-tl::expected<void, net::NetError>
+void
 Peers::Start()
 {
-  auto socket = net::UdpSocket::Bind(
-    *m_node.m_loop, m_node.m_settings.m_peers, [this](std::string_view aBytes) {
-      OnDatagram(aBytes);
+  m_socket.SignalHeartbeat().connect(
+    [this](const membership::Heartbeat& aHeartbeat) {
+      TakeHeartbeat(aHeartbeat);
     });
-  if (!socket) {
-    return tl::unexpected(socket.error());
-  }
-  m_socket = std::move(*socket);
   m_tick = m_node.m_loop->Every(kHeartbeatInterval, [this] {
     ForgetDead();
     ForgetDataCentres();
@@ -132,7 +130,6 @@
   }
   SendTo(seeds);
   WriteOwnRow();
-  return {};
 }
 
 membership::Heartbeat
@@ -195,7 +192,7 @@
   }
   const membership::Heartbeat whole = WithLoads(m_node.m_fleet.OwnLoads());
   if (!m_roster.SendsLoadsPerDataCentre()) {
-    Send(whole, aAddresses);
+    m_socket.Send(whole, aAddresses);
     return;
   }
   const std::set<std::string> dataCentre = m_roster.OwnDataCentreAddresses();
@@ -204,8 +201,9 @@
   for (const std::string& address : aAddresses) {
     (dataCentre.contains(address) ? near : far).insert(address);
   }
-  Send(whole, near);
-  Send(OwnHeartbeat(), far); // Other data centres receive the loads as a sum.
+  m_socket.Send(whole, near);
+  m_socket.Send(OwnHeartbeat(),
+                far); // Other data centres receive the loads as a sum.
 }
 
 void
@@ -217,19 +215,7 @@
   membership::Heartbeat heartbeat =
     WithLoads(m_dataCentreLoads.Sum(m_node.m_fleet.OwnLoads(), kMostLoads));
   heartbeat.m_tellsDataCentre = true;
-  Send(heartbeat, aAddresses);
-}
-
-void
-Peers::Send(const membership::Heartbeat& aHeartbeat,
-            const std::set<std::string>& aAddresses)
-{
-  const std::string bytes = protocol::Encode(aHeartbeat);
-  for (const std::string& text : aAddresses) {
-    if (const auto address = net::Address::Parse(text)) {
-      m_socket->Send(*address, bytes);
-    }
-  }
+  m_socket.Send(heartbeat, aAddresses);
 }
 
 membership::StorePollers
@@ -411,36 +397,31 @@
 }
 
 void
-Peers::OnDatagram(std::string_view aBytes)
+Peers::TakeHeartbeat(const membership::Heartbeat& aHeartbeat)
 {
-  auto heartbeat = protocol::DecodeHeartbeat(aBytes);
-  if (!heartbeat) {
-    m_node.m_metrics.Count("bad_datagrams_total");
-    return;
-  }
-  if (heartbeat->m_instance == m_node.m_settings.m_instance) {
+  if (aHeartbeat.m_instance == m_node.m_settings.m_instance) {
     return;
   }
   std::vector<relay::MemberRoleUpdate> news;
-  for (const membership::RoleDigest& digest : heartbeat->m_roles) {
+  for (const membership::RoleDigest& digest : aHeartbeat.m_roles) {
     news.push_back({ digest.m_engine, PartOf(digest.m_part) });
   }
-  for (const membership::PrefillDigest& digest : heartbeat->m_prefills) {
+  for (const membership::PrefillDigest& digest : aHeartbeat.m_prefills) {
     m_node.m_fleet.NoteCached({ digest.m_part, digest.m_engine }, m_node.Now());
   }
-  if (heartbeat->m_store) {
-    TellStoreView(*heartbeat->m_store);
+  if (aHeartbeat.m_store) {
+    TellStoreView(*aHeartbeat.m_store);
   }
-  if (!heartbeat->m_crashes.empty()) {
-    m_crashesReported.emit(heartbeat->m_crashes);
+  if (!aHeartbeat.m_crashes.empty()) {
+    m_crashesReported.emit(aHeartbeat.m_crashes);
   }
-  m_counted.insert(heartbeat->m_instance);
-  TakeLoads(*heartbeat);
-  m_limits.Take(*heartbeat);
-  m_node.m_fleet.SetRoleUpdates(heartbeat->m_instance, std::move(news));
-  m_node.m_fleet.SetDisaggregatedServices(heartbeat->m_instance,
-                                          heartbeat->m_disaggregatedServices);
-  Handle(membership::HeartbeatArrived{ std::move(*heartbeat) });
+  m_counted.insert(aHeartbeat.m_instance);
+  TakeLoads(aHeartbeat);
+  m_limits.Take(aHeartbeat);
+  m_node.m_fleet.SetRoleUpdates(aHeartbeat.m_instance, std::move(news));
+  m_node.m_fleet.SetDisaggregatedServices(aHeartbeat.m_instance,
+                                          aHeartbeat.m_disaggregatedServices);
+  Handle(membership::HeartbeatArrived{ aHeartbeat });
 }
 
 void
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -2,12 +2,12 @@
 
 #include "EntryNode.h"
 #include "LimitGossip.h"
+#include "PeerSocket.h"
 #include "StoreGenerations.h"
 
 #include <functional>
 #include <ridgeferry/membership/Roster.h>
 #include <ridgeferry/membership/StorePollers.h>
-#include <ridgeferry/net/UdpSocket.h>
 #include <ridgeferry/relay/DataCentreLoads.h>
 #include <ridgeferry/relay/LeavingUpstreams.h>
 #include <set>
@@ -31,9 +31,10 @@
   };
 
   /** The arguments must outlive this object. */
-  Peers(EntryNode& aNode, StoreGenerations& aGenerations);
+  Peers(EntryNode& aNode, StoreGenerations& aGenerations, PeerSocket& aSocket);
 
-  tl::expected<void, net::NetError> Start();
+  /** Precondition: the socket has been started. */
+  void Start();
   /** Announces to the other instances that an upstream is leaving, which this
    * instance has read in the list of upstreams. */
   void NoteLeaving(const UpstreamIncarnation& aUpstream);
@@ -144,14 +145,12 @@
   membership::StorePollers Pollers() const;
   void TellStoreView(membership::StoreView aView);
   void Handle(const membership::RosterEvent& aEvent);
-  void OnDatagram(std::string_view aBytes);
+  void TakeHeartbeat(const membership::Heartbeat& aHeartbeat);
   void SendTo(const std::set<std::string>& aAddresses);
   /** Builds the heartbeat of this instance without loads. */
   membership::Heartbeat OwnHeartbeat() const;
   membership::Heartbeat WithLoads(
     std::span<const relay::PeerLoad> aLoads) const;
-  void Send(const membership::Heartbeat& aHeartbeat,
-            const std::set<std::string>& aAddresses);
   void SendDataCentreLoads(const std::set<std::string>& aAddresses);
   void TakeLoads(const membership::Heartbeat& aHeartbeat);
   void ForgetDataCentres();
@@ -172,6 +171,7 @@
 
   EntryNode& m_node;
   StoreGenerations& m_generations;
+  PeerSocket& m_socket;
   membership::Roster m_roster;
   std::uint64_t m_incarnation;
   bool m_ready = false;
@@ -189,7 +189,6 @@
   /** Other data centres whose summed loads are counted, and when the last sum
    * arrived. */
   std::map<std::string, Instant> m_countedDataCentres;
-  std::unique_ptr<net::UdpSocket> m_socket;
   net::Watch m_tick;
   net::Watch m_retry;
   net::Watch m_rewrite;
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -26,6 +26,42 @@
  * does not know yet how many instances share the floor. */
 constexpr double kMostFloor = 2;
 
+/** Returns whether the caller takes up a stream that began earlier. */
+bool
+IsTakenUp(const CallHead& aHead, const relay::Route& aRoute)
+{
+  return aRoute.m_stream && aRoute.m_resumable && aHead.m_takenUp.has_value();
+}
+
+bool
+HasService(const relay::Route& aRoute, std::string_view aService)
+{
+  return std::any_of(aRoute.m_services.begin(),
+                     aRoute.m_services.end(),
+                     [aService](const relay::ServiceShare& aShare) {
+                       return aShare.m_service == aService;
+                     });
+}
+
+/** Returns what a decision rests on, for logs and metrics. */
+std::string_view
+NameOf(const streams::OriginDecision& aDecision)
+{
+  if (const auto* goOn = std::get_if<streams::GoOn>(&aDecision)) {
+    return goOn->m_proof == streams::OriginProof::Record ? "record"
+                                                         : "sole-version";
+  }
+  switch (std::get<streams::RefuseTakeUp>(aDecision).m_cause) {
+    case streams::RefuseTakeUp::Cause::Ambiguous:
+      return "ambiguous";
+    case streams::RefuseTakeUp::Cause::Unanswered:
+      return "unanswered";
+    case streams::RefuseTakeUp::Cause::Unknown:
+      break;
+  }
+  return "unknown";
+}
+
 } // namespace
 
 Relay::Relay(EntryNode& aNode,
@@ -33,13 +69,15 @@
              const ConfigFreshness& aFreshness,
              UsageService& aUsage,
              ReachService& aReach,
-             const Peers& aPeers)
+             const Peers& aPeers,
+             StreamOriginService& aOrigins)
   : m_node(aNode)
   , m_quarantine(aQuarantine)
   , m_freshness(aFreshness)
   , m_usage(aUsage)
   , m_reach(aReach)
   , m_peers(aPeers)
+  , m_origins(aOrigins)
 {
 }
 
@@ -160,74 +198,180 @@
 }
 
 Duration
-Relay::EarlierWait(const CallHead& aHead,
-                   const relay::Route& aRoute,
-                   const std::optional<ForwardedTerms>& aForwarded)
+Relay::EarlierWait(const AdmittedRequest& aRequest)
 {
-  if (aForwarded) {
-    return aForwarded->m_waited;
+  if (aRequest.m_forwarded) {
+    return aRequest.m_forwarded->m_waited;
   }
-  return aHead.m_deadline ? m_timeLimits[aRoute.m_name].Note(*aHead.m_deadline)
-                          : Duration{};
+  const auto& deadline = aRequest.m_head.m_deadline;
+  // Whoever takes a stream up has had its first event, and less time is left
+  // only because the stream has lasted.
+  if (!deadline || IsTakenUp(aRequest.m_head, *aRequest.m_route)) {
+    return {};
+  }
+  return m_timeLimits[aRequest.m_route->m_name].Note(*deadline);
 }
 
 void
 Relay::HandleRequest(const std::shared_ptr<net::HttpExchange>& aExchange,
                      const std::optional<ForwardedTerms>& aForwarded)
 {
-  CallHead head = m_node.m_dialect.m_readCall(aExchange->Request());
+  AdmittedRequest request;
+  request.m_exchange = aExchange;
+  request.m_forwarded = aForwarded;
+  request.m_head = m_node.m_dialect.m_readCall(aExchange->Request());
+  CallHead& head = request.m_head;
   if (aForwarded) {
     head.m_deadline = aForwarded->m_left;
     head.m_isForwarded = true;
   }
   if (!m_node.m_stop.AcceptsCalls(m_node.Now())) {
-    Refuse(*aExchange, head, kUnavailable, "stopping");
+    Refuse(*aExchange, head, { kUnavailable, "stopping", kOtherRetryAfter });
     return;
   }
   if (m_node.m_routes == nullptr) {
-    Refuse(*aExchange, head, kUnavailable, "no-configuration-yet");
+    Refuse(*aExchange,
+           head,
+           { kUnavailable, "no-configuration-yet", kOtherRetryAfter });
     return;
   }
-  const relay::Route* route = m_node.m_routes->Find(head.m_host, head.m_path);
-  if (route == nullptr) {
-    Refuse(*aExchange, head, kNotFound, "no-route");
+  request.m_routes = m_node.m_routes;
+  request.m_route = m_node.m_routes->Find(head.m_host, head.m_path);
+  if (request.m_route == nullptr) {
+    Refuse(*aExchange, head, { kNotFound, "no-route" });
     return;
   }
   const keys::KeyVerdict verdict =
-    m_freshness.CheckKey(head.m_key, route->m_isPublic);
+    m_freshness.CheckKey(head.m_key, request.m_route->m_isPublic);
   const auto* accepted = std::get_if<keys::KeyAccepted>(&verdict);
   if (accepted == nullptr) {
     RefuseKey(*aExchange, head, verdict);
     return;
   }
-  const bool usesKeys = !m_node.m_routes->Organisations().IsEmpty();
+  request.m_organisation = accepted->m_organisation;
+  if (aForwarded && aForwarded->m_origin) {
+    GoOn(request, *aForwarded->m_origin);
+  } else if (IsTakenUp(head, *request.m_route)) {
+    TakeUp(request);
+  } else {
+    StartCall(request, DrawService(*request.m_route), std::nullopt);
+  }
+}
+
+const std::string&
+Relay::DrawService(const relay::Route& aRoute)
+{
   std::uniform_real_distribution<double> unit(0, 1);
-  const std::string& service =
-    relay::RouteTable::Draw(*route, unit(m_node.m_random));
-  const Duration earlierWait = EarlierWait(head, *route, aForwarded);
-  auto kind = KindOf(route->m_name, head.m_prompt);
+  return relay::RouteTable::Draw(aRoute, unit(m_node.m_random));
+}
+
+streams::StreamKey
+Relay::StreamKeyOf(const AdmittedRequest& aRequest, std::string_view aBeganAs)
+{
+  const keys::Organisation* organisation = aRequest.m_organisation;
+  return streams::KeyOf(
+    { organisation == nullptr ? std::string_view{} : organisation->m_name,
+      aRequest.m_head.m_host,
+      aRequest.m_head.m_path,
+      aBeganAs });
+}
+
+void
+Relay::TakeUp(const AdmittedRequest& aRequest)
+{
+  const Instant since = m_node.Now();
+  ++m_takeUps;
+  m_origins.Find(
+    StreamKeyOf(aRequest, aRequest.m_head.m_takenUp->m_beganAs),
+    DrawService(*aRequest.m_route),
+    [this, aRequest, since](const streams::OriginDecision& aDecision) {
+      --m_takeUps;
+      DecideTakeUp(aRequest, since, aDecision);
+    });
+}
+
+void
+Relay::DecideTakeUp(const AdmittedRequest& aRequest,
+                    Instant aSince,
+                    const streams::OriginDecision& aDecision)
+{
+  const TakenUpStream& stream = *aRequest.m_head.m_takenUp;
+  const auto* goOn = std::get_if<streams::GoOn>(&aDecision);
+  m_node.m_metrics.Count(
+    observe::WithLabel("streams_taken_up_total", "origin", NameOf(aDecision)));
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "stream-taken-up",
+    { { "id", aRequest.m_head.m_id },
+      { "beganAs", stream.m_beganAs },
+      { "afterEvent", stream.m_afterEvent },
+      { "origin", std::string(NameOf(aDecision)) },
+      { "service", goOn ? goOn->m_origin.m_service : "" },
+      { "softwareVersion", goOn ? goOn->m_origin.m_softwareVersion : "" },
+      { "tookMs", (m_node.Now() - aSince).count() } });
+  if (!aRequest.m_exchange->IsOpen()) {
+    return; // Its caller has left.
+  }
+  if (goOn == nullptr) {
+    const auto& refusal = std::get<streams::RefuseTakeUp>(aDecision);
+    Refuse(*aRequest.m_exchange,
+           aRequest.m_head,
+           { kUnavailable, "stream-origin-unknown", refusal.m_retryAfter });
+    return;
+  }
+  GoOn(aRequest, goOn->m_origin);
+}
+
+void
+Relay::GoOn(const AdmittedRequest& aRequest,
+            const streams::StreamOrigin& aOrigin)
+{
+  if (HasService(*aRequest.m_route, aOrigin.m_service)) {
+    StartCall(aRequest, aOrigin.m_service, aOrigin);
+  } else {
+    Refuse(*aRequest.m_exchange,
+           aRequest.m_head,
+           { kUnavailable, "stream-service-gone" });
+  }
+}
+
+void
+Relay::StartCall(const AdmittedRequest& aRequest,
+                 const std::string& aService,
+                 const std::optional<streams::StreamOrigin>& aOrigin)
+{
+  const relay::Route& route = *aRequest.m_route;
+  const bool usesKeys = !aRequest.m_routes->Organisations().IsEmpty();
+  RelayCallStart start;
+  start.m_exchange = aRequest.m_exchange;
+  start.m_head = aRequest.m_head;
+  start.m_routes = aRequest.m_routes;
+  start.m_route = aRequest.m_route;
+  start.m_service = aService;
+  start.m_kind = KindOf(route.m_name, aRequest.m_head.m_prompt);
+  start.m_earlierWait = EarlierWait(aRequest);
+  start.m_movedTokensPerMs = MovedTokensPerMs(aService);
+  start.m_connections = ConnectionsOf(aService);
+  start.m_budget = &BudgetOf(aService);
+  start.m_quarantine = &m_quarantine;
+  start.m_freshness = &m_freshness;
+  start.m_usage = &m_usage;
+  start.m_organisation = aRequest.m_organisation;
+  start.m_hidesCredentials = usesKeys;
+  start.m_needsKey = usesKeys && !route.m_isPublic;
+  start.m_reach = &m_reach;
+  start.m_peers = &m_peers;
+  start.m_forwarded = aRequest.m_forwarded;
+  start.m_origins = &m_origins;
+  start.m_origin = aOrigin;
+  const std::string& beganAs = aOrigin && aRequest.m_head.m_takenUp
+                                 ? aRequest.m_head.m_takenUp->m_beganAs
+                                 : aRequest.m_head.m_id;
+  if (!beganAs.empty()) {
+    start.m_streamKey = StreamKeyOf(aRequest, beganAs);
+  }
   const std::uint64_t id = ++m_lastCall;
-  auto call =
-    std::make_unique<RelayCall>(m_node,
-                                RelayCallStart{ aExchange,
-                                                std::move(head),
-                                                m_node.m_routes,
-                                                route,
-                                                service,
-                                                std::move(kind),
-                                                earlierWait,
-                                                MovedTokensPerMs(service),
-                                                ConnectionsOf(service),
-                                                &BudgetOf(service),
-                                                &m_quarantine,
-                                                &m_freshness,
-                                                &m_usage,
-                                                accepted->m_organisation,
-                                                usesKeys,
-                                                usesKeys && !route->m_isPublic,
-                                                &m_reach,
-                                                &m_peers,
-                                                aForwarded });
+  auto call = std::make_unique<RelayCall>(m_node, std::move(start));
   RelayCall& started = *call;
   m_calls.emplace(id, std::move(call));
   m_node.m_runningCalls = m_calls.size();
@@ -248,24 +392,25 @@
 void
 Relay::Refuse(net::HttpExchange& aExchange,
               const CallHead& aHead,
-              int aStatus,
-              std::string_view aCode)
+              const Refusal& aRefusal)
 {
-  m_node.m_metrics.Count(observe::WithLabel("calls_total", "outcome", aCode));
+  m_node.m_metrics.Count(
+    observe::WithLabel("calls_total", "outcome", aRefusal.m_code));
   m_node.m_log->Write(observe::LogLevel::Info,
                       "call-refused",
                       { { "id", aHead.m_id },
-                        { "outcome", std::string(aCode) },
-                        { "status", std::int64_t{ aStatus } },
+                        { "outcome", std::string(aRefusal.m_code) },
+                        { "status", std::int64_t{ aRefusal.m_status } },
                         { "host", aHead.m_host },
                         { "path", aHead.m_path } });
-  const bool helpsLater = aStatus == kUnavailable;
+  const bool helpsElsewhere =
+    aRefusal.m_status == kUnavailable && aHead.m_isForwarded;
   SendOwnAnswer(aExchange,
-                { aStatus,
-                  aCode,
+                { aRefusal.m_status,
+                  aRefusal.m_code,
                   "not-run",
-                  helpsLater ? kOtherRetryAfter : Duration{},
-                  helpsLater && aHead.m_isForwarded });
+                  aRefusal.m_retryAfter,
+                  helpsElsewhere });
 }
 
 void
@@ -284,9 +429,11 @@
       { "config", static_cast<std::int64_t>(m_node.m_routes->Version()) },
       { "provenAgeMs", age ? age->count() : std::int64_t{ -1 } } });
   if (isUnknown) {
-    Refuse(aExchange, aHead, kUnauthorized, "unknown-key");
+    Refuse(aExchange, aHead, { kUnauthorized, "unknown-key" });
   } else {
-    Refuse(aExchange, aHead, kUnavailable, "configuration-not-fresh");
+    Refuse(aExchange,
+           aHead,
+           { kUnavailable, "configuration-not-fresh", kOtherRetryAfter });
   }
 }
 
--- a/packages/entry/src/Relay.h
+++ b/packages/entry/src/Relay.h
@@ -3,6 +3,7 @@
 #include "ConfigFreshness.h"
 #include "EntryNode.h"
 #include "RelayCall.h"
+#include "StreamOriginService.h"
 #include "UsageService.h"
 
 #include <map>
@@ -28,7 +29,8 @@
         const ConfigFreshness& aFreshness,
         UsageService& aUsage,
         ReachService& aReach,
-        const Peers& aPeers);
+        const Peers& aPeers,
+        StreamOriginService& aOrigins);
 
   tl::expected<void, net::NetError> Start();
   /** Applies the limits on callers' requests from the present configuration,
@@ -43,26 +45,63 @@
   void HandleForwarded(const std::shared_ptr<net::HttpExchange>& aExchange,
                        const ForwardedTerms& aTerms);
   /** Returns the number of calls under way. */
-  std::size_t Running() const { return m_calls.size(); }
+  std::size_t Running() const { return m_calls.size() + m_takeUps; }
   /** Returns the number of callers' connections with unsent bytes. */
   std::size_t Unsent() const { return m_server->Unsent(); }
 
 private:
+  /** A request that may run: all that its call starts with, but for what
+   * depends on the service. */
+  struct AdmittedRequest
+  {
+    std::shared_ptr<net::HttpExchange> m_exchange;
+    CallHead m_head;
+    std::shared_ptr<const relay::RouteTable> m_routes;
+    const relay::Route* m_route = nullptr;
+    const keys::Organisation* m_organisation = nullptr;
+    std::optional<ForwardedTerms> m_forwarded;
+  };
+
   void HandleRequest(const std::shared_ptr<net::HttpExchange>& aExchange,
                      const std::optional<ForwardedTerms>& aForwarded);
+  /** Starts a call whose caller takes a stream up again, once it is known what
+   * began the stream. */
+  void TakeUp(const AdmittedRequest& aRequest);
+  void DecideTakeUp(const AdmittedRequest& aRequest,
+                    Instant aSince,
+                    const streams::OriginDecision& aDecision);
+  /** Starts a call that goes on with a stream, if its route still leads there.
+   */
+  void GoOn(const AdmittedRequest& aRequest,
+            const streams::StreamOrigin& aOrigin);
+  /** `aOrigin`: what began the stream that the call goes on with; std::nullopt
+   * if it goes on with none. */
+  void StartCall(const AdmittedRequest& aRequest,
+                 const std::string& aService,
+                 const std::optional<streams::StreamOrigin>& aOrigin);
+  static streams::StreamKey StreamKeyOf(const AdmittedRequest& aRequest,
+                                        std::string_view aBeganAs);
+  /** Draws one of the route's services. */
+  const std::string& DrawService(const relay::Route& aRoute);
+  /** Why a request gets no call. */
+  struct Refusal
+  {
+    int m_status = 0;
+    std::string_view m_code;
+    /** When to come back; 0 if that is of no use. */
+    Duration m_retryAfter{};
+  };
+
   void Refuse(net::HttpExchange& aExchange,
               const CallHead& aHead,
-              int aStatus,
-              std::string_view aCode);
+              const Refusal& aRefusal);
   /** Answers a call that may not run by its key. */
   void RefuseKey(net::HttpExchange& aExchange,
                  const CallHead& aHead,
                  const keys::KeyVerdict& aVerdict);
   void Remove(std::uint64_t aCall);
   /** Returns how long the caller has waited before this call arrived here. */
-  Duration EarlierWait(const CallHead& aHead,
-                       const relay::Route& aRoute,
-                       const std::optional<ForwardedTerms>& aForwarded);
+  Duration EarlierWait(const AdmittedRequest& aRequest);
   /** Records the prompt in the statistics of its route, and returns them.
    * Returns null if the call has no prompt. */
   std::shared_ptr<relay::CallKind> KindOf(
@@ -80,8 +119,10 @@
   UsageService& m_usage;
   ReachService& m_reach;
   const Peers& m_peers;
+  StreamOriginService& m_origins;
   std::unique_ptr<net::HttpServer> m_server;
   std::uint64_t m_lastCall = 0;
+  std::size_t m_takeUps = 0; ///< Calls that wait for the origin of a stream.
   std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
   /** Retry budgets, by service. */
   std::map<std::string, relay::RetryBudget, std::less<>> m_budgets;
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -114,6 +114,7 @@
   , m_flow(TraitsOf(m_start))
   , m_began(aNode.Now())
   , m_deadline(m_began + m_start.m_route->m_maxDuration)
+  , m_origin(m_start.m_origin)
 {
   if (const auto& asked = m_start.m_head.m_deadline) {
     m_deadline = std::min(m_deadline, m_began + *asked);
@@ -163,9 +164,6 @@
     [this] { Handle(relay::CallerLeft{}); });
   m_timer =
     m_node.m_loop->After(Left(), [this] { Handle(relay::DeadlinePassed{}); });
-  if (IsTakenUp()) {
-    NoteTakenUp();
-  }
   m_start.m_budget->NoteFirstSend(m_began);
   if (!m_start.m_reach->IsUnreachable(m_start.m_service)) {
     m_node.m_fleet.Limits().NoteCall(relay::Fleet::ShortHash(m_start.m_service),
@@ -184,24 +182,19 @@
   return m_start.m_route->m_stream && m_start.m_route->m_resumable;
 }
 
-bool
-RelayCall::IsTakenUp() const
-{
-  return IsResumable() && m_start.m_head.m_takenUp;
-}
-
 void
-RelayCall::NoteTakenUp()
+RelayCall::NoteStreamBegan()
 {
-  const TakenUpStream& stream = *m_start.m_head.m_takenUp;
-  m_node.m_metrics.Count("streams_taken_up_total");
-  m_node.m_log->Write(observe::LogLevel::Info,
-                      "stream-taken-up",
-                      { { "id", m_start.m_head.m_id },
-                        { "beganAs", stream.m_beganAs },
-                        { "afterEvent", stream.m_afterEvent },
-                        { "service", m_start.m_service },
-                        { "leftMs", Left().count() } });
+  if (!IsResumable() || std::exchange(m_isOriginTold, true)) {
+    return;
+  }
+  if (!m_origin) {
+    m_origin = { m_attempt.m_service, m_attempt.m_softwareVersion };
+  }
+  // The instance that the caller reached makes it known.
+  if (m_start.m_streamKey && !m_start.m_forwarded) {
+    m_start.m_origins->NoteBegan(*m_start.m_streamKey, *m_origin);
+  }
 }
 
 void
@@ -263,7 +256,8 @@
     Priority() > m_start.m_routes->MostUrgentPriority(m_start.m_service);
   request.m_random = m_node.m_random();
   // The admission bound applies to the first placement only. A call that has
-  // been sent to an upstream before is continued, even if it is late.
+  // been sent to an upstream before is continued, even if it is late, and so is
+  // a stream that its caller takes up.
   const bool isFirst = aAction.m_excluded.empty();
   request.m_pause = m_start.m_route->m_pause;
   request.m_left = LeftToFirstToken();
@@ -271,7 +265,7 @@
   request.m_shortestAim =
     m_start.m_routes->ShortestFirstByteTarget(m_start.m_service);
   request.m_movedPerMs = m_start.m_movedTokensPerMs;
-  if (isFirst && m_start.m_head.m_prompt &&
+  if (isFirst && !m_start.m_origin && m_start.m_head.m_prompt &&
       m_start.m_route->m_firstByteTarget.count() > 0) {
     // What another instance needed to pass the call on is not held against it.
     const Duration earlier =
@@ -417,6 +411,7 @@
   m_attempt = {};
   m_attempt.m_id = aId;
   m_attempt.m_upstream = aMember.m_id;
+  m_attempt.m_service = m_start.m_service;
   m_attempt.m_softwareVersion = aMember.m_softwareVersion;
   m_attempt.m_sentAt = m_node.Now();
   m_attempt.m_readOnly = aTerms.m_readOnly;
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -7,6 +7,7 @@
 #include "PromptOutcome.h"
 #include "QuarantineService.h"
 #include "ReachService.h"
+#include "StreamOriginService.h"
 #include "UsageService.h"
 
 #include <memory>
@@ -15,7 +16,6 @@
 #include <ridgeferry/relay/ConnectionShare.h>
 #include <ridgeferry/relay/RelayFlow.h>
 #include <ridgeferry/relay/RetryBudget.h>
-#include <ridgeferry/streams/StreamOrigin.h>
 #include <sigc++/sigc++.h>
 #include <string>
 
@@ -62,6 +62,14 @@
   const Peers* m_peers = nullptr;
   /** Set if another instance passed the call on to this one. */
   std::optional<ForwardedTerms> m_forwarded = {};
+  /** Must outlive the call. */
+  StreamOriginService* m_origins = nullptr;
+  /** What began the stream that the call goes on with; std::nullopt if it goes
+   * on with none. */
+  std::optional<streams::StreamOrigin> m_origin = {};
+  /** Identifies the stream over its caller's tries; std::nullopt if the caller
+   * does not name its attempts. */
+  std::optional<streams::StreamKey> m_streamKey = {};
 };
 
 /** Executes the actions that a `RelayFlow` decides for one call: placement,
@@ -89,6 +97,7 @@
     relay::AttemptId m_id = 0;
     net::HttpCallId m_http = 0;
     std::string m_upstream;
+    std::string m_service;         ///< That of the upstream.
     std::string m_softwareVersion; ///< Of the upstream when it was sent to.
     /** Prefill work that remains until the first byte of the answer, in tokens
      * (see `Fleet::WorkOf`). */
@@ -162,10 +171,9 @@
   /** Returns whether the answer is a stream that another upstream may resume.
    */
   bool IsResumable() const;
-  /** Returns whether the caller takes up a stream that began earlier. */
-  bool IsTakenUp() const;
-  /** Precondition: `IsTakenUp`. */
-  void NoteTakenUp();
+  /** Must be called before events of a stream go to the caller: makes known
+   * what began it, once. */
+  void NoteStreamBegan();
   void NoteRepeat();
   /** Returns the digest of the call's content. Hashes the body at the first
    * use only. */
@@ -262,6 +270,7 @@
   int m_unsentInRow = 0;
   /** What began the stream; std::nullopt before its first event. */
   std::optional<streams::StreamOrigin> m_origin;
+  bool m_isOriginTold = false;
   /** Bytes of an incomplete event with which the latest attempt ended. */
   std::size_t m_unfinishedBytes = 0;
   /** The stream had a pause that was longer than the route allows. */
--- a/packages/entry/src/RelayCallAnswer.cpp
+++ b/packages/entry/src/RelayCallAnswer.cpp
@@ -55,18 +55,23 @@
 RelayCall::Do(const relay::ForwardHead& aAction)
 {
   m_answeredAt = m_node.Now();
+  net::HttpHeaders headers = PassableHeaders(m_attempt.m_head.m_headers);
+  if (m_start.m_forwarded && IsResumable()) {
+    // What the head says holds from here on, whichever run brings the first
+    // event.
+    NoteStreamBegan();
+    AddOrigin(headers, *m_origin);
+  }
   m_start.m_exchange->StartStream(
     m_attempt.m_head.m_status,
-    PassableHeaders(m_attempt.m_head.m_headers),
+    headers,
     aAction.m_unframed ? net::BodyFraming::Close : net::BodyFraming::Chunks);
 }
 
 void
 RelayCall::Do(const relay::ForwardBytes& aAction)
 {
-  if (!m_origin && IsResumable()) {
-    m_origin = { m_start.m_service, m_attempt.m_softwareVersion };
-  }
+  NoteStreamBegan();
   const auto exchange = m_start.m_exchange;
   exchange->SendChunk(aAction.m_bytes);
   if (exchange->Backlog() > kMostUnread) {
--- a/packages/entry/src/RelayCallForward.cpp
+++ b/packages/entry/src/RelayCallForward.cpp
@@ -100,7 +100,7 @@
   net::HttpRequest request =
     WriteForwarded(m_start.m_exchange->Request(),
                    *address,
-                   { Left(), waited, aAction.m_resumeAfter });
+                   { Left(), waited, aAction.m_resumeAfter, m_origin });
   request.m_timeout = Left();
   request.m_connectTimeout = kConnectTimeout;
   request.m_keepIdle = kMostIdle;
@@ -121,6 +121,10 @@
 {
   m_attempt.m_hasHead = true;
   m_attempt.m_head = aHead;
+  if (const auto origin = ReadOrigin(aHead.m_headers)) {
+    m_attempt.m_service = origin->m_service;
+    m_attempt.m_softwareVersion = origin->m_softwareVersion;
+  }
   m_attempt.m_saidNotRun = IsDeclined(aHead.m_headers);
   if (!m_attempt.m_saidNotRun) {
     Handle(relay::HeadArrived{
--- /dev/null
+++ b/packages/entry/src/StreamOriginService.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "EntryNode.h"
+#include "PeerSocket.h"
+#include "Peers.h"
+
+#include <map>
+#include <ridgeferry/streams/OriginDecision.h>
+#include <ridgeferry/streams/OriginHolders.h>
+#include <ridgeferry/streams/OriginLookup.h>
+#include <ridgeferry/streams/OriginTable.h>
+#include <ridgeferry/streams/VersionHistory.h>
+#include <sigc++/sigc++.h>
+#include <span>
+
+namespace ridgeferry::entry {
+
+/**
+ * Tells other instances which software version began each stream that can be
+ * resumed, and finds out which one began a stream that a caller takes up. Not
+ * thread-safe.
+ */
+class StreamOriginService
+{
+public:
+  using Decided = sigc::slot<void(const streams::OriginDecision&)>;
+
+  /** The arguments must outlive this object. */
+  StreamOriginService(EntryNode& aNode, Peers& aPeers, PeerSocket& aSocket);
+
+  void Start();
+  /** Must be called when a configuration comes into force. */
+  void UseRoutes();
+  /** Records that the list of upstreams shows a member. */
+  void NoteListed(const relay::Member& aMember);
+  /** Must be called several times a second. `aFollows` tells whether this
+   * instance reads the list of upstreams. */
+  void NoteList(bool aFollows);
+  /** Records that a stream began, and tells the instances that hold its record.
+   * Must be called before its first event goes to the caller. */
+  void NoteBegan(const streams::StreamKey& aKey,
+                 const streams::StreamOrigin& aOrigin);
+  /**
+   * Decides whether a stream that a caller takes up may go on. `aService` is
+   * the service to which the call would go if nothing else were known. Calls
+   * back once, perhaps before it returns, and after 150 ms at the latest.
+   */
+  void Find(const streams::StreamKey& aKey,
+            const std::string& aService,
+            const Decided& aDecided);
+  /** Passes all records on, as this instance stops. */
+  void HandOver();
+
+private:
+  /** A call that waits for the origin of its stream. */
+  struct Waiting
+  {
+    std::string m_service;
+    Decided m_decided;
+  };
+
+  void TakeMessage(const streams::OriginMessage& aMessage);
+  void TakeRecord(const streams::OriginRecord& aRecord);
+  /** Returns the answer to one question, in a message of its own. */
+  streams::OriginMessage AnswerTo(const streams::OriginQuestion& aQuestion);
+  std::optional<streams::SoleVersion> SoleVersionOf(
+    std::string_view aService) const;
+  streams::OriginEvidence EvidenceFor(std::string_view aService) const;
+  std::vector<streams::Holder> Holders() const;
+  void Do(std::span<const streams::LookupAction> aActions);
+  void Do(const streams::AskHolders& aAction);
+  void Do(const streams::LookupEnded& aAction);
+  void Tick();
+
+  EntryNode& m_node;
+  Peers& m_peers;
+  PeerSocket& m_socket;
+  std::string m_address; ///< IP:PORT for answers.
+  streams::OriginTable m_table;
+  streams::OriginLookups m_lookups;
+  streams::VersionHistory m_history;
+  std::multimap<streams::StreamKey, Waiting> m_waiting;
+  bool m_hasList = false;
+  Duration m_memory;
+  net::Watch m_lookupTick; ///< Runs while a lookup is under way.
+  net::Watch m_expiry;
+};
+
+} // namespace ridgeferry::entry
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -1415,6 +1415,526 @@
 }
 
 
+StreamOrigins::~StreamOrigins() noexcept {
+}
+
+
+void StreamOrigins::__set_streams(const std::vector<int64_t> & val) {
+  this->streams = val;
+}
+
+void StreamOrigins::__set_origins(const std::vector<int32_t> & val) {
+  this->origins = val;
+}
+
+void StreamOrigins::__set_keepForMs(const std::vector<int32_t> & val) {
+  this->keepForMs = val;
+}
+
+void StreamOrigins::__set_services(const std::vector<std::string> & val) {
+  this->services = val;
+}
+
+void StreamOrigins::__set_softwareVersions(const std::vector<std::string> & val) {
+  this->softwareVersions = val;
+}
+
+void StreamOrigins::__set_answersTo(const std::string& val) {
+  this->answersTo = val;
+}
+
+void StreamOrigins::__set_askedStreams(const std::vector<int64_t> & val) {
+  this->askedStreams = val;
+__isset.askedStreams = true;
+}
+
+void StreamOrigins::__set_askedServices(const std::vector<std::string> & val) {
+  this->askedServices = val;
+__isset.askedServices = true;
+}
+
+void StreamOrigins::__set_unknownStreams(const std::vector<int64_t> & val) {
+  this->unknownStreams = val;
+__isset.unknownStreams = true;
+}
+
+void StreamOrigins::__set_soleVersions(const std::vector<std::string> & val) {
+  this->soleVersions = val;
+__isset.soleVersions = true;
+}
+
+void StreamOrigins::__set_soleForMs(const std::vector<int64_t> & val) {
+  this->soleForMs = val;
+__isset.soleForMs = true;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOrigins& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOrigins::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_streams = false;
+  bool isset_origins = false;
+  bool isset_keepForMs = false;
+  bool isset_services = false;
+  bool isset_softwareVersions = false;
+  bool isset_answersTo = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->streams.clear();
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->streams.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
+            {
+              xfer += iprot->readI64(this->streams[_i132]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_streams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->origins.clear();
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _etype136;
+            xfer += iprot->readListBegin(_etype136, _size133);
+            this->origins.resize(_size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
+            {
+              xfer += iprot->readI32(this->origins[_i137]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_origins = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->keepForMs.clear();
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->keepForMs.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
+            {
+              xfer += iprot->readI32(this->keepForMs[_i142]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_keepForMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->services.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
+            {
+              xfer += iprot->readString(this->services[_i147]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->softwareVersions.clear();
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->softwareVersions.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
+            {
+              xfer += iprot->readString(this->softwareVersions[_i152]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_softwareVersions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->answersTo);
+          isset_answersTo = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->askedStreams.clear();
+            uint32_t _size153;
+            ::apache::thrift::protocol::TType _etype156;
+            xfer += iprot->readListBegin(_etype156, _size153);
+            this->askedStreams.resize(_size153);
+            uint32_t _i157;
+            for (_i157 = 0; _i157 < _size153; ++_i157)
+            {
+              xfer += iprot->readI64(this->askedStreams[_i157]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.askedStreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->askedServices.clear();
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->askedServices.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
+            {
+              xfer += iprot->readString(this->askedServices[_i162]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.askedServices = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unknownStreams.clear();
+            uint32_t _size163;
+            ::apache::thrift::protocol::TType _etype166;
+            xfer += iprot->readListBegin(_etype166, _size163);
+            this->unknownStreams.resize(_size163);
+            uint32_t _i167;
+            for (_i167 = 0; _i167 < _size163; ++_i167)
+            {
+              xfer += iprot->readI64(this->unknownStreams[_i167]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unknownStreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->soleVersions.clear();
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->soleVersions.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
+            {
+              xfer += iprot->readString(this->soleVersions[_i172]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.soleVersions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->soleForMs.clear();
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->soleForMs.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
+            {
+              xfer += iprot->readI64(this->soleForMs[_i177]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.soleForMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_streams)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_origins)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_keepForMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_services)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_softwareVersions)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_answersTo)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t StreamOrigins::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOrigins");
+
+  xfer += oprot->writeFieldBegin("streams", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->streams.size()));
+    std::vector<int64_t> ::const_iterator _iter178;
+    for (_iter178 = this->streams.begin(); _iter178 != this->streams.end(); ++_iter178)
+    {
+      xfer += oprot->writeI64((*_iter178));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("origins", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->origins.size()));
+    std::vector<int32_t> ::const_iterator _iter179;
+    for (_iter179 = this->origins.begin(); _iter179 != this->origins.end(); ++_iter179)
+    {
+      xfer += oprot->writeI32((*_iter179));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("keepForMs", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->keepForMs.size()));
+    std::vector<int32_t> ::const_iterator _iter180;
+    for (_iter180 = this->keepForMs.begin(); _iter180 != this->keepForMs.end(); ++_iter180)
+    {
+      xfer += oprot->writeI32((*_iter180));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
+    std::vector<std::string> ::const_iterator _iter181;
+    for (_iter181 = this->services.begin(); _iter181 != this->services.end(); ++_iter181)
+    {
+      xfer += oprot->writeString((*_iter181));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("softwareVersions", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->softwareVersions.size()));
+    std::vector<std::string> ::const_iterator _iter182;
+    for (_iter182 = this->softwareVersions.begin(); _iter182 != this->softwareVersions.end(); ++_iter182)
+    {
+      xfer += oprot->writeString((*_iter182));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answersTo", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->answersTo);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.askedStreams) {
+    xfer += oprot->writeFieldBegin("askedStreams", ::apache::thrift::protocol::T_LIST, 7);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->askedStreams.size()));
+      std::vector<int64_t> ::const_iterator _iter183;
+      for (_iter183 = this->askedStreams.begin(); _iter183 != this->askedStreams.end(); ++_iter183)
+      {
+        xfer += oprot->writeI64((*_iter183));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.askedServices) {
+    xfer += oprot->writeFieldBegin("askedServices", ::apache::thrift::protocol::T_LIST, 8);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->askedServices.size()));
+      std::vector<std::string> ::const_iterator _iter184;
+      for (_iter184 = this->askedServices.begin(); _iter184 != this->askedServices.end(); ++_iter184)
+      {
+        xfer += oprot->writeString((*_iter184));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.unknownStreams) {
+    xfer += oprot->writeFieldBegin("unknownStreams", ::apache::thrift::protocol::T_LIST, 9);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unknownStreams.size()));
+      std::vector<int64_t> ::const_iterator _iter185;
+      for (_iter185 = this->unknownStreams.begin(); _iter185 != this->unknownStreams.end(); ++_iter185)
+      {
+        xfer += oprot->writeI64((*_iter185));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.soleVersions) {
+    xfer += oprot->writeFieldBegin("soleVersions", ::apache::thrift::protocol::T_LIST, 10);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->soleVersions.size()));
+      std::vector<std::string> ::const_iterator _iter186;
+      for (_iter186 = this->soleVersions.begin(); _iter186 != this->soleVersions.end(); ++_iter186)
+      {
+        xfer += oprot->writeString((*_iter186));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.soleForMs) {
+    xfer += oprot->writeFieldBegin("soleForMs", ::apache::thrift::protocol::T_LIST, 11);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->soleForMs.size()));
+      std::vector<int64_t> ::const_iterator _iter187;
+      for (_iter187 = this->soleForMs.begin(); _iter187 != this->soleForMs.end(); ++_iter187)
+      {
+        xfer += oprot->writeI64((*_iter187));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOrigins &a, StreamOrigins &b) {
+  using ::std::swap;
+  swap(a.streams, b.streams);
+  swap(a.origins, b.origins);
+  swap(a.keepForMs, b.keepForMs);
+  swap(a.services, b.services);
+  swap(a.softwareVersions, b.softwareVersions);
+  swap(a.answersTo, b.answersTo);
+  swap(a.askedStreams, b.askedStreams);
+  swap(a.askedServices, b.askedServices);
+  swap(a.unknownStreams, b.unknownStreams);
+  swap(a.soleVersions, b.soleVersions);
+  swap(a.soleForMs, b.soleForMs);
+  swap(a.__isset, b.__isset);
+}
+
+StreamOrigins::StreamOrigins(const StreamOrigins& other188) {
+  streams = other188.streams;
+  origins = other188.origins;
+  keepForMs = other188.keepForMs;
+  services = other188.services;
+  softwareVersions = other188.softwareVersions;
+  answersTo = other188.answersTo;
+  askedStreams = other188.askedStreams;
+  askedServices = other188.askedServices;
+  unknownStreams = other188.unknownStreams;
+  soleVersions = other188.soleVersions;
+  soleForMs = other188.soleForMs;
+  __isset = other188.__isset;
+}
+StreamOrigins& StreamOrigins::operator=(const StreamOrigins& other189) {
+  streams = other189.streams;
+  origins = other189.origins;
+  keepForMs = other189.keepForMs;
+  services = other189.services;
+  softwareVersions = other189.softwareVersions;
+  answersTo = other189.answersTo;
+  askedStreams = other189.askedStreams;
+  askedServices = other189.askedServices;
+  unknownStreams = other189.unknownStreams;
+  soleVersions = other189.soleVersions;
+  soleForMs = other189.soleForMs;
+  __isset = other189.__isset;
+  return *this;
+}
+void StreamOrigins::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOrigins(";
+  out << "streams=" << to_string(streams);
+  out << ", " << "origins=" << to_string(origins);
+  out << ", " << "keepForMs=" << to_string(keepForMs);
+  out << ", " << "services=" << to_string(services);
+  out << ", " << "softwareVersions=" << to_string(softwareVersions);
+  out << ", " << "answersTo=" << to_string(answersTo);
+  out << ", " << "askedStreams="; (__isset.askedStreams ? (out << to_string(askedStreams)) : (out << "<null>"));
+  out << ", " << "askedServices="; (__isset.askedServices ? (out << to_string(askedServices)) : (out << "<null>"));
+  out << ", " << "unknownStreams="; (__isset.unknownStreams ? (out << to_string(unknownStreams)) : (out << "<null>"));
+  out << ", " << "soleVersions="; (__isset.soleVersions ? (out << to_string(soleVersions)) : (out << "<null>"));
+  out << ", " << "soleForMs="; (__isset.soleForMs ? (out << to_string(soleForMs)) : (out << "<null>"));
+  out << ")";
+}
+
+
 RowsRequest::~RowsRequest() noexcept {
 }
 
@@ -1532,17 +2052,17 @@
   swap(a.__isset, b.__isset);
 }
 
-RowsRequest::RowsRequest(const RowsRequest& other128) {
-  table = other128.table;
-  after = other128.after;
-  generation = other128.generation;
-  __isset = other128.__isset;
+RowsRequest::RowsRequest(const RowsRequest& other190) {
+  table = other190.table;
+  after = other190.after;
+  generation = other190.generation;
+  __isset = other190.__isset;
 }
-RowsRequest& RowsRequest::operator=(const RowsRequest& other129) {
-  table = other129.table;
-  after = other129.after;
-  generation = other129.generation;
-  __isset = other129.__isset;
+RowsRequest& RowsRequest::operator=(const RowsRequest& other191) {
+  table = other191.table;
+  after = other191.after;
+  generation = other191.generation;
+  __isset = other191.__isset;
   return *this;
 }
 void RowsRequest::printTo(std::ostream& out) const {
@@ -1692,17 +2212,17 @@
   swap(a.version, b.version);
 }
 
-Row::Row(const Row& other130) {
-  key = other130.key;
-  value = other130.value;
-  removed = other130.removed;
-  version = other130.version;
+Row::Row(const Row& other192) {
+  key = other192.key;
+  value = other192.value;
+  removed = other192.removed;
+  version = other192.version;
 }
-Row& Row::operator=(const Row& other131) {
-  key = other131.key;
-  value = other131.value;
-  removed = other131.removed;
-  version = other131.version;
+Row& Row::operator=(const Row& other193) {
+  key = other193.key;
+  value = other193.value;
+  removed = other193.removed;
+  version = other193.version;
   return *this;
 }
 void Row::printTo(std::ostream& out) const {
@@ -1797,14 +2317,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->rows.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->rows.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += this->rows[_i136].read(iprot);
+              xfer += this->rows[_i198].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1871,10 +2391,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter137;
-    for (_iter137 = this->rows.begin(); _iter137 != this->rows.end(); ++_iter137)
+    std::vector<Row> ::const_iterator _iter199;
+    for (_iter199 = this->rows.begin(); _iter199 != this->rows.end(); ++_iter199)
     {
-      xfer += (*_iter137).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1911,23 +2431,23 @@
   swap(a.__isset, b.__isset);
 }
 
-RowsReply::RowsReply(const RowsReply& other138) {
-  version = other138.version;
-  whole = other138.whole;
-  rows = other138.rows;
-  generation = other138.generation;
-  latestClockMs = other138.latestClockMs;
-  clockGeneration = other138.clockGeneration;
-  __isset = other138.__isset;
-}
-RowsReply& RowsReply::operator=(const RowsReply& other139) {
-  version = other139.version;
-  whole = other139.whole;
-  rows = other139.rows;
-  generation = other139.generation;
-  latestClockMs = other139.latestClockMs;
-  clockGeneration = other139.clockGeneration;
-  __isset = other139.__isset;
+RowsReply::RowsReply(const RowsReply& other200) {
+  version = other200.version;
+  whole = other200.whole;
+  rows = other200.rows;
+  generation = other200.generation;
+  latestClockMs = other200.latestClockMs;
+  clockGeneration = other200.clockGeneration;
+  __isset = other200.__isset;
+}
+RowsReply& RowsReply::operator=(const RowsReply& other201) {
+  version = other201.version;
+  whole = other201.whole;
+  rows = other201.rows;
+  generation = other201.generation;
+  latestClockMs = other201.latestClockMs;
+  clockGeneration = other201.clockGeneration;
+  __isset = other201.__isset;
   return *this;
 }
 void RowsReply::printTo(std::ostream& out) const {
@@ -2020,11 +2540,11 @@
   swap(a.after, b.after);
 }
 
-ChangesRequest::ChangesRequest(const ChangesRequest& other140) noexcept {
-  after = other140.after;
+ChangesRequest::ChangesRequest(const ChangesRequest& other202) noexcept {
+  after = other202.after;
 }
-ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other141) noexcept {
-  after = other141.after;
+ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other203) noexcept {
+  after = other203.after;
   return *this;
 }
 void ChangesRequest::printTo(std::ostream& out) const {
@@ -2132,13 +2652,13 @@
   swap(a.json, b.json);
 }
 
-ConfigObject::ConfigObject(const ConfigObject& other142) {
-  key = other142.key;
-  json = other142.json;
+ConfigObject::ConfigObject(const ConfigObject& other204) {
+  key = other204.key;
+  json = other204.json;
 }
-ConfigObject& ConfigObject::operator=(const ConfigObject& other143) {
-  key = other143.key;
-  json = other143.json;
+ConfigObject& ConfigObject::operator=(const ConfigObject& other205) {
+  key = other205.key;
+  json = other205.json;
   return *this;
 }
 void ConfigObject::printTo(std::ostream& out) const {
@@ -2208,14 +2728,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->changes.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size206;
+            ::apache::thrift::protocol::TType _etype209;
+            xfer += iprot->readListBegin(_etype209, _size206);
+            this->changes.resize(_size206);
+            uint32_t _i210;
+            for (_i210 = 0; _i210 < _size206; ++_i210)
             {
-              xfer += iprot->readString(this->changes[_i148]);
+              xfer += iprot->readString(this->changes[_i210]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2228,14 +2748,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->snapshot.clear();
-            uint32_t _size149;
-            ::apache::thrift::protocol::TType _etype152;
-            xfer += iprot->readListBegin(_etype152, _size149);
-            this->snapshot.resize(_size149);
-            uint32_t _i153;
-            for (_i153 = 0; _i153 < _size149; ++_i153)
+            uint32_t _size211;
+            ::apache::thrift::protocol::TType _etype214;
+            xfer += iprot->readListBegin(_etype214, _size211);
+            this->snapshot.resize(_size211);
+            uint32_t _i215;
+            for (_i215 = 0; _i215 < _size211; ++_i215)
             {
-              xfer += this->snapshot[_i153].read(iprot);
+              xfer += this->snapshot[_i215].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2272,10 +2792,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->changes.size()));
-    std::vector<std::string> ::const_iterator _iter154;
-    for (_iter154 = this->changes.begin(); _iter154 != this->changes.end(); ++_iter154)
+    std::vector<std::string> ::const_iterator _iter216;
+    for (_iter216 = this->changes.begin(); _iter216 != this->changes.end(); ++_iter216)
     {
-      xfer += oprot->writeString((*_iter154));
+      xfer += oprot->writeString((*_iter216));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2285,10 +2805,10 @@
     xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->snapshot.size()));
-      std::vector<ConfigObject> ::const_iterator _iter155;
-      for (_iter155 = this->snapshot.begin(); _iter155 != this->snapshot.end(); ++_iter155)
+      std::vector<ConfigObject> ::const_iterator _iter217;
+      for (_iter217 = this->snapshot.begin(); _iter217 != this->snapshot.end(); ++_iter217)
       {
-        xfer += (*_iter155).write(oprot);
+        xfer += (*_iter217).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2307,17 +2827,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangesReply::ChangesReply(const ChangesReply& other156) {
-  revision = other156.revision;
-  changes = other156.changes;
-  snapshot = other156.snapshot;
-  __isset = other156.__isset;
+ChangesReply::ChangesReply(const ChangesReply& other218) {
+  revision = other218.revision;
+  changes = other218.changes;
+  snapshot = other218.snapshot;
+  __isset = other218.__isset;
 }
-ChangesReply& ChangesReply::operator=(const ChangesReply& other157) {
-  revision = other157.revision;
-  changes = other157.changes;
-  snapshot = other157.snapshot;
-  __isset = other157.__isset;
+ChangesReply& ChangesReply::operator=(const ChangesReply& other219) {
+  revision = other219.revision;
+  changes = other219.changes;
+  snapshot = other219.snapshot;
+  __isset = other219.__isset;
   return *this;
 }
 void ChangesReply::printTo(std::ostream& out) const {
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -23,6 +23,8 @@
 
 class Heartbeat;
 
+class StreamOrigins;
+
 class RowsRequest;
 
 class Row;
@@ -481,6 +483,134 @@
 
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
+typedef struct _StreamOrigins__isset {
+  _StreamOrigins__isset() : askedStreams(false), askedServices(false), unknownStreams(false), soleVersions(false), soleForMs(false) {}
+  bool askedStreams :1;
+  bool askedServices :1;
+  bool unknownStreams :1;
+  bool soleVersions :1;
+  bool soleForMs :1;
+} _StreamOrigins__isset;
+
+/**
+ * One datagram about the software versions that began streams. `streams`, `origins`
+ * and `keepForMs` are of one length: the keys of streams, which of the message's
+ * origins began each, and for how many milliseconds the record is still to be kept.
+ */
+class StreamOrigins : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOrigins(const StreamOrigins&);
+  StreamOrigins& operator=(const StreamOrigins&);
+  StreamOrigins() noexcept
+                : answersTo() {
+  }
+
+  virtual ~StreamOrigins() noexcept;
+  std::vector<int64_t>  streams;
+  std::vector<int32_t>  origins;
+  std::vector<int32_t>  keepForMs;
+  /**
+   * Origins, as two lists of one length.
+   */
+  std::vector<std::string>  services;
+  std::vector<std::string>  softwareVersions;
+  /**
+   * IP:PORT at which the sender takes answers.
+   */
+  std::string answersTo;
+  /**
+   * Streams that the sender asks about, and the services that their calls would
+   * go to: two lists of one length.
+   */
+  std::vector<int64_t>  askedStreams;
+  std::vector<std::string>  askedServices;
+  /**
+   * Streams that the sender was asked about and has no record of, as three lists
+   * of one length: their keys, the only software version that it has seen of the
+   * service, and for how many milliseconds (negative: it has seen several, or
+   * none).
+   */
+  std::vector<int64_t>  unknownStreams;
+  std::vector<std::string>  soleVersions;
+  std::vector<int64_t>  soleForMs;
+
+  _StreamOrigins__isset __isset;
+
+  void __set_streams(const std::vector<int64_t> & val);
+
+  void __set_origins(const std::vector<int32_t> & val);
+
+  void __set_keepForMs(const std::vector<int32_t> & val);
+
+  void __set_services(const std::vector<std::string> & val);
+
+  void __set_softwareVersions(const std::vector<std::string> & val);
+
+  void __set_answersTo(const std::string& val);
+
+  void __set_askedStreams(const std::vector<int64_t> & val);
+
+  void __set_askedServices(const std::vector<std::string> & val);
+
+  void __set_unknownStreams(const std::vector<int64_t> & val);
+
+  void __set_soleVersions(const std::vector<std::string> & val);
+
+  void __set_soleForMs(const std::vector<int64_t> & val);
+
+  bool operator == (const StreamOrigins & rhs) const
+  {
+    if (!(streams == rhs.streams))
+      return false;
+    if (!(origins == rhs.origins))
+      return false;
+    if (!(keepForMs == rhs.keepForMs))
+      return false;
+    if (!(services == rhs.services))
+      return false;
+    if (!(softwareVersions == rhs.softwareVersions))
+      return false;
+    if (!(answersTo == rhs.answersTo))
+      return false;
+    if (__isset.askedStreams != rhs.__isset.askedStreams)
+      return false;
+    else if (__isset.askedStreams && !(askedStreams == rhs.askedStreams))
+      return false;
+    if (__isset.askedServices != rhs.__isset.askedServices)
+      return false;
+    else if (__isset.askedServices && !(askedServices == rhs.askedServices))
+      return false;
+    if (__isset.unknownStreams != rhs.__isset.unknownStreams)
+      return false;
+    else if (__isset.unknownStreams && !(unknownStreams == rhs.unknownStreams))
+      return false;
+    if (__isset.soleVersions != rhs.__isset.soleVersions)
+      return false;
+    else if (__isset.soleVersions && !(soleVersions == rhs.soleVersions))
+      return false;
+    if (__isset.soleForMs != rhs.__isset.soleForMs)
+      return false;
+    else if (__isset.soleForMs && !(soleForMs == rhs.soleForMs))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOrigins &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOrigins & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOrigins &a, StreamOrigins &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOrigins& obj);
+
 typedef struct _RowsRequest__isset {
   _RowsRequest__isset() : generation(false) {}
   bool generation :1;
--- a/packages/protocol/include/ridgeferry/protocol/Messages.h
+++ b/packages/protocol/include/ridgeferry/protocol/Messages.h
@@ -7,6 +7,7 @@
 #include <ridgeferry/freshness/StoreClock.h>
 #include <ridgeferry/membership/Roster.h>
 #include <ridgeferry/relay/FollowedTable.h>
+#include <ridgeferry/streams/OriginMessage.h>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -59,6 +60,8 @@
 std::string
 Encode(const membership::Heartbeat& aMessage);
 std::string
+Encode(const streams::OriginMessage& aMessage);
+std::string
 Encode(const ChangesRequest& aMessage);
 std::string
 Encode(const ChangesReply& aMessage);
@@ -70,6 +73,8 @@
 
 tl::expected<membership::Heartbeat, DecodeError>
 DecodeHeartbeat(std::string_view aBytes);
+tl::expected<streams::OriginMessage, DecodeError>
+DecodeOriginMessage(std::string_view aBytes);
 tl::expected<ChangesRequest, DecodeError>
 DecodeChangesRequest(std::string_view aBytes);
 tl::expected<ChangesReply, DecodeError>
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -98,6 +98,35 @@
   41: optional i32 runningCalls;
 }
 
+/**
+ * One datagram about the software versions that began streams. `streams`, `origins`
+ * and `keepForMs` are of one length: the keys of streams, which of the message's
+ * origins began each, and for how many milliseconds the record is still to be kept.
+ */
+struct StreamOrigins {
+  1: required list<i64> streams;
+  2: required list<i32> origins;
+  3: required list<i32> keepForMs;
+  /** Origins, as two lists of one length. */
+  4: required list<string> services;
+  5: required list<string> softwareVersions;
+  /** IP:PORT at which the sender takes answers. */
+  6: required string answersTo;
+  /** Streams that the sender asks about, and the services that their calls would
+   * go to: two lists of one length. */
+  7: optional list<i64> askedStreams;
+  8: optional list<string> askedServices;
+  /**
+   * Streams that the sender was asked about and has no record of, as three lists
+   * of one length: their keys, the only software version that it has seen of the
+   * service, and for how many milliseconds (negative: it has seen several, or
+   * none).
+   */
+  9: optional list<i64> unknownStreams;
+  10: optional list<string> soleVersions;
+  11: optional list<i64> soleForMs;
+}
+
 /** Asks a peer for what it has read of a table of the store. */
 struct RowsRequest {
   1: required string table;
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -1,56 +1,15 @@
 #include "ridgeferry/protocol/Messages.h"
 
+#include "Codec.h"
 #include "LimitDigests.h"
 #include "ridgeferry_types.h"
 
 #include <algorithm>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
 namespace ridgeferry::protocol {
 
 namespace {
 
-using apache::thrift::TConfiguration;
-using apache::thrift::protocol::TCompactProtocol;
-using apache::thrift::transport::TMemoryBuffer;
-
-/** Longest message that is read, in bytes: bounds what a peer can claim. */
-constexpr int kMaxMessage = 64 * 1024 * 1024;
-
-template<typename Message>
-std::string
-Write(const Message& aMessage)
-{
-  auto buffer = std::make_shared<TMemoryBuffer>();
-  TCompactProtocol protocol(buffer);
-  aMessage.write(&protocol);
-  return buffer->getBufferAsString();
-}
-
-template<typename Message>
-tl::expected<Message, DecodeError>
-Read(std::string_view aBytes)
-{
-  // Thrift reads from a pointer without const, but only observes it here.
-  auto* bytes =
-    reinterpret_cast<std::uint8_t*>(const_cast<char*>(aBytes.data()));
-  auto config = std::make_shared<TConfiguration>(kMaxMessage);
-  auto buffer =
-    std::make_shared<TMemoryBuffer>(bytes,
-                                    static_cast<std::uint32_t>(aBytes.size()),
-                                    TMemoryBuffer::OBSERVE,
-                                    config);
-  TCompactProtocol protocol(buffer);
-  Message message;
-  try {
-    message.read(&protocol);
-  } catch (const std::exception& error) {
-    return tl::unexpected(DecodeError{ error.what() });
-  }
-  return message;
-}
-
 /** A negative number is none that a store counts: the position of no answer. */
 StorePosition
 PositionOf(std::int64_t aGeneration, std::int64_t aVersion)
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -97,8 +97,61 @@
   }));
 }
 
+streams::OriginMessage
+AnyOriginMessage()
+{
+  const auto text = [] {
+    return *rc::gen::element<std::string>("", "s", "llm", "v1", "v1.1");
+  };
+  const auto key = [] {
+    return streams::StreamKey{ *rc::gen::arbitrary<std::uint64_t>() };
+  };
+  const auto time = [] { return Duration{ *rc::gen::inRange(0, 1 << 30) }; };
+  streams::OriginMessage out;
+  out.m_from = "10.0.0.1:7662";
+  for (int i = *rc::gen::inRange(0, 5); i > 0; --i) {
+    out.m_records.push_back({ key(), { text(), text() }, time() });
+  }
+  for (int i = *rc::gen::inRange(0, 3); i > 0; --i) {
+    out.m_questions.push_back({ key(), text() });
+  }
+  for (int i = *rc::gen::inRange(0, 3); i > 0; --i) {
+    streams::NoRecord item{ key(), {} };
+    if (*rc::gen::arbitrary<bool>()) {
+      item.m_sole = { text(), time() };
+    }
+    out.m_noRecords.push_back(item);
+  }
+  return out;
+}
+
+TEST(MessagesTest, OriginMessageSurvivesItsEncoding)
+{
+  EXPECT_TRUE(rc::check("origins of streams", [] {
+    const streams::OriginMessage message = AnyOriginMessage();
+    const auto decoded = DecodeOriginMessage(Encode(message));
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(*decoded == message);
+  }));
+}
+
+// Both kinds come as datagrams at one address.
+TEST(MessagesTest, HeartbeatsAndOriginMessagesAreToldApart)
+{
+  EXPECT_TRUE(rc::check("told apart", [] {
+    RC_ASSERT(!DecodeHeartbeat(Encode(AnyOriginMessage())).has_value());
+    RC_ASSERT(!DecodeOriginMessage(Encode(AnyHeartbeat())).has_value());
+  }));
+}
+
 TEST(MessagesTest, CutOrForeignBytesAreAnError)
 {
+  EXPECT_TRUE(rc::check("cut origins of streams", [] {
+    std::string bytes = Encode(AnyOriginMessage());
+    bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size()));
+    RC_ASSERT(!DecodeOriginMessage(bytes).has_value());
+  }));
+
   EXPECT_TRUE(rc::check("cut heartbeat", [] {
     std::string bytes = Encode(AnyHeartbeat());
     bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size()));
@@ -107,6 +160,7 @@
   EXPECT_TRUE(rc::check("any bytes never crash", [] {
     const auto bytes = *rc::gen::arbitrary<std::string>();
     (void)DecodeHeartbeat(bytes);
+    (void)DecodeOriginMessage(bytes);
     (void)DecodeChangesRequest(bytes);
     (void)DecodeChangesReply(bytes);
     (void)DecodeRowsRequest(bytes);
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -322,6 +322,8 @@
    * busy, whatever their role.
    */
   double UpstreamsNeeded(const Service& aService) const;
+  /** Returns all members, for as long as their list does not change. */
+  std::vector<const Member*> Members() const;
   /**
    * Returns the listed members of a service. The pointers are valid until the
    * list of members changes.
@@ -466,9 +468,11 @@
     double TypicalFirstMs() const { return WaitMs() + m_typicalMs; }
   };
 
+  /** Returns whether the member may get the call, unless it is ejected. */
   bool MayServe(const State& aState,
                 const PlaceRequest& aRequest,
                 Instant aNow) const;
+  static bool IsEjected(const State& aState, Instant aNow);
   /** Returns whether the member runs the software version that the call needs.
    */
   static bool RunsVersion(const Member& aMember, const PlaceRequest& aRequest);
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -207,13 +207,18 @@
   const bool excluded = std::find(aRequest.m_excluded.begin(),
                                   aRequest.m_excluded.end(),
                                   member.m_id) != aRequest.m_excluded.end();
-  const bool isEjected = aState.m_ejectedUntil && aNow < *aState.m_ejectedUntil;
   const bool gone = aState.m_goneAt && aNow >= *aState.m_goneAt;
   return member.m_service == aRequest.m_service && !member.m_leaving &&
-         !excluded && !isEjected && !gone && !aState.m_changing &&
+         !excluded && !gone && !aState.m_changing &&
          RunsVersion(member, aRequest);
 }
 
+bool
+Fleet::IsEjected(const State& aState, Instant aNow)
+{
+  return aState.m_ejectedUntil && aNow < *aState.m_ejectedUntil;
+}
+
 bool
 Fleet::RunsVersion(const Member& aMember, const PlaceRequest& aRequest)
 {
@@ -258,7 +263,11 @@
   bool anyBusy = false;
   std::optional<Duration> limitedFor;
   for (const auto& [id, state] : m_members) {
-    if (!MayServe(state, aRequest, aNow)) {
+    // A stream that only these upstreams can go on with is better tried at an
+    // ejected one than given up.
+    const bool isEjected = IsEjected(state, aNow);
+    if (!MayServe(state, aRequest, aNow) ||
+        (isEjected && !aRequest.m_softwareVersion)) {
       continue;
     }
     const Duration roomIn = RoomUnderLimit(state, aRequest, aNow);
@@ -266,7 +275,7 @@
       limitedFor = std::min(limitedFor.value_or(Duration::max()), roomIn);
     } else if (!HasConnection(state, aRequest)) {
       anyBusy = true;
-    } else if (IsUnresponsive(state, aNow) ||
+    } else if (isEjected || IsUnresponsive(state, aNow) ||
                (state.m_isOnProbation && !aRequest.m_mayProbe)) {
       silent.push_back(&state);
     } else {
--- a/packages/relay/src/FleetRoles.cpp
+++ b/packages/relay/src/FleetRoles.cpp
@@ -222,6 +222,17 @@
   return bySlots + prefillMs / kPrefillBacklogMs;
 }
 
+std::vector<const Member*>
+Fleet::Members() const
+{
+  std::vector<const Member*> out;
+  out.reserve(m_members.size());
+  for (const auto& [id, state] : m_members) {
+    out.push_back(&state.m_member);
+  }
+  return out;
+}
+
 std::vector<const Member*>
 Fleet::MembersOf(std::string_view aService) const
 {
--- a/packages/relay/tests/FleetVersionTest.cpp
+++ b/packages/relay/tests/FleetVersionTest.cpp
@@ -99,6 +99,19 @@
                  NoPlaceCause::VersionGone }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+// Other calls are kept from an ejected upstream, since they have a choice.
+TEST(FleetNewVersionTest, AStreamIsTriedAtAnEjectedUpstreamIfNoOtherCanGoOn)
+{
+  Fleet fleet;
+  fleet.Put(Versioned("a", "v1"));
+  fleet.Put(Versioned("b", "v2"));
+  Fail(fleet, "a", Fleet::kFailuresToEject);
+  PlaceRequest request = LongRequest(1);
+  EXPECT_EQ(MustFind(fleet, request).m_upstream, "b");
+  request.m_softwareVersion = "v1";
+  EXPECT_EQ(MustFind(fleet, request).m_upstream, "a");
+}
+
 // An upstream that starts again under its id may come with other software.
 TEST(FleetNewVersionTest, AnIncarnationOfAnotherVersionGoesOnWithNothing)
 {
--- /dev/null
+++ b/packages/streams/tests/StreamOriginWorldTest.cpp
@@ -0,0 +1,126 @@
+#include "StreamOriginWorld.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <iostream>
+#include <ostream>
+#include <rapidcheck/gtest.h>
+
+namespace ridgeferry::streams {
+namespace {
+
+/** Least share of the streams taken up, in percent, that must go on where their
+ * instance and two upstreams of their version were there all the while. */
+constexpr int kLeastGoOn = 90;
+/** The least that the users allow, in all trouble: half. */
+constexpr int kLeastInTrouble = 50;
+
+struct WorldCase
+{
+  const char* m_name;
+  WorldTerms m_terms;
+  int m_leastGoOn = kLeastGoOn;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const WorldCase& aCase)
+{
+  return aOut << aCase.m_name;
+}
+
+WorldTerms
+Terms(double aKills, double aSuspensions, bool aHasCut, Duration aRolloutEvery)
+{
+  WorldTerms out;
+  out.m_kills = aKills;
+  out.m_suspensions = aSuspensions;
+  out.m_hasCut = aHasCut;
+  out.m_rolloutEvery = aRolloutEvery;
+  return out;
+}
+
+class StreamOriginWorldTest : public ::testing::TestWithParam<WorldCase>
+{};
+
+// Guards against streams of two versions, and against refusing them all.
+TEST_P(StreamOriginWorldTest, NoStreamChangesVersionAndMostGoOn)
+{
+  EXPECT_TRUE(rc::check(GetParam().m_name, [&] {
+    const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>());
+    const WorldResult result =
+      StreamOriginWorld(GetParam().m_terms, seed).Play();
+    RC_ASSERT(result.m_mixed == 0);
+    RC_ASSERT(result.m_takenUpInTouch > 0);
+    RC_ASSERT(result.m_goOnInTouch * 100 >=
+              result.m_takenUpInTouch * GetParam().m_leastGoOn);
+  }));
+}
+
+constexpr Duration kOften{ 6000 };
+
+INSTANTIATE_TEST_SUITE_P(
+  Worlds,
+  StreamOriginWorldTest,
+  ::testing::Values(
+    WorldCase{ "Calm", Terms(0, 0, false, kOften) },
+    WorldCase{ "Kills", Terms(0.5, 0, false, kOften) },
+    WorldCase{ "Suspensions", Terms(0, 0.5, false, kOften) },
+    WorldCase{ "Cut", Terms(0, 0, true, kOften), kLeastInTrouble },
+    WorldCase{ "All", Terms(0.4, 0.3, true, kOften), kLeastInTrouble }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+struct WayCase
+{
+  const char* m_name;
+  Telling m_telling;
+  int m_instances;
+};
+
+/** Messages an instance and stream, and the share that goes on, in percent. */
+struct WayResult
+{
+  double m_messages = 0;
+  double m_goOn = 0;
+  int m_mixed = 0;
+};
+
+WayResult
+Measure(Telling aTelling, int aInstances)
+{
+  constexpr double kStreamsEach = 13; // 4,700 a second at 360 instances.
+  WorldTerms terms = Terms(0.02 * aInstances, 0, false, kOften);
+  terms.m_instances = aInstances;
+  terms.m_dataCentres = 8;
+  terms.m_telling = aTelling;
+  terms.m_streams = kStreamsEach * aInstances;
+  terms.m_length = Duration{ 3000 };
+  const WorldResult result = StreamOriginWorld(terms, 1).Play();
+  const auto seconds = static_cast<double>(terms.m_length.count()) / 1000;
+  return { static_cast<double>(result.m_messages) / aInstances / seconds,
+           100.0 * result.m_goOnInTouch / std::max(1, result.m_takenUpInTouch),
+           result.m_mixed };
+}
+
+// Two ways, and none, with the same load at each instance.
+TEST(StreamOriginWaysTest, WhatIsToldDoesNotGrowWithTheFleet)
+{
+  std::cout << "messages an instance and second, share that goes on\n";
+  const double small = Measure(Telling::Holders, 30).m_messages;
+  for (const int instances : { 30, 100, 300 }) {
+    const WayResult holders = Measure(Telling::Holders, instances);
+    std::cout << "told to holders, " << instances << ": " << holders.m_messages
+              << ", " << holders.m_goOn << " %\n";
+    EXPECT_LT(holders.m_messages, 1.3 * small);
+    EXPECT_GE(holders.m_goOn, kLeastGoOn);
+    EXPECT_EQ(holders.m_mixed, 0);
+  }
+  const WayResult all = Measure(Telling::All, 30);
+  const WayResult nobody = Measure(Telling::Nobody, 30);
+  std::cout << "told to all, 30: " << all.m_messages << ", " << all.m_goOn
+            << " %\ntold to nobody, 30: " << nobody.m_messages << ", "
+            << nobody.m_goOn << " %\n";
+  EXPECT_EQ(all.m_mixed + nobody.m_mixed, 0);
+}
+
+} // namespace
+} // namespace ridgeferry::streams
