A KV cache is read only by the software version that wrote it

Prefill engine, decode engine and the engine that a prefix is fetched from are of one version now, and a prefill engine whose version decodes nowhere gets no prompt. Shown by FleetVersionCacheTest (both ways of prefill) and VersionPlanTest (3 of 4 rows), all red before. Fleets of one version are placed and planned as before (FleetTest and others).

--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -389,7 +389,9 @@
   }
   if (!aAction.m_handle.empty()) {
     const relay::Member* reader = m_node.m_fleet.Find(aAction.m_prefillEngine);
-    if (reader != nullptr) {
+    // Another version could not read what this one wrote.
+    if (reader != nullptr &&
+        reader->m_softwareVersion == member->m_softwareVersion) {
       terms.m_prefillAddress = reader->m_address;
       terms.m_handle = aAction.m_handle;
     }
--- a/packages/relay/include/ridgeferry/relay/DecodePoolPlanner.h
+++ b/packages/relay/include/ridgeferry/relay/DecodePoolPlanner.h
@@ -6,6 +6,7 @@
 #include <ridgeferry/relay/Member.h>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ridgeferry::relay {
@@ -19,6 +20,7 @@
   UpstreamRole m_role = UpstreamRole::Decode;
   std::int64_t m_running = 0; ///< Calls in flight there from all instances.
   bool m_changes = false;     ///< Whether the engine is already changing roles.
+  std::string m_softwareVersion = {};
 };
 
 /** Requests that an engine take on another role. */
@@ -38,8 +40,9 @@
  * engine that the output does not need stays idle while prompts wait.
  *
  * Each data centre keeps engines of both roles, so that it can serve while it
- * is cut off from the others. This class only makes decisions and does no I/O.
- * It is not thread-safe.
+ * is cut off from the others. Each software version keeps an engine that
+ * decodes, as no other version reads the KV caches that it writes. This class
+ * only makes decisions and does no I/O. It is not thread-safe.
  */
 class DecodePoolPlanner
 {
@@ -62,8 +65,17 @@
                                      Instant aNow);
 
 private:
+  /** Has an engine decode of each version that has none for a while. */
+  void PlanVersions(
+    std::span<const PlannedEngine> aEngines,
+    const std::map<std::string_view, std::size_t>& aDecodeEngines,
+    Instant aNow,
+    std::vector<EngineRoleChange>& aChanges);
+
   /** For each data centre that is short of decode engines, since when it is. */
   std::map<std::string, Instant> m_shortSince;
+  /** For each software version without a decode engine, since when. */
+  std::map<std::string, Instant> m_versionShortSince;
 };
 
 } // namespace ridgeferry::relay
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -550,6 +550,11 @@
   static const Candidate& PickDisaggregated(
     std::span<const Candidate> aPrefillEngines,
     const PlaceRequest& aRequest);
+  /** Returns whether the engine decodes, and can read the KV cache that
+   * `aPrefillEngine` writes. */
+  static bool MayDecodeFor(const State& aState, const State& aPrefillEngine);
+  static bool HasDecodeEngine(std::span<const State* const> aSound,
+                              const State& aPrefillEngine);
   /**
    * Returns the engine that decodes a prompt which `aPrefillEngine` prefills,
    * or null if there is none.
@@ -595,7 +600,7 @@
     const PlaceRequest& aRequest);
   /**
    * Returns a place that prefills at `aPrefillEngine` and decodes at the best
-   * decode engine. Precondition: at least one engine in `aSound` decodes.
+   * decode engine. Precondition: `HasDecodeEngine`.
    */
   static Place WithDecodeTarget(const State& aPrefillEngine,
                                 std::span<const State* const> aSound,
@@ -644,8 +649,11 @@
     TransferSource m_most;
     std::map<std::string_view, TransferSource> m_byDataCentre;
   };
-  TransferSources FindTransferSources(const PlaceRequest& aRequest,
-                                      Instant aNow) const;
+  /** Returns the sources by software version: an engine reads only what its own
+   * version wrote. */
+  std::map<std::string_view, TransferSources> FindTransferSources(
+    const PlaceRequest& aRequest,
+    Instant aNow) const;
   /**
    * Returns how long the work queued at a prefill engine may take, in
    * milliseconds, for a prompt to be sent there. `aTypicalMs` is the prefill
--- a/packages/relay/src/DecodePoolPlanner.cpp
+++ b/packages/relay/src/DecodePoolPlanner.cpp
@@ -51,21 +51,64 @@
   return std::clamp(static_cast<std::size_t>(std::ceil(aNeeded)), aLeast, most);
 }
 
-void
-Change(std::vector<const PlannedEngine*> aFrom,
-       std::size_t aCount,
-       UpstreamRole aTo,
-       std::vector<EngineRoleChange>& aChanges)
+/** Engines by software version. */
+using CountByVersion = std::map<std::string_view, std::size_t>;
+
+CountByVersion
+CountDecodeEngines(std::span<const PlannedEngine> aEngines)
+{
+  CountByVersion out;
+  for (const PlannedEngine& engine : aEngines) {
+    out[engine.m_softwareVersion] +=
+      engine.m_role == UpstreamRole::Decode ? 1 : 0;
+  }
+  return out;
+}
+
+/** The engines that are not changing yet, the least busy first. */
+std::vector<const PlannedEngine*>
+ByLoad(std::vector<const PlannedEngine*> aEngines)
 {
   std::erase_if(
-    aFrom, [](const PlannedEngine* aEngine) { return aEngine->m_changes; });
-  std::stable_sort(aFrom.begin(),
-                   aFrom.end(),
+    aEngines, [](const PlannedEngine* aEngine) { return aEngine->m_changes; });
+  std::stable_sort(aEngines.begin(),
+                   aEngines.end(),
                    [](const PlannedEngine* aLeft, const PlannedEngine* aRight) {
                      return aLeft->m_running < aRight->m_running;
                    });
-  for (std::size_t i = 0; i < aCount && i < aFrom.size(); ++i) {
-    aChanges.push_back({ aFrom[i]->m_id, aTo });
+  return aEngines;
+}
+
+void
+ChangeToDecode(const std::vector<const PlannedEngine*>& aFrom,
+               std::size_t aCount,
+               std::vector<EngineRoleChange>& aChanges)
+{
+  const std::vector<const PlannedEngine*> engines = ByLoad(aFrom);
+  for (std::size_t i = 0; i < aCount && i < engines.size(); ++i) {
+    aChanges.push_back({ engines[i]->m_id, UpstreamRole::Decode });
+  }
+}
+
+/** The last decode engine of a version stays one: no other version reads the KV
+ * caches that its prefill engines write. */
+void
+ChangeToPrefill(const std::vector<const PlannedEngine*>& aFrom,
+                std::size_t aCount,
+                CountByVersion& aDecodeEngines,
+                std::vector<EngineRoleChange>& aChanges)
+{
+  std::size_t count = 0;
+  for (const PlannedEngine* engine : ByLoad(aFrom)) {
+    std::size_t& sameVersion = aDecodeEngines[engine->m_softwareVersion];
+    if (count == aCount) {
+      return;
+    }
+    if (sameVersion > 1) {
+      --sameVersion;
+      ++count;
+      aChanges.push_back({ engine->m_id, UpstreamRole::Prefill });
+    }
   }
 }
 
@@ -83,6 +126,7 @@
     (reads ? hall.m_reading : hall.m_generating).push_back(&engine);
   }
   std::vector<EngineRoleChange> out;
+  CountByVersion decodeEngines = CountDecodeEngines(aEngines);
   for (const auto& [name, hall] : dataCentres) {
     const std::size_t now = hall.m_generating.size();
     const double share =
@@ -98,12 +142,47 @@
       if (aNow - since < kShortFor) {
         continue;
       }
-      Change(hall.m_reading, least - now, UpstreamRole::Decode, out);
+      ChangeToDecode(hall.m_reading, least - now, out);
     } else if (now > most) {
-      Change(hall.m_generating, now - most, UpstreamRole::Prefill, out);
+      ChangeToPrefill(hall.m_generating, now - most, decodeEngines, out);
     }
   }
+  PlanVersions(aEngines, decodeEngines, aNow, out);
   return out;
 }
 
+void
+DecodePoolPlanner::PlanVersions(
+  std::span<const PlannedEngine> aEngines,
+  const std::map<std::string_view, std::size_t>& aDecodeEngines,
+  Instant aNow,
+  std::vector<EngineRoleChange>& aChanges)
+{
+  std::erase_if(m_versionShortSince, [&](const auto& aEntry) {
+    const auto found = aDecodeEngines.find(aEntry.first);
+    return found == aDecodeEngines.end() || found->second > 0;
+  });
+  for (const auto& [version, count] : aDecodeEngines) {
+    if (count > 0) {
+      continue;
+    }
+    const Instant since =
+      m_versionShortSince.try_emplace(std::string(version), aNow).first->second;
+    if (aNow - since < kShortFor) {
+      continue;
+    }
+    std::vector<const PlannedEngine*> engines;
+    for (const PlannedEngine& engine : aEngines) {
+      const bool isChosen = std::any_of(
+        aChanges.begin(), aChanges.end(), [&](const EngineRoleChange& aChange) {
+          return aChange.m_engine == engine.m_id;
+        });
+      if (engine.m_softwareVersion == version && !isChosen) {
+        engines.push_back(&engine);
+      }
+    }
+    ChangeToDecode(engines, 1, aChanges);
+  }
+}
+
 } // namespace ridgeferry::relay
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -441,12 +441,11 @@
     return takes(aLeft) < takes(aRight);
   };
   std::vector<const State*> decodeEngines;
-  std::copy_if(aSound.begin(),
-               aSound.end(),
-               std::back_inserter(decodeEngines),
-               [](const State* aState) {
-                 return aState->m_member.m_role == UpstreamRole::Decode;
-               });
+  std::copy_if(
+    aSound.begin(),
+    aSound.end(),
+    std::back_inserter(decodeEngines),
+    [&](const State* aState) { return MayDecodeFor(*aState, aPrefillEngine); });
   const State* best =
     *std::min_element(decodeEngines.begin(), decodeEngines.end(), sooner);
   const State* drawn = BetterOfTwo<const State*>(
@@ -552,6 +551,9 @@
                           static_cast<double>(WorkToPrefill(typical, isHome)) /
                             throughput };
     const bool reads = state->m_member.m_role == UpstreamRole::Prefill;
+    if (reads && !HasDecodeEngine(aSound, *state)) {
+      continue;
+    }
     const bool quiet = IsReservedForDecode(*state, reservedBound);
     if (longPrompt ? !quiet : !reads && (quiet || !reservedHasRoom)) {
       fitting.push_back(item);
--- a/packages/relay/src/FleetPrefillEngines.cpp
+++ b/packages/relay/src/FleetPrefillEngines.cpp
@@ -120,10 +120,10 @@
   return WorkOf(aPrompt, whole - TokensCached(aPrompt, aState, aNow));
 }
 
-Fleet::TransferSources
+std::map<std::string_view, Fleet::TransferSources>
 Fleet::FindTransferSources(const PlaceRequest& aRequest, Instant aNow) const
 {
-  TransferSources out;
+  std::map<std::string_view, TransferSources> out;
   if (aRequest.m_movedPerMs == 0) {
     return out;
   }
@@ -142,8 +142,9 @@
       &state, TokensCached(*aRequest.m_prompt, state, aNow)
     };
     if (source.m_tokens > 0) {
-      keepMost(out.m_most, source);
-      keepMost(out.m_byDataCentre[state.m_member.m_dataCentre], source);
+      TransferSources& sources = out[state.m_member.m_softwareVersion];
+      keepMost(sources.m_most, source);
+      keepMost(sources.m_byDataCentre[state.m_member.m_dataCentre], source);
     }
   }
   return out;
@@ -187,6 +188,23 @@
   return out;
 }
 
+bool
+Fleet::MayDecodeFor(const State& aState, const State& aPrefillEngine)
+{
+  return aState.m_member.m_role == UpstreamRole::Decode &&
+         aState.m_member.m_softwareVersion ==
+           aPrefillEngine.m_member.m_softwareVersion;
+}
+
+bool
+Fleet::HasDecodeEngine(std::span<const State* const> aSound,
+                       const State& aPrefillEngine)
+{
+  return std::any_of(aSound.begin(), aSound.end(), [&](const State* aState) {
+    return MayDecodeFor(*aState, aPrefillEngine);
+  });
+}
+
 const Fleet::State*
 Fleet::PickDecodeTarget(const State& aPrefillEngine,
                         std::span<const State* const> aSound)
@@ -200,7 +218,7 @@
   };
   const State* decodeTarget = nullptr;
   for (const State* state : aSound) {
-    if (state->m_member.m_role == UpstreamRole::Decode &&
+    if (MayDecodeFor(*state, aPrefillEngine) &&
         (decodeTarget == nullptr || busy(state) < busy(decodeTarget))) {
       decodeTarget = state;
     }
@@ -276,12 +294,20 @@
                          Instant aNow) const
 {
   const Prompt& prompt = *aRequest.m_prompt;
-  const TransferSources sources = FindTransferSources(aRequest, aNow);
+  const auto allSources = FindTransferSources(aRequest, aNow);
+  const auto sourcesOf = [&](const State& aState) {
+    const auto found = allSources.find(aState.m_member.m_softwareVersion);
+    return found == allSources.end() ? TransferSources{} : found->second;
+  };
   std::vector<Candidate> out;
   double nearest = 0;
   for (const State* state : aSound) {
     if (state->m_member.m_role == UpstreamRole::Prefill) {
-      out.push_back(PrefillCandidate(aRequest, *state, sources, aNow));
+      if (!HasDecodeEngine(aSound, *state)) {
+        continue;
+      }
+      out.push_back(
+        PrefillCandidate(aRequest, *state, sourcesOf(*state), aNow));
       nearest =
         std::max(nearest, AffinityScore(prompt.m_sharedKey, state->m_hash, 1));
     } else if (FitsColocatedPrefill(aRequest, *state)) {
@@ -290,7 +316,8 @@
   }
   for (Candidate& prefillEngine : out) {
     prefillEngine.m_hasAffinity =
-      IsLong(prompt) && sources.m_most.m_tokens == 0 &&
+      IsLong(prompt) &&
+      sourcesOf(*prefillEngine.m_state).m_most.m_tokens == 0 &&
       AffinityScore(prompt.m_sharedKey, prefillEngine.m_state->m_hash, 1) >=
         nearest;
   }
--- a/packages/relay/src/FleetRoles.cpp
+++ b/packages/relay/src/FleetRoles.cpp
@@ -95,7 +95,9 @@
       out.push_back({ id,
                       member.m_dataCentre,
                       member.m_role,
-                      state.m_inFlight + state.m_peerInFlight });
+                      state.m_inFlight + state.m_peerInFlight,
+                      false,
+                      member.m_softwareVersion });
     }
   }
   return out;
--- a/packages/relay/tests/DecodePoolPlannerTest.cpp
+++ b/packages/relay/tests/DecodePoolPlannerTest.cpp
@@ -144,5 +144,55 @@
   }));
 }
 
+/** Engines by version: which of them decode, in one data centre of six. */
+struct VersionPlanCase
+{
+  const char* m_name;
+  const char* m_versions; ///< One letter an engine.
+  const char* m_roles;    ///< `p` prefills, `d` decodes.
+  /** The versions of the engines that are to change, with the new role. */
+  const char* m_changes;
+};
+
+class VersionPlanTest : public ::testing::TestWithParam<VersionPlanCase>
+{};
+
+// Guards against a version whose engines prefill what none of them may decode.
+TEST_P(VersionPlanTest, EachVersionKeepsAnEngineThatDecodes)
+{
+  std::vector<PlannedEngine> engines;
+  for (std::size_t i = 0; GetParam().m_versions[i] != '\0'; ++i) {
+    PlannedEngine engine;
+    engine.m_id = std::to_string(i);
+    engine.m_dataCentre = "a";
+    engine.m_softwareVersion = GetParam().m_versions[i];
+    engine.m_role = GetParam().m_roles[i] == 'p' ? UpstreamRole::Prefill
+                                                 : UpstreamRole::Decode;
+    engine.m_running = static_cast<std::int64_t>(i);
+    engines.push_back(engine);
+  }
+  DecodePoolPlanner planner;
+  planner.Plan(engines, 1, kNow);
+  std::string changes;
+  for (const EngineRoleChange& change :
+       planner.Plan(engines, 1, kNow + DecodePoolPlanner::kShortFor)) {
+    const auto& engine = engines[std::stoul(change.m_engine)];
+    changes += engine.m_softwareVersion +
+               (change.m_to == UpstreamRole::Prefill ? "p" : "d");
+  }
+  EXPECT_EQ(changes, GetParam().m_changes);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Versions,
+  VersionPlanTest,
+  ::testing::Values(
+    VersionPlanCase{ "One", "aaaaaa", "dddppp", "ap" },
+    // The idle ones are the new ones.
+    VersionPlanCase{ "TheNewOneKeepsOne", "bbbaaa", "dddddd", "bpbpapap" },
+    VersionPlanCase{ "NoneDecodes", "bbbaaa", "pppddp", "bd" },
+    VersionPlanCase{ "ASingleEngineDecodes", "baaaaa", "pddppp", "bd" }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 } // namespace
 } // namespace ridgeferry::relay
--- a/packages/relay/tests/FleetVersionTest.cpp
+++ b/packages/relay/tests/FleetVersionTest.cpp
@@ -130,5 +130,82 @@
   EXPECT_EQ(fault->m_cause, NoPlaceCause::VersionGone);
 }
 
+struct CacheCase
+{
+  const char* m_name;
+  bool m_isDisaggregated; ///< Prefill is kept away from decode engines.
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const CacheCase& aCase)
+{
+  return aOut << aCase.m_name;
+}
+
+class FleetVersionCacheTest : public ::testing::TestWithParam<CacheCase>
+{
+protected:
+  FleetVersionCacheTest()
+  {
+    for (const char* version : { "v1", "v2", "v3" }) {
+      for (int i = 0; i < 4; ++i) {
+        // The newest version only prefills as yet.
+        const bool decodes = i == 0 && std::string_view(version) != "v3";
+        Member member = Versioned(version + std::to_string(i), version);
+        member.m_role = decodes ? UpstreamRole::Decode : UpstreamRole::Prefill;
+        m_fleet.Put(member);
+      }
+    }
+    if (GetParam().m_isDisaggregated) {
+      m_fleet.RestoreDisaggregatedServices({ Fleet::ShortHash("llm") });
+    }
+  }
+
+  std::string VersionOf(const std::string& aEngine) const
+  {
+    const Member* member = m_fleet.Find(aEngine);
+    return member == nullptr ? "" : member->m_softwareVersion;
+  }
+
+  Fleet m_fleet;
+};
+
+// Guards against a KV cache that one version writes and another reads.
+TEST_P(FleetVersionCacheTest, ACacheStaysAtTheVersionThatWroteIt)
+{
+  int apart = 0;
+  int fetched = 0;
+  for (std::uint64_t i = 0; i < 200; ++i) {
+    PlaceRequest request = LongRequest(i % 5);
+    request.m_prompt->m_prefixSegments = { { static_cast<std::uint32_t>(i % 5),
+                                             6000 } };
+    request.m_movedPerMs = 1000;
+    request.m_random = i * 7919;
+    const Place place = MustFind(m_fleet, request);
+    const std::string version = VersionOf(place.m_upstream);
+    EXPECT_NE(version, "v3");
+    if (!place.m_prefillEngine.empty()) {
+      ++apart;
+      EXPECT_EQ(VersionOf(place.m_prefillEngine), version);
+      m_fleet.NotePrefill(*request.m_prompt, place.m_prefillEngine, kNow);
+      m_fleet.NoteSent(place.m_prefillEngine, 500, kNow);
+    }
+    if (!place.m_fetchFrom.empty()) {
+      ++fetched;
+      EXPECT_EQ(VersionOf(place.m_fetchFrom), version);
+    }
+  }
+  EXPECT_GT(apart, 50);
+  EXPECT_EQ(fetched > 0, GetParam().m_isDisaggregated);
+}
+
+INSTANTIATE_TEST_SUITE_P(Ways,
+                         FleetVersionCacheTest,
+                         ::testing::Values(CacheCase{ "Colocated", false },
+                                           CacheCase{ "Disaggregated", true }),
+                         [](const auto& aInfo) {
+                           return std::string(aInfo.param.m_name);
+                         });
+
 } // namespace
 } // namespace ridgeferry::relay
