--- a/packages/entry/src/ForwardedCall.cpp
+++ b/packages/entry/src/ForwardedCall.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <ridgeferry/entry/PassableHeaders.h>
+#include <ridgeferry/net/Uri.h>
 
 namespace ridgeferry::entry {
 
@@ -58,8 +59,10 @@
 void
 AddOrigin(net::HttpHeaders& aHeaders, const streams::StreamOrigin& aOrigin)
 {
-  aHeaders.Add(std::string(kService), aOrigin.m_service);
-  aHeaders.Add(std::string(kSoftwareVersion), aOrigin.m_softwareVersion);
+  // Encoded: both are others' texts, and may hold what ends a header field.
+  aHeaders.Add(std::string(kService), net::EncodeUriPart(aOrigin.m_service));
+  aHeaders.Add(std::string(kSoftwareVersion),
+               net::EncodeUriPart(aOrigin.m_softwareVersion));
 }
 
 std::optional<streams::StreamOrigin>
@@ -70,7 +73,8 @@
   if (!service || !version) {
     return std::nullopt;
   }
-  return streams::StreamOrigin{ std::string(*service), std::string(*version) };
+  return streams::StreamOrigin{ net::DecodeUriPart(*service),
+                                net::DecodeUriPart(*version) };
 }
 
 std::optional<ForwardedTerms>
--- a/packages/entry/tests/ForwardedCallTest.cpp
+++ b/packages/entry/tests/ForwardedCallTest.cpp
@@ -51,14 +51,25 @@
   EXPECT_EQ(read->m_left, terms.m_left);
   EXPECT_EQ(read->m_waited, terms.m_waited);
   EXPECT_EQ(read->m_resumeAfter, terms.m_resumeAfter);
+  EXPECT_EQ(read->m_origin, terms.m_origin);
 }
 
 INSTANTIATE_TEST_SUITE_P(
   Terms,
   ForwardedTermsTest,
-  ::testing::Values(TermsCase{ "Fresh", { Duration{ 700 }, Duration{}, "" } },
-                    TermsCase{ "Resumes",
-                               { Duration{ 1 }, Duration{ 900 }, "17" } }),
+  ::testing::Values(
+    TermsCase{ "Fresh", { Duration{ 700 }, Duration{}, "" } },
+    TermsCase{ "Resumes", { Duration{ 1 }, Duration{ 900 }, "17" } },
+    TermsCase{ "StaysAtItsVersion",
+               { Duration{ 1 },
+                 Duration{},
+                 "17",
+                 streams::StreamOrigin{ "s", "v1.1" } } },
+    TermsCase{ "OddNames",
+               { Duration{ 1 },
+                 Duration{},
+                 "",
+                 streams::StreamOrigin{ "a b%20\r\nX: y", "" } } }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
 struct NoTermsCase
--- a/packages/net/include/ridgeferry/net/Uri.h
+++ b/packages/net/include/ridgeferry/net/Uri.h
@@ -9,4 +9,8 @@
 std::string
 EncodeUriPart(std::string_view aText);
 
+/** Undoes `EncodeUriPart`; what is no encoded character stays as it is. */
+std::string
+DecodeUriPart(std::string_view aText);
+
 } // namespace ridgeferry::net
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -10,6 +10,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
+#include <ridgeferry/net/Uri.h>
 #include <sys/socket.h>
 #include <unordered_map>
 
@@ -22,19 +23,6 @@
 /** New connections that the kernel keeps for us: a burst of one second. */
 constexpr int kBacklog = 1024;
 
-std::string
-DecodePath(std::string_view aPath)
-{
-  std::size_t length = 0;
-  char* decoded = evhttp_uridecode(std::string(aPath).c_str(), 0, &length);
-  if (decoded == nullptr) {
-    return std::string(aPath);
-  }
-  std::string out(decoded, length);
-  free(decoded); // NOLINT: allocated by the library with malloc.
-  return out;
-}
-
 } // namespace
 
 HttpExchange::HttpExchange(ServerConnection& aConnection,
@@ -44,7 +32,7 @@
 {
   const std::string_view target = m_request.m_target;
   const std::size_t mark = target.find('?');
-  m_path = DecodePath(target.substr(0, mark));
+  m_path = DecodeUriPart(target.substr(0, mark));
   if (mark != std::string_view::npos) {
     m_query = target.substr(mark + 1);
   }
--- a/packages/net/src/Uri.cpp
+++ b/packages/net/src/Uri.cpp
@@ -15,4 +15,17 @@
   return out;
 }
 
+std::string
+DecodeUriPart(std::string_view aText)
+{
+  std::size_t length = 0;
+  char* decoded = evhttp_uridecode(std::string(aText).c_str(), 0, &length);
+  if (decoded == nullptr) {
+    return std::string(aText);
+  }
+  std::string out(decoded, length);
+  free(decoded); // NOLINT: allocated by the library with malloc.
+  return out;
+}
+
 } // namespace ridgeferry::net
