A call with two credentials is refused

Cause: the key was read from the first Authorization header alone. A call that brings two ran for the organisation of the first; on routes where credentials go on to an upstream both went on, and which of them a reader takes is open. What the caller is was decided by order, not known.

Ruled out: taking the last, or the first that is known (both still guess); refusing already in the parser (public routes pass credentials on unread, and callers of those are not ours to judge).

Conclusion: a head that names several callers names none.

--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -44,6 +44,8 @@
   std::string m_caller; ///< The caller's credentials; empty if it sent none.
   /** The API key in the credentials; empty if they hold none. */
   std::string m_key;
+  /** The head names more than one caller. */
+  bool m_hasSeveralCredentials = false;
   std::optional<TakenUpStream> m_takenUp;
   /** Another instance passed the call on. A dialect leaves it false. */
   bool m_isForwarded = false;
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -43,6 +44,13 @@
                      });
 }
 
+/** Returns whether only callers with an organisation's key may use `aRoute`. */
+bool
+NeedsKey(const relay::RouteTable& aRoutes, const relay::Route& aRoute)
+{
+  return !aRoutes.Organisations().IsEmpty() && !aRoute.m_isPublic;
+}
+
 /** Returns what a decision rests on, for logs and metrics. */
 std::string_view
 NameOf(const streams::OriginDecision& aDecision)
@@ -241,6 +249,11 @@
     Refuse(*aExchange, head, { kNotFound, "no-route" });
     return;
   }
+  if (head.m_hasSeveralCredentials &&
+      NeedsKey(*request.m_routes, *request.m_route)) {
+    Refuse(*aExchange, head, { kBadRequest, "several-credentials" });
+    return;
+  }
   const keys::KeyVerdict verdict =
     m_freshness.CheckKey(head.m_key, request.m_route->m_isPublic);
   const auto* accepted = std::get_if<keys::KeyAccepted>(&verdict);
@@ -360,7 +373,7 @@
   start.m_usage = &m_usage;
   start.m_organisation = aRequest.m_organisation;
   start.m_hidesCredentials = usesKeys;
-  start.m_needsKey = usesKeys && !route.m_isPublic;
+  start.m_needsKey = NeedsKey(*aRequest.m_routes, route);
   start.m_reach = &m_reach;
   start.m_peers = &m_peers;
   start.m_forwarded = aRequest.m_forwarded;
