An instance tells of the times in which it took up nothing

Cause (sight): a call late by a second may be late because a callback of ours computed, because the process had no processor, was paused, or waited for a disk.

loop-stalled: how long, how much of it suspended, how much of it computed by the loop's thread. The soak's complaint about a call whose caller left says when its work ended.

Ruled out: a time-out around each callback (costs two clocks a callback; the loop compares clocks each 100 ms anyway).

Also the linter's two findings in packages/streams (a default comparison that this linter takes for a null pointer; a move of a trivial type).

--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -623,6 +623,14 @@
       m_freshness->NotePeer(aView);
     });
   WatchSignals();
+  m_node.m_loop->SignalStalled().connect([this](const net::LoopStall& aStall) {
+    m_node.m_metrics.Count("loop_stalls_total");
+    m_node.m_log->Write(observe::LogLevel::Warning,
+                        "loop-stalled",
+                        { { "forMs", aStall.m_for.count() },
+                          { "suspendedMs", aStall.m_suspended.count() },
+                          { "busyMs", aStall.m_busy.count() } });
+  });
   m_tick = m_node.m_loop->Every(kTick, [this] { Tick(); });
   m_node.m_log->Write(observe::LogLevel::Info,
                       "started",
--- a/packages/net/include/ridgeferry/net/EventLoop.h
+++ b/packages/net/include/ridgeferry/net/EventLoop.h
@@ -13,6 +13,16 @@
 class EventLoop;
 struct TimerSet;
 
+/** A time in which the loop made no turn. */
+struct LoopStall
+{
+  Duration m_for{};
+  Duration m_suspended{}; ///< Share of it in which the machine was suspended.
+  /** Share of it in which the loop's thread had a processor: near to all of it
+   * if a callback computed for that long. */
+  Duration m_busy{};
+};
+
 /** The machine's clocks: both run steadily, from any beginning. */
 struct Clocks
 {
@@ -56,6 +66,8 @@
   static constexpr Duration kLookEvery{ 100 };
   /** They differ by less where the machine was not suspended. */
   static constexpr Duration kSuspended{ 20 };
+  /** Shorter pauses between two turns are no stall. */
+  static constexpr Duration kStall{ 300 };
 
   /** Null if the system refuses. */
   static std::unique_ptr<EventLoop> Make(Clocks aClocks = SystemClocks());
@@ -81,6 +93,10 @@
   /** Calls once from the loop, after the current callback has returned. */
   void Defer(sigc::slot<void()> aSlot);
 
+  /** The loop runs again after a stall: a callback that did not return, a
+   * process that was not scheduled or paused, a machine that was suspended. */
+  sigc::signal<void(const LoopStall&)>& SignalStalled() { return m_stalled; }
+
   event_base* Base() const { return m_base; }
 
 private:
@@ -89,13 +105,18 @@
   void RunDeferred();
   /** Time that the machine has been suspended, from any beginning. */
   Duration Suspended() const;
-  void LookForSuspension();
+  void Look();
+  /** Lets the timers that came due in a suspension fire. */
+  void MakeUpForSuspension(Instant aNow);
 
   event_base* m_base;
   Clocks m_clocks;
   /** Timers that are pending, by identity. */
   std::shared_ptr<TimerSet> m_timers;
   Duration m_suspended{}; ///< When it was last looked at.
+  Instant m_lookedAt;
+  Duration m_processorTime{}; ///< Of the thread, when it was last looked at.
+  sigc::signal<void(const LoopStall&)> m_stalled;
   Watch m_look;
   event* m_deferEvent = nullptr;
   std::vector<sigc::slot<void()>> m_deferred;
--- a/packages/net/src/EventLoop.cpp
+++ b/packages/net/src/EventLoop.cpp
@@ -1,5 +1,6 @@
 #include "ridgeferry/net/EventLoop.h"
 
+#include <algorithm>
 #include <ctime>
 #include <event2/event.h>
 #include <set>
@@ -95,6 +96,20 @@
            [read] { return read(CLOCK_MONOTONIC); } };
 }
 
+namespace {
+
+/** Of the calling thread; 0 if the system does not tell. */
+Duration
+ProcessorTime()
+{
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+} // namespace
+
 std::unique_ptr<EventLoop>
 EventLoop::Make(Clocks aClocks)
 {
@@ -110,6 +125,7 @@
   , m_clocks(std::move(aClocks))
   , m_timers(std::make_shared<TimerSet>())
   , m_suspended(Suspended())
+  , m_lookedAt(Now())
 {
   m_deferEvent = evtimer_new(
     m_base,
@@ -117,7 +133,7 @@
       static_cast<EventLoop*>(aContext)->RunDeferred();
     },
     this);
-  m_look = Every(kLookEvery, [this] { LookForSuspension(); });
+  m_look = Every(kLookEvery, [this] { Look(); });
 }
 
 EventLoop::~EventLoop()
@@ -130,6 +146,8 @@
 void
 EventLoop::Run()
 {
+  m_lookedAt = Now();
+  m_processorTime = ProcessorTime();
   event_base_loop(m_base, EVLOOP_NO_EXIT_ON_EMPTY);
 }
 
@@ -152,17 +170,28 @@
 }
 
 void
-EventLoop::LookForSuspension()
+EventLoop::Look()
 {
+  const Instant now = Now();
+  const Duration since = now - std::exchange(m_lookedAt, now);
+  const Duration worked = ProcessorTime();
+  const Duration busy = worked - std::exchange(m_processorTime, worked);
   const Duration suspended = Suspended();
   const Duration risen = suspended - std::exchange(m_suspended, suspended);
-  if (risen < kSuspended) {
-    return;
+  if (risen >= kSuspended) {
+    MakeUpForSuspension(now);
+  }
+  if (since >= kStall) {
+    m_stalled.emit({ since, std::max(risen, Duration{}), busy });
   }
+}
+
+void
+EventLoop::MakeUpForSuspension(Instant aNow)
+{
   // The system's timers have stood still meanwhile.
-  const Instant now = Now();
   for (Watch::Impl* timer : m_timers->m_timers) {
-    const Duration left = timer->m_dueAt - now;
+    const Duration left = timer->m_dueAt - aNow;
     if (left <= Duration{}) {
       event_active(timer->m_event, EV_TIMEOUT, 0);
     } else if (!timer->m_repeats) {
--- a/packages/streams/include/ridgeferry/streams/StreamKey.h
+++ b/packages/streams/include/ridgeferry/streams/StreamKey.h
@@ -22,7 +22,11 @@
 {
   std::uint64_t m_hash = 0;
 
-  auto operator<=>(const StreamKey&) const = default;
+  bool operator==(const StreamKey&) const = default;
+  bool operator<(const StreamKey& aOther) const
+  {
+    return m_hash < aOther.m_hash;
+  }
 };
 
 /** Thread-safe. */
--- a/packages/streams/tests/StreamOriginWorld.cpp
+++ b/packages/streams/tests/StreamOriginWorld.cpp
@@ -200,7 +200,7 @@
     stream.m_endsAt =
       m_now + Duration{ 200 + m_random() % kLongestStream.count() };
     Tell(node, stream);
-    m_streams.emplace(m_lastStream, std::move(stream));
+    m_streams.emplace(m_lastStream, stream);
   }
 }
 
--- a/tests/soak/SoakHistory.cpp
+++ b/tests/soak/SoakHistory.cpp
@@ -231,7 +231,8 @@
         IsCalm(run->m_upstream, aCall.m_sentAt, until);
       if (calm && (!run->m_endedAt || *run->m_endedAt > until)) {
         Wrong(aId + " was still at work at " + run->m_upstream +
-              " though its caller left" + At(aCall.m_endedAt));
+              " though its caller left" + At(aCall.m_endedAt) +
+              (run->m_endedAt ? ", ended" + At(*run->m_endedAt) : ""));
       }
     }
   }
