Lookups of origins end in their time however many begin

Cause: Find armed the repeating tick for each lookup that did not end at once; arming replaces the tick that runs, so lookups that begin less than 10 ms apart put each other's time-out off. It is armed now when the first of them begins.

Ruled out: ending late lookups in Find as well (no call begins, none ends); a timer a lookup (a hundred thousand of them behind the loss of an instance).

--- a/packages/entry/src/StreamOriginService.cpp
+++ b/packages/entry/src/StreamOriginService.cpp
@@ -142,8 +142,10 @@
   m_waiting.emplace(aKey, Waiting{ aService, aDecided });
   const std::vector<streams::Holder> others = Holders();
   m_node.m_metrics.Count("stream_lookups_total");
+  // Arming a tick that runs would put it off.
+  const bool ticks = !m_lookups.IsIdle();
   Do(m_lookups.Begin(aKey, aService, streams::HoldersToAsk(aKey, others), now));
-  if (!m_lookups.IsIdle()) {
+  if (!ticks && !m_lookups.IsIdle()) {
     m_lookupTick = m_node.m_loop->Every(kLookupTick, [this] { Tick(); });
   }
 }
