Broken sends are written with the shared segments of their prompts

The lines of an incident could not tell whether requests under which engines end have anything in common: a call is named by its whole content, and no two of these requests are alike.

No decision changes. Segments are named by their ids alone, not by what stands before them as for placement, since a segment may be the cause whatever else the request holds.

--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -6,6 +6,7 @@
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/net/Http.h>
 #include <ridgeferry/net/HttpServer.h>
+#include <ridgeferry/quarantine/PromptSegment.h>
 #include <ridgeferry/relay/Fleet.h>
 #include <ridgeferry/relay/RoleChangeController.h>
 #include <ridgeferry/relay/Routes.h>
@@ -41,6 +42,8 @@
    * deadline. */
   std::optional<Duration> m_deadline;
   std::optional<relay::Prompt> m_prompt;
+  /** The segments of the prompt that other prompts may share, in order. */
+  std::vector<quarantine::PromptSegment> m_segments;
   std::string m_caller; ///< The caller's credentials; empty if it sent none.
   /** The API key in the credentials; empty if they hold none. */
   std::string m_key;
--- a/packages/entry/src/QuarantineService.cpp
+++ b/packages/entry/src/QuarantineService.cpp
@@ -43,6 +43,17 @@
   return "call-unchanged";
 }
 
+/** Returns the segments for a log line, separated by commas. */
+std::string
+NamesOf(std::span<const quarantine::PromptSegment> aSegments)
+{
+  std::string out;
+  for (const quarantine::PromptSegment& segment : aSegments) {
+    out += (out.empty() ? "" : ",") + quarantine::FormatSegment(segment);
+  }
+  return out;
+}
+
 } // namespace
 
 QuarantineService::QuarantineService(EntryNode& aNode,
@@ -146,7 +157,8 @@
       { "upstream", aSend.m_upstream },
       { "ends", static_cast<std::int64_t>(m_quarantine.Ends(aSend.m_call)) },
       { "unresolved",
-        static_cast<std::int64_t>(m_broken.Unresolved(aSend.m_call)) } });
+        static_cast<std::int64_t>(m_broken.Unresolved(aSend.m_call)) },
+      { "segments", NamesOf(aSend.m_segments) } });
   Probe(*member);
 }
 
--- a/packages/entry/src/QuarantineService.h
+++ b/packages/entry/src/QuarantineService.h
@@ -7,7 +7,9 @@
 #include <memory>
 #include <ridgeferry/net/ConnectProbe.h>
 #include <ridgeferry/quarantine/BrokenRuns.h>
+#include <ridgeferry/quarantine/PromptSegment.h>
 #include <ridgeferry/quarantine/Quarantine.h>
+#include <span>
 
 namespace ridgeferry::entry {
 
@@ -55,6 +57,8 @@
     const quarantine::CallDigest& m_call;
     const std::string& m_upstream;
     const std::string& m_requestId; ///< For the log.
+    /** For the log. */
+    std::span<const quarantine::PromptSegment> m_segments = {};
   };
   /** The connection of the send broke before the answer was complete. Probes
    * whether the upstream has crashed. */
--- a/packages/entry/src/RelayCallQuarantine.cpp
+++ b/packages/entry/src/RelayCallQuarantine.cpp
@@ -56,8 +56,10 @@
   if (aResponse.m_refused) {
     quarantine.NoteRefused(m_attempt.m_upstream);
   } else if (HasBroken(aResponse) && !aResponse.m_silent) {
-    quarantine.NoteBroken(
-      { Digest(), m_attempt.m_upstream, m_start.m_head.m_id });
+    quarantine.NoteBroken({ Digest(),
+                            m_attempt.m_upstream,
+                            m_start.m_head.m_id,
+                            m_start.m_head.m_segments });
   }
 }
 
