--- a/packages/cli/src/Story.cpp
+++ b/packages/cli/src/Story.cpp
@@ -29,12 +29,14 @@
            : std::string();
 }
 
-/** What the lines of a request name: its upstreams, and the call by its
- * content, which is the same for all tries. */
+/** What the lines of a request name: its upstreams, the call by its content,
+ * which is the same for all tries, and the segment of its prompt that it is
+ * refused for. */
 struct Named
 {
   std::set<std::string> m_upstreams;
   std::set<std::string> m_calls;
+  std::set<std::string> m_segments;
   /** Its service at each instance that had it. */
   std::set<std::string> m_services;
 
@@ -55,6 +57,9 @@
     if (std::string text = TextOf(aFields, "call"); !text.empty()) {
       m_calls.insert(std::move(text));
     }
+    if (std::string text = TextOf(aFields, "segment"); !text.empty()) {
+      m_segments.insert(std::move(text));
+    }
     if (std::string text = ServiceOf(aFields); !text.empty()) {
       m_services.insert(std::move(text));
     }
@@ -64,6 +69,7 @@
   {
     return m_upstreams.contains(TextOf(aBelief, "upstream")) ||
            m_calls.contains(TextOf(aBelief, "call")) ||
+           m_segments.contains(TextOf(aBelief, "segment")) ||
            (!aBelief.contains("upstream") &&
             m_services.contains(ServiceOf(aBelief)));
   }
--- a/packages/cli/tests/StoryTest.cpp
+++ b/packages/cli/tests/StoryTest.cpp
@@ -17,6 +17,10 @@
 {"time":"T1","event":"call-quarantined","instance":"c","call":"d1","ends":3}
 {"time":"T1","event":"call-quarantined","instance":"c","call":"d2","ends":3}
 {"time":"T2","event":"call-held","instance":"b","id":"h","call":"d1"}
+{"time":"T1","event":"segment-quarantined","instance":"c","segment":"s1","ends":3}
+{"time":"T1","event":"segment-quarantined","instance":"c","segment":"s2","ends":3}
+{"time":"T1","event":"send-broke","instance":"c","id":"g","upstream":"u9","call":"d9","segments":"s0,s1"}
+{"time":"T2","event":"call-held","instance":"b","id":"k","call":"d3","segment":"s1"}
 {"time":"T1","event":"service-unreachable","instance":"b","service":"s"}
 {"time":"T1","event":"service-unreachable","instance":"c","service":"s"}
 {"time":"T1","event":"upstream-listed","instance":"b","upstream":"u3","service":"s"}
@@ -62,6 +66,10 @@
                "h",
                { "T1 c call-quarantined call=d1 ends=3",
                  "T2 b call-held id=h call=d1" } },
+    StoryCase{ "HeldForASegment",
+               "k",
+               { "T1 c segment-quarantined segment=s1 ends=3",
+                 "T2 b call-held id=k call=d3 segment=s1" } },
     StoryCase{ "PassedOn",
                "f",
                { "T1 b service-unreachable service=s",
--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -6,7 +6,7 @@
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/net/Http.h>
 #include <ridgeferry/net/HttpServer.h>
-#include <ridgeferry/quarantine/PromptSegment.h>
+#include <ridgeferry/quarantine/Suspect.h>
 #include <ridgeferry/relay/Fleet.h>
 #include <ridgeferry/relay/RoleChangeController.h>
 #include <ridgeferry/relay/Routes.h>
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -435,7 +435,10 @@
                        static_cast<double>(m_generations.Latest()));
   m_node.m_metrics.Set("upstreams_held_back",
                        static_cast<double>(m_gone.Held()));
-  m_node.m_metrics.Set("calls_held", static_cast<double>(m_quarantine->Held()));
+  m_node.m_metrics.Set("calls_held",
+                       static_cast<double>(m_quarantine->HeldCalls()));
+  m_node.m_metrics.Set("segments_held",
+                       static_cast<double>(m_quarantine->HeldSegments()));
   m_node.m_metrics.Set("calls_suspected",
                        static_cast<double>(m_quarantine->Suspected()));
   m_node.m_metrics.Set("store_on_duty", m_peers->IsPoller() ? 1 : 0);
--- a/packages/entry/src/QuarantineService.cpp
+++ b/packages/entry/src/QuarantineService.cpp
@@ -28,30 +28,26 @@
 constexpr Duration kMaxStartDelay{ 2000 };
 
 std::string_view
-NameOf(quarantine::Change aChange)
+NameOf(quarantine::Change aChange, bool aIsSegment)
 {
   switch (aChange) {
     case quarantine::Change::Suspected:
-      return "call-suspected";
+      return aIsSegment ? "segment-suspected" : "call-suspected";
     case quarantine::Change::Held:
-      return "call-quarantined";
+      return aIsSegment ? "segment-quarantined" : "call-quarantined";
     case quarantine::Change::Cleared:
-      return "call-cleared";
+      return aIsSegment ? "segment-cleared" : "call-cleared";
     case quarantine::Change::None:
       break;
   }
-  return "call-unchanged";
+  return aIsSegment ? "segment-unchanged" : "call-unchanged";
 }
 
-/** Returns the segments for a log line, separated by commas. */
+/** Returns the key of the log under which a suspect is named. */
 std::string
-NamesOf(std::span<const quarantine::PromptSegment> aSegments)
+KeyOf(const quarantine::Suspect& aSuspect)
 {
-  std::string out;
-  for (const quarantine::PromptSegment& segment : aSegments) {
-    out += (out.empty() ? "" : ",") + quarantine::FormatSegment(segment);
-  }
-  return out;
+  return quarantine::IsSegment(aSuspect) ? "segment" : "call";
 }
 
 } // namespace
@@ -98,46 +94,95 @@
   return !m_quarantine.IsEmpty() || !m_broken.IsEmpty();
 }
 
-std::optional<Duration>
-QuarantineService::QuarantineTimeLeft(const quarantine::CallDigest& aCall) const
+std::optional<QuarantineHold>
+QuarantineService::HoldOf(
+  std::span<const quarantine::NamedSuspect> aSuspects) const
 {
-  if (m_quarantine.IsQuarantined(aCall)) {
-    return m_quarantine.QuarantineTimeLeft(aCall, m_node.Now());
-  }
-  // Runs whose connection broke count as crashes until it is known whether the
-  // upstream crashed: the next run of the call could crash a further upstream.
-  const std::size_t ends =
-    m_quarantine.Ends(aCall) + m_broken.Unresolved(aCall);
-  if (ends >= quarantine::Quarantine::kCrashesToQuarantine) {
-    return quarantine::BrokenRuns::kUnresolvedFor;
+  for (const quarantine::NamedSuspect& named : aSuspects) {
+    if (m_quarantine.IsQuarantined(named.m_suspect)) {
+      return QuarantineHold{
+        named, m_quarantine.QuarantineTimeLeft(named.m_suspect, m_node.Now())
+      };
+    }
+    // Runs of a call whose connection broke count as crashes until it is known
+    // whether the upstream crashed: the next one could crash a further
+    // upstream. Segments are shared by many calls, whose connections may break
+    // together for other reasons.
+    if (!quarantine::IsSegment(named.m_suspect) &&
+        m_quarantine.Ends(named.m_suspect) +
+            m_broken.Unresolved(named.m_suspect) >=
+          quarantine::Quarantine::kCrashesToQuarantine) {
+      return QuarantineHold{ named, quarantine::BrokenRuns::kUnresolvedFor };
+    }
   }
   return std::nullopt;
 }
 
 bool
-QuarantineService::AllowTrialRun(const quarantine::CallDigest& aCall)
+QuarantineService::IsTrialDue(const quarantine::Suspect& aSuspect) const
 {
   const Instant now = m_node.Now();
-  if (!m_quarantine.IsDoubted(aCall, now) ||
-      m_peers.Rank(quarantine::FormatDigest(aCall)) != 0) {
+  if (!m_quarantine.IsDoubted(aSuspect, now) ||
+      m_peers.Rank(quarantine::FormatSuspect(aSuspect)) != 0) {
     return false;
   }
-  const auto [tried, isFirst] = m_trialStartedAt.try_emplace(aCall, now);
-  const bool may = isFirst || now - tried->second >= kTrialInterval;
-  if (may) {
-    tried->second = now;
-    m_node.m_log->Write(observe::LogLevel::Info,
-                        "quarantine-tried",
-                        { { "call", quarantine::FormatDigest(aCall) } });
+  const auto tried = m_trialStartedAt.find(aSuspect);
+  return tried == m_trialStartedAt.end() ||
+         now - tried->second >= kTrialInterval;
+}
+
+bool
+QuarantineService::AllowTrialRun(
+  std::span<const quarantine::NamedSuspect> aSuspects)
+{
+  std::vector<quarantine::Suspect> held;
+  for (const quarantine::NamedSuspect& named : aSuspects) {
+    if (!m_quarantine.IsQuarantined(named.m_suspect)) {
+      continue;
+    }
+    if (!IsTrialDue(named.m_suspect)) {
+      return false;
+    }
+    held.push_back(named.m_suspect);
+  }
+  for (const quarantine::Suspect& suspect : held) {
+    m_trialStartedAt[suspect] = m_node.Now();
+    m_node.m_log->Write(
+      observe::LogLevel::Info,
+      "quarantine-tried",
+      { { KeyOf(suspect), quarantine::FormatSuspect(suspect) } });
   }
-  return may;
+  return !held.empty();
 }
 
 bool
-QuarantineService::MayRepeat(const quarantine::CallDigest& aCall) const
+QuarantineService::MayRepeat(
+  std::span<const quarantine::NamedSuspect> aSuspects) const
 {
-  return m_quarantine.Ends(aCall) + m_broken.Unresolved(aCall) <
-         quarantine::Quarantine::kCrashesToStopRetries;
+  return std::all_of(aSuspects.begin(),
+                     aSuspects.end(),
+                     [this](const quarantine::NamedSuspect& aNamed) {
+                       const bool isCall =
+                         !quarantine::IsSegment(aNamed.m_suspect);
+                       const std::size_t unresolved =
+                         isCall ? m_broken.Unresolved(aNamed.m_suspect) : 0;
+                       return m_quarantine.Ends(aNamed.m_suspect) + unresolved <
+                              quarantine::Quarantine::kCrashesToStopRetries;
+                     });
+}
+
+std::size_t
+QuarantineService::HeldCalls() const
+{
+  return m_quarantine.Held().size() - HeldSegments();
+}
+
+std::size_t
+QuarantineService::HeldSegments() const
+{
+  const auto& held = m_quarantine.Held();
+  return static_cast<std::size_t>(
+    std::count_if(held.begin(), held.end(), &quarantine::IsSegment));
 }
 
 void
@@ -148,17 +193,25 @@
       member->m_leaving) {
     return;
   }
-  m_broken.NoteBroken(aSend.m_call, member->Incarnation(), m_node.Now());
-  m_node.m_log->Write(
-    observe::LogLevel::Info,
-    "send-broke",
-    { { "id", aSend.m_requestId },
-      { "call", quarantine::FormatDigest(aSend.m_call) },
-      { "upstream", aSend.m_upstream },
-      { "ends", static_cast<std::int64_t>(m_quarantine.Ends(aSend.m_call)) },
-      { "unresolved",
-        static_cast<std::int64_t>(m_broken.Unresolved(aSend.m_call)) },
-      { "segments", NamesOf(aSend.m_segments) } });
+  m_broken.NoteBroken(aSend.m_suspects, member->Incarnation(), m_node.Now());
+  std::string segments;
+  std::vector<observe::LogField> fields{ { "id", aSend.m_requestId },
+                                         { "upstream", aSend.m_upstream } };
+  for (const quarantine::NamedSuspect& named : aSend.m_suspects) {
+    const std::string text = quarantine::FormatSuspect(named.m_suspect);
+    if (quarantine::IsSegment(named.m_suspect)) {
+      segments += (segments.empty() ? "" : ",") + text;
+      continue;
+    }
+    fields.emplace_back("call", text);
+    fields.emplace_back(
+      "ends", static_cast<std::int64_t>(m_quarantine.Ends(named.m_suspect)));
+    fields.emplace_back(
+      "unresolved",
+      static_cast<std::int64_t>(m_broken.Unresolved(named.m_suspect)));
+  }
+  fields.emplace_back("segments", std::move(segments));
+  m_node.m_log->Write(observe::LogLevel::Info, "send-broke", fields);
   Probe(*member);
 }
 
@@ -241,41 +294,100 @@
                              std::string_view aFrom)
 {
   const std::uint64_t incarnation = quarantine::IncarnationHash(aUpstream);
-  std::vector<quarantine::CrashRecord> endings;
-  for (const auto& [call, brokeAt] : m_broken.NoteEnded(aUpstream)) {
-    endings.push_back({ call, incarnation });
-    AddRecord(endings.back(), m_node.Now() - brokeAt, aFrom);
+  const Instant now = m_node.Now();
+  std::vector<quarantine::ReportedCrash> endings;
+  std::int64_t calls = 0;
+  std::int64_t segments = 0;
+  std::int64_t postponed = 0;
+  for (const auto& [suspect, broken] : m_broken.NoteEnded(aUpstream)) {
+    const quarantine::CrashRecord record{
+      suspect, incarnation, false, broken.m_depth
+    };
+    ++(quarantine::IsSegment(suspect) ? segments : calls);
+    if (quarantine::PostponedCrashes::Holds(
+          m_quarantine, record, broken.m_at)) {
+      m_postponed.Add(record, broken.m_at);
+      ++postponed;
+    } else {
+      endings.push_back({ record, now - broken.m_at });
+    }
   }
-  if (endings.empty()) {
+  if (calls + segments == 0) {
     return;
   }
   m_node.m_metrics.Count("upstreams_ended_under_calls_total");
-  m_node.m_log->Write(
-    observe::LogLevel::Warning,
-    "upstream-ended",
-    { { "upstream", aUpstream.m_id },
-      { "from", std::string(aFrom) },
-      { "calls", static_cast<std::int64_t>(endings.size()) } });
-  m_share.Announce(std::move(endings));
+  m_node.m_log->Write(observe::LogLevel::Warning,
+                      "upstream-ended",
+                      { { "upstream", aUpstream.m_id },
+                        { "from", std::string(aFrom) },
+                        { "calls", calls },
+                        { "segments", segments },
+                        { "postponed", postponed } });
+  AddOwnRecords(endings, aFrom);
 }
 
 void
-QuarantineService::NoteServed(const Send& aSend)
+QuarantineService::AddOwnRecords(
+  std::span<const quarantine::ReportedCrash> aEndings,
+  std::string_view aFrom)
 {
-  m_broken.NoteServed(aSend.m_call);
-  std::vector<quarantine::CrashRecord> cleared =
-    m_quarantine.NoteServed(aSend.m_call);
-  if (cleared.empty()) {
+  if (aEndings.empty()) {
     return;
   }
-  m_node.m_log->Write(
-    observe::LogLevel::Info,
-    NameOf(quarantine::Change::Cleared),
-    { { "id", aSend.m_requestId },
-      { "call", quarantine::FormatDigest(aSend.m_call) },
-      { "upstream", aSend.m_upstream },
-      { "ends", static_cast<std::int64_t>(cleared.size()) } });
-  m_share.Announce(std::move(cleared));
+  std::vector<quarantine::ReportedCrash> deepestFirst(aEndings.begin(),
+                                                      aEndings.end());
+  std::stable_sort(deepestFirst.begin(),
+                   deepestFirst.end(),
+                   [](const auto& aLeft, const auto& aRight) {
+                     return aLeft.m_record.m_depth > aRight.m_record.m_depth;
+                   });
+  for (const quarantine::ReportedCrash& ending : deepestFirst) {
+    AddRecord(ending.m_record, ending.m_age, aFrom);
+  }
+  m_share.Announce(deepestFirst, QuarantineShare::When::AtOnce);
+}
+
+void
+QuarantineService::NoteServed(
+  std::span<const quarantine::PromptSegment> aSegments)
+{
+  for (const quarantine::PromptSegment& segment : aSegments) {
+    m_quarantine.NoteServed(segment, m_node.Now());
+  }
+}
+
+void
+QuarantineService::NoteServed(const Send& aSend)
+{
+  std::vector<quarantine::ReportedCrash> cleared;
+  bool isUrgent = false;
+  for (const quarantine::NamedSuspect& named : aSend.m_suspects) {
+    m_broken.NoteServed(named.m_suspect);
+    const bool wasHeld = m_quarantine.IsQuarantined(named.m_suspect);
+    const std::vector<quarantine::CrashRecord> records =
+      m_quarantine.NoteServed(named.m_suspect, m_node.Now());
+    if (records.empty()) {
+      continue;
+    }
+    const bool isSegment = quarantine::IsSegment(named.m_suspect);
+    isUrgent |= wasHeld || !isSegment;
+    for (const quarantine::CrashRecord& record : records) {
+      cleared.push_back({ record, {} });
+    }
+    m_node.m_log->Write(
+      observe::LogLevel::Info,
+      NameOf(quarantine::Change::Cleared, isSegment),
+      { { "id", aSend.m_requestId },
+        { KeyOf(named.m_suspect), quarantine::FormatSuspect(named.m_suspect) },
+        { "upstream", aSend.m_upstream },
+        { "ends", static_cast<std::int64_t>(records.size()) } });
+  }
+  if (!cleared.empty()) {
+    // Each instance that serves a popular segment clears it by its own runs.
+    m_share.Announce(cleared,
+                     isUrgent ? QuarantineShare::When::AtOnce
+                              : QuarantineShare::When::WithNextHeartbeat);
+  }
 }
 
 void
@@ -288,29 +400,47 @@
   if (change == quarantine::Change::None) {
     return;
   }
+  const bool isSegment = quarantine::IsSegment(aEnding.m_suspect);
   const bool held = change == quarantine::Change::Held;
   if (held) {
-    m_node.m_metrics.Count("calls_quarantined_total");
+    m_node.m_metrics.Count(isSegment ? "segments_quarantined_total"
+                                     : "calls_quarantined_total");
   }
+  const std::size_t ends = m_quarantine.Ends(aEnding.m_suspect);
   if (change == quarantine::Change::Suspected &&
-      aFrom == QuarantineShare::kFromPeer &&
-      m_quarantine.Ends(aEnding.m_call) <
-        quarantine::Quarantine::kCrashesToStopRetries) {
-    // The peer that observed the crash has logged it. A crash record arrives
-    // for each call that ran on the upstream, so logging them at each instance
-    // would be too much.
+      (aFrom == QuarantineShare::kFromPeer || isSegment) &&
+      ends < quarantine::Quarantine::kCrashesToStopRetries) {
+    // A crash record arrives for all that ran on the upstream, so logging them
+    // at each instance would be too much. `send-broke` of the instance that
+    // observed the crash names them.
     return;
   }
   m_node.m_log->Write(
     held ? observe::LogLevel::Warning : observe::LogLevel::Info,
-    NameOf(change),
-    { { "call", quarantine::FormatDigest(aEnding.m_call) },
+    NameOf(change, isSegment),
+    { { KeyOf(aEnding.m_suspect),
+        quarantine::FormatSuspect(aEnding.m_suspect) },
       { "life", fmt::format("{:016x}", aEnding.m_incarnationHash) },
-      { "ends", static_cast<std::int64_t>(m_quarantine.Ends(aEnding.m_call)) },
+      { "ends", static_cast<std::int64_t>(ends) },
       { "ageMs", aAge.count() },
       { "from", std::string(aFrom) } });
 }
 
+void
+QuarantineService::LogReleased()
+{
+  for (const quarantine::Suspect& suspect : m_wereHeld) {
+    if (!m_quarantine.IsQuarantined(suspect)) {
+      m_node.m_log->Write(
+        observe::LogLevel::Info,
+        "quarantine-released",
+        { { KeyOf(suspect), quarantine::FormatSuspect(suspect) },
+          { "ends", static_cast<std::int64_t>(m_quarantine.Ends(suspect)) } });
+    }
+  }
+  m_wereHeld = m_quarantine.Held();
+}
+
 void
 QuarantineService::Tick()
 {
@@ -322,11 +452,14 @@
   std::erase_if(m_trialStartedAt, [this](const auto& aEntry) {
     return !m_quarantine.IsQuarantined(aEntry.first);
   });
-  for (const quarantine::CallDigest& call : m_quarantine.Tick(now)) {
-    m_node.m_log->Write(observe::LogLevel::Info,
-                        "quarantine-lapsed",
-                        { { "call", quarantine::FormatDigest(call) } });
+  for (const quarantine::Suspect& suspect : m_quarantine.Tick(now)) {
+    m_node.m_log->Write(
+      observe::LogLevel::Info,
+      "quarantine-lapsed",
+      { { KeyOf(suspect), quarantine::FormatSuspect(suspect) } });
   }
+  AddOwnRecords(m_postponed.TakeDue(m_quarantine, now), "not served since");
+  LogReleased();
   std::erase_if(m_probes, [&](const auto& aEntry) {
     return aEntry.second.m_probe == nullptr &&
            now - aEntry.second.m_began >= kProbeAgain;
--- a/packages/entry/src/QuarantineShare.cpp
+++ b/packages/entry/src/QuarantineShare.cpp
@@ -1,6 +1,7 @@
 #include "QuarantineShare.h"
 
 #include <algorithm>
+#include <ridgeferry/base/Overloaded.h>
 #include <ridgeferry/quarantine/CrashRecordsText.h>
 #include <utility>
 
@@ -31,22 +32,43 @@
 constexpr std::size_t kMostWritten = 400;
 /** Most crash records in the answer to a peer that requests them. */
 constexpr std::size_t kMostToPeer = 1000;
+/** Greatest age of a crash that a heartbeat names. */
+constexpr Duration kMaxAge = std::chrono::hours(24);
 
 membership::CrashDigest
-DigestFor(const quarantine::CrashRecord& aEnding)
+DigestFor(const quarantine::CrashRecord& aEnding, Duration aAge)
 {
-  return { aEnding.m_call.m_high,
-           aEnding.m_call.m_low,
-           aEnding.m_incarnationHash,
-           aEnding.m_cleared };
+  membership::CrashDigest out;
+  out.m_incarnationHash = aEnding.m_incarnationHash;
+  out.m_cleared = aEnding.m_cleared;
+  out.m_ageMs =
+    static_cast<std::int32_t>(std::clamp(aAge, Duration{}, kMaxAge).count());
+  std::visit(Overloaded{ [&out](const quarantine::CallDigest& aCall) {
+                          out.m_callHigh = aCall.m_high;
+                          out.m_callLow = aCall.m_low;
+                        },
+                         [&](const quarantine::PromptSegment& aSegment) {
+                           out.m_callLow = aSegment.m_hash;
+                           out.m_segmentDepth = aEnding.m_depth;
+                         } },
+             aEnding.m_suspect);
+  return out;
 }
 
 quarantine::CrashRecord
 EndingFrom(const membership::CrashDigest& aDigest)
 {
-  return { { aDigest.m_callHigh, aDigest.m_callLow },
-           aDigest.m_incarnationHash,
-           aDigest.m_cleared };
+  quarantine::CrashRecord out;
+  out.m_incarnationHash = aDigest.m_incarnationHash;
+  out.m_cleared = aDigest.m_cleared;
+  if (aDigest.m_segmentDepth) {
+    out.m_suspect = quarantine::PromptSegment{ aDigest.m_callLow };
+    out.m_depth = *aDigest.m_segmentDepth;
+  } else {
+    out.m_suspect =
+      quarantine::CallDigest{ aDigest.m_callHigh, aDigest.m_callLow };
+  }
+  return out;
 }
 
 } // namespace
@@ -92,37 +114,54 @@
 }
 
 void
-QuarantineShare::Announce(std::vector<quarantine::CrashRecord> aEndings)
+QuarantineShare::Announce(std::span<const quarantine::ReportedCrash> aEndings,
+                          When aWhen)
 {
-  // Calls with the most crashes come first, as a heartbeat has room for
-  // `kMaxRecordsInHeartbeat` records only.
-  std::stable_sort(aEndings.begin(),
-                   aEndings.end(),
-                   [this](const auto& aLeft, const auto& aRight) {
-                     return m_quarantine.Ends(aLeft.m_call) >
-                            m_quarantine.Ends(aRight.m_call);
-                   });
-  for (const quarantine::CrashRecord& ending : aEndings) {
-    m_announcedRecords.push_back({ m_node.Now(), ending });
+  const Instant now = m_node.Now();
+  for (const quarantine::ReportedCrash& ending : aEndings) {
+    const bool endsQuarantine =
+      ending.m_record.m_cleared && aWhen == When::AtOnce;
+    m_announcedRecords.push_back(
+      { now, now - ending.m_age, ending.m_record, endsQuarantine });
   }
   UpdateHeartbeat();
-  m_peers.SendToAll();
+  if (aWhen == When::AtOnce) {
+    m_peers.SendToAll();
+  }
+}
+
+std::size_t
+QuarantineShare::UrgencyOf(const AnnouncedRecord& aRecord) const
+{
+  return aRecord.m_endsQuarantine
+           ? quarantine::Quarantine::kCrashesToQuarantine
+           : m_quarantine.Ends(aRecord.m_record.m_suspect);
 }
 
 void
 QuarantineShare::UpdateHeartbeat()
 {
-  const Instant since = m_node.Now() - m_peers.AnnouncementTime();
+  const Instant now = m_node.Now();
+  const Instant since = now - m_peers.AnnouncementTime();
   while (!m_announcedRecords.empty() &&
          m_announcedRecords.front().m_at < since) {
     m_announcedRecords.pop_front();
   }
+  // A heartbeat has room for `kMaxRecordsInHeartbeat` records only.
+  std::vector<std::pair<std::size_t, const AnnouncedRecord*>> byUrgency;
+  for (auto it = m_announcedRecords.rbegin(); it != m_announcedRecords.rend();
+       ++it) {
+    byUrgency.emplace_back(UrgencyOf(*it), &*it);
+  }
+  std::stable_sort(byUrgency.begin(),
+                   byUrgency.end(),
+                   [](const auto& aLeft, const auto& aRight) {
+                     return aLeft.first > aRight.first;
+                   });
+  byUrgency.resize(std::min(byUrgency.size(), kMaxRecordsInHeartbeat));
   std::vector<membership::CrashDigest> told;
-  for (const AnnouncedRecord& news : m_announcedRecords) {
-    if (told.size() == kMaxRecordsInHeartbeat) {
-      break;
-    }
-    told.push_back(DigestFor(news.m_record));
+  for (const auto& [urgency, news] : byUrgency) {
+    told.push_back(DigestFor(news->m_record, now - news->m_crashedAt));
   }
   m_peers.SetCrashes(std::move(told),
                      m_known ? std::optional(m_quarantine.Fingerprint())
@@ -134,7 +173,7 @@
   std::span<const membership::CrashDigest> aEndings)
 {
   for (const membership::CrashDigest& digest : aEndings) {
-    m_onRecord(EndingFrom(digest), {}, kFromPeer);
+    m_onRecord(EndingFrom(digest), Duration{ digest.m_ageMs }, kFromPeer);
   }
 }
 
@@ -166,7 +205,7 @@
     observe::LogLevel::Info,
     "quarantine-known",
     { { "from", std::string(aFrom) },
-      { "held", static_cast<std::int64_t>(m_quarantine.Held()) },
+      { "held", static_cast<std::int64_t>(m_quarantine.Held().size()) },
       { "tookMs", (m_node.Now() - m_began).count() } });
 }
 
@@ -293,7 +332,7 @@
       observe::LogLevel::Info,
       "quarantine-written",
       { { "written", written },
-        { "held", static_cast<std::int64_t>(m_quarantine.Held()) } });
+        { "held", static_cast<std::int64_t>(m_quarantine.Held().size()) } });
     if (written) {
       m_written = held;
     } else {
--- a/packages/entry/src/QuarantineShare.h
+++ b/packages/entry/src/QuarantineShare.h
@@ -12,10 +12,10 @@
 namespace ridgeferry::entry {
 
 /**
- * Makes all instances quarantine the same calls. Announces the crash records of
- * this instance to its peers, requests those of peers whose quarantined calls
- * differ, and saves the records in the store for a time when no peer is left to
- * ask. Not thread-safe.
+ * Makes all instances quarantine the same suspects. Announces the crash records
+ * of this instance to its peers, requests those of peers whose quarantined
+ * suspects differ, and saves the records in the store for a time when no peer
+ * is left to ask. Not thread-safe.
  */
 class QuarantineShare
 {
@@ -40,10 +40,18 @@
   /** Returns whether this instance has received the quarantined calls from a
    * peer or the store. */
   bool IsKnown() const { return m_known; }
-  /** Announces crash records that this instance has observed to all live peers
-   * at once, and with the next heartbeats. A record may also say that its call
-   * was cleared of the suspicion. */
-  void Announce(std::vector<quarantine::CrashRecord> aEndings);
+  /** When peers learn of crash records. */
+  enum class When
+  {
+    AtOnce,
+    WithNextHeartbeat,
+  };
+
+  /** Announces crash records that this instance has observed to all live peers,
+   * with several heartbeats. A record may also say that its suspect was cleared
+   * of the suspicion. */
+  void Announce(std::span<const quarantine::ReportedCrash> aEndings,
+                When aWhen);
   /** Must be called several times a second. */
   void Tick();
 
@@ -52,12 +60,16 @@
   struct AnnouncedRecord
   {
     Instant m_at;
+    Instant m_crashedAt;
     quarantine::CrashRecord m_record;
+    bool m_endsQuarantine = false;
   };
 
   /** Sets the records that the heartbeats contain, without those that have been
    * announced for long enough. */
   void UpdateHeartbeat();
+  /** Returns how urgently peers need the record; higher is more urgent. */
+  std::size_t UrgencyOf(const AnnouncedRecord& aRecord) const;
   void AddReportedRecords(std::span<const membership::CrashDigest> aEndings);
   void AddRecordsFromText(const std::string& aText, std::string_view aFrom);
   void NoteKnown(std::string_view aFrom);
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -223,9 +223,9 @@
 void
 RelayCall::Do(const relay::FindPlace& aAction)
 {
-  if (const auto held = QuarantineTimeLeft()) {
-    LogQuarantined(*held);
-    Handle(relay::NoPlace{ *held, relay::NoPlace::Cause::Quarantined });
+  if (const auto hold = Hold()) {
+    LogQuarantined(*hold);
+    Handle(relay::NoPlace{ hold->m_left, relay::NoPlace::Cause::Quarantined });
     return;
   }
   if (!MayRunByKey()) {
@@ -370,7 +370,7 @@
   }
   const relay::Member* member = m_node.m_fleet.Find(aAction.m_upstream);
   if (member == nullptr || member->m_leaving || IsOfOtherVersion(*member) ||
-      QuarantineTimeLeft() || !MayRunByKey()) {
+      Hold() || !MayRunByKey()) {
     // While another engine prefilled the prompt, the upstream left or started
     // again with other software, the call was quarantined because upstreams
     // crashed during it, or the configuration became too old. Nothing has been
@@ -657,10 +657,8 @@
       !m_hadLongPause) {
     m_node.m_fleet.NoteStream(m_start.m_service, false);
   }
-  if (aAction.m_end == relay::AttemptEnd::Served && !m_attempt.m_readOnly &&
-      !m_attempt.m_isForwarded && m_start.m_quarantine->KnowsAny()) {
-    m_start.m_quarantine->NoteServed(
-      { Digest(), m_attempt.m_upstream, m_start.m_head.m_id });
+  if (aAction.m_end == relay::AttemptEnd::Served) {
+    NoteServed();
   }
   const Duration waited = m_node.Now() - m_placedAt;
   const bool late = static_cast<double>(waited.count()) > m_expectedMs;
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -175,18 +175,21 @@
    * what began it, once. */
   void NoteStreamBegan();
   void NoteRepeat();
-  /** Returns the digest of the call's content. Hashes the body at the first
-   * use only. */
-  const quarantine::CallDigest& Digest();
-  /** Returns how long the call stays quarantined (sent to no upstream), or
-   * std::nullopt if it may run. May start a trial run of the call. */
-  std::optional<Duration> QuarantineTimeLeft();
+  /** Returns the suspects that the call names, itself first, then the segments
+   * of its prompt from the last one on. Hashes the body at the first use only.
+   */
+  const std::vector<quarantine::NamedSuspect>& Suspects();
+  /** Returns why and how long the call is sent to no upstream, or std::nullopt
+   * if it may run. May start a trial run of the call. */
+  std::optional<QuarantineHold> Hold();
   /** Returns whether the quarantine allows a further run of the call. */
   bool MayRepeat();
   /** Reports the end of the present send's connection to the quarantine: a
    * refused connection, or one that broke before the answer was complete. */
   void NoteConnection(const net::HttpResponse& aResponse);
-  void LogQuarantined(Duration aFor);
+  void LogQuarantined(const QuarantineHold& aHold);
+  /** Reports to the quarantine that the present send was served completely. */
+  void NoteServed();
   /** Tells the fleet if the end of the present send's connection shows that the
    * upstream cannot be reached. */
   void NoteReach(const net::HttpResponse& aResponse);
@@ -275,7 +278,7 @@
   std::size_t m_unfinishedBytes = 0;
   /** The stream had a pause that was longer than the route allows. */
   bool m_hadLongPause = false;
-  std::optional<quarantine::CallDigest> m_digest;
+  std::vector<quarantine::NamedSuspect> m_suspects; ///< See `Suspects`.
   /** The call runs although it is quarantined, to find out whether the
    * quarantine is justified. */
   bool m_isTrialRun = false;
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -62,16 +62,21 @@
 };
 
 /**
- * Reports that an upstream crashed while it ran a call of the sender, or, with
- * `m_cleared`, that the call has completed successfully since.
+ * Reports that an upstream crashed while it ran a request of the sender that
+ * names a suspect, or, with `m_cleared`, that such a request has completed
+ * successfully since. A suspect is a call or a segment of prompts.
  */
 struct CrashDigest
 {
-  /** First half of the digest of the call's content. */
+  /** First half of the digest of the call's content; 0 for a segment. */
   std::uint64_t m_callHigh = 0;
+  /** Second half of that digest, or the hash of the segment. */
   std::uint64_t m_callLow = 0;
   std::uint64_t m_incarnationHash = 0; ///< Hash of the upstream's incarnation.
-  bool m_cleared = false; ///< The crash no longer counts against the call.
+  bool m_cleared = false; ///< The crash no longer counts against the suspect.
+  /** Segments before this one in the prompt; std::nullopt for a call. */
+  std::optional<std::uint32_t> m_segmentDepth;
+  std::int32_t m_ageMs = 0; ///< Time since the crash.
   bool operator==(const CrashDigest&) const = default;
 };
 
@@ -178,8 +183,8 @@
   /** Crashes that the sender observed recently. */
   std::vector<CrashDigest> m_crashes;
   /**
-   * Fingerprint of the set of calls that the sender holds in quarantine;
-   * std::nullopt if the sender has not learned yet which calls are quarantined.
+   * Fingerprint of the set of suspects that the sender holds in quarantine;
+   * std::nullopt if the sender has not learned yet what is quarantined.
    */
   std::optional<std::uint64_t> m_quarantineFingerprint;
   bool operator==(const Heartbeat&) const = default;
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -215,6 +215,16 @@
   this->runningCalls = val;
 __isset.runningCalls = true;
 }
+
+void Heartbeat::__set_endedDepths(const std::vector<int32_t> & val) {
+  this->endedDepths = val;
+__isset.endedDepths = true;
+}
+
+void Heartbeat::__set_endedAges(const std::vector<int32_t> & val) {
+  this->endedAges = val;
+__isset.endedAges = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -830,6 +840,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 42:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->endedDepths.clear();
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->endedDepths.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
+            {
+              xfer += iprot->readI32(this->endedDepths[_i109]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.endedDepths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 43:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->endedAges.clear();
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->endedAges.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
+            {
+              xfer += iprot->readI32(this->endedAges[_i114]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.endedAges = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -893,10 +943,10 @@
     xfer += oprot->writeFieldBegin("leavingUpstreams", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leavingUpstreams.size()));
-      std::vector<std::string> ::const_iterator _iter105;
-      for (_iter105 = this->leavingUpstreams.begin(); _iter105 != this->leavingUpstreams.end(); ++_iter105)
+      std::vector<std::string> ::const_iterator _iter115;
+      for (_iter115 = this->leavingUpstreams.begin(); _iter115 != this->leavingUpstreams.end(); ++_iter115)
       {
-        xfer += oprot->writeString((*_iter105));
+        xfer += oprot->writeString((*_iter115));
       }
       xfer += oprot->writeListEnd();
     }
@@ -906,10 +956,10 @@
     xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->engines.size()));
-      std::vector<int32_t> ::const_iterator _iter106;
-      for (_iter106 = this->engines.begin(); _iter106 != this->engines.end(); ++_iter106)
+      std::vector<int32_t> ::const_iterator _iter116;
+      for (_iter116 = this->engines.begin(); _iter116 != this->engines.end(); ++_iter116)
       {
-        xfer += oprot->writeI32((*_iter106));
+        xfer += oprot->writeI32((*_iter116));
       }
       xfer += oprot->writeListEnd();
     }
@@ -919,10 +969,10 @@
     xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->states.size()));
-      std::vector<int32_t> ::const_iterator _iter107;
-      for (_iter107 = this->states.begin(); _iter107 != this->states.end(); ++_iter107)
+      std::vector<int32_t> ::const_iterator _iter117;
+      for (_iter117 = this->states.begin(); _iter117 != this->states.end(); ++_iter117)
       {
-        xfer += oprot->writeI32((*_iter107));
+        xfer += oprot->writeI32((*_iter117));
       }
       xfer += oprot->writeListEnd();
     }
@@ -932,10 +982,10 @@
     xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->loads.size()));
-      std::vector<int32_t> ::const_iterator _iter108;
-      for (_iter108 = this->loads.begin(); _iter108 != this->loads.end(); ++_iter108)
+      std::vector<int32_t> ::const_iterator _iter118;
+      for (_iter118 = this->loads.begin(); _iter118 != this->loads.end(); ++_iter118)
       {
-        xfer += oprot->writeI32((*_iter108));
+        xfer += oprot->writeI32((*_iter118));
       }
       xfer += oprot->writeListEnd();
     }
@@ -945,10 +995,10 @@
     xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->work.size()));
-      std::vector<int32_t> ::const_iterator _iter109;
-      for (_iter109 = this->work.begin(); _iter109 != this->work.end(); ++_iter109)
+      std::vector<int32_t> ::const_iterator _iter119;
+      for (_iter119 = this->work.begin(); _iter119 != this->work.end(); ++_iter119)
       {
-        xfer += oprot->writeI32((*_iter109));
+        xfer += oprot->writeI32((*_iter119));
       }
       xfer += oprot->writeListEnd();
     }
@@ -973,10 +1023,10 @@
     xfer += oprot->writeFieldBegin("changedEngines", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->changedEngines.size()));
-      std::vector<int32_t> ::const_iterator _iter110;
-      for (_iter110 = this->changedEngines.begin(); _iter110 != this->changedEngines.end(); ++_iter110)
+      std::vector<int32_t> ::const_iterator _iter120;
+      for (_iter120 = this->changedEngines.begin(); _iter120 != this->changedEngines.end(); ++_iter120)
       {
-        xfer += oprot->writeI32((*_iter110));
+        xfer += oprot->writeI32((*_iter120));
       }
       xfer += oprot->writeListEnd();
     }
@@ -986,10 +1036,10 @@
     xfer += oprot->writeFieldBegin("changedParts", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->changedParts.size()));
-      std::vector<int32_t> ::const_iterator _iter111;
-      for (_iter111 = this->changedParts.begin(); _iter111 != this->changedParts.end(); ++_iter111)
+      std::vector<int32_t> ::const_iterator _iter121;
+      for (_iter121 = this->changedParts.begin(); _iter121 != this->changedParts.end(); ++_iter121)
       {
-        xfer += oprot->writeI32((*_iter111));
+        xfer += oprot->writeI32((*_iter121));
       }
       xfer += oprot->writeListEnd();
     }
@@ -999,10 +1049,10 @@
     xfer += oprot->writeFieldBegin("readParts", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->readParts.size()));
-      std::vector<int32_t> ::const_iterator _iter112;
-      for (_iter112 = this->readParts.begin(); _iter112 != this->readParts.end(); ++_iter112)
+      std::vector<int32_t> ::const_iterator _iter122;
+      for (_iter122 = this->readParts.begin(); _iter122 != this->readParts.end(); ++_iter122)
       {
-        xfer += oprot->writeI32((*_iter112));
+        xfer += oprot->writeI32((*_iter122));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1012,10 +1062,10 @@
     xfer += oprot->writeFieldBegin("readEngines", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->readEngines.size()));
-      std::vector<int32_t> ::const_iterator _iter113;
-      for (_iter113 = this->readEngines.begin(); _iter113 != this->readEngines.end(); ++_iter113)
+      std::vector<int32_t> ::const_iterator _iter123;
+      for (_iter123 = this->readEngines.begin(); _iter123 != this->readEngines.end(); ++_iter123)
       {
-        xfer += oprot->writeI32((*_iter113));
+        xfer += oprot->writeI32((*_iter123));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1025,10 +1075,10 @@
     xfer += oprot->writeFieldBegin("servicesApart", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->servicesApart.size()));
-      std::vector<int32_t> ::const_iterator _iter114;
-      for (_iter114 = this->servicesApart.begin(); _iter114 != this->servicesApart.end(); ++_iter114)
+      std::vector<int32_t> ::const_iterator _iter124;
+      for (_iter124 = this->servicesApart.begin(); _iter124 != this->servicesApart.end(); ++_iter124)
       {
-        xfer += oprot->writeI32((*_iter114));
+        xfer += oprot->writeI32((*_iter124));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1053,10 +1103,10 @@
     xfer += oprot->writeFieldBegin("leavingBorn", ::apache::thrift::protocol::T_LIST, 24);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leavingBorn.size()));
-      std::vector<int64_t> ::const_iterator _iter115;
-      for (_iter115 = this->leavingBorn.begin(); _iter115 != this->leavingBorn.end(); ++_iter115)
+      std::vector<int64_t> ::const_iterator _iter125;
+      for (_iter125 = this->leavingBorn.begin(); _iter125 != this->leavingBorn.end(); ++_iter125)
       {
-        xfer += oprot->writeI64((*_iter115));
+        xfer += oprot->writeI64((*_iter125));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1076,10 +1126,10 @@
     xfer += oprot->writeFieldBegin("endedCallsHigh", ::apache::thrift::protocol::T_LIST, 27);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->endedCallsHigh.size()));
-      std::vector<int64_t> ::const_iterator _iter116;
-      for (_iter116 = this->endedCallsHigh.begin(); _iter116 != this->endedCallsHigh.end(); ++_iter116)
+      std::vector<int64_t> ::const_iterator _iter126;
+      for (_iter126 = this->endedCallsHigh.begin(); _iter126 != this->endedCallsHigh.end(); ++_iter126)
       {
-        xfer += oprot->writeI64((*_iter116));
+        xfer += oprot->writeI64((*_iter126));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1089,10 +1139,10 @@
     xfer += oprot->writeFieldBegin("endedCallsLow", ::apache::thrift::protocol::T_LIST, 28);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->endedCallsLow.size()));
-      std::vector<int64_t> ::const_iterator _iter117;
-      for (_iter117 = this->endedCallsLow.begin(); _iter117 != this->endedCallsLow.end(); ++_iter117)
+      std::vector<int64_t> ::const_iterator _iter127;
+      for (_iter127 = this->endedCallsLow.begin(); _iter127 != this->endedCallsLow.end(); ++_iter127)
       {
-        xfer += oprot->writeI64((*_iter117));
+        xfer += oprot->writeI64((*_iter127));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1102,10 +1152,10 @@
     xfer += oprot->writeFieldBegin("endedLives", ::apache::thrift::protocol::T_LIST, 29);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->endedLives.size()));
-      std::vector<int64_t> ::const_iterator _iter118;
-      for (_iter118 = this->endedLives.begin(); _iter118 != this->endedLives.end(); ++_iter118)
+      std::vector<int64_t> ::const_iterator _iter128;
+      for (_iter128 = this->endedLives.begin(); _iter128 != this->endedLives.end(); ++_iter128)
       {
-        xfer += oprot->writeI64((*_iter118));
+        xfer += oprot->writeI64((*_iter128));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1115,10 +1165,10 @@
     xfer += oprot->writeFieldBegin("endingsCleared", ::apache::thrift::protocol::T_LIST, 30);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_BOOL, static_cast<uint32_t>(this->endingsCleared.size()));
-      std::vector<bool> ::const_iterator _iter119;
-      for (_iter119 = this->endingsCleared.begin(); _iter119 != this->endingsCleared.end(); ++_iter119)
+      std::vector<bool> ::const_iterator _iter129;
+      for (_iter129 = this->endingsCleared.begin(); _iter129 != this->endingsCleared.end(); ++_iter129)
       {
-        xfer += oprot->writeBool((*_iter119));
+        xfer += oprot->writeBool((*_iter129));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1148,10 +1198,10 @@
     xfer += oprot->writeFieldBegin("limitedUpstreams", ::apache::thrift::protocol::T_LIST, 35);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limitedUpstreams.size()));
-      std::vector<int32_t> ::const_iterator _iter120;
-      for (_iter120 = this->limitedUpstreams.begin(); _iter120 != this->limitedUpstreams.end(); ++_iter120)
+      std::vector<int32_t> ::const_iterator _iter130;
+      for (_iter130 = this->limitedUpstreams.begin(); _iter130 != this->limitedUpstreams.end(); ++_iter130)
       {
-        xfer += oprot->writeI32((*_iter120));
+        xfer += oprot->writeI32((*_iter130));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1161,10 +1211,10 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 36);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limits.size()));
-      std::vector<int32_t> ::const_iterator _iter121;
-      for (_iter121 = this->limits.begin(); _iter121 != this->limits.end(); ++_iter121)
+      std::vector<int32_t> ::const_iterator _iter131;
+      for (_iter131 = this->limits.begin(); _iter131 != this->limits.end(); ++_iter131)
       {
-        xfer += oprot->writeI32((*_iter121));
+        xfer += oprot->writeI32((*_iter131));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1174,10 +1224,10 @@
     xfer += oprot->writeFieldBegin("limitAges", ::apache::thrift::protocol::T_LIST, 37);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limitAges.size()));
-      std::vector<int32_t> ::const_iterator _iter122;
-      for (_iter122 = this->limitAges.begin(); _iter122 != this->limitAges.end(); ++_iter122)
+      std::vector<int32_t> ::const_iterator _iter132;
+      for (_iter132 = this->limitAges.begin(); _iter132 != this->limitAges.end(); ++_iter132)
       {
-        xfer += oprot->writeI32((*_iter122));
+        xfer += oprot->writeI32((*_iter132));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1187,10 +1237,10 @@
     xfer += oprot->writeFieldBegin("demandedServices", ::apache::thrift::protocol::T_LIST, 38);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->demandedServices.size()));
-      std::vector<int32_t> ::const_iterator _iter123;
-      for (_iter123 = this->demandedServices.begin(); _iter123 != this->demandedServices.end(); ++_iter123)
+      std::vector<int32_t> ::const_iterator _iter133;
+      for (_iter133 = this->demandedServices.begin(); _iter133 != this->demandedServices.end(); ++_iter133)
       {
-        xfer += oprot->writeI32((*_iter123));
+        xfer += oprot->writeI32((*_iter133));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1200,10 +1250,10 @@
     xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 39);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->demands.size()));
-      std::vector<int32_t> ::const_iterator _iter124;
-      for (_iter124 = this->demands.begin(); _iter124 != this->demands.end(); ++_iter124)
+      std::vector<int32_t> ::const_iterator _iter134;
+      for (_iter134 = this->demands.begin(); _iter134 != this->demands.end(); ++_iter134)
       {
-        xfer += oprot->writeI32((*_iter124));
+        xfer += oprot->writeI32((*_iter134));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1213,10 +1263,10 @@
     xfer += oprot->writeFieldBegin("unreachableServices", ::apache::thrift::protocol::T_LIST, 40);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->unreachableServices.size()));
-      std::vector<int32_t> ::const_iterator _iter125;
-      for (_iter125 = this->unreachableServices.begin(); _iter125 != this->unreachableServices.end(); ++_iter125)
+      std::vector<int32_t> ::const_iterator _iter135;
+      for (_iter135 = this->unreachableServices.begin(); _iter135 != this->unreachableServices.end(); ++_iter135)
       {
-        xfer += oprot->writeI32((*_iter125));
+        xfer += oprot->writeI32((*_iter135));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1227,6 +1277,32 @@
     xfer += oprot->writeI32(this->runningCalls);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.endedDepths) {
+    xfer += oprot->writeFieldBegin("endedDepths", ::apache::thrift::protocol::T_LIST, 42);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->endedDepths.size()));
+      std::vector<int32_t> ::const_iterator _iter136;
+      for (_iter136 = this->endedDepths.begin(); _iter136 != this->endedDepths.end(); ++_iter136)
+      {
+        xfer += oprot->writeI32((*_iter136));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.endedAges) {
+    xfer += oprot->writeFieldBegin("endedAges", ::apache::thrift::protocol::T_LIST, 43);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->endedAges.size()));
+      std::vector<int32_t> ::const_iterator _iter137;
+      for (_iter137 = this->endedAges.begin(); _iter137 != this->endedAges.end(); ++_iter137)
+      {
+        xfer += oprot->writeI32((*_iter137));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1275,96 +1351,102 @@
   swap(a.demands, b.demands);
   swap(a.unreachableServices, b.unreachableServices);
   swap(a.runningCalls, b.runningCalls);
+  swap(a.endedDepths, b.endedDepths);
+  swap(a.endedAges, b.endedAges);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other126) {
-  instance = other126.instance;
-  incarnation = other126.incarnation;
-  hall = other126.hall;
-  peerAddress = other126.peerAddress;
-  ready = other126.ready;
-  leaving = other126.leaving;
-  revision = other126.revision;
-  leavingUpstreams = other126.leavingUpstreams;
-  engines = other126.engines;
-  states = other126.states;
-  loads = other126.loads;
-  work = other126.work;
-  configVersion = other126.configVersion;
-  membersVersion = other126.membersVersion;
-  storeLost = other126.storeLost;
-  changedEngines = other126.changedEngines;
-  changedParts = other126.changedParts;
-  readParts = other126.readParts;
-  readEngines = other126.readEngines;
-  servicesApart = other126.servicesApart;
-  storeSteady = other126.storeSteady;
-  tellsHall = other126.tellsHall;
-  storeReadsForMs = other126.storeReadsForMs;
-  leavingBorn = other126.leavingBorn;
-  configGeneration = other126.configGeneration;
-  membersGeneration = other126.membersGeneration;
-  endedCallsHigh = other126.endedCallsHigh;
-  endedCallsLow = other126.endedCallsLow;
-  endedLives = other126.endedLives;
-  endingsCleared = other126.endingsCleared;
-  heldCalls = other126.heldCalls;
-  configProvenMs = other126.configProvenMs;
-  wallOffsetMs = other126.wallOffsetMs;
-  wallOffsetGeneration = other126.wallOffsetGeneration;
-  limitedUpstreams = other126.limitedUpstreams;
-  limits = other126.limits;
-  limitAges = other126.limitAges;
-  demandedServices = other126.demandedServices;
-  demands = other126.demands;
-  unreachableServices = other126.unreachableServices;
-  runningCalls = other126.runningCalls;
-  __isset = other126.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other127) {
-  instance = other127.instance;
-  incarnation = other127.incarnation;
-  hall = other127.hall;
-  peerAddress = other127.peerAddress;
-  ready = other127.ready;
-  leaving = other127.leaving;
-  revision = other127.revision;
-  leavingUpstreams = other127.leavingUpstreams;
-  engines = other127.engines;
-  states = other127.states;
-  loads = other127.loads;
-  work = other127.work;
-  configVersion = other127.configVersion;
-  membersVersion = other127.membersVersion;
-  storeLost = other127.storeLost;
-  changedEngines = other127.changedEngines;
-  changedParts = other127.changedParts;
-  readParts = other127.readParts;
-  readEngines = other127.readEngines;
-  servicesApart = other127.servicesApart;
-  storeSteady = other127.storeSteady;
-  tellsHall = other127.tellsHall;
-  storeReadsForMs = other127.storeReadsForMs;
-  leavingBorn = other127.leavingBorn;
-  configGeneration = other127.configGeneration;
-  membersGeneration = other127.membersGeneration;
-  endedCallsHigh = other127.endedCallsHigh;
-  endedCallsLow = other127.endedCallsLow;
-  endedLives = other127.endedLives;
-  endingsCleared = other127.endingsCleared;
-  heldCalls = other127.heldCalls;
-  configProvenMs = other127.configProvenMs;
-  wallOffsetMs = other127.wallOffsetMs;
-  wallOffsetGeneration = other127.wallOffsetGeneration;
-  limitedUpstreams = other127.limitedUpstreams;
-  limits = other127.limits;
-  limitAges = other127.limitAges;
-  demandedServices = other127.demandedServices;
-  demands = other127.demands;
-  unreachableServices = other127.unreachableServices;
-  runningCalls = other127.runningCalls;
-  __isset = other127.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other138) {
+  instance = other138.instance;
+  incarnation = other138.incarnation;
+  hall = other138.hall;
+  peerAddress = other138.peerAddress;
+  ready = other138.ready;
+  leaving = other138.leaving;
+  revision = other138.revision;
+  leavingUpstreams = other138.leavingUpstreams;
+  engines = other138.engines;
+  states = other138.states;
+  loads = other138.loads;
+  work = other138.work;
+  configVersion = other138.configVersion;
+  membersVersion = other138.membersVersion;
+  storeLost = other138.storeLost;
+  changedEngines = other138.changedEngines;
+  changedParts = other138.changedParts;
+  readParts = other138.readParts;
+  readEngines = other138.readEngines;
+  servicesApart = other138.servicesApart;
+  storeSteady = other138.storeSteady;
+  tellsHall = other138.tellsHall;
+  storeReadsForMs = other138.storeReadsForMs;
+  leavingBorn = other138.leavingBorn;
+  configGeneration = other138.configGeneration;
+  membersGeneration = other138.membersGeneration;
+  endedCallsHigh = other138.endedCallsHigh;
+  endedCallsLow = other138.endedCallsLow;
+  endedLives = other138.endedLives;
+  endingsCleared = other138.endingsCleared;
+  heldCalls = other138.heldCalls;
+  configProvenMs = other138.configProvenMs;
+  wallOffsetMs = other138.wallOffsetMs;
+  wallOffsetGeneration = other138.wallOffsetGeneration;
+  limitedUpstreams = other138.limitedUpstreams;
+  limits = other138.limits;
+  limitAges = other138.limitAges;
+  demandedServices = other138.demandedServices;
+  demands = other138.demands;
+  unreachableServices = other138.unreachableServices;
+  runningCalls = other138.runningCalls;
+  endedDepths = other138.endedDepths;
+  endedAges = other138.endedAges;
+  __isset = other138.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other139) {
+  instance = other139.instance;
+  incarnation = other139.incarnation;
+  hall = other139.hall;
+  peerAddress = other139.peerAddress;
+  ready = other139.ready;
+  leaving = other139.leaving;
+  revision = other139.revision;
+  leavingUpstreams = other139.leavingUpstreams;
+  engines = other139.engines;
+  states = other139.states;
+  loads = other139.loads;
+  work = other139.work;
+  configVersion = other139.configVersion;
+  membersVersion = other139.membersVersion;
+  storeLost = other139.storeLost;
+  changedEngines = other139.changedEngines;
+  changedParts = other139.changedParts;
+  readParts = other139.readParts;
+  readEngines = other139.readEngines;
+  servicesApart = other139.servicesApart;
+  storeSteady = other139.storeSteady;
+  tellsHall = other139.tellsHall;
+  storeReadsForMs = other139.storeReadsForMs;
+  leavingBorn = other139.leavingBorn;
+  configGeneration = other139.configGeneration;
+  membersGeneration = other139.membersGeneration;
+  endedCallsHigh = other139.endedCallsHigh;
+  endedCallsLow = other139.endedCallsLow;
+  endedLives = other139.endedLives;
+  endingsCleared = other139.endingsCleared;
+  heldCalls = other139.heldCalls;
+  configProvenMs = other139.configProvenMs;
+  wallOffsetMs = other139.wallOffsetMs;
+  wallOffsetGeneration = other139.wallOffsetGeneration;
+  limitedUpstreams = other139.limitedUpstreams;
+  limits = other139.limits;
+  limitAges = other139.limitAges;
+  demandedServices = other139.demandedServices;
+  demands = other139.demands;
+  unreachableServices = other139.unreachableServices;
+  runningCalls = other139.runningCalls;
+  endedDepths = other139.endedDepths;
+  endedAges = other139.endedAges;
+  __isset = other139.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -1411,6 +1493,8 @@
   out << ", " << "demands="; (__isset.demands ? (out << to_string(demands)) : (out << "<null>"));
   out << ", " << "unreachableServices="; (__isset.unreachableServices ? (out << to_string(unreachableServices)) : (out << "<null>"));
   out << ", " << "runningCalls="; (__isset.runningCalls ? (out << to_string(runningCalls)) : (out << "<null>"));
+  out << ", " << "endedDepths="; (__isset.endedDepths ? (out << to_string(endedDepths)) : (out << "<null>"));
+  out << ", " << "endedAges="; (__isset.endedAges ? (out << to_string(endedAges)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1505,14 +1589,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->streams.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            this->streams.resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->streams.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += iprot->readI64(this->streams[_i132]);
+              xfer += iprot->readI64(this->streams[_i144]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1525,14 +1609,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->origins.clear();
-            uint32_t _size133;
-            ::apache::thrift::protocol::TType _etype136;
-            xfer += iprot->readListBegin(_etype136, _size133);
-            this->origins.resize(_size133);
-            uint32_t _i137;
-            for (_i137 = 0; _i137 < _size133; ++_i137)
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->origins.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
             {
-              xfer += iprot->readI32(this->origins[_i137]);
+              xfer += iprot->readI32(this->origins[_i149]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1545,14 +1629,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keepForMs.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->keepForMs.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->keepForMs.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
             {
-              xfer += iprot->readI32(this->keepForMs[_i142]);
+              xfer += iprot->readI32(this->keepForMs[_i154]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1565,14 +1649,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size143;
-            ::apache::thrift::protocol::TType _etype146;
-            xfer += iprot->readListBegin(_etype146, _size143);
-            this->services.resize(_size143);
-            uint32_t _i147;
-            for (_i147 = 0; _i147 < _size143; ++_i147)
+            uint32_t _size155;
+            ::apache::thrift::protocol::TType _etype158;
+            xfer += iprot->readListBegin(_etype158, _size155);
+            this->services.resize(_size155);
+            uint32_t _i159;
+            for (_i159 = 0; _i159 < _size155; ++_i159)
             {
-              xfer += iprot->readString(this->services[_i147]);
+              xfer += iprot->readString(this->services[_i159]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1585,14 +1669,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->softwareVersions.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _etype151;
-            xfer += iprot->readListBegin(_etype151, _size148);
-            this->softwareVersions.resize(_size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->softwareVersions.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              xfer += iprot->readString(this->softwareVersions[_i152]);
+              xfer += iprot->readString(this->softwareVersions[_i164]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1613,14 +1697,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->askedStreams.clear();
-            uint32_t _size153;
-            ::apache::thrift::protocol::TType _etype156;
-            xfer += iprot->readListBegin(_etype156, _size153);
-            this->askedStreams.resize(_size153);
-            uint32_t _i157;
-            for (_i157 = 0; _i157 < _size153; ++_i157)
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->askedStreams.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
             {
-              xfer += iprot->readI64(this->askedStreams[_i157]);
+              xfer += iprot->readI64(this->askedStreams[_i169]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1633,14 +1717,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->askedServices.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->askedServices.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size170;
+            ::apache::thrift::protocol::TType _etype173;
+            xfer += iprot->readListBegin(_etype173, _size170);
+            this->askedServices.resize(_size170);
+            uint32_t _i174;
+            for (_i174 = 0; _i174 < _size170; ++_i174)
             {
-              xfer += iprot->readString(this->askedServices[_i162]);
+              xfer += iprot->readString(this->askedServices[_i174]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1653,14 +1737,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unknownStreams.clear();
-            uint32_t _size163;
-            ::apache::thrift::protocol::TType _etype166;
-            xfer += iprot->readListBegin(_etype166, _size163);
-            this->unknownStreams.resize(_size163);
-            uint32_t _i167;
-            for (_i167 = 0; _i167 < _size163; ++_i167)
+            uint32_t _size175;
+            ::apache::thrift::protocol::TType _etype178;
+            xfer += iprot->readListBegin(_etype178, _size175);
+            this->unknownStreams.resize(_size175);
+            uint32_t _i179;
+            for (_i179 = 0; _i179 < _size175; ++_i179)
             {
-              xfer += iprot->readI64(this->unknownStreams[_i167]);
+              xfer += iprot->readI64(this->unknownStreams[_i179]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1673,14 +1757,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->soleVersions.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->soleVersions.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _etype183;
+            xfer += iprot->readListBegin(_etype183, _size180);
+            this->soleVersions.resize(_size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
             {
-              xfer += iprot->readString(this->soleVersions[_i172]);
+              xfer += iprot->readString(this->soleVersions[_i184]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1693,14 +1777,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->soleForMs.clear();
-            uint32_t _size173;
-            ::apache::thrift::protocol::TType _etype176;
-            xfer += iprot->readListBegin(_etype176, _size173);
-            this->soleForMs.resize(_size173);
-            uint32_t _i177;
-            for (_i177 = 0; _i177 < _size173; ++_i177)
+            uint32_t _size185;
+            ::apache::thrift::protocol::TType _etype188;
+            xfer += iprot->readListBegin(_etype188, _size185);
+            this->soleForMs.resize(_size185);
+            uint32_t _i189;
+            for (_i189 = 0; _i189 < _size185; ++_i189)
             {
-              xfer += iprot->readI64(this->soleForMs[_i177]);
+              xfer += iprot->readI64(this->soleForMs[_i189]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1741,10 +1825,10 @@
   xfer += oprot->writeFieldBegin("streams", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->streams.size()));
-    std::vector<int64_t> ::const_iterator _iter178;
-    for (_iter178 = this->streams.begin(); _iter178 != this->streams.end(); ++_iter178)
+    std::vector<int64_t> ::const_iterator _iter190;
+    for (_iter190 = this->streams.begin(); _iter190 != this->streams.end(); ++_iter190)
     {
-      xfer += oprot->writeI64((*_iter178));
+      xfer += oprot->writeI64((*_iter190));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1753,10 +1837,10 @@
   xfer += oprot->writeFieldBegin("origins", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->origins.size()));
-    std::vector<int32_t> ::const_iterator _iter179;
-    for (_iter179 = this->origins.begin(); _iter179 != this->origins.end(); ++_iter179)
+    std::vector<int32_t> ::const_iterator _iter191;
+    for (_iter191 = this->origins.begin(); _iter191 != this->origins.end(); ++_iter191)
     {
-      xfer += oprot->writeI32((*_iter179));
+      xfer += oprot->writeI32((*_iter191));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1765,10 +1849,10 @@
   xfer += oprot->writeFieldBegin("keepForMs", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->keepForMs.size()));
-    std::vector<int32_t> ::const_iterator _iter180;
-    for (_iter180 = this->keepForMs.begin(); _iter180 != this->keepForMs.end(); ++_iter180)
+    std::vector<int32_t> ::const_iterator _iter192;
+    for (_iter192 = this->keepForMs.begin(); _iter192 != this->keepForMs.end(); ++_iter192)
     {
-      xfer += oprot->writeI32((*_iter180));
+      xfer += oprot->writeI32((*_iter192));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1777,10 +1861,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
-    std::vector<std::string> ::const_iterator _iter181;
-    for (_iter181 = this->services.begin(); _iter181 != this->services.end(); ++_iter181)
+    std::vector<std::string> ::const_iterator _iter193;
+    for (_iter193 = this->services.begin(); _iter193 != this->services.end(); ++_iter193)
     {
-      xfer += oprot->writeString((*_iter181));
+      xfer += oprot->writeString((*_iter193));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1789,10 +1873,10 @@
   xfer += oprot->writeFieldBegin("softwareVersions", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->softwareVersions.size()));
-    std::vector<std::string> ::const_iterator _iter182;
-    for (_iter182 = this->softwareVersions.begin(); _iter182 != this->softwareVersions.end(); ++_iter182)
+    std::vector<std::string> ::const_iterator _iter194;
+    for (_iter194 = this->softwareVersions.begin(); _iter194 != this->softwareVersions.end(); ++_iter194)
     {
-      xfer += oprot->writeString((*_iter182));
+      xfer += oprot->writeString((*_iter194));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1806,10 +1890,10 @@
     xfer += oprot->writeFieldBegin("askedStreams", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->askedStreams.size()));
-      std::vector<int64_t> ::const_iterator _iter183;
-      for (_iter183 = this->askedStreams.begin(); _iter183 != this->askedStreams.end(); ++_iter183)
+      std::vector<int64_t> ::const_iterator _iter195;
+      for (_iter195 = this->askedStreams.begin(); _iter195 != this->askedStreams.end(); ++_iter195)
       {
-        xfer += oprot->writeI64((*_iter183));
+        xfer += oprot->writeI64((*_iter195));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1819,10 +1903,10 @@
     xfer += oprot->writeFieldBegin("askedServices", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->askedServices.size()));
-      std::vector<std::string> ::const_iterator _iter184;
-      for (_iter184 = this->askedServices.begin(); _iter184 != this->askedServices.end(); ++_iter184)
+      std::vector<std::string> ::const_iterator _iter196;
+      for (_iter196 = this->askedServices.begin(); _iter196 != this->askedServices.end(); ++_iter196)
       {
-        xfer += oprot->writeString((*_iter184));
+        xfer += oprot->writeString((*_iter196));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1832,10 +1916,10 @@
     xfer += oprot->writeFieldBegin("unknownStreams", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unknownStreams.size()));
-      std::vector<int64_t> ::const_iterator _iter185;
-      for (_iter185 = this->unknownStreams.begin(); _iter185 != this->unknownStreams.end(); ++_iter185)
+      std::vector<int64_t> ::const_iterator _iter197;
+      for (_iter197 = this->unknownStreams.begin(); _iter197 != this->unknownStreams.end(); ++_iter197)
       {
-        xfer += oprot->writeI64((*_iter185));
+        xfer += oprot->writeI64((*_iter197));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1845,10 +1929,10 @@
     xfer += oprot->writeFieldBegin("soleVersions", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->soleVersions.size()));
-      std::vector<std::string> ::const_iterator _iter186;
-      for (_iter186 = this->soleVersions.begin(); _iter186 != this->soleVersions.end(); ++_iter186)
+      std::vector<std::string> ::const_iterator _iter198;
+      for (_iter198 = this->soleVersions.begin(); _iter198 != this->soleVersions.end(); ++_iter198)
       {
-        xfer += oprot->writeString((*_iter186));
+        xfer += oprot->writeString((*_iter198));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1858,10 +1942,10 @@
     xfer += oprot->writeFieldBegin("soleForMs", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->soleForMs.size()));
-      std::vector<int64_t> ::const_iterator _iter187;
-      for (_iter187 = this->soleForMs.begin(); _iter187 != this->soleForMs.end(); ++_iter187)
+      std::vector<int64_t> ::const_iterator _iter199;
+      for (_iter199 = this->soleForMs.begin(); _iter199 != this->soleForMs.end(); ++_iter199)
       {
-        xfer += oprot->writeI64((*_iter187));
+        xfer += oprot->writeI64((*_iter199));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1888,33 +1972,33 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamOrigins::StreamOrigins(const StreamOrigins& other188) {
-  streams = other188.streams;
-  origins = other188.origins;
-  keepForMs = other188.keepForMs;
-  services = other188.services;
-  softwareVersions = other188.softwareVersions;
-  answersTo = other188.answersTo;
-  askedStreams = other188.askedStreams;
-  askedServices = other188.askedServices;
-  unknownStreams = other188.unknownStreams;
-  soleVersions = other188.soleVersions;
-  soleForMs = other188.soleForMs;
-  __isset = other188.__isset;
-}
-StreamOrigins& StreamOrigins::operator=(const StreamOrigins& other189) {
-  streams = other189.streams;
-  origins = other189.origins;
-  keepForMs = other189.keepForMs;
-  services = other189.services;
-  softwareVersions = other189.softwareVersions;
-  answersTo = other189.answersTo;
-  askedStreams = other189.askedStreams;
-  askedServices = other189.askedServices;
-  unknownStreams = other189.unknownStreams;
-  soleVersions = other189.soleVersions;
-  soleForMs = other189.soleForMs;
-  __isset = other189.__isset;
+StreamOrigins::StreamOrigins(const StreamOrigins& other200) {
+  streams = other200.streams;
+  origins = other200.origins;
+  keepForMs = other200.keepForMs;
+  services = other200.services;
+  softwareVersions = other200.softwareVersions;
+  answersTo = other200.answersTo;
+  askedStreams = other200.askedStreams;
+  askedServices = other200.askedServices;
+  unknownStreams = other200.unknownStreams;
+  soleVersions = other200.soleVersions;
+  soleForMs = other200.soleForMs;
+  __isset = other200.__isset;
+}
+StreamOrigins& StreamOrigins::operator=(const StreamOrigins& other201) {
+  streams = other201.streams;
+  origins = other201.origins;
+  keepForMs = other201.keepForMs;
+  services = other201.services;
+  softwareVersions = other201.softwareVersions;
+  answersTo = other201.answersTo;
+  askedStreams = other201.askedStreams;
+  askedServices = other201.askedServices;
+  unknownStreams = other201.unknownStreams;
+  soleVersions = other201.soleVersions;
+  soleForMs = other201.soleForMs;
+  __isset = other201.__isset;
   return *this;
 }
 void StreamOrigins::printTo(std::ostream& out) const {
@@ -2052,17 +2136,17 @@
   swap(a.__isset, b.__isset);
 }
 
-RowsRequest::RowsRequest(const RowsRequest& other190) {
-  table = other190.table;
-  after = other190.after;
-  generation = other190.generation;
-  __isset = other190.__isset;
+RowsRequest::RowsRequest(const RowsRequest& other202) {
+  table = other202.table;
+  after = other202.after;
+  generation = other202.generation;
+  __isset = other202.__isset;
 }
-RowsRequest& RowsRequest::operator=(const RowsRequest& other191) {
-  table = other191.table;
-  after = other191.after;
-  generation = other191.generation;
-  __isset = other191.__isset;
+RowsRequest& RowsRequest::operator=(const RowsRequest& other203) {
+  table = other203.table;
+  after = other203.after;
+  generation = other203.generation;
+  __isset = other203.__isset;
   return *this;
 }
 void RowsRequest::printTo(std::ostream& out) const {
@@ -2212,17 +2296,17 @@
   swap(a.version, b.version);
 }
 
-Row::Row(const Row& other192) {
-  key = other192.key;
-  value = other192.value;
-  removed = other192.removed;
-  version = other192.version;
+Row::Row(const Row& other204) {
+  key = other204.key;
+  value = other204.value;
+  removed = other204.removed;
+  version = other204.version;
 }
-Row& Row::operator=(const Row& other193) {
-  key = other193.key;
-  value = other193.value;
-  removed = other193.removed;
-  version = other193.version;
+Row& Row::operator=(const Row& other205) {
+  key = other205.key;
+  value = other205.value;
+  removed = other205.removed;
+  version = other205.version;
   return *this;
 }
 void Row::printTo(std::ostream& out) const {
@@ -2317,14 +2401,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size194;
-            ::apache::thrift::protocol::TType _etype197;
-            xfer += iprot->readListBegin(_etype197, _size194);
-            this->rows.resize(_size194);
-            uint32_t _i198;
-            for (_i198 = 0; _i198 < _size194; ++_i198)
+            uint32_t _size206;
+            ::apache::thrift::protocol::TType _etype209;
+            xfer += iprot->readListBegin(_etype209, _size206);
+            this->rows.resize(_size206);
+            uint32_t _i210;
+            for (_i210 = 0; _i210 < _size206; ++_i210)
             {
-              xfer += this->rows[_i198].read(iprot);
+              xfer += this->rows[_i210].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2391,10 +2475,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter199;
-    for (_iter199 = this->rows.begin(); _iter199 != this->rows.end(); ++_iter199)
+    std::vector<Row> ::const_iterator _iter211;
+    for (_iter211 = this->rows.begin(); _iter211 != this->rows.end(); ++_iter211)
     {
-      xfer += (*_iter199).write(oprot);
+      xfer += (*_iter211).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2431,23 +2515,23 @@
   swap(a.__isset, b.__isset);
 }
 
-RowsReply::RowsReply(const RowsReply& other200) {
-  version = other200.version;
-  whole = other200.whole;
-  rows = other200.rows;
-  generation = other200.generation;
-  latestClockMs = other200.latestClockMs;
-  clockGeneration = other200.clockGeneration;
-  __isset = other200.__isset;
-}
-RowsReply& RowsReply::operator=(const RowsReply& other201) {
-  version = other201.version;
-  whole = other201.whole;
-  rows = other201.rows;
-  generation = other201.generation;
-  latestClockMs = other201.latestClockMs;
-  clockGeneration = other201.clockGeneration;
-  __isset = other201.__isset;
+RowsReply::RowsReply(const RowsReply& other212) {
+  version = other212.version;
+  whole = other212.whole;
+  rows = other212.rows;
+  generation = other212.generation;
+  latestClockMs = other212.latestClockMs;
+  clockGeneration = other212.clockGeneration;
+  __isset = other212.__isset;
+}
+RowsReply& RowsReply::operator=(const RowsReply& other213) {
+  version = other213.version;
+  whole = other213.whole;
+  rows = other213.rows;
+  generation = other213.generation;
+  latestClockMs = other213.latestClockMs;
+  clockGeneration = other213.clockGeneration;
+  __isset = other213.__isset;
   return *this;
 }
 void RowsReply::printTo(std::ostream& out) const {
@@ -2540,11 +2624,11 @@
   swap(a.after, b.after);
 }
 
-ChangesRequest::ChangesRequest(const ChangesRequest& other202) noexcept {
-  after = other202.after;
+ChangesRequest::ChangesRequest(const ChangesRequest& other214) noexcept {
+  after = other214.after;
 }
-ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other203) noexcept {
-  after = other203.after;
+ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other215) noexcept {
+  after = other215.after;
   return *this;
 }
 void ChangesRequest::printTo(std::ostream& out) const {
@@ -2652,13 +2736,13 @@
   swap(a.json, b.json);
 }
 
-ConfigObject::ConfigObject(const ConfigObject& other204) {
-  key = other204.key;
-  json = other204.json;
+ConfigObject::ConfigObject(const ConfigObject& other216) {
+  key = other216.key;
+  json = other216.json;
 }
-ConfigObject& ConfigObject::operator=(const ConfigObject& other205) {
-  key = other205.key;
-  json = other205.json;
+ConfigObject& ConfigObject::operator=(const ConfigObject& other217) {
+  key = other217.key;
+  json = other217.json;
   return *this;
 }
 void ConfigObject::printTo(std::ostream& out) const {
@@ -2728,14 +2812,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size206;
-            ::apache::thrift::protocol::TType _etype209;
-            xfer += iprot->readListBegin(_etype209, _size206);
-            this->changes.resize(_size206);
-            uint32_t _i210;
-            for (_i210 = 0; _i210 < _size206; ++_i210)
+            uint32_t _size218;
+            ::apache::thrift::protocol::TType _etype221;
+            xfer += iprot->readListBegin(_etype221, _size218);
+            this->changes.resize(_size218);
+            uint32_t _i222;
+            for (_i222 = 0; _i222 < _size218; ++_i222)
             {
-              xfer += iprot->readString(this->changes[_i210]);
+              xfer += iprot->readString(this->changes[_i222]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2748,14 +2832,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->snapshot.clear();
-            uint32_t _size211;
-            ::apache::thrift::protocol::TType _etype214;
-            xfer += iprot->readListBegin(_etype214, _size211);
-            this->snapshot.resize(_size211);
-            uint32_t _i215;
-            for (_i215 = 0; _i215 < _size211; ++_i215)
+            uint32_t _size223;
+            ::apache::thrift::protocol::TType _etype226;
+            xfer += iprot->readListBegin(_etype226, _size223);
+            this->snapshot.resize(_size223);
+            uint32_t _i227;
+            for (_i227 = 0; _i227 < _size223; ++_i227)
             {
-              xfer += this->snapshot[_i215].read(iprot);
+              xfer += this->snapshot[_i227].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2792,10 +2876,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->changes.size()));
-    std::vector<std::string> ::const_iterator _iter216;
-    for (_iter216 = this->changes.begin(); _iter216 != this->changes.end(); ++_iter216)
+    std::vector<std::string> ::const_iterator _iter228;
+    for (_iter228 = this->changes.begin(); _iter228 != this->changes.end(); ++_iter228)
     {
-      xfer += oprot->writeString((*_iter216));
+      xfer += oprot->writeString((*_iter228));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2805,10 +2889,10 @@
     xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->snapshot.size()));
-      std::vector<ConfigObject> ::const_iterator _iter217;
-      for (_iter217 = this->snapshot.begin(); _iter217 != this->snapshot.end(); ++_iter217)
+      std::vector<ConfigObject> ::const_iterator _iter229;
+      for (_iter229 = this->snapshot.begin(); _iter229 != this->snapshot.end(); ++_iter229)
       {
-        xfer += (*_iter217).write(oprot);
+        xfer += (*_iter229).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2827,17 +2911,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangesReply::ChangesReply(const ChangesReply& other218) {
-  revision = other218.revision;
-  changes = other218.changes;
-  snapshot = other218.snapshot;
-  __isset = other218.__isset;
+ChangesReply::ChangesReply(const ChangesReply& other230) {
+  revision = other230.revision;
+  changes = other230.changes;
+  snapshot = other230.snapshot;
+  __isset = other230.__isset;
 }
-ChangesReply& ChangesReply::operator=(const ChangesReply& other219) {
-  revision = other219.revision;
-  changes = other219.changes;
-  snapshot = other219.snapshot;
-  __isset = other219.__isset;
+ChangesReply& ChangesReply::operator=(const ChangesReply& other231) {
+  revision = other231.revision;
+  changes = other231.changes;
+  snapshot = other231.snapshot;
+  __isset = other231.__isset;
   return *this;
 }
 void ChangesReply::printTo(std::ostream& out) const {
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -38,7 +38,7 @@
 class ChangesReply;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false), leavingBorn(false), configGeneration(false), membersGeneration(false), endedCallsHigh(false), endedCallsLow(false), endedLives(false), endingsCleared(false), heldCalls(false), configProvenMs(false), wallOffsetMs(false), wallOffsetGeneration(false), limitedUpstreams(false), limits(false), limitAges(false), demandedServices(false), demands(false), unreachableServices(false), runningCalls(false) {}
+  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false), leavingBorn(false), configGeneration(false), membersGeneration(false), endedCallsHigh(false), endedCallsLow(false), endedLives(false), endingsCleared(false), heldCalls(false), configProvenMs(false), wallOffsetMs(false), wallOffsetGeneration(false), limitedUpstreams(false), limits(false), limitAges(false), demandedServices(false), demands(false), unreachableServices(false), runningCalls(false), endedDepths(false), endedAges(false) {}
   bool leavingUpstreams :1;
   bool engines :1;
   bool states :1;
@@ -73,6 +73,8 @@
   bool demands :1;
   bool unreachableServices :1;
   bool runningCalls :1;
+  bool endedDepths :1;
+  bool endedAges :1;
 } _Heartbeat__isset;
 
 /**
@@ -189,8 +191,8 @@
   std::vector<int64_t>  endedLives;
   std::vector<bool>  endingsCleared;
   /**
-   * Names the set of calls that the sender holds in quarantine; not set: it does
-   * not know yet.
+   * Names the set of calls and segments that the sender holds in quarantine; not
+   * set: it does not know yet.
    */
   int64_t heldCalls;
   /**
@@ -228,6 +230,16 @@
    * Calls under way at the sender; not set: none.
    */
   int32_t runningCalls;
+  /**
+   * Of the same length as `endedLives`, if set: for a segment of prompts, whose
+   * hash is in `endedCallsLow`, how many segments stand before it; negative: a
+   * call. Not set: all are calls.
+   */
+  std::vector<int32_t>  endedDepths;
+  /**
+   * Of the same length as `endedLives`, if set: milliseconds since each end.
+   */
+  std::vector<int32_t>  endedAges;
 
   _Heartbeat__isset __isset;
 
@@ -313,6 +325,10 @@
 
   void __set_runningCalls(const int32_t val);
 
+  void __set_endedDepths(const std::vector<int32_t> & val);
+
+  void __set_endedAges(const std::vector<int32_t> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -465,6 +481,14 @@
       return false;
     else if (__isset.runningCalls && !(runningCalls == rhs.runningCalls))
       return false;
+    if (__isset.endedDepths != rhs.__isset.endedDepths)
+      return false;
+    else if (__isset.endedDepths && !(endedDepths == rhs.endedDepths))
+      return false;
+    if (__isset.endedAges != rhs.__isset.endedAges)
+      return false;
+    else if (__isset.endedAges && !(endedAges == rhs.endedAges))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -68,8 +68,8 @@
   28: optional list<i64> endedCallsLow;
   29: optional list<i64> endedLives;
   30: optional list<bool> endingsCleared;
-  /** Names the set of calls that the sender holds in quarantine; not set: it does
-   * not know yet. */
+  /** Names the set of calls and segments that the sender holds in quarantine; not
+   * set: it does not know yet. */
   31: optional i64 heldCalls;
   /** Reading of the store's steady clock, in milliseconds, up to which the
    * sender's configuration holds all that the store had acknowledged. It belongs
@@ -96,6 +96,14 @@
   40: optional list<i32> unreachableServices;
   /** Calls under way at the sender; not set: none. */
   41: optional i32 runningCalls;
+  /**
+   * Of the same length as `endedLives`, if set: for a segment of prompts, whose
+   * hash is in `endedCallsLow`, how many segments stand before it; negative: a
+   * call. Not set: all are calls.
+   */
+  42: optional list<i32> endedDepths;
+  /** Of the same length as `endedLives`, if set: milliseconds since each end. */
+  43: optional list<i32> endedAges;
 }
 
 /**
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -33,6 +33,8 @@
 }
 
 constexpr std::int64_t kBornNotSaid = -1;
+/** Depth of what is no segment of a prompt. */
+constexpr std::int32_t kNoDepth = -1;
 
 void
 SetEndings(wire::Heartbeat& aOut,
@@ -42,16 +44,24 @@
   std::vector<std::int64_t> low;
   std::vector<std::int64_t> incarnations;
   std::vector<bool> cleared;
+  std::vector<std::int32_t> depths;
+  std::vector<std::int32_t> ages;
   for (const membership::CrashDigest& ending : aEndings) {
     high.push_back(static_cast<std::int64_t>(ending.m_callHigh));
     low.push_back(static_cast<std::int64_t>(ending.m_callLow));
     incarnations.push_back(static_cast<std::int64_t>(ending.m_incarnationHash));
     cleared.push_back(ending.m_cleared);
+    depths.push_back(ending.m_segmentDepth
+                       ? static_cast<std::int32_t>(*ending.m_segmentDepth)
+                       : kNoDepth);
+    ages.push_back(ending.m_ageMs);
   }
   aOut.__set_endedCallsHigh(high);
   aOut.__set_endedCallsLow(low);
   aOut.__set_endedLives(incarnations);
   aOut.__set_endingsCleared(cleared);
+  aOut.__set_endedDepths(depths);
+  aOut.__set_endedAges(ages);
 }
 
 /** Nothing: the lists differ in length. */
@@ -60,15 +70,27 @@
 {
   const std::size_t count = aIn.endedLives.size();
   if (aIn.endedCallsHigh.size() != count || aIn.endedCallsLow.size() != count ||
-      aIn.endingsCleared.size() != count) {
+      aIn.endingsCleared.size() != count ||
+      (aIn.__isset.endedDepths && aIn.endedDepths.size() != count) ||
+      (aIn.__isset.endedAges && aIn.endedAges.size() != count)) {
     return std::nullopt;
   }
   std::vector<membership::CrashDigest> out;
   for (std::size_t i = 0; i < count; ++i) {
-    out.push_back({ static_cast<std::uint64_t>(aIn.endedCallsHigh[i]),
-                    static_cast<std::uint64_t>(aIn.endedCallsLow[i]),
-                    static_cast<std::uint64_t>(aIn.endedLives[i]),
-                    aIn.endingsCleared[i] });
+    membership::CrashDigest digest{
+      static_cast<std::uint64_t>(aIn.endedCallsHigh[i]),
+      static_cast<std::uint64_t>(aIn.endedCallsLow[i]),
+      static_cast<std::uint64_t>(aIn.endedLives[i]),
+      aIn.endingsCleared[i],
+      std::nullopt
+    };
+    if (aIn.__isset.endedDepths && aIn.endedDepths[i] >= 0) {
+      digest.m_segmentDepth = static_cast<std::uint32_t>(aIn.endedDepths[i]);
+    }
+    if (aIn.__isset.endedAges) {
+      digest.m_ageMs = std::max(0, aIn.endedAges[i]);
+    }
+    out.push_back(digest);
   }
   return out;
 }
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -39,7 +39,13 @@
     out.m_prefills.push_back({ part, part ^ 5U });
   }
   for (std::uint32_t life : *rc::gen::arbitrary<std::vector<std::uint32_t>>()) {
-    out.m_crashes.push_back({ life * 3ULL, life * 5ULL, life, life % 2 == 0 });
+    out.m_crashes.push_back(
+      { life * 3ULL,
+        life * 5ULL,
+        life,
+        life % 2 == 0,
+        life % 3 == 0 ? std::optional(life % 100) : std::nullopt,
+        *rc::gen::inRange(0, 1 << 30) });
   }
   for (std::uint32_t upstream :
        *rc::gen::arbitrary<std::vector<std::uint32_t>>()) {
--- a/packages/quarantine/include/ridgeferry/quarantine/BrokenRuns.h
+++ b/packages/quarantine/include/ridgeferry/quarantine/BrokenRuns.h
@@ -4,14 +4,22 @@
 #include <map>
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/base/UpstreamIncarnation.h>
-#include <ridgeferry/quarantine/CallDigest.h>
+#include <ridgeferry/quarantine/Suspect.h>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace ridgeferry::quarantine {
 
+/** A suspect named by a run whose connection broke. */
+struct BrokenSuspect
+{
+  Depth m_depth = kCallDepth;
+  Instant m_at; ///< When the first of its runs on the upstream broke.
+};
+
 /**
  * Tracks runs of calls whose connection broke, until it is known whether the
  * upstream crashed or only the connection failed. An upstream has crashed when
@@ -30,35 +38,36 @@
    */
   static constexpr Duration kUnresolvedFor{ 6000 };
   /**
-   * Maximum number of runs tracked. It is more than the runs of several
-   * upstreams that crash at the same time. Further broken runs are not
-   * recorded, so their calls are not suspected.
+   * Maximum number of suspects tracked, each once for each run that names it.
+   * It is more than the runs of several upstreams that crash at the same time
+   * name. What further broken runs name is not suspected.
    */
-  static constexpr std::size_t kMaxRuns = 4096;
+  static constexpr std::size_t kMaxTracked = 16384;
 
-  void NoteBroken(const CallDigest& aCall,
+  /** Records that a run that names these suspects broke. */
+  void NoteBroken(std::span<const NamedSuspect> aSuspects,
                   const UpstreamIncarnation& aUpstream,
                   Instant aNow);
   /**
-   * Records that this incarnation of the upstream crashed. Returns each call
-   * that broke on it once, with the time of its first break, and stops tracking
-   * these runs.
+   * Records that this incarnation of the upstream crashed. Returns each suspect
+   * whose runs broke on it once, and stops tracking these runs.
    */
-  std::map<CallDigest, Instant> NoteEnded(const UpstreamIncarnation& aUpstream);
+  std::map<Suspect, BrokenSuspect> NoteEnded(
+    const UpstreamIncarnation& aUpstream);
   /**
-   * Records that the call completed successfully elsewhere, so that no crash
-   * counts against it for the runs tracked so far.
+   * Records that a run that names the suspect completed successfully elsewhere,
+   * so that no crash counts against it for the runs tracked so far.
    */
-  void NoteServed(const CallDigest& aCall);
+  void NoteServed(const Suspect& aSuspect);
   /**
    * Records that the upstream has answered a request that was sent at `aSince`.
    */
   void NoteAlive(std::string_view aUpstream, Instant aSince);
   /**
-   * Returns the number of upstreams on which the call broke and of which it is
-   * not known yet whether they crashed.
+   * Returns the number of upstreams on which runs of the suspect broke and of
+   * which it is not known yet whether they crashed.
    */
-  std::size_t Unresolved(const CallDigest& aCall) const;
+  std::size_t Unresolved(const Suspect& aSuspect) const;
   /**
    * Returns the incarnations of the upstream of which it is not known yet
    * whether they crashed.
@@ -81,12 +90,14 @@
 private:
   struct Run
   {
-    CallDigest m_call;
+    Suspect m_suspect;
+    Depth m_depth = kCallDepth;
     UpstreamIncarnation m_upstream;
     Instant m_at;
   };
 
-  std::vector<Run> m_runs; ///< Runs in the order in which they broke.
+  /** In the order in which they broke, one for each suspect of a run. */
+  std::vector<Run> m_runs;
 };
 
 } // namespace ridgeferry::quarantine
--- a/packages/quarantine/src/BrokenRuns.cpp
+++ b/packages/quarantine/src/BrokenRuns.cpp
@@ -17,33 +17,37 @@
 } // namespace
 
 void
-BrokenRuns::NoteBroken(const CallDigest& aCall,
+BrokenRuns::NoteBroken(std::span<const NamedSuspect> aSuspects,
                        const UpstreamIncarnation& aUpstream,
                        Instant aNow)
 {
-  if (m_runs.size() < kMaxRuns) {
-    m_runs.push_back({ aCall, aUpstream, aNow });
+  for (const NamedSuspect& named : aSuspects) {
+    if (m_runs.size() < kMaxTracked) {
+      m_runs.push_back({ named.m_suspect, named.m_depth, aUpstream, aNow });
+    }
   }
 }
 
-std::map<CallDigest, Instant>
+std::map<Suspect, BrokenSuspect>
 BrokenRuns::NoteEnded(const UpstreamIncarnation& aUpstream)
 {
-  std::map<CallDigest, Instant> calls;
+  std::map<Suspect, BrokenSuspect> suspects;
   std::erase_if(m_runs, [&](const Run& aRun) {
     const bool same = IsSameIncarnation(aRun.m_upstream, aUpstream);
     if (same) {
-      calls.emplace(aRun.m_call, aRun.m_at);
+      suspects.emplace(aRun.m_suspect,
+                       BrokenSuspect{ aRun.m_depth, aRun.m_at });
     }
     return same;
   });
-  return calls;
+  return suspects;
 }
 
 void
-BrokenRuns::NoteServed(const CallDigest& aCall)
+BrokenRuns::NoteServed(const Suspect& aSuspect)
 {
-  std::erase_if(m_runs, [&](const Run& aRun) { return aRun.m_call == aCall; });
+  std::erase_if(m_runs,
+                [&](const Run& aRun) { return aRun.m_suspect == aSuspect; });
 }
 
 void
@@ -55,11 +59,11 @@
 }
 
 std::size_t
-BrokenRuns::Unresolved(const CallDigest& aCall) const
+BrokenRuns::Unresolved(const Suspect& aSuspect) const
 {
   std::set<std::string_view> upstreams;
   for (const Run& run : m_runs) {
-    if (run.m_call == aCall) {
+    if (run.m_suspect == aSuspect) {
       upstreams.insert(run.m_upstream.m_id);
     }
   }
--- a/packages/quarantine/tests/BrokenRunsTest.cpp
+++ b/packages/quarantine/tests/BrokenRunsTest.cpp
@@ -17,11 +17,21 @@
   return Instant(Duration(aMs));
 }
 
+void
+NoteBroken(BrokenRuns& aRuns,
+           const CallDigest& aCall,
+           const UpstreamIncarnation& aUpstream,
+           Instant aNow)
+{
+  const NamedSuspect named{ aCall };
+  aRuns.NoteBroken({ &named, 1 }, aUpstream, aNow);
+}
+
 struct EndCase
 {
   std::function<void(BrokenRuns&)> m_before;
   UpstreamIncarnation m_ended;
-  std::vector<CallDigest> m_accused;
+  std::vector<Suspect> m_accused;
   const char* m_name;
 };
 
@@ -32,9 +42,9 @@
 {
   BrokenRuns runs;
   GetParam().m_before(runs);
-  std::vector<CallDigest> accused;
-  for (const auto& [call, brokeAt] : runs.NoteEnded(GetParam().m_ended)) {
-    accused.push_back(call);
+  std::vector<Suspect> accused;
+  for (const auto& [suspect, broken] : runs.NoteEnded(GetParam().m_ended)) {
+    accused.push_back(suspect);
   }
   EXPECT_EQ(accused, GetParam().m_accused);
   EXPECT_TRUE(runs.NoteEnded(GetParam().m_ended).empty());
@@ -45,26 +55,26 @@
   BrokenRunsTest,
   ::testing::Values(
     EndCase{ [](BrokenRuns& aRuns) {
-              aRuns.NoteBroken(kCall, kIncarnation, At(0));
-              aRuns.NoteBroken(kOther, kIncarnation, At(0));
-              aRuns.NoteBroken(kCall, kIncarnation, At(1));
+              NoteBroken(aRuns, kCall, kIncarnation, At(0));
+              NoteBroken(aRuns, kOther, kIncarnation, At(0));
+              NoteBroken(aRuns, kCall, kIncarnation, At(1));
             },
              kIncarnation,
              { kCall, kOther },
              "EachCallOnce" },
     EndCase{
-      [](BrokenRuns& aRuns) { aRuns.NoteBroken(kCall, kIncarnation, At(0)); },
+      [](BrokenRuns& aRuns) { NoteBroken(aRuns, kCall, kIncarnation, At(0)); },
       kElsewhere,
       {},
       "NotThatOfAnotherUpstream" },
     EndCase{
-      [](BrokenRuns& aRuns) { aRuns.NoteBroken(kCall, kIncarnation, At(0)); },
+      [](BrokenRuns& aRuns) { NoteBroken(aRuns, kCall, kIncarnation, At(0)); },
       kLater,
       {},
       "NotThatOfALaterLife" },
     // The connection broke, but the upstream has answered since.
     EndCase{ [](BrokenRuns& aRuns) {
-              aRuns.NoteBroken(kCall, kIncarnation, At(5));
+              NoteBroken(aRuns, kCall, kIncarnation, At(5));
               aRuns.NoteAlive(kIncarnation.m_id, At(5));
             },
              kIncarnation,
@@ -73,28 +83,28 @@
     // The answer belongs to a request that was sent before the break, so the
     // upstream may have crashed after it sent the answer.
     EndCase{ [](BrokenRuns& aRuns) {
-              aRuns.NoteBroken(kCall, kIncarnation, At(5));
+              NoteBroken(aRuns, kCall, kIncarnation, At(5));
               aRuns.NoteAlive(kIncarnation.m_id, At(4));
             },
              kIncarnation,
              { kCall },
              "AnEarlierSendProvesNothing" },
     EndCase{ [](BrokenRuns& aRuns) {
-              aRuns.NoteBroken(kCall, kIncarnation, At(0));
+              NoteBroken(aRuns, kCall, kIncarnation, At(0));
               aRuns.Tick(At(0) + BrokenRuns::kUnresolvedFor);
             },
              kIncarnation,
              {},
              "NotWhatBrokeLongAgo" },
     EndCase{ [](BrokenRuns& aRuns) {
-              aRuns.NoteBroken(kCall, kIncarnation, At(0));
+              NoteBroken(aRuns, kCall, kIncarnation, At(0));
               aRuns.NoteServed(kCall);
             },
              kIncarnation,
              {},
              "NotOfACallThatRanWell" },
     EndCase{ [](BrokenRuns& aRuns) {
-              aRuns.NoteBroken(kCall, kIncarnation, At(0));
+              NoteBroken(aRuns, kCall, kIncarnation, At(0));
               aRuns.ForgetAll();
             },
              kIncarnation,
@@ -105,9 +115,9 @@
 TEST(BrokenRunsCountTest, ACallIsCountedOnceForEachUpstream)
 {
   BrokenRuns runs;
-  runs.NoteBroken(kCall, kIncarnation, At(0));
-  runs.NoteBroken(kCall, kIncarnation, At(0));
-  runs.NoteBroken(kCall, kElsewhere, At(0));
+  NoteBroken(runs, kCall, kIncarnation, At(0));
+  NoteBroken(runs, kCall, kIncarnation, At(0));
+  NoteBroken(runs, kCall, kElsewhere, At(0));
   EXPECT_EQ(runs.Unresolved(kCall), 2U);
   EXPECT_EQ(runs.Unresolved(kOther), 0U);
   EXPECT_EQ(runs.Upstreams(), (std::set<std::string>{ "i-1", "i-2" }));
@@ -118,10 +128,10 @@
 TEST(BrokenRunsCountTest, MemoryIsBounded)
 {
   BrokenRuns runs;
-  for (std::uint64_t i = 0; i < 2 * BrokenRuns::kMaxRuns; ++i) {
-    runs.NoteBroken({ i, i }, kIncarnation, At(0));
+  for (std::uint64_t i = 0; i < 2 * BrokenRuns::kMaxTracked; ++i) {
+    NoteBroken(runs, { i, i }, kIncarnation, At(0));
   }
-  EXPECT_EQ(runs.NoteEnded(kIncarnation).size(), BrokenRuns::kMaxRuns);
+  EXPECT_EQ(runs.NoteEnded(kIncarnation).size(), BrokenRuns::kMaxTracked);
 }
 
 } // namespace
--- a/packages/quarantine/tests/QuarantineTest.cpp
+++ b/packages/quarantine/tests/QuarantineTest.cpp
@@ -43,7 +43,7 @@
   EXPECT_TRUE(quarantine.IsQuarantined(kCall));
   EXPECT_EQ(quarantine.QuarantineTimeLeft(kCall, third),
             Quarantine::kQuarantineTime);
-  EXPECT_FALSE(quarantine.IsQuarantined({ 1, 2 }));
+  EXPECT_FALSE(quarantine.IsQuarantined(CallDigest{ 1, 2 }));
 }
 
 TEST(QuarantineTest, CrashesAtOnceLeaveTheQuarantineDoubtedUntilOneMore)
@@ -91,13 +91,13 @@
     here.Note({ kCall, incarnation }, At(kMs));
     there.Note({ kCall, incarnation }, At(kMs));
   }
-  for (const CrashRecord& cleared : here.NoteServed(kCall)) {
+  for (const CrashRecord& cleared : here.NoteServed(kCall, At(2 * kMs))) {
     there.Note(cleared, At(2 * kMs));
   }
   EXPECT_FALSE(there.IsQuarantined(kCall));
   EXPECT_EQ(there.Note({ kCall, 2 }, At(3 * kMs)), Change::None);
   EXPECT_EQ(there.Ends(kCall), 0U);
-  EXPECT_TRUE(here.NoteServed(kCall).empty());
+  EXPECT_TRUE(here.NoteServed(kCall, At(2 * kMs)).empty());
 }
 
 TEST(QuarantineTest, ClearedCrashesHideNoLaterOnes)
@@ -107,7 +107,7 @@
        incarnation <= Quarantine::kMaxIncarnations;
        ++incarnation) {
     quarantine.Note({ kCall, incarnation }, At(kMs));
-    quarantine.NoteServed(kCall);
+    quarantine.NoteServed(kCall, At(kMs));
   }
   for (std::uint64_t incarnation = 101; incarnation <= 103; ++incarnation) {
     quarantine.Note({ kCall, incarnation }, At(kApart * incarnation));
@@ -119,14 +119,14 @@
 {
   Quarantine quarantine;
   const Duration last = 3 * kApart;
-  quarantine.Note({ { 2, 2 }, 1 }, At(last));
+  quarantine.Note({ CallDigest{ 2, 2 }, 1 }, At(last));
   EndThree(quarantine, last);
   const Instant soon = At(last + Quarantine::kSuspicionTime);
   EXPECT_TRUE(quarantine.Tick(soon).empty());
   EXPECT_EQ(quarantine.Suspected(), 0U);
   EXPECT_TRUE(quarantine.IsQuarantined(kCall));
   EXPECT_EQ(quarantine.Tick(At(last + Quarantine::kQuarantineTime)),
-            std::vector<CallDigest>{ kCall });
+            std::vector<Suspect>{ kCall });
   EXPECT_TRUE(quarantine.IsEmpty());
 }
 
@@ -142,9 +142,9 @@
   EXPECT_EQ(
     quarantine.QuarantineTimeLeft(kCall, At(Quarantine::kQuarantineTime)),
     std::chrono::hours(1));
-  EXPECT_EQ(
-    quarantine.Note({ { 3, 3 }, 1 }, At(kMs), Quarantine::kQuarantineTime),
-    Change::None);
+  EXPECT_EQ(quarantine.Note(
+              { CallDigest{ 3, 3 }, 1 }, At(kMs), Quarantine::kQuarantineTime),
+            Change::None);
 }
 
 TEST(QuarantineTest, ManySuspectedCallsDoNotEvictQuarantinedOnes)
@@ -153,7 +153,7 @@
   const Duration last = 3 * kApart;
   EndThree(quarantine, last);
   for (std::uint64_t i = 10; i < 10'010; ++i) {
-    quarantine.Note({ { i, i }, 1 }, At(2 * last));
+    quarantine.Note({ CallDigest{ i, i }, 1 }, At(2 * last));
   }
   EXPECT_TRUE(quarantine.IsQuarantined(kCall));
   EXPECT_LE(quarantine.Suspected(), Quarantine::kMaxSuspected);
@@ -164,12 +164,12 @@
   Quarantine quarantine;
   for (std::uint64_t i = 0; i < 2 * Quarantine::kMaxQuarantined; ++i) {
     for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
-      quarantine.Note({ { i, i }, incarnation }, At(kMs * i));
+      quarantine.Note({ CallDigest{ i, i }, incarnation }, At(kMs * i));
     }
   }
   const std::uint64_t last = 2 * Quarantine::kMaxQuarantined - 1;
-  EXPECT_LE(quarantine.Held(), Quarantine::kMaxQuarantined);
-  EXPECT_TRUE(quarantine.IsQuarantined({ last, last }));
+  EXPECT_LE(quarantine.Held().size(), Quarantine::kMaxQuarantined);
+  EXPECT_TRUE(quarantine.IsQuarantined(CallDigest{ last, last }));
 }
 
 /** Draws crash records and clearings of a few calls and incarnations. */
@@ -182,7 +182,7 @@
                    rc::gen::inRange(0, 4)),
     [](const auto& aDrawn) {
       const auto& [call, incarnation, cleared] = aDrawn;
-      return CrashRecord{ { call, call }, incarnation, cleared == 0 };
+      return CrashRecord{ CallDigest{ call, call }, incarnation, cleared == 0 };
     }));
 }
 
@@ -216,7 +216,8 @@
   }
   RC_ASSERT(here.Fingerprint() == there.Fingerprint());
   for (std::uint64_t call = 0; call < 3; ++call) {
-    RC_ASSERT(here.Ends({ call, call }) == there.Ends({ call, call }));
+    RC_ASSERT(here.Ends(CallDigest{ call, call }) ==
+              there.Ends(CallDigest{ call, call }));
   }
 }
 
@@ -243,15 +244,15 @@
 {
   Quarantine quarantine;
   for (std::uint64_t i = 10; i < 20; ++i) {
-    quarantine.Note({ { i, i }, 1 }, At(9 * kMs));
+    quarantine.Note({ CallDigest{ i, i }, 1 }, At(9 * kMs));
   }
   for (std::uint64_t incarnation = 1; incarnation <= 2; ++incarnation) {
     quarantine.Note({ kCall, incarnation }, At(kMs));
   }
   const std::vector<ReportedCrash> told = quarantine.Snapshot(At(9 * kMs), 4);
   ASSERT_EQ(told.size(), 4U);
-  EXPECT_EQ(told[0].m_record.m_call, kCall);
-  EXPECT_EQ(told[1].m_record.m_call, kCall);
+  EXPECT_EQ(told[0].m_record.m_suspect, Suspect(kCall));
+  EXPECT_EQ(told[1].m_record.m_suspect, Suspect(kCall));
   EXPECT_EQ(told[0].m_age, 8 * kMs);
 }
 
--- a/packages/quarantine/tests/QuarantineWorldTest.cpp
+++ b/packages/quarantine/tests/QuarantineWorldTest.cpp
@@ -208,16 +208,17 @@
       // The instance that could have reported the crash has restarted since.
       return;
     }
-    m_instances[aInstance].m_broken.NoteBroken(kCrashingCall, ended, m_now);
+    const NamedSuspect named{ kCrashingCall };
+    m_instances[aInstance].m_broken.NoteBroken({ &named, 1 }, ended, m_now);
     After(kDetect, [this, aInstance, ended] { Detect(aInstance, ended); });
   }
 
   void Detect(std::size_t aInstance, const UpstreamIncarnation& aEnded)
   {
     Instance& instance = m_instances[aInstance];
-    for (const auto& [call, brokeAt] : instance.m_broken.NoteEnded(aEnded)) {
+    for (const auto& [call, broken] : instance.m_broken.NoteEnded(aEnded)) {
       const CrashRecord ending{ call, IncarnationHash(aEnded) };
-      instance.m_quarantine.Note(ending, m_now, m_now - brokeAt);
+      instance.m_quarantine.Note(ending, m_now, m_now - broken.m_at);
       for (std::size_t i = 0; i < m_instances.size(); ++i) {
         Tell(i, ending);
       }
@@ -465,7 +466,7 @@
         return false;
       }
       for (const CrashRecord& cleared :
-           m_instances[aRun.m_instance].NoteServed(kCrashingCall)) {
+           m_instances[aRun.m_instance].NoteServed(kCrashingCall, m_now)) {
         m_messages.push_back({ cleared, m_now + m_load.m_messageDelay });
       }
       return true;
