What a call is follows from its service, not from a caller's header

What operators saw: an instance ends by a segmentation fault on one request with `X-Token-Count` before a service of plain upstreams, so any caller ends any instance.

Cause: the header alone made a call one with a prompt, and `Fleet::FindEngine` took each upstream that does not decode for one that hands over to another; of plain ones, or of one row without a phase beside prefill engines, none may decode, and the end of an empty list was taken for an engine.

A call has a prompt only if some upstream of its service is an engine (`Fleet::RunsEngines`); the header is passed on as it came. An upstream that tells no role runs its calls alone and prefills for nobody. `WithDecodeTarget` returns an optional.

Looked for elsewhere: each `min_element`, `front`, `back`, `BetterOfTwo` and index modulo a size in packages/ and platform/ has its list checked in the lines before it, or by the parser of the configuration (a route has a service). Not done: a type for lists that are never empty, an assertion build.

--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -363,7 +363,10 @@
   start.m_routes = aRequest.m_routes;
   start.m_route = aRequest.m_route;
   start.m_service = aService;
-  start.m_kind = KindOf(route.m_name, aRequest.m_head.m_prompt);
+  if (!m_node.m_fleet.RunsEngines(aService)) {
+    start.m_head.m_prompt.reset();
+  }
+  start.m_kind = KindOf(route.m_name, start.m_head.m_prompt);
   start.m_earlierWait = EarlierWait(aRequest);
   start.m_movedTokensPerMs = MovedTokensPerMs(aService);
   start.m_connections = ConnectionsOf(aService);
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -360,6 +360,9 @@
   /** Returns null if no such member is known. */
   const Member* Find(std::string_view aId) const;
   std::size_t Size() const { return m_members.size(); }
+  /** Returns whether any upstream of the service is an engine. Calls to other
+   * services have no prompt, whatever their callers say. */
+  bool RunsEngines(std::string_view aService) const;
   /**
    * Returns the tokens that an engine has to prefill for the prompt. `aKept`
    * tells whether the engine is assumed to have the shared prefix cached.
@@ -600,11 +603,12 @@
     const PlaceRequest& aRequest);
   /**
    * Returns a place that prefills at `aPrefillEngine` and decodes at the best
-   * decode engine. Precondition: `HasDecodeEngine`.
+   * decode engine; std::nullopt if none may decode for it.
    */
-  static Place WithDecodeTarget(const State& aPrefillEngine,
-                                std::span<const State* const> aSound,
-                                const PlaceRequest& aRequest);
+  static std::optional<Place> WithDecodeTarget(
+    const State& aPrefillEngine,
+    std::span<const State* const> aSound,
+    const PlaceRequest& aRequest);
   static double ThroughputOf(const State& aState);
   /**
    * Returns the estimated time to the first token after `aWork` more prefill
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -221,6 +221,17 @@
   }
 }
 
+bool
+Fleet::RunsEngines(std::string_view aService) const
+{
+  return std::any_of(
+    m_members.begin(), m_members.end(), [aService](const auto& aEntry) {
+      const Member& member = aEntry.second.m_member;
+      return member.m_service == aService &&
+             member.m_role != UpstreamRole::Plain;
+    });
+}
+
 void
 Fleet::NotePrompt(std::string_view aService,
                   const Prompt& aPrompt,
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -424,7 +424,7 @@
   return isFar ? &aBest : &better;
 }
 
-Place
+std::optional<Place>
 Fleet::WithDecodeTarget(const State& aPrefillEngine,
                         std::span<const State* const> aSound,
                         const PlaceRequest& aRequest)
@@ -446,6 +446,9 @@
     aSound.end(),
     std::back_inserter(decodeEngines),
     [&](const State* aState) { return MayDecodeFor(*aState, aPrefillEngine); });
+  if (decodeEngines.empty()) {
+    return std::nullopt;
+  }
   const State* best =
     *std::min_element(decodeEngines.begin(), decodeEngines.end(), sooner);
   const State* drawn = BetterOfTwo<const State*>(
@@ -582,12 +585,16 @@
   }
   const Candidate& chosen = *PickPrefillEngine(candidates, best, aRequest);
   const State& state = *chosen.m_state;
-  Place place = state.m_member.m_role == UpstreamRole::Decode
-                  ? Place{ state.m_member.m_id, {} }
-                  : WithDecodeTarget(state, aSound, aRequest);
-  place.m_expectedMs = chosen.m_ms;
-  place.m_forItsSize = forItsSize;
-  return place;
+  // An upstream that tells no role runs its calls alone.
+  auto place = state.m_member.m_role == UpstreamRole::Prefill
+                 ? WithDecodeTarget(state, aSound, aRequest)
+                 : Place{ state.m_member.m_id, {} };
+  if (!place) {
+    return PlaceFault{}; // No engine could decode the output.
+  }
+  place->m_expectedMs = chosen.m_ms;
+  place->m_forItsSize = forItsSize;
+  return *place;
 }
 
 } // namespace ridgeferry::relay
--- a/packages/relay/src/FleetPrefillEngines.cpp
+++ b/packages/relay/src/FleetPrefillEngines.cpp
@@ -391,7 +391,7 @@
   }
   prefillEngines.erase(full, prefillEngines.end());
   const Candidate& chosen = PickDisaggregated(prefillEngines, aRequest);
-  const bool beside = chosen.m_state->m_member.m_role == UpstreamRole::Decode;
+  const bool beside = chosen.m_state->m_member.m_role != UpstreamRole::Prefill;
   const State* decodeTarget =
     beside ? chosen.m_state : PickDecodeTarget(*chosen.m_state, aSound);
   if (decodeTarget == nullptr) {
