--- a/packages/entry/src/QuarantineService.cpp
+++ b/packages/entry/src/QuarantineService.cpp
@@ -200,17 +200,18 @@
   for (const quarantine::NamedSuspect& named : aSend.m_suspects) {
     const std::string text = quarantine::FormatSuspect(named.m_suspect);
     if (quarantine::IsSegment(named.m_suspect)) {
-      segments += (segments.empty() ? "" : ",") + text;
+      segments.insert(0, segments.empty() ? text : text + ",");
       continue;
     }
-    fields.emplace_back("call", text);
-    fields.emplace_back(
-      "ends", static_cast<std::int64_t>(m_quarantine.Ends(named.m_suspect)));
-    fields.emplace_back(
-      "unresolved",
-      static_cast<std::int64_t>(m_broken.Unresolved(named.m_suspect)));
+    fields.push_back({ "call", text });
+    fields.push_back(
+      { "ends",
+        static_cast<std::int64_t>(m_quarantine.Ends(named.m_suspect)) });
+    fields.push_back(
+      { "unresolved",
+        static_cast<std::int64_t>(m_broken.Unresolved(named.m_suspect)) });
   }
-  fields.emplace_back("segments", std::move(segments));
+  fields.push_back({ "segments", std::move(segments) });
   m_node.m_log->Write(observe::LogLevel::Info, "send-broke", fields);
   Probe(*member);
 }
--- a/packages/entry/src/QuarantineShare.cpp
+++ b/packages/entry/src/QuarantineShare.cpp
@@ -1,6 +1,7 @@
 #include "QuarantineShare.h"
 
 #include <algorithm>
+#include <iterator>
 #include <ridgeferry/base/Overloaded.h>
 #include <ridgeferry/quarantine/CrashRecordsText.h>
 #include <utility>
@@ -149,10 +150,12 @@
   }
   // A heartbeat has room for `kMaxRecordsInHeartbeat` records only.
   std::vector<std::pair<std::size_t, const AnnouncedRecord*>> byUrgency;
-  for (auto it = m_announcedRecords.rbegin(); it != m_announcedRecords.rend();
-       ++it) {
-    byUrgency.emplace_back(UrgencyOf(*it), &*it);
-  }
+  std::transform(m_announcedRecords.rbegin(),
+                 m_announcedRecords.rend(),
+                 std::back_inserter(byUrgency),
+                 [this](const AnnouncedRecord& aRecord) {
+                   return std::pair(UrgencyOf(aRecord), &aRecord);
+                 });
   std::stable_sort(byUrgency.begin(),
                    byUrgency.end(),
                    [](const auto& aLeft, const auto& aRight) {
@@ -160,9 +163,13 @@
                    });
   byUrgency.resize(std::min(byUrgency.size(), kMaxRecordsInHeartbeat));
   std::vector<membership::CrashDigest> told;
-  for (const auto& [urgency, news] : byUrgency) {
-    told.push_back(DigestFor(news->m_record, now - news->m_crashedAt));
-  }
+  std::transform(byUrgency.begin(),
+                 byUrgency.end(),
+                 std::back_inserter(told),
+                 [now](const auto& aEntry) {
+                   const AnnouncedRecord& news = *aEntry.second;
+                   return DigestFor(news.m_record, now - news.m_crashedAt);
+                 });
   m_peers.SetCrashes(std::move(told),
                      m_known ? std::optional(m_quarantine.Fingerprint())
                              : std::nullopt);
--- a/packages/entry/src/RelayCallQuarantine.cpp
+++ b/packages/entry/src/RelayCallQuarantine.cpp
@@ -62,8 +62,8 @@
     { "forMs", aHold.m_left.count() }
   };
   if (quarantine::IsSegment(heldFor)) {
-    fields.emplace_back("segment", quarantine::FormatSuspect(heldFor));
-    fields.emplace_back("depth", std::int64_t{ aHold.m_heldFor.m_depth });
+    fields.push_back({ "segment", quarantine::FormatSuspect(heldFor) });
+    fields.push_back({ "depth", std::int64_t{ aHold.m_heldFor.m_depth } });
   }
   m_node.m_log->Write(observe::LogLevel::Info, "call-held", fields);
 }
