Entry: what an upstream says of itself is read once, and told in the log

One typed statement (leaves, limit, back-off, who answered, what could not be read) is decoded in the adapter from the head of an answer and taken by one function. Behaviour is as before: only the limit is applied. New line upstream-statement; upstream-rests and rests_total become upstream-ejected and ejections_total, as "rest" would mean two things. Retry-After is read as RFC 9110 has it (seconds, parts of them, a date against the Date of the answer); an exponent, several values, words, negative numbers are not read. Ruled out: reading in each call (the limit was read there, and so from nothing else).

--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -11,6 +11,7 @@
 #include <ridgeferry/relay/RoleChangeController.h>
 #include <ridgeferry/relay/Routes.h>
 #include <ridgeferry/relay/TableFollower.h>
+#include <ridgeferry/relay/UpstreamStatement.h>
 #include <ridgeferry/scaling/ScalePlanner.h>
 #include <ridgeferry/table/Table.h>
 #include <ridgeferry/usage/UsageReporter.h>
@@ -173,10 +174,9 @@
   /** Returns true if the upstream's answer says that it has not run the call.
    */
   sigc::slot<bool(const net::HttpHead&)> m_saysNotRun;
-  /** Returns the requests a second that the upstream, as its answer states,
-   * accepts from all instances together; std::nullopt if it states none or one
-   * that is not a number of 0 or more. */
-  sigc::slot<std::optional<double>(const net::HttpHead&)> m_readStatedLimit;
+  /** Reads what the head of any answer of an upstream says about that upstream.
+   */
+  sigc::slot<relay::UpstreamStatement(const net::HttpHead&)> m_readStatement;
   /** Returns the KV cache handle in the body of a prefill engine's answer;
    * empty if it has none. */
   sigc::slot<std::string(std::string_view)> m_readHandle;
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -89,6 +89,7 @@
   std::unique_ptr<OrderLease> m_lease;
   std::unique_ptr<UsageService> m_usage;
   std::unique_ptr<ScaleService> m_scale;
+  std::unique_ptr<StatementService> m_statements;
   std::unique_ptr<StreamOriginService> m_origins;
   std::unique_ptr<Relay> m_relay;
   std::unique_ptr<RoleReconciler> m_roleReconciler;
@@ -563,6 +564,7 @@
   m_usage = std::make_unique<UsageService>(
     m_node, m_generations, *m_peers, *m_peerRows, *m_trueTime, *m_lease);
   m_scale = std::make_unique<ScaleService>(m_node, *m_lease);
+  m_statements = std::make_unique<StatementService>(m_node);
   m_origins =
     std::make_unique<StreamOriginService>(m_node, *m_peers, *m_peerSocket);
   m_relay = std::make_unique<Relay>(m_node,
@@ -571,7 +573,8 @@
                                     *m_usage,
                                     *m_reach,
                                     *m_peers,
-                                    *m_origins);
+                                    *m_origins,
+                                    *m_statements);
   m_roleReconciler =
     std::make_unique<RoleReconciler>(m_node, m_generations, *m_peers, *m_lease);
   if (auto started = m_relay->Start(); !started) {
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -78,7 +78,8 @@
              UsageService& aUsage,
              ReachService& aReach,
              const Peers& aPeers,
-             StreamOriginService& aOrigins)
+             StreamOriginService& aOrigins,
+             StatementService& aStatements)
   : m_node(aNode)
   , m_quarantine(aQuarantine)
   , m_freshness(aFreshness)
@@ -86,6 +87,7 @@
   , m_reach(aReach)
   , m_peers(aPeers)
   , m_origins(aOrigins)
+  , m_statements(aStatements)
 {
 }
 
@@ -381,6 +383,7 @@
   start.m_peers = &m_peers;
   start.m_forwarded = aRequest.m_forwarded;
   start.m_origins = &m_origins;
+  start.m_statements = &m_statements;
   start.m_origin = aOrigin;
   const std::string& beganAs = aOrigin && aRequest.m_head.m_takenUp
                                  ? aRequest.m_head.m_takenUp->m_beganAs
--- a/packages/entry/src/Relay.h
+++ b/packages/entry/src/Relay.h
@@ -3,6 +3,7 @@
 #include "ConfigFreshness.h"
 #include "EntryNode.h"
 #include "RelayCall.h"
+#include "StatementService.h"
 #include "StreamOriginService.h"
 #include "UsageService.h"
 
@@ -30,7 +31,8 @@
         UsageService& aUsage,
         ReachService& aReach,
         const Peers& aPeers,
-        StreamOriginService& aOrigins);
+        StreamOriginService& aOrigins,
+        StatementService& aStatements);
 
   tl::expected<void, net::NetError> Start();
   /** Applies the limits on callers' requests from the present configuration,
@@ -120,6 +122,7 @@
   ReachService& m_reach;
   const Peers& m_peers;
   StreamOriginService& m_origins;
+  StatementService& m_statements;
   std::unique_ptr<net::HttpServer> m_server;
   std::uint64_t m_lastCall = 0;
   std::size_t m_takeUps = 0; ///< Calls that wait for the origin of a stream.
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -413,6 +413,7 @@
   m_attempt = {};
   m_attempt.m_id = aId;
   m_attempt.m_upstream = aMember.m_id;
+  m_attempt.m_born = aMember.m_born;
   m_attempt.m_service = m_start.m_service;
   m_attempt.m_softwareVersion = aMember.m_softwareVersion;
   m_attempt.m_sentAt = m_node.Now();
@@ -503,10 +504,10 @@
 void
 RelayCall::LogEjection(std::string_view aCause)
 {
-  m_node.m_metrics.Count("rests_total");
+  m_node.m_metrics.Count("ejections_total");
   m_node.m_log->Write(
     observe::LogLevel::Info,
-    "upstream-rests",
+    "upstream-ejected",
     { { "upstream", m_attempt.m_upstream },
       { "id", m_start.m_head.m_id },
       { "cause", std::string(aCause) },
@@ -523,9 +524,10 @@
   NoteResponse();
   m_node.m_metrics.Count(observe::WithLabel(
     "upstream_answers_total", "framing", NameOf(aHead.m_framing)));
-  if (aHead.m_status != kMisdirected) {
-    NoteStatedLimit(aHead);
-  }
+  m_start.m_statements->Take({ { m_attempt.m_upstream, m_attempt.m_born },
+                               AnsweredRequest::Call,
+                               m_start.m_head.m_id },
+                             aHead);
   m_start.m_quarantine->NoteAnswered(m_attempt.m_upstream, m_attempt.m_sentAt);
   const bool read =
     aHead.m_status == kOk && !m_node.m_dialect.m_saysNotRun(aHead);
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -7,6 +7,7 @@
 #include "PromptOutcome.h"
 #include "QuarantineService.h"
 #include "ReachService.h"
+#include "StatementService.h"
 #include "StreamOriginService.h"
 #include "UsageService.h"
 
@@ -64,6 +65,8 @@
   std::optional<ForwardedTerms> m_forwarded = {};
   /** Must outlive the call. */
   StreamOriginService* m_origins = nullptr;
+  /** Must outlive the call. */
+  StatementService* m_statements = nullptr;
   /** What began the stream that the call goes on with; std::nullopt if it goes
    * on with none. */
   std::optional<streams::StreamOrigin> m_origin = {};
@@ -97,6 +100,8 @@
     relay::AttemptId m_id = 0;
     net::HttpCallId m_http = 0;
     std::string m_upstream;
+    /** See `UpstreamIncarnation::m_born`. */
+    std::optional<std::int64_t> m_born;
     std::string m_service;         ///< That of the upstream.
     std::string m_softwareVersion; ///< Of the upstream when it was sent to.
     /** Prefill work that remains until the first byte of the answer, in tokens
@@ -193,9 +198,6 @@
   /** Tells the fleet if the end of the present send's connection shows that the
    * upstream cannot be reached. */
   void NoteReach(const net::HttpResponse& aResponse);
-  /** Records the limit that an answer of the present upstream states, and logs
-   * a change. */
-  void NoteStatedLimit(const net::HttpHead& aHead);
   /** Counts the sends of the present placement against the limits that its
    * upstreams state, before other calls are placed. */
   void ReservePermits();
--- a/packages/entry/src/RelayCallLimits.cpp
+++ b/packages/entry/src/RelayCallLimits.cpp
@@ -1,23 +1,12 @@
 // The part of `RelayCall` that deals with the limits that upstreams state in
 // their answers.
 
-#include "LimitLog.h"
 #include "RelayCall.h"
 
 #include <algorithm>
 
 namespace ridgeferry::entry {
 
-void
-RelayCall::NoteStatedLimit(const net::HttpHead& aHead)
-{
-  const auto limit = m_node.m_dialect.m_readStatedLimit(aHead);
-  const limits::LimitChange change =
-    m_node.m_fleet.NoteStatedLimit(m_attempt.m_upstream, limit, m_node.Now());
-  LogLimitChange(m_node,
-                 { m_attempt.m_upstream, limit, change, m_start.m_head.m_id });
-}
-
 void
 RelayCall::ReservePermits()
 {
