Relay: an upstream that says in an answer that it leaves gets no new work

What callers saw: calls were sent to an upstream seconds after its answers said that it leaves; such a call is lost when the upstream ends. Cause (class): what an upstream says of itself in its answers was read header by header, on the ways that somebody had thought of. Nobody read this one; the row in the store was the only source, and the store may acknowledge it 13 s later. Mend: one function takes the statement of each answer (calls, prefills, orders, reports, freed handles) for the incarnation that answered: by name where the answer or the request names it, otherwise not at all. UpstreamNotices keeps it for that incarnation for good, listed or not; rows and announcements of peers go the same way. The check stands at the send: only Fleet::TargetFor makes the SendTarget that RelayCall::Send and orders need, so a call that waited, was prefilled elsewhere, or resumes passes it too. What is withheld is no failure and no send (AttemptWithheld).

--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -8,6 +8,7 @@
 #include "Relay.h"
 #include "RoleReconciler.h"
 #include "ScaleService.h"
+#include "StatementService.h"
 #include "StoreGenerations.h"
 #include "StoreReader.h"
 #include "StreamOriginService.h"
@@ -295,8 +296,9 @@
   if (order == IncarnationOrder::Earlier) {
     return;
   }
-  if (aMember.m_leaving) {
-    m_peers->NoteLeaving(aMember.Incarnation());
+  const relay::Member& held = *m_node.m_fleet.Find(aMember.m_id);
+  if (held.m_leaving) {
+    m_peers->NoteLeaving(held.Incarnation());
   }
   m_origins->NoteListed(aMember);
   m_node.m_log->Write(observe::LogLevel::Info,
@@ -306,7 +308,7 @@
                         { "address", aMember.m_address },
                         { "part", std::string(relay::NameOf(aMember.m_role)) },
                         { "softwareVersion", aMember.m_softwareVersion },
-                        { "leaving", aMember.m_leaving },
+                        { "leaving", held.m_leaving },
                         { "withdrawable", aMember.m_withdrawable },
                         { "born", aMember.m_born.value_or(0) } });
 }
@@ -564,7 +566,7 @@
   m_usage = std::make_unique<UsageService>(
     m_node, m_generations, *m_peers, *m_peerRows, *m_trueTime, *m_lease);
   m_scale = std::make_unique<ScaleService>(m_node, *m_lease);
-  m_statements = std::make_unique<StatementService>(m_node);
+  m_statements = std::make_unique<StatementService>(m_node, *m_peers);
   m_origins =
     std::make_unique<StreamOriginService>(m_node, *m_peers, *m_peerSocket);
   m_relay = std::make_unique<Relay>(m_node,
@@ -575,8 +577,8 @@
                                     *m_peers,
                                     *m_origins,
                                     *m_statements);
-  m_roleReconciler =
-    std::make_unique<RoleReconciler>(m_node, m_generations, *m_peers, *m_lease);
+  m_roleReconciler = std::make_unique<RoleReconciler>(
+    m_node, m_generations, *m_peers, *m_lease, *m_statements);
   if (auto started = m_relay->Start(); !started) {
     return started;
   }
@@ -616,7 +618,9 @@
     [this](const relay::ApplyRows& aRows) { TakeMembers(aRows); });
   m_peers->SignalLeaving().connect(
     [this](const UpstreamIncarnation& aUpstream) {
-      m_node.m_fleet.MarkLeaving(aUpstream);
+      if (!m_node.m_fleet.MarkLeaving(aUpstream)) {
+        return;
+      }
       m_node.m_log->Write(
         observe::LogLevel::Info,
         "upstream-leaves",
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -520,13 +520,12 @@
 void
 Peers::TakeLeaving(const UpstreamIncarnation& aUpstream)
 {
+  // Also of an upstream that is not listed here: its row may be on its way.
+  m_leaves.emit(aUpstream);
   const relay::Member* member = m_node.m_fleet.Find(aUpstream.m_id);
-  if (member == nullptr) {
-    return;
-  }
-  const UpstreamIncarnation listed = member->Incarnation();
-  if (m_leavingAnnouncements.NoteFromPeer(aUpstream, &listed)) {
-    m_leaves.emit(aUpstream);
+  if (member != nullptr) {
+    const UpstreamIncarnation listed = member->Incarnation();
+    m_leavingAnnouncements.NoteFromPeer(aUpstream, &listed);
   }
 }
 
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -35,8 +35,8 @@
 
   /** Precondition: the socket has been started. */
   void Start();
-  /** Announces to the other instances that an upstream is leaving, which this
-   * instance has read in the list of upstreams. */
+  /** Announces to the other instances that an upstream in the list is leaving,
+   * as the list or an answer of it says. */
   void NoteLeaving(const UpstreamIncarnation& aUpstream);
   /** Ends the announcements about an upstream that has been removed from the
    * list of upstreams. */
@@ -134,8 +134,8 @@
   {
     return m_crashesReported;
   }
-  /** Emitted when another instance announces that an upstream is leaving that
-   * this instance has in its list. */
+  /** Emitted whenever another instance announces that an upstream is leaving.
+   */
   sigc::signal<void(const UpstreamIncarnation&)>& SignalLeaving()
   {
     return m_leaves;
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -346,10 +346,16 @@
 void
 RelayCall::Do(const relay::SendPrefill& aAction)
 {
+  const auto reader = m_node.m_fleet.TargetFor(aAction.m_prefillEngine,
+                                               relay::RequestPurpose::Work);
+  if (!reader) {
+    Withhold(
+      aAction.m_attempt, aAction.m_prefillEngine, "it wants no new calls");
+    return;
+  }
   if (aAction.m_repeat) {
     NoteRepeat();
   }
-  const relay::Member* reader = m_node.m_fleet.Find(aAction.m_prefillEngine);
   SendTerms terms;
   terms.m_readOnly = true;
   if (const relay::Member* donor = m_node.m_fleet.Find(m_place.m_fetchFrom)) {
@@ -361,20 +367,17 @@
 void
 RelayCall::Do(const relay::SendRun& aAction)
 {
-  if (aAction.m_repeat) {
-    NoteRepeat();
-  }
   if (IsInstance(aAction.m_upstream)) {
+    if (aAction.m_repeat) {
+      NoteRepeat();
+    }
     SendToInstance(aAction);
     return;
   }
-  const relay::Member* member = m_node.m_fleet.Find(aAction.m_upstream);
-  if (member == nullptr || member->m_leaving || IsOfOtherVersion(*member) ||
-      Hold() || !MayRunByKey()) {
-    // While another engine prefilled the prompt, the upstream left or started
-    // again with other software, the call was quarantined because upstreams
-    // crashed during it, or the configuration became too old. Nothing has been
-    // sent to this upstream, so the attempt counts as unsent.
+  // Much may have changed while another engine prefilled the prompt.
+  const relay::Member* listed = m_node.m_fleet.Find(aAction.m_upstream);
+  if (listed == nullptr || IsOfOtherVersion(*listed)) {
+    // The upstream ended, or started again with other software.
     m_attempt = {};
     m_attempt.m_id = aAction.m_attempt;
     m_attempt.m_upstream = aAction.m_upstream;
@@ -382,6 +385,20 @@
     Handle(relay::AttemptNotSent{ aAction.m_attempt });
     return;
   }
+  const auto member =
+    m_node.m_fleet.TargetFor(aAction.m_upstream, relay::RequestPurpose::Work);
+  if (!member) {
+    Withhold(aAction.m_attempt, aAction.m_upstream, "it wants no new calls");
+    return;
+  }
+  if (Hold() || !MayRunByKey()) {
+    Withhold(
+      aAction.m_attempt, aAction.m_upstream, "the call may not run any more");
+    return;
+  }
+  if (aAction.m_repeat) {
+    NoteRepeat();
+  }
   SendTerms terms;
   terms.m_resumeAfter = aAction.m_resumeAfter;
   if (terms.m_resumeAfter.empty() && m_start.m_forwarded) {
@@ -391,7 +408,7 @@
     const relay::Member* reader = m_node.m_fleet.Find(aAction.m_prefillEngine);
     // Another version could not read what this one wrote.
     if (reader != nullptr &&
-        reader->m_softwareVersion == member->m_softwareVersion) {
+        reader->m_softwareVersion == (*member)->m_softwareVersion) {
       terms.m_prefillAddress = reader->m_address;
       terms.m_handle = aAction.m_handle;
     }
@@ -405,17 +422,37 @@
   return m_origin && aMember.m_softwareVersion != m_origin->m_softwareVersion;
 }
 
+void
+RelayCall::Withhold(relay::AttemptId aId,
+                    const std::string& aUpstream,
+                    std::string_view aCause)
+{
+  m_attempt = {};
+  m_attempt.m_id = aId;
+  m_attempt.m_upstream = aUpstream;
+  m_attempt.m_sentAt = m_node.Now();
+  m_node.m_metrics.Count("sends_withheld_total");
+  m_node.m_log->Write(observe::LogLevel::Info,
+                      "send-withheld",
+                      { { "id", m_start.m_head.m_id },
+                        { "attempt", static_cast<std::int64_t>(aId) },
+                        { "upstream", aUpstream },
+                        { "cause", std::string(aCause) } });
+  Handle(relay::AttemptWithheld{ aId });
+}
+
 void
 RelayCall::Send(relay::AttemptId aId,
-                const relay::Member& aMember,
+                const relay::SendTarget& aTarget,
                 SendTerms aTerms)
 {
+  const relay::Member& member = *aTarget;
   m_attempt = {};
   m_attempt.m_id = aId;
-  m_attempt.m_upstream = aMember.m_id;
-  m_attempt.m_born = aMember.m_born;
+  m_attempt.m_upstream = member.m_id;
+  m_attempt.m_born = member.m_born;
   m_attempt.m_service = m_start.m_service;
-  m_attempt.m_softwareVersion = aMember.m_softwareVersion;
+  m_attempt.m_softwareVersion = member.m_softwareVersion;
   m_attempt.m_sentAt = m_node.Now();
   m_attempt.m_readOnly = aTerms.m_readOnly;
   if (m_start.m_head.m_prompt && aTerms.m_handle.empty()) {
@@ -423,14 +460,14 @@
     const bool asPlaced = aTerms.m_readOnly && m_place.m_work > 0;
     m_attempt.m_tokens =
       asPlaced ? m_place.m_work
-               : m_node.m_fleet.WorkAt(prompt, aMember.m_id, m_node.Now());
+               : m_node.m_fleet.WorkAt(prompt, member.m_id, m_node.Now());
     const std::int64_t least = relay::Fleet::WorkOf(prompt, prompt.m_ownTokens);
     m_attempt.m_workIsSure = m_attempt.m_tokens <= least * kSureParts / kParts;
-    m_node.m_fleet.NotePrefill(prompt, aMember.m_id, m_node.Now());
+    m_node.m_fleet.NotePrefill(prompt, member.m_id, m_node.Now());
   }
-  m_path += (m_path.empty() ? "" : ",") + aMember.m_id;
-  aTerms.m_address = aMember.m_address;
-  aTerms.m_upstream = aMember.m_id;
+  m_path += (m_path.empty() ? "" : ",") + member.m_id;
+  aTerms.m_address = member.m_address;
+  aTerms.m_upstream = member.m_id;
   aTerms.m_left = Left();
   aTerms.m_priority = Priority();
   aTerms.m_hidesCredentials = m_start.m_hidesCredentials;
@@ -445,23 +482,24 @@
   if (m_start.m_route->m_repeat == relay::Repeat::Never) {
     request.m_longestRest = kMaxIdleTime;
   }
-  m_attempt.m_tokensAhead = m_node.m_fleet.TokensAt(aMember.m_id);
+  m_attempt.m_tokensAhead = m_node.m_fleet.TokensAt(member.m_id);
   m_node.m_log->Write(observe::LogLevel::Info,
                       "attempt-sent",
                       { { "id", m_start.m_head.m_id },
                         { "attempt", static_cast<std::int64_t>(aId) },
-                        { "upstream", aMember.m_id },
-                        { "softwareVersion", aMember.m_softwareVersion },
+                        { "upstream", member.m_id },
+                        { "softwareVersion", member.m_softwareVersion },
                         { "resumeAfter", aTerms.m_resumeAfter },
                         { "readOnly", aTerms.m_readOnly },
                         { "handle", aTerms.m_handle },
                         { "tokens", m_attempt.m_tokens },
                         { "tokensAhead", m_attempt.m_tokensAhead },
                         { "leftMs", Left().count() } });
-  UsePermit(aMember.m_id);
+  UsePermit(member.m_id);
   request.m_fresh =
-    m_node.m_fleet.NeedsOwnConnection(aMember.m_id, m_node.Now());
-  m_node.m_fleet.NoteSent(aMember.m_id, m_attempt.m_tokens, m_node.Now());
+    m_node.m_fleet.NeedsOwnConnection(member.m_id, m_node.Now());
+  m_node.m_fleet.NoteSent(member.m_id, m_attempt.m_tokens, m_node.Now());
+  m_attempt.m_wasSent = true;
   Start(request);
 }
 
@@ -525,7 +563,7 @@
   m_node.m_metrics.Count(observe::WithLabel(
     "upstream_answers_total", "framing", NameOf(aHead.m_framing)));
   m_start.m_statements->Take({ { m_attempt.m_upstream, m_attempt.m_born },
-                               AnsweredRequest::Call,
+                               AnswerProof::ByName,
                                m_start.m_head.m_id },
                              aHead);
   m_start.m_quarantine->NoteAnswered(m_attempt.m_upstream, m_attempt.m_sentAt);
@@ -669,6 +707,9 @@
     // lower bound that already shows the estimate to be too low.
     NoteFirstToken();
   }
+  if (!m_attempt.m_wasSent) {
+    return;
+  }
   const bool isEjected =
     m_node.m_fleet.NoteEnded(m_attempt.m_upstream,
                              m_attempt.m_tokens,
@@ -684,22 +725,31 @@
 void
 RelayCall::Do(const relay::FreeHandle& aAction)
 {
-  const relay::Member* reader = m_node.m_fleet.Find(aAction.m_prefillEngine);
-  if (reader == nullptr) {
+  const auto reader = m_node.m_fleet.TargetFor(aAction.m_prefillEngine,
+                                               relay::RequestPurpose::Upkeep);
+  if (!reader) {
+    m_node.m_metrics.Count("handles_not_freed_total");
     return;
   }
   net::HttpRequest request =
-    m_node.m_dialect.m_writeFreeHandle(reader->m_address, aAction.m_handle);
-  request.m_address = reader->m_address;
+    m_node.m_dialect.m_writeFreeHandle((*reader)->m_address, aAction.m_handle);
+  request.m_address = (*reader)->m_address;
   request.m_timeout = kFreeTimeout;
   net::HttpCallbacks callbacks;
-  callbacks.m_done = [&node = m_node](const net::HttpResponse& aResponse) {
-    if (!net::HasAnswer(aResponse)) {
-      // The prefill engine frees the cache by itself when the lifetime of the
-      // handle ends, so the failure is only counted.
-      node.m_metrics.Count("handles_not_freed_total");
-    }
-  };
+  callbacks.m_done =
+    [&node = m_node,
+     statements = m_start.m_statements,
+     upstream = (*reader)->Incarnation(),
+     id = m_start.m_head.m_id](const net::HttpResponse& aResponse) {
+      if (!net::HasAnswer(aResponse)) {
+        // The prefill engine frees the cache by itself when the lifetime of the
+        // handle ends, so the failure is only counted.
+        node.m_metrics.Count("handles_not_freed_total");
+        return;
+      }
+      statements->Take({ upstream, AnswerProof::ByAddress, id },
+                       aResponse.m_head);
+    };
   m_node.m_http->Send(request, std::move(callbacks));
 }
 
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -115,6 +115,7 @@
      * that the prompt shares with no other prompt, so the upstream cannot have
      * cached so much of the prompt that `m_tokens` is far too high. */
     bool m_workIsSure = false;
+    bool m_wasSent = false;     ///< The fleet counts it as under way.
     bool m_readOnly = false;    ///< The upstream only prefills the prompt.
     bool m_isForwarded = false; ///< Sent to another instance.
     bool m_saidNotRun = false;  ///< The upstream reports that it did not run.
@@ -139,8 +140,13 @@
   void Do(const relay::ReplyError& aAction);
 
   void Send(relay::AttemptId aId,
-            const relay::Member& aMember,
+            const relay::SendTarget& aTarget,
             SendTerms aTerms);
+  /** Ends the attempt at the upstream before anything of it is sent, and logs
+   * why. */
+  void Withhold(relay::AttemptId aId,
+                const std::string& aUpstream,
+                std::string_view aCause);
   /** Sends the request of the present attempt. */
   void Start(const net::HttpRequest& aRequest);
   /** Returns whether only the end of its connection tells the answer's end. */
--- a/packages/entry/src/RoleReconciler.cpp
+++ b/packages/entry/src/RoleReconciler.cpp
@@ -30,11 +30,13 @@
 RoleReconciler::RoleReconciler(EntryNode& aNode,
                                StoreGenerations& aGenerations,
                                Peers& aPeers,
-                               OrderLease& aLease)
+                               OrderLease& aLease,
+                               StatementService& aStatements)
   : m_node(aNode)
   , m_generations(aGenerations)
   , m_peers(aPeers)
   , m_lease(aLease)
+  , m_statements(aStatements)
 {
 }
 
@@ -205,6 +207,15 @@
   m_node.m_http->Send(request, std::move(callbacks));
 }
 
+void
+RoleReconciler::TakeStatement(const StatementSource& aSource,
+                              const net::HttpResponse& aResponse)
+{
+  if (net::HasAnswer(aResponse)) {
+    m_statements.Take(aSource, aResponse.m_head);
+  }
+}
+
 void
 RoleReconciler::Do(const relay::AskReport& aAction)
 {
@@ -220,7 +231,9 @@
   request.m_timeout = kEngineTimeout;
   request.m_connectTimeout = kEngineTimeout;
   net::HttpCallbacks callbacks;
-  callbacks.m_done = [this, engine](const net::HttpResponse& aResponse) {
+  callbacks.m_done = [this, engine, upstream = member->Incarnation()](
+                       const net::HttpResponse& aResponse) {
+    TakeStatement({ upstream, AnswerProof::ByAddress, "report" }, aResponse);
     HandleRoleChangeEvent(
       relay::ReportCame{ engine, m_node.m_dialect.m_readReport(aResponse) });
   };
@@ -231,8 +244,9 @@
 RoleReconciler::Do(const relay::SendRoleOrder& aAction)
 {
   const std::string engine = aAction.m_engine;
-  const relay::Member* member = m_node.m_fleet.Find(engine);
-  if (member == nullptr || !m_lease.HasAuthority()) {
+  const auto member =
+    m_node.m_fleet.TargetFor(engine, relay::RequestPurpose::Work);
+  if (!member || !m_lease.HasAuthority()) {
     m_node.m_loop->Defer([this, engine] {
       HandleRoleChangeEvent(
         relay::OrderAnswered{ engine, relay::OrderAnswer::Refused });
@@ -240,7 +254,7 @@
     return;
   }
   EngineRoleOrder order;
-  order.m_address = member->m_address;
+  order.m_address = (*member)->m_address;
   order.m_engine = engine;
   order.m_to = aAction.m_to;
   order.m_expectedOrders = aAction.m_expectedOrders;
@@ -253,7 +267,9 @@
   request.m_timeout = kEngineTimeout;
   request.m_connectTimeout = kEngineTimeout;
   net::HttpCallbacks callbacks;
-  callbacks.m_done = [this, engine](const net::HttpResponse& aResponse) {
+  callbacks.m_done = [this, engine, upstream = (*member)->Incarnation()](
+                       const net::HttpResponse& aResponse) {
+    TakeStatement({ upstream, AnswerProof::ByName, "order" }, aResponse);
     m_node.m_log->Write(
       observe::LogLevel::Info,
       "order-answered",
--- a/packages/entry/src/RoleReconciler.h
+++ b/packages/entry/src/RoleReconciler.h
@@ -3,6 +3,7 @@
 #include "EntryNode.h"
 #include "OrderLease.h"
 #include "Peers.h"
+#include "StatementService.h"
 #include "StoreGenerations.h"
 
 #include <map>
@@ -21,7 +22,8 @@
   RoleReconciler(EntryNode& aNode,
                  StoreGenerations& aGenerations,
                  Peers& aPeers,
-                 OrderLease& aLease);
+                 OrderLease& aLease,
+                 StatementService& aStatements);
 
   void Start();
   /** Notes that an engine has been removed from the list of upstreams. */
@@ -42,6 +44,9 @@
   /** Sends the role updates to the other instances, if they have changed since
    * they were last sent. */
   void AnnounceRoleUpdates();
+  /** Takes what an engine says about itself, if it answered. */
+  void TakeStatement(const StatementSource& aSource,
+                     const net::HttpResponse& aResponse);
   void HandleRoleChangeEvent(const relay::RoleChangeEvent& aEvent);
   void Do(const relay::AskReport& aAction);
   void Do(const relay::SendRoleOrder& aAction);
@@ -63,6 +68,7 @@
   StoreGenerations& m_generations;
   Peers& m_peers;
   OrderLease& m_lease;
+  StatementService& m_statements;
   relay::RoleChangeController m_roleChanges;
   std::map<std::string, ServicePlan> m_plans; ///< Plans by name of service.
   /** Last known value of the store's row of services that need disaggregated
--- a/packages/entry/src/StatementService.cpp
+++ b/packages/entry/src/StatementService.cpp
@@ -18,8 +18,9 @@
 
 } // namespace
 
-StatementService::StatementService(EntryNode& aNode)
+StatementService::StatementService(EntryNode& aNode, Peers& aPeers)
   : m_node(aNode)
+  , m_peers(aPeers)
 {
 }
 
@@ -41,11 +42,53 @@
         { "backOffMs", statement.m_backOff.value_or(Duration{ -1 }).count() },
         { "unreadable", JoinedText(statement.m_unreadable) } });
   }
-  if (!statement.m_isMisdirected) {
+  const auto speaker = SpeakerOf(aSource, statement);
+  if (!speaker) {
+    return;
+  }
+  if (statement.m_leaves) {
+    NoteLeaving(*speaker, aSource.m_id);
+  }
+  if (aSource.m_proof == AnswerProof::ByName) {
     NoteLimit(aSource, statement);
   }
 }
 
+std::optional<UpstreamIncarnation>
+StatementService::SpeakerOf(const StatementSource& aSource,
+                            const relay::UpstreamStatement& aStatement) const
+{
+  const UpstreamIncarnation& asked = aSource.m_upstream;
+  if (aStatement.m_speaker == asked.m_id) {
+    return asked;
+  }
+  if (!aStatement.m_speaker.empty()) {
+    const relay::Member* member = m_node.m_fleet.Find(aStatement.m_speaker);
+    return member == nullptr ? std::nullopt
+                             : std::optional(member->Incarnation());
+  }
+  const bool isCertain =
+    aSource.m_proof == AnswerProof::ByName && !aStatement.m_isMisdirected;
+  return isCertain ? std::optional(asked) : std::nullopt;
+}
+
+void
+StatementService::NoteLeaving(const UpstreamIncarnation& aUpstream,
+                              std::string_view aId)
+{
+  if (!m_node.m_fleet.MarkLeaving(aUpstream)) {
+    return;
+  }
+  m_node.m_log->Write(observe::LogLevel::Info,
+                      "upstream-leaves",
+                      { { "upstream", aUpstream.m_id },
+                        { "from", "an answer" },
+                        { "id", std::string(aId) } });
+  if (m_node.m_fleet.Find(aUpstream.m_id) != nullptr) {
+    m_peers.NoteLeaving(aUpstream);
+  }
+}
+
 void
 StatementService::NoteLimit(const StatementSource& aSource,
                             const relay::UpstreamStatement& aStatement)
--- a/packages/entry/src/StatementService.h
+++ b/packages/entry/src/StatementService.h
@@ -1,17 +1,21 @@
 #pragma once
 
 #include "EntryNode.h"
+#include "Peers.h"
 
+#include <optional>
 #include <ridgeferry/base/UpstreamIncarnation.h>
 #include <string_view>
 
 namespace ridgeferry::entry {
 
-/** What an upstream answered. */
-enum class AnsweredRequest : std::uint8_t
+/** What shows that the upstream itself answered a request that was meant for
+ * it.
+ */
+enum class AnswerProof : std::uint8_t
 {
-  Call,    ///< A caller's call, or the prefill of its prompt.
-  Control, ///< A request of this instance's own.
+  ByName,    ///< The request named it: another one answers that as misdirected.
+  ByAddress, ///< Only the address, which may be another upstream's by now.
 };
 
 /** Where an answer with a statement comes from. */
@@ -19,8 +23,9 @@
 {
   /** The upstream that the request was meant for. */
   UpstreamIncarnation m_upstream;
-  AnsweredRequest m_request = AnsweredRequest::Call;
-  /** What the request is known by in the log: the id of the call. */
+  AnswerProof m_proof = AnswerProof::ByName;
+  /** What the request is known by in the log: the id of the call, or what it
+   * asks for. */
   std::string_view m_id;
 };
 
@@ -29,17 +34,24 @@
 class StatementService
 {
 public:
-  /** The argument must outlive this object. */
-  explicit StatementService(EntryNode& aNode);
+  /** The arguments must outlive this object. */
+  StatementService(EntryNode& aNode, Peers& aPeers);
 
   /** Must be called with the head of each answer of an upstream. */
   void Take(const StatementSource& aSource, const net::HttpHead& aHead);
 
 private:
+  /** Returns the incarnation that a statement is about; std::nullopt if that is
+   * not certain. */
+  std::optional<UpstreamIncarnation> SpeakerOf(
+    const StatementSource& aSource,
+    const relay::UpstreamStatement& aStatement) const;
+  void NoteLeaving(const UpstreamIncarnation& aUpstream, std::string_view aId);
   void NoteLimit(const StatementSource& aSource,
                  const relay::UpstreamStatement& aStatement);
 
   EntryNode& m_node;
+  Peers& m_peers;
 };
 
 } // namespace ridgeferry::entry
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -15,6 +15,8 @@
 #include <ridgeferry/relay/Prompt.h>
 #include <ridgeferry/relay/RoleChangeController.h>
 #include <ridgeferry/relay/Routes.h>
+#include <ridgeferry/relay/SendTarget.h>
+#include <ridgeferry/relay/UpstreamNotices.h>
 #include <span>
 #include <string>
 #include <string_view>
@@ -132,11 +134,11 @@
 
   /**
    * Adds or updates a member from a row of the list. Within one incarnation, a
-   * member that is leaving stays leaving. A row of a later incarnation discards
-   * everything known of the earlier one: cached prefixes, loads, throughput,
-   * ejection, role and leaving state. A row of an earlier incarnation is
-   * ignored, even after the member was removed. Returns how the row's
-   * incarnation relates to the known one.
+   * member that is leaving stays leaving, also if its row was gone meanwhile. A
+   * row of a later incarnation discards everything known of the earlier one:
+   * cached prefixes, loads, throughput, ejection, role and leaving state. A row
+   * of an earlier incarnation is ignored, even after the member was removed.
+   * Returns how the row's incarnation relates to the known one.
    */
   IncarnationOrder Put(const Member& aMember);
   /**
@@ -151,10 +153,18 @@
    */
   void BoundGracePeriods(std::string_view aDataCentre, Instant aUntil);
   /**
-   * Marks a member as leaving, as another instance announced, so that it gets
-   * no new calls. Has no effect on another incarnation of the member.
+   * Marks an incarnation of an upstream, listed or not, as leaving, as itself
+   * or another instance says: it gets no new work, whatever its row says then.
+   * Has no effect on another incarnation. Returns whether that is new.
    */
-  void MarkLeaving(const UpstreamIncarnation& aUpstream);
+  bool MarkLeaving(const UpstreamIncarnation& aUpstream);
+  /**
+   * Returns the member if a request may be sent to it now; std::nullopt if it
+   * is not known, or wants none of that purpose. Must be called just before
+   * each send.
+   */
+  std::optional<SendTarget> TargetFor(std::string_view aId,
+                                      RequestPurpose aPurpose) const;
   /** Removes the members whose grace period has ended and returns their ids. */
   std::vector<std::string> Tick(Instant aNow);
 
@@ -743,6 +753,7 @@
    * were removed.
    */
   std::unordered_map<std::string, std::int64_t> m_born;
+  UpstreamNotices m_notices;
   std::unordered_map<std::uint32_t, std::string> m_byShortHash;
   std::map<std::string, std::vector<PeerLoad>, std::less<>> m_peerLoads;
   std::map<std::string, std::vector<MemberRoleUpdate>, std::less<>>
--- a/packages/relay/include/ridgeferry/relay/RelayFlow.h
+++ b/packages/relay/include/ridgeferry/relay/RelayFlow.h
@@ -60,6 +60,12 @@
 {
   AttemptId m_attempt = 0;
 };
+/** The upstream wants no requests now, or the call may not be sent any more.
+ * Nothing was sent. */
+struct AttemptWithheld
+{
+  AttemptId m_attempt = 0;
+};
 /** The upstream reported that it has not run the call. */
 struct AttemptRefused
 {
@@ -119,6 +125,7 @@
                                 PlaceFound,
                                 NoPlace,
                                 AttemptNotSent,
+                                AttemptWithheld,
                                 AttemptRefused,
                                 PrefillCompleted,
                                 HeadArrived,
@@ -334,6 +341,7 @@
   void On(const PlaceFound& aEvent, Actions& aActions);
   void On(const NoPlace& aEvent, Actions& aActions);
   void On(const AttemptNotSent& aEvent, Actions& aActions);
+  void On(const AttemptWithheld& aEvent, Actions& aActions);
   void On(const AttemptRefused& aEvent, Actions& aActions);
   void On(const PrefillCompleted& aEvent, Actions& aActions);
   void On(const HeadArrived& aEvent, Actions& aActions);
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -104,7 +104,11 @@
 {
   const bool isNew = !m_members.contains(aMember.m_id);
   State& state = m_members[aMember.m_id];
-  const bool leaves = state.m_member.m_leaving || aMember.m_leaving;
+  if (aMember.m_leaving) {
+    m_notices.NoteLeaving(aMember.Incarnation());
+  }
+  const bool leaves = state.m_member.m_leaving || aMember.m_leaving ||
+                      m_notices.IsLeaving(aMember.Incarnation());
   state.m_member = aMember;
   state.m_member.m_leaving = leaves;
   state.m_listedRole = aMember.m_role;
@@ -151,19 +155,6 @@
   }
 }
 
-void
-Fleet::MarkLeaving(const UpstreamIncarnation& aUpstream)
-{
-  const auto found = m_members.find(aUpstream.m_id);
-  if (found == m_members.end()) {
-    return;
-  }
-  const auto& held = found->second.m_member.m_born;
-  if (Compare(held, aUpstream.m_born) == IncarnationOrder::Same) {
-    found->second.m_member.m_leaving = true;
-  }
-}
-
 std::vector<std::string>
 Fleet::Tick(Instant aNow)
 {
--- a/packages/relay/src/RelayFlow.cpp
+++ b/packages/relay/src/RelayFlow.cpp
@@ -208,6 +208,36 @@
   }
 }
 
+void
+RelayFlow::On(const AttemptWithheld& aEvent, Actions& aActions)
+{
+  if (!IsCurrent(aEvent.m_attempt)) {
+    return;
+  }
+  // Neither a send nor a failure. Each time excludes one more upstream, so the
+  // call comes to an end.
+  if (m_step == Step::Prefilling) {
+    --m_prefillSends;
+    m_excluded.push_back(m_prefillEngine);
+    FindAnotherPlace(aActions);
+    return;
+  }
+  --m_sends;
+  --m_tries;
+  m_excluded.push_back(m_upstream);
+  if (m_probingSameUpstream) {
+    // That upstream has not crashed, so its run counts.
+    GiveUp(kRetryAfter, aActions);
+    return;
+  }
+  if (!m_handle.empty()) {
+    aActions.emplace_back(
+      FreeHandle{ m_prefillEngine, std::exchange(m_handle, {}) });
+  }
+  m_prefillEngine.clear();
+  FindAnotherPlace(aActions);
+}
+
 void
 RelayFlow::On(const AttemptRefused& aEvent, Actions& aActions)
 {
