Relay: an upstream that asks an instance for rest gets no request of it until then

What callers saw: half of the calls to the service were refused while most upstreams were free. Two engines turned calls away and named 3 s; instances came back every 0.3 s, a prompt was prefilled elsewhere first, and the waves of refusals used up the retries. Cause (class): as with the leaving, a statement in the head of an answer that nobody read; what held an upstream off was an ejection of 0.3 s behind two refusals. Mend: the one reader of statements hands the time to UpstreamNotices, which keeps it for the incarnation, also over a row that expires. Fleet::TargetFor withholds each request, upkeep too (freed handles, reports); placement counts such a member neither as a choice nor as ejected, crashed or lost; it is no affinity target meanwhile. Behind the end one call at a time until one is run, 0.5 s at most. All back off: refused at once with the first end and a random half second more; a refusal without a retry tells the same. No orders follow from it: planning does not look at it. Rejected: 60 s at most, then one call asks again, so that no figure shuts one out for good.

--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -64,6 +64,8 @@
       return "prompt too large for the caller's time limit";
     case relay::NoPlaceCause::Limited:
       return "the limits that upstreams state are used up";
+    case relay::NoPlaceCause::BackingOff:
+      return "all upstreams want no requests for a while";
     case relay::NoPlaceCause::VersionGone:
       return "no upstream runs the software version that began the stream";
     case relay::NoPlaceCause::NoneSound:
@@ -83,6 +85,7 @@
     case relay::NoPlaceCause::NoneSound:
     case relay::NoPlaceCause::Full:
     case relay::NoPlaceCause::Limited:
+    case relay::NoPlaceCause::BackingOff:
       break;
   }
   return relay::NoPlace::Cause::NoRoom;
@@ -346,8 +349,8 @@
 void
 RelayCall::Do(const relay::SendPrefill& aAction)
 {
-  const auto reader = m_node.m_fleet.TargetFor(aAction.m_prefillEngine,
-                                               relay::RequestPurpose::Work);
+  const auto reader = m_node.m_fleet.TargetFor(
+    aAction.m_prefillEngine, relay::RequestPurpose::Work, m_node.Now());
   if (!reader) {
     Withhold(
       aAction.m_attempt, aAction.m_prefillEngine, "it wants no new calls");
@@ -385,8 +388,8 @@
     Handle(relay::AttemptNotSent{ aAction.m_attempt });
     return;
   }
-  const auto member =
-    m_node.m_fleet.TargetFor(aAction.m_upstream, relay::RequestPurpose::Work);
+  const auto member = m_node.m_fleet.TargetFor(
+    aAction.m_upstream, relay::RequestPurpose::Work, m_node.Now());
   if (!member) {
     Withhold(aAction.m_attempt, aAction.m_upstream, "it wants no new calls");
     return;
@@ -585,6 +588,9 @@
   m_attempt.m_head = aHead;
   m_attempt.m_saidNotRun = m_node.m_dialect.m_saysNotRun(aHead);
   m_prefillAnswer.clear();
+  if (!m_attempt.m_saidNotRun) {
+    m_node.m_fleet.NoteAccepted(m_attempt.m_upstream);
+  }
   if (!m_attempt.m_saidNotRun && !m_attempt.m_readOnly) {
     NoteBegan();
     Handle(relay::HeadArrived{
@@ -653,7 +659,7 @@
     Handle(relay::AttemptNotSent{ id });
   } else if (m_attempt.m_hasHead && m_attempt.m_saidNotRun) {
     const bool displaced = m_attempt.m_head.m_status == kMisdirected;
-    Handle(relay::AttemptRefused{ id, displaced });
+    Handle(relay::AttemptRefused{ id, displaced, RoomBehindBackOffs() });
   } else if (aResponse.m_end == net::HttpEnd::Broken) {
     Handle(relay::AttemptBroke{ id });
   } else if (m_attempt.m_readOnly) {
@@ -725,8 +731,8 @@
 void
 RelayCall::Do(const relay::FreeHandle& aAction)
 {
-  const auto reader = m_node.m_fleet.TargetFor(aAction.m_prefillEngine,
-                                               relay::RequestPurpose::Upkeep);
+  const auto reader = m_node.m_fleet.TargetFor(
+    aAction.m_prefillEngine, relay::RequestPurpose::Upkeep, m_node.Now());
   if (!reader) {
     m_node.m_metrics.Count("handles_not_freed_total");
     return;
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -213,6 +213,12 @@
   /** Returns after which time the caller of a call without a place should come
    * back. */
   Duration RoomIn(const relay::PlaceFault& aFault);
+  /** Returns after which time the caller should come back if all upstreams of
+   * the service want no requests now; std::nullopt if one wants them. */
+  std::optional<Duration> RoomBehindBackOffs() const;
+  /** Returns the time, and a random one more: callers that are refused together
+   * must not come back together. */
+  Duration SpreadOver(Duration aTime) const;
   /** Returns whether the call may be sent to an upstream by its key. A call
    * that may not is logged. */
   bool MayRunByKey() const;
--- a/packages/entry/src/RelayCallLimits.cpp
+++ b/packages/entry/src/RelayCallLimits.cpp
@@ -1,5 +1,5 @@
-// The part of `RelayCall` that deals with the limits that upstreams state in
-// their answers.
+// The part of `RelayCall` that deals with what upstreams state in their answers
+// about the calls that they accept.
 
 #include "RelayCall.h"
 
@@ -7,6 +7,13 @@
 
 namespace ridgeferry::entry {
 
+namespace {
+
+/** Time over which callers that are refused together come back. */
+constexpr Duration kReturnSpread{ 500 };
+
+} // namespace
+
 void
 RelayCall::ReservePermits()
 {
@@ -47,6 +54,9 @@
         relay::Fleet::ShortHash(m_start.m_service),
         aFault.m_roomIn,
         m_node.Now());
+    case relay::NoPlaceCause::BackingOff:
+      m_node.m_metrics.Count("back_off_refusals_total");
+      return SpreadOver(aFault.m_roomIn);
     case relay::NoPlaceCause::NoneSound:
     case relay::NoPlaceCause::TooLarge:
     case relay::NoPlaceCause::VersionGone:
@@ -55,4 +65,18 @@
   return relay::RelayFlow::kRetryAfter;
 }
 
+Duration
+RelayCall::SpreadOver(Duration aTime) const
+{
+  std::uniform_int_distribution<Duration::rep> spread(0, kReturnSpread.count());
+  return aTime + Duration(spread(m_node.m_random));
+}
+
+std::optional<Duration>
+RelayCall::RoomBehindBackOffs() const
+{
+  const auto left = m_node.m_fleet.BackOffOf(m_start.m_service, m_node.Now());
+  return left ? std::optional(SpreadOver(*left)) : std::nullopt;
+}
+
 } // namespace ridgeferry::entry
--- a/packages/entry/src/RoleReconciler.cpp
+++ b/packages/entry/src/RoleReconciler.cpp
@@ -226,12 +226,20 @@
       [this, engine] { HandleRoleChangeEvent(relay::EngineGone{ engine }); });
     return;
   }
+  const auto target = m_node.m_fleet.TargetFor(
+    engine, relay::RequestPurpose::Upkeep, m_node.Now());
+  if (!target) {
+    m_node.m_loop->Defer([this, engine] {
+      HandleRoleChangeEvent(relay::ReportCame{ engine, std::nullopt });
+    });
+    return;
+  }
   net::HttpRequest request =
-    m_node.m_dialect.m_writeReportAsk(member->m_address);
+    m_node.m_dialect.m_writeReportAsk((*target)->m_address);
   request.m_timeout = kEngineTimeout;
   request.m_connectTimeout = kEngineTimeout;
   net::HttpCallbacks callbacks;
-  callbacks.m_done = [this, engine, upstream = member->Incarnation()](
+  callbacks.m_done = [this, engine, upstream = (*target)->Incarnation()](
                        const net::HttpResponse& aResponse) {
     TakeStatement({ upstream, AnswerProof::ByAddress, "report" }, aResponse);
     HandleRoleChangeEvent(
@@ -245,7 +253,7 @@
 {
   const std::string engine = aAction.m_engine;
   const auto member =
-    m_node.m_fleet.TargetFor(engine, relay::RequestPurpose::Work);
+    m_node.m_fleet.TargetFor(engine, relay::RequestPurpose::Work, m_node.Now());
   if (!member || !m_lease.HasAuthority()) {
     m_node.m_loop->Defer([this, engine] {
       HandleRoleChangeEvent(
--- a/packages/entry/src/StatementService.cpp
+++ b/packages/entry/src/StatementService.cpp
@@ -49,6 +49,9 @@
   if (statement.m_leaves) {
     NoteLeaving(*speaker, aSource.m_id);
   }
+  if (statement.m_backOff) {
+    NoteBackOff(*speaker, *statement.m_backOff, aSource.m_id);
+  }
   if (aSource.m_proof == AnswerProof::ByName) {
     NoteLimit(aSource, statement);
   }
@@ -89,6 +92,22 @@
   }
 }
 
+void
+StatementService::NoteBackOff(const UpstreamIncarnation& aUpstream,
+                              Duration aFor,
+                              std::string_view aId)
+{
+  if (!m_node.m_fleet.NoteBackOff(aUpstream, aFor, m_node.Now())) {
+    return;
+  }
+  m_node.m_metrics.Count("upstream_back_offs_total");
+  m_node.m_log->Write(observe::LogLevel::Info,
+                      "upstream-backs-off",
+                      { { "upstream", aUpstream.m_id },
+                        { "id", std::string(aId) },
+                        { "forMs", aFor.count() } });
+}
+
 void
 StatementService::NoteLimit(const StatementSource& aSource,
                             const relay::UpstreamStatement& aStatement)
--- a/packages/entry/src/StatementService.h
+++ b/packages/entry/src/StatementService.h
@@ -46,6 +46,9 @@
   std::optional<UpstreamIncarnation> SpeakerOf(
     const StatementSource& aSource,
     const relay::UpstreamStatement& aStatement) const;
+  void NoteBackOff(const UpstreamIncarnation& aUpstream,
+                   Duration aFor,
+                   std::string_view aId);
   void NoteLeaving(const UpstreamIncarnation& aUpstream, std::string_view aId);
   void NoteLimit(const StatementSource& aSource,
                  const relay::UpstreamStatement& aStatement);
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -131,6 +131,13 @@
    */
   static constexpr int kDeclinesToEject = 2;
   static constexpr Duration kDeclinedEjectionTime{ 300 };
+  /** Time in which a call that finds out whether a back-off has ended should
+   * have its answer. */
+  static constexpr Duration kBackOffTrialWait{ 100 };
+  /** Longest time behind a back-off in which the member gets one call at a
+   * time.
+   */
+  static constexpr Duration kBackOffReturn{ 500 };
 
   /**
    * Adds or updates a member from a row of the list. Within one incarnation, a
@@ -164,7 +171,23 @@
    * each send.
    */
   std::optional<SendTarget> TargetFor(std::string_view aId,
-                                      RequestPurpose aPurpose) const;
+                                      RequestPurpose aPurpose,
+                                      Instant aNow) const;
+  /**
+   * Records that an incarnation of an upstream turned a request of this
+   * instance away and wants none for `aFor`. See `UpstreamNotices`, also for
+   * the result.
+   */
+  bool NoteBackOff(const UpstreamIncarnation& aUpstream,
+                   Duration aFor,
+                   Instant aNow);
+  /** Returns the time until the first upstream of the service that could get a
+   * call wants requests again; std::nullopt if one wants them now, or none is
+   * listed. */
+  std::optional<Duration> BackOffOf(std::string_view aService,
+                                    Instant aNow) const;
+  /** Records that the member ran a call, so that its back-off has ended. */
+  void NoteAccepted(std::string_view aId);
   /** Removes the members whose grace period has ended and returns their ids. */
   std::vector<std::string> Tick(Instant aNow);
 
@@ -396,7 +419,9 @@
    * Returns whether the member is the affinity target of the prompt, so that
    * the prompt's shared prefix is assumed to be cached there.
    */
-  bool HasPrefixAffinity(const Prompt& aPrompt, std::string_view aId) const;
+  bool HasPrefixAffinity(const Prompt& aPrompt,
+                         std::string_view aId,
+                         Instant aNow) const;
 
 private:
   struct State
@@ -438,6 +463,11 @@
     /** Duration of the next ejection. */
     Duration m_nextEjectionTime = kEjectionTime;
     std::optional<Instant> m_ejectedUntil;
+    /** Until when the member wants no requests from this instance. Kept until
+     * it has run a call again, for `kBackOffReturn` at most. */
+    std::optional<Instant> m_backOffUntil;
+    /** A call is out that finds out whether the back-off has ended. */
+    bool m_isBackOffTried = false;
     /**
      * When the member was sent the oldest call since it last sent any byte;
      * empty if nothing is awaited from it.
@@ -486,6 +516,10 @@
                 const PlaceRequest& aRequest,
                 Instant aNow) const;
   static bool IsEjected(const State& aState, Instant aNow);
+  /** Returns the time for which the member gets no requests of this instance: 0
+   * if it may get one. Behind a back-off one call at a time goes there until
+   * one is run. */
+  static Duration BackOffLeft(const State& aState, Instant aNow);
   /** Returns whether the member runs the software version that the call needs.
    */
   static bool RunsVersion(const Member& aMember, const PlaceRequest& aRequest);
@@ -506,9 +540,19 @@
                           Instant aNow);
   static void Eject(State& aState, Instant aNow);
   static bool HasConnection(const State& aState, const PlaceRequest& aRequest);
-  /** Returns why no member may get a call. `aLimitedFor` is the time until the
-   * first limited member has room, std::nullopt if none is limited. */
-  static PlaceFault FaultOf(bool aAnyBusy, std::optional<Duration> aLimitedFor);
+  /** What keeps calls away from members that could get them otherwise. */
+  struct Obstacles
+  {
+    bool m_anyBusy = false;
+    /** Time until the first limited member has room; std::nullopt if none is
+     * limited. */
+    std::optional<Duration> m_limitedFor;
+    /** Time until the first member that backs off wants requests again;
+     * std::nullopt if none does. */
+    std::optional<Duration> m_backOffFor;
+  };
+  /** Returns why no member may get a call. */
+  static PlaceFault FaultOf(const Obstacles& aObstacles);
   /**
    * Chooses the upstream of a call to a plain service. Here and below, `aSound`
    * are the members that may get the call: those of the service that are not
@@ -699,7 +743,8 @@
   std::uint64_t ReservedHashBound(std::string_view aService, bool aMost) const;
   static bool HasFreeSlots(const State& aState);
   std::uint64_t AffinityTargetOf(std::uint64_t aKey,
-                                 std::string_view aService) const;
+                                 std::string_view aService,
+                                 Instant aNow) const;
 
   /** The smoothed ratio of measured to expected first-token time. */
   struct EstimateError
--- a/packages/relay/include/ridgeferry/relay/Placement.h
+++ b/packages/relay/include/ridgeferry/relay/Placement.h
@@ -135,6 +135,9 @@
    * share of all of them is used up.
    */
   Limited,
+  /** Every upstream that may get the call wants no requests from this instance
+   * for a while. */
+  BackingOff,
   /** No upstream that is listed and not leaving runs the software version that
    * the call needs. */
   VersionGone,
@@ -143,7 +146,8 @@
 struct PlaceFault
 {
   NoPlaceCause m_cause = NoPlaceCause::NoneSound;
-  /** For `Full` and `Limited`, the time after which there should be room. */
+  /** For `Full`, `Limited` and `BackingOff`, the time after which there should
+   * be room. */
   Duration m_roomIn{};
   /**
    * For a prompt and any cause but `NoneSound`, the estimate that led to the
--- a/packages/relay/include/ridgeferry/relay/RelayFlow.h
+++ b/packages/relay/include/ridgeferry/relay/RelayFlow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <ridgeferry/base/Outcome.h>
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/relay/AttemptEnd.h>
@@ -72,6 +73,9 @@
   AttemptId m_attempt = 0;
   /** The refusal came from another upstream that answers at the address. */
   bool m_misdirected = false;
+  /** Time until an upstream of the service wants calls again; std::nullopt if
+   * one wants them now. */
+  std::optional<Duration> m_roomIn = {};
 };
 /** The prefill is complete: the prefill engine holds the prompt's KV cache
  * under a handle. */
--- a/packages/relay/include/ridgeferry/relay/UpstreamNotices.h
+++ b/packages/relay/include/ridgeferry/relay/UpstreamNotices.h
@@ -3,6 +3,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <ridgeferry/base/Time.h>
 #include <ridgeferry/base/UpstreamIncarnation.h>
 #include <string>
 #include <string_view>
@@ -21,6 +23,9 @@
   /** Most upstreams that are remembered; those heard of longest ago give way.
    * Some days of replacements, and about 100 KB. */
   static constexpr std::size_t kMostUpstreams = 1000;
+  /** Longest back-off. Behind it one call asks whether it holds on, so that a
+   * wrong figure puts no upstream out for good. */
+  static constexpr Duration kMaxBackOff{ 60'000 };
 
   /**
    * Records that the incarnation leaves, which it does for good. Has no effect
@@ -31,12 +36,26 @@
    * its id has spoken. */
   bool IsLeaving(const UpstreamIncarnation& aUpstream) const;
 
+  /**
+   * Records that the incarnation wants no requests from this instance for
+   * `aFor`, at most `kMaxBackOff`. Of several ends the latest counts. Returns
+   * false if it has asked for that before and that time has not ended.
+   */
+  bool NoteBackOff(const UpstreamIncarnation& aUpstream,
+                   Duration aFor,
+                   Instant aNow);
+  /** Returns until when the incarnation wants no requests from this instance;
+   * std::nullopt if it has not asked for that. */
+  std::optional<Instant> BackOffUntil(
+    const UpstreamIncarnation& aUpstream) const;
+
 private:
   struct Notice
   {
     UpstreamIncarnation m_upstream;
     std::uint64_t m_heardAt = 0; ///< See `m_heard`.
     bool m_leaves = false;
+    std::optional<Instant> m_backOffUntil = {};
   };
 
   /** Returns the notice of the incarnation, a new one if there is none; null if
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -119,6 +119,7 @@
   if (!isNew) {
     return;
   }
+  state.m_backOffUntil = m_notices.BackOffUntil(aMember.Incarnation());
   const std::uint32_t hash = ShortHash(aMember.m_id);
   for (const auto& [instance, loads] : m_peerLoads) {
     for (const PeerLoad& load : loads) {
@@ -158,6 +159,13 @@
 std::vector<std::string>
 Fleet::Tick(Instant aNow)
 {
+  for (auto& [id, state] : m_members) {
+    if (state.m_backOffUntil &&
+        aNow >= *state.m_backOffUntil + kBackOffReturn) {
+      state.m_backOffUntil.reset();
+      state.m_isBackOffTried = false;
+    }
+  }
   std::vector<std::string> ended;
   std::erase_if(m_members, [&](const auto& aEntry) {
     const bool ends = aEntry.second.m_goneAt && aNow >= *aEntry.second.m_goneAt;
@@ -369,6 +377,7 @@
   if (!state.m_unansweredSince) {
     state.m_unansweredSince = aNow;
   }
+  state.m_isBackOffTried = state.m_backOffUntil.has_value();
 }
 
 bool
@@ -480,6 +489,7 @@
   // the counts must not become negative.
   state.m_inFlight = std::max<std::int64_t>(0, state.m_inFlight - 1);
   state.m_tokens = std::max<std::int64_t>(0, state.m_tokens - aTokens);
+  state.m_isBackOffTried = false;
   const bool silent = IsUnresponsive(state, aNow);
   if (state.m_inFlight == 0) {
     // No call to the member is unanswered any more.
@@ -490,6 +500,10 @@
     Eject(state, aNow);
   }
   if (aEnd == AttemptEnd::Declined) {
+    if (state.m_backOffUntil && aNow < *state.m_backOffUntil) {
+      // It says itself for how long it wants no calls.
+      return isEjected;
+    }
     if (++state.m_declinesInRow < kDeclinesToEject) {
       return isEjected;
     }
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -149,15 +149,17 @@
 }
 
 bool
-Fleet::HasPrefixAffinity(const Prompt& aPrompt, std::string_view aId) const
+Fleet::HasPrefixAffinity(const Prompt& aPrompt,
+                         std::string_view aId,
+                         Instant aNow) const
 {
   const auto found = m_members.find(aId);
   if (found == m_members.end() || !IsLong(aPrompt)) {
     return false;
   }
   return AffinityTargetOf(aPrompt.m_sharedKey,
-                          found->second.m_member.m_service) ==
-         found->second.m_hash;
+                          found->second.m_member.m_service,
+                          aNow) == found->second.m_hash;
 }
 
 std::int64_t
@@ -168,11 +170,13 @@
       !AllowsColocatedPrefill(found->second.m_member.m_service)) {
     return DisaggregatedWork(aPrompt, found->second, aNow);
   }
-  return WorkToPrefill(aPrompt, HasPrefixAffinity(aPrompt, aId));
+  return WorkToPrefill(aPrompt, HasPrefixAffinity(aPrompt, aId, aNow));
 }
 
 std::uint64_t
-Fleet::AffinityTargetOf(std::uint64_t aKey, std::string_view aService) const
+Fleet::AffinityTargetOf(std::uint64_t aKey,
+                        std::string_view aService,
+                        Instant aNow) const
 {
   // Each key has one affinity target, so the engines' caches together hold the
   // hot prefixes about once. Engines that may be reserved for decoding at some
@@ -182,8 +186,10 @@
   double best = -1;
   std::uint64_t home = 0;
   for (const auto& [id, state] : m_members) {
-    // A limited engine takes few calls, so it is no target either.
+    // A limited engine takes few calls, and one that backs off takes none, so
+    // they are no targets either.
     if (state.m_member.m_service != aService || state.m_member.m_leaving ||
+        BackOffLeft(state, aNow).count() > 0 ||
         m_limits.HasLimit(static_cast<limits::UpstreamHash>(state.m_hash)) ||
         IsReservedForDecode(state, reservedBound)) {
       continue;
@@ -246,13 +252,17 @@
 }
 
 PlaceFault
-Fleet::FaultOf(bool aAnyBusy, std::optional<Duration> aLimitedFor)
+Fleet::FaultOf(const Obstacles& aObstacles)
 {
-  if (aAnyBusy) {
+  const auto& [anyBusy, limitedFor, backOffFor] = aObstacles;
+  if (anyBusy) {
     return { NoPlaceCause::Full, kConnectionWait };
   }
-  return aLimitedFor ? PlaceFault{ NoPlaceCause::Limited, *aLimitedFor }
-                     : PlaceFault{};
+  if (backOffFor && *backOffFor <= limitedFor.value_or(Duration::max())) {
+    return { NoPlaceCause::BackingOff, *backOffFor };
+  }
+  return limitedFor ? PlaceFault{ NoPlaceCause::Limited, *limitedFor }
+                    : PlaceFault{};
 }
 
 PlaceResult
@@ -260,8 +270,8 @@
 {
   std::vector<const State*> sound;
   std::vector<const State*> silent;
-  bool anyBusy = false;
-  std::optional<Duration> limitedFor;
+  Obstacles obstacles;
+  auto& [anyBusy, limitedFor, backOffFor] = obstacles;
   for (const auto& [id, state] : m_members) {
     // A stream that only these upstreams can go on with is better tried at an
     // ejected one than given up.
@@ -270,8 +280,11 @@
         (isEjected && !aRequest.m_softwareVersion)) {
       continue;
     }
+    const Duration backOff = BackOffLeft(state, aNow);
     const Duration roomIn = RoomUnderLimit(state, aRequest, aNow);
-    if (roomIn.count() > 0) {
+    if (backOff.count() > 0) {
+      backOffFor = std::min(backOffFor.value_or(backOff), backOff);
+    } else if (roomIn.count() > 0) {
       limitedFor = std::min(limitedFor.value_or(Duration::max()), roomIn);
     } else if (!HasConnection(state, aRequest)) {
       anyBusy = true;
@@ -291,7 +304,7 @@
     const bool isVersionGone =
       aRequest.m_softwareVersion && !IsVersionListed(aRequest, aNow);
     return isVersionGone ? PlaceFault{ NoPlaceCause::VersionGone }
-                         : FaultOf(anyBusy, limitedFor);
+                         : FaultOf(obstacles);
   }
   // Equal estimates are common under low load. Rotating the members by a random
   // number keeps instances from all choosing the first one.
@@ -531,7 +544,8 @@
   const Prompt& typical = TypicalOf(aRequest);
   const bool longPrompt = IsLong(prompt);
   const std::uint64_t home =
-    longPrompt ? AffinityTargetOf(prompt.m_sharedKey, aRequest.m_service) : 0;
+    longPrompt ? AffinityTargetOf(prompt.m_sharedKey, aRequest.m_service, aNow)
+               : 0;
   const std::uint64_t reservedBound =
     ReservedHashBound(aRequest.m_service, false);
   // Output is produced steadily on engines that prefill no long prompts, so
--- a/packages/relay/src/RelayFlow.cpp
+++ b/packages/relay/src/RelayFlow.cpp
@@ -262,7 +262,7 @@
   if (m_repeatAllowed && m_tries < kMaxSends) {
     FindAnotherPlace(aActions);
   } else {
-    GiveUp(kRetryAfter, aActions);
+    GiveUp(aEvent.m_roomIn.value_or(kRetryAfter), aActions);
   }
 }
 
--- a/packages/relay/src/UpstreamNotices.cpp
+++ b/packages/relay/src/UpstreamNotices.cpp
@@ -73,4 +73,29 @@
   return known->second.m_leaves;
 }
 
+bool
+UpstreamNotices::NoteBackOff(const UpstreamIncarnation& aUpstream,
+                             Duration aFor,
+                             Instant aNow)
+{
+  Notice* notice = Open(aUpstream);
+  if (notice == nullptr) {
+    return false;
+  }
+  const Instant until = aNow + std::min(aFor, kMaxBackOff);
+  const std::optional<Instant> before = notice->m_backOffUntil;
+  notice->m_backOffUntil = std::max(before.value_or(until), until);
+  return !before || *before <= aNow;
+}
+
+std::optional<Instant>
+UpstreamNotices::BackOffUntil(const UpstreamIncarnation& aUpstream) const
+{
+  const auto known = m_notices.find(aUpstream.m_id);
+  const bool isSame = known != m_notices.end() &&
+                      Compare(known->second.m_upstream.m_born,
+                              aUpstream.m_born) == IncarnationOrder::Same;
+  return isSame ? known->second.m_backOffUntil : std::nullopt;
+}
+
 } // namespace ridgeferry::relay
--- a/packages/relay/tests/FleetLimitTest.cpp
+++ b/packages/relay/tests/FleetLimitTest.cpp
@@ -60,13 +60,13 @@
   std::string home;
   for (int i = 0; i < 8; ++i) {
     const std::string engine = "g" + std::to_string(i);
-    if (m_fleet.HasPrefixAffinity(*request.m_prompt, engine)) {
+    if (m_fleet.HasPrefixAffinity(*request.m_prompt, engine, kNow)) {
       home = engine;
     }
   }
   ASSERT_FALSE(home.empty());
   m_fleet.NoteStatedLimit(home, 5.0, kNow);
-  EXPECT_FALSE(m_fleet.HasPrefixAffinity(*request.m_prompt, home));
+  EXPECT_FALSE(m_fleet.HasPrefixAffinity(*request.m_prompt, home, kNow));
 }
 
 TEST_F(FleetLimitTest, ALaterIncarnationHasNoLimit)
--- a/packages/relay/tests/FleetTest.cpp
+++ b/packages/relay/tests/FleetTest.cpp
@@ -266,7 +266,8 @@
     }
   }
   for (const auto& [chain, home] : before) {
-    EXPECT_TRUE(m_fleet.HasPrefixAffinity(*LongRequest(chain).m_prompt, home));
+    EXPECT_TRUE(
+      m_fleet.HasPrefixAffinity(*LongRequest(chain).m_prompt, home, kNow));
   }
 }
 
--- a/packages/relay/tests/RelayFlowTest.cpp
+++ b/packages/relay/tests/RelayFlowTest.cpp
@@ -105,6 +105,51 @@
                 BytesArrived{ 1, "c" },
                 AnswerEnded{ 1 } },
               "find run@u served whole:abc" },
+    FlowCase{ "WithheldIsNoSend",
+              kUnsafe,
+              { PlaceFound{ "u", "" },
+                AttemptWithheld{ 1 },
+                PlaceFound{ "v", "" },
+                HeadArrived{ 2, 200 },
+                AnswerEnded{ 2 } },
+              "find run@u find run@v served whole:" },
+    FlowCase{ "WithheldBehindAPrefill",
+              kUnsafe,
+              { PlaceFound{ "u", "r" },
+                PrefillCompleted{ 1, "h" },
+                AttemptWithheld{ 2 },
+                PlaceFound{ "v", "" },
+                HeadArrived{ 3, 200 },
+                AnswerEnded{ 3 } },
+              "find read@r served run@u+h free+h find run@v served whole:" },
+    FlowCase{
+      "WithheldPrefill",
+      kUnsafe,
+      { PlaceFound{ "u", "r" }, AttemptWithheld{ 1 }, PlaceFound{ "u", "q" } },
+      "find read@r find read@q" },
+    FlowCase{ "WithheldWhereAStreamBrokeIsNoCrash",
+              kResumableOnce,
+              { PlaceFound{ "u", "" },
+                HeadArrived{ 1, 200 },
+                BytesArrived{ 1, kEvent1 },
+                AttemptBroke{ 1 },
+                AttemptWithheld{ 2 } },
+              "find run@u head bytes15 failed run@u>1! break" },
+    FlowCase{ "WithheldWithoutEnd",
+              kUnsafe,
+              { PlaceFound{ "u", "" },
+                AttemptWithheld{ 1 },
+                PlaceFound{ "v", "" },
+                AttemptWithheld{ 2 },
+                PlaceFound{ "w", "" },
+                AttemptWithheld{ 3 },
+                PlaceFound{ "x", "" },
+                AttemptWithheld{ 4 },
+                PlaceFound{ "y", "" },
+                AttemptWithheld{ 5 },
+                NoPlace{} },
+              "find run@u find run@v find run@w find run@x find run@y find "
+              "no-room" },
     FlowCase{ "TooLargeForItsTime",
               kUnsafe,
               { NoPlace{ {}, NoPlace::Cause::TooLarge } },
@@ -475,5 +520,24 @@
               "find read@r failed run@u" }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+// Guards against callers that are told to come back before any upstream takes
+// calls again.
+TEST(RelayFlowRefusalTest, WithoutAnotherSendTheTimeOfTheUpstreamsIsTold)
+{
+  for (const auto& [roomIn, expected] :
+       { std::pair{ std::optional(Duration{ 2500 }), Duration{ 2500 } },
+         std::pair{ std::optional<Duration>(), RelayFlow::kRetryAfter } }) {
+    RelayFlow flow(kUnsafe);
+    flow.Handle(CallBegan{});
+    flow.Handle(PlaceFound{ "u", "" });
+    flow.SetRepeatAllowed(false);
+    const auto actions = flow.Handle(AttemptRefused{ 1, false, roomIn });
+    ASSERT_FALSE(actions.empty());
+    const auto* reply = std::get_if<ReplyError>(&actions.back());
+    ASSERT_NE(reply, nullptr);
+    EXPECT_EQ(reply->m_retryAfter, expected);
+  }
+}
+
 } // namespace
 } // namespace ridgeferry::relay
--- a/packages/relay/tests/UpstreamNoticesWorldTest.cpp
+++ b/packages/relay/tests/UpstreamNoticesWorldTest.cpp
@@ -15,6 +15,7 @@
 constexpr int kMostInstances = 4;
 constexpr int kUpstreams = 3;
 constexpr int kSteps = 60;
+constexpr Instant kNow{ Duration{ 1000 } };
 
 enum class Step : std::uint8_t
 {
@@ -132,7 +133,7 @@
   {
     const Member* listed = aInstance.m_fleet.Find(aUpstream.m_id);
     const auto target =
-      aInstance.m_fleet.TargetFor(aUpstream.m_id, RequestPurpose::Work);
+      aInstance.m_fleet.TargetFor(aUpstream.m_id, RequestPurpose::Work, kNow);
     if (listed == nullptr) {
       RC_ASSERT(!target.has_value());
       return;
@@ -149,12 +150,11 @@
     PlaceRequest request;
     request.m_service = "s";
     request.m_random = aRandom;
-    const PlaceResult result =
-      aInstance.m_fleet.FindPlace(request, Instant{ Duration{ 1000 } });
+    const PlaceResult result = aInstance.m_fleet.FindPlace(request, kNow);
     if (const auto* place = std::get_if<Place>(&result)) {
-      RC_ASSERT(
-        aInstance.m_fleet.TargetFor(place->m_upstream, RequestPurpose::Work)
-          .has_value());
+      RC_ASSERT(aInstance.m_fleet
+                  .TargetFor(place->m_upstream, RequestPurpose::Work, kNow)
+                  .has_value());
     }
   }
 
