Relay: an answer to an earlier request does not end a back-off

Found by reading the change: a run that had begun before its upstream asked for rest, and answered meanwhile, cleared the pause of that member (not what UpstreamNotices keeps), so that calls went there again at once. Also two wrong names: a limit in an answer of another upstream than the one asked was taken for that of the one asked, and an announcement of leaving could name an earlier incarnation, which would have kept that of a later one back.

--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -589,7 +589,7 @@
   m_attempt.m_saidNotRun = m_node.m_dialect.m_saysNotRun(aHead);
   m_prefillAnswer.clear();
   if (!m_attempt.m_saidNotRun) {
-    m_node.m_fleet.NoteAccepted(m_attempt.m_upstream);
+    m_node.m_fleet.NoteAccepted(m_attempt.m_upstream, m_node.Now());
   }
   if (!m_attempt.m_saidNotRun && !m_attempt.m_readOnly) {
     NoteBegan();
--- a/packages/entry/src/StatementService.cpp
+++ b/packages/entry/src/StatementService.cpp
@@ -53,7 +53,7 @@
     NoteBackOff(*speaker, *statement.m_backOff, aSource.m_id);
   }
   if (aSource.m_proof == AnswerProof::ByName) {
-    NoteLimit(aSource, statement);
+    NoteLimit(speaker->m_id, statement.m_limitPerSecond, aSource.m_id);
   }
 }
 
@@ -87,8 +87,9 @@
                       { { "upstream", aUpstream.m_id },
                         { "from", "an answer" },
                         { "id", std::string(aId) } });
-  if (m_node.m_fleet.Find(aUpstream.m_id) != nullptr) {
-    m_peers.NoteLeaving(aUpstream);
+  const relay::Member* listed = m_node.m_fleet.Find(aUpstream.m_id);
+  if (listed != nullptr && listed->m_leaving) {
+    m_peers.NoteLeaving(listed->Incarnation());
   }
 }
 
@@ -109,14 +110,13 @@
 }
 
 void
-StatementService::NoteLimit(const StatementSource& aSource,
-                            const relay::UpstreamStatement& aStatement)
+StatementService::NoteLimit(const std::string& aUpstream,
+                            std::optional<double> aPerSecond,
+                            std::string_view aId)
 {
-  const auto& limit = aStatement.m_limitPerSecond;
-  const std::string& upstream = aSource.m_upstream.m_id;
   const limits::LimitChange change =
-    m_node.m_fleet.NoteStatedLimit(upstream, limit, m_node.Now());
-  LogLimitChange(m_node, { upstream, limit, change, aSource.m_id });
+    m_node.m_fleet.NoteStatedLimit(aUpstream, aPerSecond, m_node.Now());
+  LogLimitChange(m_node, { aUpstream, aPerSecond, change, aId });
 }
 
 } // namespace ridgeferry::entry
--- a/packages/entry/src/StatementService.h
+++ b/packages/entry/src/StatementService.h
@@ -50,8 +50,9 @@
                    Duration aFor,
                    std::string_view aId);
   void NoteLeaving(const UpstreamIncarnation& aUpstream, std::string_view aId);
-  void NoteLimit(const StatementSource& aSource,
-                 const relay::UpstreamStatement& aStatement);
+  void NoteLimit(const std::string& aUpstream,
+                 std::optional<double> aPerSecond,
+                 std::string_view aId);
 
   EntryNode& m_node;
   Peers& m_peers;
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -186,8 +186,9 @@
    * listed. */
   std::optional<Duration> BackOffOf(std::string_view aService,
                                     Instant aNow) const;
-  /** Records that the member ran a call, so that its back-off has ended. */
-  void NoteAccepted(std::string_view aId);
+  /** Records that the member ran a call. Behind the end of its back-off that
+   * ends the time in which it gets one call at a time. */
+  void NoteAccepted(std::string_view aId, Instant aNow);
   /** Removes the members whose grace period has ended and returns their ids. */
   std::vector<std::string> Tick(Instant aNow);
 
--- a/packages/relay/src/FleetNotices.cpp
+++ b/packages/relay/src/FleetNotices.cpp
@@ -82,12 +82,16 @@
 }
 
 void
-Fleet::NoteAccepted(std::string_view aId)
+Fleet::NoteAccepted(std::string_view aId, Instant aNow)
 {
   const auto found = m_members.find(aId);
-  if (found != m_members.end()) {
-    found->second.m_backOffUntil.reset();
-    found->second.m_isBackOffTried = false;
+  if (found == m_members.end()) {
+    return;
+  }
+  State& state = found->second;
+  if (state.m_backOffUntil && aNow >= *state.m_backOffUntil) {
+    state.m_backOffUntil.reset();
+    state.m_isBackOffTried = false;
   }
 }
 
--- a/packages/relay/tests/FleetBackOffTest.cpp
+++ b/packages/relay/tests/FleetBackOffTest.cpp
@@ -73,6 +73,13 @@
   EXPECT_TRUE(MayBeSent(m_fleet, "a", kNow));
 }
 
+TEST_F(FleetBackOffTest, AnAnswerToAnEarlierRequestDoesNotEndIt)
+{
+  m_fleet.NoteBackOff({ "a", 1 }, kPause, kNow);
+  m_fleet.NoteAccepted("a", kNow + Duration{ 10 });
+  EXPECT_FALSE(MayBeSent(m_fleet, "a", kNow + Duration{ 10 }));
+}
+
 TEST_F(FleetBackOffTest, IsBoundedWhateverIsNamed)
 {
   m_fleet.NoteBackOff({ "a", 1 }, Duration{ 86'400'000 }, kNow);
@@ -121,7 +128,7 @@
   m_fleet.NoteEnded("a", 0, AttemptEnd::Declined, Duration{ 1 }, behind);
   EXPECT_TRUE(findsA());
   m_fleet.NoteSent("a", 0, behind);
-  m_fleet.NoteAccepted("a");
+  m_fleet.NoteAccepted("a", behind);
   EXPECT_TRUE(findsA());
 }
 
