--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -48,6 +48,8 @@
 /** Most announcements of prefills in one heartbeat. Each says which upstream
  * has prefilled which prefix segment. */
 constexpr std::size_t kMostReads = 30;
+/** Most leaving upstreams in one heartbeat, for the same reason. */
+constexpr std::size_t kMostLeaving = 30;
 /** For how many heartbeat intervals prefills (`kTellReadsTimes`) and crash
  * records (`kTellNewsTimes`) are announced: they are repeated because datagrams
  * are lost now and then. */
@@ -133,7 +135,7 @@
 }
 
 membership::Heartbeat
-Peers::OwnHeartbeat() const
+Peers::OwnHeartbeat()
 {
   membership::Heartbeat out;
   out.m_instance = m_node.m_settings.m_instance;
@@ -143,9 +145,7 @@
   out.m_ready = m_ready;
   out.m_leaving = m_leaving;
   out.m_revision = m_node.m_routes == nullptr ? 0 : m_node.m_routes->Version();
-  for (const auto& [id, upstream] : m_leavingAnnouncements.Announced()) {
-    out.m_leavingUpstreams.push_back(upstream);
-  }
+  out.m_leavingUpstreams = m_leavingAnnouncements.TakeNext(kMostLeaving);
   out.m_store = m_storeView;
   out.m_disaggregatedServices = m_node.m_fleet.ReportedDisaggregatedServices();
   out.m_crashes = m_crashes;
@@ -169,9 +169,10 @@
 }
 
 membership::Heartbeat
-Peers::WithLoads(std::span<const relay::PeerLoad> aLoads) const
+Peers::WithLoads(membership::Heartbeat aHeartbeat,
+                 std::span<const relay::PeerLoad> aLoads)
 {
-  membership::Heartbeat out = OwnHeartbeat();
+  membership::Heartbeat out = std::move(aHeartbeat);
   for (const relay::PeerLoad& load : aLoads) {
     if (out.m_engines.size() == kMostLoads) {
       break;
@@ -190,7 +191,8 @@
   if (aAddresses.empty()) {
     return;
   }
-  const membership::Heartbeat whole = WithLoads(m_node.m_fleet.OwnLoads());
+  const membership::Heartbeat own = OwnHeartbeat();
+  const membership::Heartbeat whole = WithLoads(own, m_node.m_fleet.OwnLoads());
   if (!m_roster.SendsLoadsPerDataCentre()) {
     m_socket.Send(whole, aAddresses);
     return;
@@ -202,8 +204,7 @@
     (dataCentre.contains(address) ? near : far).insert(address);
   }
   m_socket.Send(whole, near);
-  m_socket.Send(OwnHeartbeat(),
-                far); // Other data centres receive the loads as a sum.
+  m_socket.Send(own, far); // Other data centres receive the loads as a sum.
 }
 
 void
@@ -213,7 +214,8 @@
     return;
   }
   membership::Heartbeat heartbeat =
-    WithLoads(m_dataCentreLoads.Sum(m_node.m_fleet.OwnLoads(), kMostLoads));
+    WithLoads(OwnHeartbeat(),
+              m_dataCentreLoads.Sum(m_node.m_fleet.OwnLoads(), kMostLoads));
   heartbeat.m_tellsDataCentre = true;
   m_socket.Send(heartbeat, aAddresses);
 }
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -148,9 +148,10 @@
   void TakeHeartbeat(const membership::Heartbeat& aHeartbeat);
   void SendTo(const std::set<std::string>& aAddresses);
   /** Builds the heartbeat of this instance without loads. */
-  membership::Heartbeat OwnHeartbeat() const;
-  membership::Heartbeat WithLoads(
-    std::span<const relay::PeerLoad> aLoads) const;
+  membership::Heartbeat OwnHeartbeat();
+  static membership::Heartbeat WithLoads(
+    membership::Heartbeat aHeartbeat,
+    std::span<const relay::PeerLoad> aLoads);
   void SendDataCentreLoads(const std::set<std::string>& aAddresses);
   void TakeLoads(const membership::Heartbeat& aHeartbeat);
   void ForgetDataCentres();
--- a/packages/relay/include/ridgeferry/relay/LeavingUpstreams.h
+++ b/packages/relay/include/ridgeferry/relay/LeavingUpstreams.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <ridgeferry/base/UpstreamIncarnation.h>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace ridgeferry::relay {
 
@@ -40,15 +43,20 @@
    */
   void NoteGone(std::string_view aUpstream);
 
-  /** Returns the upstreams to announce, by id. */
-  const std::map<std::string, UpstreamIncarnation, std::less<>>& Announced()
-    const
-  {
-    return m_announced;
-  }
+  /** Returns how many upstreams are announced. */
+  std::size_t Size() const { return m_announced.size(); }
+  /** Returns upstreams to announce, at most `aMost`: those that were returned
+   * least often so far, so that each has its turn and new ones come first. */
+  std::vector<UpstreamIncarnation> TakeNext(std::size_t aMost);
 
 private:
-  std::map<std::string, UpstreamIncarnation, std::less<>> m_announced;
+  struct Announcement
+  {
+    UpstreamIncarnation m_upstream;
+    std::uint64_t m_taken = 0; ///< Times that `TakeNext` returned it.
+  };
+
+  std::map<std::string, Announcement, std::less<>> m_announced;
 };
 
 } // namespace ridgeferry::relay
--- a/packages/relay/tests/LeavingUpstreamsTest.cpp
+++ b/packages/relay/tests/LeavingUpstreamsTest.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 #include <ridgeferry/relay/LeavingUpstreams.h>
+#include <set>
 #include <vector>
 
 namespace ridgeferry::relay {
@@ -60,7 +61,7 @@
     isNew = Tell(news, said);
   }
   EXPECT_EQ(isNew, GetParam().m_lastIsNew);
-  EXPECT_EQ(news.Announced().size(), GetParam().m_announced);
+  EXPECT_EQ(news.Size(), GetParam().m_announced);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -97,5 +98,32 @@
               0 }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+// Guards against heartbeats that grow with the number of leaving upstreams, and
+// against upstreams that are never named in one.
+TEST(LeavingUpstreamsTurnTest, EachIsAnnouncedInTurnAndNewOnesFirst)
+{
+  constexpr std::size_t kMany = 100;
+  constexpr std::size_t kMost = 30;
+  LeavingUpstreams news;
+  for (std::size_t i = 0; i < kMany; ++i) {
+    news.NoteListed({ "u" + std::to_string(i) });
+  }
+  // Every second heartbeat may go to another receiver.
+  std::set<std::string> odd;
+  std::set<std::string> even;
+  for (int turn = 0; turn < 40; ++turn) {
+    const auto next = news.TakeNext(kMost);
+    ASSERT_EQ(next.size(), kMost);
+    for (const UpstreamIncarnation& upstream : next) {
+      (turn % 2 == 0 ? even : odd).insert(upstream.m_id);
+    }
+  }
+  EXPECT_EQ(odd.size(), kMany);
+  EXPECT_EQ(even.size(), kMany);
+  news.NoteListed({ "new" });
+  const auto next = news.TakeNext(kMost);
+  EXPECT_EQ(next.front().m_id, "new");
+}
+
 } // namespace
 } // namespace ridgeferry::relay
