--- a/packages/daemon/src/Call.cpp
+++ b/packages/daemon/src/Call.cpp
@@ -293,6 +293,7 @@
       self->OnFailure(attempt, aFailure);
     }
   };
+  callbacks.m_backsOff = BackOffSlot();
   m_sent = m_context.m_services.Call(request, callbacks);
 }
 
@@ -342,6 +343,7 @@
                                  aAnswer.m_kvHandle,
                                  aAnswer.m_unframed });
   };
+  out.m_backsOff = BackOffSlot();
   out.m_failed = [weak, aAttempt](upstream::Failure aFailure) {
     if (const auto self = weak.lock()) {
       self->OnFailure(aAttempt, aFailure);
@@ -350,6 +352,16 @@
   return out;
 }
 
+sigc::slot<void(Duration)>
+Call::BackOffSlot()
+{
+  return [weak = weak_from_this(), upstream = m_upstream](Duration aFor) {
+    if (const auto self = weak.lock()) {
+      self->m_context.m_noteBackOff(upstream, aFor);
+    }
+  };
+}
+
 void
 Call::OnFailure(routing::AttemptId aAttempt, upstream::Failure aFailure)
 {
--- a/packages/daemon/src/Call.h
+++ b/packages/daemon/src/Call.h
@@ -25,6 +25,8 @@
   /** Queue the call for an upstream, after a wait of the retry's backoff. */
   sigc::slot<void(routing::UpstreamRequest, int)> m_requestUpstream;
   sigc::slot<void(const std::string&, bool)> m_releaseUpstream;
+  /** The upstream wants no requests of this instance for that time. */
+  sigc::slot<void(const std::string&, Duration)> m_noteBackOff;
   /** Address of a listed upstream; empty if it is not there. */
   sigc::slot<std::string(const std::string&)> m_addressOf;
   /** Whether a retry may be made now. */
@@ -69,6 +71,9 @@
   void SendService(const routing::SendAttempt& aAction,
                    const ServiceCall& aCall);
   upstream::GenerationCallbacks CallbacksFor(routing::AttemptId aAttempt);
+  /** Returns what takes the word of the present attempt's upstream that it
+   * wants no requests for a while. */
+  sigc::slot<void(Duration)> BackOffSlot();
   void OnFailure(routing::AttemptId aAttempt, upstream::Failure aFailure);
   void Account(std::string_view aResult, int aStatus);
   Duration Left() const;
--- a/packages/daemon/src/CallerApi.cpp
+++ b/packages/daemon/src/CallerApi.cpp
@@ -29,7 +29,7 @@
   , m_upstreams(aUpstreams)
   , m_planner(aPlanner)
   , m_services(*aNode.m_http)
-  , m_context{ aNode, aClaims, aEngines, m_services, {}, {}, {}, {}, {} }
+  , m_context{ aNode, aClaims, aEngines, m_services, {}, {}, {}, {}, {}, {} }
   , m_dispatcher(aUpstreams, routing::BoundedAffinity{})
 {
   m_context.m_requestUpstream = [this](routing::UpstreamRequest aRequest,
@@ -41,6 +41,17 @@
     m_dispatcher.Ended(aUpstream, aFailed, m_node.Now());
     PlanPump();
   };
+  m_context.m_noteBackOff = [this](const std::string& aUpstream,
+                                   Duration aFor) {
+    if (!m_upstreams.NoteBackOff(aUpstream, aFor, m_node.Now())) {
+      return;
+    }
+    m_node.m_metrics.Count("upstream_back_offs_total");
+    m_node.m_log->Write(
+      observe::LogLevel::Info,
+      "upstream-backs-off",
+      { { "upstream", aUpstream }, { "forMs", aFor.count() } });
+  };
   m_context.m_addressOf = [this](const std::string& aUpstream) {
     return AddressOf(aUpstream);
   };
--- a/packages/routing/include/ridgeferry/routing/UpstreamSet.h
+++ b/packages/routing/include/ridgeferry/routing/UpstreamSet.h
@@ -62,6 +62,8 @@
   int m_failuresInRow = 0;
   /** Until this time the upstream is ejected: it gets no new calls. */
   std::optional<Instant> m_ejectedUntil;
+  /** Until this time the upstream itself wants no requests of this instance. */
+  std::optional<Instant> m_backOffUntil;
 };
 
 /** Index of an upstream in its `UpstreamSet`. Valid until the next
@@ -105,6 +107,9 @@
   static constexpr int kFailuresToEject = 3;
   /** How long an upstream stays ejected, in milliseconds. */
   static constexpr Duration kEjectionTime{ 2000 };
+  /** Longest time for which an upstream is left alone at its own word, so that
+   * a wrong figure puts none out for good. */
+  static constexpr Duration kMaxBackOff{ 60'000 };
   /** Number of calls that an upstream without a report, such as a service, is
    * assumed to run at the same time. */
   static constexpr std::int64_t kServiceSlots = 64;
@@ -150,6 +155,15 @@
   /** Records that a call no longer uses the upstream. `aFailed` means that the
    * upstream was unreachable or broke off. */
   void NoteEnded(std::string_view aId, bool aFailed, Instant aNow);
+  /** Records that the upstream turned a request away and wants none of this
+   * instance for `aFor`, at most `kMaxBackOff`. Of several ends the latest
+   * counts. Returns false if it has asked for that before and that time has not
+   * ended. */
+  bool NoteBackOff(std::string_view aId, Duration aFor, Instant aNow);
+  /** Returns when the first of these upstreams wants requests again;
+   * std::nullopt if one that is not leaving wants them now, or all leave. */
+  std::optional<Instant> BackOffEnd(std::span<const UpstreamIndex> aUpstreams,
+                                    Instant aNow) const;
 
 private:
   Upstream* FindMutable(std::string_view aId);
--- a/packages/routing/src/Dispatcher.cpp
+++ b/packages/routing/src/Dispatcher.cpp
@@ -35,11 +35,19 @@
   if (aRequest.m_class == declared::TrafficClass::Urgent) {
     m_lastUrgent = aNow;
   }
-  if (m_upstreams.Pool(*aRequest.m_pool).empty()) {
+  const std::span<const UpstreamIndex> pool =
+    m_upstreams.Pool(*aRequest.m_pool);
+  if (pool.empty()) {
     return Rejected{ aRequest.m_call,
                      ProblemCode::NoUpstream,
                      kNoUpstreamRetryDelay };
   }
+  const auto backOffEnd = m_upstreams.BackOffEnd(pool, aNow);
+  if (backOffEnd && *backOffEnd >= aRequest.m_deadline) {
+    return Rejected{ aRequest.m_call,
+                     ProblemCode::Overloaded,
+                     std::max(kMinRetryDelay, *backOffEnd - aNow) };
+  }
   const Duration wait = ExpectedWait(aRequest);
   if (m_queues[index].size() >= kMaxQueued ||
       aNow + wait >= aRequest.m_deadline) {
--- a/packages/routing/src/UpstreamSet.cpp
+++ b/packages/routing/src/UpstreamSet.cpp
@@ -76,6 +76,9 @@
   }
   const bool sameLoad =
     upstream->m_report && SameLoad(*upstream->m_report, aReport);
+  if (upstream->m_report && upstream->m_report->m_bootId != aReport.m_bootId) {
+    upstream->m_backOffUntil.reset(); // It was meant by an earlier process.
+  }
   upstream->m_report = aReport;
   upstream->m_reportedAt = aNow;
   upstream->m_sentSinceReport = 0;
@@ -167,6 +170,9 @@
   if (upstream.m_ejectedUntil && aNow < *upstream.m_ejectedUntil) {
     return false;
   }
+  if (upstream.m_backOffUntil && aNow < *upstream.m_backOffUntil) {
+    return false;
+  }
   if (upstream.m_listed.m_kind == UpstreamKind::Service) {
     return aPhase == Phase::Whole;
   }
@@ -222,4 +228,36 @@
   }
 }
 
+bool
+UpstreamSet::NoteBackOff(std::string_view aId, Duration aFor, Instant aNow)
+{
+  Upstream* upstream = FindMutable(aId);
+  if (upstream == nullptr) {
+    return false;
+  }
+  const std::optional<Instant> before = upstream->m_backOffUntil;
+  const Instant until = aNow + std::min(aFor, kMaxBackOff);
+  upstream->m_backOffUntil = std::max(before.value_or(until), until);
+  return !before || *before <= aNow;
+}
+
+std::optional<Instant>
+UpstreamSet::BackOffEnd(std::span<const UpstreamIndex> aUpstreams,
+                        Instant aNow) const
+{
+  std::optional<Instant> soonest;
+  for (const UpstreamIndex index : aUpstreams) {
+    const Upstream& upstream = m_items[index];
+    if (upstream.m_leaving) {
+      continue;
+    }
+    if (!upstream.m_backOffUntil || *upstream.m_backOffUntil <= aNow) {
+      return std::nullopt;
+    }
+    const Instant end = *upstream.m_backOffUntil;
+    soonest = std::min(soonest.value_or(end), end);
+  }
+  return soonest;
+}
+
 } // namespace ridgeferry::routing
--- a/packages/routing/tests/DispatcherTest.cpp
+++ b/packages/routing/tests/DispatcherTest.cpp
@@ -270,5 +270,45 @@
   EXPECT_NEAR(retries, kCalls * RetryBudget::kPerCall, 2);
 }
 
+// Guards against calls to an upstream that has asked for a pause, and against
+// callers that wait in vain for the end of all pauses.
+TEST_F(DispatcherTest, AnUpstreamThatBacksOffGetsNoCallUntilThen)
+{
+  constexpr Duration kPause{ 3000 };
+  AddEngines(2, 4);
+  EXPECT_TRUE(m_upstreams.NoteBackOff("e0", kPause, kStart));
+  EXPECT_FALSE(m_upstreams.NoteBackOff("e0", Duration{ 100 }, kStart));
+  const Instant end = kStart + kPause;
+  EXPECT_FALSE(m_upstreams.MayServe(0, Phase::Whole, end - Duration{ 1 }));
+  EXPECT_TRUE(m_upstreams.MayServe(0, Phase::Whole, end));
+  EXPECT_TRUE(m_upstreams.MayServe(1, Phase::Whole, kStart));
+}
+
+TEST_F(DispatcherTest, WhereAllBackOffBeyondTheDeadlineCallersAreToldTheEnd)
+{
+  constexpr Duration kPause{ 3000 };
+  AddEngines(2, 4);
+  m_upstreams.NoteBackOff("e0", kPause, kStart);
+  EXPECT_FALSE(Offer(1, TrafficClass::Normal, Duration{ 1000 }).has_value());
+  m_upstreams.NoteBackOff("e1", kPause * 2, kStart);
+  const auto rejected = Offer(2, TrafficClass::Normal, Duration{ 1000 });
+  ASSERT_TRUE(rejected.has_value());
+  EXPECT_EQ(rejected->m_retryAfter, kPause);
+  EXPECT_FALSE(Offer(3, TrafficClass::Normal, kPause * 2).has_value());
+}
+
+TEST_F(DispatcherTest, ABackOffIsBoundedAndEndsWithItsProcess)
+{
+  AddEngines(1, 4);
+  m_upstreams.NoteBackOff("e0", Duration{ 86'400'000 }, kStart);
+  EXPECT_TRUE(
+    m_upstreams.MayServe(0, Phase::Whole, kStart + UpstreamSet::kMaxBackOff));
+  EXPECT_FALSE(m_upstreams.MayServe(0, Phase::Whole, kStart));
+  EngineReport report;
+  report.m_bootId = "another";
+  m_upstreams.SetReport("e0", report, kStart);
+  EXPECT_TRUE(m_upstreams.MayServe(0, Phase::Whole, kStart));
+}
+
 } // namespace
 } // namespace ridgeferry::routing
--- a/packages/upstream/include/ridgeferry/upstream/EngineClient.h
+++ b/packages/upstream/include/ridgeferry/upstream/EngineClient.h
@@ -56,6 +56,9 @@
   sigc::slot<void(std::uint64_t, std::string)> m_ended; ///< Length, reason.
   sigc::slot<void(Answer)> m_answered;
   sigc::slot<void(Failure)> m_failed;
+  /** May come before the last one: for how long the engine wants no requests of
+   * this instance. May be left empty. */
+  sigc::slot<void(Duration)> m_backsOff;
 };
 
 /** What an engine says of itself: for routing and for the planner. */
--- a/packages/upstream/include/ridgeferry/upstream/ServiceClient.h
+++ b/packages/upstream/include/ridgeferry/upstream/ServiceClient.h
@@ -23,6 +23,9 @@
 {
   sigc::slot<void(Answer)> m_answered;
   sigc::slot<void(Failure)> m_failed;
+  /** Comes before that, if the service says for how long it wants no requests
+   * of this instance. May be left empty. */
+  sigc::slot<void(Duration)> m_backsOff;
 };
 
 /** Passes calls through to plain services. Not thread-safe. */
--- a/packages/upstream/src/Answers.cpp
+++ b/packages/upstream/src/Answers.cpp
@@ -1,5 +1,7 @@
 #include "Answers.h"
 
+#include <ridgeferry/net/RetryAfter.h>
+
 namespace ridgeferry::upstream {
 
 std::optional<Failure>
@@ -21,6 +23,18 @@
   return std::nullopt;
 }
 
+std::optional<Duration>
+BackOffOf(const net::HttpResponse& aResponse)
+{
+  constexpr int kTooManyRequests = 429;
+  constexpr int kUnavailable = 503;
+  const int status = aResponse.m_head.m_status;
+  const bool turnsAway = status == kTooManyRequests || status == kUnavailable;
+  return net::HasAnswer(aResponse) && turnsAway
+           ? net::ReadRetryAfter(aResponse.m_head.m_headers)
+           : std::nullopt;
+}
+
 Answer
 ToAnswer(net::HttpResponse aResponse)
 {
--- a/packages/upstream/src/Answers.h
+++ b/packages/upstream/src/Answers.h
@@ -14,6 +14,11 @@
 std::optional<Failure>
 FailureOf(const net::HttpResponse& aResponse);
 
+/** Returns for how long the upstream wants no requests of this instance, if its
+ * answer turns the request away and says so. */
+std::optional<Duration>
+BackOffOf(const net::HttpResponse& aResponse);
+
 Answer
 ToAnswer(net::HttpResponse aResponse);
 
--- a/packages/upstream/src/EngineClient.cpp
+++ b/packages/upstream/src/EngineClient.cpp
@@ -54,6 +54,10 @@
     if (m_over) {
       return;
     }
+    const auto backOff = BackOffOf(aResponse);
+    if (backOff && m_callbacks.m_backsOff) {
+      m_callbacks.m_backsOff(*backOff);
+    }
     if (const auto failure = FailureOf(aResponse)) {
       m_callbacks.m_failed(*failure);
       return;
--- a/packages/upstream/src/ServiceClient.cpp
+++ b/packages/upstream/src/ServiceClient.cpp
@@ -23,6 +23,10 @@
   request.m_fresh = aRequest.m_fresh;
   net::HttpCallbacks callbacks;
   callbacks.m_done = [aCallbacks](net::HttpResponse aResponse) {
+    const auto backOff = BackOffOf(aResponse);
+    if (backOff && aCallbacks.m_backsOff) {
+      aCallbacks.m_backsOff(*backOff);
+    }
     if (const auto failure = FailureOf(aResponse)) {
       aCallbacks.m_failed(*failure);
       return;
--- a/packages/upstream/tests/ServiceClientTest.cpp
+++ b/packages/upstream/tests/ServiceClientTest.cpp
@@ -19,6 +19,7 @@
   const char* m_bytes;
   bool m_answered;
   bool m_unframed;
+  std::optional<Duration> m_backOff = {};
 };
 
 std::ostream&
@@ -68,11 +69,14 @@
     failure = aFailure;
     m_loop->Stop();
   };
+  std::optional<Duration> backOff;
+  callbacks.m_backsOff = [&](Duration aFor) { backOff = aFor; };
   m_client.Call(request, callbacks);
   const net::Watch serve = m_loop->Every(kPollEvery, [this] { Serve(); });
   const net::Watch guard =
     m_loop->After(kLongestTest, [this] { m_loop->Stop(); });
   m_loop->Run();
+  EXPECT_EQ(backOff, GetParam().m_backOff);
   ASSERT_EQ(answer.has_value(), GetParam().m_answered);
   if (answer) {
     EXPECT_EQ(answer->m_unframed, GetParam().m_unframed);
@@ -94,6 +98,17 @@
                  "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab",
                  false,
                  false },
+    ServiceCase{ "BacksOff",
+                 "HTTP/1.1 503 Busy\r\nRetry-After: 2\r\n"
+                 "Content-Length: 2\r\n\r\nab",
+                 true,
+                 false,
+                 Duration{ 2000 } },
+    ServiceCase{ "OddBackOff",
+                 "HTTP/1.1 503 Busy\r\nRetry-After: soon\r\n"
+                 "Content-Length: 2\r\n\r\nab",
+                 true,
+                 false },
     ServiceCase{ "Unframed", "HTTP/1.1 200 OK\r\n\r\nab", true, true },
     ServiceCase{ "OldProtocol", "HTTP/1.0 200 OK\r\n\r\nab", true, true }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
