Build: warnings end the build only where the checks ask for it

A Release build from a fresh checkout failed on a warning that only that optimisation level gives (declared/src/Catalog.cpp).

--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -5,7 +5,10 @@
 
 add_library(rf_options INTERFACE)
 target_compile_options(rf_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow
-  -Wconversion -Wno-sign-conversion -Werror)
+  -Wconversion -Wno-sign-conversion)
+if(RIDGEFERRY_WERROR)
+  target_compile_options(rf_options INTERFACE -Werror)
+endif()
 if(RIDGEFERRY_SANITIZE)
   target_compile_options(rf_options INTERFACE -fsanitize=address,undefined
     -fno-sanitize-recover=all -fno-omit-frame-pointer)
