--- a/packages/daemon/src/Call.h
+++ b/packages/daemon/src/Call.h
@@ -71,8 +71,8 @@
   void SendService(const routing::SendAttempt& aAction,
                    const ServiceCall& aCall);
   upstream::GenerationCallbacks CallbacksFor(routing::AttemptId aAttempt);
-  /** Returns what takes the word of the present attempt's upstream that it
-   * wants no requests for a while. */
+  /** Returns the slot that records that the present attempt's upstream wants
+   * no requests for a while. */
   sigc::slot<void(Duration)> BackOffSlot();
   void OnFailure(routing::AttemptId aAttempt, upstream::Failure aFailure);
   void Account(std::string_view aResult, int aStatus);
--- a/packages/routing/include/ridgeferry/routing/UpstreamSet.h
+++ b/packages/routing/include/ridgeferry/routing/UpstreamSet.h
@@ -107,8 +107,8 @@
   static constexpr int kFailuresToEject = 3;
   /** How long an upstream stays ejected, in milliseconds. */
   static constexpr Duration kEjectionTime{ 2000 };
-  /** Longest time for which an upstream is left alone at its own word, so that
-   * a wrong figure puts none out for good. */
+  /** Longest back-off that an upstream can ask for, so that a wrong figure puts
+   * none out for good. */
   static constexpr Duration kMaxBackOff{ 60'000 };
   /** Number of calls that an upstream without a report, such as a service, is
    * assumed to run at the same time. */
--- a/tests/soak/LeavingWordTest.cpp
+++ b/tests/soak/StatedLeavingInstancesTest.cpp
@@ -20,7 +20,7 @@
 constexpr std::size_t kLeaver = 0;
 constexpr Duration kCallEvery{ 12 };
 constexpr Duration kWarmUp{ 500 };
-/** From an instance's first answer with the word until it sends no call that
+/** From the first answer that told an instance until it sends no call that
  * came later; the operators allow two seconds. */
 constexpr Duration kHolds{ 300 };
 /** How much longer the others take for a call. */
@@ -42,12 +42,12 @@
   return aOut << aCase.m_name;
 }
 
-class LeavingWordTest
+class StatedLeavingInstancesTest
   : public InstancesFixture
   , public ::testing::WithParamInterface<LeavingCase>
 {
 protected:
-  LeavingWordTest()
+  StatedLeavingInstancesTest()
     : InstancesFixture("leaving")
     , m_client(*m_loop)
     , m_workers(kWorkers)
@@ -100,7 +100,7 @@
     }));
   }
 
-  /** Counts a call that came to its instance too long behind the word. */
+  /** Counts a call that its instance took too long after it was told. */
   void NoteArrival(const std::string& aCall)
   {
     if (!m_leaves) {
@@ -187,7 +187,7 @@
   int m_served = 0;
 };
 
-TEST_P(LeavingWordTest, NoInstanceThatWasToldSendsItCalls)
+TEST_P(StatedLeavingInstancesTest, NoInstanceThatWasToldSendsItCalls)
 {
   StartAll();
   CallFor(kWarmUp);
@@ -215,7 +215,7 @@
 
 INSTANTIATE_TEST_SUITE_P(
   Besides,
-  LeavingWordTest,
+  StatedLeavingInstancesTest,
   ::testing::Values(LeavingCase{ "Nothing" },
                     LeavingCase{ "StoreDown", true },
                     LeavingCase{ "InstanceKilled", false, true },
