Net, relay: what an instance holds of an answer is bounded; reading waits for the caller

Cause: a gathered body, a chunk size line, a trailer and an event of a stream were held without a bound; a refusal's body was read for as long as it came; what a caller did not read was held up to half a megabyte a call, without a bound for all.

Mended: ClientConnection reads at most 128 KB ahead of the parser, ends what it cannot parse behind 64 KB, what it skips behind 1 MB, a gathered body behind 3 MB (documents of the store and of peers 16 MB) or 10 s.

Ruled out: cutting at a size alone (a slow caller that reads loses its answer); one budget whose largest holder gives way (a reading caller could pay for others).

--- a/packages/cli/src/Client.cpp
+++ b/packages/cli/src/Client.cpp
@@ -23,6 +23,7 @@
   net::HttpClient client(*loop);
   aRequest.m_address = m_common.m_server;
   aRequest.m_timeout = kTimeout;
+  aRequest.m_maxBody = net::kMaxStoreBody;
   aRequest.m_headers.Add("Authorization", "Bearer " + m_common.m_token);
   net::HttpResponse result;
   net::HttpCallbacks callbacks;
--- a/packages/daemon/src/ConfigService.cpp
+++ b/packages/daemon/src/ConfigService.cpp
@@ -179,6 +179,7 @@
   request.m_method = "POST";
   request.m_address = aFetch.m_peer;
   request.m_target = "/peer/changes";
+  request.m_maxBody = net::kMaxStoreBody;
   request.m_timeout = kPeerTimeout;
   request.m_body = protocol::Encode(protocol::ChangesRequest{ aFetch.m_after });
   net::HttpCallbacks callbacks;
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -444,6 +444,8 @@
                        static_cast<double>(m_quarantine->HeldSegments()));
   m_node.m_metrics.Set("calls_suspected",
                        static_cast<double>(m_quarantine->Suspected()));
+  m_node.m_metrics.Set("answer_bytes_unread",
+                       static_cast<double>(m_node.m_unread.Total()));
   m_node.m_metrics.Set("store_on_duty", m_peers->IsPoller() ? 1 : 0);
 }
 
--- a/packages/entry/src/EntryNode.h
+++ b/packages/entry/src/EntryNode.h
@@ -8,6 +8,7 @@
 #include <ridgeferry/net/HttpClient.h>
 #include <ridgeferry/observe/Log.h>
 #include <ridgeferry/observe/Metrics.h>
+#include <ridgeferry/relay/BackPressure.h>
 #include <ridgeferry/relay/Fleet.h>
 #include <ridgeferry/relay/PlannedStop.h>
 #include <ridgeferry/relay/Routes.h>
@@ -28,6 +29,8 @@
   /** Number of live instances, including this one; `Peers` updates it. */
   std::size_t m_instances = 1;
   std::size_t m_runningCalls = 0; ///< Calls under way; `Relay` updates it.
+  /** What callers have not read yet of answers in pieces. */
+  relay::UnreadBytes m_unread;
   relay::PlannedStop m_stop;
   /** The routes in force; null until the first configuration has been read. */
   std::shared_ptr<const relay::RouteTable> m_routes;
--- a/packages/entry/src/PeerRows.cpp
+++ b/packages/entry/src/PeerRows.cpp
@@ -173,6 +173,7 @@
   request.m_method = "POST";
   request.m_address = aPeer;
   request.m_target = kPath;
+  request.m_maxBody = net::kMaxStoreBody;
   request.m_body = protocol::Encode(protocol::RowsRequest{ aName, aAfter });
   request.m_timeout = kTimeout;
   request.m_connectTimeout = kTimeout;
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -43,6 +43,8 @@
 /** Time-out for freeing the handle of a prompt's KV cache. Nothing waits for
  * that request: an engine frees the cache by itself after a while. */
 constexpr Duration kFreeTimeout{ 1000 };
+/** Longest answer of a prefill engine, which names a handle. */
+constexpr std::size_t kMaxHandleBytes = std::size_t{ 64 } * 1024;
 
 relay::RelayTraits
 TraitsOf(const RelayCallStart& aStart)
@@ -117,6 +119,7 @@
   , m_flow(TraitsOf(m_start))
   , m_began(aNode.Now())
   , m_deadline(m_began + m_start.m_route->m_maxDuration)
+  , m_backPressure(aNode.m_unread)
   , m_origin(m_start.m_origin)
 {
   if (const auto& asked = m_start.m_head.m_deadline) {
@@ -165,6 +168,11 @@
 {
   m_start.m_exchange->SignalLeft().connect(
     [this] { Handle(relay::CallerLeft{}); });
+  m_start.m_exchange->SignalRead().connect([this] {
+    if (m_backPressure.IsPaused()) {
+      FollowCaller();
+    }
+  });
   m_timer =
     m_node.m_loop->After(Left(), [this] { Handle(relay::DeadlinePassed{}); });
   m_start.m_budget->NoteFirstSend(m_began);
@@ -517,6 +525,9 @@
     TakeEnd(aResponse);
   };
   m_attempt.m_http = m_node.m_http->Send(aRequest, std::move(callbacks));
+  if (m_backPressure.IsPaused()) {
+    m_node.m_http->SetReading(m_attempt.m_http, false);
+  }
 }
 
 void
@@ -618,13 +629,43 @@
 {
   NoteResponse();
   NotePause();
-  if (m_attempt.m_readOnly) {
-    m_prefillAnswer.append(aBytes);
-  } else if (!m_attempt.m_saidNotRun) {
+  if (m_attempt.m_saidNotRun) {
+    TakeRefusalBytes(aBytes);
+  } else if (m_attempt.m_readOnly) {
+    TakePrefillBytes(aBytes);
+  } else {
     Handle(relay::BytesArrived{ m_attempt.m_id, std::string(aBytes) });
   }
 }
 
+void
+RelayCall::TakePrefillBytes(std::string_view aBytes)
+{
+  m_prefillAnswer.append(aBytes);
+  if (m_prefillAnswer.size() > kMaxHandleBytes) {
+    Do(relay::CancelAttempt{ m_attempt.m_id });
+    Handle(relay::AttemptBroke{ m_attempt.m_id });
+  }
+}
+
+void
+RelayCall::TakeRefusalBytes(std::string_view aBytes)
+{
+  m_attempt.m_droppedBytes += aBytes.size();
+  if (m_attempt.m_droppedBytes > relay::RelayFlow::kMaxDroppedBytes) {
+    Do(relay::CancelAttempt{ m_attempt.m_id });
+    NoteRefused();
+  }
+}
+
+void
+RelayCall::NoteRefused()
+{
+  const bool displaced = m_attempt.m_head.m_status == kMisdirected;
+  Handle(
+    relay::AttemptRefused{ m_attempt.m_id, displaced, RoomBehindBackOffs() });
+}
+
 void
 RelayCall::NoteReach(const net::HttpResponse& aResponse)
 {
@@ -658,8 +699,7 @@
   if (aResponse.m_end == net::HttpEnd::NotSent) {
     Handle(relay::AttemptNotSent{ id });
   } else if (m_attempt.m_hasHead && m_attempt.m_saidNotRun) {
-    const bool displaced = m_attempt.m_head.m_status == kMisdirected;
-    Handle(relay::AttemptRefused{ id, displaced, RoomBehindBackOffs() });
+    NoteRefused();
   } else if (aResponse.m_end == net::HttpEnd::Broken) {
     Handle(relay::AttemptBroke{ id });
   } else if (m_attempt.m_readOnly) {
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -13,6 +13,7 @@
 
 #include <memory>
 #include <ridgeferry/net/HttpServer.h>
+#include <ridgeferry/relay/BackPressure.h>
 #include <ridgeferry/relay/CallKind.h>
 #include <ridgeferry/relay/ConnectionShare.h>
 #include <ridgeferry/relay/RelayFlow.h>
@@ -120,6 +121,8 @@
     bool m_isForwarded = false; ///< Sent to another instance.
     bool m_saidNotRun = false;  ///< The upstream reports that it did not run.
     bool m_hasHead = false;
+    /** Bytes behind the head of an answer that is no more than its status. */
+    std::size_t m_droppedBytes = 0;
     /** When the last bytes of a stream arrived. */
     std::optional<Instant> m_lastBytes;
     net::HttpHead m_head;
@@ -175,6 +178,14 @@
   void TakeForwardedHead(const net::HttpHead& aHead);
   void TakeHead(const net::HttpHead& aHead);
   void TakeBytes(std::string_view aBytes);
+  /** Takes bytes of a prefill engine's answer. */
+  void TakePrefillBytes(std::string_view aBytes);
+  /** Takes bytes behind the head of a send that its upstream did not run. */
+  void TakeRefusalBytes(std::string_view aBytes);
+  /** Reports that the upstream did not run the present send. */
+  void NoteRefused();
+  /** Reads on from the upstream, or waits, by what the caller has read. */
+  void FollowCaller();
   void TakeEnd(const net::HttpResponse& aResponse);
   /** Returns whether the member runs another software version than the one that
    * began the stream. */
@@ -270,6 +281,8 @@
   net::Watch m_timer;
   net::Watch m_placing; ///< Timer of the next placement of a postponed call.
   Attempt m_attempt;
+  relay::BackPressure m_backPressure;
+  std::optional<net::Watch> m_lookAtPaused;
   /** Expected time to the first token at the first placement, in milliseconds;
    * 0 if there is no estimate or it has been used. */
   double m_expectedMs = 0;
--- a/packages/entry/src/RelayCallAnswer.cpp
+++ b/packages/entry/src/RelayCallAnswer.cpp
@@ -21,10 +21,9 @@
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
-/** Most bytes of one answer that may wait for a slow caller. A stream of the
- * longest present outputs takes a tenth of this, and memory suffices for a
- * hundred callers that are this slow. */
-constexpr std::size_t kMostUnread = std::size_t{ 512 } * 1024;
+/** Interval at which a paused answer is looked at, as a caller that reads
+ * nothing gives no sign. */
+constexpr Duration kLookAtPaused{ 250 };
 
 OwnAnswer
 AnswerOf(const relay::ReplyError& aReply)
@@ -72,18 +71,42 @@
 RelayCall::Do(const relay::ForwardBytes& aAction)
 {
   NoteStreamBegan();
+  m_start.m_exchange->SendChunk(aAction.m_bytes);
+  FollowCaller();
+}
+
+void
+RelayCall::FollowCaller()
+{
+  const bool wasPaused = m_backPressure.IsPaused();
   const auto exchange = m_start.m_exchange;
-  exchange->SendChunk(aAction.m_bytes);
-  if (exchange->Backlog() > kMostUnread) {
-    m_node.m_log->Write(
-      observe::LogLevel::Warning,
-      "caller-reads-too-slowly",
-      { { "id", m_start.m_head.m_id },
-        { "unread", static_cast<std::int64_t>(exchange->Backlog()) } });
+  const std::size_t unread = exchange->Backlog();
+  const relay::Reading reading = m_backPressure.Note(unread, m_node.Now());
+  if (reading == relay::Reading::On) {
+    m_lookAtPaused.reset();
+    if (wasPaused) {
+      m_node.m_http->SetReading(m_attempt.m_http, true);
+    }
+    return;
+  }
+  if (reading == relay::Reading::GivenUp) {
+    m_lookAtPaused.reset();
+    m_node.m_metrics.Count("slow_callers_total");
+    m_node.m_log->Write(observe::LogLevel::Warning,
+                        "caller-reads-too-slowly",
+                        { { "id", m_start.m_head.m_id },
+                          { "unread", static_cast<std::int64_t>(unread) } });
     // Deferred: aborting the exchange raises `CallerLeft`, which must not reach
     // the flow while it still handles the present event.
     m_node.m_loop->Defer([exchange] { exchange->Abort(); });
+    return;
+  }
+  if (!wasPaused) {
+    m_node.m_metrics.Count("answers_paused_total");
+    m_node.m_http->SetReading(m_attempt.m_http, false);
   }
+  m_lookAtPaused =
+    m_node.m_loop->After(kLookAtPaused, [this] { FollowCaller(); });
 }
 
 void
--- a/packages/entry/src/StoreReader.cpp
+++ b/packages/entry/src/StoreReader.cpp
@@ -104,6 +104,7 @@
   net::HttpRequest request = m_node.m_dialect.m_writeStoreRead(aRead);
   request.m_address = m_node.m_settings.m_store;
   request.m_timeout = aTimeout;
+  request.m_maxBody = net::kMaxStoreBody;
   request.m_connectTimeout = relay::TableFollower::kResponseMargin;
   request.m_fresh = m_needsFreshConnection;
   net::HttpCallbacks callbacks;
--- a/packages/native/src/HttpObjectStore.cpp
+++ b/packages/native/src/HttpObjectStore.cpp
@@ -52,6 +52,7 @@
     request.m_target = "/objects?key=" + net::EncodeUriPart(aKey);
     request.m_timeout = kPlatformTimeout;
     request.m_body = std::move(aBody);
+    request.m_maxBody = net::kMaxStoreBody;
     net::HttpCallbacks callbacks;
     callbacks.m_done = std::move(aDone);
     m_client.Send(request, std::move(callbacks));
--- a/packages/native/src/HttpTable.cpp
+++ b/packages/native/src/HttpTable.cpp
@@ -148,6 +148,7 @@
     request.m_address = m_address;
     request.m_target = std::move(aTarget);
     request.m_timeout = kPlatformTimeout;
+    request.m_maxBody = net::kMaxStoreBody;
     net::HttpCallbacks callbacks;
     callbacks.m_done = std::move(aDone);
     m_client.Send(request, std::move(callbacks));
--- a/packages/net/include/ridgeferry/net/Http.h
+++ b/packages/net/include/ridgeferry/net/Http.h
@@ -27,6 +27,11 @@
   std::vector<std::pair<std::string, std::string>> m_items;
 };
 
+/** Most bytes of a body that is gathered, unless the request says otherwise. */
+inline constexpr std::size_t kMaxGatheredBody = std::size_t{ 3 } * 1024 * 1024;
+/** The same for documents of the store and of other instances. */
+inline constexpr std::size_t kMaxStoreBody = std::size_t{ 16 } * 1024 * 1024;
+
 struct HttpRequest
 {
   std::string m_method = "GET"; ///< GET, POST, PUT, DELETE, PATCH or HEAD.
@@ -54,6 +59,12 @@
   std::optional<std::pair<std::string, std::string>> m_mustEcho;
   /** Most idle connections that are kept to this address afterwards. */
   std::size_t m_keepIdle = 32;
+  /** Most bytes of a body that is gathered: a longer one ends the connection as
+   * broken. */
+  std::size_t m_maxBody = kMaxGatheredBody;
+  /** Longest time from the first byte of an answer to its last if its body is
+   * gathered. Of an answer in pieces the caller itself bounds the time. */
+  Duration m_maxAnswerTime{ 10'000 };
 };
 
 /** What tells the end of a body. */
--- a/packages/net/include/ridgeferry/net/HttpClient.h
+++ b/packages/net/include/ridgeferry/net/HttpClient.h
@@ -36,6 +36,13 @@
   HttpCallId Send(const HttpRequest& aRequest, HttpCallbacks aCallbacks);
   /** Ends a request and its connection; nothing is called back for it. */
   void Cancel(HttpCallId aCall);
+  /**
+   * Stops reading the answer, or goes on: its bytes wait in the system's
+   * buffers and then at the sender. A pause counts neither as silence of the
+   * peer nor shows the end of its connection. Has no effect on a request that
+   * has ended.
+   */
+  void SetReading(HttpCallId aCall, bool aReads);
 
   struct Impl;
 
--- a/packages/net/include/ridgeferry/net/HttpServer.h
+++ b/packages/net/include/ridgeferry/net/HttpServer.h
@@ -73,9 +73,14 @@
   bool IsOpen() const { return m_connection != nullptr; }
   /** Emitted once if the caller leaves before the answer ended. */
   sigc::signal<void()>& SignalLeft() { return m_left; }
+  /** Emitted when the caller has read and little of the answer is left unread,
+   * until the answer has ended. */
+  sigc::signal<void()>& SignalRead() { return m_read; }
 
   /** For the connection only: it has ended under this exchange. */
   void NoteClosed();
+  /** For the connection only: the caller has read. */
+  void NoteRead() { m_read.emit(); }
 
 private:
   ServerConnection* m_connection; ///< Null once answered or left.
@@ -83,6 +88,7 @@
   std::string m_path;
   std::string m_query;
   sigc::signal<void()> m_left;
+  sigc::signal<void()> m_read;
 };
 
 struct HttpServerLimits
--- a/packages/net/src/ClientConnection.cpp
+++ b/packages/net/src/ClientConnection.cpp
@@ -19,6 +19,15 @@
 
 /** Longest head of an answer: far above what any upstream sends. */
 constexpr std::size_t kMaxAnswerHead = std::size_t{ 64 } * 1024;
+/** Most bytes that are read ahead of the parser, which takes all but an
+ * incomplete head, chunk size line or trailer. More than the longest head, so
+ * that the parser itself names a head that is too long. */
+constexpr std::size_t kReadAhead = std::size_t{ 128 } * 1024;
+/** Longest chunk size line and longest trailer of an answer. */
+constexpr std::size_t kMaxUnparsed = std::size_t{ 64 } * 1024;
+/** Most bytes of answers to earlier requests that are skipped before the answer
+ * to the present one. */
+constexpr std::size_t kMaxSkipped = std::size_t{ 1024 } * 1024;
 /** A peer that closes idle connections after N seconds gets no request in the
  * last of them: it could cross the close. */
 constexpr Duration kIdleMargin{ 1000 };
@@ -137,6 +146,7 @@
   , m_events(bufferevent_socket_new(aLoop.Base(), -1, BEV_OPT_CLOSE_ON_FREE))
 {
   bufferevent_setcb(m_events, &Readable, nullptr, &Happened, this);
+  bufferevent_setwatermark(m_events, EV_READ, 0, kReadAhead);
   m_refused = BeginConnect(m_events, aAddress);
   SetOptions(bufferevent_getfd(m_events));
   bufferevent_enable(m_events, EV_READ | EV_WRITE);
@@ -174,6 +184,9 @@
   m_response = {};
   m_headOnly = aRequest.m_method == "HEAD";
   m_mustEcho = aRequest.m_mustEcho;
+  m_maxBody = aRequest.m_maxBody;
+  m_maxAnswerTime = aRequest.m_maxAnswerTime;
+  m_skippedBytes = 0;
   StartAnswer();
   m_silence = aRequest.m_timeout;
   const timeval silence = ToTimeval(m_silence);
@@ -206,6 +219,7 @@
     return;
   }
   for (;;) {
+    const std::size_t before = Unread();
     const ParseState state = m_parser->Feed(bufferevent_get_input(m_events));
     if (state == ParseState::Failed) {
       FinishBroken(false);
@@ -214,8 +228,13 @@
     if (m_parser->HasHead() && !TakeHead()) {
       return;
     }
+    m_skippedBytes += m_skipping ? before - Unread() : 0;
     if (state == ParseState::NeedsMore) {
-      DeliverBody();
+      if (!DeliverBody() || (m_busy && !StaysBounded())) {
+        FinishBroken(false);
+      } else {
+        BoundAnswerTime();
+      }
       return;
     }
     if (!m_skipping) {
@@ -255,28 +274,71 @@
   return m_busy && !m_closed;
 }
 
-void
+bool
 ClientConnection::DeliverBody()
 {
   if (m_skipping) {
     m_parser->m_body.clear();
-    return;
+    return true;
   }
   if (m_parser->m_body.empty()) {
-    return;
+    return true;
   }
-  if (m_listener.m_chunk) {
-    const std::string piece = std::exchange(m_parser->m_body, {});
+  const std::string piece = std::exchange(m_parser->m_body, {});
+  if (!Gathers()) {
     m_listener.m_chunk(piece);
+    return true;
+  }
+  std::string& body = m_response.m_body;
+  const std::size_t size = body.size() + piece.size();
+  if (size > m_maxBody) {
+    return false;
+  }
+  if (size > body.capacity()) {
+    // The string itself would reserve up to twice the limit.
+    body.reserve(std::min(m_maxBody, std::max(size, 2 * body.capacity())));
+  }
+  body += piece;
+  return true;
+}
+
+bool
+ClientConnection::StaysBounded() const
+{
+  // Of a head the parser itself bounds the length.
+  const bool unparsed = m_parser->HasHead() && Unread() >= kMaxUnparsed;
+  return !unparsed && m_skippedBytes <= kMaxSkipped;
+}
+
+void
+ClientConnection::BoundAnswerTime()
+{
+  if (m_busy && Gathers() && !m_answerTimer) {
+    m_answerTimer =
+      m_loop.After(m_maxAnswerTime, [this] { FinishBroken(false); });
+  }
+}
+
+void
+ClientConnection::SetReading(bool aReads)
+{
+  if (m_closed) {
+    return;
+  }
+  if (aReads) {
+    bufferevent_enable(m_events, EV_READ);
   } else {
-    m_response.m_body += std::exchange(m_parser->m_body, {});
+    bufferevent_disable(m_events, EV_READ);
   }
 }
 
 void
 ClientConnection::FinishWhole(HttpEnd aEnd, bool aKeepsAlive)
 {
-  DeliverBody();
+  if (!DeliverBody()) {
+    FinishBroken(false);
+    return;
+  }
   if (!m_busy || m_closed) {
     return;
   }
@@ -301,11 +363,13 @@
 ClientConnection::Report(const ClientEnd& aEnd)
 {
   m_busy = false;
+  m_answerTimer.reset();
   m_restsSince = m_loop.Now();
   if (!aEnd.m_reusable) {
     Close();
   } else {
     bufferevent_set_timeouts(m_events, nullptr, nullptr);
+    SetReading(true);
   }
   // A copy: the listener may be replaced by the next request inside the call.
   const auto end = m_listener.m_end;
@@ -319,6 +383,7 @@
 {
   m_closed = true;
   m_busy = false;
+  m_answerTimer.reset();
   bufferevent_disable(m_events, EV_READ | EV_WRITE);
 }
 
--- a/packages/net/src/ClientConnection.h
+++ b/packages/net/src/ClientConnection.h
@@ -44,6 +44,8 @@
   void Send(const HttpRequest& aRequest, ClientListener aListener);
   /** Ends the connection without calling back. */
   void Close();
+  /** Stops reading the answer under way, or goes on. */
+  void SetReading(bool aReads);
 
   /** Whether an idle connection may take a request now. */
   bool IsFit(Instant aNow) const;
@@ -57,7 +59,14 @@
 private:
   void StartAnswer();
   bool TakeHead();
-  void DeliverBody();
+  /** Returns false if the body has become too long. */
+  bool DeliverBody();
+  /** Returns whether an answer that goes on stays within what is held or
+   * skipped of it. */
+  bool StaysBounded() const;
+  bool Gathers() const { return !m_listener.m_chunk; }
+  /** Bounds the time of an answer whose body is gathered. */
+  void BoundAnswerTime();
   /** Precondition: the answer came to its end, by its framing (`Complete`) or
    * with its connection (`Closed`). */
   void FinishWhole(HttpEnd aEnd, bool aKeepsAlive);
@@ -79,6 +88,12 @@
   std::optional<std::pair<std::string, std::string>> m_mustEcho;
   std::unique_ptr<MessageParser<false>> m_parser;
   ClientListener m_listener;
+  std::size_t m_maxBody = 0;
+  Duration m_maxAnswerTime{};
+  /** Runs from the first byte of an answer whose body is gathered. */
+  std::optional<Watch> m_answerTimer;
+  /** Bytes of answers that are not this request's. */
+  std::size_t m_skippedBytes = 0;
   HttpResponse m_response;
   Instant m_restsSince;
   std::optional<Instant> m_idleUntil; ///< The peer closes it after that.
--- a/packages/net/src/HttpClient.cpp
+++ b/packages/net/src/HttpClient.cpp
@@ -168,4 +168,13 @@
   }
 }
 
+void
+HttpClient::SetReading(HttpCallId aCall, bool aReads)
+{
+  const auto found = m_impl->m_calls.find(aCall);
+  if (found != m_impl->m_calls.end() && found->second.m_connection != nullptr) {
+    found->second.m_connection->SetReading(aReads);
+  }
+}
+
 } // namespace ridgeferry::net
--- a/packages/net/src/ServerConnection.cpp
+++ b/packages/net/src/ServerConnection.cpp
@@ -17,6 +17,8 @@
 
 /** Bytes read ahead of the request under way; more stays in the kernel. */
 constexpr std::size_t kReadAhead = std::size_t{ 64 } * 1024;
+/** Unread bytes of an answer below which more may be given. */
+constexpr std::size_t kFewUnread = std::size_t{ 16 } * 1024;
 /** How long a caller may go on sending after a refusal: one second lets the
  * refusal arrive before a reset would. */
 constexpr Duration kLinger{ 1000 };
@@ -117,6 +119,7 @@
   (void)setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   bufferevent_setcb(m_events, &Readable, &Written, &Happened, this);
   bufferevent_setwatermark(m_events, EV_READ, 0, kReadAhead);
+  bufferevent_setwatermark(m_events, EV_WRITE, kFewUnread, 0);
   StartRequest();
   bufferevent_enable(m_events, EV_READ | EV_WRITE);
 }
@@ -320,6 +323,9 @@
 void
 ServerConnection::OnWritten()
 {
+  if (const auto exchange = m_exchange.lock()) {
+    exchange->NoteRead();
+  }
   if (m_state != State::Flushing || Backlog() > 0) {
     return;
   }
--- a/packages/relay/include/ridgeferry/relay/RelayFlow.h
+++ b/packages/relay/include/ridgeferry/relay/RelayFlow.h
@@ -283,6 +283,12 @@
    * forwarded, so that a call whose answer breaks can still be retried. Most
    * answers are a few kilobytes. */
   static constexpr std::size_t kMaxBufferedBytes = std::size_t{ 256 } * 1024;
+  /** Most bytes of an event that has not ended. An upstream that sends more of
+   * one has failed. */
+  static constexpr std::size_t kMaxEventBytes = std::size_t{ 256 } * 1024;
+  /** Most bytes of an answer that is dropped: its status says all that is
+   * needed of it. */
+  static constexpr std::size_t kMaxDroppedBytes = std::size_t{ 64 } * 1024;
   /** Retry delay, in milliseconds, that the caller is given when the refusal
    * names no delay of its own. */
   static constexpr Duration kRetryAfter{ 100 };
@@ -375,6 +381,9 @@
   void ForwardHeadTo(Actions& aActions);
   /** Ends the call by the current answer, which has come to its end. */
   void FinishAnswer(Actions& aActions);
+  /** Counts bytes of an answer that is dropped, and ends the answer where it
+   * has become too long. */
+  void Drop(std::size_t aBytes, Actions& aActions);
   /** Goes on behind a run whose answer is lost. */
   void HandleBrokenRun(Actions& aActions);
   /** Reports the end of the current attempt. Excludes its upstream from further
@@ -409,6 +418,7 @@
   std::vector<std::string> m_excluded;
   EventSplitter m_events;
   std::string m_bufferedBody;
+  std::size_t m_droppedBytes = 0;
 };
 
 } // namespace ridgeferry::relay
--- a/packages/relay/src/RelayFlow.cpp
+++ b/packages/relay/src/RelayFlow.cpp
@@ -128,6 +128,7 @@
   m_unframed = false;
   m_eventsBefore = m_events.Events();
   m_bufferedBody.clear();
+  m_droppedBytes = 0;
   ++m_tries;
   const bool repeat = m_sends > 0;
   ++m_sends;
@@ -308,6 +309,10 @@
     if (std::string whole = m_events.Add(aEvent.m_bytes); !whole.empty()) {
       aActions.emplace_back(ForwardBytes{ std::move(whole) });
     }
+    if (m_events.Unfinished() > kMaxEventBytes) {
+      aActions.emplace_back(CancelAttempt{ m_attempt });
+      HandleBrokenRun(aActions);
+    }
   } else if (m_handling == AnswerHandling::PassThrough) {
     aActions.emplace_back(ForwardBytes{ aEvent.m_bytes });
   } else if (m_handling == AnswerHandling::Buffer) {
@@ -317,6 +322,18 @@
       ForwardHeadTo(aActions);
       aActions.emplace_back(ForwardBytes{ std::move(m_bufferedBody) });
     }
+  } else {
+    Drop(aEvent.m_bytes.size(), aActions);
+  }
+}
+
+void
+RelayFlow::Drop(std::size_t aBytes, Actions& aActions)
+{
+  m_droppedBytes += aBytes;
+  if (m_droppedBytes > kMaxDroppedBytes) {
+    aActions.emplace_back(CancelAttempt{ m_attempt });
+    FinishAnswer(aActions);
   }
 }
 
--- a/packages/relay/tests/RelayFlowTest.cpp
+++ b/packages/relay/tests/RelayFlowTest.cpp
@@ -539,5 +539,40 @@
   }
 }
 
+const std::string kLongEvent(RelayFlow::kMaxEventBytes + 1, 'a');
+const std::string kLongRefusal(RelayFlow::kMaxDroppedBytes + 1, 'a');
+
+INSTANTIATE_TEST_SUITE_P(
+  WithoutEnd,
+  RelayFlowTest,
+  ::testing::Values(FlowCase{ "EventOfAStreamThatMayNotGoOn",
+                              kStream,
+                              { PlaceFound{ "a", "" },
+                                HeadArrived{ 1, 200 },
+                                BytesArrived{ 1, kEvent1 + kLongEvent } },
+                              "find run@a head bytes15 cancel failed break" },
+                    FlowCase{
+                      "EventOfAStreamThatMayGoOn",
+                      kResumable,
+                      { PlaceFound{ "a", "" },
+                        HeadArrived{ 1, 200 },
+                        BytesArrived{ 1, kEvent1 + kLongEvent },
+                        PlaceFound{ "b", "" } },
+                      "find run@a head bytes15 cancel failed find run@b>1!" },
+                    FlowCase{ "FailureThatMayBeRepeated",
+                              kSafe,
+                              { PlaceFound{ "a", "" },
+                                HeadArrived{ 1, 500 },
+                                BytesArrived{ 1, kLongRefusal },
+                                PlaceFound{ "b", "" } },
+                              "find run@a cancel failed find run@b!" },
+                    FlowCase{ "RefusalThatMayHaveRun",
+                              kUnsafe,
+                              { PlaceFound{ "a", "" },
+                                HeadArrived{ 1, 503 },
+                                BytesArrived{ 1, kLongRefusal } },
+                              "find run@a cancel failed no-answer" }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
 } // namespace
 } // namespace ridgeferry::relay
--- a/packages/upstream/src/EngineClient.cpp
+++ b/packages/upstream/src/EngineClient.cpp
@@ -14,6 +14,8 @@
 constexpr Duration kStatusTimeout{ 1500 };
 constexpr Duration kOrderTimeout{ 5000 };
 constexpr Duration kCancelTimeout{ 2000 };
+/** Longest event of a stream, and longest answer that is no stream. */
+constexpr std::size_t kMaxEvent = std::size_t{ 256 } * 1024;
 
 /** Reads one generation's answer: a token stream, or something else. */
 class StreamReader
@@ -33,20 +35,23 @@
     }
   }
 
-  void OnChunk(std::string_view aBytes)
+  /** Returns false if no more of the answer is to be read: it has become too
+   * long, which was reported as a failure. */
+  bool OnChunk(std::string_view aBytes)
   {
     if (!m_isStream) {
       m_body += aBytes;
-      return;
+      return StaysBounded(m_body.size());
     }
     m_events.Feed(aBytes);
     while (!m_over) {
       const auto event = m_events.Next();
       if (!event) {
-        return;
+        return StaysBounded(m_events.Unfinished());
       }
       OnEvent(*event);
     }
+    return true;
   }
 
   void OnDone(net::HttpResponse aResponse)
@@ -72,6 +77,16 @@
   }
 
 private:
+  bool StaysBounded(std::size_t aHeld)
+  {
+    if (aHeld <= kMaxEvent) {
+      return true;
+    }
+    m_over = true;
+    m_callbacks.m_failed(Failure::Broken);
+    return false;
+  }
+
   void OnEvent(const SseEvent& aEvent)
   {
     const nlohmann::json data =
@@ -215,13 +230,18 @@
   callbacks.m_head = [reader](const net::HttpHead& aHead) {
     reader->OnHead(aHead);
   };
-  callbacks.m_chunk = [reader](std::string_view aBytes) {
-    reader->OnChunk(aBytes);
-  };
+  const auto id = std::make_shared<net::HttpCallId>(0);
+  callbacks.m_chunk =
+    [reader, id, &client = m_client](std::string_view aBytes) {
+      if (!reader->OnChunk(aBytes)) {
+        client.Cancel(*id);
+      }
+    };
   callbacks.m_done = [reader](net::HttpResponse aResponse) {
     reader->OnDone(std::move(aResponse));
   };
-  return m_client.Send(aRequest, std::move(callbacks));
+  *id = m_client.Send(aRequest, std::move(callbacks));
+  return *id;
 }
 
 net::HttpCallId
--- a/packages/upstream/src/SseReader.h
+++ b/packages/upstream/src/SseReader.h
@@ -21,6 +21,8 @@
   void Feed(std::string_view aBytes);
   /** The next whole event, if there is one. */
   std::optional<SseEvent> Next();
+  /** Returns how many bytes belong to no event that was taken. */
+  std::size_t Unfinished() const { return m_buffer.size() - m_read; }
 
 private:
   std::string m_buffer;
--- a/tests/support/RawPeer.cpp
+++ b/tests/support/RawPeer.cpp
@@ -46,6 +46,14 @@
   (void)send(m_socket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
 }
 
+std::size_t
+RawPeer::SendSome(std::string_view aBytes) const
+{
+  const ssize_t sent =
+    send(m_socket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+}
+
 void
 RawPeer::Poll()
 {
--- a/tests/support/RawPeer.h
+++ b/tests/support/RawPeer.h
@@ -39,6 +39,8 @@
   static RawPeer Connect(const Address& aAddress);
 
   void Send(std::string_view aBytes) const;
+  /** Sends what the system takes now, and returns how many bytes that were. */
+  std::size_t SendSome(std::string_view aBytes) const;
   /** Takes what has come; never waits. */
   void Poll();
   const std::string& Received() const { return m_received; }
