Engines: the text of a generation is bounded too

Cause: of a stream of whole events without end ridgeferryd kept all text, to go on elsewhere and for callers that do not stream.

--- a/packages/upstream/src/EngineClient.cpp
+++ b/packages/upstream/src/EngineClient.cpp
@@ -16,6 +16,9 @@
 constexpr Duration kCancelTimeout{ 2000 };
 /** Longest event of a stream, and longest answer that is no stream. */
 constexpr std::size_t kMaxEvent = std::size_t{ 256 } * 1024;
+/** Most text of one generation, which its call keeps to go on elsewhere: more
+ * than half a million tokens. */
+constexpr std::size_t kMaxText = net::kMaxGatheredBody;
 
 /** Reads one generation's answer: a token stream, or something else. */
 class StreamReader
@@ -41,17 +44,17 @@
   {
     if (!m_isStream) {
       m_body += aBytes;
-      return StaysBounded(m_body.size());
+      return StaysBounded(m_body.size(), kMaxEvent);
     }
     m_events.Feed(aBytes);
     while (!m_over) {
       const auto event = m_events.Next();
       if (!event) {
-        return StaysBounded(m_events.Unfinished());
+        return StaysBounded(m_events.Unfinished(), kMaxEvent);
       }
       OnEvent(*event);
     }
-    return true;
+    return m_textBytes <= kMaxText;
   }
 
   void OnDone(net::HttpResponse aResponse)
@@ -77,9 +80,9 @@
   }
 
 private:
-  bool StaysBounded(std::size_t aHeld)
+  bool StaysBounded(std::size_t aHeld, std::size_t aMost)
   {
-    if (aHeld <= kMaxEvent) {
+    if (aHeld <= aMost) {
       return true;
     }
     m_over = true;
@@ -100,13 +103,18 @@
                           data.value("finish_reason", "stop"));
       return;
     }
-    m_callbacks.m_token(data.value("offset", std::uint64_t{ 0 }),
-                        data.value("text", ""));
+    std::string text = data.value("text", "");
+    m_textBytes += text.size();
+    if (StaysBounded(m_textBytes, kMaxText)) {
+      m_callbacks.m_token(data.value("offset", std::uint64_t{ 0 }),
+                          std::move(text));
+    }
   }
 
   GenerationCallbacks m_callbacks;
   SseReader m_events;
   std::string m_body;
+  std::size_t m_textBytes = 0;
   bool m_isStream = false;
   bool m_over = false;
 };
--- a/packages/upstream/tests/EndlessEngineTest.cpp
+++ b/packages/upstream/tests/EndlessEngineTest.cpp
@@ -11,11 +11,13 @@
 
 constexpr Duration kLongestTest{ 10'000 };
 constexpr Duration kSendEvery{ 1 };
+constexpr std::size_t kPiece = std::size_t{ 64 } * 1024;
 
 struct EngineCase
 {
   const char* m_name;
   const char* m_head;
+  std::string m_repeat; ///< Sent without end.
 };
 
 std::ostream&
@@ -45,13 +47,15 @@
   request.m_timeout = kLongestTest;
   client.Generate(request, callbacks);
   net::RawPeer peer;
-  const std::string piece(4096, 'a');
+  std::string next = GetParam().m_head;
   const net::Watch serve = loop->Every(kSendEvery, [&] {
     if (!peer.IsOpen()) {
       peer = listener.Accept();
-      peer.Send(GetParam().m_head);
     }
-    peer.SendSome(piece);
+    while (next.size() < kPiece) {
+      next += GetParam().m_repeat;
+    }
+    next.erase(0, peer.SendSome(next));
     peer.Poll();
     if (peer.IsClosed()) {
       loop->Stop();
@@ -63,12 +67,18 @@
   EXPECT_EQ(failures, std::vector<Failure>{ Failure::Broken });
 }
 
+const std::string kMuch(1000, 'a');
+constexpr const char* kStream = "HTTP/1.1 200 OK\r\nX-Stream-Id: s\r\n\r\n";
+
 INSTANTIATE_TEST_SUITE_P(
   Answers,
   EndlessEngineTest,
-  ::testing::Values(EngineCase{ "Event",
-                                "HTTP/1.1 200 OK\r\nX-Stream-Id: s\r\n\r\n" },
-                    EngineCase{ "Failure", "HTTP/1.1 500 Failed\r\n\r\n" }),
+  ::testing::Values(
+    EngineCase{ "Event", kStream, kMuch },
+    EngineCase{ "Tokens",
+                kStream,
+                "data: {\"offset\":1,\"text\":\"" + kMuch + "\"}\n\n" },
+    EngineCase{ "Failure", "HTTP/1.1 500 Failed\r\n\r\n", kMuch }),
   [](const auto& aInfo) { return aInfo.param.m_name; });
 
 } // namespace
