--- a/packages/upstream/src/EngineClient.cpp
+++ b/packages/upstream/src/EngineClient.cpp
@@ -103,11 +103,10 @@
                           data.value("finish_reason", "stop"));
       return;
     }
-    std::string text = data.value("text", "");
+    const std::string text = data.value("text", "");
     m_textBytes += text.size();
     if (StaysBounded(m_textBytes, kMaxText)) {
-      m_callbacks.m_token(data.value("offset", std::uint64_t{ 0 }),
-                          std::move(text));
+      m_callbacks.m_token(data.value("offset", std::uint64_t{ 0 }), text);
     }
   }
 
