--- a/tests/session/Cluster.h
+++ b/tests/session/Cluster.h
@@ -80,7 +80,7 @@
   net::HttpClient m_client;
   RunPlace m_place;
   nlohmann::json m_plan;
-  FreePorts m_ports;
+  net::FreePorts m_ports;
   std::map<std::string, InstancePlan> m_instances;
   std::map<std::string, std::string> m_fakes;
   std::map<std::string, std::vector<std::string>> m_fakeCommands;
--- a/tests/soak/SoakInstances.h
+++ b/tests/soak/SoakInstances.h
@@ -78,7 +78,7 @@
   net::HttpClient m_client;
   std::filesystem::path m_program;
   std::filesystem::path m_files;
-  session::FreePorts m_ports;
+  net::FreePorts m_ports;
   session::ProcessGroup m_processes;
   std::vector<std::unique_ptr<Instance>> m_instances;
   bool m_ending = false;
--- a/tests/session/FreePorts.cpp
+++ b/tests/support/FreePorts.cpp
@@ -4,7 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace ridgeferry::session {
+namespace ridgeferry::net {
 
 namespace {
 
@@ -43,4 +43,4 @@
   return "127.0.0.1:" + std::to_string(m_next);
 }
 
-} // namespace ridgeferry::session
+} // namespace ridgeferry::net
--- a/tests/session/FreePorts.h
+++ b/tests/support/FreePorts.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-namespace ridgeferry::session {
+namespace ridgeferry::net {
 
 /** Finds addresses on the loopback interface that no socket is bound to, below
  * the range of outgoing connections, which could take them meanwhile. */
@@ -18,4 +18,4 @@
   int m_next;
 };
 
-} // namespace ridgeferry::session
+} // namespace ridgeferry::net
