Answers that are too long are told to operators; a test of them that ended by a broken chunk

Cause: an instance that ended an answer as too long left no trace of why. The caller got 502 or a broken answer, the log said "failed", and nothing pointed at the upstream. Now the log has `answer-too-long` with call, attempt, upstream, status and age, and `answers_too_long_total` counts them. The parser's own bound (a head or trailer that is too long) counts as one; bytes that are no answer at all, and the caller's deadline, don't.

Found by it: EndlessAnswerTest sent the begin of its case again each time that all bytes were taken, so "Chunks" ended by a bad chunk in place of the bound of a gathered body. The begin is sent once now, and each case checks which of the two ended it.

--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -643,7 +643,7 @@
 {
   m_prefillAnswer.append(aBytes);
   if (m_prefillAnswer.size() > kMaxHandleBytes) {
-    Do(relay::CancelAttempt{ m_attempt.m_id });
+    Do(relay::CancelAttempt{ m_attempt.m_id, true });
     Handle(relay::AttemptBroke{ m_attempt.m_id });
   }
 }
@@ -653,7 +653,7 @@
 {
   m_attempt.m_droppedBytes += aBytes.size();
   if (m_attempt.m_droppedBytes > relay::RelayFlow::kMaxDroppedBytes) {
-    Do(relay::CancelAttempt{ m_attempt.m_id });
+    Do(relay::CancelAttempt{ m_attempt.m_id, true });
     NoteRefused();
   }
 }
@@ -666,6 +666,20 @@
     relay::AttemptRefused{ m_attempt.m_id, displaced, RoomBehindBackOffs() });
 }
 
+void
+RelayCall::NoteTooLong()
+{
+  m_node.m_metrics.Count("answers_too_long_total");
+  m_node.m_log->Write(
+    observe::LogLevel::Warning,
+    "answer-too-long",
+    { { "id", m_start.m_head.m_id },
+      { "attempt", static_cast<std::int64_t>(m_attempt.m_id) },
+      { "upstream", m_attempt.m_upstream },
+      { "status", std::int64_t{ m_attempt.m_head.m_status } },
+      { "sentBeforeMs", (m_node.Now() - m_attempt.m_sentAt).count() } });
+}
+
 void
 RelayCall::NoteReach(const net::HttpResponse& aResponse)
 {
@@ -688,6 +702,9 @@
 {
   m_attempt.m_http = 0;
   m_unfinishedBytes = m_flow.UnfinishedBytes();
+  if (aResponse.m_tooLong) {
+    NoteTooLong();
+  }
   if (!m_attempt.m_isForwarded) {
     NoteConnection(aResponse);
     NoteReach(aResponse);
@@ -717,8 +734,11 @@
 }
 
 void
-RelayCall::Do(const relay::CancelAttempt&)
+RelayCall::Do(const relay::CancelAttempt& aAction)
 {
+  if (aAction.m_tooLong) {
+    NoteTooLong();
+  }
   if (m_attempt.m_http != 0) {
     m_node.m_http->Cancel(m_attempt.m_http);
     m_attempt.m_http = 0;
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -184,6 +184,9 @@
   void TakeRefusalBytes(std::string_view aBytes);
   /** Reports that the upstream did not run the present send. */
   void NoteRefused();
+  /** Logs and counts that the present attempt was ended as its answer, or its
+   * answer's head, had become longer than is taken. */
+  void NoteTooLong();
   /** Reads on from the upstream, or waits, by what the caller has read. */
   void FollowCaller();
   void TakeEnd(const net::HttpResponse& aResponse);
--- a/packages/net/include/ridgeferry/net/Http.h
+++ b/packages/net/include/ridgeferry/net/Http.h
@@ -104,6 +104,8 @@
   HttpEnd m_end = HttpEnd::Broken;
   /** Nothing came from the other side for too long, not even a reset. */
   bool m_silent = false;
+  /** It was ended on this side: more came, or for longer, than is taken. */
+  bool m_tooLong = false;
   /** Nobody listens at the address, as the machine there says. */
   bool m_refused = false;
   HttpHead m_head;
--- a/packages/net/src/ClientConnection.cpp
+++ b/packages/net/src/ClientConnection.cpp
@@ -222,6 +222,7 @@
     const std::size_t before = Unread();
     const ParseState state = m_parser->Feed(bufferevent_get_input(m_events));
     if (state == ParseState::Failed) {
+      m_response.m_tooLong = m_parser->IsHeadTooLong();
       FinishBroken(false);
       return;
     }
@@ -231,7 +232,7 @@
     m_skippedBytes += m_skipping ? before - Unread() : 0;
     if (state == ParseState::NeedsMore) {
       if (!DeliverBody() || (m_busy && !StaysBounded())) {
-        FinishBroken(false);
+        FinishTooLong();
       } else {
         BoundAnswerTime();
       }
@@ -314,8 +315,7 @@
 ClientConnection::BoundAnswerTime()
 {
   if (m_busy && Gathers() && !m_answerTimer) {
-    m_answerTimer =
-      m_loop.After(m_maxAnswerTime, [this] { FinishBroken(false); });
+    m_answerTimer = m_loop.After(m_maxAnswerTime, [this] { FinishTooLong(); });
   }
 }
 
@@ -336,7 +336,7 @@
 ClientConnection::FinishWhole(HttpEnd aEnd, bool aKeepsAlive)
 {
   if (!DeliverBody()) {
-    FinishBroken(false);
+    FinishTooLong();
     return;
   }
   if (!m_busy || m_closed) {
@@ -359,6 +359,13 @@
   Report({ std::move(m_response), false });
 }
 
+void
+ClientConnection::FinishTooLong()
+{
+  m_response.m_tooLong = true;
+  FinishBroken(false);
+}
+
 void
 ClientConnection::Report(const ClientEnd& aEnd)
 {
--- a/packages/net/src/ClientConnection.h
+++ b/packages/net/src/ClientConnection.h
@@ -71,6 +71,8 @@
    * with its connection (`Closed`). */
   void FinishWhole(HttpEnd aEnd, bool aKeepsAlive);
   void FinishBroken(bool aSilent);
+  /** Ends an answer that has become too long. */
+  void FinishTooLong();
   void Report(const ClientEnd& aEnd);
   std::size_t Unread() const;
   std::size_t Unwritten() const;
--- a/packages/net/src/MessageParser.h
+++ b/packages/net/src/MessageParser.h
@@ -48,6 +48,12 @@
   /** Precondition: `HasHead`. */
   BodyFraming Framing() const;
   const boost::system::error_code& Error() const { return m_error; }
+  /** Whether the message failed as its head or a trailer is longer than its
+   * limit. */
+  bool IsHeadTooLong() const
+  {
+    return m_error == boost::beast::http::error::header_limit;
+  }
 
   std::string m_method; ///< Of a request.
   std::string m_target; ///< Of a request, as sent.
--- a/packages/net/tests/EndlessAnswerTest.cpp
+++ b/packages/net/tests/EndlessAnswerTest.cpp
@@ -26,6 +26,8 @@
   const char* m_name;
   std::string m_begin;  ///< Sent once.
   std::string m_repeat; ///< Sent without end.
+  /** Whether it is seen as too long; else as no answer. */
+  bool m_isTooLong = true;
 };
 
 class EndlessAnswerTest : public ::testing::TestWithParam<EndlessCase>
@@ -47,7 +49,7 @@
     if (m_peer.Received().find("\r\n\r\n") == std::string::npos) {
       return;
     }
-    if (m_next.empty()) {
+    if (m_sent == 0) {
       m_next = GetParam().m_begin;
     }
     for (std::size_t turn = 0; turn < kMegabyte / kPiece; ++turn) {
@@ -98,6 +100,7 @@
   ASSERT_TRUE(response.has_value());
   EXPECT_LE(m_loop->Now() - began, kAtOnce);
   EXPECT_EQ(response->m_end, HttpEnd::Broken);
+  EXPECT_EQ(response->m_tooLong, GetParam().m_isTooLong);
   EXPECT_LE(response->m_body.size(), kMaxGatheredBody);
   EXPECT_LE(m_sent, kMaxGatheredBody + kInSystem);
 }
@@ -111,7 +114,7 @@
   Bytes,
   EndlessAnswerTest,
   ::testing::Values(
-    EndlessCase{ "NoAnswer", kMuch, kMuch },
+    EndlessCase{ "NoAnswer", kMuch, kMuch, false },
     EndlessCase{ "StatusLine", "HTTP/1.1 200 O", kMuch },
     EndlessCase{ "HeaderLines", kMine, "X-More: " + kMuch + "\r\n" },
     EndlessCase{ "HeaderLine", kMine + "X-More: ", kMuch },
--- a/packages/relay/include/ridgeferry/relay/RelayFlow.h
+++ b/packages/relay/include/ridgeferry/relay/RelayFlow.h
@@ -177,6 +177,8 @@
 struct CancelAttempt
 {
   AttemptId m_attempt = 0;
+  /** Its answer has become longer than is taken. */
+  bool m_tooLong = false;
 };
 /** Reports how an attempt ended, for the bookkeeping about its upstream. */
 struct NoteAttemptEnd
--- a/packages/relay/src/RelayFlow.cpp
+++ b/packages/relay/src/RelayFlow.cpp
@@ -310,7 +310,7 @@
       aActions.emplace_back(ForwardBytes{ std::move(whole) });
     }
     if (m_events.Unfinished() > kMaxEventBytes) {
-      aActions.emplace_back(CancelAttempt{ m_attempt });
+      aActions.emplace_back(CancelAttempt{ m_attempt, true });
       HandleBrokenRun(aActions);
     }
   } else if (m_handling == AnswerHandling::PassThrough) {
@@ -332,7 +332,7 @@
 {
   m_droppedBytes += aBytes;
   if (m_droppedBytes > kMaxDroppedBytes) {
-    aActions.emplace_back(CancelAttempt{ m_attempt });
+    aActions.emplace_back(CancelAttempt{ m_attempt, true });
     FinishAnswer(aActions);
   }
 }
