DeadlyCallTest: calls before any configuration are not counted; the bound is 98 in 100

So the bound measured how soon a machine starts three sanitized processes. The test has had a flag for that time since it was written (m_allStart, "none can serve"), which nothing read.

Mended: while all instances start, an answer "no-configuration-yet" is not counted; what is counted must be served to 98 in 100 in place of 95, and each that is not is printed with time and reason.

--- a/tests/soak/DeadlyCallTest.cpp
+++ b/tests/soak/DeadlyCallTest.cpp
@@ -5,6 +5,7 @@
 
 #include <random>
 #include <ridgeferry/net/HttpClient.h>
+#include <sstream>
 
 namespace ridgeferry::soak {
 namespace {
@@ -27,6 +28,7 @@
  * whose only witness was killed. */
 constexpr int kMostEnds = 7;
 constexpr const char* kDeadly = "deadly";
+constexpr std::size_t kReasonBytes = 120;
 
 class DeadlyCallTest : public InstancesFixture
 {
@@ -113,14 +115,28 @@
     callbacks.m_done =
       [this, isOther = aBody != kDeadly](const net::HttpResponse& aResponse) {
         // A call whose instance was killed is nobody's fault here.
-        if (isOther && aResponse.m_end == net::HttpEnd::Complete) {
+        if (isOther && aResponse.m_end == net::HttpEnd::Complete &&
+            !IsBeforeConfig(aResponse)) {
           ++m_others;
           m_served += aResponse.m_head.m_status == 200 ? 1 : 0;
+          if (aResponse.m_head.m_status != 200) {
+            m_unserved << m_loop->Now().time_since_epoch().count()
+                       << " ms: " << aResponse.m_head.m_status << ' '
+                       << aResponse.m_body.substr(0, kReasonBytes) << '\n';
+          }
         }
       };
     m_client.Send(request, std::move(callbacks));
   }
 
+  /** Whether all instances start and this one has not read the store yet: how
+   * soon a machine does that is not what is tested. */
+  bool IsBeforeConfig(const net::HttpResponse& aResponse) const
+  {
+    return m_allStart &&
+           aResponse.m_body.find("no-configuration-yet") != std::string::npos;
+  }
+
   net::HttpClient m_client;
   std::mt19937_64 m_random{ 1 };
   std::vector<std::unique_ptr<adapter::StandInWorker>> m_workers;
@@ -134,6 +150,8 @@
   bool m_allStart = false;
   int m_others = 0;
   int m_served = 0;
+  /** When each other call ended that was not served, its status and reason. */
+  std::ostringstream m_unserved;
 };
 
 // One instance is killed while the call goes round, and later all of them.
@@ -157,7 +175,9 @@
   EXPECT_LE(m_ends, kMostEnds);
   EXPECT_LE(m_lateRuns, kMostLateRuns);
   EXPECT_GT(m_others, 100);
-  EXPECT_GE(m_served * 20, m_others * 19) << m_served << " of " << m_others;
+  EXPECT_GE(m_served * 100, m_others * 98)
+    << m_served << " of " << m_others << '\n'
+    << m_unserved.str();
   EXPECT_TRUE(m_instances.StopAll(Duration{ 9000 }));
 }
 
