--- a/packages/entry/include/ridgeferry/entry/EntrySettings.h
+++ b/packages/entry/include/ridgeferry/entry/EntrySettings.h
@@ -62,6 +62,10 @@
   /** Whether calls during which upstreams crash are quarantined, that is, sent
    * to no further upstream. */
   bool m_quarantines = true;
+  /** Whether upstreams that have just started or recovered get as many calls as
+   * their answers speak for, in place of as many as they seem to have room for.
+   */
+  bool m_pacesStarts = false;
 };
 
 /** Parses settings from JSON text. `aFile` only names the file in errors.
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -289,7 +289,7 @@
 void
 Entry::Impl::PutMember(const relay::Member& aMember)
 {
-  const IncarnationOrder order = m_node.m_fleet.Put(aMember);
+  const IncarnationOrder order = m_node.m_fleet.Put(aMember, m_node.Now());
   if (order != IncarnationOrder::Same) {
     NoteOtherIncarnation(aMember, order);
   }
@@ -489,6 +489,8 @@
   m_node.m_settings.m_stopGrace = loaded->m_stopGrace;
   m_node.m_settings.m_retries = loaded->m_retries;
   m_node.m_settings.m_keys = loaded->m_keys;
+  m_node.m_settings.m_pacesStarts = loaded->m_pacesStarts;
+  m_node.m_fleet.Starts().SetEnabled(loaded->m_pacesStarts);
   m_node.m_settings.m_duties.m_address = loaded->m_duties.m_address;
   m_node.m_log->Write(observe::LogLevel::Info, "settings-reloaded");
 }
@@ -539,6 +541,7 @@
 tl::expected<void, net::NetError>
 Entry::Impl::Start()
 {
+  m_node.m_fleet.Starts().SetEnabled(m_node.m_settings.m_pacesStarts);
   m_peerSocket = std::make_unique<PeerSocket>(m_node);
   m_peers = std::make_unique<Peers>(m_node, m_generations, *m_peerSocket);
   m_peerRows = std::make_unique<PeerRows>(m_node, *m_peers);
--- a/packages/entry/src/EntrySettings.cpp
+++ b/packages/entry/src/EntrySettings.cpp
@@ -133,6 +133,10 @@
     out.m_quarantines = aQuarantine.OptionalBool("enabled", out.m_quarantines);
     aQuarantine.RejectUnknown();
   });
+  reader.Object("upstreamStarts", [&](FieldReader& aStarts) {
+    out.m_pacesStarts = aStarts.OptionalBool("paced", out.m_pacesStarts);
+    aStarts.RejectUnknown();
+  });
   reader.RejectUnknown();
   if (!faults.empty()) {
     return tl::unexpected(SettingsError{ aFile, std::move(faults), {} });
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -106,6 +106,7 @@
   , m_incarnation(static_cast<std::uint64_t>(
       net::EventLoop::WallNow().time_since_epoch().count()))
   , m_limits(aNode)
+  , m_paces(aNode)
 {
 }
 
@@ -122,6 +123,7 @@
     Handle(membership::RosterTick{});
     m_node.m_instances = m_roster.LiveCount();
     m_limits.Tick(m_node.m_instances);
+    m_paces.Tick();
   });
   m_generations.SignalNewGeneration().connect(
     [this](StoreGeneration) { NoteGeneration(); });
@@ -151,6 +153,7 @@
   out.m_crashes = m_crashes;
   out.m_quarantineFingerprint = m_quarantineFingerprint;
   m_limits.AddTo(out);
+  m_paces.AddTo(out);
   out.m_unreachableServices = m_unreachableServices;
   out.m_runningCalls = static_cast<std::int32_t>(m_node.m_runningCalls);
   for (const relay::RoleUpdate& news : m_ownRoleUpdates) {
@@ -420,6 +423,7 @@
   m_counted.insert(aHeartbeat.m_instance);
   TakeLoads(aHeartbeat);
   m_limits.Take(aHeartbeat);
+  m_paces.Take(aHeartbeat);
   m_node.m_fleet.SetRoleUpdates(aHeartbeat.m_instance, std::move(news));
   m_node.m_fleet.SetDisaggregatedServices(aHeartbeat.m_instance,
                                           aHeartbeat.m_disaggregatedServices);
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -2,6 +2,7 @@
 
 #include "EntryNode.h"
 #include "LimitGossip.h"
+#include "PaceGossip.h"
 #include "PeerSocket.h"
 #include "StoreGenerations.h"
 
@@ -179,6 +180,7 @@
   bool m_leaving = false;
   relay::LeavingUpstreams m_leavingAnnouncements;
   LimitGossip m_limits;
+  PaceGossip m_paces;
   std::vector<std::uint32_t> m_unreachableServices;
   membership::StoreView m_storeView;
   std::vector<relay::RoleUpdate> m_ownRoleUpdates;
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -588,7 +588,8 @@
       { m_attempt.m_upstream,
         m_attempt.m_tokensAhead + m_attempt.m_tokens,
         m_node.Now() - m_attempt.m_sentAt,
-        m_attempt.m_tokensAhead == 0 && m_attempt.m_workIsSure });
+        m_attempt.m_tokensAhead == 0 && m_attempt.m_workIsSure,
+        m_attempt.m_sentAt });
   }
   if (!m_attempt.m_readOnly && read) {
     NoteFirstToken();
--- a/packages/experiment/src/FleetModel.cpp
+++ b/packages/experiment/src/FleetModel.cpp
@@ -387,10 +387,12 @@
 {
   relay::Fleet& fleet = FleetOf(aCall);
   if (aCall.m_tokens > 0) {
+    const Duration took(std::llround(m_now - aCall.m_sentAt));
     fleet.NoteThroughput({ aCall.m_member,
                            aCall.m_tokensAhead + aCall.m_tokens,
-                           Duration(std::llround(m_now - aCall.m_sentAt)),
-                           false });
+                           took,
+                           false,
+                           Now() - took });
   }
   fleet.NoteFirstByte(aCall.m_member, aCall.m_tokens);
   aCall.m_tokens = 0;
--- a/packages/membership/include/ridgeferry/membership/Roster.h
+++ b/packages/membership/include/ridgeferry/membership/Roster.h
@@ -92,6 +92,17 @@
   bool operator==(const LimitDigest&) const = default;
 };
 
+/** What the sender knows of the pace of an upstream that has just started or
+ * recovered; see `pacing::PaceReport`. */
+struct PaceDigest
+{
+  std::uint32_t m_upstream = 0; ///< Hash of the upstream's id.
+  std::uint32_t m_change = 0;   ///< Number of the latest change.
+  std::int32_t m_level = 0;
+  std::int32_t m_ageMs = 0; ///< Time since the change.
+  bool operator==(const PaceDigest&) const = default;
+};
+
 /** The calls that callers make to a service at the sender. */
 struct DemandDigest
 {
@@ -180,6 +191,8 @@
   std::vector<LimitDigest> m_limits;
   /** Demand at the sender for each service with a limited upstream. */
   std::vector<DemandDigest> m_demands;
+  /** Latest changes of the pace of upstreams in start. */
+  std::vector<PaceDigest> m_paces;
   /** Crashes that the sender observed recently. */
   std::vector<CrashDigest> m_crashes;
   /**
--- a/packages/pacing/include/ridgeferry/pacing/StartPace.h
+++ b/packages/pacing/include/ridgeferry/pacing/StartPace.h
@@ -70,12 +70,16 @@
   /** The upstream has started, or comes back after an ejection. Must not be
    * called for upstreams that this instance found in service as it started. */
   void Begin(UpstreamHash aUpstream, Instant aNow);
+  /** Returns whether nothing is known of any upstream's start. */
+  bool IsEmpty() const { return m_entries.empty(); }
   /** The upstream has ended. */
   void Forget(UpstreamHash aUpstream) { m_entries.erase(aUpstream); }
   /** Returns whether the upstream has started and does not get an even part
    * yet.
    */
   bool IsInStart(UpstreamHash aUpstream) const;
+  /** Returns the number of upstreams that are in start. */
+  std::size_t CountInStart() const;
   /** Returns the share of an even part, above 0 and at most 1. */
   double ShareOf(UpstreamHash aUpstream) const;
   /**
--- a/packages/pacing/src/StartPace.cpp
+++ b/packages/pacing/src/StartPace.cpp
@@ -41,6 +41,15 @@
          found->second.m_level < kFullLevel;
 }
 
+std::size_t
+StartPace::CountInStart() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    m_entries.begin(), m_entries.end(), [this](const auto& aItem) {
+      return IsInStart(aItem.first);
+    }));
+}
+
 double
 StartPace::ShareOf(UpstreamHash aUpstream) const
 {
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -225,6 +225,26 @@
   this->endedAges = val;
 __isset.endedAges = true;
 }
+
+void Heartbeat::__set_startedUpstreams(const std::vector<int32_t> & val) {
+  this->startedUpstreams = val;
+__isset.startedUpstreams = true;
+}
+
+void Heartbeat::__set_paceChanges(const std::vector<int32_t> & val) {
+  this->paceChanges = val;
+__isset.paceChanges = true;
+}
+
+void Heartbeat::__set_paceLevels(const std::vector<int32_t> & val) {
+  this->paceLevels = val;
+__isset.paceLevels = true;
+}
+
+void Heartbeat::__set_paceAges(const std::vector<int32_t> & val) {
+  this->paceAges = val;
+__isset.paceAges = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -880,6 +900,86 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 44:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->startedUpstreams.clear();
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->startedUpstreams.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
+            {
+              xfer += iprot->readI32(this->startedUpstreams[_i119]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.startedUpstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 45:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->paceChanges.clear();
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->paceChanges.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
+            {
+              xfer += iprot->readI32(this->paceChanges[_i124]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.paceChanges = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 46:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->paceLevels.clear();
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->paceLevels.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
+            {
+              xfer += iprot->readI32(this->paceLevels[_i129]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.paceLevels = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 47:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->paceAges.clear();
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->paceAges.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
+            {
+              xfer += iprot->readI32(this->paceAges[_i134]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.paceAges = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -943,10 +1043,10 @@
     xfer += oprot->writeFieldBegin("leavingUpstreams", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leavingUpstreams.size()));
-      std::vector<std::string> ::const_iterator _iter115;
-      for (_iter115 = this->leavingUpstreams.begin(); _iter115 != this->leavingUpstreams.end(); ++_iter115)
+      std::vector<std::string> ::const_iterator _iter135;
+      for (_iter135 = this->leavingUpstreams.begin(); _iter135 != this->leavingUpstreams.end(); ++_iter135)
       {
-        xfer += oprot->writeString((*_iter115));
+        xfer += oprot->writeString((*_iter135));
       }
       xfer += oprot->writeListEnd();
     }
@@ -956,10 +1056,10 @@
     xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->engines.size()));
-      std::vector<int32_t> ::const_iterator _iter116;
-      for (_iter116 = this->engines.begin(); _iter116 != this->engines.end(); ++_iter116)
+      std::vector<int32_t> ::const_iterator _iter136;
+      for (_iter136 = this->engines.begin(); _iter136 != this->engines.end(); ++_iter136)
       {
-        xfer += oprot->writeI32((*_iter116));
+        xfer += oprot->writeI32((*_iter136));
       }
       xfer += oprot->writeListEnd();
     }
@@ -969,10 +1069,10 @@
     xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->states.size()));
-      std::vector<int32_t> ::const_iterator _iter117;
-      for (_iter117 = this->states.begin(); _iter117 != this->states.end(); ++_iter117)
+      std::vector<int32_t> ::const_iterator _iter137;
+      for (_iter137 = this->states.begin(); _iter137 != this->states.end(); ++_iter137)
       {
-        xfer += oprot->writeI32((*_iter117));
+        xfer += oprot->writeI32((*_iter137));
       }
       xfer += oprot->writeListEnd();
     }
@@ -982,10 +1082,10 @@
     xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->loads.size()));
-      std::vector<int32_t> ::const_iterator _iter118;
-      for (_iter118 = this->loads.begin(); _iter118 != this->loads.end(); ++_iter118)
+      std::vector<int32_t> ::const_iterator _iter138;
+      for (_iter138 = this->loads.begin(); _iter138 != this->loads.end(); ++_iter138)
       {
-        xfer += oprot->writeI32((*_iter118));
+        xfer += oprot->writeI32((*_iter138));
       }
       xfer += oprot->writeListEnd();
     }
@@ -995,10 +1095,10 @@
     xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->work.size()));
-      std::vector<int32_t> ::const_iterator _iter119;
-      for (_iter119 = this->work.begin(); _iter119 != this->work.end(); ++_iter119)
+      std::vector<int32_t> ::const_iterator _iter139;
+      for (_iter139 = this->work.begin(); _iter139 != this->work.end(); ++_iter139)
       {
-        xfer += oprot->writeI32((*_iter119));
+        xfer += oprot->writeI32((*_iter139));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1023,10 +1123,10 @@
     xfer += oprot->writeFieldBegin("changedEngines", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->changedEngines.size()));
-      std::vector<int32_t> ::const_iterator _iter120;
-      for (_iter120 = this->changedEngines.begin(); _iter120 != this->changedEngines.end(); ++_iter120)
+      std::vector<int32_t> ::const_iterator _iter140;
+      for (_iter140 = this->changedEngines.begin(); _iter140 != this->changedEngines.end(); ++_iter140)
       {
-        xfer += oprot->writeI32((*_iter120));
+        xfer += oprot->writeI32((*_iter140));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1036,10 +1136,10 @@
     xfer += oprot->writeFieldBegin("changedParts", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->changedParts.size()));
-      std::vector<int32_t> ::const_iterator _iter121;
-      for (_iter121 = this->changedParts.begin(); _iter121 != this->changedParts.end(); ++_iter121)
+      std::vector<int32_t> ::const_iterator _iter141;
+      for (_iter141 = this->changedParts.begin(); _iter141 != this->changedParts.end(); ++_iter141)
       {
-        xfer += oprot->writeI32((*_iter121));
+        xfer += oprot->writeI32((*_iter141));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1049,10 +1149,10 @@
     xfer += oprot->writeFieldBegin("readParts", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->readParts.size()));
-      std::vector<int32_t> ::const_iterator _iter122;
-      for (_iter122 = this->readParts.begin(); _iter122 != this->readParts.end(); ++_iter122)
+      std::vector<int32_t> ::const_iterator _iter142;
+      for (_iter142 = this->readParts.begin(); _iter142 != this->readParts.end(); ++_iter142)
       {
-        xfer += oprot->writeI32((*_iter122));
+        xfer += oprot->writeI32((*_iter142));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1062,10 +1162,10 @@
     xfer += oprot->writeFieldBegin("readEngines", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->readEngines.size()));
-      std::vector<int32_t> ::const_iterator _iter123;
-      for (_iter123 = this->readEngines.begin(); _iter123 != this->readEngines.end(); ++_iter123)
+      std::vector<int32_t> ::const_iterator _iter143;
+      for (_iter143 = this->readEngines.begin(); _iter143 != this->readEngines.end(); ++_iter143)
       {
-        xfer += oprot->writeI32((*_iter123));
+        xfer += oprot->writeI32((*_iter143));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1075,10 +1175,10 @@
     xfer += oprot->writeFieldBegin("servicesApart", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->servicesApart.size()));
-      std::vector<int32_t> ::const_iterator _iter124;
-      for (_iter124 = this->servicesApart.begin(); _iter124 != this->servicesApart.end(); ++_iter124)
+      std::vector<int32_t> ::const_iterator _iter144;
+      for (_iter144 = this->servicesApart.begin(); _iter144 != this->servicesApart.end(); ++_iter144)
       {
-        xfer += oprot->writeI32((*_iter124));
+        xfer += oprot->writeI32((*_iter144));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1103,10 +1203,10 @@
     xfer += oprot->writeFieldBegin("leavingBorn", ::apache::thrift::protocol::T_LIST, 24);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leavingBorn.size()));
-      std::vector<int64_t> ::const_iterator _iter125;
-      for (_iter125 = this->leavingBorn.begin(); _iter125 != this->leavingBorn.end(); ++_iter125)
+      std::vector<int64_t> ::const_iterator _iter145;
+      for (_iter145 = this->leavingBorn.begin(); _iter145 != this->leavingBorn.end(); ++_iter145)
       {
-        xfer += oprot->writeI64((*_iter125));
+        xfer += oprot->writeI64((*_iter145));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1126,10 +1226,10 @@
     xfer += oprot->writeFieldBegin("endedCallsHigh", ::apache::thrift::protocol::T_LIST, 27);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->endedCallsHigh.size()));
-      std::vector<int64_t> ::const_iterator _iter126;
-      for (_iter126 = this->endedCallsHigh.begin(); _iter126 != this->endedCallsHigh.end(); ++_iter126)
+      std::vector<int64_t> ::const_iterator _iter146;
+      for (_iter146 = this->endedCallsHigh.begin(); _iter146 != this->endedCallsHigh.end(); ++_iter146)
       {
-        xfer += oprot->writeI64((*_iter126));
+        xfer += oprot->writeI64((*_iter146));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1139,10 +1239,10 @@
     xfer += oprot->writeFieldBegin("endedCallsLow", ::apache::thrift::protocol::T_LIST, 28);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->endedCallsLow.size()));
-      std::vector<int64_t> ::const_iterator _iter127;
-      for (_iter127 = this->endedCallsLow.begin(); _iter127 != this->endedCallsLow.end(); ++_iter127)
+      std::vector<int64_t> ::const_iterator _iter147;
+      for (_iter147 = this->endedCallsLow.begin(); _iter147 != this->endedCallsLow.end(); ++_iter147)
       {
-        xfer += oprot->writeI64((*_iter127));
+        xfer += oprot->writeI64((*_iter147));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1152,10 +1252,10 @@
     xfer += oprot->writeFieldBegin("endedLives", ::apache::thrift::protocol::T_LIST, 29);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->endedLives.size()));
-      std::vector<int64_t> ::const_iterator _iter128;
-      for (_iter128 = this->endedLives.begin(); _iter128 != this->endedLives.end(); ++_iter128)
+      std::vector<int64_t> ::const_iterator _iter148;
+      for (_iter148 = this->endedLives.begin(); _iter148 != this->endedLives.end(); ++_iter148)
       {
-        xfer += oprot->writeI64((*_iter128));
+        xfer += oprot->writeI64((*_iter148));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1165,10 +1265,10 @@
     xfer += oprot->writeFieldBegin("endingsCleared", ::apache::thrift::protocol::T_LIST, 30);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_BOOL, static_cast<uint32_t>(this->endingsCleared.size()));
-      std::vector<bool> ::const_iterator _iter129;
-      for (_iter129 = this->endingsCleared.begin(); _iter129 != this->endingsCleared.end(); ++_iter129)
+      std::vector<bool> ::const_iterator _iter149;
+      for (_iter149 = this->endingsCleared.begin(); _iter149 != this->endingsCleared.end(); ++_iter149)
       {
-        xfer += oprot->writeBool((*_iter129));
+        xfer += oprot->writeBool((*_iter149));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1198,10 +1298,10 @@
     xfer += oprot->writeFieldBegin("limitedUpstreams", ::apache::thrift::protocol::T_LIST, 35);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limitedUpstreams.size()));
-      std::vector<int32_t> ::const_iterator _iter130;
-      for (_iter130 = this->limitedUpstreams.begin(); _iter130 != this->limitedUpstreams.end(); ++_iter130)
+      std::vector<int32_t> ::const_iterator _iter150;
+      for (_iter150 = this->limitedUpstreams.begin(); _iter150 != this->limitedUpstreams.end(); ++_iter150)
       {
-        xfer += oprot->writeI32((*_iter130));
+        xfer += oprot->writeI32((*_iter150));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1211,10 +1311,10 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 36);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limits.size()));
-      std::vector<int32_t> ::const_iterator _iter131;
-      for (_iter131 = this->limits.begin(); _iter131 != this->limits.end(); ++_iter131)
+      std::vector<int32_t> ::const_iterator _iter151;
+      for (_iter151 = this->limits.begin(); _iter151 != this->limits.end(); ++_iter151)
       {
-        xfer += oprot->writeI32((*_iter131));
+        xfer += oprot->writeI32((*_iter151));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1224,10 +1324,10 @@
     xfer += oprot->writeFieldBegin("limitAges", ::apache::thrift::protocol::T_LIST, 37);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limitAges.size()));
-      std::vector<int32_t> ::const_iterator _iter132;
-      for (_iter132 = this->limitAges.begin(); _iter132 != this->limitAges.end(); ++_iter132)
+      std::vector<int32_t> ::const_iterator _iter152;
+      for (_iter152 = this->limitAges.begin(); _iter152 != this->limitAges.end(); ++_iter152)
       {
-        xfer += oprot->writeI32((*_iter132));
+        xfer += oprot->writeI32((*_iter152));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1237,10 +1337,10 @@
     xfer += oprot->writeFieldBegin("demandedServices", ::apache::thrift::protocol::T_LIST, 38);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->demandedServices.size()));
-      std::vector<int32_t> ::const_iterator _iter133;
-      for (_iter133 = this->demandedServices.begin(); _iter133 != this->demandedServices.end(); ++_iter133)
+      std::vector<int32_t> ::const_iterator _iter153;
+      for (_iter153 = this->demandedServices.begin(); _iter153 != this->demandedServices.end(); ++_iter153)
       {
-        xfer += oprot->writeI32((*_iter133));
+        xfer += oprot->writeI32((*_iter153));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1250,10 +1350,10 @@
     xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 39);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->demands.size()));
-      std::vector<int32_t> ::const_iterator _iter134;
-      for (_iter134 = this->demands.begin(); _iter134 != this->demands.end(); ++_iter134)
+      std::vector<int32_t> ::const_iterator _iter154;
+      for (_iter154 = this->demands.begin(); _iter154 != this->demands.end(); ++_iter154)
       {
-        xfer += oprot->writeI32((*_iter134));
+        xfer += oprot->writeI32((*_iter154));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1263,10 +1363,10 @@
     xfer += oprot->writeFieldBegin("unreachableServices", ::apache::thrift::protocol::T_LIST, 40);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->unreachableServices.size()));
-      std::vector<int32_t> ::const_iterator _iter135;
-      for (_iter135 = this->unreachableServices.begin(); _iter135 != this->unreachableServices.end(); ++_iter135)
+      std::vector<int32_t> ::const_iterator _iter155;
+      for (_iter155 = this->unreachableServices.begin(); _iter155 != this->unreachableServices.end(); ++_iter155)
       {
-        xfer += oprot->writeI32((*_iter135));
+        xfer += oprot->writeI32((*_iter155));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1281,10 +1381,10 @@
     xfer += oprot->writeFieldBegin("endedDepths", ::apache::thrift::protocol::T_LIST, 42);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->endedDepths.size()));
-      std::vector<int32_t> ::const_iterator _iter136;
-      for (_iter136 = this->endedDepths.begin(); _iter136 != this->endedDepths.end(); ++_iter136)
+      std::vector<int32_t> ::const_iterator _iter156;
+      for (_iter156 = this->endedDepths.begin(); _iter156 != this->endedDepths.end(); ++_iter156)
       {
-        xfer += oprot->writeI32((*_iter136));
+        xfer += oprot->writeI32((*_iter156));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1294,10 +1394,62 @@
     xfer += oprot->writeFieldBegin("endedAges", ::apache::thrift::protocol::T_LIST, 43);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->endedAges.size()));
-      std::vector<int32_t> ::const_iterator _iter137;
-      for (_iter137 = this->endedAges.begin(); _iter137 != this->endedAges.end(); ++_iter137)
+      std::vector<int32_t> ::const_iterator _iter157;
+      for (_iter157 = this->endedAges.begin(); _iter157 != this->endedAges.end(); ++_iter157)
       {
-        xfer += oprot->writeI32((*_iter137));
+        xfer += oprot->writeI32((*_iter157));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.startedUpstreams) {
+    xfer += oprot->writeFieldBegin("startedUpstreams", ::apache::thrift::protocol::T_LIST, 44);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->startedUpstreams.size()));
+      std::vector<int32_t> ::const_iterator _iter158;
+      for (_iter158 = this->startedUpstreams.begin(); _iter158 != this->startedUpstreams.end(); ++_iter158)
+      {
+        xfer += oprot->writeI32((*_iter158));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.paceChanges) {
+    xfer += oprot->writeFieldBegin("paceChanges", ::apache::thrift::protocol::T_LIST, 45);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->paceChanges.size()));
+      std::vector<int32_t> ::const_iterator _iter159;
+      for (_iter159 = this->paceChanges.begin(); _iter159 != this->paceChanges.end(); ++_iter159)
+      {
+        xfer += oprot->writeI32((*_iter159));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.paceLevels) {
+    xfer += oprot->writeFieldBegin("paceLevels", ::apache::thrift::protocol::T_LIST, 46);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->paceLevels.size()));
+      std::vector<int32_t> ::const_iterator _iter160;
+      for (_iter160 = this->paceLevels.begin(); _iter160 != this->paceLevels.end(); ++_iter160)
+      {
+        xfer += oprot->writeI32((*_iter160));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.paceAges) {
+    xfer += oprot->writeFieldBegin("paceAges", ::apache::thrift::protocol::T_LIST, 47);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->paceAges.size()));
+      std::vector<int32_t> ::const_iterator _iter161;
+      for (_iter161 = this->paceAges.begin(); _iter161 != this->paceAges.end(); ++_iter161)
+      {
+        xfer += oprot->writeI32((*_iter161));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1353,100 +1505,112 @@
   swap(a.runningCalls, b.runningCalls);
   swap(a.endedDepths, b.endedDepths);
   swap(a.endedAges, b.endedAges);
+  swap(a.startedUpstreams, b.startedUpstreams);
+  swap(a.paceChanges, b.paceChanges);
+  swap(a.paceLevels, b.paceLevels);
+  swap(a.paceAges, b.paceAges);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other138) {
-  instance = other138.instance;
-  incarnation = other138.incarnation;
-  hall = other138.hall;
-  peerAddress = other138.peerAddress;
-  ready = other138.ready;
-  leaving = other138.leaving;
-  revision = other138.revision;
-  leavingUpstreams = other138.leavingUpstreams;
-  engines = other138.engines;
-  states = other138.states;
-  loads = other138.loads;
-  work = other138.work;
-  configVersion = other138.configVersion;
-  membersVersion = other138.membersVersion;
-  storeLost = other138.storeLost;
-  changedEngines = other138.changedEngines;
-  changedParts = other138.changedParts;
-  readParts = other138.readParts;
-  readEngines = other138.readEngines;
-  servicesApart = other138.servicesApart;
-  storeSteady = other138.storeSteady;
-  tellsHall = other138.tellsHall;
-  storeReadsForMs = other138.storeReadsForMs;
-  leavingBorn = other138.leavingBorn;
-  configGeneration = other138.configGeneration;
-  membersGeneration = other138.membersGeneration;
-  endedCallsHigh = other138.endedCallsHigh;
-  endedCallsLow = other138.endedCallsLow;
-  endedLives = other138.endedLives;
-  endingsCleared = other138.endingsCleared;
-  heldCalls = other138.heldCalls;
-  configProvenMs = other138.configProvenMs;
-  wallOffsetMs = other138.wallOffsetMs;
-  wallOffsetGeneration = other138.wallOffsetGeneration;
-  limitedUpstreams = other138.limitedUpstreams;
-  limits = other138.limits;
-  limitAges = other138.limitAges;
-  demandedServices = other138.demandedServices;
-  demands = other138.demands;
-  unreachableServices = other138.unreachableServices;
-  runningCalls = other138.runningCalls;
-  endedDepths = other138.endedDepths;
-  endedAges = other138.endedAges;
-  __isset = other138.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other139) {
-  instance = other139.instance;
-  incarnation = other139.incarnation;
-  hall = other139.hall;
-  peerAddress = other139.peerAddress;
-  ready = other139.ready;
-  leaving = other139.leaving;
-  revision = other139.revision;
-  leavingUpstreams = other139.leavingUpstreams;
-  engines = other139.engines;
-  states = other139.states;
-  loads = other139.loads;
-  work = other139.work;
-  configVersion = other139.configVersion;
-  membersVersion = other139.membersVersion;
-  storeLost = other139.storeLost;
-  changedEngines = other139.changedEngines;
-  changedParts = other139.changedParts;
-  readParts = other139.readParts;
-  readEngines = other139.readEngines;
-  servicesApart = other139.servicesApart;
-  storeSteady = other139.storeSteady;
-  tellsHall = other139.tellsHall;
-  storeReadsForMs = other139.storeReadsForMs;
-  leavingBorn = other139.leavingBorn;
-  configGeneration = other139.configGeneration;
-  membersGeneration = other139.membersGeneration;
-  endedCallsHigh = other139.endedCallsHigh;
-  endedCallsLow = other139.endedCallsLow;
-  endedLives = other139.endedLives;
-  endingsCleared = other139.endingsCleared;
-  heldCalls = other139.heldCalls;
-  configProvenMs = other139.configProvenMs;
-  wallOffsetMs = other139.wallOffsetMs;
-  wallOffsetGeneration = other139.wallOffsetGeneration;
-  limitedUpstreams = other139.limitedUpstreams;
-  limits = other139.limits;
-  limitAges = other139.limitAges;
-  demandedServices = other139.demandedServices;
-  demands = other139.demands;
-  unreachableServices = other139.unreachableServices;
-  runningCalls = other139.runningCalls;
-  endedDepths = other139.endedDepths;
-  endedAges = other139.endedAges;
-  __isset = other139.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other162) {
+  instance = other162.instance;
+  incarnation = other162.incarnation;
+  hall = other162.hall;
+  peerAddress = other162.peerAddress;
+  ready = other162.ready;
+  leaving = other162.leaving;
+  revision = other162.revision;
+  leavingUpstreams = other162.leavingUpstreams;
+  engines = other162.engines;
+  states = other162.states;
+  loads = other162.loads;
+  work = other162.work;
+  configVersion = other162.configVersion;
+  membersVersion = other162.membersVersion;
+  storeLost = other162.storeLost;
+  changedEngines = other162.changedEngines;
+  changedParts = other162.changedParts;
+  readParts = other162.readParts;
+  readEngines = other162.readEngines;
+  servicesApart = other162.servicesApart;
+  storeSteady = other162.storeSteady;
+  tellsHall = other162.tellsHall;
+  storeReadsForMs = other162.storeReadsForMs;
+  leavingBorn = other162.leavingBorn;
+  configGeneration = other162.configGeneration;
+  membersGeneration = other162.membersGeneration;
+  endedCallsHigh = other162.endedCallsHigh;
+  endedCallsLow = other162.endedCallsLow;
+  endedLives = other162.endedLives;
+  endingsCleared = other162.endingsCleared;
+  heldCalls = other162.heldCalls;
+  configProvenMs = other162.configProvenMs;
+  wallOffsetMs = other162.wallOffsetMs;
+  wallOffsetGeneration = other162.wallOffsetGeneration;
+  limitedUpstreams = other162.limitedUpstreams;
+  limits = other162.limits;
+  limitAges = other162.limitAges;
+  demandedServices = other162.demandedServices;
+  demands = other162.demands;
+  unreachableServices = other162.unreachableServices;
+  runningCalls = other162.runningCalls;
+  endedDepths = other162.endedDepths;
+  endedAges = other162.endedAges;
+  startedUpstreams = other162.startedUpstreams;
+  paceChanges = other162.paceChanges;
+  paceLevels = other162.paceLevels;
+  paceAges = other162.paceAges;
+  __isset = other162.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other163) {
+  instance = other163.instance;
+  incarnation = other163.incarnation;
+  hall = other163.hall;
+  peerAddress = other163.peerAddress;
+  ready = other163.ready;
+  leaving = other163.leaving;
+  revision = other163.revision;
+  leavingUpstreams = other163.leavingUpstreams;
+  engines = other163.engines;
+  states = other163.states;
+  loads = other163.loads;
+  work = other163.work;
+  configVersion = other163.configVersion;
+  membersVersion = other163.membersVersion;
+  storeLost = other163.storeLost;
+  changedEngines = other163.changedEngines;
+  changedParts = other163.changedParts;
+  readParts = other163.readParts;
+  readEngines = other163.readEngines;
+  servicesApart = other163.servicesApart;
+  storeSteady = other163.storeSteady;
+  tellsHall = other163.tellsHall;
+  storeReadsForMs = other163.storeReadsForMs;
+  leavingBorn = other163.leavingBorn;
+  configGeneration = other163.configGeneration;
+  membersGeneration = other163.membersGeneration;
+  endedCallsHigh = other163.endedCallsHigh;
+  endedCallsLow = other163.endedCallsLow;
+  endedLives = other163.endedLives;
+  endingsCleared = other163.endingsCleared;
+  heldCalls = other163.heldCalls;
+  configProvenMs = other163.configProvenMs;
+  wallOffsetMs = other163.wallOffsetMs;
+  wallOffsetGeneration = other163.wallOffsetGeneration;
+  limitedUpstreams = other163.limitedUpstreams;
+  limits = other163.limits;
+  limitAges = other163.limitAges;
+  demandedServices = other163.demandedServices;
+  demands = other163.demands;
+  unreachableServices = other163.unreachableServices;
+  runningCalls = other163.runningCalls;
+  endedDepths = other163.endedDepths;
+  endedAges = other163.endedAges;
+  startedUpstreams = other163.startedUpstreams;
+  paceChanges = other163.paceChanges;
+  paceLevels = other163.paceLevels;
+  paceAges = other163.paceAges;
+  __isset = other163.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -1495,6 +1659,10 @@
   out << ", " << "runningCalls="; (__isset.runningCalls ? (out << to_string(runningCalls)) : (out << "<null>"));
   out << ", " << "endedDepths="; (__isset.endedDepths ? (out << to_string(endedDepths)) : (out << "<null>"));
   out << ", " << "endedAges="; (__isset.endedAges ? (out << to_string(endedAges)) : (out << "<null>"));
+  out << ", " << "startedUpstreams="; (__isset.startedUpstreams ? (out << to_string(startedUpstreams)) : (out << "<null>"));
+  out << ", " << "paceChanges="; (__isset.paceChanges ? (out << to_string(paceChanges)) : (out << "<null>"));
+  out << ", " << "paceLevels="; (__isset.paceLevels ? (out << to_string(paceLevels)) : (out << "<null>"));
+  out << ", " << "paceAges="; (__isset.paceAges ? (out << to_string(paceAges)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1589,14 +1757,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->streams.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->streams.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->streams.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
             {
-              xfer += iprot->readI64(this->streams[_i144]);
+              xfer += iprot->readI64(this->streams[_i168]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1609,14 +1777,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->origins.clear();
-            uint32_t _size145;
-            ::apache::thrift::protocol::TType _etype148;
-            xfer += iprot->readListBegin(_etype148, _size145);
-            this->origins.resize(_size145);
-            uint32_t _i149;
-            for (_i149 = 0; _i149 < _size145; ++_i149)
+            uint32_t _size169;
+            ::apache::thrift::protocol::TType _etype172;
+            xfer += iprot->readListBegin(_etype172, _size169);
+            this->origins.resize(_size169);
+            uint32_t _i173;
+            for (_i173 = 0; _i173 < _size169; ++_i173)
             {
-              xfer += iprot->readI32(this->origins[_i149]);
+              xfer += iprot->readI32(this->origins[_i173]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1629,14 +1797,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keepForMs.clear();
-            uint32_t _size150;
-            ::apache::thrift::protocol::TType _etype153;
-            xfer += iprot->readListBegin(_etype153, _size150);
-            this->keepForMs.resize(_size150);
-            uint32_t _i154;
-            for (_i154 = 0; _i154 < _size150; ++_i154)
+            uint32_t _size174;
+            ::apache::thrift::protocol::TType _etype177;
+            xfer += iprot->readListBegin(_etype177, _size174);
+            this->keepForMs.resize(_size174);
+            uint32_t _i178;
+            for (_i178 = 0; _i178 < _size174; ++_i178)
             {
-              xfer += iprot->readI32(this->keepForMs[_i154]);
+              xfer += iprot->readI32(this->keepForMs[_i178]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1649,14 +1817,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size155;
-            ::apache::thrift::protocol::TType _etype158;
-            xfer += iprot->readListBegin(_etype158, _size155);
-            this->services.resize(_size155);
-            uint32_t _i159;
-            for (_i159 = 0; _i159 < _size155; ++_i159)
+            uint32_t _size179;
+            ::apache::thrift::protocol::TType _etype182;
+            xfer += iprot->readListBegin(_etype182, _size179);
+            this->services.resize(_size179);
+            uint32_t _i183;
+            for (_i183 = 0; _i183 < _size179; ++_i183)
             {
-              xfer += iprot->readString(this->services[_i159]);
+              xfer += iprot->readString(this->services[_i183]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1669,14 +1837,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->softwareVersions.clear();
-            uint32_t _size160;
-            ::apache::thrift::protocol::TType _etype163;
-            xfer += iprot->readListBegin(_etype163, _size160);
-            this->softwareVersions.resize(_size160);
-            uint32_t _i164;
-            for (_i164 = 0; _i164 < _size160; ++_i164)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->softwareVersions.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              xfer += iprot->readString(this->softwareVersions[_i164]);
+              xfer += iprot->readString(this->softwareVersions[_i188]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1697,14 +1865,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->askedStreams.clear();
-            uint32_t _size165;
-            ::apache::thrift::protocol::TType _etype168;
-            xfer += iprot->readListBegin(_etype168, _size165);
-            this->askedStreams.resize(_size165);
-            uint32_t _i169;
-            for (_i169 = 0; _i169 < _size165; ++_i169)
+            uint32_t _size189;
+            ::apache::thrift::protocol::TType _etype192;
+            xfer += iprot->readListBegin(_etype192, _size189);
+            this->askedStreams.resize(_size189);
+            uint32_t _i193;
+            for (_i193 = 0; _i193 < _size189; ++_i193)
             {
-              xfer += iprot->readI64(this->askedStreams[_i169]);
+              xfer += iprot->readI64(this->askedStreams[_i193]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1717,14 +1885,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->askedServices.clear();
-            uint32_t _size170;
-            ::apache::thrift::protocol::TType _etype173;
-            xfer += iprot->readListBegin(_etype173, _size170);
-            this->askedServices.resize(_size170);
-            uint32_t _i174;
-            for (_i174 = 0; _i174 < _size170; ++_i174)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->askedServices.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += iprot->readString(this->askedServices[_i174]);
+              xfer += iprot->readString(this->askedServices[_i198]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1737,14 +1905,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unknownStreams.clear();
-            uint32_t _size175;
-            ::apache::thrift::protocol::TType _etype178;
-            xfer += iprot->readListBegin(_etype178, _size175);
-            this->unknownStreams.resize(_size175);
-            uint32_t _i179;
-            for (_i179 = 0; _i179 < _size175; ++_i179)
+            uint32_t _size199;
+            ::apache::thrift::protocol::TType _etype202;
+            xfer += iprot->readListBegin(_etype202, _size199);
+            this->unknownStreams.resize(_size199);
+            uint32_t _i203;
+            for (_i203 = 0; _i203 < _size199; ++_i203)
             {
-              xfer += iprot->readI64(this->unknownStreams[_i179]);
+              xfer += iprot->readI64(this->unknownStreams[_i203]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1757,14 +1925,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->soleVersions.clear();
-            uint32_t _size180;
-            ::apache::thrift::protocol::TType _etype183;
-            xfer += iprot->readListBegin(_etype183, _size180);
-            this->soleVersions.resize(_size180);
-            uint32_t _i184;
-            for (_i184 = 0; _i184 < _size180; ++_i184)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->soleVersions.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += iprot->readString(this->soleVersions[_i184]);
+              xfer += iprot->readString(this->soleVersions[_i208]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1777,14 +1945,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->soleForMs.clear();
-            uint32_t _size185;
-            ::apache::thrift::protocol::TType _etype188;
-            xfer += iprot->readListBegin(_etype188, _size185);
-            this->soleForMs.resize(_size185);
-            uint32_t _i189;
-            for (_i189 = 0; _i189 < _size185; ++_i189)
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->soleForMs.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
             {
-              xfer += iprot->readI64(this->soleForMs[_i189]);
+              xfer += iprot->readI64(this->soleForMs[_i213]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1825,10 +1993,10 @@
   xfer += oprot->writeFieldBegin("streams", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->streams.size()));
-    std::vector<int64_t> ::const_iterator _iter190;
-    for (_iter190 = this->streams.begin(); _iter190 != this->streams.end(); ++_iter190)
+    std::vector<int64_t> ::const_iterator _iter214;
+    for (_iter214 = this->streams.begin(); _iter214 != this->streams.end(); ++_iter214)
     {
-      xfer += oprot->writeI64((*_iter190));
+      xfer += oprot->writeI64((*_iter214));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1837,10 +2005,10 @@
   xfer += oprot->writeFieldBegin("origins", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->origins.size()));
-    std::vector<int32_t> ::const_iterator _iter191;
-    for (_iter191 = this->origins.begin(); _iter191 != this->origins.end(); ++_iter191)
+    std::vector<int32_t> ::const_iterator _iter215;
+    for (_iter215 = this->origins.begin(); _iter215 != this->origins.end(); ++_iter215)
     {
-      xfer += oprot->writeI32((*_iter191));
+      xfer += oprot->writeI32((*_iter215));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1849,10 +2017,10 @@
   xfer += oprot->writeFieldBegin("keepForMs", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->keepForMs.size()));
-    std::vector<int32_t> ::const_iterator _iter192;
-    for (_iter192 = this->keepForMs.begin(); _iter192 != this->keepForMs.end(); ++_iter192)
+    std::vector<int32_t> ::const_iterator _iter216;
+    for (_iter216 = this->keepForMs.begin(); _iter216 != this->keepForMs.end(); ++_iter216)
     {
-      xfer += oprot->writeI32((*_iter192));
+      xfer += oprot->writeI32((*_iter216));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1861,10 +2029,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
-    std::vector<std::string> ::const_iterator _iter193;
-    for (_iter193 = this->services.begin(); _iter193 != this->services.end(); ++_iter193)
+    std::vector<std::string> ::const_iterator _iter217;
+    for (_iter217 = this->services.begin(); _iter217 != this->services.end(); ++_iter217)
     {
-      xfer += oprot->writeString((*_iter193));
+      xfer += oprot->writeString((*_iter217));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1873,10 +2041,10 @@
   xfer += oprot->writeFieldBegin("softwareVersions", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->softwareVersions.size()));
-    std::vector<std::string> ::const_iterator _iter194;
-    for (_iter194 = this->softwareVersions.begin(); _iter194 != this->softwareVersions.end(); ++_iter194)
+    std::vector<std::string> ::const_iterator _iter218;
+    for (_iter218 = this->softwareVersions.begin(); _iter218 != this->softwareVersions.end(); ++_iter218)
     {
-      xfer += oprot->writeString((*_iter194));
+      xfer += oprot->writeString((*_iter218));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1890,10 +2058,10 @@
     xfer += oprot->writeFieldBegin("askedStreams", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->askedStreams.size()));
-      std::vector<int64_t> ::const_iterator _iter195;
-      for (_iter195 = this->askedStreams.begin(); _iter195 != this->askedStreams.end(); ++_iter195)
+      std::vector<int64_t> ::const_iterator _iter219;
+      for (_iter219 = this->askedStreams.begin(); _iter219 != this->askedStreams.end(); ++_iter219)
       {
-        xfer += oprot->writeI64((*_iter195));
+        xfer += oprot->writeI64((*_iter219));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1903,10 +2071,10 @@
     xfer += oprot->writeFieldBegin("askedServices", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->askedServices.size()));
-      std::vector<std::string> ::const_iterator _iter196;
-      for (_iter196 = this->askedServices.begin(); _iter196 != this->askedServices.end(); ++_iter196)
+      std::vector<std::string> ::const_iterator _iter220;
+      for (_iter220 = this->askedServices.begin(); _iter220 != this->askedServices.end(); ++_iter220)
       {
-        xfer += oprot->writeString((*_iter196));
+        xfer += oprot->writeString((*_iter220));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1916,10 +2084,10 @@
     xfer += oprot->writeFieldBegin("unknownStreams", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unknownStreams.size()));
-      std::vector<int64_t> ::const_iterator _iter197;
-      for (_iter197 = this->unknownStreams.begin(); _iter197 != this->unknownStreams.end(); ++_iter197)
+      std::vector<int64_t> ::const_iterator _iter221;
+      for (_iter221 = this->unknownStreams.begin(); _iter221 != this->unknownStreams.end(); ++_iter221)
       {
-        xfer += oprot->writeI64((*_iter197));
+        xfer += oprot->writeI64((*_iter221));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1929,10 +2097,10 @@
     xfer += oprot->writeFieldBegin("soleVersions", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->soleVersions.size()));
-      std::vector<std::string> ::const_iterator _iter198;
-      for (_iter198 = this->soleVersions.begin(); _iter198 != this->soleVersions.end(); ++_iter198)
+      std::vector<std::string> ::const_iterator _iter222;
+      for (_iter222 = this->soleVersions.begin(); _iter222 != this->soleVersions.end(); ++_iter222)
       {
-        xfer += oprot->writeString((*_iter198));
+        xfer += oprot->writeString((*_iter222));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1942,10 +2110,10 @@
     xfer += oprot->writeFieldBegin("soleForMs", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->soleForMs.size()));
-      std::vector<int64_t> ::const_iterator _iter199;
-      for (_iter199 = this->soleForMs.begin(); _iter199 != this->soleForMs.end(); ++_iter199)
+      std::vector<int64_t> ::const_iterator _iter223;
+      for (_iter223 = this->soleForMs.begin(); _iter223 != this->soleForMs.end(); ++_iter223)
       {
-        xfer += oprot->writeI64((*_iter199));
+        xfer += oprot->writeI64((*_iter223));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1972,33 +2140,33 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamOrigins::StreamOrigins(const StreamOrigins& other200) {
-  streams = other200.streams;
-  origins = other200.origins;
-  keepForMs = other200.keepForMs;
-  services = other200.services;
-  softwareVersions = other200.softwareVersions;
-  answersTo = other200.answersTo;
-  askedStreams = other200.askedStreams;
-  askedServices = other200.askedServices;
-  unknownStreams = other200.unknownStreams;
-  soleVersions = other200.soleVersions;
-  soleForMs = other200.soleForMs;
-  __isset = other200.__isset;
-}
-StreamOrigins& StreamOrigins::operator=(const StreamOrigins& other201) {
-  streams = other201.streams;
-  origins = other201.origins;
-  keepForMs = other201.keepForMs;
-  services = other201.services;
-  softwareVersions = other201.softwareVersions;
-  answersTo = other201.answersTo;
-  askedStreams = other201.askedStreams;
-  askedServices = other201.askedServices;
-  unknownStreams = other201.unknownStreams;
-  soleVersions = other201.soleVersions;
-  soleForMs = other201.soleForMs;
-  __isset = other201.__isset;
+StreamOrigins::StreamOrigins(const StreamOrigins& other224) {
+  streams = other224.streams;
+  origins = other224.origins;
+  keepForMs = other224.keepForMs;
+  services = other224.services;
+  softwareVersions = other224.softwareVersions;
+  answersTo = other224.answersTo;
+  askedStreams = other224.askedStreams;
+  askedServices = other224.askedServices;
+  unknownStreams = other224.unknownStreams;
+  soleVersions = other224.soleVersions;
+  soleForMs = other224.soleForMs;
+  __isset = other224.__isset;
+}
+StreamOrigins& StreamOrigins::operator=(const StreamOrigins& other225) {
+  streams = other225.streams;
+  origins = other225.origins;
+  keepForMs = other225.keepForMs;
+  services = other225.services;
+  softwareVersions = other225.softwareVersions;
+  answersTo = other225.answersTo;
+  askedStreams = other225.askedStreams;
+  askedServices = other225.askedServices;
+  unknownStreams = other225.unknownStreams;
+  soleVersions = other225.soleVersions;
+  soleForMs = other225.soleForMs;
+  __isset = other225.__isset;
   return *this;
 }
 void StreamOrigins::printTo(std::ostream& out) const {
@@ -2136,17 +2304,17 @@
   swap(a.__isset, b.__isset);
 }
 
-RowsRequest::RowsRequest(const RowsRequest& other202) {
-  table = other202.table;
-  after = other202.after;
-  generation = other202.generation;
-  __isset = other202.__isset;
+RowsRequest::RowsRequest(const RowsRequest& other226) {
+  table = other226.table;
+  after = other226.after;
+  generation = other226.generation;
+  __isset = other226.__isset;
 }
-RowsRequest& RowsRequest::operator=(const RowsRequest& other203) {
-  table = other203.table;
-  after = other203.after;
-  generation = other203.generation;
-  __isset = other203.__isset;
+RowsRequest& RowsRequest::operator=(const RowsRequest& other227) {
+  table = other227.table;
+  after = other227.after;
+  generation = other227.generation;
+  __isset = other227.__isset;
   return *this;
 }
 void RowsRequest::printTo(std::ostream& out) const {
@@ -2296,17 +2464,17 @@
   swap(a.version, b.version);
 }
 
-Row::Row(const Row& other204) {
-  key = other204.key;
-  value = other204.value;
-  removed = other204.removed;
-  version = other204.version;
+Row::Row(const Row& other228) {
+  key = other228.key;
+  value = other228.value;
+  removed = other228.removed;
+  version = other228.version;
 }
-Row& Row::operator=(const Row& other205) {
-  key = other205.key;
-  value = other205.value;
-  removed = other205.removed;
-  version = other205.version;
+Row& Row::operator=(const Row& other229) {
+  key = other229.key;
+  value = other229.value;
+  removed = other229.removed;
+  version = other229.version;
   return *this;
 }
 void Row::printTo(std::ostream& out) const {
@@ -2401,14 +2569,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size206;
-            ::apache::thrift::protocol::TType _etype209;
-            xfer += iprot->readListBegin(_etype209, _size206);
-            this->rows.resize(_size206);
-            uint32_t _i210;
-            for (_i210 = 0; _i210 < _size206; ++_i210)
+            uint32_t _size230;
+            ::apache::thrift::protocol::TType _etype233;
+            xfer += iprot->readListBegin(_etype233, _size230);
+            this->rows.resize(_size230);
+            uint32_t _i234;
+            for (_i234 = 0; _i234 < _size230; ++_i234)
             {
-              xfer += this->rows[_i210].read(iprot);
+              xfer += this->rows[_i234].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2475,10 +2643,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter211;
-    for (_iter211 = this->rows.begin(); _iter211 != this->rows.end(); ++_iter211)
+    std::vector<Row> ::const_iterator _iter235;
+    for (_iter235 = this->rows.begin(); _iter235 != this->rows.end(); ++_iter235)
     {
-      xfer += (*_iter211).write(oprot);
+      xfer += (*_iter235).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2515,23 +2683,23 @@
   swap(a.__isset, b.__isset);
 }
 
-RowsReply::RowsReply(const RowsReply& other212) {
-  version = other212.version;
-  whole = other212.whole;
-  rows = other212.rows;
-  generation = other212.generation;
-  latestClockMs = other212.latestClockMs;
-  clockGeneration = other212.clockGeneration;
-  __isset = other212.__isset;
-}
-RowsReply& RowsReply::operator=(const RowsReply& other213) {
-  version = other213.version;
-  whole = other213.whole;
-  rows = other213.rows;
-  generation = other213.generation;
-  latestClockMs = other213.latestClockMs;
-  clockGeneration = other213.clockGeneration;
-  __isset = other213.__isset;
+RowsReply::RowsReply(const RowsReply& other236) {
+  version = other236.version;
+  whole = other236.whole;
+  rows = other236.rows;
+  generation = other236.generation;
+  latestClockMs = other236.latestClockMs;
+  clockGeneration = other236.clockGeneration;
+  __isset = other236.__isset;
+}
+RowsReply& RowsReply::operator=(const RowsReply& other237) {
+  version = other237.version;
+  whole = other237.whole;
+  rows = other237.rows;
+  generation = other237.generation;
+  latestClockMs = other237.latestClockMs;
+  clockGeneration = other237.clockGeneration;
+  __isset = other237.__isset;
   return *this;
 }
 void RowsReply::printTo(std::ostream& out) const {
@@ -2624,11 +2792,11 @@
   swap(a.after, b.after);
 }
 
-ChangesRequest::ChangesRequest(const ChangesRequest& other214) noexcept {
-  after = other214.after;
+ChangesRequest::ChangesRequest(const ChangesRequest& other238) noexcept {
+  after = other238.after;
 }
-ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other215) noexcept {
-  after = other215.after;
+ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other239) noexcept {
+  after = other239.after;
   return *this;
 }
 void ChangesRequest::printTo(std::ostream& out) const {
@@ -2736,13 +2904,13 @@
   swap(a.json, b.json);
 }
 
-ConfigObject::ConfigObject(const ConfigObject& other216) {
-  key = other216.key;
-  json = other216.json;
+ConfigObject::ConfigObject(const ConfigObject& other240) {
+  key = other240.key;
+  json = other240.json;
 }
-ConfigObject& ConfigObject::operator=(const ConfigObject& other217) {
-  key = other217.key;
-  json = other217.json;
+ConfigObject& ConfigObject::operator=(const ConfigObject& other241) {
+  key = other241.key;
+  json = other241.json;
   return *this;
 }
 void ConfigObject::printTo(std::ostream& out) const {
@@ -2812,14 +2980,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size218;
-            ::apache::thrift::protocol::TType _etype221;
-            xfer += iprot->readListBegin(_etype221, _size218);
-            this->changes.resize(_size218);
-            uint32_t _i222;
-            for (_i222 = 0; _i222 < _size218; ++_i222)
+            uint32_t _size242;
+            ::apache::thrift::protocol::TType _etype245;
+            xfer += iprot->readListBegin(_etype245, _size242);
+            this->changes.resize(_size242);
+            uint32_t _i246;
+            for (_i246 = 0; _i246 < _size242; ++_i246)
             {
-              xfer += iprot->readString(this->changes[_i222]);
+              xfer += iprot->readString(this->changes[_i246]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2832,14 +3000,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->snapshot.clear();
-            uint32_t _size223;
-            ::apache::thrift::protocol::TType _etype226;
-            xfer += iprot->readListBegin(_etype226, _size223);
-            this->snapshot.resize(_size223);
-            uint32_t _i227;
-            for (_i227 = 0; _i227 < _size223; ++_i227)
+            uint32_t _size247;
+            ::apache::thrift::protocol::TType _etype250;
+            xfer += iprot->readListBegin(_etype250, _size247);
+            this->snapshot.resize(_size247);
+            uint32_t _i251;
+            for (_i251 = 0; _i251 < _size247; ++_i251)
             {
-              xfer += this->snapshot[_i227].read(iprot);
+              xfer += this->snapshot[_i251].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2876,10 +3044,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->changes.size()));
-    std::vector<std::string> ::const_iterator _iter228;
-    for (_iter228 = this->changes.begin(); _iter228 != this->changes.end(); ++_iter228)
+    std::vector<std::string> ::const_iterator _iter252;
+    for (_iter252 = this->changes.begin(); _iter252 != this->changes.end(); ++_iter252)
     {
-      xfer += oprot->writeString((*_iter228));
+      xfer += oprot->writeString((*_iter252));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2889,10 +3057,10 @@
     xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->snapshot.size()));
-      std::vector<ConfigObject> ::const_iterator _iter229;
-      for (_iter229 = this->snapshot.begin(); _iter229 != this->snapshot.end(); ++_iter229)
+      std::vector<ConfigObject> ::const_iterator _iter253;
+      for (_iter253 = this->snapshot.begin(); _iter253 != this->snapshot.end(); ++_iter253)
       {
-        xfer += (*_iter229).write(oprot);
+        xfer += (*_iter253).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2911,17 +3079,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangesReply::ChangesReply(const ChangesReply& other230) {
-  revision = other230.revision;
-  changes = other230.changes;
-  snapshot = other230.snapshot;
-  __isset = other230.__isset;
+ChangesReply::ChangesReply(const ChangesReply& other254) {
+  revision = other254.revision;
+  changes = other254.changes;
+  snapshot = other254.snapshot;
+  __isset = other254.__isset;
 }
-ChangesReply& ChangesReply::operator=(const ChangesReply& other231) {
-  revision = other231.revision;
-  changes = other231.changes;
-  snapshot = other231.snapshot;
-  __isset = other231.__isset;
+ChangesReply& ChangesReply::operator=(const ChangesReply& other255) {
+  revision = other255.revision;
+  changes = other255.changes;
+  snapshot = other255.snapshot;
+  __isset = other255.__isset;
   return *this;
 }
 void ChangesReply::printTo(std::ostream& out) const {
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -38,7 +38,7 @@
 class ChangesReply;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false), leavingBorn(false), configGeneration(false), membersGeneration(false), endedCallsHigh(false), endedCallsLow(false), endedLives(false), endingsCleared(false), heldCalls(false), configProvenMs(false), wallOffsetMs(false), wallOffsetGeneration(false), limitedUpstreams(false), limits(false), limitAges(false), demandedServices(false), demands(false), unreachableServices(false), runningCalls(false), endedDepths(false), endedAges(false) {}
+  _Heartbeat__isset() : leavingUpstreams(false), engines(false), states(false), loads(false), work(false), configVersion(false), membersVersion(false), storeLost(false), changedEngines(false), changedParts(false), readParts(false), readEngines(false), servicesApart(false), storeSteady(false), tellsHall(false), storeReadsForMs(false), leavingBorn(false), configGeneration(false), membersGeneration(false), endedCallsHigh(false), endedCallsLow(false), endedLives(false), endingsCleared(false), heldCalls(false), configProvenMs(false), wallOffsetMs(false), wallOffsetGeneration(false), limitedUpstreams(false), limits(false), limitAges(false), demandedServices(false), demands(false), unreachableServices(false), runningCalls(false), endedDepths(false), endedAges(false), startedUpstreams(false), paceChanges(false), paceLevels(false), paceAges(false) {}
   bool leavingUpstreams :1;
   bool engines :1;
   bool states :1;
@@ -75,6 +75,10 @@
   bool runningCalls :1;
   bool endedDepths :1;
   bool endedAges :1;
+  bool startedUpstreams :1;
+  bool paceChanges :1;
+  bool paceLevels :1;
+  bool paceAges :1;
 } _Heartbeat__isset;
 
 /**
@@ -240,6 +244,16 @@
    * Of the same length as `endedLives`, if set: milliseconds since each end.
    */
   std::vector<int32_t>  endedAges;
+  /**
+   * Upstreams that have just started or recovered, as four lists of one length:
+   * hashes of their ids, the number of the latest change of the share of calls that
+   * each gets, the level that it has since (3: an even part, each below it half of
+   * the one above), and how many milliseconds ago it changed.
+   */
+  std::vector<int32_t>  startedUpstreams;
+  std::vector<int32_t>  paceChanges;
+  std::vector<int32_t>  paceLevels;
+  std::vector<int32_t>  paceAges;
 
   _Heartbeat__isset __isset;
 
@@ -329,6 +343,14 @@
 
   void __set_endedAges(const std::vector<int32_t> & val);
 
+  void __set_startedUpstreams(const std::vector<int32_t> & val);
+
+  void __set_paceChanges(const std::vector<int32_t> & val);
+
+  void __set_paceLevels(const std::vector<int32_t> & val);
+
+  void __set_paceAges(const std::vector<int32_t> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -489,6 +511,22 @@
       return false;
     else if (__isset.endedAges && !(endedAges == rhs.endedAges))
       return false;
+    if (__isset.startedUpstreams != rhs.__isset.startedUpstreams)
+      return false;
+    else if (__isset.startedUpstreams && !(startedUpstreams == rhs.startedUpstreams))
+      return false;
+    if (__isset.paceChanges != rhs.__isset.paceChanges)
+      return false;
+    else if (__isset.paceChanges && !(paceChanges == rhs.paceChanges))
+      return false;
+    if (__isset.paceLevels != rhs.__isset.paceLevels)
+      return false;
+    else if (__isset.paceLevels && !(paceLevels == rhs.paceLevels))
+      return false;
+    if (__isset.paceAges != rhs.__isset.paceAges)
+      return false;
+    else if (__isset.paceAges && !(paceAges == rhs.paceAges))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -104,6 +104,16 @@
   42: optional list<i32> endedDepths;
   /** Of the same length as `endedLives`, if set: milliseconds since each end. */
   43: optional list<i32> endedAges;
+  /**
+   * Upstreams that have just started or recovered, as four lists of one length:
+   * hashes of their ids, the number of the latest change of the share of calls that
+   * each gets, the level that it has since (3: an even part, each below it half of
+   * the one above), and how many milliseconds ago it changed.
+   */
+  44: optional list<i32> startedUpstreams;
+  45: optional list<i32> paceChanges;
+  46: optional list<i32> paceLevels;
+  47: optional list<i32> paceAges;
 }
 
 /**
--- a/packages/protocol/src/Messages.cpp
+++ b/packages/protocol/src/Messages.cpp
@@ -2,6 +2,7 @@
 
 #include "Codec.h"
 #include "LimitDigests.h"
+#include "PaceDigests.h"
 #include "ridgeferry_types.h"
 
 #include <algorithm>
@@ -195,6 +196,7 @@
     out.__set_runningCalls(aMessage.m_runningCalls);
   }
   SetLimits(out, aMessage);
+  SetPaces(out, aMessage);
   if (!aMessage.m_crashes.empty()) {
     SetEndings(out, aMessage.m_crashes);
   }
@@ -359,6 +361,9 @@
   if (!TakeLimits(*in, out)) {
     return tl::unexpected(DecodeError{ "limits of different lengths" });
   }
+  if (!TakePaces(*in, out)) {
+    return tl::unexpected(DecodeError{ "paces of different lengths" });
+  }
   if (in->__isset.heldCalls) {
     out.m_quarantineFingerprint = static_cast<std::uint64_t>(in->heldCalls);
   }
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -58,6 +58,13 @@
     out.m_limits.push_back(digest);
     out.m_demands.push_back({ upstream ^ 3U, *rc::gen::inRange(0, 1 << 30) });
   }
+  for (std::uint32_t upstream :
+       *rc::gen::arbitrary<std::vector<std::uint32_t>>()) {
+    out.m_paces.push_back({ upstream,
+                            *rc::gen::arbitrary<std::uint32_t>(),
+                            *rc::gen::arbitrary<std::int32_t>(),
+                            *rc::gen::inRange(0, 1 << 30) });
+  }
   if (*rc::gen::arbitrary<bool>()) {
     out.m_quarantineFingerprint = *rc::gen::arbitrary<std::uint64_t>();
   }
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -17,6 +17,7 @@
 #include <ridgeferry/relay/Routes.h>
 #include <ridgeferry/relay/SendTarget.h>
 #include <ridgeferry/relay/UpstreamNotices.h>
+#include <ridgeferry/relay/UpstreamStarts.h>
 #include <span>
 #include <string>
 #include <string_view>
@@ -45,6 +46,7 @@
    * the engine look slow just when that does most harm.
    */
   bool m_isClean = false;
+  Instant m_sentAt{}; ///< When the call was sent to the engine.
 };
 
 /** The calls that another instance has in flight at one member. */
@@ -148,6 +150,11 @@
    * Returns how the row's incarnation relates to the known one.
    */
   IncarnationOrder Put(const Member& aMember);
+  /**
+   * As above. In addition, an upstream that this instance had not known, or a
+   * later incarnation, is in start from now on; see `UpstreamStarts`.
+   */
+  IncarnationOrder Put(const Member& aMember, Instant aNow);
   /**
    * Removes a member that is no longer listed. If `aLapsesUntil` is set, the
    * list was unreachable recently and the member's row may only have expired;
@@ -253,8 +260,8 @@
   void NoteFirstByte(std::string_view aId, std::int64_t aTokens);
   /**
    * Records the end of an attempt at a member. `aTokens` is the prefill work
-   * that was still outstanding. `aTook` is used only for attempts that were
-   * served. Returns true if the member is ejected as a result.
+   * that was still outstanding, `aTook` the time since the send. Returns true
+   * if the member is ejected as a result.
    */
   bool NoteEnded(std::string_view aId,
                  std::int64_t aTokens,
@@ -291,6 +298,13 @@
                                     Instant aNow);
   /** Counts a send to a member against the limit that it states. */
   void TakePermit(std::string_view aId, Instant aNow);
+  /**
+   * Records what another instance found of an upstream in start. Has no effect
+   * if the member is not listed here.
+   */
+  void NotePeerPace(const pacing::PaceReport& aReport, Instant aNow);
+  UpstreamStarts& Starts() { return m_starts; }
+  const UpstreamStarts& Starts() const { return m_starts; }
   limits::UpstreamLimits& Limits() { return m_limits; }
   const limits::UpstreamLimits& Limits() const { return m_limits; }
   /**
@@ -539,7 +553,20 @@
   static bool MayRunCalls(const State& aState,
                           std::string_view aService,
                           Instant aNow);
-  static void Eject(State& aState, Instant aNow);
+  void Eject(State& aState, Instant aNow);
+  /** The member gets no calls for a time, and is in start behind it. */
+  void BeginRecovery(State& aState, Instant aNow);
+  /** Returns whether the member is in start. One on probation is not yet: it
+   * gets one call at a time. */
+  bool IsSpared(const State& aState) const;
+  /** Returns the median of a measured value over the members in service that
+   * have the service and role of this one; 0 if none was measured. */
+  double UsualOf(const State& aState, double State::*aMeasured) const;
+  void NoteStartAnswer(State& aState,
+                       const pacing::StartAnswer& aAnswer,
+                       Instant aNow);
+  /** Discards what was measured while the member was in start. */
+  void ForgetStart(State& aState);
   static bool HasConnection(const State& aState, const PlaceRequest& aRequest);
   /** What keeps calls away from members that could get them otherwise. */
   struct Obstacles
@@ -563,6 +590,17 @@
    */
   PlaceResult FindPlain(std::span<const State* const> aSound,
                         const PlaceRequest& aRequest) const;
+  /** Chooses among `aSound`, which is not empty, by the kind of call. */
+  PlaceResult FindAmong(std::span<const State* const> aSound,
+                        const PlaceRequest& aRequest,
+                        Instant aNow) const;
+  /**
+   * As `FindAmong`; but members in start get their share of the calls, whatever
+   * their load is, and more only if the others have no room.
+   */
+  PlaceResult FindSpared(std::span<const State* const> aSound,
+                         const PlaceRequest& aRequest,
+                         Instant aNow) const;
   PlaceResult FindEngine(std::span<const State* const> aSound,
                          const PlaceRequest& aRequest,
                          Instant aNow) const;
@@ -806,6 +844,7 @@
     m_roleUpdates;
   PrefixCacheIndex m_prefixCaches;
   limits::UpstreamLimits m_limits;
+  UpstreamStarts m_starts;
   std::map<std::string, std::vector<std::uint32_t>, std::less<>>
     m_peerDisaggregated;
   std::vector<std::uint32_t> m_restoredDisaggregated;
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -78,6 +78,7 @@
 {
   const std::uint32_t hash = ShortHash(aId);
   m_limits.Forget(hash);
+  m_starts.Forget(aId);
   m_members.erase(aId);
   m_prefixCaches.ForgetEngine(hash);
   std::erase_if(m_ownPrefills, [hash](const auto& aRead) {
@@ -99,6 +100,22 @@
   return order;
 }
 
+IncarnationOrder
+Fleet::Put(const Member& aMember, Instant aNow)
+{
+  // A row may have lapsed while its upstream went on.
+  const auto born = m_born.find(aMember.m_id);
+  const bool wasKnown =
+    m_members.contains(aMember.m_id) ||
+    (born != m_born.end() && aMember.m_born == born->second);
+  const IncarnationOrder order = Put(aMember);
+  if (order == IncarnationOrder::Later ||
+      (order == IncarnationOrder::Same && !wasKnown)) {
+    m_starts.NoteStarted(aMember.m_id, aMember.m_service, aNow);
+  }
+  return order;
+}
+
 void
 Fleet::Update(const Member& aMember)
 {
@@ -143,6 +160,7 @@
     state.m_goneAt = *aLapsesUntil;
     return;
   }
+  m_starts.Forget(aId);
   m_members.erase(found);
 }
 
@@ -166,10 +184,12 @@
       state.m_isBackOffTried = false;
     }
   }
+  m_starts.Tick(aNow);
   std::vector<std::string> ended;
   std::erase_if(m_members, [&](const auto& aEntry) {
     const bool ends = aEntry.second.m_goneAt && aNow >= *aEntry.second.m_goneAt;
     if (ends) {
+      m_starts.Forget(aEntry.first);
       ended.push_back(aEntry.first);
     }
     return ends;
@@ -325,6 +345,12 @@
   const double throughput = std::clamp(
     static_cast<double>(aSample.m_work) / took, kMinThroughput, kMaxThroughput);
   State& state = found->second;
+  if (IsSpared(state)) {
+    const double usual = UsualOf(state, &State::m_observedThroughput);
+    NoteStartAnswer(state,
+                    { aSample.m_sentAt, true, usual / throughput },
+                    aSample.m_sentAt + aSample.m_took);
+  }
   ServiceBelief& belief = m_beliefs[state.m_member.m_service];
   const bool generates = state.m_member.m_role == UpstreamRole::Decode;
   if (generates) {
@@ -416,6 +442,7 @@
     return;
   }
   aState.m_ejectedUntil = aNow + aState.m_nextEjectionTime;
+  BeginRecovery(aState, aNow);
   if (aState.m_isOnProbation) {
     aState.m_nextEjectionTime =
       std::min(aState.m_nextEjectionTime * 2, kMaxEjectionTime);
@@ -424,6 +451,14 @@
   aState.m_failedAt = aNow;
 }
 
+void
+Fleet::BeginRecovery(State& aState, Instant aNow)
+{
+  if (m_starts.IsEnabled()) {
+    m_starts.NoteEjected(aState.m_member.m_id, aNow);
+  }
+}
+
 Duration
 Fleet::ResponseTimeoutOf(const State& aState)
 {
@@ -520,10 +555,21 @@
   }
   const bool failed = aEnd == AttemptEnd::Failed;
   state.m_failShare += kNewest * ((failed ? 1 : 0) - state.m_failShare);
+  const auto tookMs = static_cast<double>(aTook.count());
+  if (IsSpared(state)) {
+    const double usual = UsualOf(state, &State::m_tookMs);
+    const bool isPlain = state.m_member.m_role == UpstreamRole::Plain;
+    NoteStartAnswer(
+      state,
+      { aNow - aTook, !failed, isPlain && usual > 0 ? tookMs / usual : 1 },
+      aNow);
+    state.m_tookMs = 0; // What it took before tells nothing now.
+  }
   if (!failed) {
+    m_starts.NoteServed(state.m_member.m_service);
     state.m_failuresInRow = 0;
     state.m_declinesInRow = 0;
-    state.m_tookMs = Smooth(state.m_tookMs, static_cast<double>(aTook.count()));
+    state.m_tookMs = Smooth(state.m_tookMs, tookMs);
     return isEjected;
   }
   ++state.m_failuresSinceResponse;
@@ -535,6 +581,7 @@
     state.m_failedAt = aNow;
   }
   state.m_ejectedUntil = aNow + kEjectionTime;
+  BeginRecovery(state, aNow);
   state.m_failuresInRow = 0;
   return true;
 }
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -312,8 +312,17 @@
               sound.begin() +
                 static_cast<std::ptrdiff_t>(aRequest.m_random % sound.size()),
               sound.end());
-  return aRequest.m_prompt ? FindEngine(sound, aRequest, aNow)
-                           : FindPlain(sound, aRequest);
+  return m_starts.IsEmpty() ? FindAmong(sound, aRequest, aNow)
+                            : FindSpared(sound, aRequest, aNow);
+}
+
+PlaceResult
+Fleet::FindAmong(std::span<const State* const> aSound,
+                 const PlaceRequest& aRequest,
+                 Instant aNow) const
+{
+  return aRequest.m_prompt ? FindEngine(aSound, aRequest, aNow)
+                           : FindPlain(aSound, aRequest);
 }
 
 PlaceResult
