--- a/packages/relay/src/FleetRoles.cpp
+++ b/packages/relay/src/FleetRoles.cpp
@@ -12,11 +12,12 @@
 namespace {
 
 /**
- * Share of an upstream's slots, KV cache and time that the calls in flight
- * should use. Bursts of a third more still fit.
+ * Share of a decode engine's slots and KV cache that the calls in flight should
+ * use. Bursts of a third more still fit.
  */
 constexpr double kSteadyShare = 0.75;
-/** Prefill work at an engine, in ms, from which on it prefills all the time. */
+/** Prefill work that waits at an engine in steady operation, in ms: about the
+ * prefill of one long prompt. */
 constexpr double kPrefillBacklogMs = 20;
 /**
  * Number of other instances that must have found engines unable to sustain
@@ -205,25 +206,22 @@
 double
 Fleet::UpstreamsNeeded(const Service& aService) const
 {
-  double busy = 0;
+  double running = 0;
+  double prefillMs = 0;
+  std::int64_t slots = 1;
   for (const auto& [id, state] : m_members) {
     if (state.m_member.m_service != aService.m_name) {
       continue;
     }
-    // What piles up at an upstream shows that it is busy all the time, not how
-    // many others would be.
-    const auto running =
-      static_cast<double>(state.m_inFlight + state.m_peerInFlight);
-    const auto slots =
-      static_cast<double>(std::max<std::int64_t>(1, state.m_member.m_slots));
-    busy += std::min(1.0, running / slots);
+    running += static_cast<double>(state.m_inFlight + state.m_peerInFlight);
+    slots = std::max(slots, state.m_member.m_slots);
     if (state.m_member.m_role != UpstreamRole::Plain) {
-      const auto waits =
-        static_cast<double>(state.m_tokens + state.m_peerTokens);
-      busy += std::min(1.0, waits / ThroughputOf(state) / kPrefillBacklogMs);
+      prefillMs += static_cast<double>(state.m_tokens + state.m_peerTokens) /
+                   ThroughputOf(state);
     }
   }
-  return busy / kSteadyShare;
+  const double bySlots = running / (kSteadyShare * static_cast<double>(slots));
+  return bySlots + prefillMs / kPrefillBacklogMs;
 }
 
 std::vector<const Member*>
--- a/packages/relay/src/FleetStarts.cpp
+++ b/packages/relay/src/FleetStarts.cpp
@@ -5,11 +5,29 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 
 namespace ridgeferry::relay {
 
 namespace {
 
+/** Upstreams of one role that may get a call. */
+struct RoleCount
+{
+  std::size_t m_all = 0;
+  std::size_t m_inStart = 0;
+
+  /** Returns whether the others can do what those in start are spared: one can
+   * always be spared beside another, and a third of all. More of them, as
+   * behind an order of many or a loss of many, are needed as they are. */
+  bool CanSpare() const
+  {
+    constexpr std::size_t kMostShare = 3;
+    return m_inStart < m_all &&
+           m_inStart <= std::max<std::size_t>(1, m_all / kMostShare);
+  }
+};
+
 /** Value in the middle; 0 if there is none. */
 double
 MedianOf(std::vector<double> aValues)
@@ -80,23 +98,20 @@
                   const PlaceRequest& aRequest,
                   Instant aNow) const
 {
+  std::map<UpstreamRole, RoleCount> counts;
+  for (const State* state : aSound) {
+    RoleCount& count = counts[state->m_member.m_role];
+    ++count.m_all;
+    count.m_inStart += IsSpared(*state) ? 1 : 0;
+  }
   std::vector<const State*> inService;
   std::vector<const State*> drawn;
   for (const State* state : aSound) {
-    const auto isLikeIt = [state](const State* aOther) {
-      return aOther->m_member.m_role == state->m_member.m_role;
-    };
-    // Where no other member could do its part, there is nobody to spare it.
-    const bool isSpared =
-      IsSpared(*state) &&
-      std::any_of(aSound.begin(), aSound.end(), [&](const State* aOther) {
-        return isLikeIt(aOther) && !IsSpared(*aOther);
-      });
-    if (!isSpared) {
+    const RoleCount& count = counts[state->m_member.m_role];
+    if (!IsSpared(*state) || !count.CanSpare()) {
       inService.push_back(state);
     } else if (m_starts.IsDrawn(ShortHash(state->m_member.m_id),
-                                static_cast<std::size_t>(std::count_if(
-                                  aSound.begin(), aSound.end(), isLikeIt)),
+                                count.m_all,
                                 aRequest.m_random)) {
       drawn.push_back(state);
     }
--- a/packages/relay/tests/FleetStartTest.cpp
+++ b/packages/relay/tests/FleetStartTest.cpp
@@ -282,6 +282,21 @@
   EXPECT_NEAR(ShareOf("p9", Prompt(), 5), 0.125, 0.125 * kTolerance);
 }
 
+// Guards against too few engines doing all the work where many start at once.
+TEST_F(FleetEngineStartTest, OfManyThatStartAtOnceNoneIsSpared)
+{
+  for (int i = 0; i < 4; ++i) {
+    m_fleet.Put(
+      MakeMember("new" + std::to_string(i), "llm", UpstreamRole::Prefill),
+      m_now);
+  }
+  double share = 0;
+  for (int i = 0; i < 4; ++i) {
+    share += ShareOf("new" + std::to_string(i), Prompt(), 1);
+  }
+  EXPECT_GT(share, 0.4);
+}
+
 // Guards against all prompts going to the other role while the only engines of
 // one are in start.
 TEST_F(FleetEngineStartTest, ARoleWhoseEnginesAllStartIsNotSpared)
