Paced starts: a start that ends as nobody finds out about it is forgotten too

Cause, found by reading: StartPace::Tick ends a start of which nothing is found, and only answers and peers made Fleet forget what was measured in it, so that a slow first answer could keep an upstream idle for seconds: the second half of the operators' complaint. Fleet::Tick forgets it now. WhatItTookAtFirstIsForgottenWithoutAnAnswer guards it. A call for which none is spared is placed once in place of twice.

--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -184,7 +184,18 @@
       state.m_isBackOffTried = false;
     }
   }
+  std::vector<State*> inStart;
+  for (auto& [id, state] : m_members) {
+    if (m_starts.IsInStart(ShortHash(id))) {
+      inStart.push_back(&state);
+    }
+  }
   m_starts.Tick(aNow);
+  for (State* state : inStart) {
+    if (!m_starts.IsInStart(ShortHash(state->m_member.m_id))) {
+      ForgetStart(*state);
+    }
+  }
   std::vector<std::string> ended;
   std::erase_if(m_members, [&](const auto& aEntry) {
     const bool ends = aEntry.second.m_goneAt && aNow >= *aEntry.second.m_goneAt;
--- a/packages/relay/src/FleetStarts.cpp
+++ b/packages/relay/src/FleetStarts.cpp
@@ -116,6 +116,9 @@
       drawn.push_back(state);
     }
   }
+  if (inService.size() == aSound.size()) {
+    return FindAmong(aSound, aRequest, aNow);
+  }
   if (!drawn.empty()) {
     // A prompt may need an engine of each role.
     std::vector<const State*> among = drawn;
--- a/packages/relay/tests/FleetStartTest.cpp
+++ b/packages/relay/tests/FleetStartTest.cpp
@@ -119,6 +119,19 @@
   EXPECT_NEAR(PlainShareOf("c"), 1, kTolerance);
 }
 
+// The same where the start ends as nobody finds out about it.
+TEST_F(FleetStartTest, WhatItTookAtFirstIsForgottenWithoutAnAnswer)
+{
+  m_fleet.Put(MakeMember("c", "desk"), m_now);
+  Serve("c", kTook * 30);
+  while (m_fleet.Starts().CountInStart() > 0) {
+    ASSERT_LE(m_now, kNow + 4 * pacing::StartPace::kFresh);
+    m_now += kRound;
+    m_fleet.Tick(m_now);
+  }
+  EXPECT_GT(PlainShareOf("c"), 0.7);
+}
+
 TEST_F(FleetStartTest, AMemberThatIsEjectedIsInStartBehindThat)
 {
   m_fleet.Put(MakeMember("c", "desk"), m_now);
