--- a/packages/pacing/tests/StartPaceWorldTest.cpp
+++ b/packages/pacing/tests/StartPaceWorldTest.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kStep{ 5 };
 constexpr Duration kUsualAnswer{ 20 };
 constexpr Duration kHeartbeat{ 300 };
+/** Between 25 instances of one data centre. */
+constexpr Duration kSlowHeartbeat{ 1200 };
 constexpr Duration kFirstSecond{ 1000 };
 constexpr Duration kFrom{ 6000 };
 constexpr Duration kUntil{ 9000 };
@@ -35,6 +37,7 @@
   Duration m_warmWithin;
   /** Whether it is to get its even part in the end. */
   bool m_answersWell;
+  Duration m_heartbeat = kHeartbeat;
 };
 
 class World
@@ -56,7 +59,7 @@
       m_now += kStep;
       TakeAnswers();
       TakeCalls();
-      if (m_now.time_since_epoch() % kHeartbeat < kStep) {
+      if (m_now.time_since_epoch() % m_case.m_heartbeat < kStep) {
         Tell();
       }
     }
@@ -212,6 +215,24 @@
                1,
                Duration{ 4000 },
                true },
+    WorldCase{ "WarmAtOnceBeforeManyThatHearLate",
+               89,
+               90,
+               600,
+               1,
+               1,
+               Duration{ 1 },
+               true,
+               kSlowHeartbeat },
+    WorldCase{ "SlowAtFirstBeforeManyThatHearLate",
+               89,
+               90,
+               600,
+               8,
+               1,
+               Duration{ 4000 },
+               true,
+               kSlowHeartbeat },
     WorldCase{ "FewCalls", 8, 8, 16, 1, 1, Duration{ 1 }, true },
     WorldCase{ "SlowMachineForGood", 8, 8, 120, 2.7, 2.7, Duration{ 1 }, true },
     WorldCase{ "DoesNotRecover", 8, 8, 120, 8, 8, Duration{ 1 }, false }),
