A check of a configuration before it is sent

configcheck (pure: relay::RouteConfig in, findings and differences out) decides; platform/ reads the files.

The lookup of routes itself is the oracle of "never matches" (AgreesWithTheLookupOfRoutes). Not covered: a prefix that longer ones cover wholly; unknown kinds.

--- /dev/null
+++ b/packages/configcheck/src/Entries.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <ridgeferry/keys/Organisations.h>
+#include <ridgeferry/relay/Routes.h>
+#include <string>
+
+namespace ridgeferry::configcheck {
+
+/** Host of a route as `relay::RouteTable` looks it up. */
+std::string
+HostOf(const relay::Route& aRoute);
+
+/** What names a route: its host and its path prefix. */
+std::string
+KeyOf(const relay::Route& aRoute);
+const std::string&
+KeyOf(const relay::Service& aService);
+const std::string&
+KeyOf(const keys::Organisation& aOrganisation);
+
+/** How an entry is named to operators. */
+std::string
+EntryOf(const relay::Route& aRoute);
+std::string
+EntryOf(const relay::Service& aService);
+std::string
+EntryOf(const keys::Organisation& aOrganisation);
+
+} // namespace ridgeferry::configcheck
