--- a/packages/relay/src/FleetStarts.cpp
+++ b/packages/relay/src/FleetStarts.cpp
@@ -77,10 +77,14 @@
 void
 Fleet::ForgetStart(State& aState)
 {
+  // Better than the others only if it was measured so: a guess would flood it.
   aState.m_failShare = 0;
-  aState.m_tookMs = UsualOf(aState, &State::m_tookMs);
+  const double usualMs = UsualOf(aState, &State::m_tookMs);
+  aState.m_tookMs =
+    aState.m_tookMs > 0 ? std::min(aState.m_tookMs, usualMs) : usualMs;
   aState.m_throughput.Forget();
-  aState.m_observedThroughput = 0;
+  aState.m_observedThroughput = std::max(
+    aState.m_observedThroughput, UsualOf(aState, &State::m_observedThroughput));
 }
 
 void
--- a/packages/relay/tests/FleetStartTest.cpp
+++ b/packages/relay/tests/FleetStartTest.cpp
@@ -132,6 +132,21 @@
   EXPECT_GT(PlainShareOf("c"), 0.7);
 }
 
+// Guards against a start that ends without an answer flooding the member: what
+// is unknown would count as fast.
+TEST_F(FleetStartTest, AMemberWithoutAnswersCountsAsTheOthersBehindItsStart)
+{
+  for (int i = 0; i < 30; ++i) {
+    Serve("a", kTook * 10);
+    Serve("b", kTook * 10);
+  }
+  m_fleet.Put(MakeMember("c", "desk"), m_now);
+  m_fleet.NotePeerPace(
+    { Fleet::ShortHash("c"), 2, pacing::StartPace::kFullLevel, Duration{ 10 } },
+    m_now);
+  EXPECT_NEAR(PlainShareOf("c"), 1, 0.5);
+}
+
 TEST_F(FleetStartTest, AMemberThatIsEjectedIsInStartBehindThat)
 {
   m_fleet.Put(MakeMember("c", "desk"), m_now);
