Paced starts: an upstream on probation is none that serves

Cause, found by reading: FindSpared counted members on probation as in service. Behind a cut, where one of several upstreams answers again and the others are still on probation, that one is in start and got an eighth of its part, while those that were to take its calls answered nobody.

Mended: members on probation count neither as in service nor as in start, and a start gets less only where at least one upstream is in service.

--- a/packages/pacing/include/ridgeferry/pacing/StartPace.h
+++ b/packages/pacing/include/ridgeferry/pacing/StartPace.h
@@ -36,7 +36,7 @@
 
 /**
  * Finds, from its answers, how much may be sent to an upstream that has just
- * started or recovered.
+ * started or recovered (slow start).
  *
  * Such an upstream gets a share of an even part of the calls. The share doubles
  * with a good answer, a round apart from the change before, and halves with a
--- a/packages/pacing/src/StartPace.cpp
+++ b/packages/pacing/src/StartPace.cpp
@@ -130,8 +130,8 @@
 StartPace::Tick(Instant aNow)
 {
   for (auto& [upstream, entry] : m_entries) {
-    // A peer that had seen slow answers would have told it by now. Peers find
-    // out for themselves that nothing was told, so this is no change to tell.
+    // An instance that had seen slow answers would have reported them by now.
+    // All instances raise the share in this way, so it is not reported.
     if (entry.m_level < kFullLevel && !IsFresh(entry, aNow)) {
       ++entry.m_level;
       entry.m_changedAt = aNow;
--- a/packages/relay/include/ridgeferry/relay/Fleet.h
+++ b/packages/relay/include/ridgeferry/relay/Fleet.h
@@ -554,18 +554,19 @@
                           std::string_view aService,
                           Instant aNow);
   void Eject(State& aState, Instant aNow);
-  /** The member gets no calls for a time, and is in start behind it. */
+  /** The member was ejected; afterwards it is in start. */
   void BeginRecovery(State& aState, Instant aNow);
-  /** Returns whether the member is in start. One on probation is not yet: it
-   * gets one call at a time. */
-  bool IsSpared(const State& aState) const;
+  /** Returns whether the member is in start (see `UpstreamStarts`). A member on
+   * probation is not: it gets one call at a time. */
+  bool IsInStart(const State& aState) const;
   /** Returns the median of a measured value over the members in service that
    * have the service and role of this one; 0 if none was measured. */
   double UsualOf(const State& aState, double State::*aMeasured) const;
   void NoteStartAnswer(State& aState,
                        const pacing::StartAnswer& aAnswer,
                        Instant aNow);
-  /** Discards what was measured while the member was in start. */
+  /** Ends a member's start: of what was measured meanwhile, only what is better
+   * than the others' values is kept. */
   void ForgetStart(State& aState);
   static bool HasConnection(const State& aState, const PlaceRequest& aRequest);
   /** What keeps calls away from members that could get them otherwise. */
@@ -598,9 +599,9 @@
    * As `FindAmong`; but members in start get their share of the calls, whatever
    * their load is, and more only if the others have no room.
    */
-  PlaceResult FindSpared(std::span<const State* const> aSound,
-                         const PlaceRequest& aRequest,
-                         Instant aNow) const;
+  PlaceResult FindWithStarts(std::span<const State* const> aSound,
+                             const PlaceRequest& aRequest,
+                             Instant aNow) const;
   PlaceResult FindEngine(std::span<const State* const> aSound,
                          const PlaceRequest& aRequest,
                          Instant aNow) const;
--- a/packages/relay/include/ridgeferry/relay/UpstreamStarts.h
+++ b/packages/relay/include/ridgeferry/relay/UpstreamStarts.h
@@ -15,7 +15,7 @@
 enum class PaceCause : std::uint8_t
 {
   Started,   ///< It was listed anew, or its incarnation changed.
-  Recovered, ///< It was ejected, and gets calls again behind that.
+  Recovered, ///< It was ejected, and gets calls again afterwards.
   Answered,  ///< It answered in time.
   Slow,      ///< It answered slowly.
   Failed,    ///< It did not serve a call.
@@ -34,14 +34,15 @@
 };
 
 /**
- * The upstreams of all services that have just started or recovered, and the
- * share of calls that each gets; see `pacing::StartPace`. Off by default: all
- * upstreams then count as in service. Pure, not thread-safe.
+ * Slow start of upstreams: those of all services that have just started or
+ * recovered are in start, and each gets a share of calls that
+ * `pacing::StartPace` finds from its answers. All others are in service. Off by
+ * default: no upstream is then in start. Pure, not thread-safe.
  */
 class UpstreamStarts
 {
 public:
-  /** Changes that are kept for `TakeChanges`; later ones replace none. */
+  /** Changes that are kept for `TakeChanges`; further ones are dropped. */
   static constexpr std::size_t kMostChanges = 256;
 
   void SetEnabled(bool aIsEnabled);
@@ -63,12 +64,12 @@
                std::uint64_t aRandom) const;
 
   /** An upstream was listed that this instance had not known. It is in start
-   * only beside others of its service that serve: where none does, there is
-   * nobody to spare it. */
+   * only if another of its service has served a call here: otherwise no other
+   * one is known to take its calls. */
   void NoteStarted(std::string_view aId,
                    std::string_view aService,
                    Instant aNow);
-  /** The upstream is ejected; behind that it is in start. */
+  /** The upstream is ejected; afterwards it is in start. */
   void NoteEjected(std::string_view aId, Instant aNow);
   /** An upstream of the service has served a call of this instance. */
   void NoteServed(std::string_view aService);
--- a/packages/relay/src/Fleet.cpp
+++ b/packages/relay/src/Fleet.cpp
@@ -103,7 +103,7 @@
 IncarnationOrder
 Fleet::Put(const Member& aMember, Instant aNow)
 {
-  // A row may have lapsed while its upstream went on.
+  // A row may have expired, and come back, while its upstream kept running.
   const auto born = m_born.find(aMember.m_id);
   const bool wasKnown =
     m_members.contains(aMember.m_id) ||
@@ -356,7 +356,7 @@
   const double throughput = std::clamp(
     static_cast<double>(aSample.m_work) / took, kMinThroughput, kMaxThroughput);
   State& state = found->second;
-  if (IsSpared(state)) {
+  if (IsInStart(state)) {
     const double usual = UsualOf(state, &State::m_observedThroughput);
     NoteStartAnswer(state,
                     { aSample.m_sentAt, true, usual / throughput },
@@ -567,14 +567,15 @@
   const bool failed = aEnd == AttemptEnd::Failed;
   state.m_failShare += kNewest * ((failed ? 1 : 0) - state.m_failShare);
   const auto tookMs = static_cast<double>(aTook.count());
-  if (IsSpared(state)) {
+  if (IsInStart(state)) {
     const double usual = UsualOf(state, &State::m_tookMs);
     const bool isPlain = state.m_member.m_role == UpstreamRole::Plain;
     NoteStartAnswer(
       state,
       { aNow - aTook, !failed, isPlain && usual > 0 ? tookMs / usual : 1 },
       aNow);
-    state.m_tookMs = 0; // What it took before tells nothing now.
+    // Only the latest answer counts while its share is still being found.
+    state.m_tookMs = 0;
   }
   if (!failed) {
     m_starts.NoteServed(state.m_member.m_service);
--- a/packages/relay/src/FleetPlacement.cpp
+++ b/packages/relay/src/FleetPlacement.cpp
@@ -313,7 +313,7 @@
                 static_cast<std::ptrdiff_t>(aRequest.m_random % sound.size()),
               sound.end());
   return m_starts.IsEmpty() ? FindAmong(sound, aRequest, aNow)
-                            : FindSpared(sound, aRequest, aNow);
+                            : FindWithStarts(sound, aRequest, aNow);
 }
 
 PlaceResult
--- a/packages/relay/src/FleetStarts.cpp
+++ b/packages/relay/src/FleetStarts.cpp
@@ -1,5 +1,5 @@
-// The part of `Fleet` that spares upstreams which have just started or
-// recovered.
+// The part of `Fleet` that sends fewer calls to upstreams which have just
+// started or recovered (slow start).
 
 #include "ridgeferry/relay/Fleet.h"
 
@@ -11,24 +11,26 @@
 
 namespace {
 
-/** Upstreams of one role that may get a call. */
+/** Upstreams of one role that may get a call. Those on probation count as
+ * neither: nobody knows whether they answer. */
 struct RoleCount
 {
-  std::size_t m_all = 0;
+  std::size_t m_inService = 0;
   std::size_t m_inStart = 0;
 
-  /** Returns whether the others can do what those in start are spared: one can
-   * always be spared beside another, and a tenth of all: the others are then
-   * sent a tenth more at most. Of more that start at once each is needed. */
-  bool CanSpare() const
+  /** Returns whether the upstreams in service can take the calls that are kept
+   * from those in start: those of one upstream, or else a tenth more than their
+   * own. */
+  bool CanTakeTheirCalls() const
   {
-    constexpr std::size_t kMostShare = 10;
-    return m_inStart < m_all &&
-           m_inStart <= std::max<std::size_t>(1, m_all / kMostShare);
+    constexpr std::size_t kServingForEach = 10;
+    const std::size_t most =
+      std::max<std::size_t>(1, m_inService / kServingForEach);
+    return m_inService > 0 && m_inStart <= most;
   }
 };
 
-/** Value in the middle; 0 if there is none. */
+/** Returns the median; 0 if there are no values. */
 double
 MedianOf(std::vector<double> aValues)
 {
@@ -44,7 +46,7 @@
 } // namespace
 
 bool
-Fleet::IsSpared(const State& aState) const
+Fleet::IsInStart(const State& aState) const
 {
   return !aState.m_isOnProbation &&
          m_starts.IsInStart(static_cast<pacing::UpstreamHash>(aState.m_hash));
@@ -57,7 +59,7 @@
   for (const auto& [id, other] : m_members) {
     if (other.m_member.m_service == aState.m_member.m_service &&
         other.m_member.m_role == aState.m_member.m_role &&
-        other.*aMeasured > 0 && !IsSpared(other)) {
+        other.*aMeasured > 0 && !IsInStart(other)) {
       values.push_back(other.*aMeasured);
     }
   }
@@ -77,7 +79,8 @@
 void
 Fleet::ForgetStart(State& aState)
 {
-  // Better than the others only if it was measured so: a guess would flood it.
+  // An upstream without a measured value counts like the others: by a default
+  // that looks fast, all instances would choose it at the same time.
   aState.m_failShare = 0;
   const double usualMs = UsualOf(aState, &State::m_tookMs);
   aState.m_tookMs =
@@ -98,24 +101,27 @@
 }
 
 PlaceResult
-Fleet::FindSpared(std::span<const State* const> aSound,
-                  const PlaceRequest& aRequest,
-                  Instant aNow) const
+Fleet::FindWithStarts(std::span<const State* const> aSound,
+                      const PlaceRequest& aRequest,
+                      Instant aNow) const
 {
   std::map<UpstreamRole, RoleCount> counts;
   for (const State* state : aSound) {
     RoleCount& count = counts[state->m_member.m_role];
-    ++count.m_all;
-    count.m_inStart += IsSpared(*state) ? 1 : 0;
+    if (IsInStart(*state)) {
+      ++count.m_inStart;
+    } else if (!state->m_isOnProbation) {
+      ++count.m_inService;
+    }
   }
   std::vector<const State*> inService;
   std::vector<const State*> drawn;
   for (const State* state : aSound) {
     const RoleCount& count = counts[state->m_member.m_role];
-    if (!IsSpared(*state) || !count.CanSpare()) {
+    if (!IsInStart(*state) || !count.CanTakeTheirCalls()) {
       inService.push_back(state);
     } else if (m_starts.IsDrawn(ShortHash(state->m_member.m_id),
-                                count.m_all,
+                                count.m_inService + count.m_inStart,
                                 aRequest.m_random)) {
       drawn.push_back(state);
     }
@@ -145,7 +151,7 @@
       std::holds_alternative<Place>(result)) {
     return result;
   }
-  // Better at an upstream in start than not at all.
+  // The others have no room, so the call may go to an upstream in start.
   return FindAmong(aSound, aRequest, aNow);
 }
 
--- a/packages/relay/tests/FleetStartTest.cpp
+++ b/packages/relay/tests/FleetStartTest.cpp
@@ -173,6 +173,20 @@
   EXPECT_GT(PlainShareOf("c"), 0.7);
 }
 
+// Guards against the only upstream that answers again getting few calls, while
+// the others are not known to answer.
+TEST_F(FleetStartTest, AMemberOnProbationIsNoneThatServes)
+{
+  m_fleet.NoteUnreachable("a", m_now);
+  m_fleet.NoteUnreachable("b", m_now);
+  m_now += Fleet::kEjectionTime;
+  m_fleet.NoteSent("b", 0, m_now);
+  m_now += kTook;
+  m_fleet.NoteResponse("b", m_now);
+  m_fleet.NoteEnded("b", 0, AttemptEnd::Failed, kTook, m_now);
+  EXPECT_GT(ShareOf("b", PlainRequest(), 2), 0.7);
+}
+
 TEST_F(FleetStartTest, WhatAPeerFoundEndsTheStart)
 {
   m_fleet.Put(MakeMember("c", "desk"), m_now);
@@ -311,7 +325,7 @@
 }
 
 // Guards against too few engines doing all the work where many start at once.
-TEST_F(FleetEngineStartTest, OfManyThatStartAtOnceNoneIsSpared)
+TEST_F(FleetEngineStartTest, OfManyThatStartAtOnceNoneGetsLess)
 {
   for (int i = 0; i < 4; ++i) {
     m_fleet.Put(
@@ -327,7 +341,7 @@
 
 // Guards against all prompts going to the other role while the only engines of
 // one are in start.
-TEST_F(FleetEngineStartTest, ARoleWhoseEnginesAllStartIsNotSpared)
+TEST_F(FleetEngineStartTest, ARoleWhoseEnginesAllStartGetsItsCalls)
 {
   for (int i = 0; i < 4; ++i) {
     const std::string id = "p" + std::to_string(i);
