Paced starts under test as cases of their own

Cause: the soak's instances leave paced starts off since, as the template does, so nothing but UpstreamStartTest ran them over real sockets.

--- a/tests/soak/CutOffTest.cpp
+++ b/tests/soak/CutOffTest.cpp
@@ -42,6 +42,8 @@
   bool m_isWhole;
   Duration m_callEvery = kCallEvery; ///< While it is cut off.
   bool m_hasStreams = false;         ///< Streams live on through the cut.
+  /** Upstreams that have just recovered are paced. */
+  bool m_isPaced = false;
 };
 
 class CutOffFixture : public InstancesFixture
@@ -275,6 +277,7 @@
 
 TEST_P(CutOffTest, ItsCallersAreServedAllTheSame)
 {
+  m_instances.SetPacesStarts(GetParam().m_isPaced);
   StartAll();
   CallFor(Duration{ 3000 });
   ExpectServed("before the cut");
@@ -323,7 +326,21 @@
                              LinkMode::Close,
                              false,
                              false,
-                             kCallOftenEvery }),
+                             kCallOftenEvery },
+                    CutCase{ "SilentAndPaced",
+                             LinkMode::Hold,
+                             false,
+                             true,
+                             kCallEvery,
+                             false,
+                             true },
+                    CutCase{ "OnlyNewOnesResetAndPaced",
+                             LinkMode::Refuse,
+                             false,
+                             false,
+                             kCallOftenEvery,
+                             false,
+                             true }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
 /** What an upstream sends before it closes, and what becomes of it behind two
--- a/tests/soak/SoakInstances.cpp
+++ b/tests/soak/SoakInstances.cpp
@@ -79,6 +79,7 @@
     { "seeds", Json::array() },
     { "store", aInstance.m_storeLink->Bound().ToString() },
     { "stopGraceSeconds", kGraceSeconds },
+    { "upstreamStarts", { { "paced", m_pacesStarts } } },
     { "retries",
       { { "ratio", 0.2 }, { "floor", 20 }, { "windowSeconds", 10 } } }
   };
--- a/tests/soak/SoakInstances.h
+++ b/tests/soak/SoakInstances.h
@@ -48,6 +48,9 @@
   bool StartAll(std::size_t aCount,
                 const net::Address& aStore,
                 const std::string& aDataCentre = "hall");
+  /** Whether instances that are started from now on pace upstreams that have
+   * just started or recovered. */
+  void SetPacesStarts(bool aPaces) { m_pacesStarts = aPaces; }
   std::vector<std::unique_ptr<Instance>>& All() { return m_instances; }
   /** Those that the balancer sends new connections to. */
   std::vector<Instance*> InBalance();
@@ -78,6 +81,7 @@
   net::HttpClient m_client;
   std::filesystem::path m_program;
   std::filesystem::path m_files;
+  bool m_pacesStarts = false;
   net::FreePorts m_ports;
   session::ProcessGroup m_processes;
   std::vector<std::unique_ptr<Instance>> m_instances;
