An instance that has just started hears of the others before it places calls

That it leaves is told by the heartbeats of the others, which come up to 50 ms later, and later beside load. In between it places calls there. Its log shows it: configuration in force 11 ms behind its start, the news of the leaving 51 ms after that.

Mended: it refuses calls as without a configuration, and isn't ready, until it has heard an instance that takes calls, is alone, or has waited 150 ms. Three only, as 300 that start together would send 90,000 datagrams in one moment.

--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -153,7 +153,8 @@
 Entry::Impl::IsReady() const
 {
   return !m_node.m_stop.HasBegun() && m_node.m_routes != nullptr &&
-         m_members->HasRead() && m_quarantine->IsReadyForCalls();
+         m_members->HasRead() && m_peers->HasHeardOthers() &&
+         m_quarantine->IsReadyForCalls();
 }
 
 bool
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -16,6 +16,12 @@
  * that the bandwidth stays bounded. */
 constexpr Duration kHeartbeatInterval{ 40 };
 constexpr Duration kHeartbeatIntervalPerPeer{ 4 };
+/** Longest time that an instance which has just started waits for the first
+ * heartbeat of another one before it places calls. */
+constexpr Duration kMaxWaitForPeers{ 150 };
+/** To how many others it tells at once that it has started; they answer at
+ * once. All others hear of it with the next heartbeat. */
+constexpr std::size_t kToldOfStart = 3;
 /** Missed heartbeats after which an instance counts as dead: about half a
  * second. */
 constexpr int kDeadAfterMissed = 10;
@@ -113,6 +119,7 @@
 void
 Peers::Start()
 {
+  m_startedAt = m_node.Now();
   m_socket.SignalHeartbeat().connect(
     [this](const membership::Heartbeat& aHeartbeat) {
       TakeHeartbeat(aHeartbeat);
@@ -387,6 +394,13 @@
   });
 }
 
+bool
+Peers::HasHeardOthers() const
+{
+  return m_hasHeardReady || (m_hasListed && m_listedAddresses.empty()) ||
+         m_node.Now() - m_startedAt >= kMaxWaitForPeers;
+}
+
 void
 Peers::NoteLeaving(const UpstreamIncarnation& aUpstream)
 {
@@ -421,6 +435,8 @@
     m_crashesReported.emit(aHeartbeat.m_crashes);
   }
   m_counted.insert(aHeartbeat.m_instance);
+  m_hasHeardReady = m_hasHeardReady || aHeartbeat.m_ready;
+  const bool hasJustStarted = !aHeartbeat.m_ready && IsNew(aHeartbeat);
   TakeLoads(aHeartbeat);
   m_limits.Take(aHeartbeat);
   m_paces.Take(aHeartbeat);
@@ -428,6 +444,29 @@
   m_node.m_fleet.SetDisaggregatedServices(aHeartbeat.m_instance,
                                           aHeartbeat.m_disaggregatedServices);
   Handle(membership::HeartbeatArrived{ aHeartbeat });
+  if (hasJustStarted) {
+    SendTo({ aHeartbeat.m_peerAddress }); // It waits for what others know.
+  }
+}
+
+bool
+Peers::IsNew(const membership::Heartbeat& aHeartbeat) const
+{
+  const auto found = m_roster.Peers().find(aHeartbeat.m_instance);
+  return found == m_roster.Peers().end() ||
+         found->second.m_last.m_incarnation != aHeartbeat.m_incarnation;
+}
+
+void
+Peers::TellStart()
+{
+  std::vector<std::string> some;
+  std::sample(m_listedAddresses.begin(),
+              m_listedAddresses.end(),
+              std::back_inserter(some),
+              kToldOfStart,
+              m_node.m_random);
+  SendTo({ some.begin(), some.end() });
 }
 
 void
@@ -667,6 +706,7 @@
     "peers-listed",
     { { "count", static_cast<std::int64_t>(listed.m_instances.size()) } });
   Handle(listed);
+  TellStart();
   m_listed.emit(!m_listedAddresses.empty());
 }
 
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -36,6 +36,11 @@
 
   /** Precondition: the socket has been started. */
   void Start();
+  /** Returns whether this instance has heard of what the others know: one that
+   * takes calls has told it, there is no other, or none has told it in time. An
+   * instance that places calls earlier may send them to an upstream of which
+   * all others know that it leaves. */
+  bool HasHeardOthers() const;
   /** Announces to the other instances that an upstream in the list is leaving,
    * as the list or an answer of it says. */
   void NoteLeaving(const UpstreamIncarnation& aUpstream);
@@ -160,6 +165,11 @@
   void WriteOwnRow();
   void ReadRows();
   void TakeRows(const StorePage& aPage);
+  /** Returns whether the heartbeat is the first of its instance since that
+   * started. */
+  bool IsNew(const membership::Heartbeat& aHeartbeat) const;
+  /** Tells some others that this instance has started. */
+  void TellStart();
   /** Handles another instance's announcement that an upstream is leaving. */
   void TakeLeaving(const UpstreamIncarnation& aUpstream);
   void RetryLater(sigc::slot<void()> aWhat);
@@ -178,6 +188,8 @@
   std::uint64_t m_incarnation;
   bool m_ready = false;
   bool m_leaving = false;
+  bool m_hasHeardReady = false; ///< Of an instance that takes calls.
+  Instant m_startedAt;
   relay::LeavingUpstreams m_leavingAnnouncements;
   LimitGossip m_limits;
   PaceGossip m_paces;
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -239,7 +239,7 @@
     Refuse(*aExchange, head, { kUnavailable, "stopping", kOtherRetryAfter });
     return;
   }
-  if (m_node.m_routes == nullptr) {
+  if (m_node.m_routes == nullptr || !m_peers.HasHeardOthers()) {
     Refuse(*aExchange,
            head,
            { kUnavailable, "no-configuration-yet", kOtherRetryAfter });
