Fair admission to plain services: what can be answered in time, shared max-min among organisations

Cause: nothing kept one organisation from taking the room of the others, and calls were sent to upstreams that queue without bound though their answers came too late.

Built: the package admission. ConcurrencyLimit finds from the answers how many calls may be under way; FairAdmission refuses beyond that, the organisation that has had most first, and spreads the times to come back. Asked by RelayCall before placement, for calls without a prompt. Setting fairAdmission.enabled, off where not set: earlier deployments are served as before.

--- a/packages/entry/include/ridgeferry/entry/EntrySettings.h
+++ b/packages/entry/include/ridgeferry/entry/EntrySettings.h
@@ -66,6 +66,9 @@
    * their answers speak for, in place of as many as they seem to have room for.
    */
   bool m_pacesStarts = false;
+  /** Whether calls to plain services are refused while their upstreams could
+   * not answer them in time, those of organisations that ask for most first. */
+  bool m_admitsFairly = false;
 };
 
 /** Parses settings from JSON text. `aFile` only names the file in errors.
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -491,6 +491,7 @@
   m_node.m_settings.m_retries = loaded->m_retries;
   m_node.m_settings.m_keys = loaded->m_keys;
   m_node.m_settings.m_pacesStarts = loaded->m_pacesStarts;
+  m_node.m_settings.m_admitsFairly = loaded->m_admitsFairly;
   m_node.m_fleet.Starts().SetEnabled(loaded->m_pacesStarts);
   m_node.m_settings.m_duties.m_address = loaded->m_duties.m_address;
   m_node.m_log->Write(observe::LogLevel::Info, "settings-reloaded");
--- a/packages/entry/src/EntryNode.h
+++ b/packages/entry/src/EntryNode.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <random>
+#include <ridgeferry/admission/FairAdmission.h>
 #include <ridgeferry/entry/Dialect.h>
 #include <ridgeferry/entry/EntrySettings.h>
 #include <ridgeferry/net/EventLoop.h>
@@ -26,6 +27,7 @@
   observe::Metrics m_metrics;
   std::mt19937_64 m_random;
   relay::Fleet m_fleet;
+  admission::FairAdmission m_admission;
   /** Number of live instances, including this one; `Peers` updates it. */
   std::size_t m_instances = 1;
   std::size_t m_runningCalls = 0; ///< Calls under way; `Relay` updates it.
--- a/packages/entry/src/EntrySettings.cpp
+++ b/packages/entry/src/EntrySettings.cpp
@@ -137,6 +137,10 @@
     out.m_pacesStarts = aStarts.OptionalBool("paced", out.m_pacesStarts);
     aStarts.RejectUnknown();
   });
+  reader.Object("fairAdmission", [&](FieldReader& aAdmission) {
+    out.m_admitsFairly = aAdmission.OptionalBool("enabled", out.m_admitsFairly);
+    aAdmission.RejectUnknown();
+  });
   reader.RejectUnknown();
   if (!faults.empty()) {
     return tl::unexpected(SettingsError{ aFile, std::move(faults), {} });
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -132,6 +132,9 @@
   if (m_attempt.m_http != 0) {
     m_node.m_http->Cancel(m_attempt.m_http);
   }
+  if (m_isAdmitted) {
+    m_node.m_admission.NoteEnded(m_start.m_service);
+  }
 }
 
 bool
@@ -249,6 +252,9 @@
   if (!isTrial && PassOn(aAction.m_excluded)) {
     return;
   }
+  if (!Admit()) {
+    return;
+  }
   relay::PlaceRequest request;
   request.m_service = m_start.m_service;
   request.m_dataCentre = m_node.m_settings.m_dataCentre;
@@ -777,6 +783,7 @@
   if (!m_attempt.m_wasSent) {
     return;
   }
+  NoteAdmissionAnswer(aAction.m_end);
   const bool isEjected =
     m_node.m_fleet.NoteEnded(m_attempt.m_upstream,
                              m_attempt.m_tokens,
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -233,6 +233,11 @@
   /** Returns the time, and a random one more: callers that are refused together
    * must not come back together. */
   Duration SpreadOver(Duration aTime) const;
+  /** Returns whether there is room for the call, for its organisation, at its
+   * service. Refuses it if there is none. */
+  bool Admit();
+  /** Reports how an attempt ended to what decides on admission. */
+  void NoteAdmissionAnswer(relay::AttemptEnd aEnd);
   /** Returns whether the call may be sent to an upstream by its key. A call
    * that may not is logged. */
   bool MayRunByKey() const;
@@ -315,6 +320,8 @@
   std::string m_prefillAnswer; ///< Body of a prefill engine's answer.
   std::string m_path;          ///< Upstreams tried, in order, for the log.
   bool m_countedAsBegun = false;
+  /** The call counts as under way in `EntryNode::m_admission`. */
+  bool m_isAdmitted = false;
   bool m_doneEmitted = false; ///< `SignalDone` was emitted.
   sigc::signal<void()> m_done;
 };
--- a/packages/entry/tests/EntrySettingsTest.cpp
+++ b/packages/entry/tests/EntrySettingsTest.cpp
@@ -23,6 +23,7 @@
            { "orderTurnMs", 4000 },
            { "quarantine", { { "enabled", false } } },
            { "upstreamStarts", { { "paced", true } } },
+           { "fairAdmission", { { "enabled", true } } },
            { "keys", { { "revocationMs", 5000 }, { "configApplyMs", 3000 } } },
            { "duties",
              { { "address", "10.0.0.4:6" },
@@ -44,6 +45,7 @@
   EXPECT_EQ(settings->m_orderTurn, Duration{ 4000 });
   EXPECT_FALSE(settings->m_quarantines);
   EXPECT_TRUE(settings->m_pacesStarts);
+  EXPECT_TRUE(settings->m_admitsFairly);
   EXPECT_EQ(settings->m_keys.m_revocation, Duration{ 5000 });
   EXPECT_EQ(settings->m_keys.m_configApply, Duration{ 3000 });
   EXPECT_EQ(settings->m_duties.m_address, "10.0.0.4:6");
@@ -106,6 +108,7 @@
     BadSettingsCase{ "FloorBelowZero", "/retries/floor", "-1" },
     BadSettingsCase{ "QuarantineIsText", "/quarantine/enabled", "\"on\"" },
     BadSettingsCase{ "StartsAreText", "/upstreamStarts/paced", "\"on\"" },
+    BadSettingsCase{ "AdmissionIsText", "/fairAdmission/enabled", "\"on\"" },
     BadSettingsCase{ "RevocationIsNothing", "/keys/revocationMs", "0" },
     BadSettingsCase{ "ApplyIsText", "/keys/configApplyMs", "\"3\"" },
     BadSettingsCase{ "UnknownRuleOfKeys", "/keys/strict", "true" },
