Fair admission: a stream that was answered counts by its first byte

Cause, found by reading: an attempt that is cut at its caller's deadline in the middle of a stream counted as not served, though its first byte had come in time, and one that goes on with a stream of an earlier attempt counted with a time below zero.

Now the first byte counts wherever there was one, and an attempt that goes on counts for nothing. Ruled out: nothing else in the path of an attempt's end.

--- a/packages/entry/src/RelayCallAdmission.cpp
+++ b/packages/entry/src/RelayCallAdmission.cpp
@@ -78,14 +78,18 @@
                         aEnd == relay::AttemptEnd::Declined ||
                         aEnd == relay::AttemptEnd::Abandoned;
   const Instant now = m_node.Now();
-  const Duration took = m_answeredAt.value_or(now) - m_attempt.m_sentAt;
   const Duration deadline = m_deadline - m_began;
   // A caller may leave for reasons of its own.
   const bool isCut =
     aEnd == relay::AttemptEnd::Abandoned && now - m_began < deadline;
-  if (!m_isAdmitted || !isOfRoom || isCut) {
+  // The stream began with an earlier attempt, and this one goes on with it.
+  const bool goesOn = m_answeredAt && *m_answeredAt < m_attempt.m_sentAt;
+  if (!m_isAdmitted || !isOfRoom || isCut || goesOn) {
     return;
   }
+  const bool isServed =
+    aEnd == relay::AttemptEnd::Served || m_answeredAt.has_value();
+  const Duration took = m_answeredAt.value_or(now) - m_attempt.m_sentAt;
   const admission::LimitStep step =
     m_node.m_admission.NoteAnswer(m_start.m_service,
                                   { m_attempt.m_sentAt,
