--- a/packages/entry/src/RelayCallAdmission.cpp
+++ b/packages/entry/src/RelayCallAdmission.cpp
@@ -94,7 +94,7 @@
     m_node.m_admission.NoteAnswer(m_start.m_service,
                                   { m_attempt.m_sentAt,
                                     took,
-                                    aEnd == relay::AttemptEnd::Served,
+                                    isServed,
                                     m_start.m_route->m_firstByteTarget,
                                     deadline },
                                   now);
