Sight: refusals name the configuration that they rest on

Now `call-refused` names the configuration, its proven age, for how long others have been known to hold a later one, and whether another instance passed the request on; `call-forwarded` names the configuration; `configuration-in-force` tells how long a later one had been known, and metrics tell its version and these times. `freshness::KnownLag` keeps the time.

Ruled out: reading the delay from the acceptance on, which no instance knows; the first word of another instance is the earliest that it can know.

--- a/packages/entry/src/ConfigFreshness.h
+++ b/packages/entry/src/ConfigFreshness.h
@@ -30,6 +30,9 @@
   /** Returns the proven age of the configuration; std::nullopt if nothing is
    * proven. */
   std::optional<Duration> Age() const;
+  /** Returns for how long another instance has been known to have read a later
+   * change than this one; std::nullopt if none is known to. */
+  std::optional<Duration> KnownLag() const { return m_config.KnownLag(); }
   /** Returns whether calls may be sent to upstreams by their keys now. */
   bool AllowsKeys() const;
   /** Precondition: a configuration is in force. */
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -232,12 +232,18 @@
   m_relay->UseLimits();
   m_origins->UseRoutes();
   m_peerRows->UseLimits(m_node.m_routes->Config().m_limits);
-  m_node.m_log->Write(observe::LogLevel::Info,
-                      "configuration-in-force",
-                      { { "version", version },
-                        { "routes",
-                          static_cast<std::int64_t>(
-                            m_node.m_routes->Config().m_routes.size()) } });
+  const std::optional<Duration> lag = m_config->LagBefore();
+  if (lag) {
+    m_node.m_metrics.Observe("configuration_lag_ms",
+                             static_cast<double>(lag->count()));
+  }
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "configuration-in-force",
+    { { "version", version },
+      { "routes",
+        static_cast<std::int64_t>(m_node.m_routes->Config().m_routes.size()) },
+      { "knownLagMs", lag ? lag->count() : std::int64_t{ -1 } } });
 }
 
 void
@@ -431,6 +437,10 @@
 void
 Entry::Impl::NoteGauges()
 {
+  m_node.m_metrics.Set("configuration_version",
+                       m_node.m_routes == nullptr
+                         ? 0
+                         : static_cast<double>(m_node.m_routes->Version()));
   m_node.m_metrics.Set("log_lines_dropped",
                        static_cast<double>(m_node.m_log->Dropped()));
   m_node.m_metrics.Set("instances_alive",
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -410,6 +410,14 @@
   m_node.m_runningCalls = m_calls.size();
 }
 
+std::int64_t
+Relay::ConfigVersion() const
+{
+  return m_node.m_routes == nullptr
+           ? 0
+           : static_cast<std::int64_t>(m_node.m_routes->Version());
+}
+
 void
 Relay::Refuse(net::HttpExchange& aExchange,
               const CallHead& aHead,
@@ -417,13 +425,20 @@
 {
   m_node.m_metrics.Count(
     observe::WithLabel("calls_total", "outcome", aRefusal.m_code));
-  m_node.m_log->Write(observe::LogLevel::Info,
-                      "call-refused",
-                      { { "id", aHead.m_id },
-                        { "outcome", std::string(aRefusal.m_code) },
-                        { "status", std::int64_t{ aRefusal.m_status } },
-                        { "host", aHead.m_host },
-                        { "path", aHead.m_path } });
+  const std::optional<Duration> age = m_freshness.Age();
+  const std::optional<Duration> lag = m_freshness.KnownLag();
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "call-refused",
+    { { "id", aHead.m_id },
+      { "outcome", std::string(aRefusal.m_code) },
+      { "status", std::int64_t{ aRefusal.m_status } },
+      { "host", aHead.m_host },
+      { "path", aHead.m_path },
+      { "passedOn", aHead.m_isForwarded },
+      { "config", ConfigVersion() },
+      { "provenAgeMs", age ? age->count() : std::int64_t{ -1 } },
+      { "knownLagMs", lag ? lag->count() : std::int64_t{ -1 } } });
   const bool helpsElsewhere =
     aRefusal.m_status == kUnavailable && aHead.m_isForwarded;
   SendOwnAnswer(aExchange,
--- a/packages/entry/src/Relay.h
+++ b/packages/entry/src/Relay.h
@@ -94,6 +94,8 @@
     Duration m_retryAfter{};
   };
 
+  /** Returns the version of the configuration in force; 0 if there is none. */
+  std::int64_t ConfigVersion() const;
   void Refuse(net::HttpExchange& aExchange,
               const CallHead& aHead,
               const Refusal& aRefusal);
--- a/packages/entry/src/RelayCallForward.cpp
+++ b/packages/entry/src/RelayCallForward.cpp
@@ -112,6 +112,7 @@
       { "attempt", static_cast<std::int64_t>(aAction.m_attempt) },
       { "to", aAction.m_upstream },
       { "service", m_start.m_service },
+      { "config", static_cast<std::int64_t>(m_start.m_routes->Version()) },
       { "leftMs", Left().count() } });
   Start(request);
 }
--- a/packages/entry/src/StoreReader.cpp
+++ b/packages/entry/src/StoreReader.cpp
@@ -44,12 +44,19 @@
 void
 StoreReader::Handle(const relay::FollowEvent& aEvent)
 {
+  m_lagBefore = KnownLag();
   for (const relay::FollowAction& action :
        m_follower.Handle(aEvent, m_node.Now())) {
     std::visit([this](const auto& aTyped) { Do(aTyped); }, action);
   }
 }
 
+std::optional<Duration>
+StoreReader::KnownLag() const
+{
+  return m_lag.At(m_follower.Position(), m_node.Now());
+}
+
 Duration
 StoreReader::Draw(Duration aMost)
 {
@@ -129,6 +136,7 @@
   if (aView.m_steady && isCurrent) {
     Handle(relay::PeerReadsSteadily{});
   }
+  m_lag.NoteTold(aPosition, m_follower.Position(), m_node.Now());
   Handle(relay::PeerIsAhead{ aPosition });
 }
 
--- a/packages/entry/src/StoreReader.h
+++ b/packages/entry/src/StoreReader.h
@@ -3,6 +3,7 @@
 #include "PeerRows.h"
 #include "StoreGenerations.h"
 
+#include <ridgeferry/freshness/KnownLag.h>
 #include <ridgeferry/freshness/StoreClock.h>
 #include <ridgeferry/membership/Roster.h>
 #include <ridgeferry/relay/TableFollower.h>
@@ -31,6 +32,11 @@
   /** Handles what another instance reports of its store reads. `aPosition` is
    * the position up to which it has read this table. */
   void NotePeer(StorePosition aPosition, const membership::StoreView& aView);
+  /** Returns for how long another instance has been known to hold a later
+   * change; std::nullopt if none is known to. */
+  std::optional<Duration> KnownLag() const;
+  /** The same as of the moment before the event that is being handled. */
+  std::optional<Duration> LagBefore() const { return m_lagBefore; }
   /** Sets whether this instance polls the store (`aOnDuty`), and whether it
    * does so because of its rank (`aByPlace`); see `relay::PollingChanged`. */
   void SetPolling(bool aOnDuty, bool aByPlace);
@@ -87,6 +93,8 @@
   PeerRows::Table m_kind;
   std::string m_table;
   relay::TableFollower m_follower;
+  freshness::KnownLag m_lag;
+  std::optional<Duration> m_lagBefore; ///< See `LagBefore`.
   /** Rows of the whole-table read under way. After a failure the read continues
    * where it stopped. */
   std::vector<relay::FollowedRow> m_pages;
