A call that is passed on is judged by no older configuration than its own

What callers saw: an instance that had a route in force, and had served it, answered 404 for it; or the call ran at the service that the route had before.

Cause: a decision is carried to another instance without the version that it rests on. An instance that reaches no upstream of a call's service passed the call on with the time left and nothing of the configuration by which it was routed. The other one decided by its own, also where that was older, and its answer became the caller's. Behind a cut an instance is ready and heard of some ten to some hundred milliseconds before it has read what changed meanwhile.

Mended: a call that is passed on names the position (generation and version) of its configuration. An instance that has not read so far declines it as not run, so that the sender may try another one, and asks a peer for the change at once. Those whose heartbeats show the position are chosen before others. A call without the new words, of an instance of an earlier software version, is served as before.

Ruled out: choosing by heartbeats alone, which are up to one interval old; the number of the configuration in place of the position, which is given out again behind a store that comes back older; waiting at the other instance until it has read on, as the caller's time runs and a third instance may have it.

--- a/packages/entry/src/ConfigFreshness.h
+++ b/packages/entry/src/ConfigFreshness.h
@@ -25,6 +25,19 @@
   void Start();
   /** Handles what a peer reports of its reads of the store. */
   void NotePeer(const membership::StoreView& aView);
+  /** Returns the position of the last change of the configuration here. */
+  StorePosition ChangedPosition() const
+  {
+    return m_config.Follower().ChangedPosition();
+  }
+  /** Returns whether all changes up to `aPosition` have been read. */
+  bool HasRead(StorePosition aPosition) const
+  {
+    return m_config.Follower().Position() >= aPosition;
+  }
+  /** Handles the word of another instance that it has read a change of the
+   * configuration at `aPosition`. */
+  void NoteTold(StorePosition aPosition) { m_config.NoteAhead(aPosition); }
   /** Returns the proof for peers; std::nullopt if there is none. */
   std::optional<freshness::TableProof> Proof() const;
   /** Returns the proven age of the configuration; std::nullopt if nothing is
--- a/packages/entry/src/ForwardedCall.cpp
+++ b/packages/entry/src/ForwardedCall.cpp
@@ -13,20 +13,43 @@
 constexpr std::string_view kResumeAfter = "Ridgeferry-Resume-After";
 constexpr std::string_view kService = "Ridgeferry-Service";
 constexpr std::string_view kSoftwareVersion = "Ridgeferry-Software-Version";
+constexpr std::string_view kConfigGeneration = "Ridgeferry-Config-Generation";
+constexpr std::string_view kConfigVersion = "Ridgeferry-Config-Version";
 constexpr std::string_view kDeclined = "Ridgeferry-Declined";
 
-std::optional<Duration>
-ReadDuration(const net::HttpHeaders& aHeaders, std::string_view aName)
+/** Returns the number that a field holds; std::nullopt if it holds none. */
+template<typename Number>
+std::optional<Number>
+ReadNumber(const net::HttpHeaders& aHeaders, std::string_view aName)
 {
   const auto text = aHeaders.Find(aName);
   if (!text) {
     return std::nullopt;
   }
-  Duration::rep out = 0;
+  Number out = 0;
   const char* end = text->data() + text->size();
   const auto read = std::from_chars(text->data(), end, out);
   const bool isWhole = read.ec == std::errc{} && read.ptr == end;
-  return isWhole && out >= 0 ? std::optional(Duration(out)) : std::nullopt;
+  return isWhole ? std::optional(out) : std::nullopt;
+}
+
+std::optional<Duration>
+ReadDuration(const net::HttpHeaders& aHeaders, std::string_view aName)
+{
+  const auto count = ReadNumber<Duration::rep>(aHeaders, aName);
+  return count && *count >= 0 ? std::optional(Duration(*count)) : std::nullopt;
+}
+
+std::optional<StorePosition>
+ReadConfig(const net::HttpHeaders& aHeaders)
+{
+  const auto generation =
+    ReadNumber<StoreGeneration>(aHeaders, kConfigGeneration);
+  const auto version = ReadNumber<std::uint64_t>(aHeaders, kConfigVersion);
+  if (!generation || !version) {
+    return std::nullopt;
+  }
+  return StorePosition{ *generation, *version };
 }
 
 } // namespace
@@ -53,6 +76,10 @@
   if (aTerms.m_origin) {
     AddOrigin(out.m_headers, *aTerms.m_origin);
   }
+  if (aTerms.m_config) {
+    set(kConfigGeneration, std::to_string(aTerms.m_config->m_generation));
+    set(kConfigVersion, std::to_string(aTerms.m_config->m_version));
+  }
   return out;
 }
 
@@ -88,7 +115,8 @@
   return ForwardedTerms{ *left,
                          *waited,
                          std::string(aHeaders.Find(kResumeAfter).value_or("")),
-                         ReadOrigin(aHeaders) };
+                         ReadOrigin(aHeaders),
+                         ReadConfig(aHeaders) };
 }
 
 void
--- a/packages/entry/src/ForwardedCall.h
+++ b/packages/entry/src/ForwardedCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <ridgeferry/base/StorePosition.h>
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/net/Http.h>
 #include <ridgeferry/net/HttpServer.h>
@@ -26,6 +27,10 @@
   std::string m_resumeAfter;
   /** What alone may go on with the stream; std::nullopt if none has begun. */
   std::optional<streams::StreamOrigin> m_origin = {};
+  /** Position of the configuration by which the call was routed. An instance
+   * that has not read so far must not decide on the call. std::nullopt if the
+   * sender runs a software version that does not tell it. */
+  std::optional<StorePosition> m_config = {};
 };
 
 /** Writes the request that passes a call on to the instance at `aAddress`. */
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -329,13 +329,15 @@
 
 std::optional<std::string>
 Peers::PickForwardTarget(std::string_view aService,
+                         StorePosition aConfig,
                          std::span<const std::string> aExcluded) const
 {
   return membership::PickForwardTarget(m_roster.Peers(),
                                        { relay::Fleet::ShortHash(aService),
                                          m_node.m_settings.m_dataCentre,
                                          aExcluded,
-                                         m_node.m_random() });
+                                         m_node.m_random(),
+                                         aConfig });
 }
 
 std::optional<std::string>
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -61,10 +61,12 @@
   /** Sets the services of which this instance reaches no upstream. Sends them
    * at once and with each heartbeat. */
   void PublishUnreachable(std::vector<std::uint32_t> aServices);
-  /** Returns the name of the instance that should take a call to the service;
-   * see `membership::PickForwardTarget`. */
+  /** Returns the name of the instance that should take a call to the service
+   * that was routed by the configuration at `aConfig`; see
+   * `membership::PickForwardTarget`. */
   std::optional<std::string> PickForwardTarget(
     std::string_view aService,
+    StorePosition aConfig,
     std::span<const std::string> aExcluded) const;
   /** Returns IP:PORT of a live instance; std::nullopt if it is not known. */
   std::optional<std::string> AddressOf(std::string_view aInstance) const;
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -74,7 +74,7 @@
 
 Relay::Relay(EntryNode& aNode,
              QuarantineService& aQuarantine,
-             const ConfigFreshness& aFreshness,
+             ConfigFreshness& aFreshness,
              UsageService& aUsage,
              ReachService& aReach,
              const Peers& aPeers,
@@ -245,7 +245,15 @@
            { kUnavailable, "no-configuration-yet", kOtherRetryAfter });
     return;
   }
+  if (IsRoutedByLaterConfig(aForwarded)) {
+    m_node.m_metrics.Count("calls_by_later_configuration_total");
+    Refuse(*aExchange,
+           head,
+           { kUnavailable, "configuration-behind", kOtherRetryAfter });
+    return;
+  }
   request.m_routes = m_node.m_routes;
+  request.m_configAt = m_freshness.ChangedPosition();
   request.m_route = m_node.m_routes->Find(head.m_host, head.m_path);
   if (request.m_route == nullptr) {
     Refuse(*aExchange, head, { kNotFound, "no-route" });
@@ -273,6 +281,16 @@
   }
 }
 
+bool
+Relay::IsRoutedByLaterConfig(const std::optional<ForwardedTerms>& aForwarded)
+{
+  if (!aForwarded || !aForwarded->m_config) {
+    return false;
+  }
+  m_freshness.NoteTold(*aForwarded->m_config);
+  return !m_freshness.HasRead(*aForwarded->m_config);
+}
+
 const std::string&
 Relay::DrawService(const relay::Route& aRoute)
 {
@@ -364,6 +382,7 @@
   start.m_head = aRequest.m_head;
   start.m_routes = aRequest.m_routes;
   start.m_route = aRequest.m_route;
+  start.m_configAt = aRequest.m_configAt;
   start.m_service = aService;
   if (!m_node.m_fleet.RunsEngines(aService)) {
     start.m_head.m_prompt.reset();
--- a/packages/entry/src/Relay.h
+++ b/packages/entry/src/Relay.h
@@ -27,7 +27,7 @@
   /** Precondition: the arguments outlive this object. */
   Relay(EntryNode& aNode,
         QuarantineService& aQuarantine,
-        const ConfigFreshness& aFreshness,
+        ConfigFreshness& aFreshness,
         UsageService& aUsage,
         ReachService& aReach,
         const Peers& aPeers,
@@ -62,10 +62,14 @@
     const relay::Route* m_route = nullptr;
     const keys::Organisation* m_organisation = nullptr;
     std::optional<ForwardedTerms> m_forwarded;
+    StorePosition m_configAt; ///< Position of the configuration in `m_routes`.
   };
 
   void HandleRequest(const std::shared_ptr<net::HttpExchange>& aExchange,
                      const std::optional<ForwardedTerms>& aForwarded);
+  /** Returns whether another instance routed the call by a later configuration
+   * than the one in force here. */
+  bool IsRoutedByLaterConfig(const std::optional<ForwardedTerms>& aForwarded);
   /** Starts a call whose caller takes a stream up again, once it is known what
    * began the stream. */
   void TakeUp(const AdmittedRequest& aRequest);
@@ -119,7 +123,7 @@
 
   EntryNode& m_node;
   QuarantineService& m_quarantine;
-  const ConfigFreshness& m_freshness;
+  ConfigFreshness& m_freshness;
   UsageService& m_usage;
   ReachService& m_reach;
   const Peers& m_peers;
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -32,6 +32,7 @@
   /** Keeps `m_route` alive when a newer configuration arrives. */
   std::shared_ptr<const relay::RouteTable> m_routes;
   const relay::Route* m_route = nullptr;
+  StorePosition m_configAt; ///< Position of the configuration in `m_routes`.
   std::string m_service;
   /** Statistics of the prompts of its route; null if it has no prompt. */
   std::shared_ptr<relay::CallKind> m_kind;
--- a/packages/entry/src/RelayCallForward.cpp
+++ b/packages/entry/src/RelayCallForward.cpp
@@ -61,8 +61,8 @@
   if (m_start.m_forwarded || !mayPassOn) {
     return std::nullopt;
   }
-  const auto name =
-    m_start.m_peers->PickForwardTarget(m_start.m_service, tried);
+  const auto name = m_start.m_peers->PickForwardTarget(
+    m_start.m_service, m_start.m_configAt, tried);
   return name ? std::optional(std::string(kInstance) + *name) : std::nullopt;
 }
 
@@ -97,10 +97,10 @@
     return;
   }
   const Duration waited = m_node.Now() - m_began + m_start.m_earlierWait;
-  net::HttpRequest request =
-    WriteForwarded(m_start.m_exchange->Request(),
-                   *address,
-                   { Left(), waited, aAction.m_resumeAfter, m_origin });
+  net::HttpRequest request = WriteForwarded(
+    m_start.m_exchange->Request(),
+    *address,
+    { Left(), waited, aAction.m_resumeAfter, m_origin, m_start.m_configAt });
   request.m_timeout = Left();
   request.m_connectTimeout = kConnectTimeout;
   request.m_keepIdle = kMostIdle;
--- a/packages/entry/src/StoreReader.cpp
+++ b/packages/entry/src/StoreReader.cpp
@@ -136,6 +136,12 @@
   if (aView.m_steady && isCurrent) {
     Handle(relay::PeerReadsSteadily{});
   }
+  NoteAhead(aPosition);
+}
+
+void
+StoreReader::NoteAhead(StorePosition aPosition)
+{
   m_lag.NoteTold(aPosition, m_follower.Position(), m_node.Now());
   Handle(relay::PeerIsAhead{ aPosition });
 }
--- a/packages/entry/src/StoreReader.h
+++ b/packages/entry/src/StoreReader.h
@@ -32,6 +32,9 @@
   /** Handles what another instance reports of its store reads. `aPosition` is
    * the position up to which it has read this table. */
   void NotePeer(StorePosition aPosition, const membership::StoreView& aView);
+  /** Handles the word of another instance that it has read a change of this
+   * table at `aPosition`. */
+  void NoteAhead(StorePosition aPosition);
   /** Returns for how long another instance has been known to hold a later
    * change; std::nullopt if none is known to. */
   std::optional<Duration> KnownLag() const;
--- a/packages/entry/tests/ForwardedCallTest.cpp
+++ b/packages/entry/tests/ForwardedCallTest.cpp
@@ -52,6 +52,7 @@
   EXPECT_EQ(read->m_waited, terms.m_waited);
   EXPECT_EQ(read->m_resumeAfter, terms.m_resumeAfter);
   EXPECT_EQ(read->m_origin, terms.m_origin);
+  EXPECT_EQ(read->m_config, terms.m_config);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -65,6 +66,12 @@
                  Duration{},
                  "17",
                  streams::StreamOrigin{ "s", "v1.1" } } },
+    TermsCase{ "NamesItsConfiguration",
+               { Duration{ 700 },
+                 Duration{},
+                 "",
+                 std::nullopt,
+                 StorePosition{ 3, 61 } } },
     TermsCase{ "OddNames",
                { Duration{ 1 },
                  Duration{},
--- a/packages/membership/include/ridgeferry/membership/ForwardTarget.h
+++ b/packages/membership/include/ridgeferry/membership/ForwardTarget.h
@@ -19,12 +19,18 @@
   /** Names of instances that must not be chosen. */
   std::span<const std::string> m_excluded;
   std::uint64_t m_random = 0;
+  /** Position of the configuration by which the call was routed. */
+  StorePosition m_config = {};
 };
 
 /**
  * Returns the name of the instance that should take the call: of two drawn ones
  * that reach the service, the one with fewer calls under way, with a preference
- * for the own data centre. std::nullopt if no live instance reaches it.
+ * for the own data centre. Only instances that have read the call's
+ * configuration are drawn, by their latest heartbeats, unless none has: a
+ * heartbeat may be older than what its sender has read since, and an instance
+ * that has not read so far declines the call. std::nullopt if no live instance
+ * reaches the service. Thread-safe.
  */
 std::optional<std::string>
 PickForwardTarget(const std::map<std::string, PeerView, std::less<>>& aPeers,
--- a/packages/membership/src/ForwardTarget.cpp
+++ b/packages/membership/src/ForwardTarget.cpp
@@ -27,6 +27,13 @@
          std::find(excluded.begin(), excluded.end(), aName) == excluded.end();
 }
 
+bool
+HasReadConfig(const PeerView& aPeer, const ForwardRequest& aRequest)
+{
+  const auto& view = aPeer.m_last.m_store;
+  return view && view->m_config >= aRequest.m_config;
+}
+
 double
 CostOf(const PeerView& aPeer, const ForwardRequest& aRequest)
 {
@@ -49,6 +56,13 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
+  const auto behind = std::stable_partition(
+    candidates.begin(), candidates.end(), [&](const auto& aCandidate) {
+      return HasReadConfig(*aCandidate.second, aRequest);
+    });
+  if (behind != candidates.begin()) {
+    candidates.erase(behind, candidates.end());
+  }
   const std::size_t count = candidates.size();
   const auto& first = candidates[aRequest.m_random % count];
   const auto& second = candidates[aRequest.m_random / kNextDraw % count];
--- a/packages/membership/tests/ForwardTargetTest.cpp
+++ b/packages/membership/tests/ForwardTargetTest.cpp
@@ -22,11 +22,15 @@
 
 /** The instances that are chosen over many draws. */
 std::set<std::string>
-Chosen(const Peers& aPeers, std::span<const std::string> aExcluded = {})
+Chosen(const Peers& aPeers,
+       std::span<const std::string> aExcluded = {},
+       StorePosition aConfig = {})
 {
   std::set<std::string> out;
   for (std::uint64_t i = 0; i < 400; ++i) {
-    ForwardRequest request{ kService, "near", aExcluded, i * 7'919'317 };
+    ForwardRequest request{
+      kService, "near", aExcluded, i * 7'919'317, aConfig
+    };
     if (const auto name = PickForwardTarget(aPeers, request)) {
       out.insert(*name);
     }
@@ -36,6 +40,8 @@
 
 using Names = std::set<std::string>;
 
+constexpr StorePosition kConfig{ 2, 30 };
+
 TEST(ForwardTargetTest, NobodyIsChosenWhereNobodyIs)
 {
   EXPECT_EQ(Chosen({}), Names{});
@@ -107,5 +113,50 @@
   EXPECT_GT(calm, 650U);
 }
 
+/** What two instances have told of the configuration that they have read. */
+struct ConfigCase
+{
+  const char* m_name;
+  std::optional<StorePosition> m_first;
+  std::optional<StorePosition> m_second;
+  Names m_chosen;
+};
+
+class ForwardConfigTest : public ::testing::TestWithParam<ConfigCase>
+{};
+
+// Guards against a call that goes to an instance with an older configuration
+// while another one is known to have its own.
+TEST_P(ForwardConfigTest, ThoseThatHaveReadItAreChosen)
+{
+  Peers peers{ { "first", MakePeer() }, { "second", MakePeer() } };
+  const auto tell = [](PeerView& aPeer, std::optional<StorePosition> aRead) {
+    if (aRead) {
+      aPeer.m_last.m_store = StoreView{ *aRead, {} };
+    }
+  };
+  tell(peers["first"], GetParam().m_first);
+  tell(peers["second"], GetParam().m_second);
+  EXPECT_EQ(Chosen(peers, {}, kConfig), GetParam().m_chosen);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Told,
+  ForwardConfigTest,
+  ::testing::Values(
+    ConfigCase{ "BothHave", kConfig, { { 2, 31 } }, { "first", "second" } },
+    ConfigCase{ "OneIsBehind", kConfig, { { 2, 29 } }, { "first" } },
+    ConfigCase{ "OneReadAnOlderCopy",
+                { { 1, 99 } },
+                { { 3, 1 } },
+                { "second" } },
+    ConfigCase{ "OneHasNotTold", std::nullopt, kConfig, { "second" } },
+    // Heartbeats may be old, so a call is not refused for them.
+    ConfigCase{ "BothAreBehind",
+                { { 2, 29 } },
+                std::nullopt,
+                { "first", "second" } }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 } // namespace
 } // namespace ridgeferry::membership
