No request is refused for good by a configuration that is known to be old

What callers saw: 404, after which they do not come back, at an instance that had been told by others of a later configuration and had not taken it yet, or had not been able to read the store for seconds.

An instance on standby asks for a change at a random moment within 250 ms behind the word of it, and longer if its questions fail.

Mended: while another instance is known to have read further, or nothing has proven the configuration for 6 s, 404 and 401 become 503, not run, with a time to come back. Calls that the configuration allows are served as before.

That this is what was reported is not shown.

--- a/packages/entry/src/ConfigFreshness.cpp
+++ b/packages/entry/src/ConfigFreshness.cpp
@@ -8,6 +8,10 @@
  * none is known. An instance that has just started can use no proof of its
  * peers before it has one. */
 constexpr Duration kTick{ 200 };
+/** Proven age above which a configuration may be old. While the store answers,
+ * its readers prove the age at least each 2.8 s, and heartbeats carry that to
+ * other data centres within 2.4 s. */
+constexpr Duration kLongestUnproven{ 6000 };
 
 } // namespace
 
@@ -59,6 +63,13 @@
   return m_age.AgeAt(m_node.Now());
 }
 
+bool
+ConfigFreshness::MayBeOld() const
+{
+  const std::optional<Duration> age = Age();
+  return KnownLag().has_value() || (age && *age > kLongestUnproven);
+}
+
 bool
 ConfigFreshness::AllowsKeys() const
 {
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -17,6 +17,8 @@
  * stops. A starting instance has its routes in well under 250 ms, and callers
  * open no new connections to a stopping one. */
 constexpr Duration kOtherRetryAfter{ 250 };
+/** Retry-After while the store is out of reach: such outages last seconds. */
+constexpr Duration kUnprovenRetryAfter{ 1000 };
 /** Share of the operators' retry limits that the instances use. Each instance
  * counts retries in time windows of its own. The window that the operators
  * measure may begin in the middle of such a window, and can then contain the
@@ -256,7 +258,7 @@
   request.m_configAt = m_freshness.ChangedPosition();
   request.m_route = m_node.m_routes->Find(head.m_host, head.m_path);
   if (request.m_route == nullptr) {
-    Refuse(*aExchange, head, { kNotFound, "no-route" });
+    RefuseForGood(*aExchange, head, { kNotFound, "no-route" });
     return;
   }
   if (head.m_hasSeveralCredentials &&
@@ -468,6 +470,24 @@
                   helpsElsewhere });
 }
 
+void
+Relay::RefuseForGood(net::HttpExchange& aExchange,
+                     const CallHead& aHead,
+                     const Refusal& aRefusal)
+{
+  if (!m_freshness.MayBeOld()) {
+    Refuse(aExchange, aHead, aRefusal);
+    return;
+  }
+  m_node.m_metrics.Count("refusals_by_old_configuration_total");
+  const bool isElsewhere = m_freshness.KnownLag().has_value();
+  Refuse(aExchange,
+         aHead,
+         { kUnavailable,
+           "configuration-may-be-old",
+           isElsewhere ? kOtherRetryAfter : kUnprovenRetryAfter });
+}
+
 void
 Relay::RefuseKey(net::HttpExchange& aExchange,
                  const CallHead& aHead,
@@ -484,7 +504,7 @@
       { "config", static_cast<std::int64_t>(m_node.m_routes->Version()) },
       { "provenAgeMs", age ? age->count() : std::int64_t{ -1 } } });
   if (isUnknown) {
-    Refuse(aExchange, aHead, { kUnauthorized, "unknown-key" });
+    RefuseForGood(aExchange, aHead, { kUnauthorized, "unknown-key" });
   } else {
     Refuse(aExchange,
            aHead,
--- a/packages/entry/src/Relay.h
+++ b/packages/entry/src/Relay.h
@@ -103,6 +103,12 @@
   void Refuse(net::HttpExchange& aExchange,
               const CallHead& aHead,
               const Refusal& aRefusal);
+  /** The same where the refusal rests on the configuration and its caller would
+   * not come back. While the configuration may be old, the refusal is one for
+   * now. */
+  void RefuseForGood(net::HttpExchange& aExchange,
+                     const CallHead& aHead,
+                     const Refusal& aRefusal);
   /** Answers a call that may not run by its key. */
   void RefuseKey(net::HttpExchange& aExchange,
                  const CallHead& aHead,
