Requests that wait for slow upstreams no longer end an instance

Cause: nothing bounded what the bodies of all requests hold together. Each was read up to the operators' limit into a string that grows by doubling, stayed in the call, and was copied twice more on its way into the output of the upstream's connection.

Mended: net::BodyBudget, shared by the server for callers and the one for other instances, takes an eighth of the process's memory (new setting memoryMb, from the platform's limits). A request whose body has no room is refused as soon as its head tells the length: 503, not run, Retry-After 1 s, one log line. The string is reserved once, and head and body go into the connection's output without a copy of both.

Ruled out: pausing the callers' connections instead, as their requests would wait past their deadlines; a bound for each connection, of which there are thousands.

--- a/packages/entry/include/ridgeferry/entry/EntrySettings.h
+++ b/packages/entry/include/ridgeferry/entry/EntrySettings.h
@@ -51,6 +51,8 @@
   /** Longest time from the signal for a planned stop until the process ends,
    * even if calls are still running. */
   Duration m_stopGrace{ 8000 };
+  /** Memory that the process may use, in bytes. */
+  std::size_t m_memory = std::size_t{ 256 } * 1024 * 1024;
   RetryBounds m_retries;
   /** Shortest time between the last order that one instance sends to engines
    * and the first order of the instance that succeeds it as holder of the
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -27,6 +27,9 @@
  * progress of a planned stop are checked. It is well below the times of some
  * seconds within which each of these must take effect. */
 constexpr Duration kTick{ 200 };
+/** Part of the memory that bodies of requests may hold. Each is held twice, for
+ * its call and on its way to the upstream, and another time for a moment. */
+constexpr std::size_t kBodiesOfMemory = 8;
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
@@ -101,6 +104,8 @@
   std::vector<net::Watch> m_signals;
 
   tl::expected<void, net::NetError> Start();
+  /** Bounds what requests hold by the memory of the process. */
+  void BoundBodies();
   void WatchSignals();
   void TakeConfig(const relay::ApplyRows& aRows);
   void TakeConfigRow(const relay::FollowedRow& aRow);
@@ -455,6 +460,8 @@
                        static_cast<double>(m_quarantine->HeldSegments()));
   m_node.m_metrics.Set("calls_suspected",
                        static_cast<double>(m_quarantine->Suspected()));
+  m_node.m_metrics.Set("request_bytes_held",
+                       static_cast<double>(m_node.m_bodies->Held()));
   m_node.m_metrics.Set("answer_bytes_unread",
                        static_cast<double>(m_node.m_unread.Total()));
   m_node.m_metrics.Set("store_on_duty", m_peers->IsPoller() ? 1 : 0);
@@ -550,9 +557,25 @@
   m_signals.push_back(loop.OnSignal(SIGHUP, [this] { Reload(); }));
 }
 
+void
+Entry::Impl::BoundBodies()
+{
+  m_node.m_bodies = std::make_unique<net::BodyBudget>(
+    m_node.m_settings.m_memory / kBodiesOfMemory);
+  m_node.m_bodies->SignalRefused().connect([this](std::size_t aBytes) {
+    m_node.m_metrics.Count("requests_without_room_total");
+    m_node.m_log->Write(
+      observe::LogLevel::Warning,
+      "request-without-room",
+      { { "bytes", static_cast<std::int64_t>(aBytes) },
+        { "held", static_cast<std::int64_t>(m_node.m_bodies->Held()) } });
+  });
+}
+
 tl::expected<void, net::NetError>
 Entry::Impl::Start()
 {
+  BoundBodies();
   m_node.m_fleet.Starts().SetEnabled(m_node.m_settings.m_pacesStarts);
   m_peerSocket = std::make_unique<PeerSocket>(m_node);
   m_peers = std::make_unique<Peers>(m_node, m_generations, *m_peerSocket);
--- a/packages/entry/src/EntryNode.h
+++ b/packages/entry/src/EntryNode.h
@@ -5,6 +5,7 @@
 #include <ridgeferry/admission/FairAdmission.h>
 #include <ridgeferry/entry/Dialect.h>
 #include <ridgeferry/entry/EntrySettings.h>
+#include <ridgeferry/net/BodyBudget.h>
 #include <ridgeferry/net/EventLoop.h>
 #include <ridgeferry/net/HttpClient.h>
 #include <ridgeferry/observe/Log.h>
@@ -22,6 +23,9 @@
   EntrySettings m_settings;
   Dialect m_dialect;
   std::unique_ptr<net::EventLoop> m_loop;
+  /** What the bodies of all requests hold together, of callers and of other
+   * instances. */
+  std::unique_ptr<net::BodyBudget> m_bodies;
   std::unique_ptr<net::HttpClient> m_http;
   std::unique_ptr<observe::Log> m_log;
   observe::Metrics m_metrics;
--- a/packages/entry/src/EntrySettings.cpp
+++ b/packages/entry/src/EntrySettings.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+constexpr std::size_t kBytesPerMb = std::size_t{ 1024 } * 1024;
+constexpr int kDefaultMemoryMb = 256;
+constexpr int kLeastMemoryMb = 16;
+constexpr int kMostMemoryMb = 1024 * 1024;
 constexpr double kLongestGraceS = 3600;
 /** Upper limit of `RetryBounds::m_floor`, far above the retries that all
  * instances together could send in a window. */
@@ -122,6 +126,10 @@
   out.m_store = ReadAddress(reader, "store").ToString();
   out.m_stopGrace =
     ReadSeconds(reader, "stopGraceSeconds", out.m_stopGrace, kLongestGraceS);
+  out.m_memory =
+    static_cast<std::size_t>(reader.OptionalInt(
+      "memoryMb", kDefaultMemoryMb, kLeastMemoryMb, kMostMemoryMb)) *
+    kBytesPerMb;
   out.m_orderTurn = Duration(reader.OptionalInt(
     "orderTurnMs", out.m_orderTurn.count(), 1, kLongestTurnMs));
   reader.Object("retries",
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -107,6 +107,7 @@
     return tl::unexpected(server.error());
   }
   m_server = std::move(*server);
+  m_server->ShareBodies(m_node.m_bodies.get());
   return {};
 }
 
--- a/packages/entry/tests/EntrySettingsTest.cpp
+++ b/packages/entry/tests/EntrySettingsTest.cpp
@@ -20,6 +20,7 @@
            { "seeds", { "10.0.0.2:9" } },
            { "store", "10.0.0.3:7" },
            { "stopGraceSeconds", 8 },
+           { "memoryMb", 120 },
            { "orderTurnMs", 4000 },
            { "quarantine", { { "enabled", false } } },
            { "upstreamStarts", { { "paced", true } } },
@@ -42,6 +43,7 @@
   ASSERT_EQ(settings->m_seeds.size(), 1U);
   EXPECT_EQ(settings->m_store, "10.0.0.3:7");
   EXPECT_EQ(settings->m_stopGrace, Duration{ 8000 });
+  EXPECT_EQ(settings->m_memory, std::size_t{ 120 } * 1024 * 1024);
   EXPECT_EQ(settings->m_orderTurn, Duration{ 4000 });
   EXPECT_FALSE(settings->m_quarantines);
   EXPECT_TRUE(settings->m_pacesStarts);
--- a/packages/net/include/ridgeferry/net/HttpServer.h
+++ b/packages/net/include/ridgeferry/net/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <ridgeferry/net/Address.h>
+#include <ridgeferry/net/BodyBudget.h>
 #include <ridgeferry/net/EventLoop.h>
 #include <ridgeferry/net/Http.h>
 #include <ridgeferry/net/NetError.h>
@@ -31,7 +32,10 @@
 class HttpExchange : public std::enable_shared_from_this<HttpExchange>
 {
 public:
-  HttpExchange(ServerConnection& aConnection, ReceivedRequest aRequest);
+  /** `aBody` is the share of the request's body in the server's budget. */
+  HttpExchange(ServerConnection& aConnection,
+               ReceivedRequest aRequest,
+               BodyShare aBody);
   ~HttpExchange();
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
@@ -85,6 +89,7 @@
 private:
   ServerConnection* m_connection; ///< Null once answered or left.
   ReceivedRequest m_request;
+  BodyShare m_body;
   std::string m_path;
   std::string m_query;
   sigc::signal<void()> m_left;
@@ -123,6 +128,10 @@
 
   /** Holds from the next request of each connection on. */
   void SetLimits(HttpServerLimits aLimits);
+  /** Bounds the bodies of all requests together: a request without room is
+   * refused with 503 before its body is taken. The budget may be shared by
+   * several servers and must outlive the server and its exchanges. */
+  void ShareBodies(BodyBudget* aBudget);
   /** From now on each answer closes its connection. */
   void StopKeeping();
   /** Closes the connections that rest between two requests. */
--- a/packages/net/src/ClientConnection.cpp
+++ b/packages/net/src/ClientConnection.cpp
@@ -97,7 +97,7 @@
 }
 
 std::string
-RequestText(const HttpRequest& aRequest)
+HeadText(const HttpRequest& aRequest)
 {
   std::string out =
     aRequest.m_method + " " + aRequest.m_target + " HTTP/1.1\r\n";
@@ -113,7 +113,7 @@
   if (!aRequest.m_body.empty() || mayHaveBody) {
     out += "Content-Length: " + std::to_string(aRequest.m_body.size()) + "\r\n";
   }
-  return out + "\r\n" + aRequest.m_body;
+  return out + "\r\n";
 }
 
 /** Seconds of `Keep-Alive: timeout=N`, if the peer tells them. */
@@ -194,8 +194,10 @@
     ToTimeval(std::min(aRequest.m_connectTimeout, aRequest.m_timeout));
   bufferevent_set_timeouts(
     m_events, &silence, m_connected ? &silence : &connect);
-  const std::string text = RequestText(aRequest);
-  bufferevent_write(m_events, text.data(), text.size());
+  const std::string head = HeadText(aRequest);
+  evbuffer* output = bufferevent_get_output(m_events);
+  evbuffer_add(output, head.data(), head.size());
+  evbuffer_add(output, aRequest.m_body.data(), aRequest.m_body.size());
 }
 
 void
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -26,9 +26,11 @@
 } // namespace
 
 HttpExchange::HttpExchange(ServerConnection& aConnection,
-                           ReceivedRequest aRequest)
+                           ReceivedRequest aRequest,
+                           BodyShare aBody)
   : m_connection(&aConnection)
   , m_request(std::move(aRequest))
+  , m_body(std::move(aBody))
 {
   const std::string_view target = m_request.m_target;
   const std::size_t mark = target.find('?');
@@ -255,6 +257,12 @@
   m_impl->m_shared.m_limits = aLimits;
 }
 
+void
+HttpServer::ShareBodies(BodyBudget* aBudget)
+{
+  m_impl->m_shared.m_bodies = aBudget;
+}
+
 void
 HttpServer::StopKeeping()
 {
--- a/packages/net/src/MessageParser.h
+++ b/packages/net/src/MessageParser.h
@@ -45,6 +45,12 @@
 
   bool HasHead() const { return this->is_header_done(); }
   bool KeepsAlive() const { return this->keep_alive(); }
+  /** Returns the length of the body that the head tells; 0 if it tells none.
+   * Precondition: `HasHead`. */
+  std::uint64_t ToldLength() const
+  {
+    return this->content_length().value_or(0);
+  }
   /** Precondition: `HasHead`. */
   BodyFraming Framing() const;
   const boost::system::error_code& Error() const { return m_error; }
--- a/packages/net/src/ServerConnection.cpp
+++ b/packages/net/src/ServerConnection.cpp
@@ -27,6 +27,10 @@
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kTooLarge = 413;
+constexpr int kUnavailable = 503;
+/** Retry-After where there is no room for a body: others are passed on within
+ * about a second, unless upstreams read slowly. */
+constexpr std::chrono::seconds kRoomRetryAfter{ 1 };
 constexpr int kHeadTooLarge = 431;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -138,6 +142,7 @@
   m_state = State::Reading;
   m_begun = false;
   m_since = m_shared.m_loop.Now();
+  m_body = BodyShare(m_shared.m_bodies);
   m_parser = std::make_unique<MessageParser<true>>(
     m_shared.m_limits.m_maxHeaderBytes, m_shared.m_limits.m_maxBodyBytes);
 }
@@ -168,6 +173,9 @@
       Refuse(kBadRequest, fault);
       return;
     }
+    if (!TakeRoom()) {
+      return;
+    }
     if (state == ParseState::NeedsMore &&
         m_parser->m_headers.Find("Expect").has_value()) {
       const std::string text =
@@ -175,11 +183,27 @@
       bufferevent_write(m_events, text.data(), text.size());
     }
   }
+  if (hadHead && !TakeRoom()) {
+    return;
+  }
   if (state == ParseState::Done) {
     Dispatch();
   }
 }
 
+bool
+ServerConnection::TakeRoom()
+{
+  std::string& body = m_parser->m_body;
+  const std::size_t told = m_parser->ToldLength();
+  if (!m_body.RaiseTo(std::max(told, body.size()))) {
+    Refuse(kUnavailable, "too much is under way", kRoomRetryAfter);
+    return false;
+  }
+  body.reserve(told); // It would grow to twice its length otherwise.
+  return true;
+}
+
 void
 ServerConnection::Dispatch()
 {
@@ -193,22 +217,34 @@
                      std::move(m_parser->m_target),
                      std::move(m_parser->m_headers),
                      std::move(m_parser->m_body),
-                     m_peer });
+                     m_peer },
+    std::move(m_body));
   m_parser.reset();
   m_exchange = exchange;
   m_shared.m_handler(exchange);
 }
 
 void
-ServerConnection::Refuse(int aStatus, std::string_view aReason)
+ServerConnection::Refuse(int aStatus,
+                         std::string_view aReason,
+                         std::chrono::seconds aRetryAfter)
 {
   m_linger = true;
+  m_parser.reset(); // What is there of its body is not needed any more.
+  m_body = BodyShare(m_shared.m_bodies);
   m_keepAlive = false;
   m_state = State::Answering;
   HttpHeaders headers;
   headers.Add("Content-Type", "application/problem+json");
-  std::string body = R"({"code":"bad-request","outcome":"not-run","status":)" +
-                     std::to_string(aStatus) + R"(,"detail":")";
+  if (aRetryAfter.count() > 0) {
+    headers.Add("Retry-After", std::to_string(aRetryAfter.count()));
+  }
+  const std::string_view code =
+    aStatus == kUnavailable ? "no-room" : "bad-request";
+  std::string body = R"({"code":")";
+  body.append(code);
+  body += R"(","outcome":"not-run","status":)" + std::to_string(aStatus) +
+          R"(,"detail":")";
   body.append(aReason);
   body += "\"}";
   SendWhole(aStatus, headers, body);
--- a/packages/net/src/ServerConnection.h
+++ b/packages/net/src/ServerConnection.h
@@ -18,6 +18,7 @@
   bool m_keepAlive = true;
   /** Called once by a connection that has ended; it is freed later. */
   sigc::slot<void(ServerConnection&)> m_ended;
+  BodyBudget* m_bodies = nullptr; ///< See `HttpServer::ShareBodies`.
 };
 
 /**
@@ -64,7 +65,13 @@
 
   void StartRequest();
   void Dispatch();
-  void Refuse(int aStatus, std::string_view aReason);
+  /** `aRetryAfter`: when to come back; 0 if that is of no use. */
+  void Refuse(int aStatus,
+              std::string_view aReason,
+              std::chrono::seconds aRetryAfter = {});
+  /** Returns whether there is room for the body of the request that is being
+   * read. Refuses it if there is none. */
+  bool TakeRoom();
   void FinishAnswer();
   void End();
   std::string HeadText(int aStatus, const HttpHeaders& aHeaders) const;
@@ -74,6 +81,7 @@
   std::string m_peer;
   State m_state = State::Reading;
   std::unique_ptr<MessageParser<true>> m_parser;
+  BodyShare m_body; ///< Of the request that is being read.
   std::weak_ptr<HttpExchange> m_exchange;
   Instant m_since; ///< Of the state, or of the last byte of a body.
   bool m_begun = false;
