A connection that is slow to come shows no end of its upstream

Cause: behind the last run that is allowed, the flow asks the same upstream to go on, to find out whether it has crashed; any attempt without a connection counted as a crash, also one that had not come about within 120 ms because the queue of new connections was full. The run of a crashed upstream does not count, so another one was asked.

Mended: AttemptNotSent says whether the upstream is known to have ended: its connection was refused, its last one fell silent without an acknowledgement (a machine that is dark, or cut off, takes no connection either), or a later incarnation is listed. A row that is missing shows no end any more, nor does anything of another instance to which a call was passed on. Else the same upstream is asked again while sends are left, and then the stream is broken off, as its caller may take it up.

RelayWorldTest counts the run of an upstream that was only slow to take a connection; it did not before, so it asks for more.

Ruled out: counting every such run without asking again, which breaks off streams of upstreams that take a connection 0.2 s later.

--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -399,7 +399,8 @@
     m_attempt.m_id = aAction.m_attempt;
     m_attempt.m_upstream = aAction.m_upstream;
     m_attempt.m_sentAt = m_node.Now();
-    Handle(relay::AttemptNotSent{ aAction.m_attempt });
+    // A row that is missing does not show that its upstream has ended.
+    Handle(relay::AttemptNotSent{ aAction.m_attempt, listed != nullptr });
     return;
   }
   const auto member = m_node.m_fleet.TargetFor(
@@ -712,6 +713,9 @@
   if (aResponse.m_tooLong) {
     NoteTooLong();
   }
+  if (aResponse.m_end != net::HttpEnd::NotSent) {
+    m_hasBrokenSilently = aResponse.m_silent;
+  }
   if (!m_attempt.m_isForwarded) {
     NoteConnection(aResponse);
     NoteReach(aResponse);
@@ -721,7 +725,8 @@
   const relay::AttemptId id = m_attempt.m_id;
   const bool closed = aResponse.m_end == net::HttpEnd::Closed;
   if (aResponse.m_end == net::HttpEnd::NotSent) {
-    Handle(relay::AttemptNotSent{ id });
+    const bool hasEnded = aResponse.m_refused || m_hasBrokenSilently;
+    Handle(relay::AttemptNotSent{ id, !m_attempt.m_isForwarded && hasEnded });
   } else if (m_attempt.m_hasHead && m_attempt.m_saidNotRun) {
     NoteRefused();
   } else if (aResponse.m_end == net::HttpEnd::Broken) {
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -307,6 +307,9 @@
   bool m_foundNoneSound = false;
   /** The latest attempts at upstreams to which no connection came about. */
   int m_unsentInRow = 0;
+  /** The latest attempt that reached an upstream ended as nothing came from it
+   * any more, not even an acknowledgement. */
+  bool m_hasBrokenSilently = false;
   /** What began the stream; std::nullopt before its first event. */
   std::optional<streams::StreamOrigin> m_origin;
   bool m_isOriginTold = false;
--- a/packages/relay/include/ridgeferry/relay/RelayFlow.h
+++ b/packages/relay/include/ridgeferry/relay/RelayFlow.h
@@ -60,6 +60,9 @@
 struct AttemptNotSent
 {
   AttemptId m_attempt = 0;
+  /** The upstream is known to have ended, or to be out of reach. A connection
+   * that was only slow to come shows neither. */
+  bool m_hasEnded = false;
 };
 /** The upstream wants no requests now, or the call may not be sent any more.
  * Nothing was sent. */
@@ -378,6 +381,8 @@
   /** Whether the call may be sent to the upstream whose stream broke, to find
    * out whether that upstream has crashed. */
   bool MayProbeSameUpstream() const;
+  /** Asks `m_upstream` once more to resume its broken stream, or gives up. */
+  void ProbeAgain(Actions& aActions);
   void FindAnotherPlace(Actions& aActions);
   /** Forwards the head of the current answer, framed no better than it is. */
   void ForwardHeadTo(Actions& aActions);
--- a/packages/relay/src/RelayFlow.cpp
+++ b/packages/relay/src/RelayFlow.cpp
@@ -195,12 +195,15 @@
     RunWithoutPrefillEngine(aActions);
     return;
   }
-  // The upstream received nothing, so `m_sends` must not include this send. If
-  // this send asked an upstream to resume its broken stream, that upstream has
-  // crashed, and its earlier run no longer counts.
+  // The upstream received nothing, so `m_sends` must not include this send.
   --m_sends;
+  if (m_probingSameUpstream && !aEvent.m_hasEnded) {
+    // Its earlier run counts, so that no other upstream may resume the stream.
+    ProbeAgain(aActions);
+    return;
+  }
   if (std::exchange(m_probingSameUpstream, false)) {
-    --m_runs;
+    --m_runs; // The run of an upstream that has ended does not count.
   }
   if (m_tries < kMaxSends) {
     FindAnotherPlace(aActions);
@@ -209,6 +212,16 @@
   }
 }
 
+void
+RelayFlow::ProbeAgain(Actions& aActions)
+{
+  if (m_repeatAllowed && m_tries < kMaxSends) {
+    StartRun(aActions);
+  } else {
+    GiveUp(kRetryAfter, aActions);
+  }
+}
+
 void
 RelayFlow::On(const AttemptWithheld& aEvent, Actions& aActions)
 {
--- a/packages/relay/tests/RelayWorldTest.cpp
+++ b/packages/relay/tests/RelayWorldTest.cpp
@@ -120,10 +120,13 @@
       if (aWhat == 2) {
         Take(AttemptRefused{ m_attempt });
       } else {
-        // The upstream cannot be reached, so it has crashed and its earlier run
-        // no longer counts.
-        m_ranAt.erase(m_runAt);
-        Take(AttemptNotSent{ m_attempt });
+        // The earlier run of an upstream that has ended no longer counts; that
+        // of one which was only slow to take a connection does.
+        const bool hasEnded = aWhat != 3;
+        if (hasEnded) {
+          m_ranAt.erase(m_runAt);
+        }
+        Take(AttemptNotSent{ m_attempt, hasEnded });
       }
     } else if (aWhat < 6) {
       CountRun();
