Streams go on behind a loss of all instances: their origins are in the store

Cause: what tells the software version that began a stream was held in memory by three instances. With all of them lost nobody knows, and a stream that nobody knows goes nowhere.

Mended: each instance keeps the origins of the streams that it began, and whose callers may still take them up, in a row of its own in the platform's table (streams::OriginLog decides when, entry::StreamOriginStore does it). All rows are read when a process starts, and where no instance knows a stream. A record is true whenever it was written, and a missing one proves nothing, so lost writes, a store that comes back older and streams that were too young cost a refusal and never join two versions.

Ruled out: holding the first event back until the record is written (each first token would wait); storing the versions that have served in place of the streams (a new version could not be used before the store has it); removing a record from the store when its stream ends (the next write leaves it out).

--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -223,6 +223,9 @@
   std::string m_usageTable;
   /** Table of ridgeferry itself: calls during which upstreams crashed. */
   std::string m_quarantineTable;
+  /** Table of ridgeferry itself: one row for each instance, with the origins of
+   * the streams that began there. */
+  std::string m_streamOriginTable;
 };
 
 } // namespace ridgeferry::entry
--- a/packages/entry/src/RelayCallAnswer.cpp
+++ b/packages/entry/src/RelayCallAnswer.cpp
@@ -117,6 +117,9 @@
 RelayCall::Do(const relay::ForwardEnd&)
 {
   LogEnd(kServed, m_attempt.m_head.m_status);
+  if (m_isOriginTold && m_start.m_streamKey && !m_start.m_forwarded) {
+    m_start.m_origins->NoteWhole(*m_start.m_streamKey);
+  }
   m_start.m_exchange->EndStream();
 }
 
--- a/packages/entry/src/StreamOriginService.cpp
+++ b/packages/entry/src/StreamOriginService.cpp
@@ -20,14 +20,23 @@
 } // namespace
 
 StreamOriginService::StreamOriginService(EntryNode& aNode,
+                                         StoreGenerations& aGenerations,
                                          Peers& aPeers,
                                          PeerSocket& aSocket)
   : m_node(aNode)
   , m_peers(aPeers)
   , m_socket(aSocket)
   , m_address(aNode.m_settings.m_peers.ToString())
+  , m_store(aNode,
+            aGenerations,
+            m_history,
+            [this](const streams::OriginRecord& aRecord) {
+              TakeRecord(aRecord);
+              Do(m_lookups.TakeRecord(aRecord.m_key, aRecord.m_origin));
+            })
   , m_memory(kLeastMemory)
 {
+  m_store.SetMemory(m_memory);
 }
 
 void
@@ -40,6 +49,7 @@
     m_node.m_metrics.Set("stream_origins_held",
                          static_cast<double>(m_table.Size()));
   });
+  m_store.Start();
 }
 
 void
@@ -51,6 +61,7 @@
       m_memory = std::max(m_memory, kCallsOfAStream * route.m_maxDuration);
     }
   }
+  m_store.SetMemory(m_memory);
 }
 
 void
@@ -94,6 +105,7 @@
 {
   const streams::OriginRecord record{ aKey, aOrigin, m_memory };
   TakeRecord(record);
+  m_store.NoteBegan(record);
   const std::vector<streams::Holder> others = Holders();
   m_socket.Send(
     { m_address, { record }, {}, {} },
@@ -177,21 +189,53 @@
 void
 StreamOriginService::Do(const streams::LookupEnded& aAction)
 {
-  const Instant now = m_node.Now();
-  const auto known = m_table.Find(aAction.m_key, now);
-  const auto [begin, end] = m_waiting.equal_range(aAction.m_key);
+  if (MayAllGoOn(aAction)) {
+    EndLookup(aAction, true);
+    return;
+  }
+  // Those that knew the stream may all be lost; the store outlasts them.
+  m_store.Read([this, aAction](bool aIsRead) { EndLookup(aAction, aIsRead); });
+}
+
+streams::OriginEvidence
+StreamOriginService::EvidenceFor(const streams::LookupEnded& aLookup,
+                                 std::string_view aService) const
+{
+  streams::OriginEvidence out = EvidenceFor(aService);
+  out.m_origin = aLookup.m_origin;
+  if (const auto known = m_table.Find(aLookup.m_key, m_node.Now())) {
+    out.m_origin = known->m_origin;
+    out.m_isAmbiguous = known->m_isAmbiguous;
+  }
+  out.m_isUnanswered = aLookup.m_isUnanswered;
+  out.m_peersSole = aLookup.m_sole;
+  return out;
+}
+
+bool
+StreamOriginService::MayAllGoOn(const streams::LookupEnded& aLookup) const
+{
+  const auto [begin, end] = m_waiting.equal_range(aLookup.m_key);
+  return std::all_of(begin, end, [&](const auto& aEntry) {
+    return std::holds_alternative<streams::GoOn>(streams::DecideOrigin(
+      EvidenceFor(aLookup, aEntry.second.m_service), m_node.Now()));
+  });
+}
+
+void
+StreamOriginService::EndLookup(const streams::LookupEnded& aLookup,
+                               bool aIsStoreRead)
+{
+  const auto [begin, end] = m_waiting.equal_range(aLookup.m_key);
   std::vector<Waiting> waiting;
   for (auto item = begin; item != end; ++item) {
     waiting.push_back(std::move(item->second));
   }
   m_waiting.erase(begin, end);
   for (const Waiting& item : waiting) {
-    streams::OriginEvidence evidence = EvidenceFor(item.m_service);
-    evidence.m_origin = aAction.m_origin;
-    evidence.m_isAmbiguous = known && known->m_isAmbiguous;
-    evidence.m_isUnanswered = aAction.m_isUnanswered;
-    evidence.m_peersSole = aAction.m_sole;
-    item.m_decided(streams::DecideOrigin(evidence, now));
+    streams::OriginEvidence evidence = EvidenceFor(aLookup, item.m_service);
+    evidence.m_isStoreUnread = !aIsStoreRead;
+    item.m_decided(streams::DecideOrigin(evidence, m_node.Now()));
   }
 }
 
--- a/packages/entry/src/StreamOriginService.h
+++ b/packages/entry/src/StreamOriginService.h
@@ -3,6 +3,7 @@
 #include "EntryNode.h"
 #include "PeerSocket.h"
 #include "Peers.h"
+#include "StreamOriginStore.h"
 
 #include <map>
 #include <ridgeferry/streams/OriginDecision.h>
@@ -26,7 +27,10 @@
   using Decided = sigc::slot<void(const streams::OriginDecision&)>;
 
   /** The arguments must outlive this object. */
-  StreamOriginService(EntryNode& aNode, Peers& aPeers, PeerSocket& aSocket);
+  StreamOriginService(EntryNode& aNode,
+                      StoreGenerations& aGenerations,
+                      Peers& aPeers,
+                      PeerSocket& aSocket);
 
   void Start();
   /** Must be called when a configuration comes into force. */
@@ -40,10 +44,13 @@
    * Must be called before its first event goes to the caller. */
   void NoteBegan(const streams::StreamKey& aKey,
                  const streams::StreamOrigin& aOrigin);
+  /** Records that the caller of a stream has all of it. */
+  void NoteWhole(const streams::StreamKey& aKey) { m_store.NoteWhole(aKey); }
   /**
    * Decides whether a stream that a caller takes up may go on. `aService` is
    * the service to which the call would go if nothing else were known. Calls
-   * back once, perhaps before it returns, and after 150 ms at the latest.
+   * back once, perhaps before it returns: after 150 ms at the latest if an
+   * instance knows the origin, else once the store has been read too.
    */
   void Find(const streams::StreamKey& aKey,
             const std::string& aService,
@@ -61,6 +68,14 @@
 
   void TakeMessage(const streams::OriginMessage& aMessage);
   void TakeRecord(const streams::OriginRecord& aRecord);
+  /** What is known of a stream once its lookup has ended. */
+  streams::OriginEvidence EvidenceFor(const streams::LookupEnded& aLookup,
+                                      std::string_view aService) const;
+  /** Whether all calls that wait for the stream may go on without a look into
+   * the store. */
+  bool MayAllGoOn(const streams::LookupEnded& aLookup) const;
+  /** Decides on all calls that wait for the stream. */
+  void EndLookup(const streams::LookupEnded& aLookup, bool aIsStoreRead);
   /** Returns the answer to one question, in a message of its own. */
   streams::OriginMessage AnswerTo(const streams::OriginQuestion& aQuestion);
   std::optional<streams::SoleVersion> SoleVersionOf(
@@ -79,6 +94,7 @@
   streams::OriginTable m_table;
   streams::OriginLookups m_lookups;
   streams::VersionHistory m_history;
+  StreamOriginStore m_store;
   std::multimap<streams::StreamKey, Waiting> m_waiting;
   bool m_hasList = false;
   Duration m_memory;
--- /dev/null
+++ b/packages/entry/src/StreamOriginStore.cpp
@@ -0,0 +1,190 @@
+#include "StreamOriginStore.h"
+
+#include <ridgeferry/streams/OriginsText.h>
+#include <utility>
+
+namespace ridgeferry::entry {
+
+namespace {
+
+constexpr Duration kTick{ 50 };
+constexpr Duration kWriteTimeout{ 1000 };
+/** For each page: the callers of streams wait for it. */
+constexpr Duration kReadTimeout{ 300 };
+/** Least time between two reads, and from a failed one to the next. */
+constexpr Duration kReadEvery{ 1000 };
+/** What is logged as the cause of a generation that was seen. */
+constexpr const char* kFrom = "the origins of streams";
+
+} // namespace
+
+StreamOriginStore::StreamOriginStore(EntryNode& aNode,
+                                     StoreGenerations& aGenerations,
+                                     const streams::VersionHistory& aHistory,
+                                     RecordHandler aOnRecord)
+  : m_node(aNode)
+  , m_generations(aGenerations)
+  , m_history(aHistory)
+  , m_onRecord(std::move(aOnRecord))
+{
+}
+
+void
+StreamOriginStore::Start()
+{
+  m_generations.SignalNewGeneration().connect(
+    [this](StoreGeneration) { m_log.NoteNewGeneration(); });
+  Read([](bool) {});
+  m_tick = m_node.m_loop->Every(kTick, [this] { Tick(); });
+}
+
+void
+StreamOriginStore::NoteBegan(const streams::OriginRecord& aRecord)
+{
+  m_log.NoteBegan(aRecord, m_node.Now());
+}
+
+void
+StreamOriginStore::Tick()
+{
+  if (!m_hasRead) {
+    Read([](bool) {});
+    return;
+  }
+  const Instant now = m_node.Now();
+  const streams::OriginLog::Terms terms{ m_node.m_instances,
+                                         m_history.HasSeveral(m_memory, now) };
+  if (const auto records = m_log.Due(now, terms)) {
+    Write(*records);
+  }
+}
+
+void
+StreamOriginStore::Write(const std::vector<streams::OriginRecord>& aRecords)
+{
+  StoreCommit commit;
+  commit.m_table = m_node.m_dialect.m_streamOriginTable;
+  commit.m_transaction.m_puts.push_back(
+    { m_node.m_settings.m_instance,
+      streams::FormatOrigins(aRecords, net::EventLoop::WallNow()) });
+  net::HttpRequest request = m_node.m_dialect.m_writeStoreCommit(commit);
+  request.m_address = m_node.m_settings.m_store;
+  request.m_timeout = kWriteTimeout;
+  net::HttpCallbacks callbacks;
+  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
+    const bool isDone = m_node.m_dialect.m_readStoreCommit(aResponse) ==
+                        table::CommitResult::Committed;
+    m_node.m_metrics.Count(isDone ? "stream_origin_writes_total"
+                                  : "stream_origin_writes_failed_total");
+    if (!isDone) {
+      m_node.m_log->Write(
+        observe::LogLevel::Warning,
+        "stream-origins-not-written",
+        { { "streams", static_cast<std::int64_t>(m_log.Size()) },
+          { "status", std::int64_t{ aResponse.m_head.m_status } } });
+    }
+    m_log.NoteWritten(isDone, m_node.Now());
+    m_generations.Note(m_generations.Of(aResponse), kFrom);
+  };
+  m_node.m_http->Send(request, std::move(callbacks));
+}
+
+void
+StreamOriginStore::Read(const ReadDone& aDone)
+{
+  const Instant now = m_node.Now();
+  if (!m_isReading && m_readAt && now - *m_readAt < kReadEvery) {
+    aDone(m_hasRead);
+    return;
+  }
+  m_waiting.push_back(aDone);
+  if (!std::exchange(m_isReading, true)) {
+    m_readAt = now;
+    m_recordsRead = 0;
+    ReadPage({});
+  }
+}
+
+void
+StreamOriginStore::ReadPage(std::string aFromKey)
+{
+  StoreRead read;
+  read.m_table = m_node.m_dialect.m_streamOriginTable;
+  read.m_fromKey = std::move(aFromKey);
+  net::HttpRequest request = m_node.m_dialect.m_writeStoreRead(read);
+  request.m_address = m_node.m_settings.m_store;
+  request.m_timeout = kReadTimeout;
+  request.m_connectTimeout = kReadTimeout;
+  request.m_maxBody = net::kMaxStoreBody;
+  request.m_fresh = m_needsFreshConnection;
+  net::HttpCallbacks callbacks;
+  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
+    TakePage(aResponse);
+    m_generations.Note(m_generations.Of(aResponse), kFrom);
+  };
+  m_node.m_metrics.Count("stream_origin_reads_total");
+  m_node.m_http->Send(request, std::move(callbacks));
+}
+
+void
+StreamOriginStore::TakePage(const net::HttpResponse& aResponse)
+{
+  m_needsFreshConnection = !net::HasAnswer(aResponse);
+  const StoreAnswer answer =
+    !m_needsFreshConnection
+      ? m_node.m_dialect.m_readStoreAnswer(aResponse)
+      : StoreAnswer(relay::ReadFailed{ "no complete answer" });
+  const auto* page = std::get_if<StorePage>(&answer);
+  if (page == nullptr) {
+    EndRead(false);
+    return;
+  }
+  for (const relay::FollowedRow& row : page->m_rows) {
+    TakeRow(row);
+  }
+  if (page->m_hasMore && !page->m_rows.empty()) {
+    // The next page starts at the smallest key above the last one read.
+    ReadPage(page->m_rows.back().m_key + '\0');
+    return;
+  }
+  EndRead(true);
+}
+
+void
+StreamOriginStore::TakeRow(const relay::FollowedRow& aRow)
+{
+  const auto records =
+    streams::ParseOrigins(aRow.m_value, net::EventLoop::WallNow(), m_memory);
+  if (!records) {
+    m_node.m_log->Write(
+      observe::LogLevel::Error,
+      "stream-origins-rejected",
+      { { "row", aRow.m_key }, { "fault", records.error() } });
+    return;
+  }
+  m_recordsRead += records->size();
+  const bool isOwn = aRow.m_key == m_node.m_settings.m_instance;
+  for (const streams::OriginRecord& record : *records) {
+    m_onRecord(record);
+    if (isOwn && !m_hasRead) {
+      m_log.NoteEarlier(record, m_node.Now());
+    }
+  }
+}
+
+void
+StreamOriginStore::EndRead(bool aIsRead)
+{
+  m_isReading = false;
+  m_hasRead = m_hasRead || aIsRead;
+  m_node.m_log->Write(
+    aIsRead ? observe::LogLevel::Info : observe::LogLevel::Warning,
+    aIsRead ? "stream-origins-read" : "stream-origins-not-read",
+    { { "streams", static_cast<std::int64_t>(m_recordsRead) },
+      { "tookMs", (m_node.Now() - *m_readAt).count() } });
+  for (const ReadDone& done : std::exchange(m_waiting, {})) {
+    done(aIsRead);
+  }
+}
+
+} // namespace ridgeferry::entry
--- a/packages/streams/include/ridgeferry/streams/OriginDecision.h
+++ b/packages/streams/include/ridgeferry/streams/OriginDecision.h
@@ -29,6 +29,8 @@
   bool m_hasList = false;
   /** Longest time from the beginning of a stream to a try that takes it up. */
   Duration m_memory{};
+  /** The origins in the store could not be read. */
+  bool m_isStoreUnread = false;
 };
 
 /** Why a stream may go on. */
@@ -52,7 +54,8 @@
   {
     Ambiguous, ///< Several origins were told.
     Unknown,   ///< Nobody knows which of several versions began it.
-    /** The same, but an instance that may know has not answered yet. */
+    /** The same, but an instance that may know, or the store, has not answered
+     * yet. */
     Unanswered,
   };
   Cause m_cause = Cause::Unknown;
@@ -66,6 +69,8 @@
 /** When callers of a stream come back whose origin was not told in time: an
  * instance that was only slow answers by then. */
 inline constexpr Duration kOriginRetryAfter{ 250 };
+/** The same if the store did not answer, which is asked once a second. */
+inline constexpr Duration kOriginStoreRetryAfter{ 1000 };
 
 /** Decides whether a stream that a caller takes up may go on, and where.
  * Thread-safe. */
--- a/packages/streams/include/ridgeferry/streams/VersionHistory.h
+++ b/packages/streams/include/ridgeferry/streams/VersionHistory.h
@@ -42,6 +42,9 @@
                                            Duration aMemory,
                                            Instant aNow) const;
 
+  /** Whether any service has had several versions within `aMemory`. */
+  bool HasSeveral(Duration aMemory, Instant aNow) const;
+
 private:
   struct Service
   {
--- a/packages/streams/src/OriginDecision.cpp
+++ b/packages/streams/src/OriginDecision.cpp
@@ -40,6 +40,10 @@
     return GoOn{ { std::string(aEvidence.m_service), sole->m_softwareVersion },
                  OriginProof::SoleVersion };
   }
+  if (aEvidence.m_isStoreUnread) {
+    return RefuseTakeUp{ RefuseTakeUp::Cause::Unanswered,
+                         kOriginStoreRetryAfter };
+  }
   if (aEvidence.m_isUnanswered) {
     return RefuseTakeUp{ RefuseTakeUp::Cause::Unanswered, kOriginRetryAfter };
   }
--- a/packages/streams/src/VersionHistory.cpp
+++ b/packages/streams/src/VersionHistory.cpp
@@ -52,4 +52,17 @@
   return SoleVersion{ latest->first, aNow - since };
 }
 
+bool
+VersionHistory::HasSeveral(Duration aMemory, Instant aNow) const
+{
+  const auto isRecent = [&](const auto& aVersion) {
+    return aNow - aVersion.second < aMemory;
+  };
+  return std::any_of(
+    m_services.begin(), m_services.end(), [&](const auto& aService) {
+      const auto& versions = aService.second.m_lastSeen;
+      return std::count_if(versions.begin(), versions.end(), isRecent) > 1;
+    });
+}
+
 } // namespace ridgeferry::streams
--- a/packages/streams/tests/OriginTest.cpp
+++ b/packages/streams/tests/OriginTest.cpp
@@ -181,6 +181,7 @@
   /** The version that goes on; empty: refused. */
   const char* m_goesOn;
   Duration m_retryAfter{};
+  bool m_isStoreUnread = false;
 };
 
 std::ostream&
@@ -206,7 +207,8 @@
                                                  history,
                                                  GetParam().m_peersSole,
                                                  GetParam().m_hasList,
-                                                 kMemory },
+                                                 kMemory,
+                                                 GetParam().m_isStoreUnread },
                                                kNow);
   const auto* goOn = std::get_if<GoOn>(&decision);
   EXPECT_EQ(goOn == nullptr ? "" : goOn->m_origin.m_softwareVersion,
@@ -317,6 +319,26 @@
                   true,
                   "",
                   kOriginRetryAfter },
+    DecisionCase{ "SeveralAndTheStoreIsAway",
+                  kBoth,
+                  {},
+                  false,
+                  false,
+                  {},
+                  true,
+                  "",
+                  kOriginStoreRetryAfter,
+                  true },
+    DecisionCase{ "OneVersionForLongAndTheStoreIsAway",
+                  kLongV1,
+                  {},
+                  false,
+                  false,
+                  {},
+                  true,
+                  "v1",
+                  {},
+                  true },
     DecisionCase{ "NothingListed",
                   {},
                   {},
--- a/packages/streams/tests/StreamOriginWorld.cpp
+++ b/packages/streams/tests/StreamOriginWorld.cpp
@@ -26,6 +26,8 @@
 constexpr Duration kLongestStream{ 2000 };
 constexpr int kTries = 5;
 constexpr double kStepsPerSecond = 1000.0 / 5;
+/** Some time before a loss: what the store's copy misses. */
+constexpr Duration kCopyAge{ 1500 };
 
 std::string
 NameOf(int aVersion)
@@ -57,6 +59,9 @@
   if (m_terms.m_rolloutEvery.count() > 0) {
     m_nextChange = m_now + m_terms.m_rolloutEvery / 4;
   }
+  if (m_terms.m_allLostEvery.count() > 0) {
+    m_nextLoss = m_now + m_terms.m_allLostEvery;
+  }
 }
 
 bool
@@ -158,11 +163,9 @@
 StreamOriginWorld::MoveNodes()
 {
   if (Happens(m_terms.m_kills)) {
-    Node& node = m_nodes[DrawBelow(m_nodes.size())];
-    node.m_alive = false;
-    node.m_changedAt = m_now;
-    node.m_startsAt = m_now + kRestart;
+    EndNode(m_nodes[DrawBelow(m_nodes.size())]);
   }
+  LoseAll();
   if (Happens(m_terms.m_suspensions)) {
     Node& node = m_nodes[DrawBelow(m_nodes.size())];
     node.m_suspendedUntil = m_now + Duration{ 200 + m_random() % 2000 };
@@ -179,10 +182,48 @@
       node.m_table = {};
       node.m_lookups = {};
       node.m_history = {};
+      node.m_log = {};
+      node.m_hasReadStore = false;
+      node.m_readStoreAt.reset();
+      node.m_isReadingStore = false;
+      ++node.m_life;
     }
   }
 }
 
+void
+StreamOriginWorld::EndNode(Node& aNode)
+{
+  aNode.m_alive = false;
+  aNode.m_changedAt = m_now;
+  aNode.m_startsAt = m_now + kRestart;
+}
+
+void
+StreamOriginWorld::LoseAll()
+{
+  if (!m_nextLoss) {
+    return;
+  }
+  if (m_now + kCopyAge == *m_nextLoss) {
+    m_copy = m_stored;
+  }
+  if (m_now < *m_nextLoss) {
+    return;
+  }
+  m_nextLoss = m_now + m_terms.m_allLostEvery;
+  for (Node& node : m_nodes) {
+    EndNode(node);
+  }
+  for (auto& [id, stream] : m_streams) {
+    stream.m_isLostWithAll = stream.m_node.has_value();
+  }
+  if (m_terms.m_hasOldCopies) {
+    m_stored = m_copy;
+    m_storeCalls.clear();
+  }
+}
+
 void
 StreamOriginWorld::Begin()
 {
@@ -212,6 +253,7 @@
                              kMemory };
   Node& node = m_nodes[aNode];
   node.m_table.Put(record, m_now);
+  node.m_log.NoteBegan(record, m_now);
   const std::vector<Holder> others = OthersOf(aNode);
   std::vector<std::string> to;
   if (m_terms.m_telling == Telling::Holders) {
@@ -290,8 +332,12 @@
   }
   std::erase_if(m_streams, [&](const auto& aEntry) {
     const Stream& stream = aEntry.second;
-    return stream.m_node ? m_now >= stream.m_endsAt
-                         : stream.m_tries >= kTries && !stream.m_isWaiting;
+    const bool isWhole = stream.m_node && m_now >= stream.m_endsAt;
+    if (isWhole) {
+      m_nodes[*stream.m_node].m_log.NoteWhole(stream.m_key);
+    }
+    return isWhole ||
+           (!stream.m_node && stream.m_tries >= kTries && !stream.m_isWaiting);
   });
 }
 
@@ -301,6 +347,7 @@
   for (auto& [id, stream] : m_streams) {
     if (stream.m_isWaiting && !Runs(stream.m_askedAt)) {
       stream.m_isWaiting = false;
+      stream.m_ended.reset();
       stream.m_nextTry = m_now + Duration{ 100 };
     }
     if (!stream.m_node && !stream.m_isWaiting && m_now >= stream.m_nextTry) {
@@ -321,6 +368,9 @@
     ++m_result.m_takenUp;
     aStream.m_isInTouch = IsInTouch(aNode) && EnginesOf(aStream.m_version) >= 2;
     m_result.m_takenUpInTouch += aStream.m_isInTouch ? 1 : 0;
+    aStream.m_isBehindLoss = std::exchange(aStream.m_isLostWithAll, false) &&
+                             EnginesOf(aStream.m_version) >= 2;
+    m_result.m_takenUpBehindLoss += aStream.m_isBehindLoss ? 1 : 0;
   }
   Node& node = m_nodes[aNode];
   OriginEvidence evidence{ kService,       {}, false, false,
@@ -368,6 +418,8 @@
   m_result.m_mixed += isMixed ? 1 : 0;
   ++m_result.m_goOn;
   m_result.m_goOnInTouch += aStream.m_isInTouch ? 1 : 0;
+  m_result.m_goOnBehindLoss +=
+    std::exchange(aStream.m_isBehindLoss, false) ? 1 : 0;
   aStream.m_node = aNode;
   aStream.m_endsAt = m_now + Duration{ 500 };
   aStream.m_isCounted = false;
@@ -391,13 +443,36 @@
     for (auto& [id, stream] : m_streams) {
       if (stream.m_isWaiting && stream.m_askedAt == aNode &&
           stream.m_key == ended.m_key) {
-        OriginEvidence evidence{ kService,       ended.m_origin,
-                                 false,          ended.m_isUnanswered,
-                                 node.m_history, ended.m_sole,
-                                 true,           kMemory };
-        Decide(stream, aNode, evidence);
+        stream.m_ended = ended;
       }
     }
+    const bool looksIntoStore =
+      m_terms.m_allLostEvery.count() > 0 && !ended.m_origin;
+    if (!looksIntoStore || !ReadOrigins(aNode)) {
+      DecideWaiting(aNode, looksIntoStore && !node.m_hasReadStore);
+    }
+  }
+}
+
+void
+StreamOriginWorld::DecideWaiting(std::size_t aNode, bool aIsStoreUnread)
+{
+  Node& node = m_nodes[aNode];
+  for (auto& [id, stream] : m_streams) {
+    if (!stream.m_isWaiting || stream.m_askedAt != aNode || !stream.m_ended) {
+      continue;
+    }
+    const LookupEnded ended = *std::exchange(stream.m_ended, std::nullopt);
+    OriginEvidence evidence{ kService,       ended.m_origin,
+                             false,          ended.m_isUnanswered,
+                             node.m_history, ended.m_sole,
+                             true,           kMemory,
+                             aIsStoreUnread };
+    if (const auto known = node.m_table.Find(stream.m_key, m_now)) {
+      evidence.m_origin = known->m_origin;
+      evidence.m_isAmbiguous = known->m_isAmbiguous;
+    }
+    Decide(stream, aNode, evidence);
   }
 }
 
@@ -421,9 +496,11 @@
     MoveEngines();
     MoveNodes();
     Deliver();
+    AnswerStoreCalls();
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
       if (Runs(i)) {
         NoteListed(i);
+        WriteOrigins(i);
         Do(i, m_nodes[i].m_lookups.Tick(m_now));
       }
     }
--- a/packages/streams/tests/StreamOriginWorld.h
+++ b/packages/streams/tests/StreamOriginWorld.h
@@ -6,6 +6,7 @@
 #include <random>
 #include <ridgeferry/streams/OriginDecision.h>
 #include <ridgeferry/streams/OriginHolders.h>
+#include <ridgeferry/streams/OriginLog.h>
 #include <ridgeferry/streams/OriginLookup.h>
 #include <ridgeferry/streams/OriginMessage.h>
 #include <ridgeferry/streams/OriginTable.h>
@@ -44,6 +45,17 @@
   Duration m_rolloutEvery{};
   /** A data centre is cut off from the others for part of the time. */
   bool m_hasCut = false;
+  /** How often all instances are lost at once; 0: never. */
+  Duration m_allLostEvery{};
+  /** Share of the writes to the store that are not answered. Each second one of
+   * them is done all the same, up to `m_longestWrite` later. */
+  double m_lostWrites = 0;
+  Duration m_longestWrite{ 60 };
+  /** The store is away for the second half of each so long; 0: never. */
+  Duration m_storeAwayEvery{};
+  /** With each loss of all instances the store comes back from a copy of before
+   * the loss. */
+  bool m_hasOldCopies = false;
   Duration m_length{ 12'000 };
 };
 
@@ -54,6 +66,10 @@
   /** Of those whose instance and version were there all the while. */
   int m_takenUpInTouch = 0;
   int m_goOnInTouch = 0;
+  /** Of those that broke off with all instances, and whose version was there
+   * when their callers came back. */
+  int m_takenUpBehindLoss = 0;
+  int m_goOnBehindLoss = 0;
   int m_mixed = 0; ///< Streams that two versions wrote.
   std::uint64_t m_messages = 0;
 };
@@ -86,6 +102,11 @@
     OriginTable m_table;
     OriginLookups m_lookups;
     VersionHistory m_history;
+    OriginLog m_log;
+    bool m_hasReadStore = false;
+    std::optional<Instant> m_readStoreAt; ///< When a read began.
+    bool m_isReadingStore = false;
+    std::uint64_t m_life = 0;
   };
   struct Stream
   {
@@ -95,10 +116,29 @@
     Instant m_endsAt;
     Instant m_nextTry;
     int m_tries = 0;
-    bool m_isWaiting = false; ///< For the end of a lookup.
+    bool m_isWaiting = false;           ///< For the end of a lookup.
+    std::optional<LookupEnded> m_ended; ///< While the store is read.
     std::size_t m_askedAt = 0;
     bool m_isCounted = false; ///< As taken up.
     bool m_isInTouch = false; ///< When it was taken up.
+    bool m_isLostWithAll = false;
+    bool m_isBehindLoss = false; ///< Counted as taken up behind a loss.
+  };
+  /** An instance's row of the store. */
+  struct StoredRow
+  {
+    std::vector<OriginRecord> m_records;
+    Instant m_at;
+  };
+  using StoredRows = std::map<std::size_t, StoredRow>; ///< By instance.
+  struct StoreCall
+  {
+    std::size_t m_node = 0;
+    std::uint64_t m_life = 0; ///< Of the instance that made it.
+    /** What is written; std::nullopt in a read. */
+    std::optional<std::vector<OriginRecord>> m_records;
+    bool m_isDone = true;
+    bool m_isAnswered = true;
   };
   struct Datagram
   {
@@ -141,6 +181,18 @@
   void Deliver();
   void Take(std::size_t aNode, const OriginMessage& aMessage);
   void Do(std::size_t aNode, const std::vector<LookupAction>& aActions);
+  /** Decides on the streams at an instance whose lookups have ended. */
+  void DecideWaiting(std::size_t aNode, bool aIsStoreUnread);
+  void EndNode(Node& aNode);
+  void LoseAll();
+
+  // ---- the store ----
+  bool IsStoreAway() const;
+  void WriteOrigins(std::size_t aNode);
+  /** Returns whether a read is under way behind the call. */
+  bool ReadOrigins(std::size_t aNode);
+  void AnswerStoreCalls();
+  void TakeStored(std::size_t aNode);
 
   WorldTerms m_terms;
   std::mt19937_64 m_random;
@@ -154,6 +206,10 @@
   std::map<std::uint64_t, Stream> m_streams;
   std::uint64_t m_lastStream = 0;
   std::multimap<Instant, Datagram> m_underWay;
+  StoredRows m_stored;
+  StoredRows m_copy;
+  std::multimap<Instant, StoreCall> m_storeCalls;
+  std::optional<Instant> m_nextLoss;
   WorldResult m_result;
 };
 
--- a/packages/streams/tests/StreamOriginWorldTest.cpp
+++ b/packages/streams/tests/StreamOriginWorldTest.cpp
@@ -69,6 +69,93 @@
     WorldCase{ "All", Terms(0.4, 0.3, true, kOften), kLeastInTrouble }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+// ---- losses of all instances ----
+
+/** Where the store is away or comes back older, what was written may be gone:
+ * then it is enough that no stream changes version. */
+constexpr int kNone = 0;
+
+WorldTerms
+LossTerms(Duration aEvery, Duration aRolloutEvery)
+{
+  WorldTerms out;
+  out.m_allLostEvery = aEvery;
+  out.m_rolloutEvery = aRolloutEvery;
+  return out;
+}
+
+/** The same, with trouble of the store. */
+WorldTerms
+WithStore(WorldTerms aTerms,
+          double aLostWrites,
+          Duration aLongestWrite,
+          Duration aAwayEvery,
+          bool aHasOldCopies)
+{
+  aTerms.m_lostWrites = aLostWrites;
+  aTerms.m_longestWrite = aLongestWrite;
+  aTerms.m_storeAwayEvery = aAwayEvery;
+  aTerms.m_hasOldCopies = aHasOldCopies;
+  return aTerms;
+}
+
+class LossOfAllWorldTest : public ::testing::TestWithParam<WorldCase>
+{};
+
+// Guards against streams that nobody can take up behind a loss of all
+// instances, and against streams of two versions there.
+TEST_P(LossOfAllWorldTest, NoStreamChangesVersionAndHalfGoOn)
+{
+  int takenUp = 0;
+  int goOn = 0;
+  EXPECT_TRUE(rc::check(GetParam().m_name, [&] {
+    const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>());
+    const WorldResult result =
+      StreamOriginWorld(GetParam().m_terms, seed).Play();
+    RC_ASSERT(result.m_mixed == 0);
+    takenUp += result.m_takenUpBehindLoss;
+    goOn += result.m_goOnBehindLoss;
+  }));
+  EXPECT_GT(takenUp, 0);
+  EXPECT_GE(goOn * 100, takenUp * GetParam().m_leastGoOn)
+    << goOn << " of " << takenUp;
+  std::cout << GetParam().m_name << ": " << goOn << " of " << takenUp
+            << " went on\n";
+}
+
+constexpr Duration kOnce{ 7000 };
+constexpr Duration kTwice{ 4000 };
+/** Three versions serve within the time that is played. */
+constexpr Duration kQuickRollouts{ 2500 };
+
+INSTANTIATE_TEST_SUITE_P(
+  Losses,
+  LossOfAllWorldTest,
+  ::testing::Values(
+    WorldCase{ "Once", LossTerms(kOnce, kOften), kLeastInTrouble },
+    WorldCase{ "Twice", LossTerms(kTwice, kOften), kLeastInTrouble },
+    WorldCase{ "TwiceThreeVersions",
+               LossTerms(kTwice, kQuickRollouts),
+               kLeastInTrouble },
+    WorldCase{ "SlowStore",
+               WithStore(LossTerms(kOnce, kOften), 0, kOften, {}, false),
+               kNone },
+    WorldCase{ "LostWrites",
+               WithStore(LossTerms(kOnce, kOften), 0.3, kOnce, {}, false),
+               kNone },
+    WorldCase{ "StoreAway",
+               WithStore(LossTerms(kTwice, kOften), 0.1, kTwice, kOnce, false),
+               kNone },
+    WorldCase{
+      "OldCopies",
+      WithStore(LossTerms(kTwice, kOften), 0, Duration{ 60 }, {}, true),
+      kNone },
+    WorldCase{
+      "All",
+      WithStore(LossTerms(kTwice, kQuickRollouts), 0.3, kOften, kOnce, true),
+      kNone }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 struct WayCase
 {
   const char* m_name;
--- a/tests/soak/SoftwareVersionTest.cpp
+++ b/tests/soak/SoftwareVersionTest.cpp
@@ -10,6 +10,7 @@
 #include <ostream>
 #include <ridgeferry/net/HttpClient.h>
 #include <set>
+#include <vector>
 
 namespace ridgeferry::soak {
 namespace {
@@ -23,11 +24,15 @@
 constexpr Duration kEventEvery{ 25 };
 /** Streams are broken once all have begun and none has ended. */
 constexpr Duration kBreakAfter{ 500 };
+/** The same where one version serves, as origins are stored later there. */
+constexpr Duration kBreakLater{ 1250 };
 constexpr Duration kTakenUpAfter{ 20 };
 /** Tries of a caller to take its stream up. */
 constexpr int kTries = 4;
 constexpr Duration kDownFor{ 1000 };
 constexpr Duration kUntilAllAreBack{ 1800 };
+/** Until the second kill: shorter than the rest of a stream. */
+constexpr Duration kGoOnFor{ 500 };
 constexpr Duration kLongestStream{ 6000 };
 
 std::string
@@ -125,12 +130,22 @@
 enum class Break
 {
   AllInstancesKilled, ///< They are back while callers still try.
+  /** And again, once the streams have gone on for some time. */
+  AllInstancesKilledTwice,
+  /** The store comes back without what was written since the streams began. */
+  AllInstancesKilledAndOldStore,
   InstanceKilled,
   TwoInstancesKilled,
   UpstreamConnections,
   VersionLeaves, ///< The first one: its rows go and its streams break.
 };
 
+/** The old version has less room, so that chance would lead away from it. */
+const std::vector<const char*> kTwoVersions{
+  "v1", "v1", "v2", "v2", "v2", "v2"
+};
+const std::vector<const char*> kOneVersion{ "v1", "v1", "v1" };
+
 struct BreakCase
 {
   const char* m_name;
@@ -139,6 +154,9 @@
    * percent. */
   int m_leastGoOn;
   Duration m_takenUpAfter = kTakenUpAfter;
+  /** Of the upstreams, which run one version or several. */
+  std::vector<const char*> m_versions = kTwoVersions;
+  Duration m_breakAfter = kBreakAfter;
 };
 
 std::ostream&
@@ -166,8 +184,7 @@
                 R"("kind":"streaming","resumable":true,"timeout_ms":20000,)"
                 R"("max_attempts":2,"service":"s"}],)"
                 R"("services":[{"name":"s","max_connections":300}]})");
-    // The old version has less room, so that chance would lead away from it.
-    for (const char* version : { "v1", "v1", "v2", "v2", "v2", "v2" }) {
+    for (const char* version : GetParam().m_versions) {
       const auto& worker =
         m_workers.emplace_back(std::make_unique<VersionedWorker>(
           *m_loop, "i-" + std::to_string(m_workers.size()), version));
@@ -177,6 +194,7 @@
                                      *net::Address::Parse(m_store.Address())));
     ASSERT_TRUE(RunUntil([this] { return m_instances.AllReady(); }));
     RunFor(Duration{ 500 }); // Until the instances have heard of each other.
+    m_store.KeepCopy();
   }
 
   void BeginStreams()
@@ -259,10 +277,16 @@
   {
     auto& instances = m_instances.All();
     switch (GetParam().m_break) {
+      case Break::AllInstancesKilledTwice:
+        KillAll();
+        RunFor(kUntilAllAreBack + kGoOnFor);
+        [[fallthrough]];
       case Break::AllInstancesKilled:
-        for (const auto& instance : instances) {
-          m_instances.Kill(*instance, kDownFor);
-        }
+        KillAll();
+        return;
+      case Break::AllInstancesKilledAndOldStore:
+        KillAll();
+        m_store.ComeBackFromCopy();
         return;
       case Break::TwoInstancesKilled:
         m_instances.Kill(*instances[1], kLongestStream);
@@ -282,6 +306,13 @@
     }
   }
 
+  void KillAll()
+  {
+    for (const auto& instance : m_instances.All()) {
+      m_instances.Kill(*instance, kDownFor);
+    }
+  }
+
   net::HttpClient m_client;
   std::vector<std::unique_ptr<VersionedWorker>> m_workers;
   std::list<CallersStream> m_streams;
@@ -293,7 +324,7 @@
 {
   StartAll();
   BeginStreams();
-  RunFor(kBreakAfter);
+  RunFor(GetParam().m_breakAfter);
   for (const CallersStream& stream : m_streams) {
     ASSERT_GT(stream.m_lastEvent, 0);
     ASSERT_LT(stream.m_lastEvent, kEvents);
@@ -325,9 +356,23 @@
     BreakCase{ "TwoInstancesKilled", Break::TwoInstancesKilled, 90 },
     BreakCase{ "UpstreamConnections", Break::UpstreamConnections, 90 },
     BreakCase{ "VersionLeaves", Break::VersionLeaves, 0 },
-    // All that was known of the streams is gone, so that none may go on.
     BreakCase{ "AllInstancesKilled",
                Break::AllInstancesKilled,
+               90,
+               kUntilAllAreBack },
+    BreakCase{ "AllInstancesKilledTwice",
+               Break::AllInstancesKilledTwice,
+               90,
+               kUntilAllAreBack },
+    BreakCase{ "AllInstancesKilledOneVersion",
+               Break::AllInstancesKilled,
+               90,
+               kUntilAllAreBack,
+               kOneVersion,
+               kBreakLater },
+    // All that was known of the streams is gone, so that none may go on.
+    BreakCase{ "AllInstancesKilledAndOldStore",
+               Break::AllInstancesKilledAndOldStore,
                0,
                kUntilAllAreBack }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
