A configuration of whose age nothing is known refuses nothing for good

What callers would see: 404, after which they do not come back, at an instance that has just started and has taken its configuration from another one that was itself behind (just back from a cut), until it hears of the later one.

What is known of the version reached the decision, but nothing known counted as a good proof: the age of the configuration was compared only if there was one. For keys an unknown age decides nothing; for routes it decided for good.

Mended: freshness::MayBeOld, a pure function of the proven age and the known lag, says that a table without a proof may be old. Calls that the configuration allows are served as before.

Ruled out: to hold readiness back until the age is proven (an instance that the store turns away would serve nothing); to ask for a majority of peers (there is no such group).

--- a/packages/entry/src/ConfigFreshness.cpp
+++ b/packages/entry/src/ConfigFreshness.cpp
@@ -8,10 +8,6 @@
  * none is known. An instance that has just started can use no proof of its
  * peers before it has one. */
 constexpr Duration kTick{ 200 };
-/** Proven age above which a configuration may be old. While the store answers,
- * its readers prove the age at least each 2.8 s, and heartbeats carry that to
- * other data centres within 2.4 s. */
-constexpr Duration kLongestUnproven{ 6000 };
 
 } // namespace
 
@@ -66,8 +62,7 @@
 bool
 ConfigFreshness::MayBeOld() const
 {
-  const std::optional<Duration> age = Age();
-  return KnownLag().has_value() || (age && *age > kLongestUnproven);
+  return freshness::MayBeOld({ Age(), KnownLag() });
 }
 
 bool
--- a/packages/entry/src/ConfigFreshness.h
+++ b/packages/entry/src/ConfigFreshness.h
@@ -5,6 +5,7 @@
 #include "StoreReader.h"
 
 #include <ridgeferry/freshness/ProvenAge.h>
+#include <ridgeferry/freshness/TableAge.h>
 #include <ridgeferry/keys/KeyCheck.h>
 
 namespace ridgeferry::entry {
@@ -46,10 +47,9 @@
   /** Returns for how long another instance has been known to have read a later
    * change than this one; std::nullopt if none is known to. */
   std::optional<Duration> KnownLag() const { return m_config.KnownLag(); }
-  /** Returns whether the configuration in force may be an older one: others are
-   * known to hold a later one, or too much time has passed since the store was
-   * known to hold no later one. A refusal that rests on it must then let the
-   * caller come back. */
+  /** Returns whether the configuration in force may be an older one (see
+   * `freshness::MayBeOld`). A refusal that rests on it must then let the caller
+   * come back. */
   bool MayBeOld() const;
   /** Returns whether calls may be sent to upstreams by their keys now. */
   bool AllowsKeys() const;
