Calls to our own tables of the store stand once; rows of instances in a file of their own

Now StoreCalls makes these calls: it notes the generation that an answer names, tells the outcome, and takes a fresh connection behind a call that got no answer, which only the reader of followed tables and the origins of streams did before: a kept connection that has fallen silent no longer eats the next call too. InstanceRows is what Peers had of the store.

Ruled out: noting the generation behind the callback (as the report of usage and the origins did): the lease needs it before, and the others may learn it from another component's answer before theirs at any time, so they bear both orders.

No change of what is called or written.

--- a/packages/entry/src/OrderLease.cpp
+++ b/packages/entry/src/OrderLease.cpp
@@ -19,7 +19,6 @@
  * each would count itself among the contenders. The value is twice the longest
  * time between two heartbeats of a peer in the same data centre. */
 constexpr Duration kMinAgeToContend{ 500 };
-constexpr Duration kStoreTimeout{ 1000 };
 
 authority::LeaseTimes
 TimesFor(Duration aTurn)
@@ -46,6 +45,7 @@
                        Peers& aPeers)
   : m_node(aNode)
   , m_generations(aGenerations)
+  , m_calls(aNode, aGenerations, "a call for the lease")
   , m_peers(aPeers)
   , m_lease(
       kScope,
@@ -117,25 +117,15 @@
 {
   StoreRead read;
   read.m_table = m_node.m_dialect.m_leaseTable;
-  net::HttpRequest request = m_node.m_dialect.m_writeStoreRead(read);
-  request.m_address = m_node.m_settings.m_store;
-  request.m_timeout = kStoreTimeout;
-  net::HttpCallbacks callbacks;
-  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
-    authority::LeaseRead event;
-    const StoreGeneration generation = m_generations.Of(aResponse);
-    m_generations.Note(generation, "a call for the lease");
-    const bool whole = net::HasAnswer(aResponse);
-    const StoreAnswer answer =
-      whole ? m_node.m_dialect.m_readStoreAnswer(aResponse)
-            : StoreAnswer(relay::ReadFailed{ "no complete answer" });
-    if (const auto* page = std::get_if<StorePage>(&answer)) {
-      event = TakeRows(*page);
-    }
-    event.m_generation = generation;
-    Handle(event);
-  };
-  m_node.m_http->Send(request, std::move(callbacks));
+  m_calls.Read(read,
+               [this](const StoreAnswer& aAnswer, StoreGeneration aGeneration) {
+                 authority::LeaseRead event;
+                 if (const auto* page = std::get_if<StorePage>(&aAnswer)) {
+                   event = TakeRows(*page);
+                 }
+                 event.m_generation = aGeneration;
+                 Handle(event);
+               });
 }
 
 authority::LeaseRead
@@ -165,18 +155,11 @@
 void
 OrderLease::Do(const authority::WriteLease& aAction)
 {
-  net::HttpRequest request = m_node.m_dialect.m_writeStoreCommit(
-    { m_node.m_dialect.m_leaseTable, aAction.m_transaction });
-  request.m_address = m_node.m_settings.m_store;
-  request.m_timeout = kStoreTimeout;
-  net::HttpCallbacks callbacks;
-  callbacks.m_done =
-    [this, attempt = aAction.m_attempt](const net::HttpResponse& aResponse) {
-      m_generations.Note(m_generations.Of(aResponse), "a call for the lease");
-      Handle(authority::LeaseWritten{
-        attempt, m_node.m_dialect.m_readStoreCommit(aResponse) });
-    };
-  m_node.m_http->Send(request, std::move(callbacks));
+  m_calls.Commit(
+    { m_node.m_dialect.m_leaseTable, aAction.m_transaction },
+    [this, attempt = aAction.m_attempt](table::CommitResult aResult) {
+      Handle(authority::LeaseWritten{ attempt, aResult });
+    });
 }
 
 void
--- a/packages/entry/src/OrderLease.h
+++ b/packages/entry/src/OrderLease.h
@@ -2,7 +2,7 @@
 
 #include "EntryNode.h"
 #include "Peers.h"
-#include "StoreGenerations.h"
+#include "StoreCalls.h"
 
 #include <ridgeferry/authority/Lease.h>
 #include <sigc++/sigc++.h>
@@ -42,6 +42,7 @@
 
   EntryNode& m_node;
   StoreGenerations& m_generations;
+  StoreCalls m_calls;
   Peers& m_peers;
   authority::Lease m_lease;
   Instant m_began;
--- a/packages/entry/src/Peers.cpp
+++ b/packages/entry/src/Peers.cpp
@@ -25,16 +25,6 @@
 /** Missed heartbeats after which an instance counts as dead: about half a
  * second. */
 constexpr int kDeadAfterMissed = 10;
-/** Delay before a failed write or read of the instance rows is retried. */
-constexpr Duration kRetry{ 500 };
-constexpr Duration kStoreTimeout{ 1000 };
-/** Delay after a new generation of the store is seen before the rows of
- * instances are written again, as an older copy of the store may lack some. By
- * then all instances know of the generation. Instances that start meanwhile
- * find the others by the seeds, or half a second later. */
-constexpr Duration kRewriteAfter{ 500 };
-/** Most rows that the store accepts in one transaction. */
-constexpr std::size_t kMostRowsAtOnce = 100;
 /** Longest interval at which each instance still sends to every other. In a
  * deployment so large that the interval would be longer, the instances of a
  * data centre send to each other and, together, to the other data centres.
@@ -111,6 +101,7 @@
              aNode.m_settings.m_dataCentre)
   , m_incarnation(static_cast<std::uint64_t>(
       net::EventLoop::WallNow().time_since_epoch().count()))
+  , m_rows(aNode, aGenerations, m_roster)
   , m_limits(aNode)
   , m_paces(aNode)
 {
@@ -132,15 +123,19 @@
     m_limits.Tick(m_node.m_instances);
     m_paces.Tick();
   });
-  m_generations.SignalNewGeneration().connect(
-    [this](StoreGeneration) { NoteGeneration(); });
+  m_rows.SignalRead().connect(
+    [this](const membership::InstancesListed& aListed) {
+      Handle(aListed);
+      TellStart();
+      m_listed.emit(!m_rows.OtherAddresses().empty());
+    });
   std::set<std::string> seeds;
   for (const net::Address& seed : m_node.m_settings.m_seeds) {
     seeds.insert(
       net::Address{ seed.m_ip, m_node.m_settings.m_peers.m_port }.ToString());
   }
   SendTo(seeds);
-  WriteOwnRow();
+  m_rows.Start();
 }
 
 membership::Heartbeat
@@ -286,7 +281,7 @@
   }
   const auto& heard = near.empty() ? far : near;
   const auto& from =
-    heard.empty() && aAfter.m_version == 0 ? m_listedAddresses : heard;
+    heard.empty() && aAfter.m_version == 0 ? m_rows.OtherAddresses() : heard;
   if (from.empty()) {
     return std::nullopt;
   }
@@ -399,7 +394,8 @@
 bool
 Peers::HasHeardOthers() const
 {
-  return m_hasHeardReady || (m_hasListed && m_listedAddresses.empty()) ||
+  const bool isAlone = HasListed() && m_rows.OtherAddresses().empty();
+  return m_hasHeardReady || isAlone ||
          m_node.Now() - m_startedAt >= kMaxWaitForPeers;
 }
 
@@ -463,8 +459,9 @@
 Peers::TellStart()
 {
   std::vector<std::string> some;
-  std::sample(m_listedAddresses.begin(),
-              m_listedAddresses.end(),
+  const std::vector<std::string>& others = m_rows.OtherAddresses();
+  std::sample(others.begin(),
+              others.end(),
               std::back_inserter(some),
               kToldOfStart,
               m_node.m_random);
@@ -576,140 +573,4 @@
   }
 }
 
-void
-Peers::RetryLater(sigc::slot<void()> aWhat)
-{
-  m_retry = m_node.m_loop->After(kRetry, std::move(aWhat));
-}
-
-void
-Peers::WriteOwnRow()
-{
-  StoreCommit commit;
-  commit.m_table = m_node.m_dialect.m_instanceTable;
-  commit.m_transaction.m_puts.push_back(
-    { m_node.m_settings.m_instance, m_node.m_settings.m_peers.ToString() });
-  net::HttpRequest request = m_node.m_dialect.m_writeStoreCommit(commit);
-  request.m_address = m_node.m_settings.m_store;
-  request.m_timeout = kStoreTimeout;
-  net::HttpCallbacks callbacks;
-  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
-    m_generations.Note(m_generations.Of(aResponse), "the write of the own row");
-    if (m_node.m_dialect.m_readStoreCommit(aResponse) ==
-        table::CommitResult::Committed) {
-      ReadRows();
-      return;
-    }
-    // The row may have been written even so; writing it again is harmless.
-    RetryLater([this] { WriteOwnRow(); });
-  };
-  m_node.m_http->Send(request, std::move(callbacks));
-}
-
-void
-Peers::NoteGeneration()
-{
-  m_rewrite = m_node.m_loop->After(kRewriteAfter, [this] { WriteAllRows(); });
-}
-
-void
-Peers::WriteAllRows()
-{
-  if (m_roster.Rank(m_node.m_dialect.m_instanceTable) != 0) {
-    // Only the first instance by rank among those that receive each other's
-    // heartbeats writes the rows.
-    return;
-  }
-  StoreCommit commit;
-  commit.m_table = m_node.m_dialect.m_instanceTable;
-  std::vector<table::Put>& puts = commit.m_transaction.m_puts;
-  puts.push_back(
-    { m_node.m_settings.m_instance, m_node.m_settings.m_peers.ToString() });
-  for (const auto& [name, peer] : m_roster.Peers()) {
-    if (!peer.m_alive || peer.m_last.m_leaving) {
-      continue;
-    }
-    puts.push_back({ name, peer.m_last.m_peerAddress });
-    if (puts.size() == kMostRowsAtOnce) {
-      WriteRows(commit);
-      puts.clear();
-    }
-  }
-  if (!puts.empty()) {
-    WriteRows(commit);
-  }
-}
-
-void
-Peers::WriteRows(const StoreCommit& aCommit)
-{
-  net::HttpRequest request = m_node.m_dialect.m_writeStoreCommit(aCommit);
-  request.m_address = m_node.m_settings.m_store;
-  request.m_timeout = kStoreTimeout;
-  net::HttpCallbacks callbacks;
-  callbacks.m_done = [this, count = aCommit.m_transaction.m_puts.size()](
-                       const net::HttpResponse& aResponse) {
-    m_generations.Note(m_generations.Of(aResponse),
-                       "a call for the rows of instances");
-    const bool written = m_node.m_dialect.m_readStoreCommit(aResponse) ==
-                         table::CommitResult::Committed;
-    m_node.m_log->Write(observe::LogLevel::Info,
-                        "peers-written-again",
-                        { { "count", static_cast<std::int64_t>(count) },
-                          { "written", written } });
-    if (!written) {
-      // Retries all rows: failures are rare and writing a row twice is
-      // harmless.
-      m_rewrite = m_node.m_loop->After(kRetry, [this] { WriteAllRows(); });
-    }
-  };
-  m_node.m_http->Send(request, std::move(callbacks));
-}
-
-void
-Peers::ReadRows()
-{
-  StoreRead read;
-  read.m_table = m_node.m_dialect.m_instanceTable;
-  net::HttpRequest request = m_node.m_dialect.m_writeStoreRead(read);
-  request.m_address = m_node.m_settings.m_store;
-  request.m_timeout = kStoreTimeout;
-  net::HttpCallbacks callbacks;
-  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
-    const bool whole = net::HasAnswer(aResponse);
-    const StoreAnswer answer =
-      whole ? m_node.m_dialect.m_readStoreAnswer(aResponse)
-            : StoreAnswer(relay::ReadFailed{ "no complete answer" });
-    m_generations.Note(m_generations.Of(aResponse),
-                       "a call for the rows of instances");
-    if (const auto* page = std::get_if<StorePage>(&answer)) {
-      TakeRows(*page);
-    } else {
-      RetryLater([this] { ReadRows(); });
-    }
-  };
-  m_node.m_http->Send(request, std::move(callbacks));
-}
-
-void
-Peers::TakeRows(const StorePage& aPage)
-{
-  membership::InstancesListed listed;
-  m_listedAddresses.clear();
-  m_hasListed = true;
-  for (const relay::FollowedRow& row : aPage.m_rows) {
-    if (row.m_key != m_node.m_settings.m_instance) {
-      listed.m_instances.push_back({ row.m_key, row.m_value });
-      m_listedAddresses.push_back(row.m_value);
-    }
-  }
-  m_node.m_log->Write(
-    observe::LogLevel::Info,
-    "peers-listed",
-    { { "count", static_cast<std::int64_t>(listed.m_instances.size()) } });
-  Handle(listed);
-  TellStart();
-  m_listed.emit(!m_listedAddresses.empty());
-}
-
 } // namespace ridgeferry::entry
--- a/packages/entry/src/Peers.h
+++ b/packages/entry/src/Peers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "EntryNode.h"
+#include "InstanceRows.h"
 #include "LimitGossip.h"
 #include "PaceGossip.h"
 #include "PeerSocket.h"
@@ -125,7 +126,7 @@
   std::optional<std::string> PickAhead(Table aTable,
                                        StorePosition aAfter) const;
   /** Returns true once the rows of instances have been read from the store. */
-  bool HasListed() const { return m_hasListed; }
+  bool HasListed() const { return m_rows.HasRead(); }
   /** Emitted when the rows of instances have been read; the argument is true if
    * they list other instances. */
   sigc::signal<void(bool)>& SignalListed() { return m_listed; }
@@ -164,9 +165,6 @@
   void TakeLoads(const membership::Heartbeat& aHeartbeat);
   void ForgetDataCentres();
   void ForgetDead();
-  void WriteOwnRow();
-  void ReadRows();
-  void TakeRows(const StorePage& aPage);
   /** Returns whether the heartbeat is the first of its instance since that
    * started. */
   bool IsNew(const membership::Heartbeat& aHeartbeat) const;
@@ -174,20 +172,13 @@
   void TellStart();
   /** Handles another instance's announcement that an upstream is leaving. */
   void TakeLeaving(const UpstreamIncarnation& aUpstream);
-  void RetryLater(sigc::slot<void()> aWhat);
-  void NoteGeneration();
-
-  /** Writes the rows of all live instances again after the store was restored
-   * from an older copy, which may lack some of them. One instance suffices, so
-   * only the first by rank writes. */
-  void WriteAllRows();
-  void WriteRows(const StoreCommit& aCommit);
 
   EntryNode& m_node;
   StoreGenerations& m_generations;
   PeerSocket& m_socket;
   membership::Roster m_roster;
   std::uint64_t m_incarnation;
+  InstanceRows m_rows;
   bool m_ready = false;
   bool m_leaving = false;
   bool m_hasHeardReady = false; ///< Of an instance that takes calls.
@@ -207,10 +198,6 @@
    * arrived. */
   std::map<std::string, Instant> m_countedDataCentres;
   net::Watch m_tick;
-  net::Watch m_retry;
-  net::Watch m_rewrite;
-  std::vector<std::string> m_listedAddresses;
-  bool m_hasListed = false;
   sigc::signal<void(bool)> m_listed;
   sigc::signal<void(const UpstreamIncarnation&)> m_leaves;
   sigc::signal<void(std::span<const membership::CrashDigest>)>
--- a/packages/entry/src/QuarantineShare.cpp
+++ b/packages/entry/src/QuarantineShare.cpp
@@ -23,7 +23,6 @@
  * that start together do not all read the store. */
 constexpr Duration kAskPeersFor{ 300 };
 constexpr std::size_t kMostTurns = 5;
-constexpr Duration kStoreTimeout{ 1000 };
 constexpr Duration kStoreAgain{ 500 };
 /** Most crash records in one heartbeat, about 30 bytes each. They suffice for
  * the crashes of a few upstreams. */
@@ -82,6 +81,7 @@
                                  RecordHandler aOnRecord)
   : m_node(aNode)
   , m_generations(aGenerations)
+  , m_calls(aNode, aGenerations, "the quarantine")
   , m_peers(aPeers)
   , m_peerRows(aPeerRows)
   , m_quarantine(aQuarantine)
@@ -283,20 +283,10 @@
 {
   StoreRead read;
   read.m_table = m_node.m_dialect.m_quarantineTable;
-  net::HttpRequest request = m_node.m_dialect.m_writeStoreRead(read);
-  request.m_address = m_node.m_settings.m_store;
-  request.m_timeout = kStoreTimeout;
-  net::HttpCallbacks callbacks;
   m_asking = true;
-  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
+  m_calls.Read(read, [this](const StoreAnswer& aAnswer, StoreGeneration) {
     m_asking = false;
-    m_generations.Note(m_generations.Of(aResponse), "the quarantine");
-    const bool whole = net::HasAnswer(aResponse);
-    const StoreAnswer answer =
-      whole
-        ? m_node.m_dialect.m_readStoreAnswer(aResponse)
-        : StoreAnswer(relay::ReadFailed{ "the store's answer is incomplete" });
-    const auto* page = std::get_if<StorePage>(&answer);
+    const auto* page = std::get_if<StorePage>(&aAnswer);
     if (page == nullptr) {
       m_node.m_metrics.Count("quarantine_reads_failed_total");
       m_storeAgainAt = m_node.Now() + kStoreAgain;
@@ -307,8 +297,7 @@
     }
     m_written = m_quarantine.Fingerprint();
     NoteKnown("the store");
-  };
-  m_node.m_http->Send(request, std::move(callbacks));
+  });
 }
 
 void
@@ -325,16 +314,10 @@
   StoreCommit commit;
   commit.m_table = m_node.m_dialect.m_quarantineTable;
   commit.m_transaction.m_puts.push_back({ kKey, Text(kMostWritten) });
-  net::HttpRequest request = m_node.m_dialect.m_writeStoreCommit(commit);
-  request.m_address = m_node.m_settings.m_store;
-  request.m_timeout = kStoreTimeout;
-  net::HttpCallbacks callbacks;
   m_writing = true;
-  callbacks.m_done = [this, held](const net::HttpResponse& aResponse) {
+  m_calls.Commit(commit, [this, held](table::CommitResult aResult) {
     m_writing = false;
-    m_generations.Note(m_generations.Of(aResponse), "the quarantine");
-    const bool written = m_node.m_dialect.m_readStoreCommit(aResponse) ==
-                         table::CommitResult::Committed;
+    const bool written = aResult == table::CommitResult::Committed;
     m_node.m_log->Write(
       observe::LogLevel::Info,
       "quarantine-written",
@@ -345,8 +328,7 @@
     } else {
       m_storeAgainAt = m_node.Now() + kStoreAgain;
     }
-  };
-  m_node.m_http->Send(request, std::move(callbacks));
+  });
 }
 
 } // namespace ridgeferry::entry
--- a/packages/entry/src/QuarantineShare.h
+++ b/packages/entry/src/QuarantineShare.h
@@ -3,7 +3,7 @@
 #include "EntryNode.h"
 #include "PeerRows.h"
 #include "Peers.h"
-#include "StoreGenerations.h"
+#include "StoreCalls.h"
 
 #include <deque>
 #include <ridgeferry/quarantine/Quarantine.h>
@@ -88,6 +88,7 @@
 
   EntryNode& m_node;
   StoreGenerations& m_generations;
+  StoreCalls m_calls;
   Peers& m_peers;
   PeerRows& m_peerRows;
   const quarantine::Quarantine& m_quarantine;
--- a/packages/entry/src/RoleReconciler.cpp
+++ b/packages/entry/src/RoleReconciler.cpp
@@ -16,7 +16,6 @@
  * row. */
 constexpr const char* kDisaggregatedKey = "found/apart";
 constexpr Duration kTick{ 50 };
-constexpr Duration kStoreTimeout{ 1000 };
 /** Engines answer within milliseconds; later answers count as lost. */
 constexpr Duration kEngineTimeout{ 600 };
 /** Time constant, in milliseconds, of the exponential decay of
@@ -34,6 +33,7 @@
                                StatementService& aStatements)
   : m_node(aNode)
   , m_generations(aGenerations)
+  , m_calls(aNode, aGenerations, "services found to need disaggregated prefill")
   , m_peers(aPeers)
   , m_lease(aLease)
   , m_statements(aStatements)
@@ -190,21 +190,13 @@
   StoreCommit commit;
   commit.m_table = m_node.m_dialect.m_leaseTable;
   commit.m_transaction.m_puts.push_back({ kDisaggregatedKey, found });
-  net::HttpRequest request = m_node.m_dialect.m_writeStoreCommit(commit);
-  request.m_address = m_node.m_settings.m_store;
-  request.m_timeout = kStoreTimeout;
-  net::HttpCallbacks callbacks;
   m_writing = true;
-  callbacks.m_done = [this, found](const net::HttpResponse& aResponse) {
+  m_calls.Commit(commit, [this, found](table::CommitResult aResult) {
     m_writing = false;
-    m_generations.Note(m_generations.Of(aResponse),
-                       "services found to need disaggregated prefill");
-    if (m_node.m_dialect.m_readStoreCommit(aResponse) ==
-        table::CommitResult::Committed) {
+    if (aResult == table::CommitResult::Committed) {
       m_storedServices = found;
     }
-  };
-  m_node.m_http->Send(request, std::move(callbacks));
+  });
 }
 
 void
--- a/packages/entry/src/RoleReconciler.h
+++ b/packages/entry/src/RoleReconciler.h
@@ -4,7 +4,7 @@
 #include "OrderLease.h"
 #include "Peers.h"
 #include "StatementService.h"
-#include "StoreGenerations.h"
+#include "StoreCalls.h"
 
 #include <map>
 #include <ridgeferry/relay/RoleChangeController.h>
@@ -66,6 +66,7 @@
 
   EntryNode& m_node;
   StoreGenerations& m_generations;
+  StoreCalls m_calls;
   Peers& m_peers;
   OrderLease& m_lease;
   StatementService& m_statements;
--- a/packages/entry/src/StreamOriginStore.cpp
+++ b/packages/entry/src/StreamOriginStore.cpp
@@ -8,13 +8,10 @@
 namespace {
 
 constexpr Duration kTick{ 50 };
-constexpr Duration kWriteTimeout{ 1000 };
 /** For each page: the callers of streams wait for it. */
 constexpr Duration kReadTimeout{ 300 };
 /** Least time between two reads, and from a failed one to the next. */
 constexpr Duration kReadEvery{ 1000 };
-/** What is logged as the cause of a generation that was seen. */
-constexpr const char* kFrom = "the origins of streams";
 
 } // namespace
 
@@ -24,6 +21,7 @@
                                      RecordHandler aOnRecord)
   : m_node(aNode)
   , m_generations(aGenerations)
+  , m_calls(aNode, aGenerations, "the origins of streams")
   , m_history(aHistory)
   , m_onRecord(std::move(aOnRecord))
 {
@@ -67,26 +65,18 @@
   commit.m_transaction.m_puts.push_back(
     { m_node.m_settings.m_instance,
       streams::FormatOrigins(aRecords, net::EventLoop::WallNow()) });
-  net::HttpRequest request = m_node.m_dialect.m_writeStoreCommit(commit);
-  request.m_address = m_node.m_settings.m_store;
-  request.m_timeout = kWriteTimeout;
-  net::HttpCallbacks callbacks;
-  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
-    const bool isDone = m_node.m_dialect.m_readStoreCommit(aResponse) ==
-                        table::CommitResult::Committed;
+  m_calls.Commit(commit, [this](table::CommitResult aResult) {
+    const bool isDone = aResult == table::CommitResult::Committed;
     m_node.m_metrics.Count(isDone ? "stream_origin_writes_total"
                                   : "stream_origin_writes_failed_total");
     if (!isDone) {
       m_node.m_log->Write(
         observe::LogLevel::Warning,
         "stream-origins-not-written",
-        { { "streams", static_cast<std::int64_t>(m_log.Size()) },
-          { "status", std::int64_t{ aResponse.m_head.m_status } } });
+        { { "streams", static_cast<std::int64_t>(m_log.Size()) } });
     }
     m_log.NoteWritten(isDone, m_node.Now());
-    m_generations.Note(m_generations.Of(aResponse), kFrom);
-  };
-  m_node.m_http->Send(request, std::move(callbacks));
+  });
 }
 
 void
@@ -111,30 +101,17 @@
   StoreRead read;
   read.m_table = m_node.m_dialect.m_streamOriginTable;
   read.m_fromKey = std::move(aFromKey);
-  net::HttpRequest request = m_node.m_dialect.m_writeStoreRead(read);
-  request.m_address = m_node.m_settings.m_store;
-  request.m_timeout = kReadTimeout;
-  request.m_connectTimeout = kReadTimeout;
-  request.m_maxBody = net::kMaxStoreBody;
-  request.m_fresh = m_needsFreshConnection;
-  net::HttpCallbacks callbacks;
-  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
-    TakePage(aResponse);
-    m_generations.Note(m_generations.Of(aResponse), kFrom);
-  };
   m_node.m_metrics.Count("stream_origin_reads_total");
-  m_node.m_http->Send(request, std::move(callbacks));
+  m_calls.Read(
+    read,
+    [this](const StoreAnswer& aAnswer, StoreGeneration) { TakePage(aAnswer); },
+    kReadTimeout);
 }
 
 void
-StreamOriginStore::TakePage(const net::HttpResponse& aResponse)
+StreamOriginStore::TakePage(const StoreAnswer& aAnswer)
 {
-  m_needsFreshConnection = !net::HasAnswer(aResponse);
-  const StoreAnswer answer =
-    !m_needsFreshConnection
-      ? m_node.m_dialect.m_readStoreAnswer(aResponse)
-      : StoreAnswer(relay::ReadFailed{ "no complete answer" });
-  const auto* page = std::get_if<StorePage>(&answer);
+  const auto* page = std::get_if<StorePage>(&aAnswer);
   if (page == nullptr) {
     EndRead(false);
     return;
--- a/packages/entry/src/StreamOriginStore.h
+++ b/packages/entry/src/StreamOriginStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "EntryNode.h"
-#include "StoreGenerations.h"
+#include "StoreCalls.h"
 
 #include <optional>
 #include <ridgeferry/streams/OriginLog.h>
@@ -38,10 +38,10 @@
   void NoteBegan(const streams::OriginRecord& aRecord);
   void NoteWhole(const streams::StreamKey& aKey) { m_log.NoteWhole(aKey); }
   /**
-   * Reads the rows of all instances, or joins the read that is under way. If
-   * they were read within the last second they are not read again. Calls back
-   * once, perhaps before it returns, and after 300 ms for each 500 instances at
-   * the latest.
+   * Reads the rows of all instances, or joins the read that is under way.
+   * Within a second of the last read they are not read again. Calls back once,
+   * perhaps before it returns, and after 300 ms for each 500 instances at the
+   * latest.
    */
   void Read(const ReadDone& aDone);
 
@@ -49,12 +49,13 @@
   void Tick();
   void Write(const std::vector<streams::OriginRecord>& aRecords);
   void ReadPage(std::string aFromKey);
-  void TakePage(const net::HttpResponse& aResponse);
+  void TakePage(const StoreAnswer& aAnswer);
   void TakeRow(const relay::FollowedRow& aRow);
   void EndRead(bool aIsRead);
 
   EntryNode& m_node;
   StoreGenerations& m_generations;
+  StoreCalls m_calls;
   const streams::VersionHistory& m_history;
   RecordHandler m_onRecord;
   streams::OriginLog m_log;
@@ -64,10 +65,7 @@
   bool m_hasRead = false;
   bool m_isReading = false;
   std::optional<Instant> m_readAt; ///< When the last read began.
-  /** True if the last read got no answer: other idle connections may be
-   * unresponsive too. */
-  bool m_needsFreshConnection = false;
-  std::size_t m_recordsRead = 0; ///< By the read that is under way.
+  std::size_t m_recordsRead = 0;   ///< By the read that is under way.
   std::vector<ReadDone> m_waiting;
   net::Watch m_tick;
 };
--- a/packages/entry/src/UsageService.cpp
+++ b/packages/entry/src/UsageService.cpp
@@ -14,7 +14,6 @@
 /** Most peers that are asked in one tick, so that their answers do not arrive
  * all at once. */
 constexpr int kMostAsked = 8;
-constexpr Duration kStoreTimeout{ 1000 };
 /** Shorter than the time for which the lease outlasts the authority. */
 constexpr Duration kPlatformTimeout{ 600 };
 constexpr int kOk = 200;
@@ -41,6 +40,7 @@
                            OrderLease& aLease)
   : m_node(aNode)
   , m_generations(aGenerations)
+  , m_calls(aNode, aGenerations, "a call for the usage report")
   , m_peers(aPeers)
   , m_rows(aRows)
   , m_time(aTime)
@@ -195,45 +195,28 @@
 {
   StoreRead read;
   read.m_table = m_node.m_dialect.m_usageTable;
-  net::HttpRequest request = m_node.m_dialect.m_writeStoreRead(read);
-  request.m_address = m_node.m_settings.m_store;
-  request.m_timeout = kStoreTimeout;
-  net::HttpCallbacks callbacks;
-  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
-    usage::ReportRowRead event;
-    event.m_generation = m_generations.Of(aResponse);
-    const bool whole = net::HasAnswer(aResponse);
-    const StoreAnswer answer =
-      whole ? m_node.m_dialect.m_readStoreAnswer(aResponse)
-            : StoreAnswer(relay::ReadFailed{ "no complete answer" });
-    if (const auto* page = std::get_if<StorePage>(&answer)) {
-      event.m_row = { table::ReadStatus::Ok, { usage::kReportKey, 0, {} } };
-      for (const relay::FollowedRow& row : page->m_rows) {
-        if (row.m_key == usage::kReportKey) {
-          event.m_row.m_row = { row.m_key, row.m_version, row.m_value };
+  m_calls.Read(
+    read, [this](const StoreAnswer& aAnswer, StoreGeneration aGeneration) {
+      usage::ReportRowRead event;
+      event.m_generation = aGeneration;
+      if (const auto* page = std::get_if<StorePage>(&aAnswer)) {
+        event.m_row = { table::ReadStatus::Ok, { usage::kReportKey, 0, {} } };
+        for (const relay::FollowedRow& row : page->m_rows) {
+          if (row.m_key == usage::kReportKey) {
+            event.m_row.m_row = { row.m_key, row.m_version, row.m_value };
+          }
         }
       }
-    }
-    Handle(event);
-    m_generations.Note(event.m_generation, "a call for the usage report");
-  };
-  m_node.m_http->Send(request, std::move(callbacks));
+      Handle(event);
+    });
 }
 
 void
 UsageService::Do(const usage::WriteReportRow& aAction)
 {
-  net::HttpRequest request = m_node.m_dialect.m_writeStoreCommit(
-    { m_node.m_dialect.m_usageTable, aAction.m_transaction });
-  request.m_address = m_node.m_settings.m_store;
-  request.m_timeout = kStoreTimeout;
-  net::HttpCallbacks callbacks;
-  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
-    m_generations.Note(m_generations.Of(aResponse),
-                       "a call for the usage report");
-    Handle(usage::ReportRowWritten{});
-  };
-  m_node.m_http->Send(request, std::move(callbacks));
+  m_calls.Commit(
+    { m_node.m_dialect.m_usageTable, aAction.m_transaction },
+    [this](table::CommitResult) { Handle(usage::ReportRowWritten{}); });
 }
 
 void
--- a/packages/entry/src/UsageService.h
+++ b/packages/entry/src/UsageService.h
@@ -3,6 +3,7 @@
 #include "EntryNode.h"
 #include "OrderLease.h"
 #include "PeerRows.h"
+#include "StoreCalls.h"
 #include "TrueTime.h"
 
 #include <ridgeferry/usage/UsageCollector.h>
@@ -47,6 +48,7 @@
 
   EntryNode& m_node;
   StoreGenerations& m_generations;
+  StoreCalls m_calls;
   const Peers& m_peers;
   PeerRows& m_rows;
   const TrueTime& m_time;
