Takings-up: a store that did not answer is told as such, and unnamed streams do not ask it

What callers would see: where the last read of the stored origins had failed, the next callers within its second were told to come back in 60 s, as if the store had said that nobody knows their streams. And a caller that does not name the attempt that began its stream, of which there can be no record, made an instance read all rows once a second.

Cause: the read that is left out for its rate answered with whether the rows had ever been read, in place of how the last read ended; nothing told named streams from others.

Ruled out: to read more often (four times a second an instance: the rows of 89 instances on a link of 10 Mbit/s); to wait for the next read (a second more before callers are told anything).

--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -317,9 +317,11 @@
 {
   const Instant since = m_node.Now();
   ++m_takeUps;
+  const std::string& beganAs = aRequest.m_head.m_takenUp->m_beganAs;
   m_origins.Find(
-    StreamKeyOf(aRequest, aRequest.m_head.m_takenUp->m_beganAs),
-    DrawService(*aRequest.m_route),
+    { StreamKeyOf(aRequest, beganAs),
+      !beganAs.empty(),
+      DrawService(*aRequest.m_route) },
     [this, aRequest, since](const streams::OriginDecision& aDecision) {
       --m_takeUps;
       DecideTakeUp(aRequest, since, aDecision);
--- a/packages/entry/src/StreamOriginService.cpp
+++ b/packages/entry/src/StreamOriginService.cpp
@@ -134,13 +134,11 @@
 }
 
 void
-StreamOriginService::Find(const streams::StreamKey& aKey,
-                          const std::string& aService,
-                          const Decided& aDecided)
+StreamOriginService::Find(const StreamToFind& aStream, const Decided& aDecided)
 {
   const Instant now = m_node.Now();
-  streams::OriginEvidence evidence = EvidenceFor(aService);
-  if (const auto known = m_table.Find(aKey, now)) {
+  streams::OriginEvidence evidence = EvidenceFor(aStream.m_service);
+  if (const auto known = m_table.Find(aStream.m_key, now)) {
     evidence.m_origin = known->m_origin;
     evidence.m_isAmbiguous = known->m_isAmbiguous;
     aDecided(streams::DecideOrigin(evidence, now));
@@ -151,12 +149,15 @@
     aDecided(decision);
     return;
   }
-  m_waiting.emplace(aKey, Waiting{ aService, aDecided });
+  m_waiting.emplace(aStream.m_key, Waiting{ aStream, aDecided });
   const std::vector<streams::Holder> others = Holders();
   m_node.m_metrics.Count("stream_lookups_total");
   // Arming a tick that runs would put it off.
   const bool ticks = !m_lookups.IsIdle();
-  Do(m_lookups.Begin(aKey, aService, streams::HoldersToAsk(aKey, others), now));
+  Do(m_lookups.Begin(aStream.m_key,
+                     aStream.m_service,
+                     streams::HoldersToAsk(aStream.m_key, others),
+                     now));
   if (!ticks && !m_lookups.IsIdle()) {
     m_lookupTick = m_node.m_loop->Every(kLookupTick, [this] { Tick(); });
   }
@@ -189,7 +190,7 @@
 void
 StreamOriginService::Do(const streams::LookupEnded& aAction)
 {
-  if (MayAllGoOn(aAction)) {
+  if (!NeedsStore(aAction)) {
     EndLookup(aAction, true);
     return;
   }
@@ -213,12 +214,14 @@
 }
 
 bool
-StreamOriginService::MayAllGoOn(const streams::LookupEnded& aLookup) const
+StreamOriginService::NeedsStore(const streams::LookupEnded& aLookup) const
 {
   const auto [begin, end] = m_waiting.equal_range(aLookup.m_key);
-  return std::all_of(begin, end, [&](const auto& aEntry) {
-    return std::holds_alternative<streams::GoOn>(streams::DecideOrigin(
-      EvidenceFor(aLookup, aEntry.second.m_service), m_node.Now()));
+  return std::any_of(begin, end, [&](const auto& aEntry) {
+    const StreamToFind& stream = aEntry.second.m_stream;
+    return stream.m_isNamed &&
+           std::holds_alternative<streams::RefuseTakeUp>(streams::DecideOrigin(
+             EvidenceFor(aLookup, stream.m_service), m_node.Now()));
   });
 }
 
@@ -233,7 +236,8 @@
   }
   m_waiting.erase(begin, end);
   for (const Waiting& item : waiting) {
-    streams::OriginEvidence evidence = EvidenceFor(aLookup, item.m_service);
+    streams::OriginEvidence evidence =
+      EvidenceFor(aLookup, item.m_stream.m_service);
     evidence.m_isStoreUnread = !aIsStoreRead;
     item.m_decided(streams::DecideOrigin(evidence, m_node.Now()));
   }
--- a/packages/entry/src/StreamOriginService.h
+++ b/packages/entry/src/StreamOriginService.h
@@ -16,6 +16,17 @@
 
 namespace ridgeferry::entry {
 
+/** A stream that a caller takes up. */
+struct StreamToFind
+{
+  streams::StreamKey m_key;
+  /** The caller names the attempt that began it, so that there may be a record
+   * of it. */
+  bool m_isNamed = false;
+  /** Service to which the call would go if nothing else were known. */
+  std::string m_service;
+};
+
 /**
  * Tells other instances which software version began each stream that can be
  * resumed, and finds out which one began a stream that a caller takes up. Not
@@ -47,14 +58,11 @@
   /** Records that the caller of a stream has all of it. */
   void NoteWhole(const streams::StreamKey& aKey) { m_store.NoteWhole(aKey); }
   /**
-   * Decides whether a stream that a caller takes up may go on. `aService` is
-   * the service to which the call would go if nothing else were known. Calls
-   * back once, perhaps before it returns: after 150 ms at the latest if an
-   * instance knows the origin, else once the store has been read too.
+   * Decides whether a stream that a caller takes up may go on. Calls back once,
+   * perhaps before it returns: after 150 ms at the latest if an instance knows
+   * the origin, else once the store has been read too.
    */
-  void Find(const streams::StreamKey& aKey,
-            const std::string& aService,
-            const Decided& aDecided);
+  void Find(const StreamToFind& aStream, const Decided& aDecided);
   /** Passes all records on, as this instance stops. */
   void HandOver();
 
@@ -62,7 +70,7 @@
   /** A call that waits for the origin of its stream. */
   struct Waiting
   {
-    std::string m_service;
+    StreamToFind m_stream;
     Decided m_decided;
   };
 
@@ -71,9 +79,9 @@
   /** What is known of a stream once its lookup has ended. */
   streams::OriginEvidence EvidenceFor(const streams::LookupEnded& aLookup,
                                       std::string_view aService) const;
-  /** Whether all calls that wait for the stream may go on without a look into
-   * the store. */
-  bool MayAllGoOn(const streams::LookupEnded& aLookup) const;
+  /** Whether a record in the store would help a call that waits for the stream.
+   */
+  bool NeedsStore(const streams::LookupEnded& aLookup) const;
   /** Decides on all calls that wait for the stream. */
   void EndLookup(const streams::LookupEnded& aLookup, bool aIsStoreRead);
   /** Returns the answer to one question, in a message of its own. */
--- a/packages/entry/src/StreamOriginStore.cpp
+++ b/packages/entry/src/StreamOriginStore.cpp
@@ -84,7 +84,7 @@
 {
   const Instant now = m_node.Now();
   if (!m_isReading && m_readAt && now - *m_readAt < kReadEvery) {
-    aDone(m_hasRead);
+    aDone(m_isLastReadDone);
     return;
   }
   m_waiting.push_back(aDone);
@@ -153,6 +153,7 @@
 StreamOriginStore::EndRead(bool aIsRead)
 {
   m_isReading = false;
+  m_isLastReadDone = aIsRead;
   m_hasRead = m_hasRead || aIsRead;
   m_node.m_log->Write(
     aIsRead ? observe::LogLevel::Info : observe::LogLevel::Warning,
--- a/packages/entry/src/StreamOriginStore.h
+++ b/packages/entry/src/StreamOriginStore.h
@@ -64,6 +64,7 @@
    * instance's row may hold what an earlier process of it wrote. */
   bool m_hasRead = false;
   bool m_isReading = false;
+  bool m_isLastReadDone = false;
   std::optional<Instant> m_readAt; ///< When the last read began.
   std::size_t m_recordsRead = 0;   ///< By the read that is under way.
   std::vector<ReadDone> m_waiting;
