Origins of streams: what an earlier process left counts once the rows are read whole

Cause: where the rows take several pages (more than 500 instances) and a later page was not answered, the records of the own row were taken at each try, and written as often.

Ruled out: nothing else; a row that is written twice holds the same records.

--- a/packages/entry/src/StreamOriginStore.cpp
+++ b/packages/entry/src/StreamOriginStore.cpp
@@ -91,6 +91,7 @@
   if (!std::exchange(m_isReading, true)) {
     m_readAt = now;
     m_recordsRead = 0;
+    m_ownRecords.clear();
     ReadPage({});
   }
 }
@@ -140,12 +141,11 @@
     return;
   }
   m_recordsRead += records->size();
-  const bool isOwn = aRow.m_key == m_node.m_settings.m_instance;
   for (const streams::OriginRecord& record : *records) {
     m_onRecord(record);
-    if (isOwn && !m_hasRead) {
-      m_log.NoteEarlier(record, m_node.Now());
-    }
+  }
+  if (aRow.m_key == m_node.m_settings.m_instance) {
+    m_ownRecords = *records;
   }
 }
 
@@ -154,7 +154,11 @@
 {
   m_isReading = false;
   m_isLastReadDone = aIsRead;
-  m_hasRead = m_hasRead || aIsRead;
+  if (aIsRead && !std::exchange(m_hasRead, true)) {
+    for (const streams::OriginRecord& record : m_ownRecords) {
+      m_log.NoteEarlier(record, m_node.Now());
+    }
+  }
   m_node.m_log->Write(
     aIsRead ? observe::LogLevel::Info : observe::LogLevel::Warning,
     aIsRead ? "stream-origins-read" : "stream-origins-not-read",
--- a/packages/entry/src/StreamOriginStore.h
+++ b/packages/entry/src/StreamOriginStore.h
@@ -67,6 +67,8 @@
   bool m_isLastReadDone = false;
   std::optional<Instant> m_readAt; ///< When the last read began.
   std::size_t m_recordsRead = 0;   ///< By the read that is under way.
+  /** What the read that is under way found in the own row. */
+  std::vector<streams::OriginRecord> m_ownRecords;
   std::vector<ReadDone> m_waiting;
   net::Watch m_tick;
 };
