Origins of streams are stored at a pace that costs little while one version serves

Now 7 times a second then (each stream from a second, or 150 ms for each instance, on), and 25 times while several serve. What an earlier process wrote stands before what began here, so that it gives way first where there is no room.

--- a/packages/streams/include/ridgeferry/streams/OriginLog.h
+++ b/packages/streams/include/ridgeferry/streams/OriginLog.h
@@ -26,14 +26,21 @@
   /** Most records that are written at once, at some 20 bytes each: below the
    * 64 KB that a row of the store may hold. Older ones are left out. */
   static constexpr std::size_t kMostRecords = 2000;
-  /** Age from which on a stream is to be in the store, while several software
-   * versions serve: few are broken off before. */
-  static constexpr Duration kAgeOfSeveral{ 250 };
-  /** The same while one version serves, as the store's calls cost. */
-  static constexpr Duration kAgeOfOne{ 1000 };
-  /** Least age for each live instance. All together write 25 times a second at
-   * most, a sixth of what one partition of the store takes. */
-  static constexpr Duration kAgeOfAnInstance{ 40 };
+  /** Age from which on a stream is to be in the store. */
+  struct Age
+  {
+    Duration m_least;
+    /** Least age for each live instance, so that the calls of all together do
+     * not grow with the fleet. */
+    Duration m_eachInstance;
+  };
+  /** While several software versions serve: few streams are broken off before,
+   * and 25 writes a second are a sixth of what one partition of the store
+   * takes.
+   */
+  static constexpr Age kAgeOfSeveral{ Duration{ 250 }, Duration{ 40 } };
+  /** While one version serves: at most 7 writes a second, as calls cost. */
+  static constexpr Age kAgeOfOne{ Duration{ 1000 }, Duration{ 150 } };
   /** From a write that failed to the next one. */
   static constexpr Duration kRetryAfter{ 1000 };
 
@@ -80,7 +87,6 @@
     bool m_isWritten = false;
   };
 
-  void Add(const OriginRecord& aRecord, Instant aNow, bool aIsWritten);
   void Expire(Instant aNow);
   bool IsDue(Instant aNow, Duration aAfter) const;
 
--- a/packages/streams/src/OriginLog.cpp
+++ b/packages/streams/src/OriginLog.cpp
@@ -7,35 +7,31 @@
 Duration
 OriginLog::WriteAfter(const Terms& aTerms)
 {
-  const Duration least =
-    aTerms.m_hasSeveralVersions ? kAgeOfSeveral : kAgeOfOne;
+  const Age& age = aTerms.m_hasSeveralVersions ? kAgeOfSeveral : kAgeOfOne;
   const auto instances = static_cast<Duration::rep>(aTerms.m_instances);
-  return std::max(least, kAgeOfAnInstance * instances);
+  return std::max(age.m_least, age.m_eachInstance * instances);
 }
 
 void
-OriginLog::Add(const OriginRecord& aRecord, Instant aNow, bool aIsWritten)
+OriginLog::NoteBegan(const OriginRecord& aRecord, Instant aNow)
 {
-  m_entries.push_back({ aRecord.m_key,
-                        aRecord.m_origin,
-                        aNow,
-                        aNow + aRecord.m_keepFor,
-                        aIsWritten });
+  m_entries.push_back(
+    { aRecord.m_key, aRecord.m_origin, aNow, aNow + aRecord.m_keepFor, false });
   if (m_entries.size() > kMostRecords) {
     m_entries.pop_front();
   }
 }
 
-void
-OriginLog::NoteBegan(const OriginRecord& aRecord, Instant aNow)
-{
-  Add(aRecord, aNow, false);
-}
-
 void
 OriginLog::NoteEarlier(const OriginRecord& aRecord, Instant aNow)
 {
-  Add(aRecord, aNow, true);
+  if (m_entries.size() < kMostRecords) {
+    m_entries.push_front({ aRecord.m_key,
+                           aRecord.m_origin,
+                           aNow,
+                           aNow + aRecord.m_keepFor,
+                           true });
+  }
 }
 
 void
--- a/packages/streams/tests/StreamOriginWorld.h
+++ b/packages/streams/tests/StreamOriginWorld.h
@@ -56,6 +56,7 @@
   /** With each loss of all instances the store comes back from a copy of before
    * the loss. */
   bool m_hasOldCopies = false;
+  Duration m_longestStream{ 2000 };
   Duration m_length{ 12'000 };
 };
 
