The soak: processes that it starts keep none of its connections open

It starts instances while its callers, upstreams and links have connections open, and these were inherited by the new process. When a caller left, the soak closed its socket, but the other process still had it open, so no end was sent and the instance could not see that its caller was gone. The same holds for links that are reset or closed.

Mended: a process gets only its output (posix_spawn_file_actions_addclosefrom_np). The product starts no processes.

--- a/tests/session/ProcessGroup.cpp
+++ b/tests/session/ProcessGroup.cpp
@@ -42,6 +42,9 @@
                                    O_WRONLY | O_CREAT | O_APPEND,
                                    kMode);
   posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
+  // Else connections that are open here would stay open with the process, and
+  // their peers would not see that they are closed.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   Process process;
   const int failed = posix_spawn(
     &process.m_pid, arguments[0], &actions, nullptr, arguments.data(), environ);
