Sight: on what ground a call that must not run twice is sent again

Cause: the users saw a call that must not run twice run twice (TWICE), and the log of its instance had no line that names it. attempt-ended said how an attempt ended, not what that rests on, so a connection that did not come about looks like one that broke, and lines are left out by arrival above 400 a second.

attempt-ended names its ground now (not listed, not connected, refused, the answer's mark, its status alone, another instance's word, no answer, answered), the request's number on its connection, the bytes that the system took and the answers that were skipped for their id. A second send of such a call has a line and a counter of its own by ground, and these lines and the end of such calls count apart from all others (100 a second). What a connection tells carries the number of its attempt; what an earlier one's tells is logged and not used: so far that it cannot happen was known by reading only.

Ruled out: nothing of the hypotheses yet; this tells them apart.

Before: second sends by ground could not be told from the log or the metrics.

--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <ridgeferry/base/FieldReader.h>
 #include <ridgeferry/base/StorePosition.h>
@@ -32,6 +33,14 @@
   std::string m_afterEvent; ///< Id of the last event that the caller has.
 };
 
+/** By what an answer says that its upstream has not run the call. */
+enum class NotRunWord : std::uint8_t
+{
+  None,        ///< It does not say so.
+  Mark,        ///< A header field that says nothing else.
+  Misdirected, ///< Its status: another upstream answers at the address.
+};
+
 /** The fields of a caller's request head that routing uses. */
 struct CallHead
 {
@@ -171,9 +180,8 @@
   sigc::slot<CallHead(const net::ReceivedRequest&)> m_readCall;
   sigc::slot<net::HttpRequest(const net::ReceivedRequest&, const SendTerms&)>
     m_writeSend;
-  /** Returns true if the upstream's answer says that it has not run the call.
-   */
-  sigc::slot<bool(const net::HttpHead&)> m_saysNotRun;
+  /** Reads whether the upstream's answer says that it has not run the call. */
+  sigc::slot<NotRunWord(const net::HttpHead&)> m_readNotRunWord;
   /** Reads what the head of any answer of an upstream says about that upstream.
    */
   sigc::slot<relay::UpstreamStatement(const net::HttpHead&)> m_readStatement;
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -56,26 +56,6 @@
   return { route.m_repeat, route.m_stream, route.m_resumable, maxRuns };
 }
 
-std::string_view
-NameOf(relay::NoPlaceCause aCause)
-{
-  switch (aCause) {
-    case relay::NoPlaceCause::Full:
-      return "all upstreams are busy for too long";
-    case relay::NoPlaceCause::TooLarge:
-      return "prompt too large for the caller's time limit";
-    case relay::NoPlaceCause::Limited:
-      return "the limits that upstreams state are used up";
-    case relay::NoPlaceCause::BackingOff:
-      return "all upstreams want no requests for a while";
-    case relay::NoPlaceCause::VersionGone:
-      return "no upstream runs the software version that began the stream";
-    case relay::NoPlaceCause::NoneSound:
-      break;
-  }
-  return "no sound upstream is listed";
-}
-
 relay::NoPlace::Cause
 CauseOf(relay::NoPlaceCause aCause)
 {
@@ -93,24 +73,6 @@
   return relay::NoPlace::Cause::NoRoom;
 }
 
-std::string_view
-NameOf(relay::AttemptEnd aEnd)
-{
-  switch (aEnd) {
-    case relay::AttemptEnd::Served:
-      return "served";
-    case relay::AttemptEnd::Failed:
-      return "failed";
-    case relay::AttemptEnd::Declined:
-      return "declined";
-    case relay::AttemptEnd::Misdirected:
-      return "displaced";
-    case relay::AttemptEnd::Abandoned:
-      break;
-  }
-  return "abandoned";
-}
-
 } // namespace
 
 RelayCall::RelayCall(EntryNode& aNode, RelayCallStart aStart)
@@ -319,23 +281,6 @@
   }
 }
 
-void
-RelayCall::LogNoPlace(const relay::PlaceFault& aFault) const
-{
-  m_node.m_log->Write(
-    observe::LogLevel::Info,
-    "no-place",
-    { { "id", m_start.m_head.m_id },
-      { "service", m_start.m_service },
-      { "cause", std::string(NameOf(aFault.m_cause)) },
-      { "roomInMs", aFault.m_roomIn.count() },
-      { "promptTokens", PromptTokens() },
-      { "waitMs", std::llround(aFault.m_expected.m_waitMs) },
-      { "ownMs", std::llround(aFault.m_expected.m_ownMs) },
-      { "boundMs", std::llround(aFault.m_boundMs) },
-      { "listed", static_cast<std::int64_t>(m_node.m_fleet.Size()) } });
-}
-
 std::int64_t
 RelayCall::PromptTokens() const
 {
@@ -395,10 +340,8 @@
   const relay::Member* listed = m_node.m_fleet.Find(aAction.m_upstream);
   if (listed == nullptr || IsOfOtherVersion(*listed)) {
     // The upstream ended, or started again with other software.
-    m_attempt = {};
-    m_attempt.m_id = aAction.m_attempt;
-    m_attempt.m_upstream = aAction.m_upstream;
-    m_attempt.m_sentAt = m_node.Now();
+    BeginAttempt(aAction.m_attempt, aAction.m_upstream);
+    m_attempt.m_ground = AttemptGround::NotListed;
     // A row that is missing does not show that its upstream has ended.
     Handle(relay::AttemptNotSent{ aAction.m_attempt, listed != nullptr });
     return;
@@ -441,14 +384,20 @@
 }
 
 void
-RelayCall::Withhold(relay::AttemptId aId,
-                    const std::string& aUpstream,
-                    std::string_view aCause)
+RelayCall::BeginAttempt(relay::AttemptId aId, const std::string& aUpstream)
 {
   m_attempt = {};
   m_attempt.m_id = aId;
   m_attempt.m_upstream = aUpstream;
   m_attempt.m_sentAt = m_node.Now();
+}
+
+void
+RelayCall::Withhold(relay::AttemptId aId,
+                    const std::string& aUpstream,
+                    std::string_view aCause)
+{
+  BeginAttempt(aId, aUpstream);
   m_node.m_metrics.Count("sends_withheld_total");
   m_node.m_log->Write(observe::LogLevel::Info,
                       "send-withheld",
@@ -465,13 +414,10 @@
                 SendTerms aTerms)
 {
   const relay::Member& member = *aTarget;
-  m_attempt = {};
-  m_attempt.m_id = aId;
-  m_attempt.m_upstream = member.m_id;
+  BeginAttempt(aId, member.m_id);
   m_attempt.m_born = member.m_born;
   m_attempt.m_service = m_start.m_service;
   m_attempt.m_softwareVersion = member.m_softwareVersion;
-  m_attempt.m_sentAt = m_node.Now();
   m_attempt.m_readOnly = aTerms.m_readOnly;
   if (m_start.m_head.m_prompt && aTerms.m_handle.empty()) {
     const relay::Prompt& prompt = *m_start.m_head.m_prompt;
@@ -513,6 +459,9 @@
                         { "tokens", m_attempt.m_tokens },
                         { "tokensAhead", m_attempt.m_tokensAhead },
                         { "leftMs", Left().count() } });
+  if (!m_attempt.m_readOnly) {
+    LogSecondSend();
+  }
   UsePermit(member.m_id);
   request.m_fresh =
     m_node.m_fleet.NeedsOwnConnection(member.m_id, m_node.Now());
@@ -526,10 +475,21 @@
 {
   m_node.m_metrics.Count("sends_total");
   net::HttpCallbacks callbacks;
-  callbacks.m_head = [this](const net::HttpHead& aHead) { TakeHead(aHead); };
-  callbacks.m_chunk = [this](std::string_view aBytes) { TakeBytes(aBytes); };
-  callbacks.m_done = [this](const net::HttpResponse& aResponse) {
-    TakeEnd(aResponse);
+  const relay::AttemptId id = m_attempt.m_id;
+  callbacks.m_head = [this, id](const net::HttpHead& aHead) {
+    if (IsPresent(id)) {
+      TakeHead(aHead);
+    }
+  };
+  callbacks.m_chunk = [this, id](std::string_view aBytes) {
+    if (IsPresent(id)) {
+      TakeBytes(aBytes);
+    }
+  };
+  callbacks.m_done = [this, id](const net::HttpResponse& aResponse) {
+    if (IsPresent(id)) {
+      TakeEnd(aResponse);
+    }
   };
   m_attempt.m_http = m_node.m_http->Send(aRequest, std::move(callbacks));
   if (m_backPressure.IsPaused()) {
@@ -560,19 +520,6 @@
   }
 }
 
-void
-RelayCall::LogEjection(std::string_view aCause)
-{
-  m_node.m_metrics.Count("ejections_total");
-  m_node.m_log->Write(
-    observe::LogLevel::Info,
-    "upstream-ejected",
-    { { "upstream", m_attempt.m_upstream },
-      { "id", m_start.m_head.m_id },
-      { "cause", std::string(aCause) },
-      { "sentBeforeMs", (m_node.Now() - m_attempt.m_sentAt).count() } });
-}
-
 void
 RelayCall::TakeHead(const net::HttpHead& aHead)
 {
@@ -588,8 +535,9 @@
                                m_start.m_head.m_id },
                              aHead);
   m_start.m_quarantine->NoteAnswered(m_attempt.m_upstream, m_attempt.m_sentAt);
-  const bool read =
-    aHead.m_status == kOk && !m_node.m_dialect.m_saysNotRun(aHead);
+  const NotRunWord notRun = m_node.m_dialect.m_readNotRunWord(aHead);
+  m_attempt.m_saidNotRun = notRun != NotRunWord::None;
+  const bool read = aHead.m_status == kOk && !m_attempt.m_saidNotRun;
   if (m_attempt.m_tokens > 0 && read) {
     m_node.m_fleet.NoteThroughput(
       { m_attempt.m_upstream,
@@ -605,9 +553,13 @@
   m_attempt.m_tokens = 0;
   m_attempt.m_hasHead = true;
   m_attempt.m_head = aHead;
-  m_attempt.m_saidNotRun = m_node.m_dialect.m_saysNotRun(aHead);
   m_prefillAnswer.clear();
-  if (!m_attempt.m_saidNotRun) {
+  if (m_attempt.m_saidNotRun) {
+    m_attempt.m_ground = notRun == NotRunWord::Mark
+                           ? AttemptGround::Marked
+                           : AttemptGround::MisdirectedStatus;
+  } else {
+    m_attempt.m_ground = AttemptGround::Answered;
     m_node.m_fleet.NoteAccepted(m_attempt.m_upstream, m_node.Now());
   }
   if (!m_attempt.m_saidNotRun && !m_attempt.m_readOnly) {
@@ -674,20 +626,6 @@
     relay::AttemptRefused{ m_attempt.m_id, displaced, RoomBehindBackOffs() });
 }
 
-void
-RelayCall::NoteTooLong()
-{
-  m_node.m_metrics.Count("answers_too_long_total");
-  m_node.m_log->Write(
-    observe::LogLevel::Warning,
-    "answer-too-long",
-    { { "id", m_start.m_head.m_id },
-      { "attempt", static_cast<std::int64_t>(m_attempt.m_id) },
-      { "upstream", m_attempt.m_upstream },
-      { "status", std::int64_t{ m_attempt.m_head.m_status } },
-      { "sentBeforeMs", (m_node.Now() - m_attempt.m_sentAt).count() } });
-}
-
 void
 RelayCall::NoteReach(const net::HttpResponse& aResponse)
 {
@@ -709,6 +647,13 @@
 RelayCall::TakeEnd(const net::HttpResponse& aResponse)
 {
   m_attempt.m_http = 0;
+  m_attempt.m_sent = aResponse.m_sent;
+  if (aResponse.m_end == net::HttpEnd::NotSent) {
+    m_attempt.m_ground = aResponse.m_refused ? AttemptGround::Refused
+                                             : AttemptGround::NotConnected;
+  } else if (!m_attempt.m_hasHead) {
+    m_attempt.m_ground = AttemptGround::NoAnswer;
+  }
   m_unfinishedBytes = m_flow.UnfinishedBytes();
   if (aResponse.m_tooLong) {
     NoteTooLong();
@@ -761,15 +706,12 @@
 RelayCall::Do(const relay::NoteAttemptEnd& aAction)
 {
   if (aAction.m_end != relay::AttemptEnd::Served) {
-    m_node.m_log->Write(
-      observe::LogLevel::Info,
-      "attempt-ended",
-      { { "id", m_start.m_head.m_id },
-        { "attempt", static_cast<std::int64_t>(aAction.m_attempt) },
-        { "upstream", m_attempt.m_upstream },
-        { "how", std::string(NameOf(aAction.m_end)) },
-        { "status", std::int64_t{ m_attempt.m_head.m_status } },
-        { "tookMs", (m_node.Now() - m_attempt.m_sentAt).count() } });
+    LogAttemptEnd(aAction.m_end);
+  }
+  if (!m_attempt.m_readOnly) {
+    m_lastRun = { m_attempt.m_upstream,      m_attempt.m_ground,
+                  m_attempt.m_head.m_status, m_attempt.m_sent,
+                  m_attempt.m_sentAt,        m_node.Now() };
   }
   if (aAction.m_end == relay::AttemptEnd::Served && m_attempt.m_lastBytes &&
       !m_hadLongPause) {
@@ -796,7 +738,7 @@
                              m_node.Now() - m_attempt.m_sentAt,
                              m_node.Now());
   if (isEjected) {
-    LogEjection(NameOf(aAction.m_end));
+    LogEjection(EndName(aAction.m_end));
   }
   m_attempt.m_tokens = 0;
 }
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -23,6 +23,20 @@
 
 namespace ridgeferry::entry {
 
+/** What an attempt's end rests on. */
+enum class AttemptGround : std::uint8_t
+{
+  None,      ///< It has not ended, or was ended on this side.
+  NotListed, ///< Its upstream or instance is not known any more.
+  NotConnected,
+  Refused,            ///< Nobody listens at the address.
+  Marked,             ///< See `NotRunWord::Mark`.
+  MisdirectedStatus,  ///< See `NotRunWord::Misdirected`.
+  DeclinedByInstance, ///< Another instance says that the call did not run.
+  NoAnswer,           ///< The connection ended without a head.
+  Answered,
+};
+
 /** What a `RelayCall` is created with: the request, its route, and the state
  * that it shares with other calls. */
 struct RelayCallStart
@@ -122,6 +136,8 @@
     bool m_isForwarded = false; ///< Sent to another instance.
     bool m_saidNotRun = false;  ///< The upstream reports that it did not run.
     bool m_hasHead = false;
+    AttemptGround m_ground = AttemptGround::None;
+    net::HttpSendRecord m_sent; ///< Known at its end.
     /** Bytes behind the head of an answer that is no more than its status. */
     std::size_t m_droppedBytes = 0;
     /** When the last bytes of a stream arrived. */
@@ -129,6 +145,17 @@
     net::HttpHead m_head;
   };
 
+  /** How an attempt ended that was to run the call. */
+  struct RunEnd
+  {
+    std::string m_upstream;
+    AttemptGround m_ground = AttemptGround::None;
+    int m_status = 0;
+    net::HttpSendRecord m_sent;
+    Instant m_sentAt;
+    Instant m_endedAt;
+  };
+
   void Handle(const relay::RelayEvent& aEvent);
   void Do(const relay::FindPlace& aAction);
   void Do(const relay::SendPrefill& aAction);
@@ -146,6 +173,17 @@
   void Send(relay::AttemptId aId,
             const relay::SendTarget& aTarget,
             SendTerms aTerms);
+  /** Starts the record of an attempt. */
+  void BeginAttempt(relay::AttemptId aId, const std::string& aUpstream);
+  /** Returns whether what a connection tells is of the present attempt. What an
+   * earlier one's tells is logged and must not be used. */
+  bool IsPresent(relay::AttemptId aAttempt);
+  /** Returns a stable name for logs. */
+  static std::string_view EndName(relay::AttemptEnd aEnd);
+  void LogAttemptEnd(relay::AttemptEnd aEnd);
+  /** Logs and counts that the present attempt sends a call again that must not
+   * run twice, and on what ground. Does nothing for the first send. */
+  void LogSecondSend();
   /** Ends the attempt at the upstream before anything of it is sent, and logs
    * why. */
   void Withhold(relay::AttemptId aId,
@@ -290,6 +328,9 @@
   net::Watch m_timer;
   net::Watch m_placing; ///< Timer of the next placement of a postponed call.
   Attempt m_attempt;
+  std::optional<RunEnd> m_lastRun; ///< How the latest one ended.
+  /** A call that must not run twice was sent again; see `LogSecondSend`. */
+  bool m_isSentAgain = false;
   relay::BackPressure m_backPressure;
   std::optional<net::Watch> m_lookAtPaused;
   /** Expected time to the first token at the first placement, in milliseconds;
--- a/packages/entry/src/RelayCallAnswer.cpp
+++ b/packages/entry/src/RelayCallAnswer.cpp
@@ -215,7 +215,9 @@
       { "answeredMs",
         m_answeredAt ? (*m_answeredAt - m_began).count() : std::int64_t{ -1 } },
       { "tookMs", took.count() },
-      { "config", static_cast<std::int64_t>(m_start.m_routes->Version()) } });
+      { "repeatable", MayBeRepeated() },
+      { "config", static_cast<std::int64_t>(m_start.m_routes->Version()) } },
+    m_isSentAgain ? observe::LogBound::Kept : observe::LogBound::Common);
 }
 
 } // namespace ridgeferry::entry
--- a/packages/entry/src/RelayCallForward.cpp
+++ b/packages/entry/src/RelayCallForward.cpp
@@ -84,15 +84,13 @@
 void
 RelayCall::SendToInstance(const relay::SendRun& aAction)
 {
-  m_attempt = {};
-  m_attempt.m_id = aAction.m_attempt;
-  m_attempt.m_upstream = aAction.m_upstream;
-  m_attempt.m_sentAt = m_node.Now();
+  BeginAttempt(aAction.m_attempt, aAction.m_upstream);
   m_attempt.m_isForwarded = true;
   m_path += (m_path.empty() ? "" : ",") + aAction.m_upstream;
   const auto address = m_start.m_peers->AddressOf(
     std::string_view(aAction.m_upstream).substr(kInstance.size()));
   if (!address) {
+    m_attempt.m_ground = AttemptGround::NotListed;
     Handle(relay::AttemptNotSent{ aAction.m_attempt });
     return;
   }
@@ -114,6 +112,7 @@
       { "service", m_start.m_service },
       { "config", static_cast<std::int64_t>(m_start.m_routes->Version()) },
       { "leftMs", Left().count() } });
+  LogSecondSend();
   Start(request);
 }
 
@@ -127,6 +126,9 @@
     m_attempt.m_softwareVersion = origin->m_softwareVersion;
   }
   m_attempt.m_saidNotRun = IsDeclined(aHead.m_headers);
+  m_attempt.m_ground = m_attempt.m_saidNotRun
+                         ? AttemptGround::DeclinedByInstance
+                         : AttemptGround::Answered;
   if (!m_attempt.m_saidNotRun) {
     Handle(relay::HeadArrived{
       m_attempt.m_id, aHead.m_status, true, IsUnframed(aHead) });
--- a/packages/net/include/ridgeferry/net/Http.h
+++ b/packages/net/include/ridgeferry/net/Http.h
@@ -99,9 +99,26 @@
   Broken,  ///< It ended after bytes may have left.
 };
 
+/** How a request went out. */
+struct HttpSendRecord
+{
+  /** Number of the request on its connection, from 1 on; above 1 the connection
+   * was kept from an earlier request. */
+  int m_requestNumber = 1;
+  /** Bytes of the request that the system took; none before the connection came
+   * about. */
+  std::size_t m_bytesWritten = 0;
+  /** Answers that were skipped as they did not repeat
+   * `HttpRequest::m_mustEcho`, interim ones included. */
+  int m_answersSkipped = 0;
+
+  bool operator==(const HttpSendRecord&) const = default;
+};
+
 struct HttpResponse
 {
   HttpEnd m_end = HttpEnd::Broken;
+  HttpSendRecord m_sent;
   /** Nothing came from the other side for too long, not even a reset. */
   bool m_silent = false;
   /** It was ended on this side: more came, or for longer, than is taken. */
--- a/packages/net/src/ClientConnection.cpp
+++ b/packages/net/src/ClientConnection.cpp
@@ -187,6 +187,7 @@
   m_maxBody = aRequest.m_maxBody;
   m_maxAnswerTime = aRequest.m_maxAnswerTime;
   m_skippedBytes = 0;
+  m_skippedAnswers = 0;
   StartAnswer();
   m_silence = aRequest.m_timeout;
   const timeval silence = ToTimeval(m_silence);
@@ -198,6 +199,8 @@
   evbuffer* output = bufferevent_get_output(m_events);
   evbuffer_add(output, head.data(), head.size());
   evbuffer_add(output, aRequest.m_body.data(), aRequest.m_body.size());
+  ++m_requests;
+  m_requestBytes = head.size() + aRequest.m_body.size();
 }
 
 void
@@ -266,6 +269,7 @@
     m_skipping = m_skipping || !found || *found != m_mustEcho->second;
   }
   if (m_skipping) {
+    ++m_skippedAnswers;
     return true;
   }
   m_response.m_head = { m_parser->m_status,
@@ -345,6 +349,7 @@
     return;
   }
   m_response.m_end = aEnd;
+  NoteSent();
   if (const auto seconds = IdleSeconds(m_response.m_head.m_headers)) {
     m_idleUntil = m_loop.Now() + *seconds - kIdleMargin;
   }
@@ -358,9 +363,19 @@
   m_response.m_end = m_connected ? HttpEnd::Broken : HttpEnd::NotSent;
   m_response.m_silent = aSilent;
   m_response.m_refused = m_refused;
+  NoteSent();
   Report({ std::move(m_response), false });
 }
 
+void
+ClientConnection::NoteSent()
+{
+  const std::size_t unwritten = std::min(m_requestBytes, Unwritten());
+  m_response.m_sent = { m_requests,
+                        m_requestBytes - unwritten,
+                        m_skippedAnswers };
+}
+
 void
 ClientConnection::FinishTooLong()
 {
--- a/packages/net/src/ClientConnection.h
+++ b/packages/net/src/ClientConnection.h
@@ -71,6 +71,8 @@
    * with its connection (`Closed`). */
   void FinishWhole(HttpEnd aEnd, bool aKeepsAlive);
   void FinishBroken(bool aSilent);
+  /** Records how the request under way went out. */
+  void NoteSent();
   /** Ends an answer that has become too long. */
   void FinishTooLong();
   void Report(const ClientEnd& aEnd);
@@ -96,7 +98,10 @@
   std::optional<Watch> m_answerTimer;
   /** Bytes of answers that are not this request's. */
   std::size_t m_skippedBytes = 0;
+  int m_skippedAnswers = 0; ///< See `HttpSendRecord::m_answersSkipped`.
   HttpResponse m_response;
+  int m_requests = 0; ///< Requests so far.
+  std::size_t m_requestBytes = 0;
   Instant m_restsSince;
   std::optional<Instant> m_idleUntil; ///< The peer closes it after that.
 };
--- a/packages/observe/include/ridgeferry/observe/Log.h
+++ b/packages/observe/include/ridgeferry/observe/Log.h
@@ -37,6 +37,15 @@
   Output, ///< Standard output, never waited for: see `Log::Dropped`.
 };
 
+/** What bounds the lines to standard output. */
+enum class LogBound
+{
+  Common, ///< See `Log::kMaxLinesPerSecond`.
+  /** For lines that must be there although many others are written; see
+   * `Log::kMaxKeptLinesPerSecond`. */
+  Kept,
+};
+
 struct LogOptions
 {
   LogFormat m_format = LogFormat::Json;
@@ -66,17 +75,20 @@
   /** `aEvent` is a stable name in kebab-case. */
   void Write(LogLevel aLevel,
              std::string_view aEvent,
-             const std::vector<LogField>& aFields = {});
+             const std::vector<LogField>& aFields = {},
+             LogBound aBound = LogBound::Common);
   void Flush();
 
   /**
-   * Lines to standard output that were left out so far: above
-   * `kMaxLinesPerSecond`, or because its reader had fallen behind. Each second
+   * Lines to standard output that were left out so far: above the bound of
+   * their kind, or because its reader had fallen behind. Each second
    * in which lines were left out is told by one line of its own.
    */
   std::uint64_t Dropped() const;
   /** Four times the calls that an instance ends in a second at its peak. */
   static constexpr int kMaxLinesPerSecond = 400;
+  /** The same for `LogBound::Kept`, which counts apart. */
+  static constexpr int kMaxKeptLinesPerSecond = 100;
 
   struct Impl;
   explicit Log(std::unique_ptr<Impl> aImpl);
--- a/packages/observe/src/Log.cpp
+++ b/packages/observe/src/Log.cpp
@@ -48,11 +48,12 @@
 struct Log::Impl
 {
   /** Counts a line of this second; false: it is left out. */
-  bool TakeLine();
+  bool TakeLine(LogBound aBound);
 
   std::shared_ptr<OutputSink> m_output; ///< Null: another target.
   Clock::time_point m_secondStart;
   int m_linesInSecond = 0;
+  int m_keptInSecond = 0; ///< Lines of `LogBound::Kept`.
   std::uint64_t m_droppedInSecond = 0;
   std::uint64_t m_dropped = 0;
   std::shared_ptr<spdlog::logger> m_logger;
@@ -121,7 +122,7 @@
 } // namespace
 
 bool
-Log::Impl::TakeLine()
+Log::Impl::TakeLine(LogBound aBound)
 {
   if (m_output == nullptr) {
     return true;
@@ -130,6 +131,7 @@
   if (now - m_secondStart >= std::chrono::seconds(1)) {
     m_secondStart = now;
     m_linesInSecond = 0;
+    m_keptInSecond = 0;
     if (const auto dropped = std::exchange(m_droppedInSecond, 0)) {
       m_logger->warn(
         FormatLine(m_format,
@@ -138,7 +140,10 @@
                    { { "count", static_cast<std::int64_t>(dropped) } }));
     }
   }
-  if (++m_linesInSecond > kMaxLinesPerSecond) {
+  const bool isOver = aBound == LogBound::Kept
+                        ? ++m_keptInSecond > kMaxKeptLinesPerSecond
+                        : ++m_linesInSecond > kMaxLinesPerSecond;
+  if (isOver) {
     ++m_droppedInSecond;
     ++m_dropped;
     return false;
@@ -194,10 +199,11 @@
 void
 Log::Write(LogLevel aLevel,
            std::string_view aEvent,
-           const std::vector<LogField>& aFields)
+           const std::vector<LogField>& aFields,
+           LogBound aBound)
 {
   const spdlog::level::level_enum level = ToLevel(aLevel);
-  if (!m_impl->m_logger->should_log(level) || !m_impl->TakeLine()) {
+  if (!m_impl->m_logger->should_log(level) || !m_impl->TakeLine(aBound)) {
     return;
   }
   m_impl->m_logger->log(
