Streams stay at their version at an instance that is out of step

Cause: without a record, one version alone proved an origin at once, by the instance's own list, however old that was, and no other instance was asked.

Now the others are always asked first. Two seconds without a look at the list end what was seen before.

--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -608,7 +608,7 @@
   m_scale = std::make_unique<ScaleService>(m_node, *m_lease);
   m_statements = std::make_unique<StatementService>(m_node, *m_peers);
   m_origins = std::make_unique<StreamOriginService>(
-    m_node, m_generations, *m_peers, *m_peerSocket);
+    m_node, m_generations, *m_peers, *m_peerSocket, *m_members);
   m_relay = std::make_unique<Relay>(m_node,
                                     *m_quarantine,
                                     *m_freshness,
--- a/packages/entry/src/StreamOriginService.cpp
+++ b/packages/entry/src/StreamOriginService.cpp
@@ -22,7 +22,8 @@
 StreamOriginService::StreamOriginService(EntryNode& aNode,
                                          StoreGenerations& aGenerations,
                                          Peers& aPeers,
-                                         PeerSocket& aSocket)
+                                         PeerSocket& aSocket,
+                                         StoreReader& aMembers)
   : m_node(aNode)
   , m_peers(aPeers)
   , m_socket(aSocket)
@@ -34,6 +35,7 @@
               TakeRecord(aRecord);
               Do(m_lookups.TakeRecord(aRecord.m_key, aRecord.m_origin));
             })
+  , m_listCheck(aNode, aGenerations, aMembers)
   , m_memory(kLeastMemory)
 {
   m_store.SetMemory(m_memory);
@@ -79,6 +81,7 @@
     m_history.NoteGap();
     return;
   }
+  m_history.NoteWatched(m_node.Now());
   for (const relay::Member* member : m_node.m_fleet.Members()) {
     NoteListed(*member);
   }
@@ -137,18 +140,13 @@
 StreamOriginService::Find(const StreamToFind& aStream, const Decided& aDecided)
 {
   const Instant now = m_node.Now();
-  streams::OriginEvidence evidence = EvidenceFor(aStream.m_service);
   if (const auto known = m_table.Find(aStream.m_key, now)) {
+    streams::OriginEvidence evidence = EvidenceFor(aStream.m_service);
     evidence.m_origin = known->m_origin;
     evidence.m_isAmbiguous = known->m_isAmbiguous;
     aDecided(streams::DecideOrigin(evidence, now));
     return;
   }
-  const streams::OriginDecision decision = streams::DecideOrigin(evidence, now);
-  if (std::holds_alternative<streams::GoOn>(decision)) {
-    aDecided(decision);
-    return;
-  }
   m_waiting.emplace(aStream.m_key, Waiting{ aStream, aDecided });
   const std::vector<streams::Holder> others = Holders();
   m_node.m_metrics.Count("stream_lookups_total");
@@ -190,56 +188,99 @@
 void
 StreamOriginService::Do(const streams::LookupEnded& aAction)
 {
-  if (!NeedsStore(aAction)) {
-    EndLookup(aAction, true);
-    return;
-  }
-  // Those that knew the stream may all be lost; the store outlasts them.
-  m_store.Read([this, aAction](bool aIsRead) { EndLookup(aAction, aIsRead); });
+  ConsiderList({ aAction });
 }
 
 streams::OriginEvidence
-StreamOriginService::EvidenceFor(const streams::LookupEnded& aLookup,
+StreamOriginService::EvidenceFor(const Findings& aFindings,
                                  std::string_view aService) const
 {
+  const streams::LookupEnded& lookup = aFindings.m_lookup;
   streams::OriginEvidence out = EvidenceFor(aService);
-  out.m_origin = aLookup.m_origin;
-  if (const auto known = m_table.Find(aLookup.m_key, m_node.Now())) {
+  out.m_origin = lookup.m_origin;
+  if (const auto known = m_table.Find(lookup.m_key, m_node.Now())) {
     out.m_origin = known->m_origin;
     out.m_isAmbiguous = known->m_isAmbiguous;
   }
-  out.m_isUnanswered = aLookup.m_isUnanswered;
-  out.m_peersSole = aLookup.m_sole;
+  out.m_isUnanswered = lookup.m_isUnanswered;
+  out.m_peersSole = lookup.m_sole;
+  out.m_isListProven = aFindings.m_isListProven;
+  out.m_isStoreUnread = aFindings.m_isStoreUnread;
   return out;
 }
 
 bool
-StreamOriginService::NeedsStore(const streams::LookupEnded& aLookup) const
+StreamOriginService::AnyRefused(const Findings& aFindings) const
 {
-  const auto [begin, end] = m_waiting.equal_range(aLookup.m_key);
+  const auto [begin, end] = m_waiting.equal_range(aFindings.m_lookup.m_key);
   return std::any_of(begin, end, [&](const auto& aEntry) {
     const StreamToFind& stream = aEntry.second.m_stream;
-    return stream.m_isNamed &&
-           std::holds_alternative<streams::RefuseTakeUp>(streams::DecideOrigin(
-             EvidenceFor(aLookup, stream.m_service), m_node.Now()));
+    return std::holds_alternative<streams::RefuseTakeUp>(streams::DecideOrigin(
+      EvidenceFor(aFindings, stream.m_service), m_node.Now()));
+  });
+}
+
+void
+StreamOriginService::ConsiderList(Findings aFindings)
+{
+  Findings proven = aFindings;
+  proven.m_isListProven = true;
+  const bool isKnown = !AnyRefused(aFindings);
+  const bool listWouldHelp = !AnyRefused(proven);
+  if (isKnown || !listWouldHelp) {
+    ConsiderStore(std::move(aFindings));
+    return;
+  }
+  // Of a stream that its caller does not name there is no record that could
+  // speak against it, so that the others' lists have to do.
+  const streams::LookupEnded& lookup = aFindings.m_lookup;
+  if (lookup.m_isVouched && !IsAnyNamed(lookup.m_key)) {
+    Conclude(proven);
+    return;
+  }
+  m_listCheck.Check([this, aFindings](bool aIsProven) {
+    Findings checked = aFindings;
+    checked.m_isListProven = aIsProven;
+    ConsiderStore(std::move(checked));
+  });
+}
+
+bool
+StreamOriginService::IsAnyNamed(const streams::StreamKey& aKey) const
+{
+  const auto [begin, end] = m_waiting.equal_range(aKey);
+  return std::any_of(begin, end, [](const auto& aEntry) {
+    return aEntry.second.m_stream.m_isNamed;
+  });
+}
+
+void
+StreamOriginService::ConsiderStore(Findings aFindings)
+{
+  if (!IsAnyNamed(aFindings.m_lookup.m_key) || !AnyRefused(aFindings)) {
+    Conclude(aFindings);
+    return;
+  }
+  // Those that knew the stream may all be lost; the store outlasts them.
+  m_store.Read([this, aFindings](bool aIsRead) {
+    Findings read = aFindings;
+    read.m_isStoreUnread = !aIsRead;
+    Conclude(read);
   });
 }
 
 void
-StreamOriginService::EndLookup(const streams::LookupEnded& aLookup,
-                               bool aIsStoreRead)
+StreamOriginService::Conclude(const Findings& aFindings)
 {
-  const auto [begin, end] = m_waiting.equal_range(aLookup.m_key);
+  const auto [begin, end] = m_waiting.equal_range(aFindings.m_lookup.m_key);
   std::vector<Waiting> waiting;
   for (auto item = begin; item != end; ++item) {
     waiting.push_back(std::move(item->second));
   }
   m_waiting.erase(begin, end);
   for (const Waiting& item : waiting) {
-    streams::OriginEvidence evidence =
-      EvidenceFor(aLookup, item.m_stream.m_service);
-    evidence.m_isStoreUnread = !aIsStoreRead;
-    item.m_decided(streams::DecideOrigin(evidence, m_node.Now()));
+    item.m_decided(streams::DecideOrigin(
+      EvidenceFor(aFindings, item.m_stream.m_service), m_node.Now()));
   }
 }
 
--- a/packages/entry/src/StreamOriginService.h
+++ b/packages/entry/src/StreamOriginService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "EntryNode.h"
+#include "ListCheck.h"
 #include "PeerSocket.h"
 #include "Peers.h"
 #include "StreamOriginStore.h"
@@ -41,7 +42,8 @@
   StreamOriginService(EntryNode& aNode,
                       StoreGenerations& aGenerations,
                       Peers& aPeers,
-                      PeerSocket& aSocket);
+                      PeerSocket& aSocket,
+                      StoreReader& aMembers);
 
   void Start();
   /** Must be called when a configuration comes into force. */
@@ -60,7 +62,7 @@
   /**
    * Decides whether a stream that a caller takes up may go on. Calls back once,
    * perhaps before it returns: after 150 ms at the latest if an instance knows
-   * the origin, else once the store has been read too.
+   * the origin, else once the store has answered or has not in 1 s.
    */
   void Find(const StreamToFind& aStream, const Decided& aDecided);
   /** Passes all records on, as this instance stops. */
@@ -76,14 +78,29 @@
 
   void TakeMessage(const streams::OriginMessage& aMessage);
   void TakeRecord(const streams::OriginRecord& aRecord);
+  /** What was found out so far about a stream that a caller takes up. */
+  struct Findings
+  {
+    streams::LookupEnded m_lookup;
+    bool m_isListProven = false; ///< See `streams::OriginEvidence`.
+    bool m_isStoreUnread = false;
+  };
+
   /** What is known of a stream once its lookup has ended. */
-  streams::OriginEvidence EvidenceFor(const streams::LookupEnded& aLookup,
+  streams::OriginEvidence EvidenceFor(const Findings& aFindings,
                                       std::string_view aService) const;
-  /** Whether a record in the store would help a call that waits for the stream.
-   */
-  bool NeedsStore(const streams::LookupEnded& aLookup) const;
+  /** Returns whether a call waits for the stream that could not go on by these
+   * findings. */
+  bool AnyRefused(const Findings& aFindings) const;
+  /** Returns whether a caller who waits for the stream names it. */
+  bool IsAnyNamed(const streams::StreamKey& aKey) const;
+  /** Goes on by the list of upstreams, if that may prove that one version alone
+   * has served. */
+  void ConsiderList(Findings aFindings);
+  /** Goes on by the origins in the store, if a record there would help. */
+  void ConsiderStore(Findings aFindings);
   /** Decides on all calls that wait for the stream. */
-  void EndLookup(const streams::LookupEnded& aLookup, bool aIsStoreRead);
+  void Conclude(const Findings& aFindings);
   /** Returns the answer to one question, in a message of its own. */
   streams::OriginMessage AnswerTo(const streams::OriginQuestion& aQuestion);
   std::optional<streams::SoleVersion> SoleVersionOf(
@@ -103,6 +120,7 @@
   streams::OriginLookups m_lookups;
   streams::VersionHistory m_history;
   StreamOriginStore m_store;
+  ListCheck m_listCheck;
   std::multimap<streams::StreamKey, Waiting> m_waiting;
   bool m_hasList = false;
   Duration m_memory;
--- a/packages/streams/include/ridgeferry/streams/OriginDecision.h
+++ b/packages/streams/include/ridgeferry/streams/OriginDecision.h
@@ -31,6 +31,10 @@
   Duration m_memory{};
   /** The origins in the store could not be read. */
   bool m_isStoreUnread = false;
+  /** The list of upstreams here is known to hold all that were listed when the
+   * caller came. What has been seen for however long proves nothing about an
+   * upstream that joined while this instance was cut off or suspended. */
+  bool m_isListProven = false;
 };
 
 /** Why a stream may go on. */
--- a/packages/streams/include/ridgeferry/streams/OriginLookup.h
+++ b/packages/streams/include/ridgeferry/streams/OriginLookup.h
@@ -42,6 +42,9 @@
   bool m_isUnanswered = false;
   /** The longest statement about the service that an instance made. */
   std::optional<SoleVersion> m_sole;
+  /** Some instances were asked, all of them answered, and all have seen one
+   * version alone, the same one. */
+  bool m_isVouched = false;
 };
 using LookupAction = std::variant<AskHolders, LookupEnded>;
 
@@ -87,6 +90,9 @@
     Instant m_asked;
     std::set<std::string, std::less<>> m_unanswered;
     std::optional<SoleVersion> m_sole;
+    int m_answers = 0;
+    /** An answer named no version, or another one than an earlier answer. */
+    bool m_isDisputed = false;
   };
   using Lookups = std::map<StreamKey, Lookup>;
 
--- a/packages/streams/include/ridgeferry/streams/VersionHistory.h
+++ b/packages/streams/include/ridgeferry/streams/VersionHistory.h
@@ -33,6 +33,10 @@
   /** Records that the list may have been other than this instance saw it: what
    * was before proves nothing. */
   void NoteGap() { m_services.clear(); }
+  /** Must be called several times a second while this instance follows the
+   * list. After a longer pause, in which an upstream may have joined and left,
+   * what was before proves nothing. */
+  void NoteWatched(Instant aNow);
   /**
    * Returns the version that the service's upstreams run, with the time for
    * which this instance has seen no other; std::nullopt if it has seen another
@@ -54,6 +58,7 @@
   };
 
   std::map<std::string, Service, std::less<>> m_services;
+  std::optional<Instant> m_watchedAt;
 };
 
 } // namespace ridgeferry::streams
--- a/packages/streams/src/OriginDecision.cpp
+++ b/packages/streams/src/OriginDecision.cpp
@@ -36,7 +36,8 @@
   }
   const auto sole = KnownSoleVersion(aEvidence, aNow);
   const Duration soleFor = sole ? sole->m_for : Duration{};
-  if (sole && soleFor >= memory) {
+  const bool wasSole = sole && soleFor >= memory;
+  if (wasSole && aEvidence.m_isListProven) {
     return GoOn{ { std::string(aEvidence.m_service), sole->m_softwareVersion },
                  OriginProof::SoleVersion };
   }
@@ -44,7 +45,7 @@
     return RefuseTakeUp{ RefuseTakeUp::Cause::Unanswered,
                          kOriginStoreRetryAfter };
   }
-  if (aEvidence.m_isUnanswered) {
+  if (aEvidence.m_isUnanswered || wasSole) {
     return RefuseTakeUp{ RefuseTakeUp::Cause::Unanswered, kOriginRetryAfter };
   }
   return RefuseTakeUp{ RefuseTakeUp::Cause::Unknown, memory - soleFor };
--- a/packages/streams/src/OriginLookup.cpp
+++ b/packages/streams/src/OriginLookup.cpp
@@ -51,6 +51,11 @@
     return out;
   }
   lookup.m_unanswered.erase(asked);
+  ++lookup.m_answers;
+  const bool isOther =
+    aAnswer.m_sole && lookup.m_sole &&
+    aAnswer.m_sole->m_softwareVersion != lookup.m_sole->m_softwareVersion;
+  lookup.m_isDisputed = lookup.m_isDisputed || !aAnswer.m_sole || isOther;
   const bool isLonger =
     aAnswer.m_sole &&
     (!lookup.m_sole || lookup.m_sole->m_for < aAnswer.m_sole->m_for);
@@ -90,10 +95,13 @@
                    std::vector<LookupAction>& aActions)
 {
   Lookup& lookup = aLookup->second;
+  const bool isVouched =
+    lookup.m_unanswered.empty() && lookup.m_answers > 0 && !lookup.m_isDisputed;
   aActions.emplace_back(LookupEnded{ aLookup->first,
                                      std::nullopt,
                                      !lookup.m_unanswered.empty(),
-                                     std::move(lookup.m_sole) });
+                                     std::move(lookup.m_sole),
+                                     isVouched });
   return m_lookups.erase(aLookup);
 }
 
--- a/packages/streams/src/VersionHistory.cpp
+++ b/packages/streams/src/VersionHistory.cpp
@@ -1,9 +1,17 @@
 #include "ridgeferry/streams/VersionHistory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ridgeferry::streams {
 
+namespace {
+
+/** An upstream that joins and leaves serves for longer. */
+constexpr Duration kLongestUnwatched{ 2000 };
+
+} // namespace
+
 void
 VersionHistory::NoteListed(std::string_view aService,
                            std::string_view aSoftwareVersion,
@@ -23,6 +31,15 @@
   }
 }
 
+void
+VersionHistory::NoteWatched(Instant aNow)
+{
+  const auto last = std::exchange(m_watchedAt, aNow);
+  if (last && aNow - *last > kLongestUnwatched) {
+    NoteGap();
+  }
+}
+
 std::optional<SoleVersion>
 VersionHistory::SoleVersionOf(std::string_view aService,
                               Duration aMemory,
--- a/packages/streams/tests/OriginTest.cpp
+++ b/packages/streams/tests/OriginTest.cpp
@@ -64,7 +64,7 @@
 }
 
 /** One step of a lookup, and what it leads to: `ask:A,B`, `found:V`, `none` or
- * `none?` (somebody did not answer). */
+ * `none?` (somebody did not answer), with what the others vouch for. */
 struct LookupStep
 {
   Duration m_at;
@@ -104,6 +104,7 @@
            : ended.m_isUnanswered ? "none?"
                                   : "none";
     out += ended.m_sole ? " sole:" + ended.m_sole->m_softwareVersion : "";
+    out += ended.m_isVouched ? " vouched" : "";
   }
   return out;
 }
@@ -132,34 +133,51 @@
 
 const NoRecord kNone{ kKey, {} };
 const NoRecord kNoneButOne{ kKey, SoleVersion{ "v1", kMemory } };
+const NoRecord kNoneButOther{ kKey, SoleVersion{ "v2", kMemory } };
 
 INSTANTIATE_TEST_SUITE_P(
   Lookups,
   OriginLookupTest,
-  ::testing::Values(LookupCase{ "NobodyToAsk", {}, "none", {} },
-                    LookupCase{ "FirstRecord",
-                                { "A", "B" },
-                                "ask:AB",
-                                { { {}, kNone, "A", "" },
-                                  { {}, kOld, "B", "found:v1" },
-                                  { {}, kNone, "B", "" } } },
-                    LookupCase{ "NobodyKnows",
-                                { "A", "B" },
-                                "ask:AB",
-                                { { {}, kNone, "A", "" },
-                                  { {}, kNone, "A", "" },
-                                  { {}, kNoneButOne, "B", "none sole:v1" } } },
-                    LookupCase{ "AsksAgainWhoDidNotAnswer",
-                                { "A", "B" },
-                                "ask:AB",
-                                { { {}, kNone, "A", "" },
-                                  { OriginLookups::kAskAgain, {}, "", "ask:B" },
-                                  { {}, kNew, "B", "found:v2" } } },
-                    LookupCase{ "GivesUp",
-                                { "A" },
-                                "ask:A",
-                                { { OriginLookups::kLongest, {}, "", "none?" },
-                                  { {}, kOld, "A", "" } } }),
+  ::testing::Values(
+    LookupCase{ "NobodyToAsk", {}, "none", {} },
+    LookupCase{ "FirstRecord",
+                { "A", "B" },
+                "ask:AB",
+                { { {}, kNone, "A", "" },
+                  { {}, kOld, "B", "found:v1" },
+                  { {}, kNone, "B", "" } } },
+    LookupCase{ "NobodyKnows",
+                { "A", "B" },
+                "ask:AB",
+                { { {}, kNone, "A", "" },
+                  { {}, kNone, "A", "" },
+                  { {}, kNoneButOne, "B", "none sole:v1" } } },
+    LookupCase{ "AllVouchForOneVersion",
+                { "A", "B" },
+                "ask:AB",
+                { { {}, kNoneButOne, "A", "" },
+                  { {}, kNoneButOne, "B", "none sole:v1 vouched" } } },
+    LookupCase{ "TwoVouchForTwoVersions",
+                { "A", "B" },
+                "ask:AB",
+                { { {}, kNoneButOne, "A", "" },
+                  { {}, kNoneButOther, "B", "none sole:v1" } } },
+    LookupCase{ "OneVouchesAndOneIsSilent",
+                { "A", "B" },
+                "ask:AB",
+                { { {}, kNoneButOne, "A", "" },
+                  { OriginLookups::kLongest, {}, "", "none? sole:v1" } } },
+    LookupCase{ "AsksAgainWhoDidNotAnswer",
+                { "A", "B" },
+                "ask:AB",
+                { { {}, kNone, "A", "" },
+                  { OriginLookups::kAskAgain, {}, "", "ask:B" },
+                  { {}, kNew, "B", "found:v2" } } },
+    LookupCase{ "GivesUp",
+                { "A" },
+                "ask:A",
+                { { OriginLookups::kLongest, {}, "", "none?" },
+                  { {}, kOld, "A", "" } } }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
 /** What a history was told, oldest first: a version and when, before now. */
@@ -182,6 +200,7 @@
   const char* m_goesOn;
   Duration m_retryAfter{};
   bool m_isStoreUnread = false;
+  bool m_isListProven = true;
 };
 
 std::ostream&
@@ -208,7 +227,8 @@
                                                  GetParam().m_peersSole,
                                                  GetParam().m_hasList,
                                                  kMemory,
-                                                 GetParam().m_isStoreUnread },
+                                                 GetParam().m_isStoreUnread,
+                                                 GetParam().m_isListProven },
                                                kNow);
   const auto* goOn = std::get_if<GoOn>(&decision);
   EXPECT_EQ(goOn == nullptr ? "" : goOn->m_origin.m_softwareVersion,
@@ -339,6 +359,28 @@
                   "v1",
                   {},
                   true },
+    DecisionCase{ "OneVersionForLongInAListThatMayBeOld",
+                  kLongV1,
+                  {},
+                  false,
+                  false,
+                  kPeersLongV1,
+                  true,
+                  "",
+                  kOriginRetryAfter,
+                  false,
+                  false },
+    DecisionCase{ "TheSameAndTheStoreIsAway",
+                  kLongV1,
+                  {},
+                  false,
+                  false,
+                  kPeersLongV1,
+                  true,
+                  "",
+                  kOriginStoreRetryAfter,
+                  true,
+                  false },
     DecisionCase{ "NothingListed",
                   {},
                   {},
--- a/packages/streams/tests/StreamOriginWorld.cpp
+++ b/packages/streams/tests/StreamOriginWorld.cpp
@@ -12,7 +12,6 @@
 /** How often an instance looks at its list. */
 constexpr Duration kListedEvery{ 100 };
 constexpr const char* kService = "s";
-constexpr Duration kMemory{ 60'000 };
 constexpr int kEngines = 12;
 /** From the start of one engine of a rollout to that of the next. */
 constexpr Duration kNextEngine{ 400 };
@@ -27,6 +26,8 @@
 constexpr double kStepsPerSecond = 1000.0 / 5;
 /** Some time before a loss: what the store's copy misses. */
 constexpr Duration kCopyAge{ 1500 };
+/** Until an instance notes that its reads of the store fail. */
+constexpr Duration kStoreLostAfter{ 2800 };
 
 std::string
 NameOf(int aVersion)
@@ -51,6 +52,8 @@
     node.m_changedAt = m_now - kContact;
     node.m_lag = Duration(static_cast<int>(
       Draw() * static_cast<double>(m_terms.m_listLag.count())));
+    node.m_listedAsOf = m_now - node.m_lag;
+    node.m_catchesUpAt = m_now;
   }
   for (int i = 0; i < kEngines; ++i) {
     m_engines.push_back({ m_latestVersion, m_now - Duration{ 10'000 }, {} });
@@ -78,13 +81,61 @@
 bool
 StreamOriginWorld::IsCut(std::size_t aLeft, std::size_t aRight) const
 {
-  constexpr Duration kCycle{ 8000 };
-  constexpr Duration kCutFor{ 4000 };
-  const bool isOn =
-    m_terms.m_hasCut && (m_now - m_begin) % kCycle >= kCycle - kCutFor;
   const bool leftIsCut = m_nodes[aLeft].m_dataCentre == 0;
   const bool rightIsCut = m_nodes[aRight].m_dataCentre == 0;
-  return isOn && leftIsCut != rightIsCut;
+  return IsCutOn() && leftIsCut != rightIsCut;
+}
+
+bool
+StreamOriginWorld::IsCutOn() const
+{
+  constexpr Duration kCycle{ 8000 };
+  constexpr Duration kCutFor{ 4000 };
+  return m_terms.m_hasCut && (m_now - m_begin) % kCycle >= kCycle - kCutFor;
+}
+
+bool
+StreamOriginWorld::IsCutFromStore(std::size_t aNode) const
+{
+  return m_terms.m_cutsStore && m_nodes[aNode].m_dataCentre == 0 && IsCutOn();
+}
+
+bool
+StreamOriginWorld::HasList(std::size_t aNode) const
+{
+  const auto& cutAt = m_nodes[aNode].m_cutAt;
+  return !cutAt || m_now - *cutAt < kStoreLostAfter;
+}
+
+bool
+StreamOriginWorld::IsListProven(std::size_t aNode) const
+{
+  const Instant asOf = m_nodes[aNode].m_listedAsOf;
+  return !IsCutFromStore(aNode) &&
+         std::none_of(
+           m_engines.begin(), m_engines.end(), [&](const Engine& aEngine) {
+             return aEngine.m_listedAt > asOf ||
+                    (aEngine.m_goneAt && *aEngine.m_goneAt > asOf);
+           });
+}
+
+void
+StreamOriginWorld::MoveLists()
+{
+  for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+    Node& node = m_nodes[i];
+    const Duration catchUp(static_cast<int>(
+      Draw() * static_cast<double>(m_terms.m_longestCatchUp.count())));
+    if (IsCutFromStore(i)) {
+      node.m_cutAt = node.m_cutAt.value_or(m_now);
+      node.m_catchesUpAt = m_now + catchUp;
+    } else if (!Runs(i)) {
+      node.m_catchesUpAt = m_now + catchUp;
+    } else if (m_now >= node.m_catchesUpAt) {
+      node.m_cutAt.reset();
+      node.m_listedAsOf = std::max(node.m_listedAsOf, m_now - node.m_lag);
+    }
+  }
 }
 
 bool
@@ -118,7 +169,7 @@
 std::vector<int>
 StreamOriginWorld::Listed(std::size_t aNode) const
 {
-  const Instant seen = m_now - m_nodes[aNode].m_lag;
+  const Instant seen = m_nodes[aNode].m_listedAsOf;
   std::vector<int> out;
   for (const Engine& engine : m_engines) {
     if (engine.m_listedAt <= seen &&
@@ -249,7 +300,7 @@
 {
   const OriginRecord record{ aStream.m_key,
                              { kService, NameOf(aStream.m_version) },
-                             kMemory };
+                             m_terms.m_memory };
   Node& node = m_nodes[aNode];
   node.m_table.Put(record, m_now);
   node.m_log.NoteBegan(record, m_now);
@@ -308,11 +359,14 @@
   for (const OriginQuestion& question : aMessage.m_questions) {
     OriginMessage answer{ node.m_address, {}, {}, {} };
     if (const auto known = node.m_table.Find(question.m_key, m_now)) {
-      answer.m_records.push_back({ question.m_key, known->m_origin, kMemory });
+      answer.m_records.push_back(
+        { question.m_key, known->m_origin, m_terms.m_memory });
     } else {
       answer.m_noRecords.push_back(
         { question.m_key,
-          node.m_history.SoleVersionOf(kService, kMemory, m_now) });
+          HasList(aNode)
+            ? node.m_history.SoleVersionOf(kService, m_terms.m_memory, m_now)
+            : std::nullopt });
     }
     Send(aNode, answer, { aMessage.m_from });
   }
@@ -372,17 +426,8 @@
     m_result.m_takenUpBehindLoss += aStream.m_isBehindLoss ? 1 : 0;
   }
   Node& node = m_nodes[aNode];
-  OriginEvidence evidence{ kService,       {}, false, false,
-                           node.m_history, {}, true,  kMemory };
-  if (const auto known = node.m_table.Find(aStream.m_key, m_now)) {
-    evidence.m_origin = known->m_origin;
-    evidence.m_isAmbiguous = known->m_isAmbiguous;
-    Decide(aStream, aNode, evidence);
-    return;
-  }
-  const OriginDecision decision = DecideOrigin(evidence, m_now);
-  if (std::holds_alternative<GoOn>(decision)) {
-    Decide(aStream, aNode, evidence);
+  if (node.m_table.Find(aStream.m_key, m_now)) {
+    Decide(aStream, aNode, EvidenceOf(aNode, aStream));
     return;
   }
   aStream.m_isWaiting = true;
@@ -393,6 +438,19 @@
        aStream.m_key, kService, HoldersToAsk(aStream.m_key, others), m_now));
 }
 
+OriginEvidence
+StreamOriginWorld::EvidenceOf(std::size_t aNode, const Stream& aStream) const
+{
+  const Node& node = m_nodes[aNode];
+  OriginEvidence out{ kService,       {}, false,          false,
+                      node.m_history, {}, HasList(aNode), m_terms.m_memory };
+  if (const auto known = node.m_table.Find(aStream.m_key, m_now)) {
+    out.m_origin = known->m_origin;
+    out.m_isAmbiguous = known->m_isAmbiguous;
+  }
+  return out;
+}
+
 void
 StreamOriginWorld::Decide(Stream& aStream,
                           std::size_t aNode,
@@ -456,21 +514,19 @@
 void
 StreamOriginWorld::DecideWaiting(std::size_t aNode, bool aIsStoreUnread)
 {
-  Node& node = m_nodes[aNode];
   for (auto& [id, stream] : m_streams) {
     if (!stream.m_isWaiting || stream.m_askedAt != aNode || !stream.m_ended) {
       continue;
     }
     const LookupEnded ended = *std::exchange(stream.m_ended, std::nullopt);
-    OriginEvidence evidence{ kService,       ended.m_origin,
-                             false,          ended.m_isUnanswered,
-                             node.m_history, ended.m_sole,
-                             true,           kMemory,
-                             aIsStoreUnread };
-    if (const auto known = node.m_table.Find(stream.m_key, m_now)) {
-      evidence.m_origin = known->m_origin;
-      evidence.m_isAmbiguous = known->m_isAmbiguous;
+    OriginEvidence evidence = EvidenceOf(aNode, stream);
+    if (!evidence.m_origin) {
+      evidence.m_origin = ended.m_origin;
     }
+    evidence.m_isUnanswered = ended.m_isUnanswered;
+    evidence.m_peersSole = ended.m_sole;
+    evidence.m_isStoreUnread = aIsStoreUnread;
+    evidence.m_isListProven = IsListProven(aNode);
     Decide(stream, aNode, evidence);
   }
 }
@@ -481,6 +537,11 @@
   if ((m_now - m_begin) % kListedEvery != Duration{}) {
     return;
   }
+  if (!HasList(aNode)) {
+    m_nodes[aNode].m_history.NoteGap();
+    return;
+  }
+  m_nodes[aNode].m_history.NoteWatched(m_now);
   const std::vector<int> listed = Listed(aNode);
   for (const int version : std::set<int>(listed.begin(), listed.end())) {
     m_nodes[aNode].m_history.NoteListed(kService, NameOf(version), m_now);
@@ -494,6 +555,7 @@
        m_now += kStep) {
     MoveEngines();
     MoveNodes();
+    MoveLists();
     Deliver();
     AnswerStoreCalls();
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
--- a/packages/streams/tests/StreamOriginWorld.h
+++ b/packages/streams/tests/StreamOriginWorld.h
@@ -45,6 +45,14 @@
   Duration m_rolloutEvery{};
   /** A data centre is cut off from the others for part of the time. */
   bool m_hasCut = false;
+  /** And from the store. */
+  bool m_cutsStore = false;
+  /** Longest time until an instance has read the list again behind a suspension
+   * or a cut from the store. */
+  Duration m_longestCatchUp{};
+  /** Longest time from the beginning of a stream to a try that takes it up. One
+   * version alone must have served for as long to prove an origin. */
+  Duration m_memory{ 60'000 };
   /** How often all instances are lost at once; 0: never. */
   Duration m_allLostEvery{};
   /** Share of the writes to the store that are not answered. Each second one of
@@ -100,6 +108,10 @@
     std::optional<Instant> m_suspendedUntil;
     std::optional<Instant> m_startsAt;
     Duration m_lag{};
+    Instant m_listedAsOf; ///< What moment of the store its list shows.
+    Instant m_catchesUpAt;
+    /** Since when its reads of the store fail. */
+    std::optional<Instant> m_cutAt;
     OriginTable m_table;
     OriginLookups m_lookups;
     VersionHistory m_history;
@@ -155,7 +167,15 @@
   /** Whether something that happens so often does in this step. */
   bool Happens(double aPerSecond);
   bool Runs(std::size_t aNode) const;
+  bool IsCutOn() const;
   bool IsCut(std::size_t aLeft, std::size_t aRight) const;
+  bool IsCutFromStore(std::size_t aNode) const;
+  /** Whether an instance takes itself to follow the list. */
+  bool HasList(std::size_t aNode) const;
+  /** Whether a read of the store shows that an instance's list is the present
+   * one. */
+  bool IsListProven(std::size_t aNode) const;
+  void MoveLists();
   bool IsInTouch(std::size_t aNode) const;
   /** Whether one instance takes the other for live. */
   bool SeesLive(std::size_t aNode, std::size_t aOther) const;
@@ -182,6 +202,8 @@
   void Deliver();
   void Take(std::size_t aNode, const OriginMessage& aMessage);
   void Do(std::size_t aNode, const std::vector<LookupAction>& aActions);
+  /** What an instance knows of a stream. */
+  OriginEvidence EvidenceOf(std::size_t aNode, const Stream& aStream) const;
   /** Decides on the streams at an instance whose lookups have ended. */
   void DecideWaiting(std::size_t aNode, bool aIsStoreUnread);
   void EndNode(Node& aNode);
--- a/packages/streams/tests/StreamOriginWorldStore.cpp
+++ b/packages/streams/tests/StreamOriginWorldStore.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr Duration kMemory{ 60'000 };
 constexpr Duration kReadTakes{ 10 };
 constexpr Duration kReadTimeout{ 300 };
 /** Least time between two reads of an instance. */
@@ -34,7 +33,7 @@
     (void)ReadOrigins(aNode);
     return;
   }
-  const bool hasSeveral = node.m_history.HasSeveral(kMemory, m_now);
+  const bool hasSeveral = node.m_history.HasSeveral(m_terms.m_memory, m_now);
   auto due = node.m_log.Due(m_now, { m_nodes.size(), hasSeveral });
   if (!due) {
     return;
--- a/packages/streams/tests/StreamOriginWorldTest.cpp
+++ b/packages/streams/tests/StreamOriginWorldTest.cpp
@@ -69,6 +69,64 @@
     WorldCase{ "All", Terms(0.4, 0.3, true, kOften), kLeastInTrouble }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+// ---- instances out of step ----
+
+/** Versions join soon after a cut has begun, while those that are cut off still
+ * take themselves to follow the list. */
+constexpr Duration kNextVersion{ 10'400 };
+
+/** One version has served for long enough to prove an origin when the next one
+ * joins. */
+WorldTerms
+OutOfStepTerms(double aSuspensions, bool aHasCut, bool aCutsStore)
+{
+  WorldTerms out = Terms(0, aSuspensions, aHasCut, kNextVersion);
+  out.m_length = Duration{ 45'000 };
+  out.m_memory = Duration{ 5000 }; // No stream with its tries lasts longer.
+  out.m_longestStream = Duration{ 900 };
+  out.m_breaks = 12;
+  out.m_cutsStore = aCutsStore;
+  out.m_longestCatchUp = Duration{ 400 };
+  return out;
+}
+
+class OutOfStepWorldTest : public ::testing::TestWithParam<WorldCase>
+{};
+
+// Guards against streams of two versions where an instance's list stands still
+// while upstreams of a new version join.
+TEST_P(OutOfStepWorldTest, NoStreamChangesVersion)
+{
+  int takenUp = 0;
+  int goOn = 0;
+  EXPECT_TRUE(rc::check(GetParam().m_name, [&] {
+    const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>());
+    const WorldResult result =
+      StreamOriginWorld(GetParam().m_terms, seed).Play();
+    RC_ASSERT(result.m_mixed == 0);
+    takenUp += result.m_takenUpInTouch;
+    goOn += result.m_goOnInTouch;
+  }));
+  EXPECT_GT(takenUp, 0);
+  EXPECT_GE(goOn * 100, takenUp * GetParam().m_leastGoOn)
+    << goOn << " of " << takenUp;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Worlds,
+  OutOfStepWorldTest,
+  ::testing::Values(
+    WorldCase{ "Calm", OutOfStepTerms(0, false, false) },
+    WorldCase{ "Suspended", OutOfStepTerms(1, false, false) },
+    WorldCase{ "CutFromInstances",
+               OutOfStepTerms(0, true, false),
+               kLeastInTrouble },
+    WorldCase{ "CutFromBoth", OutOfStepTerms(0, true, true), kLeastInTrouble },
+    WorldCase{ "SuspendedAndCut",
+               OutOfStepTerms(0.5, true, true),
+               kLeastInTrouble }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 // ---- losses of all instances ----
 
 /** Where the store is away or comes back older, what was written may be gone:
--- a/tests/soak/SoftwareVersionTest.cpp
+++ b/tests/soak/SoftwareVersionTest.cpp
@@ -3,10 +3,10 @@
 // of two versions, callers that take broken streams up wherever they can.
 
 #include "InstancesFixture.h"
+#include "VersionedWorker.h"
 
 #include <list>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <ostream>
 #include <ridgeferry/net/HttpClient.h>
 #include <set>
@@ -15,13 +15,9 @@
 namespace ridgeferry::soak {
 namespace {
 
-using Json = nlohmann::json;
-using ExchangePtr = std::shared_ptr<net::HttpExchange>;
-
 constexpr std::size_t kInstances = 3;
 constexpr int kStreams = 48;
-constexpr int kEvents = 60;
-constexpr Duration kEventEvery{ 25 };
+constexpr int kEvents = VersionedWorker::kEvents;
 /** Streams are broken once all have begun and none has ended. */
 constexpr Duration kBreakAfter{ 500 };
 /** The same where one version serves, as origins are stored later there. */
@@ -35,84 +31,6 @@
 constexpr Duration kGoOnFor{ 500 };
 constexpr Duration kLongestStream{ 6000 };
 
-std::string
-ValueOf(const net::HttpExchange& aCall, std::string_view aName)
-{
-  return std::string(aCall.Headers().Find(aName).value_or(""));
-}
-
-/** An upstream whose streams tell in each event which version wrote it. */
-class VersionedWorker
-{
-public:
-  VersionedWorker(net::EventLoop& aLoop, std::string aId, std::string aVersion)
-    : m_loop(aLoop)
-    , m_version(std::move(aVersion))
-    , m_worker(aLoop, std::move(aId), [this](const ExchangePtr& aCall) {
-      Stream(aCall);
-    })
-  {
-  }
-
-  const std::string& Id() const { return m_worker.Id(); }
-
-  std::string Row() const
-  {
-    Json row = Json::parse(m_worker.Row("s"));
-    row["version"] = m_version;
-    row["slots"] = kStreams;
-    return row.dump();
-  }
-
-  /** Breaks all streams that run here. */
-  void BreakAll()
-  {
-    for (const auto& run : std::exchange(m_runs, {})) {
-      run->m_call->Abort();
-    }
-  }
-
-private:
-  struct Run
-  {
-    ExchangePtr m_call;
-    int m_next = 1;
-    net::Watch m_timer;
-  };
-
-  void Stream(const ExchangePtr& aCall)
-  {
-    net::HttpHeaders headers;
-    headers.Add("X-Request-Id", ValueOf(*aCall, "X-Request-Id"));
-    headers.Add("Content-Type", "text/event-stream");
-    aCall->StartStream(200, headers);
-    const auto run = std::make_shared<Run>();
-    run->m_call = aCall;
-    const std::string after = ValueOf(*aCall, "Last-Event-Id");
-    run->m_next = after.empty() ? 1 : std::stoi(after) + 1;
-    run->m_timer =
-      m_loop.Every(kEventEvery, [this, raw = run.get()] { Write(*raw); });
-    m_runs.push_back(run);
-  }
-
-  void Write(Run& aRun)
-  {
-    if (aRun.m_next > kEvents) {
-      return;
-    }
-    aRun.m_call->SendChunk("id: " + std::to_string(aRun.m_next) +
-                           "\ndata: " + m_version + "\n\n");
-    if (++aRun.m_next > kEvents) {
-      aRun.m_call->EndStream();
-    }
-  }
-
-  net::EventLoop& m_loop;
-  std::string m_version;
-  std::list<std::shared_ptr<Run>> m_runs;
-  adapter::StandInWorker m_worker;
-};
-
 /** One stream as its caller has it, over all its tries. */
 struct CallersStream
 {
@@ -253,22 +171,13 @@
 
   static void TakeEvents(CallersStream& aStream, const std::string& aTry)
   {
-    constexpr std::string_view kEnd = "\n\n";
-    constexpr std::string_view kData = "data: ";
-    for (std::size_t end = aStream.m_text.find(kEnd); end != std::string::npos;
-         end = aStream.m_text.find(kEnd)) {
-      const std::string event = aStream.m_text.substr(0, end);
-      aStream.m_text.erase(0, end + kEnd.size());
-      const std::size_t data = event.find(kData);
-      if (data == std::string::npos) {
-        continue; // A refusal's body.
-      }
+    for (const auto& event : VersionedWorker::TakeEvents(aStream.m_text)) {
       if (aStream.m_lastEvent == 0) {
         aStream.m_beganAs = aTry;
       }
-      EXPECT_EQ(event.substr(0, data),
+      EXPECT_EQ(event.m_head,
                 "id: " + std::to_string(++aStream.m_lastEvent) + "\n");
-      aStream.m_versions.insert(event.substr(data + kData.size()));
+      aStream.m_versions.insert(event.m_version);
       aStream.m_goesOn = aStream.m_isTakenUp;
     }
   }
