--- a/packages/base/src/FieldReader.cpp
+++ b/packages/base/src/FieldReader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace ridgeferry {
 
@@ -79,6 +80,24 @@
          std::to_string(aHigh);
 }
 
+bool
+IsWholeNumberWithin(const nlohmann::json& aValue,
+                    std::int64_t aLow,
+                    std::int64_t aHigh)
+{
+  // As a double, 2^63 is no more than the largest number of 63 bits.
+  if (aValue.is_number_unsigned()) {
+    const auto number = aValue.get<std::uint64_t>();
+    return std::cmp_greater_equal(number, aLow) &&
+           std::cmp_less_equal(number, aHigh);
+  }
+  if (!aValue.is_number_integer()) {
+    return false;
+  }
+  const auto number = aValue.get<std::int64_t>();
+  return number >= aLow && number <= aHigh;
+}
+
 } // namespace
 
 std::string
@@ -189,10 +208,7 @@
   if (value == nullptr) {
     return aFallback;
   }
-  const bool inRange = value->is_number_integer() &&
-                       value->get<double>() >= static_cast<double>(aLow) &&
-                       value->get<double>() <= static_cast<double>(aHigh);
-  if (!inRange) {
+  if (!IsWholeNumberWithin(*value, aLow, aHigh)) {
     FailValue(aField, value, RangeText("a whole number", aLow, aHigh));
     return aFallback;
   }
