No signal ends a process as it starts or ends

Cause: both programs had handlers only from their loop's start to its end.

Now the first statement of main catches the three signals and notes them; a loop that begins to watch for one takes what was noted, and behind its end they are caught again.

Ruled out: a mask in the programs from the start on (the loop's library needs the signals delivered).

--- a/packages/daemon/src/Instance.cpp
+++ b/packages/daemon/src/Instance.cpp
@@ -59,6 +59,7 @@
   net::Watch m_stateTimer;
   net::Watch m_terminate;
   net::Watch m_interrupt;
+  net::Watch m_hangUp; ///< Settings are read at the start only.
 
   void Build();
   void Connect();
@@ -141,6 +142,9 @@
   m_stateTimer = m_node.m_loop->Every(kStateTick, [this] { UpdateState(); });
   m_terminate = m_node.m_loop->OnSignal(SIGTERM, [this] { Stop(); });
   m_interrupt = m_node.m_loop->OnSignal(SIGINT, [this] { Stop(); });
+  m_hangUp = m_node.m_loop->OnSignal(SIGHUP, [this] {
+    m_node.m_log->Write(observe::LogLevel::Warning, "hang-up-ignored");
+  });
   m_node.m_log->Write(
     observe::LogLevel::Info,
     "started",
--- a/packages/daemon/src/Main.cpp
+++ b/packages/daemon/src/Main.cpp
@@ -3,6 +3,7 @@
 #include <getopt.h>
 #include <ridgeferry/daemon/Instance.h>
 #include <ridgeferry/daemon/Settings.h>
+#include <ridgeferry/net/EarlySignals.h>
 #include <string>
 
 namespace {
@@ -76,6 +77,7 @@
 int
 main(int aCount, char** aValues)
 {
+  ridgeferry::net::CatchEarlySignals();
   const Arguments arguments = ParseArguments(aCount, aValues);
   if (arguments.m_exit >= 0) {
     return arguments.m_exit;
--- a/packages/net/src/EventLoop.cpp
+++ b/packages/net/src/EventLoop.cpp
@@ -1,5 +1,7 @@
 #include "ridgeferry/net/EventLoop.h"
 
+#include "ridgeferry/net/EarlySignals.h"
+
 #include <algorithm>
 #include <ctime>
 #include <event2/event.h>
@@ -243,6 +245,9 @@
   impl->m_slot = std::move(aSlot);
   impl->m_event = evsignal_new(m_base, aSignal, &CallSlot, impl.get());
   event_add(impl->m_event, nullptr);
+  if (TakeEarlySignal(aSignal)) {
+    event_active(impl->m_event, EV_SIGNAL, 1);
+  }
   return Watch(std::move(impl));
 }
 
