A mark that its answer contradicts does not show that a call has not run

Cause: the mark of a request that was not run counted with any status. An upstream that ran the call and answered 200, 500 or 504 with the mark was taken for one that declined.

--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -37,7 +37,7 @@
 enum class NotRunWord : std::uint8_t
 {
   None,        ///< It does not say so.
-  Mark,        ///< A header field that says nothing else.
+  Mark,        ///< A header field, with a status that does not contradict it.
   Misdirected, ///< Its status: another upstream answers at the address.
 };
 
