--- a/packages/entry/src/StreamOriginService.cpp
+++ b/packages/entry/src/StreamOriginService.cpp
@@ -221,14 +221,14 @@
 }
 
 void
-StreamOriginService::ConsiderList(Findings aFindings)
+StreamOriginService::ConsiderList(const Findings& aFindings)
 {
   Findings proven = aFindings;
   proven.m_isListProven = true;
   const bool isKnown = !AnyRefused(aFindings);
   const bool listWouldHelp = !AnyRefused(proven);
   if (isKnown || !listWouldHelp) {
-    ConsiderStore(std::move(aFindings));
+    ConsiderStore(aFindings);
     return;
   }
   // Of a stream that its caller does not name there is no record that could
@@ -241,7 +241,7 @@
   m_listCheck.Check([this, aFindings](bool aIsProven) {
     Findings checked = aFindings;
     checked.m_isListProven = aIsProven;
-    ConsiderStore(std::move(checked));
+    ConsiderStore(checked);
   });
 }
 
@@ -255,7 +255,7 @@
 }
 
 void
-StreamOriginService::ConsiderStore(Findings aFindings)
+StreamOriginService::ConsiderStore(const Findings& aFindings)
 {
   if (!IsAnyNamed(aFindings.m_lookup.m_key) || !AnyRefused(aFindings)) {
     Conclude(aFindings);
--- a/packages/entry/src/StreamOriginService.h
+++ b/packages/entry/src/StreamOriginService.h
@@ -96,9 +96,9 @@
   bool IsAnyNamed(const streams::StreamKey& aKey) const;
   /** Goes on by the list of upstreams, if that may prove that one version alone
    * has served. */
-  void ConsiderList(Findings aFindings);
+  void ConsiderList(const Findings& aFindings);
   /** Goes on by the origins in the store, if a record there would help. */
-  void ConsiderStore(Findings aFindings);
+  void ConsiderStore(const Findings& aFindings);
   /** Decides on all calls that wait for the stream. */
   void Conclude(const Findings& aFindings);
   /** Returns the answer to one question, in a message of its own. */
