OutOfStepTest: callers come back as they are told

What was seen: beside a load of 10, 14 of 40 streams went on in place of 20 or more; none had two versions. Its callers took a refusal for an end, which says when to come back (an instance that has just gone on hears of the others late).

Now they come back up to four times, as in SoftwareVersionTest; the bounds are as they were. It stays in KNOWN-RED.txt, as it was not run beside such load again.

--- a/tests/soak/OutOfStepTest.cpp
+++ b/tests/soak/OutOfStepTest.cpp
@@ -25,6 +25,10 @@
 constexpr int kStreams = 40;
 constexpr Duration kWatched{ 6000 };
 constexpr std::size_t kOutOfStep = 0;
+/** Callers come back as they are told: 250 ms where others did not answer. */
+constexpr Duration kComesBackAfter{ 250 };
+constexpr int kTries = 4;
+constexpr int kUnavailable = 503;
 
 /** One stream as its caller has it. */
 struct CallersStream
@@ -34,6 +38,7 @@
   int m_lastEvent = 0;
   std::set<std::string> m_versions;
   bool m_goesOn = false;
+  int m_refusals = 0;
   net::HttpCallId m_call = 0;
 };
 
@@ -92,9 +97,15 @@
       aStream.m_text += aBytes;
       TakeEvents(aStream, takesUp);
     };
-    callbacks.m_done = [&aStream](const net::HttpResponse&) {
-      aStream.m_call = 0;
-    };
+    callbacks.m_done =
+      [this, &aStream, aInstance, takesUp](const net::HttpResponse& aResponse) {
+        aStream.m_call = 0;
+        const bool isRefused = aResponse.m_head.m_status == kUnavailable;
+        if (takesUp && isRefused && ++aStream.m_refusals < kTries) {
+          m_tries.push_back(m_loop->After(
+            kComesBackAfter, [&, aInstance] { Try(aStream, aInstance); }));
+        }
+      };
     aStream.m_call = m_client.Send(request, std::move(callbacks));
   }
 
@@ -110,6 +121,7 @@
   net::HttpClient m_client;
   std::vector<std::unique_ptr<VersionedWorker>> m_workers;
   std::list<CallersStream> m_streams;
+  std::vector<net::Watch> m_tries;
 };
 
 TEST_F(OutOfStepTest, StreamsOfAVersionThatJoinedMeanwhileStayAtIt)
