--- a/packages/streams/tests/StreamOriginWorldTest.cpp
+++ b/packages/streams/tests/StreamOriginWorldTest.cpp
@@ -69,6 +69,34 @@
     WorldCase{ "All", Terms(0.4, 0.3, true, kOften), kLeastInTrouble }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+/** Of streams, over all worlds that were drawn. */
+struct Share
+{
+  int m_takenUp = 0;
+  int m_goOn = 0;
+};
+
+/** Draws worlds of a case: no stream changes version, and of those counted over
+ * all worlds the least share goes on. */
+Share
+PlayWorlds(const WorldCase& aCase,
+           int WorldResult::*aTakenUp,
+           int WorldResult::*aGoOn)
+{
+  Share share;
+  EXPECT_TRUE(rc::check(aCase.m_name, [&] {
+    const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>());
+    const WorldResult result = StreamOriginWorld(aCase.m_terms, seed).Play();
+    RC_ASSERT(result.m_mixed == 0);
+    share.m_takenUp += result.*aTakenUp;
+    share.m_goOn += result.*aGoOn;
+  }));
+  EXPECT_GT(share.m_takenUp, 0);
+  EXPECT_GE(share.m_goOn * 100, share.m_takenUp * aCase.m_leastGoOn)
+    << share.m_goOn << " of " << share.m_takenUp;
+  return share;
+}
+
 // ---- instances out of step ----
 
 /** Versions join soon after a cut has begun, while those that are cut off still
@@ -97,19 +125,8 @@
 // while upstreams of a new version join.
 TEST_P(OutOfStepWorldTest, NoStreamChangesVersion)
 {
-  int takenUp = 0;
-  int goOn = 0;
-  EXPECT_TRUE(rc::check(GetParam().m_name, [&] {
-    const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>());
-    const WorldResult result =
-      StreamOriginWorld(GetParam().m_terms, seed).Play();
-    RC_ASSERT(result.m_mixed == 0);
-    takenUp += result.m_takenUpInTouch;
-    goOn += result.m_goOnInTouch;
-  }));
-  EXPECT_GT(takenUp, 0);
-  EXPECT_GE(goOn * 100, takenUp * GetParam().m_leastGoOn)
-    << goOn << " of " << takenUp;
+  PlayWorlds(
+    GetParam(), &WorldResult::m_takenUpInTouch, &WorldResult::m_goOnInTouch);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -172,21 +189,11 @@
 // instances, and against streams of two versions there.
 TEST_P(LossOfAllWorldTest, NoStreamChangesVersionAndHalfGoOn)
 {
-  int takenUp = 0;
-  int goOn = 0;
-  EXPECT_TRUE(rc::check(GetParam().m_name, [&] {
-    const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>());
-    const WorldResult result =
-      StreamOriginWorld(GetParam().m_terms, seed).Play();
-    RC_ASSERT(result.m_mixed == 0);
-    takenUp += result.m_takenUpBehindLoss;
-    goOn += result.m_goOnBehindLoss;
-  }));
-  EXPECT_GT(takenUp, 0);
-  EXPECT_GE(goOn * 100, takenUp * GetParam().m_leastGoOn)
-    << goOn << " of " << takenUp;
-  std::cout << GetParam().m_name << ": " << goOn << " of " << takenUp
-            << " went on\n";
+  const Share share = PlayWorlds(GetParam(),
+                                 &WorldResult::m_takenUpBehindLoss,
+                                 &WorldResult::m_goOnBehindLoss);
+  std::cout << GetParam().m_name << ": " << share.m_goOn << " of "
+            << share.m_takenUp << " went on\n";
 }
 
 /** While a second version is rolled out. */
--- a/tests/soak/InstancesFixture.h
+++ b/tests/soak/InstancesFixture.h
@@ -52,6 +52,18 @@
     m_loop->Run();
   }
 
+  /** Puts a configuration of one route of streams that may be resumed: `/p/` of
+   * `h`, to service `s`. */
+  void PutStreamRoute()
+  {
+    m_store.Put("op",
+                "config",
+                R"({"version":1,"routes":[{"host":"h","path_prefix":"/p/",)"
+                R"("kind":"streaming","resumable":true,"timeout_ms":20000,)"
+                R"("max_attempts":2,"service":"s"}],)"
+                R"("services":[{"name":"s","max_connections":300}]})");
+  }
+
   /** How often a line with that text stands in an instance's log. */
   std::size_t CountInLog(const std::string& aInstance,
                          std::string_view aText) const
--- a/tests/soak/OutOfStepTest.cpp
+++ b/tests/soak/OutOfStepTest.cpp
@@ -60,12 +60,7 @@
 
   void StartAll()
   {
-    m_store.Put("op",
-                "config",
-                R"({"version":1,"routes":[{"host":"h","path_prefix":"/p/",)"
-                R"("kind":"streaming","resumable":true,"timeout_ms":20000,)"
-                R"("max_attempts":2,"service":"s"}],)"
-                R"("services":[{"name":"s","max_connections":300}]})");
+    PutStreamRoute();
     Join("i-0", "v1");
     Join("i-1", "v1");
     ASSERT_TRUE(m_instances.StartAll(kInstances,
--- a/tests/soak/SoftwareVersionTest.cpp
+++ b/tests/soak/SoftwareVersionTest.cpp
@@ -96,12 +96,7 @@
 
   void StartAll()
   {
-    m_store.Put("op",
-                "config",
-                R"({"version":1,"routes":[{"host":"h","path_prefix":"/p/",)"
-                R"("kind":"streaming","resumable":true,"timeout_ms":20000,)"
-                R"("max_attempts":2,"service":"s"}],)"
-                R"("services":[{"name":"s","max_connections":300}]})");
+    PutStreamRoute();
     for (const char* version : GetParam().m_versions) {
       const auto& worker =
         m_workers.emplace_back(std::make_unique<VersionedWorker>(
--- a/tests/soak/StreamLookupTest.cpp
+++ b/tests/soak/StreamLookupTest.cpp
@@ -74,12 +74,7 @@
 
 TEST_F(StreamLookupTest, LookupsEndWhileOthersBegin)
 {
-  m_store.Put("op",
-              "config",
-              R"({"version":1,"routes":[{"host":"h","path_prefix":"/p/",)"
-              R"("kind":"streaming","resumable":true,"timeout_ms":20000,)"
-              R"("max_attempts":2,"service":"s"}],)"
-              R"("services":[{"name":"s","max_connections":300}]})");
+  PutStreamRoute();
   List("i-1", "v1");
   List("i-2", "v2");
   ASSERT_TRUE(m_instances.StartAll(2, *net::Address::Parse(m_store.Address())));
