Words that a newcomer would ask about: a check of the list, a bound, an ignored signal

Reading the change once more: the comment on ListCheck named a time that its own constants do not give (900 ms; one page alone may take 600), StreamOriginService another one; the comment on whole numbers gave a result without its reason; the log line on SIGHUP of ridgeferryd did not say what to do. No change of behaviour but that line's key cause.

Checked: the whole tree builds beside sanitizers, the linter is clean on the changed files, streams_tests 74 passed.

--- a/packages/base/src/FieldReader.cpp
+++ b/packages/base/src/FieldReader.cpp
@@ -85,7 +85,7 @@
                     std::int64_t aLow,
                     std::int64_t aHigh)
 {
-  // As a double, 2^63 is no more than the largest number of 63 bits.
+  // Compared as doubles, 2^63 would pass an upper bound of 2^63 - 1.
   if (aValue.is_number_unsigned()) {
     const auto number = aValue.get<std::uint64_t>();
     return std::cmp_greater_equal(number, aLow) &&
--- a/packages/daemon/src/Instance.cpp
+++ b/packages/daemon/src/Instance.cpp
@@ -143,7 +143,11 @@
   m_terminate = m_node.m_loop->OnSignal(SIGTERM, [this] { Stop(); });
   m_interrupt = m_node.m_loop->OnSignal(SIGINT, [this] { Stop(); });
   m_hangUp = m_node.m_loop->OnSignal(SIGHUP, [this] {
-    m_node.m_log->Write(observe::LogLevel::Warning, "hang-up-ignored");
+    m_node.m_log->Write(observe::LogLevel::Warning,
+                        "hang-up-ignored",
+                        { { "cause",
+                            "settings are read at the start only: restart to "
+                            "use changed ones" } });
   });
   m_node.m_log->Write(
     observe::LogLevel::Info,
--- a/packages/entry/src/ListCheck.h
+++ b/packages/entry/src/ListCheck.h
@@ -11,9 +11,8 @@
 namespace ridgeferry::entry {
 
 /**
- * Finds out whether the list of upstreams that this instance holds is the
- * present one, by a read of the store that begins behind the question. Not
- * thread-safe.
+ * Finds out whether the list of upstreams that this instance holds is up to
+ * date, by a read of the store that begins after the question. Not thread-safe.
  */
 class ListCheck
 {
@@ -27,8 +26,12 @@
             StoreGenerations& aGenerations,
             StoreReader& aMembers);
 
-  /** Calls `aDone` once, after 900 ms at the latest, and 300 ms more for each
-   * 500 upstreams. Questions within 300 ms share a read. */
+  /**
+   * Calls `aDone` once, never before it returns. While the store answers, that
+   * takes a call to it, and up to 300 ms more if another check has just been
+   * made: checks that wait share a read. Each page of a read that the store
+   * does not answer ends after 600 ms at the latest.
+   */
   void Check(Done aDone);
 
 private:
--- a/packages/entry/src/StreamOriginService.h
+++ b/packages/entry/src/StreamOriginService.h
@@ -62,7 +62,9 @@
   /**
    * Decides whether a stream that a caller takes up may go on. Calls back once,
    * perhaps before it returns: after 150 ms at the latest if an instance knows
-   * the origin, else once the store has answered or has not in 1 s.
+   * the origin, else once the store has been asked about the list of upstreams
+   * and about origins; see `ListCheck` and `StreamOriginStore` for how long
+   * that takes.
    */
   void Find(const StreamToFind& aStream, const Decided& aDecided);
   /** Passes all records on, as this instance stops. */
