--- a/tests/soak/SoakInstances.cpp
+++ b/tests/soak/SoakInstances.cpp
@@ -101,6 +101,7 @@
                                           { m_program.string() },
                                           m_files / (aInstance.m_name + ".log"),
                                           session::SignalsAtStart::Wait);
+  aInstance.m_startedAt = m_loop.Now();
   aInstance.m_stopping = false;
   ++aInstance.m_incarnation;
   if (aInstance.m_incarnation > 1) {
@@ -217,8 +218,10 @@
   aInstance.m_running = false;
   aInstance.m_downSince = m_loop.Now();
   if (!aInstance.m_stopping || aCode != 0) {
-    m_history.m_crashes.push_back(aInstance.m_name + " with code " +
-                                  std::to_string(aCode));
+    const Duration after = m_loop.Now() - aInstance.m_startedAt;
+    m_history.m_crashes.push_back(
+      aInstance.m_name + " with code " + std::to_string(aCode) + ", within " +
+      std::to_string(after.count()) + " ms of its start");
   }
   if (!m_ending) {
     aInstance.m_restart =
--- a/tests/soak/SoakInstances.h
+++ b/tests/soak/SoakInstances.h
@@ -33,6 +33,7 @@
     bool m_stopping = false; ///< Told to stop, as planned.
     bool m_inBalance = false;
     int m_missed = 0; ///< Questions in a row without a good answer.
+    Instant m_startedAt;
     Instant m_downSince;
     net::Watch m_restart;
     net::Watch m_continue;
