Sight: whether an attempt's connection went silent, and whether a call was passed on

`attempt-ended` has `silent` and the last event that went to the caller, `call-ended` has `passedOn`.

Ruled out as enough: the times in the lines alone; a reset and a time-out can come after the same time.

--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -648,6 +648,7 @@
 {
   m_attempt.m_http = 0;
   m_attempt.m_sent = aResponse.m_sent;
+  m_attempt.m_hasGoneSilent = aResponse.m_silent;
   if (aResponse.m_end == net::HttpEnd::NotSent) {
     m_attempt.m_ground = aResponse.m_refused ? AttemptGround::Refused
                                              : AttemptGround::NotConnected;
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -136,6 +136,8 @@
     bool m_isForwarded = false; ///< Sent to another instance.
     bool m_saidNotRun = false;  ///< The upstream reports that it did not run.
     bool m_hasHead = false;
+    /** Its connection ended as nothing came from the other side any more. */
+    bool m_hasGoneSilent = false;
     AttemptGround m_ground = AttemptGround::None;
     net::HttpSendRecord m_sent; ///< Known at its end.
     /** Bytes behind the head of an answer that is no more than its status. */
--- a/packages/entry/src/RelayCallAnswer.cpp
+++ b/packages/entry/src/RelayCallAnswer.cpp
@@ -216,6 +216,7 @@
         m_answeredAt ? (*m_answeredAt - m_began).count() : std::int64_t{ -1 } },
       { "tookMs", took.count() },
       { "repeatable", MayBeRepeated() },
+      { "passedOn", m_start.m_forwarded.has_value() },
       { "config", static_cast<std::int64_t>(m_start.m_routes->Version()) } },
     m_isSentAgain ? observe::LogBound::Kept : observe::LogBound::Common);
 }
--- a/packages/entry/src/RelayCallTrace.cpp
+++ b/packages/entry/src/RelayCallTrace.cpp
@@ -133,6 +133,8 @@
       { "how", std::string(EndName(aEnd)) },
       { "ground", std::string(NameOf(m_attempt.m_ground)) },
       { "status", std::int64_t{ m_attempt.m_head.m_status } },
+      { "silent", m_attempt.m_hasGoneSilent },
+      { "lastEvent", m_flow.LastEventId() },
       { "requestOnConnection", std::int64_t{ sent.m_requestNumber } },
       { "bytesWritten", static_cast<std::int64_t>(sent.m_bytesWritten) },
       { "answersSkipped", std::int64_t{ sent.m_answersSkipped } },
