TwoInstancesWorldTest: prompts that are read apart, streams of one attempt

The world of one call over two instances had no prefills. Now each send of a stream may have one, which is lost, refused, misdirected, withheld, not sent, without a handle or good.

Not covered: an engine that runs a call which it was asked only to read.

--- a/packages/relay/tests/TwoInstancesWorldTest.cpp
+++ b/packages/relay/tests/TwoInstancesWorldTest.cpp
@@ -1,6 +1,7 @@
 // Checks that a call runs at most once over two instances: the one that its
-// caller reached may pass it on to another one, and each event of each attempt
-// may come late, twice or behind later ones.
+// caller reached may pass it on to another one, its prompt may be read by a
+// prefill engine before it runs, and each event of each attempt may come late,
+// twice or behind later ones.
 
 #include <algorithm>
 #include <deque>
@@ -75,6 +76,7 @@
     bool m_wantsPlace = false;
     AttemptId m_attempt = 0; ///< Under way; 0: none.
     bool m_isForwarded = false;
+    bool m_isPrefill = false; ///< The attempt only reads the prompt.
     bool m_hasHead = false;
     bool m_hasRun = false; ///< The upstream of the attempt began to run it.
     bool m_saidNotRun = false;
@@ -121,9 +123,11 @@
       Take(aSide, aFlow, PlaceFound{ kOtherInstance, "" });
     } else {
       aSide.m_foundNone = false;
+      const bool isApart = m_traits.m_stream && *rc::gen::arbitrary<bool>();
       Take(aSide,
            aFlow,
-           PlaceFound{ "u" + std::to_string(++aSide.m_upstreams), "" });
+           PlaceFound{ "u" + std::to_string(++aSide.m_upstreams),
+                       isApart ? "r" : "" });
     }
   }
 
@@ -163,8 +167,25 @@
     Take(m_firstSide, m_first, AnswerEnded{ attempt });
   }
 
+  /** A prefill is lost, refused, without a handle, or good. */
+  void StepPrefill(Side& aSide, RelayFlow& aFlow)
+  {
+    const AttemptId attempt = aSide.m_attempt;
+    const std::vector<RelayEvent> ends{
+      PrefillCompleted{ attempt, "h" }, PrefillCompleted{ attempt, "h" },
+      AttemptBroke{ attempt },          AttemptRefused{ attempt },
+      AttemptRefused{ attempt, true },  AttemptNotSent{ attempt },
+      AttemptWithheld{ attempt },       AnswerEnded{ attempt }
+    };
+    Take(aSide, aFlow, ends[*rc::gen::inRange<std::size_t>(0, ends.size())]);
+  }
+
   void StepAttempt(Side& aSide, RelayFlow& aFlow)
   {
+    if (aSide.m_isPrefill) {
+      StepPrefill(aSide, aFlow);
+      return;
+    }
     const AttemptId attempt = aSide.m_attempt;
     const int what = *rc::gen::inRange(0, 12);
     if (aSide.m_hasHead) {
@@ -232,9 +253,16 @@
     aSide.m_wantsPlace = true;
     aSide.m_attempt = 0;
   }
+  void Do(Side& aSide, const SendPrefill& aAction)
+  {
+    aSide.m_attempt = aAction.m_attempt;
+    aSide.m_isForwarded = false;
+    aSide.m_isPrefill = true;
+  }
   void Do(Side& aSide, const SendRun& aAction)
   {
     aSide.m_attempt = aAction.m_attempt;
+    aSide.m_isPrefill = false;
     aSide.m_isForwarded = aAction.m_upstream == kOtherInstance;
     aSide.m_hasHead = false;
     aSide.m_hasRun = false;
@@ -305,12 +333,13 @@
 INSTANTIATE_TEST_SUITE_P(
   Kinds,
   TwoInstancesWorldTest,
-  ::testing::Values(TwoInstancesCase{ "Unsafe",
-                                      { Repeat::Never, false, false, 1 } },
-                    TwoInstancesCase{ "UnsafeWithMoreRunsAllowed",
-                                      { Repeat::Never, false, false, 3 } },
-                    TwoInstancesCase{ "StreamNotResumable",
-                                      { Repeat::Never, true, false, 3 } }),
+  ::testing::Values(
+    TwoInstancesCase{ "Unsafe", { Repeat::Never, false, false, 1 } },
+    TwoInstancesCase{ "UnsafeWithMoreRunsAllowed",
+                      { Repeat::Never, false, false, 3 } },
+    TwoInstancesCase{ "StreamNotResumable", { Repeat::Never, true, false, 3 } },
+    TwoInstancesCase{ "StreamOfOneAttempt",
+                      { Repeat::Never, true, false, 1 } }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
 } // namespace
