A call lease: no stream goes on elsewhere while another instance still runs it

An instance that reaches no upstream passes a stream on; the connection between the two instances goes silent; the first takes it for broken after 0.7 to 3 s and goes on at a third one. The second one, in touch with its upstream, learns of nothing: its upstream works on to the end beside the other one.

Cause: the right to go on with a stream rested on the end of a connection as one side sees it, and only the side that opens a connection bounds its silence. The class: two parties that may each act, and no term after which the other one certainly has stopped.

Mended: such a stream runs under a lease of 0.5 s, renewed each 0.1 s by datagrams that name the calls that are still waited for (relay::CallLease). Without a renewal the second instance ends its run; behind a silent end the first lets nobody go on before the lease has ended. Behind a reset it goes on at once as before. Calls that run once, and plain calls that may be repeated, have no lease: the first never go on, the second may run twice at a time. Instances of an earlier version ignore the lease, and get none.

Ruled out: the system's own time-outs on the accepting side. Heartbeats cannot serve as renewals: they come each 0.3 to 2.4 s in large deployments, and go on while a connection has gone silent.

Conclusion: whether the reported cases went this way is not known, as they have no record. It is a way to them that the code allowed.

--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -1,5 +1,6 @@
 #include "ridgeferry/entry/Entry.h"
 
+#include "CallLeaseService.h"
 #include "ConfigFreshness.h"
 #include "PeerRows.h"
 #include "Peers.h"
@@ -94,6 +95,7 @@
   std::unique_ptr<UsageService> m_usage;
   std::unique_ptr<ScaleService> m_scale;
   std::unique_ptr<StatementService> m_statements;
+  std::unique_ptr<CallLeaseService> m_callLeases;
   std::unique_ptr<StreamOriginService> m_origins;
   std::unique_ptr<Relay> m_relay;
   std::unique_ptr<RoleReconciler> m_roleReconciler;
@@ -609,6 +611,7 @@
   m_statements = std::make_unique<StatementService>(m_node, *m_peers);
   m_origins = std::make_unique<StreamOriginService>(
     m_node, m_generations, *m_peers, *m_peerSocket, *m_members);
+  m_callLeases = std::make_unique<CallLeaseService>(m_node, *m_peerSocket);
   m_relay = std::make_unique<Relay>(m_node,
                                     *m_quarantine,
                                     *m_freshness,
@@ -616,7 +619,8 @@
                                     *m_reach,
                                     *m_peers,
                                     *m_origins,
-                                    *m_statements);
+                                    *m_statements,
+                                    *m_callLeases);
   m_roleReconciler = std::make_unique<RoleReconciler>(
     m_node, m_generations, *m_peers, *m_lease, *m_statements);
   if (auto started = m_relay->Start(); !started) {
@@ -713,6 +717,7 @@
     return started;
   }
   m_origins->Start();
+  m_callLeases->Start();
   m_peers->Start();
   return {};
 }
--- a/packages/entry/src/ForwardedCall.cpp
+++ b/packages/entry/src/ForwardedCall.cpp
@@ -15,6 +15,8 @@
 constexpr std::string_view kSoftwareVersion = "Ridgeferry-Software-Version";
 constexpr std::string_view kConfigGeneration = "Ridgeferry-Config-Generation";
 constexpr std::string_view kConfigVersion = "Ridgeferry-Config-Version";
+constexpr std::string_view kLease = "Ridgeferry-Lease";
+constexpr std::string_view kLeaseTerm = "Ridgeferry-Lease-Ms";
 constexpr std::string_view kDeclined = "Ridgeferry-Declined";
 
 /** Returns the number that a field holds; std::nullopt if it holds none. */
@@ -52,6 +54,17 @@
   return StorePosition{ *generation, *version };
 }
 
+std::optional<relay::CallLease>
+ReadLease(const net::HttpHeaders& aHeaders)
+{
+  const auto id = ReadNumber<relay::PassedOnCallId>(aHeaders, kLease);
+  const auto term = ReadDuration(aHeaders, kLeaseTerm);
+  if (!id || !term) {
+    return std::nullopt;
+  }
+  return relay::CallLease{ *id, *term };
+}
+
 } // namespace
 
 net::HttpRequest
@@ -80,6 +93,10 @@
     set(kConfigGeneration, std::to_string(aTerms.m_config->m_generation));
     set(kConfigVersion, std::to_string(aTerms.m_config->m_version));
   }
+  if (aTerms.m_lease) {
+    set(kLease, std::to_string(aTerms.m_lease->m_id));
+    set(kLeaseTerm, std::to_string(aTerms.m_lease->m_term.count()));
+  }
   return out;
 }
 
@@ -116,7 +133,8 @@
                          *waited,
                          std::string(aHeaders.Find(kResumeAfter).value_or("")),
                          ReadOrigin(aHeaders),
-                         ReadConfig(aHeaders) };
+                         ReadConfig(aHeaders),
+                         ReadLease(aHeaders) };
 }
 
 void
--- a/packages/entry/src/ForwardedCall.h
+++ b/packages/entry/src/ForwardedCall.h
@@ -5,6 +5,7 @@
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/net/Http.h>
 #include <ridgeferry/net/HttpServer.h>
+#include <ridgeferry/relay/CallLease.h>
 #include <ridgeferry/streams/StreamOrigin.h>
 #include <string>
 #include <string_view>
@@ -31,6 +32,10 @@
    * that has not read so far must not decide on the call. std::nullopt if the
    * sender runs a software version that does not tell it. */
   std::optional<StorePosition> m_config = {};
+  /** The lease under which the call runs; std::nullopt if no other instance
+   * will go on with it, or the sender runs a software version that renews none.
+   */
+  std::optional<relay::CallLease> m_lease = {};
 };
 
 /** Writes the request that passes a call on to the instance at `aAddress`. */
--- a/packages/entry/src/PeerSocket.cpp
+++ b/packages/entry/src/PeerSocket.cpp
@@ -58,6 +58,14 @@
   }
 }
 
+void
+PeerSocket::Send(const relay::LeaseRenewal& aRenewal)
+{
+  SendBytes(*m_socket,
+            protocol::EncodeRenewal(aRenewal.m_calls),
+            std::span(&aRenewal.m_address, 1));
+}
+
 void
 PeerSocket::OnDatagram(std::string_view aBytes)
 {
@@ -69,6 +77,10 @@
     m_origins.emit(*message);
     return;
   }
+  if (const auto calls = protocol::DecodeRenewal(aBytes)) {
+    m_renewal.emit(*calls);
+    return;
+  }
   m_node.m_metrics.Count("bad_datagrams_total");
 }
 
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -81,7 +81,8 @@
              ReachService& aReach,
              const Peers& aPeers,
              StreamOriginService& aOrigins,
-             StatementService& aStatements)
+             StatementService& aStatements,
+             CallLeaseService& aLeases)
   : m_node(aNode)
   , m_quarantine(aQuarantine)
   , m_freshness(aFreshness)
@@ -90,6 +91,7 @@
   , m_peers(aPeers)
   , m_origins(aOrigins)
   , m_statements(aStatements)
+  , m_leases(aLeases)
 {
 }
 
@@ -408,6 +410,7 @@
   start.m_forwarded = aRequest.m_forwarded;
   start.m_origins = &m_origins;
   start.m_statements = &m_statements;
+  start.m_leases = &m_leases;
   start.m_origin = aOrigin;
   const std::string& beganAs = aOrigin && aRequest.m_head.m_takenUp
                                  ? aRequest.m_head.m_takenUp->m_beganAs
--- a/packages/entry/src/Relay.h
+++ b/packages/entry/src/Relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CallLeaseService.h"
 #include "ConfigFreshness.h"
 #include "EntryNode.h"
 #include "RelayCall.h"
@@ -32,7 +33,8 @@
         ReachService& aReach,
         const Peers& aPeers,
         StreamOriginService& aOrigins,
-        StatementService& aStatements);
+        StatementService& aStatements,
+        CallLeaseService& aLeases);
 
   tl::expected<void, net::NetError> Start();
   /** Applies the limits on callers' requests from the present configuration,
@@ -135,6 +137,7 @@
   const Peers& m_peers;
   StreamOriginService& m_origins;
   StatementService& m_statements;
+  CallLeaseService& m_leases;
   std::unique_ptr<net::HttpServer> m_server;
   std::uint64_t m_lastCall = 0;
   std::size_t m_takeUps = 0; ///< Calls that wait for the origin of a stream.
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -94,6 +94,10 @@
   if (m_attempt.m_http != 0) {
     m_node.m_http->Cancel(m_attempt.m_http);
   }
+  EndLease();
+  if (m_start.m_forwarded && m_start.m_forwarded->m_lease) {
+    m_start.m_leases->Drop(m_start.m_forwarded->m_lease->m_id);
+  }
   if (m_isAdmitted) {
     m_node.m_admission.NoteEnded(m_start.m_service);
   }
@@ -138,6 +142,7 @@
       FollowCaller();
     }
   });
+  HoldLease();
   m_timer =
     m_node.m_loop->After(Left(), [this] { Handle(relay::DeadlinePassed{}); });
   m_start.m_budget->NoteFirstSend(m_began);
@@ -670,11 +675,15 @@
   }
   const relay::AttemptId id = m_attempt.m_id;
   const bool closed = aResponse.m_end == net::HttpEnd::Closed;
+  const Duration mayRunFor = EndLease();
   if (aResponse.m_end == net::HttpEnd::NotSent) {
     const bool hasEnded = aResponse.m_refused || m_hasBrokenSilently;
     Handle(relay::AttemptNotSent{ id, !m_attempt.m_isForwarded && hasEnded });
   } else if (m_attempt.m_hasHead && m_attempt.m_saidNotRun) {
     NoteRefused();
+  } else if (aResponse.m_end == net::HttpEnd::Broken && aResponse.m_silent &&
+             mayRunFor.count() > 0) {
+    GoOnBehindLease(mayRunFor);
   } else if (aResponse.m_end == net::HttpEnd::Broken) {
     Handle(relay::AttemptBroke{ id });
   } else if (m_attempt.m_readOnly) {
@@ -701,6 +710,7 @@
     m_node.m_http->Cancel(m_attempt.m_http);
     m_attempt.m_http = 0;
   }
+  EndLease();
 }
 
 void
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CallLeaseService.h"
 #include "ConfigFreshness.h"
 #include "EntryNode.h"
 #include "ForwardedCall.h"
@@ -83,6 +84,8 @@
   StreamOriginService* m_origins = nullptr;
   /** Must outlive the call. */
   StatementService* m_statements = nullptr;
+  /** Must outlive the call. */
+  CallLeaseService* m_leases = nullptr;
   /** What began the stream that the call goes on with; std::nullopt if it goes
    * on with none. */
   std::optional<streams::StreamOrigin> m_origin = {};
@@ -134,7 +137,9 @@
     bool m_wasSent = false;     ///< The fleet counts it as under way.
     bool m_readOnly = false;    ///< The upstream only prefills the prompt.
     bool m_isForwarded = false; ///< Sent to another instance.
-    bool m_saidNotRun = false;  ///< The upstream reports that it did not run.
+    /** Under which another instance runs it; std::nullopt if there is none. */
+    std::optional<relay::PassedOnCallId> m_lease;
+    bool m_saidNotRun = false; ///< The upstream reports that it did not run.
     bool m_hasHead = false;
     /** Its connection ended as nothing came from the other side any more. */
     bool m_hasGoneSilent = false;
@@ -217,6 +222,17 @@
   bool PassOn(std::span<const std::string> aExcluded);
   void SendToInstance(const relay::SendRun& aAction);
   void TakeForwardedHead(const net::HttpHead& aHead);
+  /** Holds the lease under which the call runs here, if it has one. */
+  void HoldLease();
+  /** Ends the present run: the instance that passed the call on does not wait
+   * for it any more, as far as this one hears. */
+  void EndByLease();
+  /** Returns for how long the instance that had the present attempt may still
+   * run it, and stops renewing its lease. */
+  Duration EndLease();
+  /** Goes on behind the present attempt, whose connection to another instance
+   * has gone silent, once that one can run it no more. */
+  void GoOnBehindLease(Duration aMayRunFor);
   void TakeHead(const net::HttpHead& aHead);
   void TakeBytes(std::string_view aBytes);
   /** Takes bytes of a prefill engine's answer. */
@@ -329,6 +345,7 @@
   Instant m_deadline;
   net::Watch m_timer;
   net::Watch m_placing; ///< Timer of the next placement of a postponed call.
+  net::Watch m_untilLeaseEnds; ///< See `GoOnBehindLease`.
   Attempt m_attempt;
   std::optional<RunEnd> m_lastRun; ///< How the latest one ended.
   /** A call that must not run twice was sent again; see `LogSecondSend`. */
--- a/packages/entry/src/RelayCallForward.cpp
+++ b/packages/entry/src/RelayCallForward.cpp
@@ -95,10 +95,15 @@
     return;
   }
   const Duration waited = m_node.Now() - m_began + m_start.m_earlierWait;
-  net::HttpRequest request = WriteForwarded(
-    m_start.m_exchange->Request(),
-    *address,
-    { Left(), waited, aAction.m_resumeAfter, m_origin, m_start.m_configAt });
+  ForwardedTerms terms{
+    Left(), waited, aAction.m_resumeAfter, m_origin, m_start.m_configAt
+  };
+  if (IsResumable()) {
+    terms.m_lease = m_start.m_leases->Await(*address);
+    m_attempt.m_lease = terms.m_lease->m_id;
+  }
+  net::HttpRequest request =
+    WriteForwarded(m_start.m_exchange->Request(), *address, terms);
   request.m_timeout = Left();
   request.m_connectTimeout = kConnectTimeout;
   request.m_keepIdle = kMostIdle;
@@ -116,6 +121,60 @@
   Start(request);
 }
 
+void
+RelayCall::HoldLease()
+{
+  if (m_start.m_forwarded && m_start.m_forwarded->m_lease) {
+    m_start.m_leases->Hold(*m_start.m_forwarded->m_lease,
+                           [this] { EndByLease(); });
+  }
+}
+
+void
+RelayCall::EndByLease()
+{
+  m_node.m_log->Write(
+    observe::LogLevel::Warning,
+    "call-lease-expired",
+    { { "id", m_start.m_head.m_id },
+      { "attempt", static_cast<std::int64_t>(m_attempt.m_id) },
+      { "upstream", m_attempt.m_upstream },
+      { "lastEvent", m_flow.LastEventId() },
+      { "termMs", m_start.m_forwarded->m_lease->m_term.count() } });
+  // Raises `CallerLeft`, which ends the run.
+  m_start.m_exchange->Abort();
+}
+
+Duration
+RelayCall::EndLease()
+{
+  if (!m_attempt.m_lease) {
+    return {};
+  }
+  const relay::PassedOnCallId id = *m_attempt.m_lease;
+  const Duration mayRunFor = m_start.m_leases->MayRunFor(id);
+  m_start.m_leases->EndAwait(id);
+  m_attempt.m_lease.reset();
+  return mayRunFor;
+}
+
+void
+RelayCall::GoOnBehindLease(Duration aMayRunFor)
+{
+  m_node.m_metrics.Count("leases_waited_for_total");
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "waits-for-lease",
+    { { "id", m_start.m_head.m_id },
+      { "attempt", static_cast<std::int64_t>(m_attempt.m_id) },
+      { "at", m_attempt.m_upstream },
+      { "forMs", aMayRunFor.count() } });
+  m_untilLeaseEnds =
+    m_node.m_loop->After(aMayRunFor, [this, id = m_attempt.m_id] {
+      Handle(relay::AttemptBroke{ id });
+    });
+}
+
 void
 RelayCall::TakeForwardedHead(const net::HttpHead& aHead)
 {
--- a/packages/protocol/gen-cpp/ridgeferry_types.cpp
+++ b/packages/protocol/gen-cpp/ridgeferry_types.cpp
@@ -2187,6 +2187,118 @@
 }
 
 
+LeaseRenewal::~LeaseRenewal() noexcept {
+}
+
+
+void LeaseRenewal::__set_calls(const std::vector<int64_t> & val) {
+  this->calls = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaseRenewal& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeaseRenewal::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_calls = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->calls.clear();
+            uint32_t _size226;
+            ::apache::thrift::protocol::TType _etype229;
+            xfer += iprot->readListBegin(_etype229, _size226);
+            this->calls.resize(_size226);
+            uint32_t _i230;
+            for (_i230 = 0; _i230 < _size226; ++_i230)
+            {
+              xfer += iprot->readI64(this->calls[_i230]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_calls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_calls)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t LeaseRenewal::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeaseRenewal");
+
+  xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->calls.size()));
+    std::vector<int64_t> ::const_iterator _iter231;
+    for (_iter231 = this->calls.begin(); _iter231 != this->calls.end(); ++_iter231)
+    {
+      xfer += oprot->writeI64((*_iter231));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeaseRenewal &a, LeaseRenewal &b) {
+  using ::std::swap;
+  swap(a.calls, b.calls);
+}
+
+LeaseRenewal::LeaseRenewal(const LeaseRenewal& other232) {
+  calls = other232.calls;
+}
+LeaseRenewal& LeaseRenewal::operator=(const LeaseRenewal& other233) {
+  calls = other233.calls;
+  return *this;
+}
+void LeaseRenewal::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeaseRenewal(";
+  out << "calls=" << to_string(calls);
+  out << ")";
+}
+
+
 RowsRequest::~RowsRequest() noexcept {
 }
 
@@ -2304,17 +2416,17 @@
   swap(a.__isset, b.__isset);
 }
 
-RowsRequest::RowsRequest(const RowsRequest& other226) {
-  table = other226.table;
-  after = other226.after;
-  generation = other226.generation;
-  __isset = other226.__isset;
+RowsRequest::RowsRequest(const RowsRequest& other234) {
+  table = other234.table;
+  after = other234.after;
+  generation = other234.generation;
+  __isset = other234.__isset;
 }
-RowsRequest& RowsRequest::operator=(const RowsRequest& other227) {
-  table = other227.table;
-  after = other227.after;
-  generation = other227.generation;
-  __isset = other227.__isset;
+RowsRequest& RowsRequest::operator=(const RowsRequest& other235) {
+  table = other235.table;
+  after = other235.after;
+  generation = other235.generation;
+  __isset = other235.__isset;
   return *this;
 }
 void RowsRequest::printTo(std::ostream& out) const {
@@ -2464,17 +2576,17 @@
   swap(a.version, b.version);
 }
 
-Row::Row(const Row& other228) {
-  key = other228.key;
-  value = other228.value;
-  removed = other228.removed;
-  version = other228.version;
+Row::Row(const Row& other236) {
+  key = other236.key;
+  value = other236.value;
+  removed = other236.removed;
+  version = other236.version;
 }
-Row& Row::operator=(const Row& other229) {
-  key = other229.key;
-  value = other229.value;
-  removed = other229.removed;
-  version = other229.version;
+Row& Row::operator=(const Row& other237) {
+  key = other237.key;
+  value = other237.value;
+  removed = other237.removed;
+  version = other237.version;
   return *this;
 }
 void Row::printTo(std::ostream& out) const {
@@ -2569,14 +2681,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size230;
-            ::apache::thrift::protocol::TType _etype233;
-            xfer += iprot->readListBegin(_etype233, _size230);
-            this->rows.resize(_size230);
-            uint32_t _i234;
-            for (_i234 = 0; _i234 < _size230; ++_i234)
+            uint32_t _size238;
+            ::apache::thrift::protocol::TType _etype241;
+            xfer += iprot->readListBegin(_etype241, _size238);
+            this->rows.resize(_size238);
+            uint32_t _i242;
+            for (_i242 = 0; _i242 < _size238; ++_i242)
             {
-              xfer += this->rows[_i234].read(iprot);
+              xfer += this->rows[_i242].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2643,10 +2755,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter235;
-    for (_iter235 = this->rows.begin(); _iter235 != this->rows.end(); ++_iter235)
+    std::vector<Row> ::const_iterator _iter243;
+    for (_iter243 = this->rows.begin(); _iter243 != this->rows.end(); ++_iter243)
     {
-      xfer += (*_iter235).write(oprot);
+      xfer += (*_iter243).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2683,23 +2795,23 @@
   swap(a.__isset, b.__isset);
 }
 
-RowsReply::RowsReply(const RowsReply& other236) {
-  version = other236.version;
-  whole = other236.whole;
-  rows = other236.rows;
-  generation = other236.generation;
-  latestClockMs = other236.latestClockMs;
-  clockGeneration = other236.clockGeneration;
-  __isset = other236.__isset;
-}
-RowsReply& RowsReply::operator=(const RowsReply& other237) {
-  version = other237.version;
-  whole = other237.whole;
-  rows = other237.rows;
-  generation = other237.generation;
-  latestClockMs = other237.latestClockMs;
-  clockGeneration = other237.clockGeneration;
-  __isset = other237.__isset;
+RowsReply::RowsReply(const RowsReply& other244) {
+  version = other244.version;
+  whole = other244.whole;
+  rows = other244.rows;
+  generation = other244.generation;
+  latestClockMs = other244.latestClockMs;
+  clockGeneration = other244.clockGeneration;
+  __isset = other244.__isset;
+}
+RowsReply& RowsReply::operator=(const RowsReply& other245) {
+  version = other245.version;
+  whole = other245.whole;
+  rows = other245.rows;
+  generation = other245.generation;
+  latestClockMs = other245.latestClockMs;
+  clockGeneration = other245.clockGeneration;
+  __isset = other245.__isset;
   return *this;
 }
 void RowsReply::printTo(std::ostream& out) const {
@@ -2792,11 +2904,11 @@
   swap(a.after, b.after);
 }
 
-ChangesRequest::ChangesRequest(const ChangesRequest& other238) noexcept {
-  after = other238.after;
+ChangesRequest::ChangesRequest(const ChangesRequest& other246) noexcept {
+  after = other246.after;
 }
-ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other239) noexcept {
-  after = other239.after;
+ChangesRequest& ChangesRequest::operator=(const ChangesRequest& other247) noexcept {
+  after = other247.after;
   return *this;
 }
 void ChangesRequest::printTo(std::ostream& out) const {
@@ -2904,13 +3016,13 @@
   swap(a.json, b.json);
 }
 
-ConfigObject::ConfigObject(const ConfigObject& other240) {
-  key = other240.key;
-  json = other240.json;
+ConfigObject::ConfigObject(const ConfigObject& other248) {
+  key = other248.key;
+  json = other248.json;
 }
-ConfigObject& ConfigObject::operator=(const ConfigObject& other241) {
-  key = other241.key;
-  json = other241.json;
+ConfigObject& ConfigObject::operator=(const ConfigObject& other249) {
+  key = other249.key;
+  json = other249.json;
   return *this;
 }
 void ConfigObject::printTo(std::ostream& out) const {
@@ -2980,14 +3092,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size242;
-            ::apache::thrift::protocol::TType _etype245;
-            xfer += iprot->readListBegin(_etype245, _size242);
-            this->changes.resize(_size242);
-            uint32_t _i246;
-            for (_i246 = 0; _i246 < _size242; ++_i246)
+            uint32_t _size250;
+            ::apache::thrift::protocol::TType _etype253;
+            xfer += iprot->readListBegin(_etype253, _size250);
+            this->changes.resize(_size250);
+            uint32_t _i254;
+            for (_i254 = 0; _i254 < _size250; ++_i254)
             {
-              xfer += iprot->readString(this->changes[_i246]);
+              xfer += iprot->readString(this->changes[_i254]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3000,14 +3112,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->snapshot.clear();
-            uint32_t _size247;
-            ::apache::thrift::protocol::TType _etype250;
-            xfer += iprot->readListBegin(_etype250, _size247);
-            this->snapshot.resize(_size247);
-            uint32_t _i251;
-            for (_i251 = 0; _i251 < _size247; ++_i251)
+            uint32_t _size255;
+            ::apache::thrift::protocol::TType _etype258;
+            xfer += iprot->readListBegin(_etype258, _size255);
+            this->snapshot.resize(_size255);
+            uint32_t _i259;
+            for (_i259 = 0; _i259 < _size255; ++_i259)
             {
-              xfer += this->snapshot[_i251].read(iprot);
+              xfer += this->snapshot[_i259].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3044,10 +3156,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->changes.size()));
-    std::vector<std::string> ::const_iterator _iter252;
-    for (_iter252 = this->changes.begin(); _iter252 != this->changes.end(); ++_iter252)
+    std::vector<std::string> ::const_iterator _iter260;
+    for (_iter260 = this->changes.begin(); _iter260 != this->changes.end(); ++_iter260)
     {
-      xfer += oprot->writeString((*_iter252));
+      xfer += oprot->writeString((*_iter260));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3057,10 +3169,10 @@
     xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->snapshot.size()));
-      std::vector<ConfigObject> ::const_iterator _iter253;
-      for (_iter253 = this->snapshot.begin(); _iter253 != this->snapshot.end(); ++_iter253)
+      std::vector<ConfigObject> ::const_iterator _iter261;
+      for (_iter261 = this->snapshot.begin(); _iter261 != this->snapshot.end(); ++_iter261)
       {
-        xfer += (*_iter253).write(oprot);
+        xfer += (*_iter261).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3079,17 +3191,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangesReply::ChangesReply(const ChangesReply& other254) {
-  revision = other254.revision;
-  changes = other254.changes;
-  snapshot = other254.snapshot;
-  __isset = other254.__isset;
+ChangesReply::ChangesReply(const ChangesReply& other262) {
+  revision = other262.revision;
+  changes = other262.changes;
+  snapshot = other262.snapshot;
+  __isset = other262.__isset;
 }
-ChangesReply& ChangesReply::operator=(const ChangesReply& other255) {
-  revision = other255.revision;
-  changes = other255.changes;
-  snapshot = other255.snapshot;
-  __isset = other255.__isset;
+ChangesReply& ChangesReply::operator=(const ChangesReply& other263) {
+  revision = other263.revision;
+  changes = other263.changes;
+  snapshot = other263.snapshot;
+  __isset = other263.__isset;
   return *this;
 }
 void ChangesReply::printTo(std::ostream& out) const {
--- a/packages/protocol/gen-cpp/ridgeferry_types.h
+++ b/packages/protocol/gen-cpp/ridgeferry_types.h
@@ -25,6 +25,8 @@
 
 class StreamOrigins;
 
+class LeaseRenewal;
+
 class RowsRequest;
 
 class Row;
@@ -673,6 +675,46 @@
 
 std::ostream& operator<<(std::ostream& out, const StreamOrigins& obj);
 
+
+/**
+ * One datagram: calls that the sender has passed on to the receiver and still
+ * waits for. It renews the lease of each.
+ */
+class LeaseRenewal : public virtual ::apache::thrift::TBase {
+ public:
+
+  LeaseRenewal(const LeaseRenewal&);
+  LeaseRenewal& operator=(const LeaseRenewal&);
+  LeaseRenewal() noexcept {
+  }
+
+  virtual ~LeaseRenewal() noexcept;
+  std::vector<int64_t>  calls;
+
+  void __set_calls(const std::vector<int64_t> & val);
+
+  bool operator == (const LeaseRenewal & rhs) const
+  {
+    if (!(calls == rhs.calls))
+      return false;
+    return true;
+  }
+  bool operator != (const LeaseRenewal &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LeaseRenewal & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LeaseRenewal &a, LeaseRenewal &b);
+
+std::ostream& operator<<(std::ostream& out, const LeaseRenewal& obj);
+
 typedef struct _RowsRequest__isset {
   _RowsRequest__isset() : generation(false) {}
   bool generation :1;
--- a/packages/protocol/include/ridgeferry/protocol/Messages.h
+++ b/packages/protocol/include/ridgeferry/protocol/Messages.h
@@ -6,8 +6,10 @@
 #include <ridgeferry/config/Change.h>
 #include <ridgeferry/freshness/StoreClock.h>
 #include <ridgeferry/membership/Roster.h>
+#include <ridgeferry/relay/CallLease.h>
 #include <ridgeferry/relay/FollowedTable.h>
 #include <ridgeferry/streams/OriginMessage.h>
+#include <span>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -61,6 +63,9 @@
 Encode(const membership::Heartbeat& aMessage);
 std::string
 Encode(const streams::OriginMessage& aMessage);
+/** The calls of a `relay::LeaseRenewal`. */
+std::string
+EncodeRenewal(std::span<const relay::PassedOnCallId> aCalls);
 std::string
 Encode(const ChangesRequest& aMessage);
 std::string
@@ -75,6 +80,8 @@
 DecodeHeartbeat(std::string_view aBytes);
 tl::expected<streams::OriginMessage, DecodeError>
 DecodeOriginMessage(std::string_view aBytes);
+tl::expected<std::vector<relay::PassedOnCallId>, DecodeError>
+DecodeRenewal(std::string_view aBytes);
 tl::expected<ChangesRequest, DecodeError>
 DecodeChangesRequest(std::string_view aBytes);
 tl::expected<ChangesReply, DecodeError>
--- a/packages/protocol/ridgeferry.thrift
+++ b/packages/protocol/ridgeferry.thrift
@@ -145,6 +145,12 @@
   11: optional list<i64> soleForMs;
 }
 
+/** One datagram: calls that the sender has passed on to the receiver and still
+ * waits for. It renews the lease of each. */
+struct LeaseRenewal {
+  1: required list<i64> calls;
+}
+
 /** Asks a peer for what it has read of a table of the store. */
 struct RowsRequest {
   1: required string table;
--- a/packages/protocol/tests/MessagesTest.cpp
+++ b/packages/protocol/tests/MessagesTest.cpp
@@ -148,12 +148,32 @@
   }));
 }
 
-// Both kinds come as datagrams at one address.
-TEST(MessagesTest, HeartbeatsAndOriginMessagesAreToldApart)
+std::vector<relay::PassedOnCallId>
+AnyRenewal()
+{
+  return *rc::gen::arbitrary<std::vector<relay::PassedOnCallId>>();
+}
+
+TEST(MessagesTest, RenewalSurvivesItsEncoding)
+{
+  EXPECT_TRUE(rc::check("renewals of leases", [] {
+    const std::vector<relay::PassedOnCallId> calls = AnyRenewal();
+    const auto decoded = DecodeRenewal(EncodeRenewal(calls));
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(*decoded == calls);
+  }));
+}
+
+// All kinds come as datagrams at one address. Messages about origins are tried
+// before renewals, whose only field they have as well.
+TEST(MessagesTest, DatagramsAreToldApart)
 {
   EXPECT_TRUE(rc::check("told apart", [] {
     RC_ASSERT(!DecodeHeartbeat(Encode(AnyOriginMessage())).has_value());
+    RC_ASSERT(!DecodeHeartbeat(EncodeRenewal(AnyRenewal())).has_value());
     RC_ASSERT(!DecodeOriginMessage(Encode(AnyHeartbeat())).has_value());
+    RC_ASSERT(!DecodeOriginMessage(EncodeRenewal(AnyRenewal())).has_value());
+    RC_ASSERT(!DecodeRenewal(Encode(AnyHeartbeat())).has_value());
   }));
 }
 
@@ -174,6 +194,7 @@
     const auto bytes = *rc::gen::arbitrary<std::string>();
     (void)DecodeHeartbeat(bytes);
     (void)DecodeOriginMessage(bytes);
+    (void)DecodeRenewal(bytes);
     (void)DecodeChangesRequest(bytes);
     (void)DecodeChangesReply(bytes);
     (void)DecodeRowsRequest(bytes);
