Retry budget: a permit is reserved when a call decides, not counted when it leaves

What operators see: BUDGET.

Cause: a permission that was asked but not taken. The flow asked once an event whether one more retry was allowed; it counted when the retry left. (1) One answer paid for a second prefill and for the run behind it. (2) All calls that waited for a place were allowed by the same count. (3) A call that was passed on counted as a first send at both instances. (4) A first prefill that was lost counted as none, though an engine that turns it away has had an arrival.

Mended: the flow takes a permit for each send that counts when it decides on it; the driver keeps as many reserved (relay::CallPermits), and gives back what is not used. A second prefill needs a permit beside that of its run; without one the run goes without a prefill engine. Behind a lost prefill the run needs a permit; without one its caller is told that it has not run, which is true. A call that is passed on counts where its caller is.

Changed expectation: RelayFlowTest TheReaderBreaks said that the run behind a prefill that broke is no repeat. API: SetRepeatAllowed(bool) became SetFreePermits(int); the tests deny as often as before, or oftener.

Ruled out: windows that begin in the middle of others (the share of a half was said to answer that; they slide). The half stays, for another reason, which its comment names; a larger share is open.

--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -19,10 +19,9 @@
 constexpr Duration kOtherRetryAfter{ 250 };
 /** Retry-After while the store is out of reach: such outages last seconds. */
 constexpr Duration kUnprovenRetryAfter{ 1000 };
-/** Share of the operators' retry limits that the instances use. Each instance
- * counts retries in time windows of its own. The window that the operators
- * measure may begin in the middle of such a window, and can then contain the
- * retries of two of them. */
+/** Share of the operators' retry limits that the instances use. An instance
+ * that starts again does not know the retries that it has sent before, so a
+ * window may hold those of two processes. */
 constexpr double kBudgetShare = 0.5;
 /** Upper bound of one instance's share of the retry floor, in retries per
  * window (see `RetryBounds::m_floor`). An instance that has just started
--- a/packages/entry/src/Relay.h
+++ b/packages/entry/src/Relay.h
@@ -141,9 +141,10 @@
   std::unique_ptr<net::HttpServer> m_server;
   std::uint64_t m_lastCall = 0;
   std::size_t m_takeUps = 0; ///< Calls that wait for the origin of a stream.
-  std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
-  /** Retry budgets, by service. */
+  /** Retry budgets, by service. Declared before the calls, which hold permits
+   * of them. */
   std::map<std::string, relay::RetryBudget, std::less<>> m_budgets;
+  std::unordered_map<std::uint64_t, std::unique_ptr<RelayCall>> m_calls;
   /** What the deadlines of calls tell of their callers, by route. */
   std::map<std::string, relay::CallerTimeLimit, std::less<>> m_timeLimits;
   /** Statistics of the prompts, by route. */
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -79,6 +79,7 @@
   : m_node(aNode)
   , m_start(std::move(aStart))
   , m_flow(TraitsOf(m_start))
+  , m_permits(*m_start.m_budget)
   , m_began(aNode.Now())
   , m_deadline(m_began + m_start.m_route->m_maxDuration)
   , m_backPressure(aNode.m_unread)
@@ -145,7 +146,10 @@
   HoldLease();
   m_timer =
     m_node.m_loop->After(Left(), [this] { Handle(relay::DeadlinePassed{}); });
-  m_start.m_budget->NoteFirstSend(m_began);
+  if (!m_start.m_forwarded) {
+    // The instance that the caller reached counts it.
+    m_start.m_budget->NoteFirstSend(m_began);
+  }
   if (!m_start.m_reach->IsUnreachable(m_start.m_service)) {
     m_node.m_fleet.Limits().NoteCall(relay::Fleet::ShortHash(m_start.m_service),
                                      m_began);
@@ -184,10 +188,15 @@
   if (m_flow.IsDone()) {
     return;
   }
-  m_flow.SetRepeatAllowed(m_start.m_budget->MayRepeat(m_node.Now()) &&
-                          MayRepeat());
+  if (const auto* notSent = std::get_if<relay::AttemptNotSent>(&aEvent)) {
+    m_permits.NoteNotSent(notSent->m_attempt);
+  }
+  const int free = m_permits.Free(m_node.Now());
+  m_flow.SetFreePermits(free > 0 && MayRepeat() ? free : 0);
   const bool left = std::holds_alternative<relay::CallerLeft>(aEvent);
-  for (const relay::RelayAction& action : m_flow.Handle(aEvent)) {
+  const std::vector<relay::RelayAction> actions = m_flow.Handle(aEvent);
+  m_permits.Follow(m_flow.Permits());
+  for (const relay::RelayAction& action : actions) {
     std::visit([this](const auto& aTyped) { Do(aTyped); }, action);
   }
   if (left) {
@@ -304,9 +313,9 @@
 }
 
 void
-RelayCall::NoteRepeat()
+RelayCall::NoteRepeat(relay::AttemptId aAttempt)
 {
-  m_start.m_budget->NoteRepeat(m_node.Now());
+  m_permits.NoteRepeat(aAttempt, m_node.Now());
   m_node.m_metrics.Count("repeats_total");
 }
 
@@ -321,7 +330,7 @@
     return;
   }
   if (aAction.m_repeat) {
-    NoteRepeat();
+    NoteRepeat(aAction.m_attempt);
   }
   SendTerms terms;
   terms.m_readOnly = true;
@@ -336,7 +345,7 @@
 {
   if (IsInstance(aAction.m_upstream)) {
     if (aAction.m_repeat) {
-      NoteRepeat();
+      NoteRepeat(aAction.m_attempt);
     }
     SendToInstance(aAction);
     return;
@@ -363,7 +372,7 @@
     return;
   }
   if (aAction.m_repeat) {
-    NoteRepeat();
+    NoteRepeat(aAction.m_attempt);
   }
   SendTerms terms;
   terms.m_resumeAfter = aAction.m_resumeAfter;
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -16,9 +16,9 @@
 #include <ridgeferry/net/HttpServer.h>
 #include <ridgeferry/relay/BackPressure.h>
 #include <ridgeferry/relay/CallKind.h>
+#include <ridgeferry/relay/CallPermits.h>
 #include <ridgeferry/relay/ConnectionShare.h>
 #include <ridgeferry/relay/RelayFlow.h>
-#include <ridgeferry/relay/RetryBudget.h>
 #include <sigc++/sigc++.h>
 #include <string>
 
@@ -256,7 +256,7 @@
   /** Must be called before events of a stream go to the caller: makes known
    * what began it, once. */
   void NoteStreamBegan();
-  void NoteRepeat();
+  void NoteRepeat(relay::AttemptId aAttempt);
   /** Returns the suspects that the call names, itself first, then the segments
    * of its prompt from the last one on. Hashes the body at the first use only.
    */
@@ -341,6 +341,7 @@
   EntryNode& m_node;
   RelayCallStart m_start;
   relay::RelayFlow m_flow;
+  relay::CallPermits m_permits;
   Instant m_began;
   Instant m_deadline;
   net::Watch m_timer;
--- a/packages/relay/include/ridgeferry/relay/RelayFlow.h
+++ b/packages/relay/include/ridgeferry/relay/RelayFlow.h
@@ -272,7 +272,9 @@
  *  - `NoRoom` is answered only if no attempt can have run;
  *  - a stream reaches the caller in complete events, in order, from one run or
  *    from runs that each resume after the last forwarded event;
- *  - the caller can prove an answer to be whole only if the relay could.
+ *  - the caller can prove an answer to be whole only if the relay could;
+ *  - each send that counts against the retry budget uses a permit that was
+ * taken when the flow decided on it.
  *
  * The class performs no input or output: `Handle` takes events and returns the
  * actions that the driver must carry out. Not thread-safe.
@@ -308,10 +310,13 @@
   std::vector<RelayAction> Handle(const RelayEvent& aEvent);
 
   bool IsDone() const { return m_step == Step::Done; }
-  /** Sets whether the call may be sent once more. The driver decides this by
-   * the retry budget and by whether the call is suspected of crashing
-   * upstreams. */
-  void SetRepeatAllowed(bool aAllowed) { m_repeatAllowed = aAllowed; }
+  /** Sets how many permits for further sends the flow may take in the next
+   * event. The driver decides this by the retry budget and by whether the call
+   * is suspected of crashing upstreams. */
+  void SetFreePermits(int aPermits) { m_freePermits = aPermits; }
+  /** Returns how many permits the flow has taken and not used yet. What the
+   * driver holds reserved must follow it after each event. */
+  int Permits() const { return m_permits; }
   /**
    * Returns how many attempts may have run the call. An attempt counts from its
    * end on, and stops counting if its upstream is found to have crashed.
@@ -368,16 +373,27 @@
   void On(const CallerLeft& aEvent, Actions& aActions);
 
   bool IsCurrent(AttemptId aAttempt) const;
+  /** Takes permits until it has so many. Returns false, and takes none, if
+   * there are too few. */
+  bool TakePermits(int aSends);
+  /** The send that begins now uses a permit if it is a repeat. */
+  void UsePermit(bool aIsRepeat);
+  /** The current send did not leave, so its permit was not used. */
+  void ReturnPermit();
   /** Whether the call may be sent again although an earlier attempt may have
    * run it. */
   bool MayRunAgain() const;
   /** Whether the kind of call allows a second run. */
   bool IsIdempotent() const;
   AnswerHandling HandlingOf(const HeadArrived& aHead) const;
+  /** Whether the call is to be sent again behind an answer of that status. */
+  bool RepeatsBehind(const HeadArrived& aHead) const;
   void StartRun(Actions& aActions);
   /** Sends the call to `m_upstream` without a prefill engine, so that
    * `m_upstream` prefills the prompt itself. */
   void RunWithoutPrefillEngine(Actions& aActions);
+  /** Goes on behind a prefill whose answer is lost, if the budget allows it. */
+  void RunBehindLostPrefill(Actions& aActions);
   /** Whether the call may be sent to the upstream whose stream broke, to find
    * out whether that upstream has crashed. */
   bool MayProbeSameUpstream() const;
@@ -399,11 +415,15 @@
   /** Finishes the call without an answer of an upstream. */
   void GiveUp(Duration aRetryAfter, Actions& aActions);
   void Finish(Actions& aActions, RelayAction aFinal);
+  /** Nothing follows; permits that were not used are given back. */
+  void End();
 
   RelayTraits m_traits;
   Step m_step = Step::New;
   AnswerHandling m_handling = AnswerHandling::Unknown;
-  bool m_repeatAllowed = true;
+  int m_freePermits = 0;            ///< See `SetFreePermits`.
+  int m_permits = 0;                ///< See `Permits`.
+  bool m_usesPermit = false;        ///< The current send uses one.
   bool m_forwarded = false;         ///< The head of an answer was forwarded.
   bool m_forwardedUnframed = false; ///< See `ForwardHead`.
   bool m_unframed = false;          ///< The current answer is unframed.
--- a/packages/relay/include/ridgeferry/relay/RetryBudget.h
+++ b/packages/relay/include/ridgeferry/relay/RetryBudget.h
@@ -21,8 +21,10 @@
 
 /**
  * Limits the retries that this instance sends to one service within a sliding
- * window. A retry is any send of a call after its first. The class only decides
- * and sends nothing. Not thread-safe.
+ * window. A retry is any send of a call after its first. A call reserves a
+ * permit for each retry that it decides on: until that is sent, much may pass
+ * in which other calls decide as well. The class only decides and sends
+ * nothing. Not thread-safe.
  */
 class RetryBudget
 {
@@ -34,10 +36,18 @@
 
   /** Records the first send of a call. */
   void NoteFirstSend(Instant aNow);
-  /** Returns whether the window that ends at `aNow` allows one more retry. */
-  bool MayRepeat(Instant aNow);
+  /** Returns how many permits more can be reserved in the window that ends at
+   * `aNow`. */
+  int Free(Instant aNow);
+  /** Reserves permits. Precondition: so many are free. */
+  void Reserve(int aPermits) { m_reserved += aPermits; }
+  /** Gives reserved permits back, as they are not needed any more or as their
+   * retries are recorded. */
+  void GiveBack(int aPermits) { m_reserved -= aPermits; }
   /** Records a retry. Must be called for each retry that is sent. */
   void NoteRepeat(Instant aNow);
+  /** The retry that was recorded with this time did not leave. */
+  void TakeBack(Instant aSentAt);
   void SetTerms(BudgetTerms aTerms) { m_terms = aTerms; }
 
 private:
@@ -47,6 +57,7 @@
   BudgetTerms m_terms;
   std::deque<Instant> m_firstSends;
   std::deque<Instant> m_repeats;
+  int m_reserved = 0;
 };
 
 } // namespace ridgeferry::relay
--- a/packages/relay/src/RelayFlow.cpp
+++ b/packages/relay/src/RelayFlow.cpp
@@ -1,5 +1,6 @@
 #include "ridgeferry/relay/RelayFlow.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ridgeferry::relay {
@@ -53,18 +54,41 @@
                            : m_traits.m_repeat == Repeat::Freely;
 }
 
+bool
+RelayFlow::TakePermits(int aSends)
+{
+  const int missing = std::max(0, aSends - m_permits);
+  if (missing > m_freePermits) {
+    return false;
+  }
+  m_permits += missing;
+  m_freePermits -= missing;
+  return true;
+}
+
 bool
 RelayFlow::MayRunAgain() const
 {
-  return IsIdempotent() && m_repeatAllowed && m_runs < m_traits.m_maxRuns &&
-         m_tries < kMaxSends;
+  return IsIdempotent() && m_runs < m_traits.m_maxRuns && m_tries < kMaxSends;
 }
 
 bool
 RelayFlow::MayProbeSameUpstream() const
 {
-  return m_traits.m_stream && IsIdempotent() && m_repeatAllowed &&
-         !m_probingSameUpstream && m_tries < kMaxSends;
+  return m_traits.m_stream && IsIdempotent() && !m_probingSameUpstream &&
+         m_tries < kMaxSends;
+}
+
+bool
+RelayFlow::RepeatsBehind(const HeadArrived& aHead) const
+{
+  const bool isRefusedElsewhere =
+    aHead.m_isFromInstance && m_runs == 0 && PromisesNotRun(aHead.m_status);
+  // `m_runs` does not include the current run until its answer is complete, so
+  // the current run is added here.
+  return aHead.m_status >= kFirstServerError && !m_forwarded &&
+         !isRefusedElsewhere && IsIdempotent() &&
+         m_runs + 1 < m_traits.m_maxRuns && m_tries < kMaxSends;
 }
 
 RelayFlow::AnswerHandling
@@ -75,13 +99,6 @@
   if (aHead.m_isFromInstance && untouched && PromisesNotRun(status)) {
     return AnswerHandling::Buffer;
   }
-  // `m_runs` does not include the current run until its answer is complete, so
-  // the current run is added here.
-  if (status >= kFirstServerError && !m_forwarded && IsIdempotent() &&
-      m_repeatAllowed && m_runs + 1 < m_traits.m_maxRuns &&
-      m_tries < kMaxSends) {
-    return AnswerHandling::Repeat;
-  }
   if (PromisesNotRun(status)) {
     return AnswerHandling::Discard;
   }
@@ -114,12 +131,31 @@
     StartRun(aActions);
     return;
   }
-  m_step = Step::Prefilling;
   const bool repeat = m_prefillSends > 0;
+  const int runPermits = m_sends > 0 ? 1 : 0;
+  if (repeat && !TakePermits(runPermits + 1)) {
+    RunWithoutPrefillEngine(aActions);
+    return;
+  }
+  m_step = Step::Prefilling;
   ++m_prefillSends;
+  UsePermit(repeat);
   aActions.emplace_back(SendPrefill{ ++m_attempt, m_prefillEngine, repeat });
 }
 
+void
+RelayFlow::UsePermit(bool aIsRepeat)
+{
+  m_usesPermit = aIsRepeat;
+  m_permits -= aIsRepeat ? 1 : 0;
+}
+
+void
+RelayFlow::ReturnPermit()
+{
+  m_permits += std::exchange(m_usesPermit, false) ? 1 : 0;
+}
+
 void
 RelayFlow::StartRun(Actions& aActions)
 {
@@ -132,6 +168,7 @@
   ++m_tries;
   const bool repeat = m_sends > 0;
   ++m_sends;
+  UsePermit(repeat);
   aActions.emplace_back(SendRun{ ++m_attempt,
                                  m_upstream,
                                  m_prefillEngine,
@@ -147,6 +184,18 @@
   StartRun(aActions);
 }
 
+void
+RelayFlow::RunBehindLostPrefill(Actions& aActions)
+{
+  // Its engine may have turned it away, so the run counts as a repeat.
+  ++m_sends;
+  if (TakePermits(1)) {
+    RunWithoutPrefillEngine(aActions);
+  } else {
+    GiveUp(kRetryAfter, aActions);
+  }
+}
+
 void
 RelayFlow::On(const NoPlace& aEvent, Actions& aActions)
 {
@@ -191,6 +240,7 @@
     return;
   }
   FinishAttempt(AttemptEnd::Failed, aActions);
+  ReturnPermit();
   if (m_step == Step::Prefilling) {
     RunWithoutPrefillEngine(aActions);
     return;
@@ -215,7 +265,7 @@
 void
 RelayFlow::ProbeAgain(Actions& aActions)
 {
-  if (m_repeatAllowed && m_tries < kMaxSends) {
+  if (m_tries < kMaxSends && TakePermits(1)) {
     StartRun(aActions);
   } else {
     GiveUp(kRetryAfter, aActions);
@@ -230,6 +280,7 @@
   }
   // Neither a send nor a failure. Each time excludes one more upstream, so the
   // call comes to an end.
+  ReturnPermit();
   if (m_step == Step::Prefilling) {
     --m_prefillSends;
     m_excluded.push_back(m_prefillEngine);
@@ -273,7 +324,7 @@
     return;
   }
   m_prefillEngine.clear();
-  if (m_repeatAllowed && m_tries < kMaxSends) {
+  if (m_tries < kMaxSends && TakePermits(1)) {
     FindAnotherPlace(aActions);
   } else {
     GiveUp(aEvent.m_roomIn.value_or(kRetryAfter), aActions);
@@ -297,7 +348,8 @@
   if (!IsCurrent(aEvent.m_attempt) || m_step != Step::Running) {
     return;
   }
-  m_handling = HandlingOf(aEvent);
+  const bool repeats = RepeatsBehind(aEvent) && TakePermits(1);
+  m_handling = repeats ? AnswerHandling::Repeat : HandlingOf(aEvent);
   m_unframed = aEvent.m_unframed;
   if (m_handling == AnswerHandling::Stream && !m_forwarded) {
     ForwardHeadTo(aActions);
@@ -436,7 +488,7 @@
   }
   if (m_step == Step::Prefilling) {
     FinishAttempt(AttemptEnd::Failed, aActions);
-    RunWithoutPrefillEngine(aActions);
+    RunBehindLostPrefill(aActions);
     return;
   }
   HandleBrokenRun(aActions);
@@ -449,11 +501,11 @@
   ++m_runs;
   m_events.TakeRest();
   const bool mayGoOn = !m_forwarded || m_handling == AnswerHandling::Stream;
-  if (mayGoOn && MayRunAgain()) {
+  if (mayGoOn && MayRunAgain() && TakePermits(1)) {
     FindAnotherPlace(aActions);
     return;
   }
-  if (mayGoOn && MayProbeSameUpstream()) {
+  if (mayGoOn && MayProbeSameUpstream() && TakePermits(1)) {
     m_probingSameUpstream = true;
     m_handle.clear();
     RunWithoutPrefillEngine(aActions);
@@ -493,7 +545,14 @@
   if (untaken && !m_handle.empty()) {
     aActions.emplace_back(FreeHandle{ m_prefillEngine, m_handle });
   }
+  End();
+}
+
+void
+RelayFlow::End()
+{
   m_step = Step::Done;
+  m_permits = 0;
 }
 
 void
@@ -511,7 +570,7 @@
 void
 RelayFlow::Finish(Actions& aActions, RelayAction aFinal)
 {
-  m_step = Step::Done;
+  End();
   aActions.push_back(std::move(aFinal));
 }
 
--- a/packages/relay/src/RetryBudget.cpp
+++ b/packages/relay/src/RetryBudget.cpp
@@ -1,5 +1,8 @@
 #include "ridgeferry/relay/RetryBudget.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace ridgeferry::relay {
 
 void
@@ -19,14 +22,15 @@
   m_firstSends.push_back(aNow);
 }
 
-bool
-RetryBudget::MayRepeat(Instant aNow)
+int
+RetryBudget::Free(Instant aNow)
 {
   Forget(aNow);
   const double allowed =
     m_terms.m_floor +
     m_terms.m_ratio * static_cast<double>(m_firstSends.size());
-  return static_cast<double>(m_repeats.size()) + 1 <= allowed;
+  const double taken = static_cast<double>(m_repeats.size()) + m_reserved;
+  return static_cast<int>(std::max(0.0, std::floor(allowed - taken)));
 }
 
 void
@@ -35,4 +39,13 @@
   m_repeats.push_back(aNow);
 }
 
+void
+RetryBudget::TakeBack(Instant aSentAt)
+{
+  const auto found = std::find(m_repeats.begin(), m_repeats.end(), aSentAt);
+  if (found != m_repeats.end()) {
+    m_repeats.erase(found);
+  }
+}
+
 } // namespace ridgeferry::relay
--- a/packages/relay/tests/PassedOnStreamWorldTest.cpp
+++ b/packages/relay/tests/PassedOnStreamWorldTest.cpp
@@ -76,6 +76,7 @@
 
   void Handle(const RelayEvent& aEvent)
   {
+    m_flow.SetFreePermits(1);
     for (const RelayAction& action : m_flow.Handle(aEvent)) {
       std::visit([this](const auto& aTyped) { Do(aTyped); }, action);
     }
--- a/packages/relay/tests/RelayFlowTest.cpp
+++ b/packages/relay/tests/RelayFlowTest.cpp
@@ -67,6 +67,7 @@
   /** All actions, including those for `CallBegan`. */
   const char* m_expectedActions;
   bool m_repeatAllowed = true;
+  int m_permits = 2; ///< Free before each event, if it may be repeated.
 };
 
 class RelayFlowTest : public ::testing::TestWithParam<FlowCase>
@@ -75,9 +76,9 @@
 TEST_P(RelayFlowTest, EmitsTheExpectedActions)
 {
   RelayFlow flow(GetParam().m_traits);
-  flow.SetRepeatAllowed(GetParam().m_repeatAllowed);
   std::string story;
   const auto take = [&](const RelayEvent& aEvent) {
+    flow.SetFreePermits(GetParam().m_repeatAllowed ? GetParam().m_permits : 0);
     for (const RelayAction& action : flow.Handle(aEvent)) {
       story += (story.empty() ? "" : " ") + ActionText(action);
     }
@@ -415,7 +416,12 @@
     FlowCase{ "TheReaderBreaks",
               kStream,
               { PlaceFound{ "u", "r" }, AttemptBroke{ 1 } },
-              "find read@r failed run@u" },
+              "find read@r failed run@u!" },
+    FlowCase{ "TheReaderBreaksWithoutAPermit",
+              kStream,
+              { PlaceFound{ "u", "r" }, AttemptBroke{ 1 } },
+              "find read@r failed no-room",
+              false },
     FlowCase{ "TheReaderIsOutOfReach",
               kStream,
               { PlaceFound{ "u", "r" }, AttemptNotSent{ 1 } },
@@ -556,6 +562,46 @@
               "find read@r failed run@u" }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+/** What is left of the permits when a second prefill engine is found behind a
+ * run that broke, and what is sent then. */
+struct SecondPrefillCase
+{
+  const char* m_name;
+  int m_free;
+  const char* m_expectedSend;
+  int m_held; ///< Permits that are held behind it.
+};
+
+class SecondPrefillTest : public ::testing::TestWithParam<SecondPrefillCase>
+{};
+
+// Guards against one permission that pays for a second prefill and for a second
+// run.
+TEST_P(SecondPrefillTest, NeedsAPermitBesideThatOfTheRun)
+{
+  RelayFlow flow(kResumable);
+  flow.Handle(CallBegan{});
+  flow.Handle(PlaceFound{ "u", "r" });
+  flow.Handle(PrefillCompleted{ 1, "h" });
+  flow.SetFreePermits(1);
+  flow.Handle(AttemptBroke{ 2 });
+  EXPECT_EQ(flow.Permits(), 1);
+  flow.SetFreePermits(GetParam().m_free);
+  const auto actions = flow.Handle(PlaceFound{ "v", "s" });
+  ASSERT_EQ(actions.size(), 1U);
+  EXPECT_EQ(ActionText(actions.front()), GetParam().m_expectedSend);
+  EXPECT_EQ(flow.Permits(), GetParam().m_held);
+  flow.Handle(CallerLeft{});
+  EXPECT_EQ(flow.Permits(), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Permits,
+  SecondPrefillTest,
+  ::testing::Values(SecondPrefillCase{ "One", 1, "read@s!", 1 },
+                    SecondPrefillCase{ "None", 0, "run@v!", 0 }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 // Guards against callers that are told to come back before any upstream takes
 // calls again.
 TEST(RelayFlowRefusalTest, WithoutAnotherSendTheTimeOfTheUpstreamsIsTold)
@@ -566,7 +612,7 @@
     RelayFlow flow(kUnsafe);
     flow.Handle(CallBegan{});
     flow.Handle(PlaceFound{ "u", "" });
-    flow.SetRepeatAllowed(false);
+    flow.SetFreePermits(0);
     const auto actions = flow.Handle(AttemptRefused{ 1, false, roomIn });
     ASSERT_FALSE(actions.empty());
     const auto* reply = std::get_if<ReplyError>(&actions.back());
--- a/packages/relay/tests/RelayWorldTest.cpp
+++ b/packages/relay/tests/RelayWorldTest.cpp
@@ -2,6 +2,7 @@
 // upstreams refuse, break the connection or answer, the deadline passes, the
 // caller leaves, and events of earlier attempts arrive late or twice.
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 #include <ridgeferry/relay/RelayFlow.h>
@@ -43,15 +44,27 @@
 
   void Take(const RelayEvent& aEvent)
   {
+    const int before = m_flow.Permits();
+    const int repeatsBefore = m_repeats;
+    const int free = m_free;
+    const int returned = Returned(aEvent);
     for (const RelayAction& action : m_flow.Handle(aEvent)) {
       std::visit([this](const auto& aTyped) { Do(aTyped); }, action);
     }
+    // What is sent as a repeat was held before, or taken of what was free.
+    const int used = m_repeats - repeatsBefore;
+    RC_ASSERT(m_flow.Permits() >= 0);
+    RC_ASSERT(m_flow.Permits() + used <= before + free + returned);
+    if (m_flow.IsDone()) {
+      RC_ASSERT(m_flow.Permits() == 0);
+    }
   }
 
   void Step()
   {
     const int what = *rc::gen::inRange(0, 60);
-    m_flow.SetRepeatAllowed(*rc::gen::inRange(0, 4) != 0);
+    m_free = *rc::gen::inRange(0, 4);
+    m_flow.SetFreePermits(m_free);
     if (what == 0) {
       Take(CallerLeft{});
       m_left = true;
@@ -73,6 +86,8 @@
   void Check() const
   {
     RC_ASSERT(m_finals <= 1);
+    RC_ASSERT(m_repeatsSent >=
+              std::max(0, m_runsSent - 1) + std::max(0, m_prefillsSent - 1));
     const bool idempotent = m_traits.m_stream
                               ? m_traits.m_resumable
                               : m_traits.m_repeat == Repeat::Freely;
@@ -95,6 +110,26 @@
   bool Left() const { return m_left; }
 
 private:
+  /** Counts a send that did not leave as none. Returns how many permits come
+   * back by that. */
+  int Returned(const RelayEvent& aEvent)
+  {
+    const auto* notSent = std::get_if<AttemptNotSent>(&aEvent);
+    if (notSent == nullptr || notSent->m_attempt != m_attempt) {
+      return 0;
+    }
+    --(m_prefilling ? m_prefillsSent : m_runsSent);
+    m_repeatsSent -= m_isRepeat ? 1 : 0;
+    return m_isRepeat ? 1 : 0;
+  }
+
+  void NoteSend(bool aIsRepeat)
+  {
+    m_isRepeat = aIsRepeat;
+    m_repeats += aIsRepeat ? 1 : 0;
+    m_repeatsSent += aIsRepeat ? 1 : 0;
+  }
+
   void StepPlace()
   {
     const int kind = *rc::gen::inRange(0, 5);
@@ -173,12 +208,16 @@
   {
     m_attempt = aAction.m_attempt;
     m_prefilling = true;
+    ++m_prefillsSent;
+    NoteSend(aAction.m_repeat);
   }
   void Do(const SendRun& aAction)
   {
     m_attempt = aAction.m_attempt;
     m_runAt = aAction.m_upstream;
     m_prefilling = false;
+    ++m_runsSent;
+    NoteSend(aAction.m_repeat);
     m_headSent = false;
     m_attemptRan = false;
     m_next =
@@ -224,6 +263,13 @@
   std::string m_runAt;
   /** Upstreams that ran the call and have not crashed since. */
   std::set<std::string> m_ranAt;
+  int m_free = 0;    ///< Permits that the flow may take in the next event.
+  int m_repeats = 0; ///< Sends that were marked as repeats.
+  bool m_isRepeat = false; ///< The latest send was.
+  /** Sends that left. */
+  int m_runsSent = 0;
+  int m_prefillsSent = 0;
+  int m_repeatsSent = 0;
   int m_finals = 0;
   int m_given = 0;
   std::string m_forwarded;
--- a/packages/relay/tests/RetryBudgetTest.cpp
+++ b/packages/relay/tests/RetryBudgetTest.cpp
@@ -22,7 +22,7 @@
       if (*rc::gen::inRange(0, 3) != 0) {
         budget.NoteFirstSend(now);
         first.push_back(now);
-      } else if (budget.MayRepeat(now)) {
+      } else if (budget.Free(now) > 0) {
         budget.NoteRepeat(now);
         repeats.push_back(now);
         const auto inWindow = [&](const std::deque<Instant>& aSends) {
@@ -56,11 +56,11 @@
   RetryBudget budget({ 0.1, 2, Duration{ 1000 } });
   Instant now{};
   for (int i = 0; i < 2; ++i) {
-    ASSERT_TRUE(budget.MayRepeat(now));
+    ASSERT_TRUE(budget.Free(now) > 0);
     budget.NoteRepeat(now);
   }
-  EXPECT_FALSE(budget.MayRepeat(now + Duration{ 999 }));
-  EXPECT_TRUE(budget.MayRepeat(now + Duration{ 1000 }));
+  EXPECT_FALSE(budget.Free(now + Duration{ 999 }) > 0);
+  EXPECT_TRUE(budget.Free(now + Duration{ 1000 }) > 0);
 }
 
 } // namespace
--- a/packages/relay/tests/TwoInstancesWorldTest.cpp
+++ b/packages/relay/tests/TwoInstancesWorldTest.cpp
@@ -97,7 +97,7 @@
   void StepSide(Side& aSide, RelayFlow& aFlow)
   {
     const int what = *rc::gen::inRange(0, 40);
-    aFlow.SetRepeatAllowed(*rc::gen::inRange(0, 4) != 0);
+    aFlow.SetFreePermits(*rc::gen::inRange(0, 4));
     if (what == 0) {
       Take(aSide, aFlow, DeadlinePassed{});
     } else if (what == 1) {
