A call lease ends also where each look at it comes late

By reading the change: an instance whose loop is so busy that each look at its leases comes more than 150 ms behind the one before took each for the first one behind a stall, so that no lease expired there, and an upstream worked on for an instance that had gone.

Cause: a look that came late put the end off, however often. Now only the first of late looks in a row does: the datagrams that came in the stall are read between two looks.

Evidence: HeldLeasesTest LateLooksPutOffTheEndOnce fails with the condition as it was (run), passes now; the tests of leases and the world of passed-on streams pass, 13 of 13.

--- a/packages/relay/include/ridgeferry/relay/CallLease.h
+++ b/packages/relay/include/ridgeferry/relay/CallLease.h
@@ -86,8 +86,9 @@
   bool IsEmpty() const { return m_leases.empty(); }
 
   /** Returns the calls whose leases have expired, and forgets them. Returns
-   * none if the process has not looked for long: renewals that came meanwhile
-   * are to be read first. */
+   * none if the process stood still since the look before: renewals that came
+   * meanwhile are to be read first. Of late looks in a row only the first
+   * returns none. */
   std::vector<PassedOnCallId> TakeExpired(Instant aNow);
 
 private:
@@ -98,7 +99,8 @@
   };
 
   std::map<PassedOnCallId, Lease> m_leases;
-  Instant m_lookedAt; ///< Of the latest look, or grant of the only lease.
+  Instant m_lookedAt;     ///< Of the latest look, or grant of the only lease.
+  bool m_wasLate = false; ///< The latest look came late.
 };
 
 } // namespace ridgeferry::relay
--- a/packages/relay/src/CallLease.cpp
+++ b/packages/relay/src/CallLease.cpp
@@ -75,8 +75,10 @@
 HeldLeases::TakeExpired(Instant aNow)
 {
   const bool isLate = aNow - std::exchange(m_lookedAt, aNow) > kLateLook;
+  const bool isFirstLate = isLate && !m_wasLate;
+  m_wasLate = isLate;
   std::vector<PassedOnCallId> out;
-  if (isLate) {
+  if (isFirstLate) {
     return out;
   }
   std::erase_if(m_leases, [&](const auto& aLease) {
--- a/packages/relay/tests/CallLeaseTest.cpp
+++ b/packages/relay/tests/CallLeaseTest.cpp
@@ -72,6 +72,16 @@
   EXPECT_EQ(leases.TakeExpired(At(2050)), std::vector{ kCall });
 }
 
+// Guards against runs that go on for ever at an instance that is so busy that
+// each of its looks is late.
+TEST(HeldLeasesTest, LateLooksPutOffTheEndOnce)
+{
+  HeldLeases leases;
+  leases.Grant({ kCall, Duration{ 500 } }, At(0));
+  EXPECT_TRUE(leases.TakeExpired(At(400)).empty());
+  EXPECT_EQ(leases.TakeExpired(At(800)), std::vector{ kCall });
+}
+
 TEST(HeldLeasesTest, ACallThatHasEndedDoesNotExpire)
 {
   HeldLeases leases;
