--- a/packages/relay/include/ridgeferry/relay/CallLease.h
+++ b/packages/relay/include/ridgeferry/relay/CallLease.h
@@ -20,7 +20,7 @@
  * lease has ended. */
 struct CallLease
 {
-  /** Five renewals are sent in a term, so that lost datagrams end no run. */
+  /** Five renewals are sent in a term, so that a few lost ones end no run. */
   static constexpr Duration kTerm{ 500 };
   static constexpr Duration kRenewEvery{ 100 };
 
