net: answers can name their request; answers that are skipped are told

A connection between instances has nothing that shows which request an answer is of: HttpServer::EchoField repeats one header field of the request in each answer, also in those that the server gives itself. An answer to an earlier request that is skipped is told to whoever sends now, so that it can be held against what was said of its call. And whether anything of a request may have left is known before it is cancelled.

--- a/packages/net/include/ridgeferry/net/HttpClient.h
+++ b/packages/net/include/ridgeferry/net/HttpClient.h
@@ -16,6 +16,10 @@
   /** If set, the body comes in pieces and is not gathered. */
   sigc::slot<void(std::string_view)> m_chunk;
   sigc::slot<void(HttpResponse)> m_done;
+  /** An answer to an earlier request has come and is skipped; the first
+   * argument is what it has in the field of `HttpRequest::m_mustEcho`, or
+   * empty. */
+  sigc::slot<void(std::string_view, const HttpHead&)> m_skipped = {};
 };
 
 using HttpCallId = std::uint64_t;
@@ -36,6 +40,9 @@
   HttpCallId Send(const HttpRequest& aRequest, HttpCallbacks aCallbacks);
   /** Ends a request and its connection; nothing is called back for it. */
   void Cancel(HttpCallId aCall);
+  /** Returns whether bytes of the request may have left. False only if none
+   * has; none will once it is cancelled. */
+  bool MayHaveLeft(HttpCallId aCall) const;
   /**
    * Stops reading the answer, or goes on: its bytes wait in the system's
    * buffers and then at the sender. A pause counts neither as silence of the
--- a/packages/net/include/ridgeferry/net/HttpServer.h
+++ b/packages/net/include/ridgeferry/net/HttpServer.h
@@ -132,6 +132,10 @@
    * refused with 503 before its body is taken. The budget may be shared by
    * several servers and must outlive the server and its exchanges. */
   void ShareBodies(BodyBudget* aBudget);
+  /** Each answer to a request with this header field repeats the field, also an
+   * answer that the server gives itself. Shows a caller that keeps connections
+   * that an answer is of its present request. */
+  void EchoField(std::string aName);
   /** From now on each answer closes its connection. */
   void StopKeeping();
   /** Closes the connections that rest between two requests. */
--- a/packages/net/src/ClientConnection.cpp
+++ b/packages/net/src/ClientConnection.cpp
@@ -270,7 +270,7 @@
   }
   if (m_skipping) {
     ++m_skippedAnswers;
-    return true;
+    return TellSkipped();
   }
   m_response.m_head = { m_parser->m_status,
                         std::move(m_parser->m_headers),
@@ -281,6 +281,20 @@
   return m_busy && !m_closed;
 }
 
+bool
+ClientConnection::TellSkipped()
+{
+  if (!m_listener.m_skipped || !m_mustEcho || IsInterim(m_parser->m_status)) {
+    return true;
+  }
+  const HttpHead head{ m_parser->m_status,
+                       m_parser->m_headers,
+                       m_parser->Framing() };
+  const auto echoed = head.m_headers.Find(m_mustEcho->first);
+  m_listener.m_skipped(echoed.value_or(std::string_view{}), head);
+  return m_busy && !m_closed;
+}
+
 bool
 ClientConnection::DeliverBody()
 {
--- a/packages/net/src/ClientConnection.h
+++ b/packages/net/src/ClientConnection.h
@@ -25,6 +25,7 @@
   sigc::slot<void(const HttpHead&)> m_head;
   sigc::slot<void(std::string_view)> m_chunk;
   sigc::slot<void(const ClientEnd&)> m_end;
+  sigc::slot<void(std::string_view, const HttpHead&)> m_skipped;
 };
 
 /**
@@ -47,6 +48,8 @@
   /** Stops reading the answer under way, or goes on. */
   void SetReading(bool aReads);
 
+  /** Whether the connection has come about; before, nothing is written. */
+  bool IsConnected() const { return m_connected; }
   /** Whether an idle connection may take a request now. */
   bool IsFit(Instant aNow) const;
   /** How long no request has used it. */
@@ -59,6 +62,9 @@
 private:
   void StartAnswer();
   bool TakeHead();
+  /** Tells the listener of an answer that is skipped. False: it has ended the
+   * request. */
+  bool TellSkipped();
   /** Returns false if the body has become too long. */
   bool DeliverBody();
   /** Returns whether an answer that goes on stays within what is held or
--- a/packages/net/src/HttpClient.cpp
+++ b/packages/net/src/HttpClient.cpp
@@ -134,6 +134,7 @@
   ClientListener listener;
   listener.m_head = aCallbacks.m_head;
   listener.m_chunk = aCallbacks.m_chunk;
+  listener.m_skipped = aCallbacks.m_skipped;
   Call& call = m_impl->m_calls[id];
   call.m_callbacks = std::move(aCallbacks);
   call.m_address = aRequest.m_address;
@@ -168,6 +169,17 @@
   }
 }
 
+bool
+HttpClient::MayHaveLeft(HttpCallId aCall) const
+{
+  const auto found = m_impl->m_calls.find(aCall);
+  if (found == m_impl->m_calls.end()) {
+    return true;
+  }
+  const ConnectionPtr& connection = found->second.m_connection;
+  return connection != nullptr && connection->IsConnected();
+}
+
 void
 HttpClient::SetReading(HttpCallId aCall, bool aReads)
 {
--- a/packages/net/src/ServerConnection.cpp
+++ b/packages/net/src/ServerConnection.cpp
@@ -142,6 +142,7 @@
   m_state = State::Reading;
   m_begun = false;
   m_since = m_shared.m_loop.Now();
+  m_echo.reset();
   m_body = BodyShare(m_shared.m_bodies);
   m_parser = std::make_unique<MessageParser<true>>(
     m_shared.m_limits.m_maxHeaderBytes, m_shared.m_limits.m_maxBodyBytes);
@@ -164,6 +165,7 @@
   }
   m_begun = true;
   const ParseState state = m_parser->Feed(input);
+  KeepEcho();
   if (state == ParseState::Failed) {
     Refuse(StatusOf(m_parser->Error()), m_parser->Error().message());
     return;
@@ -191,6 +193,18 @@
   }
 }
 
+void
+ServerConnection::KeepEcho()
+{
+  const std::string& field = m_shared.m_echoedField;
+  if (field.empty() || m_echo || !m_parser->HasHead()) {
+    return;
+  }
+  if (const auto value = m_parser->m_headers.Find(field)) {
+    m_echo = std::string(*value);
+  }
+}
+
 bool
 ServerConnection::TakeRoom()
 {
@@ -261,6 +275,9 @@
   for (const auto& [name, value] : aHeaders.All()) {
     out += name + ": " + value + "\r\n";
   }
+  if (m_echo) {
+    out += m_shared.m_echoedField + ": " + *m_echo + "\r\n";
+  }
   if (!m_keepAlive || !m_shared.m_keepAlive) {
     out += "Connection: close\r\n";
   }
--- a/packages/net/src/ServerConnection.h
+++ b/packages/net/src/ServerConnection.h
@@ -3,7 +3,9 @@
 #include "MessageParser.h"
 
 #include <memory>
+#include <optional>
 #include <ridgeferry/net/HttpServer.h>
+#include <string>
 
 struct bufferevent;
 
@@ -19,6 +21,7 @@
   /** Called once by a connection that has ended; it is freed later. */
   sigc::slot<void(ServerConnection&)> m_ended;
   BodyBudget* m_bodies = nullptr; ///< See `HttpServer::ShareBodies`.
+  std::string m_echoedField;      ///< See `HttpServer::EchoField`.
 };
 
 /**
@@ -64,6 +67,8 @@
   };
 
   void StartRequest();
+  /** Keeps what the answer must repeat of the head that has been read. */
+  void KeepEcho();
   void Dispatch();
   /** `aRetryAfter`: when to come back; 0 if that is of no use. */
   void Refuse(int aStatus,
@@ -86,7 +91,9 @@
   Instant m_since; ///< Of the state, or of the last byte of a body.
   bool m_begun = false;
   bool m_keepAlive = true;
-  bool m_headOnly = false;   ///< The request was HEAD.
+  bool m_headOnly = false; ///< The request was HEAD.
+  /** Value of `ServerShared::m_echoedField` in the request. */
+  std::optional<std::string> m_echo;
   bool m_readsChunks = true; ///< See `MessageParser::m_readsChunks`.
   /** Closes its own side first and waits for the caller's: bytes that the
    * caller still sends must not turn the end of the answer into a reset. */
