relay: what shows that a call has not run stands in one file

The words and signs were spread over the driver of a call and its flow.

The flow learns two things, which the driver does not tell it yet: an engine that ran a call of which it was to read the prompt, and a deadline that passes before anything has left.

--- a/packages/relay/include/ridgeferry/relay/RelayFlow.h
+++ b/packages/relay/include/ridgeferry/relay/RelayFlow.h
@@ -87,14 +87,20 @@
   AttemptId m_attempt = 0;
   std::string m_handle;
 };
+/** The engine answered a prefill request as if it had run the call: its whole
+ * answer has come, and cannot be used. */
+struct PrefillRan
+{
+  AttemptId m_attempt = 0;
+};
 /** The head of an answer arrived that is neither a refusal nor the answer to a
  * prefill request. */
 struct HeadArrived
 {
   AttemptId m_attempt = 0;
   int m_status = 0;
-  /** Another instance of this system answers: if its status says that the call
-   * has not run, that is true. */
+  /** Another instance of this system answers, and names the attempt: if its
+   * status says that the call has not run, that is true. */
   bool m_isFromInstance = false;
   /** Nothing but the end of its connection tells the end of the answer. */
   bool m_unframed = false;
@@ -123,7 +129,11 @@
 };
 /** The deadline of the call has passed. */
 struct DeadlinePassed
-{};
+{
+  /** Bytes of the present attempt may have left. If there is none, it does not
+   * matter. */
+  bool m_mayHaveLeft = true;
+};
 /** The caller closed its connection. */
 struct CallerLeft
 {};
@@ -135,6 +145,7 @@
                                 AttemptWithheld,
                                 AttemptRefused,
                                 PrefillCompleted,
+                                PrefillRan,
                                 HeadArrived,
                                 BytesArrived,
                                 AnswerEnded,
@@ -364,6 +375,7 @@
   void On(const AttemptWithheld& aEvent, Actions& aActions);
   void On(const AttemptRefused& aEvent, Actions& aActions);
   void On(const PrefillCompleted& aEvent, Actions& aActions);
+  void On(const PrefillRan& aEvent, Actions& aActions);
   void On(const HeadArrived& aEvent, Actions& aActions);
   void On(const BytesArrived& aEvent, Actions& aActions);
   void On(const AnswerEnded& aEvent, Actions& aActions);
--- a/packages/relay/src/RelayFlow.cpp
+++ b/packages/relay/src/RelayFlow.cpp
@@ -1,6 +1,7 @@
 #include "ridgeferry/relay/RelayFlow.h"
 
 #include <algorithm>
+#include <ridgeferry/relay/AttemptGround.h>
 #include <utility>
 
 namespace ridgeferry::relay {
@@ -11,18 +12,6 @@
 constexpr int kFirstRedirect = 300;
 constexpr int kFirstServerError = 500;
 
-/** Whether the status tells a caller that its call has not run. */
-bool
-PromisesNotRun(int aStatus)
-{
-  constexpr int kRequestTimeout = 408;
-  constexpr int kMisdirected = 421;
-  constexpr int kTooMany = 429;
-  constexpr int kUnavailable = 503;
-  return aStatus == kRequestTimeout || aStatus == kMisdirected ||
-         aStatus == kTooMany || aStatus == kUnavailable;
-}
-
 } // namespace
 
 RelayFlow::RelayFlow(RelayTraits aTraits)
@@ -342,6 +331,21 @@
   StartRun(aActions);
 }
 
+void
+RelayFlow::On(const PrefillRan& aEvent, Actions& aActions)
+{
+  if (!IsCurrent(aEvent.m_attempt) || m_step != Step::Prefilling) {
+    return;
+  }
+  FinishAttempt(AttemptEnd::Failed, aActions);
+  ++m_runs;
+  if (MayRunAgain()) {
+    RunBehindLostPrefill(aActions);
+  } else {
+    GiveUp(kRetryAfter, aActions);
+  }
+}
+
 void
 RelayFlow::On(const HeadArrived& aEvent, Actions& aActions)
 {
@@ -515,10 +519,10 @@
 }
 
 void
-RelayFlow::On(const DeadlinePassed&, Actions& aActions)
+RelayFlow::On(const DeadlinePassed& aEvent, Actions& aActions)
 {
-  const bool running = m_step == Step::Running;
-  if (running || m_step == Step::Prefilling) {
+  const bool running = m_step == Step::Running && aEvent.m_mayHaveLeft;
+  if (m_step == Step::Running || m_step == Step::Prefilling) {
     aActions.emplace_back(CancelAttempt{ m_attempt });
     FinishAttempt(AttemptEnd::Abandoned, aActions);
   }
--- a/packages/relay/tests/TwoInstancesWorldTest.cpp
+++ b/packages/relay/tests/TwoInstancesWorldTest.cpp
@@ -99,7 +99,9 @@
     const int what = *rc::gen::inRange(0, 40);
     aFlow.SetFreePermits(*rc::gen::inRange(0, 4));
     if (what == 0) {
-      Take(aSide, aFlow, DeadlinePassed{});
+      const bool mayHaveLeft =
+        aSide.m_hasRun || aSide.m_isForwarded || *rc::gen::arbitrary<bool>();
+      Take(aSide, aFlow, DeadlinePassed{ mayHaveLeft });
     } else if (what == 1) {
       Take(aSide, aFlow, CallerLeft{});
     } else if (aSide.m_wantsPlace) {
@@ -145,9 +147,20 @@
       Take(m_secondSide, *m_second, CallBegan{});
     } else if (what == 0) {
       Take(aSide, aFlow, AttemptBroke{ aSide.m_attempt });
+    } else if (what == 1) {
+      StepUnnamed(aSide, aFlow);
     }
   }
 
+  /** An answer that does not name the attempt: it shows nothing of the other
+   * instance, which may run the call now or later. */
+  void StepUnnamed(Side& aSide, RelayFlow& aFlow)
+  {
+    const AttemptId attempt = aSide.m_attempt;
+    Take(aSide, aFlow, HeadArrived{ attempt, kUnavailable, false });
+    Take(aSide, aFlow, AnswerEnded{ attempt });
+  }
+
   /** The other instance's final answer arrives, as its driver writes it. */
   void PassOnAnswer()
   {
@@ -171,13 +184,20 @@
   void StepPrefill(Side& aSide, RelayFlow& aFlow)
   {
     const AttemptId attempt = aSide.m_attempt;
-    const std::vector<RelayEvent> ends{
-      PrefillCompleted{ attempt, "h" }, PrefillCompleted{ attempt, "h" },
-      AttemptBroke{ attempt },          AttemptRefused{ attempt },
-      AttemptRefused{ attempt, true },  AttemptNotSent{ attempt },
-      AttemptWithheld{ attempt },       AnswerEnded{ attempt }
-    };
-    Take(aSide, aFlow, ends[*rc::gen::inRange<std::size_t>(0, ends.size())]);
+    const std::vector<RelayEvent> ends{ PrefillCompleted{ attempt, "h" },
+                                        PrefillCompleted{ attempt, "h" },
+                                        AttemptBroke{ attempt },
+                                        AttemptRefused{ attempt },
+                                        AttemptRefused{ attempt, true },
+                                        AttemptNotSent{ attempt },
+                                        AttemptWithheld{ attempt },
+                                        AnswerEnded{ attempt },
+                                        PrefillRan{ attempt } };
+    const std::size_t end = *rc::gen::inRange<std::size_t>(0, ends.size());
+    if (std::holds_alternative<PrefillRan>(ends[end])) {
+      Run(aSide);
+    }
+    Take(aSide, aFlow, ends[end]);
   }
 
   void StepAttempt(Side& aSide, RelayFlow& aFlow)
@@ -258,6 +278,7 @@
     aSide.m_attempt = aAction.m_attempt;
     aSide.m_isForwarded = false;
     aSide.m_isPrefill = true;
+    aSide.m_hasRun = false;
   }
   void Do(Side& aSide, const SendRun& aAction)
   {
