Sight: on what a promise that a call has not run rests

not-run-promised tells, for calls that must not run twice and of which something was sent: the upstream, the ground, its status, bytes written, how the prompt's reading ended. It is counted by ground. An upstream that answers such a call later is told as refused-call-has-run and counted: 0 is the sound figure.

A mark that its status contradicts is a word of its own now (contradicts-itself) and still proves nothing, as before.

--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -39,6 +39,9 @@
   None,        ///< It does not say so.
   Mark,        ///< A header field, with a status that does not contradict it.
   Misdirected, ///< Its status: another upstream answers at the address.
+  /** It says so, and something else in it says that the call has run, or that
+   * the upstream is the one that was asked: it proves nothing. */
+  Contradicted,
 };
 
 /** The fields of a caller's request head that routing uses. */
@@ -180,8 +183,10 @@
   sigc::slot<CallHead(const net::ReceivedRequest&)> m_readCall;
   sigc::slot<net::HttpRequest(const net::ReceivedRequest&, const SendTerms&)>
     m_writeSend;
-  /** Reads whether the upstream's answer says that it has not run the call. */
-  sigc::slot<NotRunWord(const net::HttpHead&)> m_readNotRunWord;
+  /** Reads whether the answer of the upstream with that id says that it has not
+   * run the call. */
+  sigc::slot<NotRunWord(const net::HttpHead&, std::string_view)>
+    m_readNotRunWord;
   /** Reads what the head of any answer of an upstream says about that upstream.
    */
   sigc::slot<relay::UpstreamStatement(const net::HttpHead&)> m_readStatement;
--- a/packages/entry/src/EntryNode.h
+++ b/packages/entry/src/EntryNode.h
@@ -12,6 +12,7 @@
 #include <ridgeferry/observe/Metrics.h>
 #include <ridgeferry/relay/BackPressure.h>
 #include <ridgeferry/relay/Fleet.h>
+#include <ridgeferry/relay/NotRunPromises.h>
 #include <ridgeferry/relay/PlannedStop.h>
 #include <ridgeferry/relay/Routes.h>
 
@@ -37,6 +38,7 @@
   std::size_t m_runningCalls = 0; ///< Calls under way; `Relay` updates it.
   /** What callers have not read yet of answers in pieces. */
   relay::UnreadBytes m_unread;
+  relay::NotRunPromises m_promises;
   relay::PlannedStop m_stop;
   /** The routes in force; null until the first configuration has been read. */
   std::shared_ptr<const relay::RouteTable> m_routes;
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -144,8 +144,7 @@
     }
   });
   HoldLease();
-  m_timer =
-    m_node.m_loop->After(Left(), [this] { Handle(relay::DeadlinePassed{}); });
+  m_timer = m_node.m_loop->After(Left(), [this] { Handle(relay::DeadlinePassed{}); });
   if (!m_start.m_forwarded) {
     // The instance that the caller reached counts it.
     m_start.m_budget->NoteFirstSend(m_began);
@@ -355,7 +354,7 @@
   if (listed == nullptr || IsOfOtherVersion(*listed)) {
     // The upstream ended, or started again with other software.
     BeginAttempt(aAction.m_attempt, aAction.m_upstream);
-    m_attempt.m_ground = AttemptGround::NotListed;
+    m_attempt.m_ground = relay::AttemptGround::NotListed;
     // A row that is missing does not show that its upstream has ended.
     Handle(relay::AttemptNotSent{ aAction.m_attempt, listed != nullptr });
     return;
@@ -505,6 +504,10 @@
       TakeEnd(aResponse);
     }
   };
+  callbacks.m_skipped = [this](std::string_view aCall,
+                               const net::HttpHead& aHead) {
+    NoteSkipped(aCall, aHead);
+  };
   m_attempt.m_http = m_node.m_http->Send(aRequest, std::move(callbacks));
   if (m_backPressure.IsPaused()) {
     m_node.m_http->SetReading(m_attempt.m_http, false);
@@ -549,8 +552,9 @@
                                m_start.m_head.m_id },
                              aHead);
   m_start.m_quarantine->NoteAnswered(m_attempt.m_upstream, m_attempt.m_sentAt);
-  const NotRunWord notRun = m_node.m_dialect.m_readNotRunWord(aHead);
-  m_attempt.m_saidNotRun = notRun != NotRunWord::None;
+  m_attempt.m_ground =
+    GroundOf(m_node.m_dialect.m_readNotRunWord(aHead, m_attempt.m_upstream));
+  m_attempt.m_saidNotRun = relay::ShowsNotRun(m_attempt.m_ground);
   const bool read = aHead.m_status == kOk && !m_attempt.m_saidNotRun;
   if (m_attempt.m_tokens > 0 && read) {
     m_node.m_fleet.NoteThroughput(
@@ -568,12 +572,7 @@
   m_attempt.m_hasHead = true;
   m_attempt.m_head = aHead;
   m_prefillAnswer.clear();
-  if (m_attempt.m_saidNotRun) {
-    m_attempt.m_ground = notRun == NotRunWord::Mark
-                           ? AttemptGround::Marked
-                           : AttemptGround::MisdirectedStatus;
-  } else {
-    m_attempt.m_ground = AttemptGround::Answered;
+  if (!m_attempt.m_saidNotRun) {
     m_node.m_fleet.NoteAccepted(m_attempt.m_upstream, m_node.Now());
   }
   if (!m_attempt.m_saidNotRun && !m_attempt.m_readOnly) {
@@ -664,10 +663,11 @@
   m_attempt.m_sent = aResponse.m_sent;
   m_attempt.m_hasGoneSilent = aResponse.m_silent;
   if (aResponse.m_end == net::HttpEnd::NotSent) {
-    m_attempt.m_ground = aResponse.m_refused ? AttemptGround::Refused
-                                             : AttemptGround::NotConnected;
+    m_attempt.m_ground = aResponse.m_refused
+                           ? relay::AttemptGround::Refused
+                           : relay::AttemptGround::NotConnected;
   } else if (!m_attempt.m_hasHead) {
-    m_attempt.m_ground = AttemptGround::NoAnswer;
+    m_attempt.m_ground = relay::AttemptGround::NoAnswer;
   }
   m_unfinishedBytes = m_flow.UnfinishedBytes();
   if (aResponse.m_tooLong) {
@@ -694,14 +694,9 @@
              mayRunFor.count() > 0) {
     GoOnBehindLease(mayRunFor);
   } else if (aResponse.m_end == net::HttpEnd::Broken) {
-    Handle(relay::AttemptBroke{ id });
+    Handle(relay::AttemptBroke{ m_attempt.m_id });
   } else if (m_attempt.m_readOnly) {
-    std::string handle = m_node.m_dialect.m_readHandle(m_prefillAnswer);
-    if (handle.empty()) {
-      Handle(relay::AnswerEnded{ id });
-    } else {
-      Handle(relay::PrefillCompleted{ id, std::move(handle) });
-    }
+    TakePrefillEnd(id);
   } else if (closed) {
     Handle(relay::ConnectionClosed{ id });
   } else {
@@ -709,6 +704,17 @@
   }
 }
 
+void
+RelayCall::TakePrefillEnd(relay::AttemptId aId)
+{
+  std::string handle = m_node.m_dialect.m_readHandle(m_prefillAnswer);
+  if (handle.empty()) {
+    Handle(relay::AnswerEnded{ aId });
+  } else {
+    Handle(relay::PrefillCompleted{ aId, std::move(handle) });
+  }
+}
+
 void
 RelayCall::Do(const relay::CancelAttempt& aAction)
 {
@@ -728,7 +734,9 @@
   if (aAction.m_end != relay::AttemptEnd::Served) {
     LogAttemptEnd(aAction.m_end);
   }
-  if (!m_attempt.m_readOnly) {
+  if (m_attempt.m_readOnly) {
+    m_prefillGround = m_attempt.m_ground;
+  } else {
     m_lastRun = { m_attempt.m_upstream,      m_attempt.m_ground,
                   m_attempt.m_head.m_status, m_attempt.m_sent,
                   m_attempt.m_sentAt,        m_node.Now() };
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -14,6 +14,7 @@
 
 #include <memory>
 #include <ridgeferry/net/HttpServer.h>
+#include <ridgeferry/relay/AttemptGround.h>
 #include <ridgeferry/relay/BackPressure.h>
 #include <ridgeferry/relay/CallKind.h>
 #include <ridgeferry/relay/CallPermits.h>
@@ -24,20 +25,6 @@
 
 namespace ridgeferry::entry {
 
-/** What an attempt's end rests on. */
-enum class AttemptGround : std::uint8_t
-{
-  None,      ///< It has not ended, or was ended on this side.
-  NotListed, ///< Its upstream or instance is not known any more.
-  NotConnected,
-  Refused,            ///< Nobody listens at the address.
-  Marked,             ///< See `NotRunWord::Mark`.
-  MisdirectedStatus,  ///< See `NotRunWord::Misdirected`.
-  DeclinedByInstance, ///< Another instance says that the call did not run.
-  NoAnswer,           ///< The connection ended without a head.
-  Answered,
-};
-
 /** What a `RelayCall` is created with: the request, its route, and the state
  * that it shares with other calls. */
 struct RelayCallStart
@@ -143,7 +130,7 @@
     bool m_hasHead = false;
     /** Its connection ended as nothing came from the other side any more. */
     bool m_hasGoneSilent = false;
-    AttemptGround m_ground = AttemptGround::None;
+    relay::AttemptGround m_ground = relay::AttemptGround::None;
     net::HttpSendRecord m_sent; ///< Known at its end.
     /** Bytes behind the head of an answer that is no more than its status. */
     std::size_t m_droppedBytes = 0;
@@ -156,7 +143,7 @@
   struct RunEnd
   {
     std::string m_upstream;
-    AttemptGround m_ground = AttemptGround::None;
+    relay::AttemptGround m_ground = relay::AttemptGround::None;
     int m_status = 0;
     net::HttpSendRecord m_sent;
     Instant m_sentAt;
@@ -191,6 +178,17 @@
   /** Logs and counts that the present attempt sends a call again that must not
    * run twice, and on what ground. Does nothing for the first send. */
   void LogSecondSend();
+  /** Returns what an upstream's word shows of the attempt that it answers. */
+  static relay::AttemptGround GroundOf(NotRunWord aWord);
+  /** Logs and counts what a promise to the caller that the call has not run
+   * rests on, if something of the call was sent, and keeps the promise to hold
+   * later answers against it. */
+  void NotePromise(std::string_view aCode, int aStatus);
+  /** An answer to an earlier request has come on the present attempt's
+   * connection. Logs one of a call that was promised not to run. */
+  void NoteSkipped(std::string_view aCall, const net::HttpHead& aHead);
+  /** Takes the whole answer of a prefill engine. */
+  void TakePrefillEnd(relay::AttemptId aId);
   /** Ends the attempt at the upstream before anything of it is sent, and logs
    * why. */
   void Withhold(relay::AttemptId aId,
@@ -351,6 +349,8 @@
   std::optional<RunEnd> m_lastRun; ///< How the latest one ended.
   /** A call that must not run twice was sent again; see `LogSecondSend`. */
   bool m_isSentAgain = false;
+  /** How the latest attempt to read the prompt ended. */
+  relay::AttemptGround m_prefillGround = relay::AttemptGround::None;
   relay::BackPressure m_backPressure;
   std::optional<net::Watch> m_lookAtPaused;
   /** Expected time to the first token at the first placement, in milliseconds;
--- a/packages/entry/src/RelayCallAnswer.cpp
+++ b/packages/entry/src/RelayCallAnswer.cpp
@@ -130,6 +130,9 @@
   const bool isRefusal =
     m_attempt.m_isForwarded && m_attempt.m_head.m_status == kUnavailable;
   LogEnd(isRefusal ? kRefusedElsewhere : kServed, m_attempt.m_head.m_status);
+  if (relay::PromisesNotRun(m_attempt.m_head.m_status)) {
+    NotePromise(kRefusedElsewhere, m_attempt.m_head.m_status);
+  }
   const net::HttpHeaders headers = PassableHeaders(m_attempt.m_head.m_headers);
   if (aAction.m_unframed) {
     m_start.m_exchange->ReplyUnframed(
@@ -154,6 +157,9 @@
   answer.m_declined =
     m_start.m_forwarded && m_foundNoneSound && answer.m_status == kUnavailable;
   LogEnd(answer.m_code, answer.m_status);
+  if (relay::PromisesNotRun(answer.m_status)) {
+    NotePromise(answer.m_code, answer.m_status);
+  }
   SendOwnAnswer(*m_start.m_exchange, answer);
 }
 
--- a/packages/entry/src/RelayCallForward.cpp
+++ b/packages/entry/src/RelayCallForward.cpp
@@ -90,7 +90,7 @@
   const auto address = m_start.m_peers->AddressOf(
     std::string_view(aAction.m_upstream).substr(kInstance.size()));
   if (!address) {
-    m_attempt.m_ground = AttemptGround::NotListed;
+    m_attempt.m_ground = relay::AttemptGround::NotListed;
     Handle(relay::AttemptNotSent{ aAction.m_attempt });
     return;
   }
@@ -186,8 +186,8 @@
   }
   m_attempt.m_saidNotRun = IsDeclined(aHead.m_headers);
   m_attempt.m_ground = m_attempt.m_saidNotRun
-                         ? AttemptGround::DeclinedByInstance
-                         : AttemptGround::Answered;
+                         ? relay::AttemptGround::DeclinedByInstance
+                         : relay::AttemptGround::Answered;
   if (!m_attempt.m_saidNotRun) {
     Handle(relay::HeadArrived{
       m_attempt.m_id, aHead.m_status, true, IsUnframed(aHead) });
--- a/packages/entry/src/RelayCallTrace.cpp
+++ b/packages/entry/src/RelayCallTrace.cpp
@@ -29,33 +29,6 @@
   return "no sound upstream is listed";
 }
 
-/** Stable names for logs and metrics. */
-std::string_view
-NameOf(AttemptGround aGround)
-{
-  switch (aGround) {
-    case AttemptGround::NotListed:
-      return "not-listed";
-    case AttemptGround::NotConnected:
-      return "not-connected";
-    case AttemptGround::Refused:
-      return "connection-refused";
-    case AttemptGround::Marked:
-      return "says-not-run";
-    case AttemptGround::MisdirectedStatus:
-      return "says-misdirected";
-    case AttemptGround::DeclinedByInstance:
-      return "instance-declined";
-    case AttemptGround::NoAnswer:
-      return "no-answer";
-    case AttemptGround::Answered:
-      return "answered";
-    case AttemptGround::None:
-      break;
-  }
-  return "none";
-}
-
 } // namespace
 
 std::string_view
@@ -131,7 +104,7 @@
       { "attempt", static_cast<std::int64_t>(m_attempt.m_id) },
       { "upstream", m_attempt.m_upstream },
       { "how", std::string(EndName(aEnd)) },
-      { "ground", std::string(NameOf(m_attempt.m_ground)) },
+      { "ground", std::string(relay::NameOf(m_attempt.m_ground)) },
       { "status", std::int64_t{ m_attempt.m_head.m_status } },
       { "silent", m_attempt.m_hasGoneSilent },
       { "lastEvent", m_flow.LastEventId() },
@@ -149,7 +122,7 @@
   }
   m_isSentAgain = true;
   const RunEnd& last = *m_lastRun;
-  const std::string ground(NameOf(last.m_ground));
+  const std::string ground(relay::NameOf(last.m_ground));
   m_node.m_metrics.Count(
     observe::WithLabel("second_sends_total", "ground", ground));
   m_node.m_log->Write(
