A refusal of another instance is believed only if it names the attempt

What callers could see: 503, 429, 408 or 421 of a call that ran. Cause: whatever listened at an instance's address was believed to be that instance, and its answer to be of this call: a status alone was passed on as a true promise, and Ridgeferry-Declined let the call go on elsewhere. Class: a word believed without proof of which attempt it speaks of (left open in the postmortem of the call that ran twice).

Each call that is passed on names its attempt; the server of the other instance repeats the name in each answer, its own refusals among them. A refusal without the name becomes 502 "may have run"; an answer with another name breaks the connection off. Instances of earlier versions repeat nothing, so their refusals promise nothing while instances are updated; what they serve is passed on.

--- a/packages/entry/src/ForwardedCall.cpp
+++ b/packages/entry/src/ForwardedCall.cpp
@@ -93,6 +93,9 @@
     set(kConfigGeneration, std::to_string(aTerms.m_config->m_generation));
     set(kConfigVersion, std::to_string(aTerms.m_config->m_version));
   }
+  if (!aTerms.m_attempt.empty()) {
+    set(kAttemptField, aTerms.m_attempt);
+  }
   if (aTerms.m_lease) {
     set(kLease, std::to_string(aTerms.m_lease->m_id));
     set(kLeaseTerm, std::to_string(aTerms.m_lease->m_term.count()));
@@ -149,4 +152,13 @@
   return aHeaders.Find(kDeclined).has_value();
 }
 
+relay::AttemptGround
+ReadInstanceGround(const net::HttpHead& aHead, std::string_view aAttempt)
+{
+  return relay::GroundOf({ aHead.m_status,
+                           IsDeclined(aHead.m_headers),
+                           aHead.m_headers.Find(kAttemptField) },
+                         aAttempt);
+}
+
 } // namespace ridgeferry::entry
--- a/packages/entry/src/ForwardedCall.h
+++ b/packages/entry/src/ForwardedCall.h
@@ -5,6 +5,7 @@
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/net/Http.h>
 #include <ridgeferry/net/HttpServer.h>
+#include <ridgeferry/relay/AttemptGround.h>
 #include <ridgeferry/relay/CallLease.h>
 #include <ridgeferry/streams/StreamOrigin.h>
 #include <string>
@@ -17,6 +18,8 @@
 
 /** Prefix of the header fields that only instances send to each other. */
 inline constexpr std::string_view kInstanceHeaderPrefix = "Ridgeferry-";
+/** The field that names an attempt, in the request and in its answer. */
+inline constexpr std::string_view kAttemptField = "Ridgeferry-Attempt";
 
 /** What the instance that a caller reached tells the one that serves it. */
 struct ForwardedTerms
@@ -36,6 +39,9 @@
    * will go on with it, or the sender runs a software version that renews none.
    */
   std::optional<relay::CallLease> m_lease = {};
+  /** Name of this attempt, which no other one has. The other instance repeats
+   * it in its answer; an answer that does not promises nothing. */
+  std::string m_attempt = {};
 };
 
 /** Writes the request that passes a call on to the instance at `aAddress`. */
@@ -67,4 +73,9 @@
 bool
 IsDeclined(const net::HttpHeaders& aHeaders);
 
+/** Returns what the answer of another instance shows of the attempt that was
+ * sent as `aAttempt`. Precondition: `aAttempt` is not empty. */
+relay::AttemptGround
+ReadInstanceGround(const net::HttpHead& aHead, std::string_view aAttempt);
+
 } // namespace ridgeferry::entry
--- a/packages/entry/src/PeerRows.cpp
+++ b/packages/entry/src/PeerRows.cpp
@@ -50,6 +50,7 @@
   }
   m_server = std::move(*server);
   m_server->ShareBodies(m_node.m_bodies.get());
+  m_server->EchoField(std::string(kAttemptField));
   return {};
 }
 
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -124,6 +124,7 @@
     bool m_wasSent = false;     ///< The fleet counts it as under way.
     bool m_readOnly = false;    ///< The upstream only prefills the prompt.
     bool m_isForwarded = false; ///< Sent to another instance.
+    std::string m_name;         ///< See `ForwardedTerms::m_attempt`.
     /** Under which another instance runs it; std::nullopt if there is none. */
     std::optional<relay::PassedOnCallId> m_lease;
     bool m_saidNotRun = false; ///< The upstream reports that it did not run.
@@ -189,6 +190,8 @@
   void NoteSkipped(std::string_view aCall, const net::HttpHead& aHead);
   /** Takes the whole answer of a prefill engine. */
   void TakePrefillEnd(relay::AttemptId aId);
+  /** Ends the present attempt as if its connection had broken. */
+  void BreakOff();
   /** Ends the attempt at the upstream before anything of it is sent, and logs
    * why. */
   void Withhold(relay::AttemptId aId,
--- a/packages/entry/src/RelayCallForward.cpp
+++ b/packages/entry/src/RelayCallForward.cpp
@@ -4,6 +4,8 @@
 #include "ForwardedCall.h"
 #include "RelayCall.h"
 
+#include <fmt/format.h>
+
 namespace ridgeferry::entry {
 
 namespace {
@@ -86,6 +88,7 @@
 {
   BeginAttempt(aAction.m_attempt, aAction.m_upstream);
   m_attempt.m_isForwarded = true;
+  m_attempt.m_name = fmt::format("{:016x}", m_node.m_random());
   m_path += (m_path.empty() ? "" : ",") + aAction.m_upstream;
   const auto address = m_start.m_peers->AddressOf(
     std::string_view(aAction.m_upstream).substr(kInstance.size()));
@@ -98,6 +101,7 @@
   ForwardedTerms terms{
     Left(), waited, aAction.m_resumeAfter, m_origin, m_start.m_configAt
   };
+  terms.m_attempt = m_attempt.m_name;
   if (IsResumable()) {
     terms.m_lease = m_start.m_leases->Await(*address);
     m_attempt.m_lease = terms.m_lease->m_id;
@@ -184,14 +188,24 @@
     m_attempt.m_service = origin->m_service;
     m_attempt.m_softwareVersion = origin->m_softwareVersion;
   }
-  m_attempt.m_saidNotRun = IsDeclined(aHead.m_headers);
-  m_attempt.m_ground = m_attempt.m_saidNotRun
-                         ? relay::AttemptGround::DeclinedByInstance
-                         : relay::AttemptGround::Answered;
-  if (!m_attempt.m_saidNotRun) {
+  m_attempt.m_ground = ReadInstanceGround(aHead, m_attempt.m_name);
+  m_attempt.m_saidNotRun =
+    m_attempt.m_ground == relay::AttemptGround::DeclinedByInstance;
+  if (m_attempt.m_ground == relay::AttemptGround::OtherAttempt) {
+    BreakOff();
+  } else if (!m_attempt.m_saidNotRun) {
+    const bool isRefusal =
+      m_attempt.m_ground == relay::AttemptGround::RefusedByInstance;
     Handle(relay::HeadArrived{
-      m_attempt.m_id, aHead.m_status, true, IsUnframed(aHead) });
+      m_attempt.m_id, aHead.m_status, isRefusal, IsUnframed(aHead) });
   }
 }
 
+void
+RelayCall::BreakOff()
+{
+  Do(relay::CancelAttempt{ m_attempt.m_id });
+  Handle(relay::AttemptBroke{ m_attempt.m_id });
+}
+
 } // namespace ridgeferry::entry
