A call's second attempt at an address has a connection of its own

What callers could see: 503 "not run" of a call that its second attempt ran. Cause: the id that an answer must repeat names the call, not the attempt. Where a server is listed under two ids, what it says once more of the first attempt was taken for the answer to the second one on the same connection. Exclusion goes by the upstream's id, so it did not help.

Evidence: LateAnswerTest over real sockets: with the mend taken out the caller is told 503 and the server has run the call. It costs a connection only where a call comes to an address twice.

--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -476,8 +476,14 @@
     LogSecondSend();
   }
   UsePermit(member.m_id);
-  request.m_fresh =
-    m_node.m_fleet.NeedsOwnConnection(member.m_id, m_node.Now());
+  // On the connection of an earlier attempt of this call a late answer to that
+  // one would name the call as well.
+  const bool wasSentThere =
+    std::find(m_sentTo.begin(), m_sentTo.end(), member.m_address) !=
+    m_sentTo.end();
+  m_sentTo.push_back(member.m_address);
+  request.m_fresh = wasSentThere || m_node.m_fleet.NeedsOwnConnection(
+                                      member.m_id, m_node.Now());
   m_node.m_fleet.NoteSent(member.m_id, m_attempt.m_tokens, m_node.Now());
   m_attempt.m_wasSent = true;
   Start(request);
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -352,6 +352,8 @@
   std::optional<RunEnd> m_lastRun; ///< How the latest one ended.
   /** A call that must not run twice was sent again; see `LogSecondSend`. */
   bool m_isSentAgain = false;
+  /** Addresses to which something of the call was sent. */
+  std::vector<std::string> m_sentTo;
   /** How the latest attempt to read the prompt ended. */
   relay::AttemptGround m_prefillGround = relay::AttemptGround::None;
   relay::BackPressure m_backPressure;
