An engine that runs a call of which it was to read the prompt has run it

What callers could see: 503 "not run" of a stream that ran, or a second run. Cause: an attempt that only reads a prompt counted as no run however it ended. An answer that only a run makes (an event stream, the stamp of a run) shows that the engine did not only read. Class: as for other words: what was asked for was believed against what was answered.

A prefill that fails, breaks off or is lost without such a sign stays no run, as the users' pages say.

Evidence: RanForPrefillTest over real sockets (whole, broken off, too long, at the deadline); with the sign taken out the call is answered 503, or runs twice.

--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -623,7 +623,7 @@
   m_prefillAnswer.append(aBytes);
   if (m_prefillAnswer.size() > kMaxHandleBytes) {
     Do(relay::CancelAttempt{ m_attempt.m_id, true });
-    Handle(relay::AttemptBroke{ m_attempt.m_id });
+    TakeBreak();
   }
 }
 
@@ -700,7 +700,7 @@
              mayRunFor.count() > 0) {
     GoOnBehindLease(mayRunFor);
   } else if (aResponse.m_end == net::HttpEnd::Broken) {
-    Handle(relay::AttemptBroke{ m_attempt.m_id });
+    TakeBreak();
   } else if (m_attempt.m_readOnly) {
     TakePrefillEnd(id);
   } else if (closed) {
@@ -710,11 +710,33 @@
   }
 }
 
+bool
+RelayCall::HasRunForPrefill() const
+{
+  return m_attempt.m_readOnly && m_attempt.m_hasHead &&
+         !m_attempt.m_saidNotRun &&
+         m_node.m_dialect.m_tellsOfARun(m_attempt.m_head);
+}
+
+void
+RelayCall::TakeBreak()
+{
+  if (HasRunForPrefill()) {
+    m_attempt.m_ground = relay::AttemptGround::RanForPrefill;
+    Handle(relay::PrefillRan{ m_attempt.m_id });
+  } else {
+    Handle(relay::AttemptBroke{ m_attempt.m_id });
+  }
+}
+
 void
 RelayCall::TakePrefillEnd(relay::AttemptId aId)
 {
   std::string handle = m_node.m_dialect.m_readHandle(m_prefillAnswer);
-  if (handle.empty()) {
+  m_attempt.m_ground = relay::GroundOf({ !handle.empty(), HasRunForPrefill() });
+  if (m_attempt.m_ground == relay::AttemptGround::RanForPrefill) {
+    Handle(relay::PrefillRan{ aId });
+  } else if (handle.empty()) {
     Handle(relay::AnswerEnded{ aId });
   } else {
     Handle(relay::PrefillCompleted{ aId, std::move(handle) });
