What has not left by the deadline has not run

What callers saw: 504 "may have run" of a call whose connection had not come about when its deadline passed, so a caller whose own deadline is later could not come back. The connection is ended before the answer; nothing is written to one that has not come about.

--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -144,7 +144,7 @@
     }
   });
   HoldLease();
-  m_timer = m_node.m_loop->After(Left(), [this] { Handle(relay::DeadlinePassed{}); });
+  m_timer = m_node.m_loop->After(Left(), [this] { TakeDeadline(); });
   if (!m_start.m_forwarded) {
     // The instance that the caller reached counts it.
     m_start.m_budget->NoteFirstSend(m_began);
@@ -710,6 +710,18 @@
   }
 }
 
+void
+RelayCall::TakeDeadline()
+{
+  if (HasRunForPrefill()) {
+    Do(relay::CancelAttempt{ m_attempt.m_id });
+    TakeBreak();
+  }
+  const net::HttpCallId sent = m_attempt.m_http;
+  Handle(
+    relay::DeadlinePassed{ sent == 0 || m_node.m_http->MayHaveLeft(sent) });
+}
+
 bool
 RelayCall::HasRunForPrefill() const
 {
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -188,6 +188,7 @@
   /** An answer to an earlier request has come on the present attempt's
    * connection. Logs one of a call that was promised not to run. */
   void NoteSkipped(std::string_view aCall, const net::HttpHead& aHead);
+  void TakeDeadline();
   /** Returns whether the present attempt was only to read the prompt, and what
    * has come of its answer tells of a run. */
   bool HasRunForPrefill() const;
