The soak: upstreams that answer runs as if they were none; sizes by option

Three manners more (a mark beside the stamp of a run, a status alone, a run in place of a prefill), drawn behind the faults of a seed, which stay as they are. ridgeferry_soak takes the number of upstreams of each kind and the rate, so that a deployment's shape can be played by hand.

--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -292,6 +292,9 @@
     case FaultKind::UpstreamFails:
     case FaultKind::UpstreamMute:
     case FaultKind::UpstreamBreaks:
+    case FaultKind::UpstreamContradicts:
+    case FaultKind::UpstreamUnmarked:
+    case FaultKind::UpstreamRunsPrompts:
       InjectUpstream(aFault);
       return;
     case FaultKind::UpstreamLinkHeld:
@@ -429,6 +432,12 @@
     mood.m_fails = kMoodShare;
   } else if (aFault.m_kind == FaultKind::UpstreamMute) {
     mood.m_mute = kMoodShare;
+  } else if (aFault.m_kind == FaultKind::UpstreamContradicts) {
+    mood.m_contradicts = kMoodShare;
+  } else if (aFault.m_kind == FaultKind::UpstreamUnmarked) {
+    mood.m_unmarked = kMoodShare;
+  } else if (aFault.m_kind == FaultKind::UpstreamRunsPrompts) {
+    mood.m_runsPrompts = kMoodShare;
   } else {
     mood.m_breaks = kMoodShare;
   }
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -14,9 +14,14 @@
   "usage: ridgeferry_soak --program FILE --files FOLDER [--seed N] [--count "
   "N]\n"
   "                       [--seconds N] [--instances N] [--verbose]\n"
+  "                       [--services N] [--readers N] [--generators N]\n"
+  "                       [--rate CALLS_A_SECOND]\n"
   "Plays --count seeds from --seed on; each has a folder of its own for the\n"
   "settings and logs of its instances. Exits 0 if no promise was broken.\n";
 
+/** One call each millisecond. */
+constexpr std::size_t kMostCallsPerSecond = 1000;
+
 struct Options
 {
   std::string m_program;
@@ -24,7 +29,7 @@
   std::uint64_t m_seed = 1;
   std::uint64_t m_count = 1;
   std::uint64_t m_seconds = 12;
-  std::uint64_t m_instances = 3;
+  ridgeferry::soak::SoakSize m_size;
   bool m_verbose = false;
 };
 
@@ -36,6 +41,60 @@
   return read.ec == std::errc{} && read.ptr == end;
 }
 
+bool
+ReadSize(std::size_t& aOut)
+{
+  std::uint64_t read = 0;
+  const bool good = ReadNumber(optarg, read);
+  aOut = read;
+  return good;
+}
+
+bool
+ReadRate(int& aOut)
+{
+  std::size_t read = 0;
+  const bool good = ReadSize(read) && read <= kMostCallsPerSecond;
+  aOut = good ? static_cast<int>(read) : 0;
+  return good;
+}
+
+/** Reads the value of one option. False: it is off, or there is no such option.
+ */
+bool
+ReadOption(int aFound, Options& aOut)
+{
+  switch (aFound) {
+    case 'p':
+      aOut.m_program = optarg;
+      return true;
+    case 'f':
+      aOut.m_files = optarg;
+      return true;
+    case 's':
+      return ReadNumber(optarg, aOut.m_seed);
+    case 'c':
+      return ReadNumber(optarg, aOut.m_count);
+    case 't':
+      return ReadNumber(optarg, aOut.m_seconds);
+    case 'i':
+      return ReadSize(aOut.m_size.m_instances);
+    case 'd':
+      return ReadSize(aOut.m_size.m_services);
+    case 'r':
+      return ReadSize(aOut.m_size.m_readers);
+    case 'g':
+      return ReadSize(aOut.m_size.m_generators);
+    case 'n':
+      return ReadRate(aOut.m_size.m_callsPerSecond);
+    case 'v':
+      aOut.m_verbose = true;
+      return true;
+    default:
+      return false;
+  }
+}
+
 /** False: the words of the call are off. */
 bool
 ReadOptions(int aCount, char** aValues, Options& aOut)
@@ -47,29 +106,17 @@
     { "count", required_argument, nullptr, 'c' },
     { "seconds", required_argument, nullptr, 't' },
     { "instances", required_argument, nullptr, 'i' },
+    { "services", required_argument, nullptr, 'd' },
+    { "readers", required_argument, nullptr, 'r' },
+    { "generators", required_argument, nullptr, 'g' },
+    { "rate", required_argument, nullptr, 'n' },
     { "verbose", no_argument, nullptr, 'v' },
     { nullptr, 0, nullptr, 0 },
   };
   bool good = true;
   for (int found = 0;
        (found = getopt_long(aCount, aValues, "", kOptions, nullptr)) != -1;) {
-    if (found == 'p') {
-      aOut.m_program = optarg;
-    } else if (found == 'f') {
-      aOut.m_files = optarg;
-    } else if (found == 's') {
-      good = good && ReadNumber(optarg, aOut.m_seed);
-    } else if (found == 'c') {
-      good = good && ReadNumber(optarg, aOut.m_count);
-    } else if (found == 't') {
-      good = good && ReadNumber(optarg, aOut.m_seconds);
-    } else if (found == 'i') {
-      good = good && ReadNumber(optarg, aOut.m_instances);
-    } else if (found == 'v') {
-      aOut.m_verbose = true;
-    } else {
-      good = false;
-    }
+    good = ReadOption(found, aOut) && good;
   }
   return good && optind == aCount && !aOut.m_program.empty() &&
          !aOut.m_files.empty();
@@ -84,8 +131,7 @@
     std::filesystem::path(aOptions.m_files) / std::to_string(aSeed);
   std::filesystem::remove_all(files);
   std::filesystem::create_directories(files);
-  soak::SoakSize size;
-  size.m_instances = aOptions.m_instances;
+  soak::SoakSize size = aOptions.m_size;
   size.m_length = std::chrono::seconds(aOptions.m_seconds);
   const soak::SoakResult result = soak::PlaySoak(
     { aOptions.m_program, files }, size, aSeed, [&](const std::string& aFault) {
--- a/tests/soak/SoakPlan.cpp
+++ b/tests/soak/SoakPlan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <random>
+#include <span>
 
 namespace ridgeferry::soak {
 
@@ -60,16 +61,63 @@
   KindTerms{ FaultKind::Burst, "burst", 1, 1000, 3000 },
 };
 
+/** Drawn behind the others, whose draws they leave as they are. */
+constexpr std::array kManners{
+  KindTerms{ FaultKind::UpstreamContradicts,
+             "upstream-contradicts",
+             1,
+             1000,
+             4000 },
+  KindTerms{ FaultKind::UpstreamUnmarked, "upstream-unmarked", 1, 1000, 4000 },
+  KindTerms{ FaultKind::UpstreamRunsPrompts,
+             "upstream-runs-prompts",
+             1,
+             1000,
+             4000 },
+};
+
 /** On average one fault begins in that time, so that several overlap. */
 constexpr Duration kBetween{ 450 };
+/** The same for manners. */
+constexpr Duration kBetweenManners{ 1500 };
 
-const KindTerms&
-TermsOf(FaultKind aKind)
+template<std::size_t kCount>
+const KindTerms*
+FindTerms(const std::array<KindTerms, kCount>& aTerms, FaultKind aKind)
 {
-  return *std::find_if(
-    kKinds.begin(), kKinds.end(), [aKind](const KindTerms& aTerms) {
-      return aTerms.m_kind == aKind;
+  const auto found =
+    std::find_if(aTerms.begin(), aTerms.end(), [aKind](const KindTerms& aItem) {
+      return aItem.m_kind == aKind;
     });
+  return found == aTerms.end() ? nullptr : &*found;
+}
+
+/** Draws so many faults of the kinds in a table, some time in `aLength`. */
+void
+AddFaults(std::span<const KindTerms> aTerms,
+          Duration::rep aCount,
+          Duration aLength,
+          std::mt19937_64& aRandom,
+          std::vector<Fault>& aPlan)
+{
+  std::vector<double> weights;
+  weights.reserve(aTerms.size());
+  for (const KindTerms& terms : aTerms) {
+    weights.push_back(terms.m_weight);
+  }
+  std::discrete_distribution<std::size_t> kinds(weights.begin(), weights.end());
+  std::uniform_int_distribution<std::int64_t> at(0, aLength.count());
+  std::uniform_int_distribution<std::size_t> target;
+  for (Duration::rep i = 0; i < aCount; ++i) {
+    const KindTerms& terms = aTerms[kinds(aRandom)];
+    std::uniform_int_distribution<int> lasts(terms.m_leastMs, terms.m_mostMs);
+    Fault fault;
+    fault.m_kind = terms.m_kind;
+    fault.m_at = Duration(at(aRandom));
+    fault.m_for = Duration(lasts(aRandom));
+    fault.m_target = target(aRandom);
+    aPlan.push_back(fault);
+  }
 }
 
 } // namespace
@@ -77,32 +125,17 @@
 std::string
 NameOf(FaultKind aKind)
 {
-  return TermsOf(aKind).m_name;
+  const KindTerms* const manner = FindTerms(kManners, aKind);
+  return manner != nullptr ? manner->m_name : FindTerms(kKinds, aKind)->m_name;
 }
 
 std::vector<Fault>
 MakePlan(std::uint64_t aSeed, Duration aLength)
 {
   std::mt19937_64 random(aSeed);
-  std::vector<double> weights;
-  weights.reserve(kKinds.size());
-  for (const KindTerms& terms : kKinds) {
-    weights.push_back(terms.m_weight);
-  }
-  std::discrete_distribution<std::size_t> kinds(weights.begin(), weights.end());
-  std::uniform_int_distribution<std::int64_t> at(0, aLength.count());
-  std::uniform_int_distribution<std::size_t> target;
   std::vector<Fault> out;
-  for (Duration::rep i = 0; i < aLength / kBetween; ++i) {
-    const KindTerms& terms = kKinds.at(kinds(random));
-    std::uniform_int_distribution<int> lasts(terms.m_leastMs, terms.m_mostMs);
-    Fault fault;
-    fault.m_kind = terms.m_kind;
-    fault.m_at = Duration(at(random));
-    fault.m_for = Duration(lasts(random));
-    fault.m_target = target(random);
-    out.push_back(fault);
-  }
+  AddFaults(kKinds, aLength / kBetween, aLength, random, out);
+  AddFaults(kManners, aLength / kBetweenManners, aLength, random, out);
   std::sort(
     out.begin(), out.end(), [](const Fault& aLeft, const Fault& aRight) {
       return aLeft.m_at < aRight.m_at;
--- a/tests/soak/SoakPlan.h
+++ b/tests/soak/SoakPlan.h
@@ -36,6 +36,10 @@
   ConfigChange,
   ConfigSeries,
   Burst, ///< More calls.
+  // Manners of upstreams that answer a part of their runs as if they were none.
+  UpstreamContradicts, ///< With and without the mark in one answer.
+  UpstreamUnmarked,    ///< By a status alone.
+  UpstreamRunsPrompts, ///< It runs calls of which it was to read the prompt.
 };
 
 /** One thing that goes wrong. */
--- a/tests/soak/SoakUpstream.cpp
+++ b/tests/soak/SoakUpstream.cpp
@@ -1,5 +1,6 @@
 #include "SoakUpstream.h"
 
+#include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -177,6 +178,10 @@
 void
 SoakUpstream::Read(Job& aJob)
 {
+  if (Draw(m_mood.m_runsPrompts)) {
+    Run(aJob);
+    return;
+  }
   aJob.m_timer = m_loop.After(DrawMs(2, 25), [this, &aJob] {
     const std::string handle = m_id + "-" + std::to_string(aJob.m_run);
     m_handles[handle] = { aJob.m_call, m_version };
@@ -223,15 +228,43 @@
   const std::string after = HeaderOf(*aJob.m_exchange, "Last-Event-Id");
   aJob.m_nextEvent = after.empty() ? 1 : NumberOf(after) + 1;
   aJob.m_timer = m_loop.After(DrawMs(2, 40), [this, &aJob] {
-    aJob.m_exchange->StartStream(kOk, aJob.Headers());
+    if (AnswersUntruly(aJob)) {
+      return;
+    }
+    net::HttpHeaders headers = aJob.Headers();
+    headers.Add("Content-Type", "text/event-stream");
+    aJob.m_exchange->StartStream(kOk, headers);
     NextEvent(aJob);
   });
 }
 
+bool
+SoakUpstream::AnswersUntruly(Job& aJob)
+{
+  static constexpr std::array kStatuses{ kUnavailable, 429, 408, kMisdirected };
+  net::HttpHeaders headers = aJob.Headers();
+  int status = kUnavailable;
+  if (Draw(m_mood.m_contradicts)) {
+    headers.Add("X-Not-Executed", "1");
+    headers.Add("X-Server-Stamp", "stamp");
+  } else if (Draw(m_mood.m_unmarked)) {
+    status = kStatuses.at(m_random() % kStatuses.size());
+    headers.Add("X-Server-Stamp", "stamp");
+  } else {
+    return false;
+  }
+  aJob.m_exchange->Reply(status, headers, "ran");
+  End(aJob);
+  return true;
+}
+
 void
 SoakUpstream::RunPlain(Job& aJob)
 {
   aJob.m_timer = m_loop.After(DrawMs(1, 20), [this, &aJob] {
+    if (AnswersUntruly(aJob)) {
+      return;
+    }
     if (Draw(m_mood.m_breaks)) {
       aJob.m_exchange->Abort();
     } else if (Draw(m_mood.m_fails)) {
--- a/tests/soak/SoakUpstream.h
+++ b/tests/soak/SoakUpstream.h
@@ -26,6 +26,13 @@
   double m_fails = 0;
   double m_mute = 0;
   double m_breaks = 0;
+  /** Run, and answered as if they were not: with the mark of a request that was
+   * not run beside the stamp of a run. */
+  double m_contradicts = 0;
+  /** Run, and answered with a status that declines, without its mark. */
+  double m_unmarked = 0;
+  /** Run where only their prompt was to be read. */
+  double m_runsPrompts = 0;
 };
 
 /** What a handle stands for: the memory of a call's prompt, as one software
@@ -75,6 +82,8 @@
   void Decline(Job& aJob, int aStatus);
   void Read(Job& aJob);
   void Run(Job& aJob);
+  /** Answers a run as if it were none, by its mood. False: it did not. */
+  bool AnswersUntruly(Job& aJob);
   void RunPlain(Job& aJob);
   void NextEvent(Job& aJob);
   void End(Job& aJob);
