--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <ridgeferry/entry/PassableHeaders.h>
-#include <ridgeferry/relay/AdmissionBound.h>
 #include <utility>
 
 namespace ridgeferry::entry {
@@ -27,9 +26,6 @@
  * or more. If a send fails on such a connection, the sender cannot tell whether
  * the call ran. */
 constexpr Duration kMaxIdleTime{ 250 };
-/** Mean interval at which placement of a postponed call is retried. Instances
- * report their loads to each other at the same interval. */
-constexpr Duration kPlaceAgain{ 40 };
 /** Time reserved for a call's output after its first token. A call whose output
  * could not end before the deadline is not started. Outputs of present lengths
  * take 0.2 to 1 s. */
@@ -40,11 +36,6 @@
  * cached on the engine without this instance knowing. */
 constexpr std::int64_t kSureParts = 4;
 constexpr std::int64_t kParts = 3;
-/** Time-out for freeing the handle of a prompt's KV cache. Nothing waits for
- * that request: an engine frees the cache by itself after a while. */
-constexpr Duration kFreeTimeout{ 1000 };
-/** Longest answer of a prefill engine, which names a handle. */
-constexpr std::size_t kMaxHandleBytes = std::size_t{ 64 } * 1024;
 
 relay::RelayTraits
 TraitsOf(const RelayCallStart& aStart)
@@ -56,23 +47,6 @@
   return { route.m_repeat, route.m_stream, route.m_resumable, maxRuns };
 }
 
-relay::NoPlace::Cause
-CauseOf(relay::NoPlaceCause aCause)
-{
-  switch (aCause) {
-    case relay::NoPlaceCause::TooLarge:
-      return relay::NoPlace::Cause::TooLarge;
-    case relay::NoPlaceCause::VersionGone:
-      return relay::NoPlace::Cause::VersionGone;
-    case relay::NoPlaceCause::NoneSound:
-    case relay::NoPlaceCause::Full:
-    case relay::NoPlaceCause::Limited:
-    case relay::NoPlaceCause::BackingOff:
-      break;
-  }
-  return relay::NoPlace::Cause::NoRoom;
-}
-
 } // namespace
 
 RelayCall::RelayCall(EntryNode& aNode, RelayCallStart aStart)
@@ -209,91 +183,6 @@
   }
 }
 
-void
-RelayCall::Do(const relay::FindPlace& aAction)
-{
-  if (const auto hold = Hold()) {
-    LogQuarantined(*hold);
-    Handle(relay::NoPlace{ hold->m_left, relay::NoPlace::Cause::Quarantined });
-    return;
-  }
-  if (!MayRunByKey()) {
-    Handle(relay::NoPlace{ relay::RelayFlow::kRetryAfter });
-    return;
-  }
-  const bool isTrial =
-    aAction.m_excluded.empty() &&
-    m_start.m_reach->AllowTrial(m_start.m_service, MayBeRepeated());
-  if (!isTrial && PassOn(aAction.m_excluded)) {
-    return;
-  }
-  if (!Admit()) {
-    return;
-  }
-  relay::PlaceRequest request;
-  request.m_service = m_start.m_service;
-  request.m_dataCentre = m_node.m_settings.m_dataCentre;
-  request.m_prompt = m_start.m_head.m_prompt;
-  if (m_start.m_kind != nullptr) {
-    request.m_typical = m_start.m_kind->m_typical.Value();
-    request.m_mayPassForItsSize = m_start.m_kind->m_allowance.MayPass();
-  }
-  request.m_excluded = aAction.m_excluded;
-  if (m_origin) {
-    request.m_softwareVersion = m_origin->m_softwareVersion;
-  }
-  request.m_mayProbe = MayBeRepeated();
-  request.m_mostOpen = m_start.m_connections.m_open;
-  request.m_yieldsToUrgent =
-    Priority() > m_start.m_routes->MostUrgentPriority(m_start.m_service);
-  request.m_random = m_node.m_random();
-  // The admission bound applies to the first placement only. A call that has
-  // been sent to an upstream before is continued, even if it is late, and so is
-  // a stream that its caller takes up.
-  const bool isFirst = aAction.m_excluded.empty();
-  request.m_pause = m_start.m_route->m_pause;
-  request.m_left = LeftToFirstToken();
-  request.m_untilGivenUp = TimeUntilAbandoned();
-  request.m_shortestAim =
-    m_start.m_routes->ShortestFirstByteTarget(m_start.m_service);
-  request.m_movedPerMs = m_start.m_movedTokensPerMs;
-  if (isFirst && !m_start.m_origin && m_start.m_head.m_prompt &&
-      m_start.m_route->m_firstByteTarget.count() > 0) {
-    // What another instance needed to pass the call on is not held against it.
-    const Duration earlier =
-      m_start.m_forwarded ? Duration{} : m_start.m_earlierWait;
-    const Duration spent = m_node.Now() - m_began;
-    request.m_admissionBound =
-      relay::AdmissionBoundOf(m_start.m_route->m_firstByteTarget) - spent -
-      earlier;
-  }
-  const relay::PlaceResult result =
-    m_node.m_fleet.FindPlace(request, m_node.Now());
-  if (std::holds_alternative<relay::PlaceLater>(result)) {
-    m_placing =
-      m_node.m_loop->After(PlaceAgainIn(), [this, aAction] { Do(aAction); });
-    return;
-  }
-  if (const auto* place = std::get_if<relay::Place>(&result)) {
-    m_expectedMs = isFirst && m_start.m_head.m_prompt ? place->m_expectedMs : 0;
-    m_placedAt = m_node.Now();
-    m_place = *place;
-    ReservePermits();
-    if (isFirst && m_start.m_kind != nullptr) {
-      m_start.m_kind->m_allowance.NoteAdmitted(place->m_forItsSize);
-    }
-    Handle(relay::PlaceFound{ place->m_upstream, place->m_prefillEngine });
-  } else {
-    const auto& fault = std::get<relay::PlaceFault>(result);
-    m_foundNoneSound = fault.m_cause == relay::NoPlaceCause::NoneSound;
-    if (PassOn(aAction.m_excluded)) {
-      return;
-    }
-    LogNoPlace(fault);
-    Handle(relay::NoPlace{ RoomIn(fault), CauseOf(fault.m_cause) });
-  }
-}
-
 std::int64_t
 RelayCall::PromptTokens() const
 {
@@ -301,16 +190,6 @@
   return prompt ? prompt->m_sharedTokens + prompt->m_ownTokens : 0;
 }
 
-Duration
-RelayCall::PlaceAgainIn() const
-{
-  // The delay is random, as calls that retry at the same moment would all be
-  // placed on the same free capacity.
-  std::uniform_int_distribution<Duration::rep> spread(
-    kPlaceAgain.count() / 2, kPlaceAgain.count() * 3 / 2);
-  return Duration(spread(m_node.m_random));
-}
-
 void
 RelayCall::NoteRepeat(relay::AttemptId aAttempt)
 {
@@ -318,27 +197,6 @@
   m_node.m_metrics.Count("repeats_total");
 }
 
-void
-RelayCall::Do(const relay::SendPrefill& aAction)
-{
-  const auto reader = m_node.m_fleet.TargetFor(
-    aAction.m_prefillEngine, relay::RequestPurpose::Work, m_node.Now());
-  if (!reader) {
-    Withhold(
-      aAction.m_attempt, aAction.m_prefillEngine, "it wants no new calls");
-    return;
-  }
-  if (aAction.m_repeat) {
-    NoteRepeat(aAction.m_attempt);
-  }
-  SendTerms terms;
-  terms.m_readOnly = true;
-  if (const relay::Member* donor = m_node.m_fleet.Find(m_place.m_fetchFrom)) {
-    terms.m_transferSourceAddress = donor->m_address;
-  }
-  Send(aAction.m_attempt, *reader, std::move(terms));
-}
-
 void
 RelayCall::Do(const relay::SendRun& aAction)
 {
@@ -617,16 +475,6 @@
   }
 }
 
-void
-RelayCall::TakePrefillBytes(std::string_view aBytes)
-{
-  m_prefillAnswer.append(aBytes);
-  if (m_prefillAnswer.size() > kMaxHandleBytes) {
-    Do(relay::CancelAttempt{ m_attempt.m_id, true });
-    TakeBreak();
-  }
-}
-
 void
 RelayCall::TakeRefusalBytes(std::string_view aBytes)
 {
@@ -722,14 +570,6 @@
     relay::DeadlinePassed{ sent == 0 || m_node.m_http->MayHaveLeft(sent) });
 }
 
-bool
-RelayCall::HasRunForPrefill() const
-{
-  return m_attempt.m_readOnly && m_attempt.m_hasHead &&
-         !m_attempt.m_saidNotRun &&
-         m_node.m_dialect.m_tellsOfARun(m_attempt.m_head);
-}
-
 void
 RelayCall::TakeBreak()
 {
@@ -741,20 +581,6 @@
   }
 }
 
-void
-RelayCall::TakePrefillEnd(relay::AttemptId aId)
-{
-  std::string handle = m_node.m_dialect.m_readHandle(m_prefillAnswer);
-  m_attempt.m_ground = relay::GroundOf({ !handle.empty(), HasRunForPrefill() });
-  if (m_attempt.m_ground == relay::AttemptGround::RanForPrefill) {
-    Handle(relay::PrefillRan{ aId });
-  } else if (handle.empty()) {
-    Handle(relay::AnswerEnded{ aId });
-  } else {
-    Handle(relay::PrefillCompleted{ aId, std::move(handle) });
-  }
-}
-
 void
 RelayCall::Do(const relay::CancelAttempt& aAction)
 {
@@ -811,35 +637,4 @@
   m_attempt.m_tokens = 0;
 }
 
-void
-RelayCall::Do(const relay::FreeHandle& aAction)
-{
-  const auto reader = m_node.m_fleet.TargetFor(
-    aAction.m_prefillEngine, relay::RequestPurpose::Upkeep, m_node.Now());
-  if (!reader) {
-    m_node.m_metrics.Count("handles_not_freed_total");
-    return;
-  }
-  net::HttpRequest request =
-    m_node.m_dialect.m_writeFreeHandle((*reader)->m_address, aAction.m_handle);
-  request.m_address = (*reader)->m_address;
-  request.m_timeout = kFreeTimeout;
-  net::HttpCallbacks callbacks;
-  callbacks.m_done =
-    [&node = m_node,
-     statements = m_start.m_statements,
-     upstream = (*reader)->Incarnation(),
-     id = m_start.m_head.m_id](const net::HttpResponse& aResponse) {
-      if (!net::HasAnswer(aResponse)) {
-        // The prefill engine frees the cache by itself when the lifetime of the
-        // handle ends, so the failure is only counted.
-        node.m_metrics.Count("handles_not_freed_total");
-        return;
-      }
-      statements->Take({ upstream, AnswerProof::ByAddress, id },
-                       aResponse.m_head);
-    };
-  m_node.m_http->Send(request, std::move(callbacks));
-}
-
 } // namespace ridgeferry::entry
