The soak: a run in place of a prefill counts where its answer could tell of it

Cause: the manner of engines that run a call of which they were to read the prompt goes beyond the users' pages, by which a prefill is no run. What shows it is the engine's answer. To hold each lost prefill for a run would turn away, as "may have run", calls that by the pages have not run, whenever an engine that reads prompts ends.

So such a run counts unless trouble at its engine may have lost the answer; in calm it counts as before. SoakHistoryTest has both. All other rules are as they were.

--- a/tests/soak/SoakHistory.cpp
+++ b/tests/soak/SoakHistory.cpp
@@ -110,11 +110,21 @@
     return found == m_runsOf.end() ? kNone : found->second;
   }
 
+  /** Whether the instances could know of the run. By contract a request to read
+   * a prompt runs nothing; an engine that runs it all the same shows so in its
+   * answer, which trouble at that engine may lose. */
+  bool IsKnowableRun(const SoakRun& aRun) const
+  {
+    const Instant until = aRun.m_endedAt.value_or(Instant::max());
+    return aRun.m_ran && (!aRun.m_readOnly ||
+                          IsCalm(aRun.m_upstream, aRun.m_arrivedAt, until));
+  }
+
   void CheckRuns(const std::string& aId, const SoakCall& aCall)
   {
     std::vector<const SoakRun*> ran;
     for (const SoakRun* run : RunsOf(aId)) {
-      if (run->m_ran) {
+      if (IsKnowableRun(*run)) {
         ran.push_back(run);
       }
       if (run->m_wrongMemory) {
@@ -137,8 +147,8 @@
     }
     const auto& runs = RunsOf(aId);
     const bool ran =
-      std::any_of(runs.begin(), runs.end(), [](const SoakRun* aRun) {
-        return aRun->m_ran;
+      std::any_of(runs.begin(), runs.end(), [this](const SoakRun* aRun) {
+        return IsKnowableRun(*aRun);
       });
     if (ran && !MayRepeat(aCall.m_kind)) {
       Wrong(aId + " was answered " + std::to_string(aCall.m_status) +
--- a/tests/soak/SoakHistoryTest.cpp
+++ b/tests/soak/SoakHistoryTest.cpp
@@ -79,6 +79,17 @@
   }
 }
 
+/** The engine "r" ran the call, too, where it was to read its prompt. */
+void
+RunForPrefill(SoakHistory& aHistory)
+{
+  Repeat(aHistory, 1, 20);
+  SoakRun& run = aHistory.m_runs.back();
+  run.m_upstream = "r";
+  run.m_readOnly = true;
+  run.m_endedAt = After(30);
+}
+
 struct HistoryCase
 {
   const char* m_name;
@@ -146,6 +157,18 @@
                  CallKind::Once,
                  false,
                  [](SoakHistory& aHistory) { Repeat(aHistory, 1, 20); } },
+    HistoryCase{ "RanInPlaceOfAPrefillToo",
+                 CallKind::Stream,
+                 false,
+                 [](SoakHistory& aHistory) { RunForPrefill(aHistory); } },
+    // Its answer, which shows so, may be lost with the engine.
+    HistoryCase{ "RanInPlaceOfAPrefillAtAnEngineInTrouble",
+                 CallKind::Stream,
+                 true,
+                 [](SoakHistory& aHistory) {
+                   RunForPrefill(aHistory);
+                   aHistory.m_disturbances = { { "r", After(25), After(25) } };
+                 } },
     HistoryCase{ "SafeRanTwice",
                  CallKind::Safe,
                  true,
