--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -183,7 +183,8 @@
   sigc::slot<CallHead(const net::ReceivedRequest&)> m_readCall;
   sigc::slot<net::HttpRequest(const net::ReceivedRequest&, const SendTerms&)>
     m_writeSend;
-  /** Reads whether an upstream's answer holds what only a run of the call makes.
+  /** Reads whether an upstream's answer holds what only a run of the call
+   * makes.
    */
   sigc::slot<bool(const net::HttpHead&)> m_tellsOfARun;
   /** Reads whether the answer of the upstream with that id says that it has not
--- a/tests/soak/SoakPlan.cpp
+++ b/tests/soak/SoakPlan.cpp
@@ -81,9 +81,9 @@
 /** The same for manners. */
 constexpr Duration kBetweenManners{ 1500 };
 
-template<std::size_t kCount>
+/** Null: the kind is not in the table. */
 const KindTerms*
-FindTerms(const std::array<KindTerms, kCount>& aTerms, FaultKind aKind)
+FindTerms(std::span<const KindTerms> aTerms, FaultKind aKind)
 {
   const auto found =
     std::find_if(aTerms.begin(), aTerms.end(), [aKind](const KindTerms& aItem) {
@@ -126,7 +126,9 @@
 NameOf(FaultKind aKind)
 {
   const KindTerms* const manner = FindTerms(kManners, aKind);
-  return manner != nullptr ? manner->m_name : FindTerms(kKinds, aKind)->m_name;
+  const KindTerms* const found =
+    manner != nullptr ? manner : FindTerms(kKinds, aKind);
+  return found != nullptr ? found->m_name : "unknown";
 }
 
 std::vector<Fault>
