--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,5 +2,5 @@
 # Exit code 0: the rule held; 1: it was broken; 2: the case couldn't run.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-[ -x target/bin/ridgeferry-entry ] && [ -x review/bin/RaisedLimit ] || exit 2
-exec review/bin/RaisedLimit "$here/record.txt"
+[ -x target/bin/ridgeferry-entry ] && [ -x review/bin/FarRank ] || exit 2
+exec review/bin/FarRank "$here/record.txt"
