--- a/review/common-2/Platform.cpp
+++ b/review/common-2/Platform.cpp
@@ -82,11 +82,46 @@
   m_changed.notify_all();
 }
 
+void
+Store::SetSilent(bool aIsSilent)
+{
+  const std::lock_guard guard(m_mutex);
+  m_isSilent = aIsSilent;
+  m_changed.notify_all();
+}
+
+void
+Store::SetDown(bool aIsDown)
+{
+  const std::lock_guard guard(m_mutex);
+  m_isDown = aIsDown;
+  m_changed.notify_all();
+}
+
+void
+Store::SetClock(std::int64_t aNowMs)
+{
+  const std::lock_guard guard(m_mutex);
+  m_clockOffset = aNowMs - SteadyMs();
+}
+
+std::int64_t
+Store::NowMs() const
+{
+  return SteadyMs() + m_clockOffset;
+}
+
 bool
 Store::Answer(const Message& aRequest, Connection& aConnection)
 {
   const std::string path =
     aRequest.m_target.substr(0, aRequest.m_target.find('?'));
+  {
+    const std::lock_guard guard(m_mutex);
+    if (m_isDown) {
+      return false;
+    }
+  }
   std::pair<int, std::string> answer{ 404, "{}" };
   if (path == "/rows-get") {
     answer = { 200, ReadTable(aRequest) };
@@ -95,6 +130,14 @@
   } else if (path == "/rows-tx") {
     answer = Commit(aRequest);
   }
+  std::unique_lock lock(m_mutex);
+  // What is not answered while it is silent is not answered later either.
+  const bool isSilent = m_isSilent;
+  m_changed.wait(lock, [this] { return !m_isSilent; });
+  if (isSilent || m_isDown) {
+    return false;
+  }
+  lock.unlock();
   return aConnection.Send(Response(
     answer.first, answer.second, { { "Content-Type", "application/json" } }));
 }
@@ -122,7 +165,7 @@
     { "rows", std::move(aRows) },
     { "has_more", false },
     { "ver", m_version },
-    { "now_ms", SteadyMs() }
+    { "now_ms", NowMs() }
   }.dump();
 }
 
@@ -157,7 +200,7 @@
         rows[row.m_version] = ToJson(table, key, row);
       }
     }
-    return !rows.empty();
+    return !rows.empty() || m_isDown;
   });
   Json list = Json::array();
   for (auto& [version, row] : rows) {
--- a/review/common-2/Platform.h
+++ b/review/common-2/Platform.h
@@ -22,6 +22,13 @@
                     const nlohmann::json& aValue);
   void Remove(const std::string& aTable, const std::string& aKey);
   const std::string& Address() const { return m_server->Address(); }
+  /** While it is silent it answers nothing that instances ask, and takes what
+   * operators and workers write. */
+  void SetSilent(bool aIsSilent);
+  /** While it is down it resets what instances ask, and takes nothing. */
+  void SetDown(bool aIsDown);
+  /** Its steady clock shows that many milliseconds now. */
+  void SetClock(std::int64_t aNowMs);
 
 private:
   struct Row
@@ -39,11 +46,15 @@
                         const std::string& aKey,
                         const Row& aRow) const;
   std::string Page(nlohmann::json aRows) const;
+  std::int64_t NowMs() const;
 
   std::mutex m_mutex;
   std::condition_variable m_changed;
   std::map<std::string, std::map<std::string, Row>> m_tables;
   std::uint64_t m_version = 1;
+  bool m_isSilent = false;
+  bool m_isDown = false;
+  std::int64_t m_clockOffset = 0;
   std::unique_ptr<Server> m_server;
 };
 
