A configuration that cannot be read does not prove the one before it

Cause: the row counts as read, so the next answer of the store proved the table, and with it the configuration in force; calls that another instance had routed by the later one were decided on by the older one.

Now ConfigFreshness keeps, from the unreadable one on, the instant up to which the older one was proven. What would be refused for good is refused for now; keys stop at the bound (without revocationMs at configApplyMs, as the instance reaches the store); calls that were routed by the later one are declined; and once the later one must be in force nothing is served and the instance is not ready (configuration_replaced).

Ruled out: that peers' proofs are wrong: they are about rows, which are held.

--- a/packages/entry/src/ConfigFreshness.cpp
+++ b/packages/entry/src/ConfigFreshness.cpp
@@ -56,27 +56,66 @@
 std::optional<Duration>
 ConfigFreshness::Age() const
 {
-  return m_age.AgeAt(m_node.Now());
+  if (!m_unreadable) {
+    return m_age.AgeAt(m_node.Now());
+  }
+  // What the store proves since then is that another one is the latest.
+  const auto& until = m_unreadable->m_provenUntil;
+  return until ? std::optional(m_node.Now() - *until) : std::nullopt;
 }
 
 bool
 ConfigFreshness::MayBeOld() const
 {
-  return freshness::MayBeOld({ Age(), KnownLag() });
+  return m_unreadable || freshness::MayBeOld({ Age(), KnownLag() });
+}
+
+bool
+ConfigFreshness::HasRead(StorePosition aPosition) const
+{
+  return m_config.Follower().Position() >= aPosition &&
+         (!m_unreadable || aPosition < m_unreadable->m_at);
+}
+
+void
+ConfigFreshness::NoteUnreadable()
+{
+  if (!m_unreadable) {
+    m_unreadable = { m_config.Follower().ChangedPosition(),
+                     m_node.Now(),
+                     m_age.ProvenUntil() };
+  }
+}
+
+bool
+ConfigFreshness::IsReplaced() const
+{
+  return m_unreadable && m_node.Now() - m_unreadable->m_since >=
+                           m_node.m_settings.m_keys.m_configApply;
+}
+
+keys::KeyRules
+ConfigFreshness::Rules() const
+{
+  keys::KeyRules rules = m_node.m_settings.m_keys;
+  if (m_unreadable && !rules.m_revocation) {
+    // This instance reaches the store, so it is bound.
+    rules.m_revocation = rules.m_configApply;
+  }
+  return rules;
 }
 
 bool
 ConfigFreshness::AllowsKeys() const
 {
-  return keys::IsFreshForKeys(m_node.m_settings.m_keys, Age());
+  return keys::IsFreshForKeys(Rules(), Age());
 }
 
 keys::KeyVerdict
 ConfigFreshness::CheckKey(std::string_view aKey, bool aIsPublicRoute) const
 {
-  return keys::CheckKey(m_node.m_routes->Organisations(),
-                        m_node.m_settings.m_keys,
-                        { aKey, aIsPublicRoute, Age() });
+  return keys::CheckKey(
+    m_node.m_routes->Organisations(), Rules(), { aKey, aIsPublicRoute, Age() });
 }
 
 void
--- a/packages/entry/src/ConfigFreshness.h
+++ b/packages/entry/src/ConfigFreshness.h
@@ -31,11 +31,16 @@
   {
     return m_config.Follower().ChangedPosition();
   }
-  /** Returns whether all changes up to `aPosition` have been read. */
-  bool HasRead(StorePosition aPosition) const
-  {
-    return m_config.Follower().Position() >= aPosition;
-  }
+  /** Returns whether all changes up to `aPosition` are in force. */
+  bool HasRead(StorePosition aPosition) const;
+  /** Notes that the latest configuration could not be read, so that an older
+   * one stays in force. */
+  void NoteUnreadable();
+  /** Notes that the latest configuration could be read. */
+  void NoteReadable() { m_unreadable.reset(); }
+  /** Returns whether the configuration in force is known to be an older one and
+   * may decide on no call any more. */
+  bool IsReplaced() const;
   /** Handles the word of another instance that it has read a change of the
    * configuration at `aPosition`. */
   void NoteTold(StorePosition aPosition) { m_config.NoteAhead(aPosition); }
@@ -58,13 +63,26 @@
   const freshness::StoreClock& Clock() const { return m_age.Clock(); }
 
 private:
+  /** A configuration that could not be read. */
+  struct Unreadable
+  {
+    StorePosition m_at;
+    Instant m_since;
+    /** Until then the configuration in force is proven to be the latest. */
+    std::optional<Instant> m_provenUntil;
+  };
+
   void Tick();
+  keys::KeyRules Rules() const;
 
   EntryNode& m_node;
   const Peers& m_peers;
   PeerRows& m_rows;
   StoreReader& m_config;
   freshness::ProvenAge m_age;
+  /** The first one behind the configuration in force; std::nullopt if the
+   * latest one is in force. */
+  std::optional<Unreadable> m_unreadable;
   net::Watch m_tick;
 };
 
--- a/packages/entry/src/Entry.cpp
+++ b/packages/entry/src/Entry.cpp
@@ -163,7 +163,7 @@
 {
   return !m_node.m_stop.HasBegun() && m_node.m_routes != nullptr &&
          m_members->HasRead() && m_peers->HasHeardOthers() &&
-         m_quarantine->IsReadyForCalls();
+         m_quarantine->IsReadyForCalls() && !m_freshness->IsReplaced();
 }
 
 bool
@@ -212,8 +212,10 @@
       "configuration-rejected",
       { { "version", static_cast<std::int64_t>(aRow.m_version) },
         { "faults", FaultsText(config.error()) } });
+    m_freshness->NoteUnreadable();
     return;
   }
+  m_freshness->NoteReadable();
   const bool isFirst = m_node.m_routes == nullptr;
   const std::uint64_t held = isFirst ? 0 : m_node.m_routes->Version();
   const auto version = static_cast<std::int64_t>(config->m_version);
@@ -472,6 +474,8 @@
     m_node.m_routes == nullptr
       ? 0
       : static_cast<double>(m_node.m_routes->Config().m_faults.size()));
+  m_node.m_metrics.Set("configuration_replaced",
+                       m_freshness->IsReplaced() ? 1 : 0);
   m_node.m_metrics.Set("log_lines_dropped",
                        static_cast<double>(m_node.m_log->Dropped()));
   m_node.m_metrics.Set("instances_alive",
@@ -503,6 +507,7 @@
                         { { "upstream", upstream } });
   }
   ReleaseHeld();
+  NoteReadiness(); // It changes with time behind an unreadable configuration.
   const bool onDuty = m_peers->IsPoller();
   const bool byPlace = m_peers->IsPollerByHash();
   m_origins->NoteList(m_members->HasRead() && !m_members->Follower().IsLost());
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -289,6 +289,12 @@
                       const CallHead& aHead,
                       const relay::Route* aRoute)
 {
+  if (m_freshness.IsReplaced()) {
+    Refuse(aExchange,
+           aHead,
+           { kUnavailable, "configuration-unreadable", kUnprovenRetryAfter });
+    return true;
+  }
   const bool hasUnknown = m_node.m_routes->Config().m_hasUnknownRoutes;
   if (aRoute == nullptr && !hasUnknown) {
     RefuseForGood(aExchange, aHead, { kNotFound, "no-route" });
--- a/packages/freshness/include/ridgeferry/freshness/ProvenAge.h
+++ b/packages/freshness/include/ridgeferry/freshness/ProvenAge.h
@@ -57,6 +57,9 @@
    * generation of `aHeld`, the position of the last change here.
    */
   std::optional<TableProof> ProofFor(const StorePosition& aHeld) const;
+  /** Returns the instant up to which the table is proven to be whole;
+   * std::nullopt if nothing is proven. */
+  std::optional<Instant> ProvenUntil() const { return m_provenUntil; }
   /** Returns the proven age; std::nullopt if nothing is proven. */
   std::optional<Duration> AgeAt(Instant aNow) const;
   const StoreClock& Clock() const { return m_clock; }
