Priorities of any size keep their order

What callers saw: nothing yet; priorities above 9 could not be configured, or up to 100 reached upstreams all as 9, the urgency of calls that are late anyway. A late call (9) counted as more urgent than every route of a service with priorities of 10 and above, so it did not yield to them.

Cause: priorities of the configuration and the urgencies 0 to 9 that upstreams know were one number, clamped at the wire.

Now RouteTable turns priorities into urgencies: the same number if none is above 9, else by their order.

Before: 200 and 300 both reached the upstream as 9 (clamp in WriteSend, by reading).

--- a/packages/entry/include/ridgeferry/entry/Dialect.h
+++ b/packages/entry/include/ridgeferry/entry/Dialect.h
@@ -74,7 +74,8 @@
   std::string m_address; ///< IP:PORT of the upstream.
   std::string m_upstream;
   Duration m_left{}; ///< Time left until the caller's deadline.
-  int m_priority = 0;
+  /** See `relay::RouteTable::UrgencyOf`. */
+  int m_urgency = 0;
   /** Organisation on whose behalf the call runs; empty if there is none. */
   std::string m_organisation;
   /** The caller's credentials are not passed on. */
--- a/packages/entry/src/RelayCall.cpp
+++ b/packages/entry/src/RelayCall.cpp
@@ -304,7 +304,7 @@
   aTerms.m_address = member.m_address;
   aTerms.m_upstream = member.m_id;
   aTerms.m_left = Left();
-  aTerms.m_priority = Priority();
+  aTerms.m_urgency = Urgency();
   aTerms.m_hidesCredentials = m_start.m_hidesCredentials;
   if (m_start.m_organisation != nullptr) {
     aTerms.m_organisation = m_start.m_organisation->m_name;
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -306,7 +306,7 @@
    * that may not is logged. */
   bool MayRunByKey() const;
   /** Returns the priority that the upstream is told. */
-  int Priority() const;
+  int Urgency() const;
   void LogNoPlace(const relay::PlaceFault& aFault) const;
   /** Returns the number of tokens of the prompt, or 0 without a prompt. */
   std::int64_t PromptTokens() const;
--- a/packages/entry/src/RelayCallAdmission.cpp
+++ b/packages/entry/src/RelayCallAdmission.cpp
@@ -43,7 +43,7 @@
     ask.m_organisation = organisation->m_name;
   }
   ask.m_yieldsToUrgent =
-    Priority() > m_start.m_routes->MostUrgentPriority(m_start.m_service);
+    Urgency() > m_start.m_routes->MostUrgent(m_start.m_service);
   ask.m_draw = std::uniform_real_distribution<double>()(m_node.m_random);
   const admission::Verdict verdict =
     m_node.m_admission.Decide(ask, m_node.Now());
--- a/packages/entry/src/RelayCallOrganisation.cpp
+++ b/packages/entry/src/RelayCallOrganisation.cpp
@@ -10,10 +10,9 @@
 
 namespace {
 
-/** Priority of calls that miss their target for the first byte in any case.
- * Engines serve them after calls that can still meet theirs: 0 is the most
- * urgent, and routes have priorities below ten. */
-constexpr int kLatePriority = 9;
+/** Urgency of calls that miss their target for the first byte in any case.
+ * Engines serve them after calls that can still meet theirs. */
+constexpr int kLate = relay::RouteTable::kLeastUrgent;
 
 } // namespace
 
@@ -36,15 +35,15 @@
 }
 
 int
-RelayCall::Priority() const
+RelayCall::Urgency() const
 {
   if (m_place.m_late) {
-    return kLatePriority;
+    return kLate;
   }
   const keys::Organisation* organisation = m_start.m_organisation;
-  return organisation != nullptr && organisation->m_priority
-           ? *organisation->m_priority
-           : m_start.m_route->m_priority;
+  const bool isOfCaller = organisation != nullptr && organisation->m_priority;
+  return m_start.m_routes->UrgencyOf(isOfCaller ? *organisation->m_priority
+                                                : m_start.m_route->m_priority);
 }
 
 void
--- a/packages/entry/src/RelayCallPlacement.cpp
+++ b/packages/entry/src/RelayCallPlacement.cpp
@@ -68,7 +68,7 @@
   request.m_mayProbe = MayBeRepeated();
   request.m_mostOpen = m_start.m_connections.m_open;
   request.m_yieldsToUrgent =
-    Priority() > m_start.m_routes->MostUrgentPriority(m_start.m_service);
+    Urgency() > m_start.m_routes->MostUrgent(m_start.m_service);
   request.m_random = m_node.m_random();
   // The admission bound applies to the first placement only. A call that has
   // been sent to an upstream before is continued, even if it is late, and so is
--- a/packages/relay/include/ridgeferry/relay/Routes.h
+++ b/packages/relay/include/ridgeferry/relay/Routes.h
@@ -147,9 +147,16 @@
   /** Returns the shortest target for the first byte among the streaming routes
    * of a service; 0 if none of them has a target. */
   Duration ShortestFirstByteTarget(std::string_view aService) const;
-  /** Returns the priority of the most urgent route of a service; 0 if it has no
+  /** The urgency of calls that have the lowest priority. */
+  static constexpr int kLeastUrgent = 9;
+  /** Returns the urgency of a call with a priority that the configuration
+   * declares: 0 is the most urgent, `kLeastUrgent` the least. It is the
+   * priority itself if the configuration has none above `kLeastUrgent`; else
+   * priorities keep their order. */
+  int UrgencyOf(int aPriority) const;
+  /** Returns the urgency of the most urgent route of a service; 0 if it has no
    * route. */
-  int MostUrgentPriority(std::string_view aService) const;
+  int MostUrgent(std::string_view aService) const;
   /** Returns the service for one call, chosen in proportion to the weights.
    * `aDraw` is a random number in [0, 1). */
   static const std::string& Draw(const Route& aRoute, double aDraw);
@@ -164,6 +171,7 @@
 private:
   void NoteFirstByteTarget(const Route& aRoute);
   void NotePriority(const Route& aRoute);
+  void GatherPriorities();
 
   RouteConfig m_config;
   keys::OrganisationDirectory m_organisations;
@@ -174,6 +182,8 @@
   std::map<std::string, Duration, std::less<>> m_shortestTargets;
   /** The key is the name of the service. */
   std::map<std::string, int, std::less<>> m_mostUrgent;
+  /** All priorities that are declared, each once, in rising order. */
+  std::vector<int> m_priorities;
 };
 
 } // namespace ridgeferry::relay
--- a/packages/relay/src/Routes.cpp
+++ b/packages/relay/src/Routes.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 #include <utility>
 
 namespace ridgeferry::relay {
@@ -34,6 +35,7 @@
   : m_config(std::move(aConfig))
   , m_organisations(TakeOrganisations(m_config))
 {
+  GatherPriorities();
   for (const Route& route : m_config.m_routes) {
     m_byHostAndPrefix[LowerHost(route.m_host) + route.m_pathPrefix] = &route;
   }
@@ -97,10 +99,41 @@
 }
 
 int
-RouteTable::MostUrgentPriority(std::string_view aService) const
+RouteTable::MostUrgent(std::string_view aService) const
 {
   const auto found = m_mostUrgent.find(aService);
-  return found == m_mostUrgent.end() ? 0 : found->second;
+  return found == m_mostUrgent.end() ? 0 : UrgencyOf(found->second);
+}
+
+void
+RouteTable::GatherPriorities()
+{
+  std::set<int> all;
+  for (const Route& route : m_config.m_routes) {
+    all.insert(route.m_priority);
+  }
+  for (const keys::Organisation& organisation : m_organisations.All()) {
+    if (organisation.m_priority) {
+      all.insert(*organisation.m_priority);
+    }
+  }
+  m_priorities.assign(all.begin(), all.end());
+}
+
+int
+RouteTable::UrgencyOf(int aPriority) const
+{
+  if (m_priorities.empty() || m_priorities.back() <= kLeastUrgent) {
+    return std::clamp(aPriority, 0, kLeastUrgent);
+  }
+  const auto at =
+    std::lower_bound(m_priorities.begin(), m_priorities.end(), aPriority);
+  const auto more = std::distance(m_priorities.begin(), at);
+  const auto count = static_cast<std::ptrdiff_t>(m_priorities.size());
+  // With few of them each has an urgency of its own.
+  const auto scaled =
+    count <= kLeastUrgent ? more : more * kLeastUrgent / count;
+  return static_cast<int>(scaled);
 }
 
 const Service*
--- a/packages/relay/tests/RoutesTest.cpp
+++ b/packages/relay/tests/RoutesTest.cpp
@@ -97,5 +97,44 @@
                            return std::string(aInfo.param.m_name);
                          });
 
+/** Priorities that a configuration declares, and the urgency of each. */
+struct UrgencyCase
+{
+  const char* m_name;
+  std::vector<int> m_priorities;
+  std::vector<int> m_urgencies;
+};
+
+class UrgencyTest : public ::testing::TestWithParam<UrgencyCase>
+{};
+
+// Guards against calls of several priorities that upstreams get as one.
+TEST_P(UrgencyTest, KeepsTheOrderOfPriorities)
+{
+  RouteConfig config;
+  for (const int priority : GetParam().m_priorities) {
+    config.m_routes.push_back(
+      MakeRoute("r", "h", "/" + std::to_string(priority) + "/"));
+    config.m_routes.back().m_priority = priority;
+  }
+  const RouteTable table(std::move(config));
+  std::vector<int> urgencies;
+  for (const int priority : GetParam().m_priorities) {
+    urgencies.push_back(table.UrgencyOf(priority));
+  }
+  EXPECT_EQ(urgencies, GetParam().m_urgencies);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Priorities,
+  UrgencyTest,
+  ::testing::Values(UrgencyCase{ "OfOneDigit", { 0, 2, 5, 9 }, { 0, 2, 5, 9 } },
+                    UrgencyCase{ "OfHundreds", { 100, 300, 200 }, { 0, 2, 1 } },
+                    UrgencyCase{ "OneIsLarge", { 3, 10, 0 }, { 1, 2, 0 } },
+                    UrgencyCase{ "Many",
+                                 { 0, 10, 20, 30, 40, 50, 60, 70, 80, 90 },
+                                 { 0, 0, 1, 2, 3, 4, 5, 6, 7, 8 } }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 } // namespace
 } // namespace ridgeferry::relay
