Rows of upstreams: a whole number is one however JSON writes it

What callers saw: nothing known.

Settings files and declared objects read whole numbers by the same function, and take 3.0 now too. Text, fractions, negative counts and numbers beyond 63 bits stay what they were, another writer's row.

After: ReadMemberTest and BadMemberTest pass.

--- a/packages/base/src/FieldReader.cpp
+++ b/packages/base/src/FieldReader.cpp
@@ -1,6 +1,7 @@
 #include "ridgeferry/base/FieldReader.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -91,6 +92,15 @@
     return std::cmp_greater_equal(number, aLow) &&
            std::cmp_less_equal(number, aHigh);
   }
+  if (aValue.is_number_float()) {
+    // A whole number is one however JSON writes it. Up to this bound a double
+    // holds each of them.
+    constexpr double kExact = 9007199254740992.0;
+    const double number = aValue.get<double>();
+    return std::trunc(number) == number && std::abs(number) <= kExact &&
+           number >= static_cast<double>(aLow) &&
+           number <= static_cast<double>(aHigh);
+  }
   if (!aValue.is_number_integer()) {
     return false;
   }
