An empty list of organisations is declared: no key opens anything

Cause: "no organisations are declared" and "none is left" were one state, an empty list. Three places asked for it: the check of keys, whether a route needs one, and whether the key is hidden from the upstream; a public route showed it.

OrganisationDirectory carries the presence as a state of its own (since, still with the old meaning); this commit gives it the right one. An absent list needs no keys; an empty one has none that opens; null or no list at all: keys are declared that cannot be read, so unknown ones are refused with 503.

Ruled out: the sealing of keys and the follower (the row arrives whole); an organisation without keys (it has always held none); an empty key (it is never looked up).

--- a/packages/keys/src/Organisations.cpp
+++ b/packages/keys/src/Organisations.cpp
@@ -19,7 +19,7 @@
 OrganisationDirectory::OrganisationDirectory(
   std::vector<Organisation> aOrganisations,
   bool aHasUnknownKeys)
-  : m_needsKeys(!aOrganisations.empty())
+  : m_needsKeys(true)
   , m_hasUnknownKeys(aHasUnknownKeys)
   , m_organisations(std::move(aOrganisations))
 {
--- a/packages/keys/tests/KeyCheckTest.cpp
+++ b/packages/keys/tests/KeyCheckTest.cpp
@@ -115,6 +115,36 @@
             Outcome::NoOrganisation);
 }
 
+/** What decides where organisations are declared, but none is left. */
+class KeyCheckOfNobodyTest : public ::testing::TestWithParam<VerdictCase>
+{};
+
+// Guards against the last organisation's end being taken for a configuration
+// that needs no keys.
+TEST_P(KeyCheckOfNobodyTest, NoKeyIsKnown)
+{
+  const OrganisationDirectory nobody(std::vector<Organisation>{});
+  EXPECT_EQ(
+    OutcomeOf(CheckKey(nobody, GetParam().m_rules, GetParam().m_question)),
+    GetParam().m_outcome);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Verdicts,
+  KeyCheckOfNobodyTest,
+  ::testing::Values(
+    VerdictCase{ "AnyKey", kStrict, { "a", false, kFresh }, Outcome::Unknown },
+    VerdictCase{ "NoKey", kStrict, { "", false, kFresh }, Outcome::Unknown },
+    VerdictCase{ "AnyKeyButRatherOld",
+                 kStrict,
+                 { "a", false, kRatherOld },
+                 Outcome::Undecided },
+    VerdictCase{ "Public",
+                 kStrict,
+                 { "a", true, kFresh },
+                 Outcome::NoOrganisation }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 TEST(OrganisationDirectoryTest, AKeyOfTwoBelongsToTheFirst)
 {
   const OrganisationDirectory both(
