A key that was taken away opens nothing where none was needed, either

What callers saw: nothing known. An instance whose configuration declares no organisations ran calls with any key, however old the configuration was. If later ones had declared a key and taken it away, that key went on at an instance that the store does not reach, behind the bound for such keys.

Now a call that presents a key, on a route that is not public, needs a configuration that is fresh enough, also just before each send. Calls without a key and deployments without that bound are as they were.

--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -426,7 +426,7 @@
   start.m_usage = &m_usage;
   start.m_organisation = aRequest.m_organisation;
   start.m_hidesCredentials = aRequest.m_routes->Organisations().NeedsKeys();
-  start.m_needsKey = NeedsKey(*aRequest.m_routes, route);
+  start.m_presentsKey = !route.m_isPublic && !aRequest.m_head.m_key.empty();
   start.m_reach = &m_reach;
   start.m_peers = &m_peers;
   start.m_forwarded = aRequest.m_forwarded;
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -59,8 +59,9 @@
   const keys::Organisation* m_organisation = nullptr;
   /** The caller's credentials are not passed on. */
   bool m_hidesCredentials = false;
-  /** The call may only run by its key. */
-  bool m_needsKey = false;
+  /** The caller presents a key and the route is not public, so that the call
+   * runs only while keys are known not to have been taken away. */
+  bool m_presentsKey = false;
   /** Must outlive the call. */
   ReachService* m_reach = nullptr;
   /** Must outlive the call. */
--- a/packages/entry/src/RelayCallOrganisation.cpp
+++ b/packages/entry/src/RelayCallOrganisation.cpp
@@ -19,7 +19,7 @@
 bool
 RelayCall::MayRunByKey() const
 {
-  if (!m_start.m_needsKey || m_start.m_freshness->AllowsKeys()) {
+  if (!m_start.m_presentsKey || m_start.m_freshness->AllowsKeys()) {
     return true;
   }
   const std::optional<Duration> age = m_start.m_freshness->Age();
@@ -28,7 +28,9 @@
     "key-refused",
     { { "id", m_start.m_head.m_id },
       { "cause", "configuration may be out of date" },
-      { "organisation", m_start.m_organisation->m_name },
+      { "organisation",
+        m_start.m_organisation == nullptr ? std::string()
+                                          : m_start.m_organisation->m_name },
       { "config", static_cast<std::int64_t>(m_start.m_routes->Version()) },
       { "provenAgeMs", age ? age->count() : std::int64_t{ -1 } } });
   return false;
--- a/packages/keys/src/KeyCheck.cpp
+++ b/packages/keys/src/KeyCheck.cpp
@@ -32,7 +32,10 @@
 {
   const bool isFresh = IsFreshForKeys(aRules, aQuestion.m_provenAge);
   if (!aDirectory.NeedsKeys()) {
-    return KeyAccepted{};
+    // A later configuration may have declared the key and taken it away.
+    const bool isSure =
+      isFresh || aQuestion.m_isPublicRoute || aQuestion.m_key.empty();
+    return isSure ? KeyVerdict(KeyAccepted{}) : KeyUndecided{};
   }
   const Organisation* holder = aDirectory.FindByKey(aQuestion.m_key);
   if (aQuestion.m_isPublicRoute) {
--- a/packages/keys/tests/KeyCheckTest.cpp
+++ b/packages/keys/tests/KeyCheckTest.cpp
@@ -145,6 +145,45 @@
                  Outcome::NoOrganisation }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+/** What decides where no organisations are declared. */
+class KeyCheckWithoutNeedTest : public ::testing::TestWithParam<VerdictCase>
+{};
+
+// Guards against a key that was taken away and still runs calls at an instance
+// that knows of no organisations.
+TEST_P(KeyCheckWithoutNeedTest, AKeyNeedsAFreshConfiguration)
+{
+  const OrganisationDirectory none;
+  EXPECT_EQ(
+    OutcomeOf(CheckKey(none, GetParam().m_rules, GetParam().m_question)),
+    GetParam().m_outcome);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Verdicts,
+  KeyCheckWithoutNeedTest,
+  ::testing::Values(VerdictCase{ "Key",
+                                 kStrict,
+                                 { "a", false, kFresh },
+                                 Outcome::NoOrganisation },
+                    VerdictCase{ "KeyButOld",
+                                 kStrict,
+                                 { "a", false, kTooOld },
+                                 Outcome::Undecided },
+                    VerdictCase{ "NoKeyAndOld",
+                                 kStrict,
+                                 { "", false, kTooOld },
+                                 Outcome::NoOrganisation },
+                    VerdictCase{ "PublicAndOld",
+                                 kStrict,
+                                 { "a", true, kTooOld },
+                                 Outcome::NoOrganisation },
+                    VerdictCase{ "LooseAndOld",
+                                 kLoose,
+                                 { "a", false, kTooOld },
+                                 Outcome::NoOrganisation }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 TEST(OrganisationDirectoryTest, AKeyOfTwoBelongsToTheFirst)
 {
   const OrganisationDirectory both(
