A request is held against the limits of its first byte

Cause: the parser of the next request, with the limits of that moment, was made when the request before ended, or when the connection was accepted. SetLimits reached later parsers only. The two time-outs are looked up at each check, so they were right.

Now the parser is made at the first byte, and takes higher limits while its head has not come whole; lower ones do not reach a request that has begun. Resting connections hold no parser.

Ruled out: a late configuration (configuration-in-force is logged before; new connections were served).

--- a/packages/net/include/ridgeferry/net/HttpServer.h
+++ b/packages/net/include/ridgeferry/net/HttpServer.h
@@ -126,7 +126,8 @@
   /** The address bound: tells the port where 0 was asked for. */
   const Address& Bound() const;
 
-  /** Holds from the next request of each connection on. */
+  /** Holds for each request whose first byte comes later, on any connection. A
+   * request whose head has begun is held against the higher ones of both. */
   void SetLimits(HttpServerLimits aLimits);
   /** Bounds the bodies of all requests together: a request without room is
    * refused with 503 before its body is taken. The budget may be shared by
--- a/packages/net/src/MessageParser.cpp
+++ b/packages/net/src/MessageParser.cpp
@@ -1,5 +1,6 @@
 #include "MessageParser.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <event2/buffer.h>
 
@@ -18,10 +19,29 @@
 template<bool kIsRequest>
 MessageParser<kIsRequest>::MessageParser(std::size_t aMaxHeaderBytes,
                                          std::size_t aMaxBodyBytes)
+  : m_maxHeaderBytes(aMaxHeaderBytes)
+  , m_maxBodyBytes(aMaxBodyBytes)
 {
   this->eager(true);
-  this->header_limit(static_cast<std::uint32_t>(aMaxHeaderBytes));
-  this->body_limit(aMaxBodyBytes);
+  UseLimits();
+}
+
+template<bool kIsRequest>
+void
+MessageParser<kIsRequest>::RaiseLimits(std::size_t aMaxHeaderBytes,
+                                       std::size_t aMaxBodyBytes)
+{
+  m_maxHeaderBytes = std::max(m_maxHeaderBytes, aMaxHeaderBytes);
+  m_maxBodyBytes = std::max(m_maxBodyBytes, aMaxBodyBytes);
+  UseLimits();
+}
+
+template<bool kIsRequest>
+void
+MessageParser<kIsRequest>::UseLimits()
+{
+  this->header_limit(static_cast<std::uint32_t>(m_maxHeaderBytes));
+  this->body_limit(m_maxBodyBytes);
 }
 
 template<bool kIsRequest>
--- a/packages/net/src/MessageParser.h
+++ b/packages/net/src/MessageParser.h
@@ -35,6 +35,10 @@
   /** Limits in bytes; what is longer is an error. */
   MessageParser(std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes);
 
+  /** Sets each limit to this one if that is higher. Precondition: `HasHead` is
+   * false. */
+  void RaiseLimits(std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes);
+
   /** Takes what it can from the front of the buffer. */
   ParseState Feed(evbuffer* aBuffer);
   /** The peer has closed its side; false: the message is not whole, or no
@@ -91,6 +95,10 @@
                                  ErrorCode&) override;
   void on_finish_impl(ErrorCode&) override {}
 
+  void UseLimits();
+
+  std::size_t m_maxHeaderBytes;
+  std::size_t m_maxBodyBytes;
   boost::system::error_code m_error;
 };
 
--- a/packages/net/src/ServerConnection.cpp
+++ b/packages/net/src/ServerConnection.cpp
@@ -31,6 +31,7 @@
 /** Retry-After where there is no room for a body: others are passed on within
  * about a second, unless upstreams read slowly. */
 constexpr std::chrono::seconds kRoomRetryAfter{ 1 };
+constexpr std::string_view kBadRequestCode = "bad-request";
 constexpr int kHeadTooLarge = 431;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -144,8 +145,20 @@
   m_since = m_shared.m_loop.Now();
   m_echo.reset();
   m_body = BodyShare(m_shared.m_bodies);
-  m_parser = std::make_unique<MessageParser<true>>(
-    m_shared.m_limits.m_maxHeaderBytes, m_shared.m_limits.m_maxBodyBytes);
+  m_parser.reset();
+}
+
+void
+ServerConnection::BeginHead()
+{
+  const HttpServerLimits& limits = m_shared.m_limits;
+  if (m_parser == nullptr) {
+    m_parser = std::make_unique<MessageParser<true>>(limits.m_maxHeaderBytes,
+                                                     limits.m_maxBodyBytes);
+  } else {
+    // What was within the limits when it began stays so.
+    m_parser->RaiseLimits(limits.m_maxHeaderBytes, limits.m_maxBodyBytes);
+  }
 }
 
 void
@@ -159,7 +172,10 @@
   if (m_state != State::Reading) {
     return;
   }
-  const bool hadHead = m_parser->HasHead();
+  const bool hadHead = m_parser != nullptr && m_parser->HasHead();
+  if (!hadHead) {
+    BeginHead();
+  }
   if (!m_begun || hadHead) {
     m_since = m_shared.m_loop.Now();
   }
@@ -167,12 +183,12 @@
   const ParseState state = m_parser->Feed(input);
   KeepEcho();
   if (state == ParseState::Failed) {
-    Refuse(StatusOf(m_parser->Error()), m_parser->Error().message());
+    RefuseUnread();
     return;
   }
   if (!hadHead && m_parser->HasHead()) {
     if (const std::string_view fault = FaultOf(*m_parser); !fault.empty()) {
-      Refuse(kBadRequest, fault);
+      Refuse({ kBadRequest, kBadRequestCode, fault });
       return;
     }
     if (!TakeRoom()) {
@@ -211,7 +227,8 @@
   std::string& body = m_parser->m_body;
   const std::size_t told = m_parser->ToldLength();
   if (!m_body.RaiseTo(std::max(told, body.size()))) {
-    Refuse(kUnavailable, "too much is under way", kRoomRetryAfter);
+    Refuse(
+      { kUnavailable, "no-room", "too much is under way", kRoomRetryAfter });
     return false;
   }
   body.reserve(told); // It would grow to twice its length otherwise.
@@ -239,9 +256,15 @@
 }
 
 void
-ServerConnection::Refuse(int aStatus,
-                         std::string_view aReason,
-                         std::chrono::seconds aRetryAfter)
+ServerConnection::RefuseUnread()
+{
+  const int status = StatusOf(m_parser->Error());
+  const std::string reason = m_parser->Error().message();
+  Refuse({ status, kBadRequestCode, reason });
+}
+
+void
+ServerConnection::Refuse(const Refusal& aRefusal)
 {
   m_linger = true;
   m_parser.reset(); // What is there of its body is not needed any more.
@@ -250,18 +273,16 @@
   m_state = State::Answering;
   HttpHeaders headers;
   headers.Add("Content-Type", "application/problem+json");
-  if (aRetryAfter.count() > 0) {
-    headers.Add("Retry-After", std::to_string(aRetryAfter.count()));
+  if (aRefusal.m_retryAfter.count() > 0) {
+    headers.Add("Retry-After", std::to_string(aRefusal.m_retryAfter.count()));
   }
-  const std::string_view code =
-    aStatus == kUnavailable ? "no-room" : "bad-request";
   std::string body = R"({"code":")";
-  body.append(code);
-  body += R"(","outcome":"not-run","status":)" + std::to_string(aStatus) +
-          R"(,"detail":")";
-  body.append(aReason);
+  body.append(aRefusal.m_code);
+  body += R"(","outcome":"not-run","status":)" +
+          std::to_string(aRefusal.m_status) + R"(,"detail":")";
+  body.append(aRefusal.m_reason);
   body += "\"}";
-  SendWhole(aStatus, headers, body);
+  SendWhole(aRefusal.m_status, headers, body);
 }
 
 std::string
@@ -439,7 +460,9 @@
   const HttpServerLimits& limits = m_shared.m_limits;
   const bool inRequest = m_state == State::Reading && m_begun;
   if (inRequest && silent >= limits.m_headTimeout) {
-    Refuse(kRequestTimeout, "the request did not arrive in time");
+    Refuse({ kRequestTimeout,
+             kBadRequestCode,
+             "the request did not arrive in time" });
     return;
   }
   const bool resting = m_state == State::Reading && !m_begun;
--- a/packages/net/src/ServerConnection.h
+++ b/packages/net/src/ServerConnection.h
@@ -21,7 +21,7 @@
   /** Called once by a connection that has ended; it is freed later. */
   sigc::slot<void(ServerConnection&)> m_ended;
   BodyBudget* m_bodies = nullptr; ///< See `HttpServer::ShareBodies`.
-  std::string m_echoedField;      ///< See `HttpServer::EchoField`.
+  std::string m_echoedField; ///< See `HttpServer::EchoField`.
 };
 
 /**
@@ -66,14 +66,25 @@
     Ended,
   };
 
+  /** Awaits the first byte of a request. */
   void StartRequest();
+  /** Begins to read a request, by the limits of this moment. */
+  void BeginHead();
   /** Keeps what the answer must repeat of the head that has been read. */
   void KeepEcho();
   void Dispatch();
-  /** `aRetryAfter`: when to come back; 0 if that is of no use. */
-  void Refuse(int aStatus,
-              std::string_view aReason,
-              std::chrono::seconds aRetryAfter = {});
+  struct Refusal
+  {
+    int m_status = 0;
+    std::string_view m_code;
+    std::string_view m_reason;
+    /** When to come back; 0 if that is of no use. */
+    std::chrono::seconds m_retryAfter = {};
+  };
+
+  void Refuse(const Refusal& aRefusal);
+  /** Refuses a request that could not be read. */
+  void RefuseUnread();
   /** Returns whether there is room for the body of the request that is being
    * read. Refuses it if there is none. */
   bool TakeRoom();
@@ -85,6 +96,7 @@
   bufferevent* m_events;
   std::string m_peer;
   State m_state = State::Reading;
+  /** Null while no request is being read. */
   std::unique_ptr<MessageParser<true>> m_parser;
   BodyShare m_body; ///< Of the request that is being read.
   std::weak_ptr<HttpExchange> m_exchange;
--- /dev/null
+++ b/packages/net/tests/ChangedLimitsTest.cpp
@@ -0,0 +1,201 @@
+// Guards against a request that is held against limits of earlier than its
+// first byte, or against limits that nobody set: over real sockets.
+
+#include "RawPeer.h"
+
+#include <gtest/gtest.h>
+#include <ostream>
+#include <ridgeferry/net/HttpServer.h>
+
+namespace ridgeferry::net {
+namespace {
+
+constexpr Duration kLongestTest{ 10'000 };
+constexpr Duration kPollEvery{ 2 };
+constexpr std::size_t kFew = 1000;
+constexpr std::size_t kMany = 100'000;
+/** Of a request, above the lower limit and below the higher one. */
+constexpr std::size_t kSize = 20'000;
+
+/** Where a connection is when the limits change. */
+enum class Moment
+{
+  BeforeItsFirstRequest,
+  BehindAnAnswer,
+  /** A head has begun: the limits of before hold for it. */
+  InAHead,
+};
+
+struct ChangeCase
+{
+  const char* m_name;
+  Moment m_moment;
+  std::size_t m_before; ///< The limit, of heads and of bodies.
+  std::size_t m_after;
+  const char* m_ofHead; ///< Status of a request with a long head.
+  const char* m_ofBody; ///< Status of a request with a long body.
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const ChangeCase& aCase)
+{
+  return aOut << aCase.m_name;
+}
+
+class LimitsTest : public ::testing::Test
+{
+protected:
+  LimitsTest()
+    : m_loop(EventLoop::Make())
+  {
+  }
+
+  static HttpServerLimits Limits(std::size_t aBytes)
+  {
+    HttpServerLimits out;
+    out.m_maxHeaderBytes = aBytes;
+    out.m_maxBodyBytes = aBytes;
+    return out;
+  }
+
+  void Listen(const HttpServerLimits& aLimits)
+  {
+    auto server =
+      HttpServer::Listen(*m_loop,
+                         { "127.0.0.1", 0 },
+                         aLimits,
+                         [](const std::shared_ptr<HttpExchange>& aCall) {
+                           aCall->Reply(200, {}, "ok");
+                         });
+    ASSERT_TRUE(server.has_value());
+    m_server = std::move(*server);
+    m_peer = RawPeer::Connect(m_server->Bound());
+  }
+
+  /** Runs until the condition holds; false: it never did. */
+  template<typename Condition>
+  bool RunUntil(Condition aCondition)
+  {
+    bool held = false;
+    const Watch poll = m_loop->Every(kPollEvery, [&] {
+      m_peer.Poll();
+      held = aCondition();
+      if (held) {
+        m_loop->Stop();
+      }
+    });
+    const Watch guard = m_loop->After(kLongestTest, [this] { m_loop->Stop(); });
+    m_loop->Run();
+    return held;
+  }
+
+  void Rest()
+  {
+    const Watch end = m_loop->After(Duration{ 50 }, [this] { m_loop->Stop(); });
+    m_loop->Run();
+  }
+
+  static std::string WithLongHead(std::size_t aSize)
+  {
+    return "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(aSize, 'x') +
+           "\r\n\r\n";
+  }
+
+  static std::string WithLongBody(std::size_t aSize)
+  {
+    return "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+           std::to_string(aSize) + "\r\n\r\n" + std::string(aSize, 'b');
+  }
+
+  /** Sends it all, as fast as the server reads, and returns the status of the
+   * last answer; empty if none came. */
+  std::string StatusOf(const std::string& aRequest)
+  {
+    const std::size_t from = m_peer.Received().size();
+    std::size_t sent = 0;
+    const auto hasAnswer = [&] {
+      if (sent < aRequest.size()) {
+        sent += m_peer.SendSome(std::string_view(aRequest).substr(sent));
+      }
+      return m_peer.Received().find("\r\n\r\n", from) != std::string::npos ||
+             m_peer.IsClosed();
+    };
+    EXPECT_TRUE(RunUntil(hasAnswer));
+    const std::size_t at = m_peer.Received().rfind("HTTP/1.1 ");
+    return at == std::string::npos || at < from
+             ? std::string()
+             : m_peer.Received().substr(at + 9, 3);
+  }
+
+  std::unique_ptr<EventLoop> m_loop;
+  std::unique_ptr<HttpServer> m_server;
+  RawPeer m_peer;
+};
+
+class ChangedLimitsTest
+  : public LimitsTest
+  , public ::testing::WithParamInterface<ChangeCase>
+{
+protected:
+  /** Brings the connection to the moment of the case, and changes the limits;
+   * returns what is left to send of `aRequest`. */
+  std::string Change(const std::string& aRequest)
+  {
+    Listen(Limits(GetParam().m_before));
+    std::string left = aRequest;
+    if (GetParam().m_moment == Moment::BehindAnAnswer) {
+      EXPECT_EQ(StatusOf(WithLongBody(1)), "200");
+    } else if (GetParam().m_moment == Moment::InAHead) {
+      m_peer.Send(aRequest.substr(0, 4));
+      left = aRequest.substr(4);
+    }
+    Rest();
+    m_server->SetLimits(Limits(GetParam().m_after));
+    Rest();
+    return left;
+  }
+};
+
+TEST_P(ChangedLimitsTest, HoldForHeadsThatBeginBehindTheChange)
+{
+  EXPECT_EQ(StatusOf(Change(WithLongHead(kSize))), GetParam().m_ofHead);
+}
+
+TEST_P(ChangedLimitsTest, HoldForBodiesThatBeginBehindTheChange)
+{
+  EXPECT_EQ(StatusOf(Change(WithLongBody(kSize))), GetParam().m_ofBody);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Moments,
+  ChangedLimitsTest,
+  ::testing::Values(
+    ChangeCase{ "RaisedOnANewConnection",
+                Moment::BeforeItsFirstRequest,
+                kFew,
+                kMany,
+                "200",
+                "200" },
+    ChangeCase{ "RaisedOnAKeptConnection",
+                Moment::BehindAnAnswer,
+                kFew,
+                kMany,
+                "200",
+                "200" },
+    ChangeCase{ "LoweredOnANewConnection",
+                Moment::BeforeItsFirstRequest,
+                kMany,
+                kFew,
+                "431",
+                "413" },
+    ChangeCase{ "LoweredOnAKeptConnection",
+                Moment::BehindAnAnswer,
+                kMany,
+                kFew,
+                "431",
+                "413" },
+    ChangeCase{ "LoweredInAHead", Moment::InAHead, kMany, kFew, "200", "200" }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
+} // namespace
+} // namespace ridgeferry::net
