Limits above the server's own bounds hold as they are configured

What callers saw: nothing known. With max_header_bytes above 64 KB a longer head was never read whole: the server stopped reading, and the caller got 408 behind the time for a head. A limit of 4 GiB counted as none at all, and every request got 431. With a body limit beyond memory the length that one request told would have ended the process.

Cause: a head is parsed as a whole, but no more than 64 KB were read ahead; the parser's limit has 32 bits and the configured one was cut to its last ones; room was made for whatever length was told.

Before: HighLimitTest/AboveWhatIsReadAhead and /Of32Bits fail. After, on the tree with all mends: they and ALengthThatIsToldMakesNoRoomByItself pass (that one was not run on the code before).

--- a/packages/net/src/MessageParser.cpp
+++ b/packages/net/src/MessageParser.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <event2/buffer.h>
+#include <limits>
 
 namespace ridgeferry::net {
 
@@ -40,7 +41,9 @@
 void
 MessageParser<kIsRequest>::UseLimits()
 {
-  this->header_limit(static_cast<std::uint32_t>(m_maxHeaderBytes));
+  using Limits = std::numeric_limits<std::uint32_t>;
+  this->header_limit(static_cast<std::uint32_t>(
+    std::min<std::size_t>(m_maxHeaderBytes, Limits::max())));
   this->body_limit(m_maxBodyBytes);
 }
 
--- a/packages/net/src/MessageParser.h
+++ b/packages/net/src/MessageParser.h
@@ -32,7 +32,8 @@
   using BeastView = boost::beast::string_view;
 
 public:
-  /** Limits in bytes; what is longer is an error. */
+  /** Limits in bytes; what is longer is an error. No head may be longer than
+   * 4 GiB. */
   MessageParser(std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes);
 
   /** Sets each limit to this one if that is higher. Precondition: `HasHead` is
--- a/packages/net/src/ServerConnection.cpp
+++ b/packages/net/src/ServerConnection.cpp
@@ -7,6 +7,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <limits>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -15,8 +16,11 @@
 
 namespace {
 
-/** Bytes read ahead of the request under way; more stays in the kernel. */
+/** Bytes read ahead of the request under way; more stays in the kernel. A head
+ * is read as a whole, so its limit comes on top. */
 constexpr std::size_t kReadAhead = std::size_t{ 64 } * 1024;
+/** The parser's own bound of a head. */
+constexpr std::size_t kLongestHead = std::numeric_limits<std::uint32_t>::max();
 /** Unread bytes of an answer below which more may be given. */
 constexpr std::size_t kFewUnread = std::size_t{ 16 } * 1024;
 /** How long a caller may go on sending after a refusal: one second lets the
@@ -31,6 +35,8 @@
 /** Retry-After where there is no room for a body: others are passed on within
  * about a second, unless upstreams read slowly. */
 constexpr std::chrono::seconds kRoomRetryAfter{ 1 };
+/** Most bytes for which room is made before they have come. */
+constexpr std::size_t kMostReserved = std::size_t{ 16 } * 1024 * 1024;
 constexpr std::string_view kBadRequestCode = "bad-request";
 constexpr int kHeadTooLarge = 431;
 constexpr int kNoContent = 204;
@@ -123,7 +129,6 @@
   // Failure only costs delay: small writes would wait for one another.
   (void)setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   bufferevent_setcb(m_events, &Readable, &Written, &Happened, this);
-  bufferevent_setwatermark(m_events, EV_READ, 0, kReadAhead);
   bufferevent_setwatermark(m_events, EV_WRITE, kFewUnread, 0);
   StartRequest();
   bufferevent_enable(m_events, EV_READ | EV_WRITE);
@@ -146,6 +151,7 @@
   m_echo.reset();
   m_body = BodyShare(m_shared.m_bodies);
   m_parser.reset();
+  bufferevent_setwatermark(m_events, EV_READ, 0, kReadAhead);
 }
 
 void
@@ -159,6 +165,8 @@
     // What was within the limits when it began stays so.
     m_parser->RaiseLimits(limits.m_maxHeaderBytes, limits.m_maxBodyBytes);
   }
+  const std::size_t head = std::min(limits.m_maxHeaderBytes, kLongestHead);
+  bufferevent_setwatermark(m_events, EV_READ, 0, kReadAhead + head);
 }
 
 void
@@ -231,7 +239,8 @@
       { kUnavailable, "no-room", "too much is under way", kRoomRetryAfter });
     return false;
   }
-  body.reserve(told); // It would grow to twice its length otherwise.
+  // It would grow to twice its length otherwise. What is told may be anything.
+  body.reserve(std::min(told, kMostReserved));
   return true;
 }
 
--- a/packages/net/tests/ChangedLimitsTest.cpp
+++ b/packages/net/tests/ChangedLimitsTest.cpp
@@ -4,6 +4,7 @@
 #include "RawPeer.h"
 
 #include <gtest/gtest.h>
+#include <limits>
 #include <ostream>
 #include <ridgeferry/net/HttpServer.h>
 
@@ -197,5 +198,52 @@
     ChangeCase{ "LoweredInAHead", Moment::InAHead, kMany, kFew, "200", "200" }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+// Guards against a length that is told and that no memory holds ending the
+// process, where the limit allows it.
+TEST_F(LimitsTest, ALengthThatIsToldMakesNoRoomByItself)
+{
+  Listen(Limits(std::size_t{ 1 } << 50));
+  m_peer.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+              std::to_string(std::size_t{ 1 } << 49) + "\r\n\r\nabc");
+  Rest();
+  m_peer = RawPeer::Connect(m_server->Bound());
+  EXPECT_EQ(StatusOf(WithLongBody(1)), "200");
+}
+
+/** A limit on heads, and a head below it. */
+struct HighLimitCase
+{
+  const char* m_name;
+  std::size_t m_limit;
+  std::size_t m_size;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const HighLimitCase& aCase)
+{
+  return aOut << aCase.m_name;
+}
+
+class HighLimitTest
+  : public LimitsTest
+  , public ::testing::WithParamInterface<HighLimitCase>
+{};
+
+// Guards against a limit that holds only up to a bound of the server's own.
+TEST_P(HighLimitTest, AHeadBelowItIsRead)
+{
+  Listen(Limits(GetParam().m_limit));
+  EXPECT_EQ(StatusOf(WithLongHead(GetParam().m_size)), "200");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Limits,
+  HighLimitTest,
+  ::testing::Values(
+    HighLimitCase{ "AboveWhatIsReadAhead", 200'000, 150'000 },
+    HighLimitCase{ "Of32Bits", std::size_t{ 1 } << 32, 100 },
+    HighLimitCase{ "OfAllBits", std::numeric_limits<std::size_t>::max(), 100 }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 } // namespace
 } // namespace ridgeferry::net
