What is above limits that may be old is refused for now

What callers saw: 413 and 431, which are not tried again, from an instance that knows, or must assume, that its configuration is an older one, or that has none yet and went by a server's own limits. 404 and 401 were 503 there already.

Cause: the server judges sizes while it reads, before anything asks how old the configuration is. Now it asks: AskWhetherLimitsMayBeOld, 503 limits-may-be-old with a time.

Before: ToldTest.WhoMayBeBehindRefusesForItsSizeForNow 2 of 4 and FinalRefusalTest.WhoHasNoConfigurationRefusesForItsSizeForNow fail.

--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -109,6 +109,8 @@
   }
   m_server = std::move(*server);
   m_server->ShareBodies(m_node.m_bodies.get());
+  m_server->AskWhetherLimitsMayBeOld(
+    [this] { return m_node.m_routes == nullptr || m_freshness.MayBeOld(); });
   return {};
 }
 
--- a/packages/net/include/ridgeferry/net/HttpServer.h
+++ b/packages/net/include/ridgeferry/net/HttpServer.h
@@ -129,6 +129,10 @@
   /** Holds for each request whose first byte comes later, on any connection. A
    * request whose head has begun is held against the higher ones of both. */
   void SetLimits(HttpServerLimits aLimits);
+  /** Asked when a request is above the limits on sizes: if `aMayBeOld` returns
+   * true, others may be in force by now, and the request is refused for now
+   * (503) in place of for good (413, 431). */
+  void AskWhetherLimitsMayBeOld(sigc::slot<bool()> aMayBeOld);
   /** Bounds the bodies of all requests together: a request without room is
    * refused with 503 before its body is taken. The budget may be shared by
    * several servers and must outlive the server and its exchanges. */
--- a/packages/net/src/HttpServer.cpp
+++ b/packages/net/src/HttpServer.cpp
@@ -129,7 +129,7 @@
 struct HttpServer::Impl
 {
   explicit Impl(EventLoop& aLoop, HttpServerLimits aLimits, Handler aHandler)
-    : m_shared{ aLoop, aLimits, std::move(aHandler), true, {}, nullptr, {} }
+    : m_shared{ aLoop, aLimits, std::move(aHandler), true, {}, nullptr, {}, {} }
   {
     m_shared.m_ended = [this](ServerConnection& aEnded) { Remove(aEnded); };
   }
@@ -263,6 +263,12 @@
   m_impl->m_shared.m_bodies = aBudget;
 }
 
+void
+HttpServer::AskWhetherLimitsMayBeOld(sigc::slot<bool()> aMayBeOld)
+{
+  m_impl->m_shared.m_limitsMayBeOld = std::move(aMayBeOld);
+}
+
 void
 HttpServer::EchoField(std::string aName)
 {
--- a/packages/net/src/ServerConnection.cpp
+++ b/packages/net/src/ServerConnection.cpp
@@ -35,6 +35,9 @@
 /** Retry-After where there is no room for a body: others are passed on within
  * about a second, unless upstreams read slowly. */
 constexpr std::chrono::seconds kRoomRetryAfter{ 1 };
+/** Retry-After where other limits may be in force by now: they are learned
+ * within about a second, unless the outage goes on. */
+constexpr std::chrono::seconds kLimitsRetryAfter{ 1 };
 /** Most bytes for which room is made before they have come. */
 constexpr std::size_t kMostReserved = std::size_t{ 16 } * 1024 * 1024;
 constexpr std::string_view kBadRequestCode = "bad-request";
@@ -268,6 +271,14 @@
 ServerConnection::RefuseUnread()
 {
   const int status = StatusOf(m_parser->Error());
+  const auto& mayBeOld = m_shared.m_limitsMayBeOld;
+  if (status != kBadRequest && mayBeOld && mayBeOld()) {
+    Refuse({ kUnavailable,
+             "limits-may-be-old",
+             "the request is above limits that may have been raised",
+             kLimitsRetryAfter });
+    return;
+  }
   const std::string reason = m_parser->Error().message();
   Refuse({ status, kBadRequestCode, reason });
 }
--- a/packages/net/src/ServerConnection.h
+++ b/packages/net/src/ServerConnection.h
@@ -21,6 +21,8 @@
   /** Called once by a connection that has ended; it is freed later. */
   sigc::slot<void(ServerConnection&)> m_ended;
   BodyBudget* m_bodies = nullptr; ///< See `HttpServer::ShareBodies`.
+  /** See `HttpServer::AskWhetherLimitsMayBeOld`. */
+  sigc::slot<bool()> m_limitsMayBeOld;
   std::string m_echoedField; ///< See `HttpServer::EchoField`.
 };
 
