The size of a call that is passed on is judged by the caller's instance

What callers saw: nothing known. While two instances hold different configurations, a call within the limits of the one that the caller reached was refused for good (413, 431) by the one that it was passed on to, whose limits were older, and the caller got that.

Cause: PeerRows gave the callers' limits to the server for other instances, which judges before the position of the configuration is compared. Now that server has room for what any configuration allows up to 1 MiB of head and 64 MiB of body, or more where the limits here are higher; memory is bounded as before by what bodies share.

Before: LongForwardedCallTest 2 of 2 fail.

--- a/packages/entry/src/PeerRows.cpp
+++ b/packages/entry/src/PeerRows.cpp
@@ -20,6 +20,10 @@
 /** Room in a head for what instances add to a caller's, in bytes: three short
  * fields, one of which may hold the id of an event. */
 constexpr std::size_t kInstanceHeaderBytes = 4096;
+/** Limits on requests of other instances where the callers' are not higher, in
+ * bytes. */
+constexpr std::size_t kHeadBytes = std::size_t{ 1024 } * 1024;
+constexpr std::size_t kBodyBytes = std::size_t{ 64 } * 1024 * 1024;
 
 std::string
 NameOf(Peers::Table aTable)
@@ -27,6 +31,19 @@
   return aTable == Peers::Table::Config ? "configuration" : "upstreams";
 }
 
+/** The instance that a caller reached judges the size of its call, by a
+ * configuration that may be later than the one here. What bodies take in all is
+ * bounded by the memory that they share. */
+net::HttpServerLimits
+LimitsFor(const relay::CallerLimits& aLimits)
+{
+  net::HttpServerLimits out;
+  out.m_maxHeaderBytes =
+    std::max(kHeadBytes, aLimits.m_headBytes + kInstanceHeaderBytes);
+  out.m_maxBodyBytes = std::max(kBodyBytes, aLimits.m_bodyBytes);
+  return out;
+}
+
 } // namespace
 
 PeerRows::PeerRows(EntryNode& aNode, const Peers& aPeers)
@@ -41,7 +58,7 @@
   auto server = net::HttpServer::Listen(
     *m_node.m_loop,
     m_node.m_settings.m_peers,
-    {},
+    LimitsFor({}),
     [this](const std::shared_ptr<net::HttpExchange>& aExchange) {
       Answer(aExchange);
     });
@@ -75,11 +92,7 @@
 void
 PeerRows::UseLimits(const relay::CallerLimits& aLimits)
 {
-  net::HttpServerLimits out;
-  out.m_maxHeaderBytes =
-    std::max(out.m_maxHeaderBytes, aLimits.m_headBytes + kInstanceHeaderBytes);
-  out.m_maxBodyBytes = std::max(out.m_maxBodyBytes, aLimits.m_bodyBytes);
-  m_server->SetLimits(out);
+  m_server->SetLimits(LimitsFor(aLimits));
 }
 
 void
--- a/packages/entry/src/PeerRows.h
+++ b/packages/entry/src/PeerRows.h
@@ -44,8 +44,8 @@
   using Forwarded = sigc::slot<void(const std::shared_ptr<net::HttpExchange>&,
                                     const ForwardedTerms&)>;
   void TakeForwarded(Forwarded aForwarded);
-  /** Sets the limits on callers' requests, which hold for those that other
-   * instances pass on. Precondition: `Start` has succeeded. */
+  /** Makes room for requests as long as callers' may be here. Precondition:
+   * `Start` has succeeded. */
   void UseLimits(const relay::CallerLimits& aLimits);
   /** Returns the number of connections of other instances with unsent bytes. */
   std::size_t Unsent() const { return m_server->Unsent(); }
