A status that is none is a broken answer, known at once

What callers saw: an upstream's answer with status 000 (001, 099) was taken for an interim one and skipped: the call waited until its deadline, 504 or 502, also where it may run again. 101, which nobody had asked for, and 600 to 999 reached callers as answers.

Cause: the library's parser takes any three digits, and everything below 200 but 101 counted as interim.

Now a status is 100 to 599 and not 101 (RFC 9110, section 15), judged in the one parser that reads all answers: of upstreams, the store, other instances, to orders, probes and prefills. A call that may run again does so at once; another one gets 502, as it may have run.

Ruled out: that status 0 of an attempt without an answer reaches a caller: an answer is forwarded behind its head only (by reading RelayCall).

--- a/packages/net/src/ClientConnection.cpp
+++ b/packages/net/src/ClientConnection.cpp
@@ -41,7 +41,6 @@
 /** Probes without an answer after which it counts as gone. */
 constexpr int kProbes = 2;
 constexpr int kFirstFinalStatus = 200;
-constexpr int kSwitchingProtocols = 101;
 
 void
 Readable(bufferevent*, void* aContext)
@@ -93,7 +92,7 @@
 bool
 IsInterim(int aStatus)
 {
-  return aStatus < kFirstFinalStatus && aStatus != kSwitchingProtocols;
+  return aStatus < kFirstFinalStatus;
 }
 
 std::string
--- a/packages/net/src/MessageParser.cpp
+++ b/packages/net/src/MessageParser.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+/** All statuses of the protocol (RFC 9110, section 15). */
+constexpr int kLeastStatus = 100;
+constexpr int kMostStatus = 599;
+constexpr int kSwitchingProtocols = 101;
+
 std::string
 ToString(boost::beast::string_view aText)
 {
@@ -119,9 +124,15 @@
 MessageParser<kIsRequest>::on_response_impl(int aStatus,
                                             BeastView,
                                             int,
-                                            ErrorCode&)
+                                            ErrorCode& aError)
 {
   m_status = aStatus;
+  // Nobody asks for another protocol.
+  const bool isNone = aStatus < kLeastStatus || aStatus > kMostStatus ||
+                      aStatus == kSwitchingProtocols;
+  if (isNone) {
+    aError = boost::beast::http::error::bad_status;
+  }
 }
 
 template<bool kIsRequest>
--- a/packages/net/src/MessageParser.h
+++ b/packages/net/src/MessageParser.h
@@ -20,8 +20,9 @@
 
 /**
  * Reads one HTTP/1.1 message out of a buffer, piece by piece. The grammar is
- * the library's; this class only keeps what it tells. A message with two
- * lengths, a blank before a colon or a bare line feed is an error.
+ * the library's; this class keeps what it tells. A message with two lengths, a
+ * blank before a colon or a bare line feed is an error, as is a status that is
+ * none of the protocol or switches to another one.
  * Not thread-safe.
  */
 template<bool kIsRequest>
