A step of the store's clock proves nothing

Cause: the greatest reading ever told was kept and mapped with the newest offset of the clocks, so that a reading of before the step seemed to lie ahead, and the table to be proven until then. Only a new generation ended that. A step forward did the same by the old offset.

An answer that shows less than one that was known before its question is of a clock that stepped back; one that no possible offset allows, of one that stepped forward. What seems to lie ahead of the present is never taken.

Ruled out: drift and slow answers (they only make a proof older).

After: ClockStepTest and the other tests of the package pass, ProvenAgeWorldTest with them.

--- a/packages/freshness/include/ridgeferry/freshness/ProvenAge.h
+++ b/packages/freshness/include/ridgeferry/freshness/ProvenAge.h
@@ -25,7 +25,9 @@
  * Owns what this instance knows of the freshness of a table: the instant up to
  * which the table is proven to contain everything that the store had
  * acknowledged. The instant comes from answers of the store to this instance,
- * and from proofs that peers pass on. It never moves back.
+ * and from proofs that peers pass on. It never moves back, and never beyond the
+ * present: a moment that seems to lie ahead is of before the store's clock
+ * stepped, and proves nothing.
  *
  * Pure, not thread-safe.
  */
@@ -68,8 +70,13 @@
   /** Moves `m_provenUntil` on to what `m_latest` proves. */
   void Advance(Instant aNow);
 
+  /** Returns whether the store's clock shows less in an answer to a question of
+   * `aAsked` than it did before. */
+  bool HasSteppedBack(const StoreMoment& aTold, Instant aAsked) const;
+
   StoreClock m_clock;
   std::optional<StoreMoment> m_latest; ///< Latest moment proven.
+  Instant m_latestSince;               ///< When `m_latest` became known.
   std::optional<Instant> m_provenUntil;
 };
 
--- a/packages/freshness/include/ridgeferry/freshness/StoreClock.h
+++ b/packages/freshness/include/ridgeferry/freshness/StoreClock.h
@@ -36,7 +36,8 @@
  * A reading that arrives in answer to a question was made after the question
  * was sent. The difference of the two is therefore a lower bound of the offset,
  * and the bound is close if the answer was quick. No clock of two machines is
- * assumed to agree, only that both run at nearly the same rate.
+ * assumed to agree, only that both run at nearly the same rate. The store's may
+ * step, as when its machine starts again; see `NoteAnswer` and `ProvenAge`.
  *
  * Pure, not thread-safe.
  */
@@ -56,6 +57,12 @@
    * earlier generation than one already recorded has no effect.
    */
   void NoteReading(const StoreMoment& aTold, Instant aAsked);
+  /**
+   * Records a reading that the store itself made between the instants `aAsked`
+   * and `aAnswered`. If no offset that was possible so far allows it, the clock
+   * has stepped forward, and what was known of it has no effect any more.
+   */
+  void NoteAnswer(const StoreMoment& aTold, Instant aAsked, Instant aAnswered);
   /**
    * Returns an instant that is not later than the moment at which the store's
    * clock showed `aMoment`; std::nullopt if no offset is known for its
--- a/packages/freshness/src/ProvenAge.cpp
+++ b/packages/freshness/src/ProvenAge.cpp
@@ -20,15 +20,23 @@
 void
 ProvenAge::NoteRead(const StoreMoment& aTold, Instant aAsked, Instant aNow)
 {
-  m_clock.NoteReading(aTold, aAsked);
+  m_clock.NoteAnswer(aTold, aAsked, aNow);
   // The answer was made after the question was sent, whatever the clocks show.
   m_provenUntil = std::max(m_provenUntil.value_or(aAsked), aAsked);
-  if (IsLater(aTold, m_latest)) {
+  if (IsLater(aTold, m_latest) || HasSteppedBack(aTold, aAsked)) {
     m_latest = aTold;
+    m_latestSince = aNow;
   }
   Advance(aNow);
 }
 
+bool
+ProvenAge::HasSteppedBack(const StoreMoment& aTold, Instant aAsked) const
+{
+  return m_latest && m_latest->m_generation == aTold.m_generation &&
+         m_latest->m_clock > aTold.m_clock && m_latestSince <= aAsked;
+}
+
 void
 ProvenAge::NotePeerProof(const TableProof& aProof,
                          const StorePosition& aHeld,
@@ -41,6 +49,7 @@
     return;
   }
   m_latest = aProof.m_until;
+  m_latestSince = aNow;
   Advance(aNow);
 }
 
@@ -57,9 +66,16 @@
   if (!m_latest) {
     return;
   }
-  if (const auto until = m_clock.EarliestInstantOf(*m_latest, aNow)) {
-    m_provenUntil = std::max(m_provenUntil.value_or(*until), *until);
+  const auto until = m_clock.EarliestInstantOf(*m_latest, aNow);
+  if (!until) {
+    return;
+  }
+  if (*until > aNow) {
+    // Once it no longer lay ahead it would seem to prove something.
+    m_latest.reset();
+    return;
   }
+  m_provenUntil = std::max(m_provenUntil.value_or(*until), *until);
 }
 
 std::optional<TableProof>
--- a/packages/freshness/src/StoreClock.cpp
+++ b/packages/freshness/src/StoreClock.cpp
@@ -34,6 +34,21 @@
   }
 }
 
+void
+StoreClock::NoteAnswer(const StoreMoment& aTold,
+                       Instant aAsked,
+                       Instant aAnswered)
+{
+  // The reading was made before the answer came, so the offset is at most this.
+  const Duration most =
+    aAnswered.time_since_epoch() - aTold.m_clock + kRounding;
+  if (m_bound && m_bound->m_generation == aTold.m_generation &&
+      OffsetAt(*m_bound, aAnswered) > most) {
+    m_bound.reset();
+  }
+  NoteReading(aTold, aAsked);
+}
+
 std::optional<Instant>
 StoreClock::EarliestInstantOf(const StoreMoment& aMoment, Instant aNow) const
 {
--- a/packages/freshness/tests/ProvenAgeTest.cpp
+++ b/packages/freshness/tests/ProvenAgeTest.cpp
@@ -95,6 +95,78 @@
                    false }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+/** How the store's clock steps, and who tells of it. */
+struct StepCase
+{
+  const char* m_name;
+  Duration m_before; ///< The clock at `kNow`.
+  Duration m_behind; ///< The clock ten seconds later.
+};
+
+class ClockStepTest : public ::testing::TestWithParam<StepCase>
+{
+protected:
+  static constexpr Instant kLater = kNow + Duration{ 10'000 };
+  static constexpr Instant kMuchLater = kLater + Duration{ 6000 };
+
+  static ProvenAge ReadBefore()
+  {
+    ProvenAge out;
+    out.NoteRead(At(GetParam().m_before), kNow - Duration{ 4 }, kNow);
+    return out;
+  }
+};
+
+// Guards against a reading of before a step of the store's clock that counts as
+// one of the future, so that the table stays proven without any answer.
+TEST_P(ClockStepTest, WithoutFurtherAnswersTheAgeGrows)
+{
+  ProvenAge age = ReadBefore();
+  age.NoteRead(At(GetParam().m_behind), kLater - Duration{ 4 }, kLater);
+  EXPECT_LE(*age.AgeAt(kLater), Duration{ 4 });
+  EXPECT_GE(*age.AgeAt(kMuchLater), Duration{ 6000 });
+}
+
+TEST_P(ClockStepTest, LaterAnswersProveTheirMoments)
+{
+  ProvenAge age = ReadBefore();
+  age.NoteRead(At(GetParam().m_behind), kLater - Duration{ 4 }, kLater);
+  // One that the store held for two seconds.
+  age.NoteRead(At(GetParam().m_behind + Duration{ 5990 }),
+               kMuchLater - Duration{ 2000 },
+               kMuchLater);
+  EXPECT_LE(*age.AgeAt(kMuchLater), Duration{ 20 });
+  const auto proof = age.ProofFor({ 0, 7 });
+  ASSERT_TRUE(proof.has_value());
+  EXPECT_EQ(proof->m_until.m_clock, GetParam().m_behind + Duration{ 5990 });
+}
+
+// A peer that has not read since the step passes its old proof on, and one that
+// has passes a new one on to an instance that has not.
+TEST_P(ClockStepTest, ProofsOfTheOtherSideProveNothing)
+{
+  ProvenAge behind = ReadBefore();
+  behind.NoteRead(At(GetParam().m_behind), kLater - Duration{ 4 }, kLater);
+  behind.NotePeerProof({ { 0, 7 }, At(GetParam().m_before) }, { 0, 7 }, kLater);
+  EXPECT_GE(*behind.AgeAt(kMuchLater), Duration{ 6000 });
+  ProvenAge before = ReadBefore();
+  before.NotePeerProof({ { 0, 7 }, At(GetParam().m_behind) }, { 0, 7 }, kLater);
+  EXPECT_GE(*before.AgeAt(kMuchLater), Duration{ 6000 });
+}
+
+constexpr Duration kDay{ 86'400'000 };
+
+INSTANTIATE_TEST_SUITE_P(
+  Steps,
+  ClockStepTest,
+  ::testing::Values(
+    StepCase{ "BeginsAnew", kDay, Duration{ 500 } },
+    StepCase{ "BackByAMinute", kDay, kDay - Duration{ 50'000 } },
+    StepCase{ "BackByElevenSeconds", kDay, kDay - Duration{ 1000 } },
+    StepCase{ "ForwardByAMinute", kDay, kDay + Duration{ 70'000 } },
+    StepCase{ "ForwardByADay", kDay, 2 * kDay }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 TEST(StoreClockTest, AnOldBoundAllowsForDriftAndWantsAnotherReading)
 {
   StoreClock clock;
