A long head that has begun is read on when the limit falls

What callers saw: nothing known.

Cause: two places knew the limit of a request. Now the parser tells it.

Before: LimitsTest.ALongHeadThatHasBegunIsReadUnderALowerLimit fails (10 s); found by reading the diff again. After: net_tests, all 224 pass.

--- a/packages/net/src/MessageParser.cpp
+++ b/packages/net/src/MessageParser.cpp
@@ -46,12 +46,19 @@
 void
 MessageParser<kIsRequest>::UseLimits()
 {
-  using Limits = std::numeric_limits<std::uint32_t>;
-  this->header_limit(static_cast<std::uint32_t>(
-    std::min<std::size_t>(m_maxHeaderBytes, Limits::max())));
+  this->header_limit(static_cast<std::uint32_t>(MaxHeaderBytes()));
   this->body_limit(m_maxBodyBytes);
 }
 
+template<bool kIsRequest>
+std::size_t
+MessageParser<kIsRequest>::MaxHeaderBytes() const
+{
+  // The library's limit has 32 bits.
+  using Limits = std::numeric_limits<std::uint32_t>;
+  return std::min<std::size_t>(m_maxHeaderBytes, Limits::max());
+}
+
 template<bool kIsRequest>
 ParseState
 MessageParser<kIsRequest>::Feed(evbuffer* aBuffer)
--- a/packages/net/src/MessageParser.h
+++ b/packages/net/src/MessageParser.h
@@ -49,6 +49,8 @@
   /** The answer to a HEAD request: it has a length but no body. */
   void ExpectNoBody() { this->skip(true); }
 
+  /** Returns the longest head that is read, in bytes. */
+  std::size_t MaxHeaderBytes() const;
   bool HasHead() const { return this->is_header_done(); }
   bool KeepsAlive() const { return this->keep_alive(); }
   /** Returns the length of the body that the head tells; 0 if it tells none.
--- a/packages/net/src/ServerConnection.cpp
+++ b/packages/net/src/ServerConnection.cpp
@@ -7,7 +7,6 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <limits>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -19,8 +18,6 @@
 /** Bytes read ahead of the request under way; more stays in the kernel. A head
  * is read as a whole, so its limit comes on top. */
 constexpr std::size_t kReadAhead = std::size_t{ 64 } * 1024;
-/** The parser's own bound of a head. */
-constexpr std::size_t kLongestHead = std::numeric_limits<std::uint32_t>::max();
 /** Unread bytes of an answer below which more may be given. */
 constexpr std::size_t kFewUnread = std::size_t{ 16 } * 1024;
 /** How long a caller may go on sending after a refusal: one second lets the
@@ -168,8 +165,8 @@
     // What was within the limits when it began stays so.
     m_parser->RaiseLimits(limits.m_maxHeaderBytes, limits.m_maxBodyBytes);
   }
-  const std::size_t head = std::min(limits.m_maxHeaderBytes, kLongestHead);
-  bufferevent_setwatermark(m_events, EV_READ, 0, kReadAhead + head);
+  bufferevent_setwatermark(
+    m_events, EV_READ, 0, kReadAhead + m_parser->MaxHeaderBytes());
 }
 
 void
--- a/packages/net/tests/ChangedLimitsTest.cpp
+++ b/packages/net/tests/ChangedLimitsTest.cpp
@@ -198,6 +198,17 @@
     ChangeCase{ "LoweredInAHead", Moment::InAHead, kMany, kFew, "200", "200" }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+// Guards against a long head that is not read on as the limit has fallen.
+TEST_F(LimitsTest, ALongHeadThatHasBegunIsReadUnderALowerLimit)
+{
+  Listen(Limits(kMany));
+  const std::string request = WithLongHead(kMany - kFew);
+  m_peer.Send(request.substr(0, 4));
+  Rest();
+  m_server->SetLimits(Limits(kFew));
+  EXPECT_EQ(StatusOf(request.substr(4)), "200");
+}
+
 // Guards against a length that is told and that no memory holds ending the
 // process, where the limit allows it.
 TEST_F(LimitsTest, ALengthThatIsToldMakesNoRoomByItself)
