A refusal by keys or limits that are not known says so

What was seen in logs: a call with an unknown key, where some keys could not be read, was refused with "configuration may be out of date" and the code configuration-not-fresh, though the configuration was fresh. A request above limits that may be old got 503, a promise that it has not run, without any line or count.

Now KeyUndecided names its cause (answer keys-unreadable, Retry-After 1 s), and request-above-old-limits tells version, age and lag, counted with the other refusals by an old configuration. The server for other instances refuses what it has no room for with 503 as well: no operator has set that room. Comments that a reader had to ask about are whole sentences; Route::IsReadable names what three places asked of an empty list.

Ruled out: a second code for old limits at the other instances (their 503 names the attempt as before).

Before: no such line, count or code (by reading; the new expectations were not run on the code before).

--- a/packages/configcheck/src/ConfigCheck.cpp
+++ b/packages/configcheck/src/ConfigCheck.cpp
@@ -91,8 +91,8 @@
   }
   for (const Route& route : aConfig.m_routes) {
     const std::string entry = EntryOf(route);
-    if (route.m_services.empty()) {
-      aFindings.NoteIf(true, Problem::RouteUnreadable, entry);
+    aFindings.NoteIf(!route.IsReadable(), Problem::RouteUnreadable, entry);
+    if (!route.IsReadable()) {
       continue;
     }
     aFindings.NoteIf(
--- a/packages/entry/src/ConfigFreshness.cpp
+++ b/packages/entry/src/ConfigFreshness.cpp
@@ -99,7 +99,8 @@
 {
   keys::KeyRules rules = m_node.m_settings.m_keys;
   if (m_unreadable && !rules.m_revocation) {
-    // This instance reaches the store, so it is bound.
+    // Without that bound only instances that reach the store must know of keys
+    // that were taken away. This one does reach it.
     rules.m_revocation = rules.m_configApply;
   }
   return rules;
--- a/packages/entry/src/ConfigFreshness.h
+++ b/packages/entry/src/ConfigFreshness.h
@@ -80,8 +80,8 @@
   PeerRows& m_rows;
   StoreReader& m_config;
   freshness::ProvenAge m_age;
-  /** The first one behind the configuration in force; std::nullopt if the
-   * latest one is in force. */
+  /** The first configuration after the one in force that could not be read;
+   * std::nullopt if the latest one is in force. */
   std::optional<Unreadable> m_unreadable;
   net::Watch m_tick;
 };
--- a/packages/entry/src/PeerRows.cpp
+++ b/packages/entry/src/PeerRows.cpp
@@ -68,6 +68,8 @@
   m_server = std::move(*server);
   m_server->ShareBodies(m_node.m_bodies.get());
   m_server->EchoField(std::string(kAttemptField));
+  // The caller's instance has found the size within its limits.
+  m_server->AskWhetherLimitsMayBeOld([] { return true; });
   return {};
 }
 
--- a/packages/entry/src/Relay.cpp
+++ b/packages/entry/src/Relay.cpp
@@ -52,6 +52,14 @@
   return aRoutes.Organisations().NeedsKeys() && !aRoute.m_isPublic;
 }
 
+std::string_view
+CauseOf(const keys::KeyUndecided& aVerdict)
+{
+  return aVerdict.m_cause == keys::KeyUndecided::Cause::UnreadableKeys
+           ? "some keys of the configuration cannot be read"
+           : "configuration may be out of date";
+}
+
 /** Returns what a decision rests on, for logs and metrics. */
 std::string_view
 NameOf(const streams::OriginDecision& aDecision)
@@ -109,8 +117,7 @@
   }
   m_server = std::move(*server);
   m_server->ShareBodies(m_node.m_bodies.get());
-  m_server->AskWhetherLimitsMayBeOld(
-    [this] { return m_node.m_routes == nullptr || m_freshness.MayBeOld(); });
+  m_server->AskWhetherLimitsMayBeOld([this] { return LimitsMayBeOld(); });
   return {};
 }
 
@@ -302,7 +309,7 @@
     RefuseForGood(aExchange, aHead, { kNotFound, "no-route" });
     return true;
   }
-  if (aRoute == nullptr || aRoute->m_services.empty()) {
+  if (aRoute == nullptr || !aRoute->IsReadable()) {
     Refuse(aExchange,
            aHead,
            { kUnavailable, "route-unreadable", kUnprovenRetryAfter });
@@ -523,23 +530,45 @@
                  const CallHead& aHead,
                  const keys::KeyVerdict& aVerdict)
 {
-  const bool isUnknown = std::holds_alternative<keys::KeyUnknown>(aVerdict);
+  const auto* undecided = std::get_if<keys::KeyUndecided>(&aVerdict);
   const std::optional<Duration> age = m_freshness.Age();
   m_node.m_log->Write(
     observe::LogLevel::Info,
     "key-refused",
     { { "id", aHead.m_id },
-      { "cause",
-        isUnknown ? "unknown key" : "configuration may be out of date" },
+      { "cause", std::string(undecided ? CauseOf(*undecided) : "unknown key") },
       { "config", static_cast<std::int64_t>(m_node.m_routes->Version()) },
       { "provenAgeMs", age ? age->count() : std::int64_t{ -1 } } });
-  if (isUnknown) {
+  if (undecided == nullptr) {
     RefuseForGood(aExchange, aHead, { kUnauthorized, "unknown-key" });
-  } else {
-    Refuse(aExchange,
-           aHead,
-           { kUnavailable, "configuration-not-fresh", kOtherRetryAfter });
+    return;
   }
+  const bool isUnreadable =
+    undecided->m_cause == keys::KeyUndecided::Cause::UnreadableKeys;
+  Refuse(
+    aExchange,
+    aHead,
+    isUnreadable
+      ? Refusal{ kUnavailable, "keys-unreadable", kUnprovenRetryAfter }
+      : Refusal{ kUnavailable, "configuration-not-fresh", kOtherRetryAfter });
+}
+
+bool
+Relay::LimitsMayBeOld()
+{
+  if (m_node.m_routes != nullptr && !m_freshness.MayBeOld()) {
+    return false;
+  }
+  const std::optional<Duration> age = m_freshness.Age();
+  const std::optional<Duration> lag = m_freshness.KnownLag();
+  m_node.m_metrics.Count("refusals_by_old_configuration_total");
+  m_node.m_log->Write(
+    observe::LogLevel::Info,
+    "request-above-old-limits",
+    { { "config", ConfigVersion() },
+      { "provenAgeMs", age ? age->count() : std::int64_t{ -1 } },
+      { "knownLagMs", lag ? lag->count() : std::int64_t{ -1 } } });
+  return true;
 }
 
 } // namespace ridgeferry::entry
--- a/packages/entry/src/Relay.h
+++ b/packages/entry/src/Relay.h
@@ -120,6 +120,10 @@
   void RefuseKey(net::HttpExchange& aExchange,
                  const CallHead& aHead,
                  const keys::KeyVerdict& aVerdict);
+  /** Returns whether limits on sizes of a later configuration may be in force
+   * by now. If so, a request above those here is refused for now, which is
+   * logged. */
+  bool LimitsMayBeOld();
   void Remove(std::uint64_t aCall);
   /** Returns how long the caller has waited before this call arrived here. */
   Duration EarlierWait(const AdmittedRequest& aRequest);
--- a/packages/entry/src/RelayCall.h
+++ b/packages/entry/src/RelayCall.h
@@ -306,7 +306,8 @@
   /** Returns whether the call may be sent to an upstream by its key. A call
    * that may not is logged. */
   bool MayRunByKey() const;
-  /** Returns the priority that the upstream is told. */
+  /** Returns the urgency that the upstream is told; see
+   * `relay::RouteTable::UrgencyOf`. */
   int Urgency() const;
   void LogNoPlace(const relay::PlaceFault& aFault) const;
   /** Returns the number of tokens of the prompt, or 0 without a prompt. */
--- a/packages/freshness/src/ProvenAge.cpp
+++ b/packages/freshness/src/ProvenAge.cpp
@@ -71,7 +71,8 @@
     return;
   }
   if (*until > aNow) {
-    // Once it no longer lay ahead it would seem to prove something.
+    // It is of before a step of the store's clock. If it were kept, it would
+    // count as proven once the present has reached it.
     m_latest.reset();
     return;
   }
--- a/packages/keys/include/ridgeferry/keys/KeyCheck.h
+++ b/packages/keys/include/ridgeferry/keys/KeyCheck.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <ridgeferry/base/Time.h>
 #include <ridgeferry/keys/Organisations.h>
@@ -42,13 +43,19 @@
 /** No organisation holds the key. */
 struct KeyUnknown
 {};
-/**
- * The configuration in force does not decide: it is too old, so that the key
- * may have been taken away, or added, in the meantime; or the key may be one of
- * those that could not be read.
- */
+/** The configuration in force does not decide. */
 struct KeyUndecided
-{};
+{
+  enum class Cause : std::uint8_t
+  {
+    /** It is too old: the key may have been taken away, or added, in the
+     * meantime. */
+    OldConfiguration,
+    /** The key may be one of those that could not be read. */
+    UnreadableKeys,
+  };
+  Cause m_cause = Cause::OldConfiguration;
+};
 
 using KeyVerdict = std::variant<KeyAccepted, KeyUnknown, KeyUndecided>;
 
--- a/packages/keys/src/KeyCheck.cpp
+++ b/packages/keys/src/KeyCheck.cpp
@@ -46,11 +46,14 @@
   }
   // A caller that presents no key needs no newer configuration to be refused,
   // unless its route has become public.
+  if (!IsAtMost(aQuestion.m_provenAge, aRules.m_configApply)) {
+    return KeyUndecided{};
+  }
   const bool mayBeHeld =
     aDirectory.HasUnknownKeys() && !aQuestion.m_key.empty();
-  return !mayBeHeld && IsAtMost(aQuestion.m_provenAge, aRules.m_configApply)
-           ? KeyVerdict(KeyUnknown{})
-           : KeyUndecided{};
+  return mayBeHeld
+           ? KeyVerdict(KeyUndecided{ KeyUndecided::Cause::UnreadableKeys })
+           : KeyUnknown{};
 }
 
 } // namespace ridgeferry::keys
--- a/packages/keys/tests/KeyCheckTest.cpp
+++ b/packages/keys/tests/KeyCheckTest.cpp
@@ -145,6 +145,47 @@
                  Outcome::NoOrganisation }),
   [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
 
+/** A question where some keys could not be read, and why it is undecided. */
+struct UnreadableKeysCase
+{
+  const char* m_name;
+  KeyQuestion m_question;
+  Outcome m_outcome;
+  KeyUndecided::Cause m_cause = KeyUndecided::Cause::OldConfiguration;
+};
+
+class UnreadableKeysTest : public ::testing::TestWithParam<UnreadableKeysCase>
+{};
+
+// Guards against a key that could not be read being refused for good, and
+// against a refusal that names another cause than the one it has.
+TEST_P(UnreadableKeysTest, AnUnknownKeyMayBeOneOfThem)
+{
+  const OrganisationDirectory directory({ { "first", { DigestOf("a") }, 1 } },
+                                        true);
+  const KeyVerdict verdict =
+    CheckKey(directory, kStrict, GetParam().m_question);
+  EXPECT_EQ(OutcomeOf(verdict), GetParam().m_outcome);
+  if (const auto* undecided = std::get_if<KeyUndecided>(&verdict)) {
+    EXPECT_EQ(undecided->m_cause, GetParam().m_cause);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Verdicts,
+  UnreadableKeysTest,
+  ::testing::Values(
+    UnreadableKeysCase{ "Known", { "a", false, kFresh }, Outcome::First },
+    UnreadableKeysCase{ "NoKey", { "", false, kFresh }, Outcome::Unknown },
+    UnreadableKeysCase{ "Unknown",
+                        { "x", false, kFresh },
+                        Outcome::Undecided,
+                        KeyUndecided::Cause::UnreadableKeys },
+    UnreadableKeysCase{ "UnknownAndOld",
+                        { "x", false, kTooOld },
+                        Outcome::Undecided }),
+  [](const auto& aInfo) { return std::string(aInfo.param.m_name); });
+
 /** What decides where no organisations are declared. */
 class KeyCheckWithoutNeedTest : public ::testing::TestWithParam<VerdictCase>
 {};
--- a/packages/net/src/MessageParser.cpp
+++ b/packages/net/src/MessageParser.cpp
@@ -134,7 +134,7 @@
                                             ErrorCode& aError)
 {
   m_status = aStatus;
-  // Nobody asks for another protocol.
+  // No request of ours asks to switch to another protocol.
   const bool isNone = aStatus < kLeastStatus || aStatus > kMostStatus ||
                       aStatus == kSwitchingProtocols;
   if (isNone) {
--- a/packages/relay/include/ridgeferry/relay/Routes.h
+++ b/packages/relay/include/ridgeferry/relay/Routes.h
@@ -36,7 +36,7 @@
   std::string m_name;
   std::string m_host;
   std::string m_pathPrefix; ///< Begins and ends with a slash (`/`).
-  /** Empty if they could not be read: then no call of the route can run. */
+  /** Empty if they could not be read. */
   std::vector<ServiceShare> m_services;
   Repeat m_repeat = Repeat::Never;
   bool m_stream = false; ///< The answer is a stream of events.
@@ -58,6 +58,10 @@
    * counts from the arrival of the call, so it also limits the wait for the
    * first event. `Duration::max()` means that callers do not do so. */
   Duration m_abandonTimeout = Duration::max();
+
+  /** Returns whether it is known which services run the route's calls. Without
+   * that no call of the route can run. */
+  bool IsReadable() const { return !m_services.empty(); }
 };
 
 /** Capacity and transfer rate of the engines of a service. */
